Add the replicated log and a fuzz target against a plain list

Cause: the system's own durable state needs a log that a quorum agrees on, and nothing may be answered before it is synced. Change: src/wisteria/raft/, a state machine without I/O or clock; messages that depend on a sync wait inside it. test/fuzz/raft_fuzz.c drives 3 or 5 replicas by bytes; the oracle is the list of committed entries. The first run found a founder that crashed before its first sync, which is no fault: it is blank and founds again.

--- /dev/null
+++ b/src/wisteria/raft/raft_election.c
@@ -0,0 +1,183 @@
+/*
+ * Elections: pre-vote, so that a replica which was cut off disturbs nobody
+ * (Ongaro 2014, section 9.6), and votes, which are refused while the leader
+ * is heard from (section 4.2.3).
+ */
+#include "wisteria/raft/raft_internal.h"
+#include "wisteria/raft/raft_log.h"
+#include "wisteria/raft/raft_members.h"
+
+/* Draws a new time for the next election. */
+void raft_reset_election(raft_t *raft)
+{
+	raft->election_at_ms =
+		raft->now_ms + RAFT_ELECTION_MS +
+		g_rand_int_range(raft->random, 0, RAFT_ELECTION_MS);
+}
+
+/* Returns whether a leader was heard from within the election timeout. */
+bool raft_heard_leader(const raft_t *raft)
+{
+	if (raft->role == RAFT_LEADER)
+		return true;
+	return raft->leader != 0 &&
+	       raft->now_ms - raft->leader_heard_ms < RAFT_ELECTION_MS;
+}
+
+/* Returns whether a leader has lately heard from a quorum. */
+bool raft_has_active_quorum(const raft_t *raft)
+{
+	uint32_t active = 0;
+
+	for (uint32_t i = 0; i < raft->members.count; i++) {
+		const raft_progress_t *progress = &raft->progress[i];
+
+		if (!raft->members.items[i].voter)
+			continue;
+		if (progress->id == raft->id ||
+		    raft->now_ms - progress->heard_ms < RAFT_ELECTION_MS)
+			active++;
+	}
+	return active >= raft_members_quorum(&raft->members);
+}
+
+static uint32_t count_granted(const raft_t *raft)
+{
+	uint32_t granted = 0;
+
+	for (uint32_t i = 0; i < raft->members.count; i++)
+		if (raft->members.items[i].voter && raft->progress[i].granted)
+			granted++;
+	return granted;
+}
+
+static void check_election(raft_t *raft)
+{
+	if (count_granted(raft) < raft_members_quorum(&raft->members))
+		return;
+	if (raft->role == RAFT_PRE_CANDIDATE)
+		raft_campaign(raft, RAFT_CANDIDATE, false);
+	else
+		raft_become_leader(raft);
+}
+
+static void ask_voters(raft_t *raft, const msg_raft_t *question)
+{
+	for (uint32_t i = 0; i < raft->members.count; i++) {
+		const raft_member_t *member = &raft->members.items[i];
+		msg_raft_t msg = *question;
+
+		if (!member->voter || member->id == raft->id)
+			continue;
+		msg.to = member->id;
+		raft_send(raft, &msg, NULL);
+	}
+}
+
+/*
+ * Begins an election as pre-candidate or candidate.  "ordered" marks one that
+ * the leader asked for, which voters do not hold back from.
+ */
+void raft_campaign(raft_t *raft, raft_role_t role, bool ordered)
+{
+	msg_raft_t question = {
+		.kind = role == RAFT_CANDIDATE ? RAFT_MSG_VOTE
+					       : RAFT_MSG_PRE_VOTE,
+		.term = raft->term + 1,
+		.log_index = raft_log_last(&raft->log),
+		.log_term = raft_log_last_term(&raft->log),
+		.context = ordered ? 1 : 0,
+	};
+
+	if (role == RAFT_CANDIDATE)
+		raft_become_follower(raft, raft->term + 1, 0);
+	raft->role = role;
+	raft->leader = 0;
+	raft_reset_election(raft);
+	for (uint32_t i = 0; i < raft->members.count; i++)
+		raft->progress[i].granted = false;
+	if (role == RAFT_CANDIDATE)
+		raft_set_term(raft, raft->term, raft->id);
+	ask_voters(raft, &question);
+	raft_count_own_vote(raft);
+}
+
+/* Counts this replica's vote for itself once it is synced. */
+void raft_count_own_vote(raft_t *raft)
+{
+	raft_progress_t *progress = raft_progress(raft, raft->id);
+
+	if (progress == NULL || progress->granted)
+		return;
+	if (raft->role == RAFT_CANDIDATE && raft->synced_save < raft->term_save)
+		return;
+	progress->granted = true;
+	check_election(raft);
+}
+
+static bool is_up_to_date(const raft_t *raft, const msg_raft_t *msg)
+{
+	uint64_t last_term = raft_log_last_term(&raft->log);
+
+	if (msg->log_term != last_term)
+		return msg->log_term > last_term;
+	return msg->log_index >= raft_log_last(&raft->log);
+}
+
+/* Answers whether this replica would vote; changes nothing. */
+void raft_on_pre_vote(raft_t *raft, const msg_raft_t *msg)
+{
+	bool granted = msg->term > raft->term && !raft_heard_leader(raft) &&
+		       is_up_to_date(raft, msg);
+	const msg_raft_t reply = {
+		.kind = RAFT_MSG_PRE_VOTE_REPLY,
+		.to = msg->from,
+		.term = granted ? msg->term : raft->term,
+		.reject = !granted,
+	};
+
+	raft_send(raft, &reply, NULL);
+}
+
+/* Votes; the vote leaves once it is synced. */
+void raft_on_vote(raft_t *raft, const msg_raft_t *msg)
+{
+	bool free_to_vote = raft->vote == msg->from ||
+			    (raft->vote == 0 && raft->leader == 0);
+	bool granted = free_to_vote && is_up_to_date(raft, msg);
+	const msg_raft_t reply = {
+		.kind = RAFT_MSG_VOTE_REPLY,
+		.to = msg->from,
+		.reject = !granted,
+	};
+
+	if (granted) {
+		raft_set_term(raft, raft->term, msg->from);
+		raft_reset_election(raft);
+	}
+	raft_send(raft, &reply, NULL);
+}
+
+/* Counts a vote or a pre-vote. */
+void raft_on_vote_reply(raft_t *raft, const msg_raft_t *msg)
+{
+	raft_role_t expected = msg->kind == RAFT_MSG_VOTE_REPLY
+				       ? RAFT_CANDIDATE
+				       : RAFT_PRE_CANDIDATE;
+	raft_progress_t *progress = raft_progress(raft, msg->from);
+
+	if (raft->role != expected || msg->reject || progress == NULL)
+		return;
+	if (expected == RAFT_PRE_CANDIDATE && msg->term != raft->term + 1)
+		return;
+	progress->granted = true;
+	check_election(raft);
+}
+
+/* The leader hands its office to this replica. */
+void raft_on_timeout_now(raft_t *raft, const msg_raft_t *msg)
+{
+	(void)msg;
+	if (raft_members_is_voter(&raft->members, raft->id))
+		raft_campaign(raft, RAFT_CANDIDATE, true);
+}
--- /dev/null
+++ b/src/wisteria/raft/raft_follower.c
@@ -0,0 +1,214 @@
+/* The follower's part: taking entries and snapshots from the leader. */
+#include "wisteria/base/err.h"
+#include "wisteria/raft/raft_internal.h"
+#include "wisteria/raft/raft_log.h"
+#include "wisteria/raft/raft_members.h"
+
+static void reply_append(raft_t *raft, uint64_t to, uint64_t match)
+{
+	const msg_raft_t reply = {
+		.kind = RAFT_MSG_APPEND_REPLY,
+		.to = to,
+		.log_index = match,
+	};
+
+	raft_send(raft, &reply, NULL);
+}
+
+/* Returns the last index before the term of the entry at "index". */
+static uint64_t before_term_of(const raft_t *raft, uint64_t index)
+{
+	uint64_t wanted = 0;
+	uint64_t term = 0;
+
+	if (!raft_log_term(&raft->log, index, &wanted))
+		return raft_log_last(&raft->log);
+	while (index > raft->commit &&
+	       raft_log_term(&raft->log, index, &term) && term == wanted)
+		index--;
+	return index;
+}
+
+static void reject_append(raft_t *raft, const msg_raft_t *msg)
+{
+	const msg_raft_t reply = {
+		.kind = RAFT_MSG_APPEND_REPLY,
+		.to = msg->from,
+		.log_index = msg->log_index,
+		.reject = true,
+		.hint = before_term_of(raft, msg->log_index),
+	};
+
+	raft_send(raft, &reply, NULL);
+}
+
+static void take_entry(raft_t *raft, const msg_raft_entry_t *entry)
+{
+	raft_members_t members;
+	err_t err = ERR_INIT;
+
+	raft_log_add(&raft->log, entry->term, entry->kind,
+		     g_bytes_new(entry->data.data, entry->data.len));
+	if (entry->kind == RAFT_ENTRY_MEMBERS &&
+	    raft_members_decode(&members, entry->data.data, entry->data.len,
+				&err))
+		raft_use_members(raft, &members, entry->index);
+}
+
+/*
+ * Takes the entries that the log lacks.  Returns false for a message that no
+ * correct leader sends: one with gaps, or against a committed entry.
+ */
+static bool take_entries(raft_t *raft, const msg_raft_t *msg)
+{
+	for (size_t i = 0; i < msg->entry_count; i++) {
+		const msg_raft_entry_t *entry = &msg->entries[i];
+		uint64_t term = 0;
+
+		if (entry->index != msg->log_index + 1 + i)
+			return false;
+		if (entry->index <= raft->log.base_index)
+			continue;
+		if (raft_log_term(&raft->log, entry->index, &term)) {
+			if (term == entry->term)
+				continue;
+			if (entry->index <= raft->commit)
+				return false;
+			raft_cut_log(raft, entry->index);
+		}
+		take_entry(raft, entry);
+	}
+	return true;
+}
+
+static void learn_commit(raft_t *raft, uint64_t commit)
+{
+	uint64_t last = raft_log_last(&raft->log);
+
+	raft->commit = MAX(raft->commit, MIN(commit, last));
+}
+
+/* Takes entries from the leader; the answer leaves once they are synced. */
+void raft_on_append(raft_t *raft, const msg_raft_t *msg)
+{
+	uint64_t last_new = msg->log_index + msg->entry_count;
+	uint64_t term = 0;
+
+	if (msg->log_index < raft->log.base_index) {
+		reply_append(raft, msg->from, raft->commit);
+		return;
+	}
+	if (!raft_log_term(&raft->log, msg->log_index, &term) ||
+	    term != msg->log_term) {
+		reject_append(raft, msg);
+		return;
+	}
+	if (!take_entries(raft, msg))
+		return;
+	learn_commit(raft, MIN(msg->commit, last_new));
+	reply_append(raft, msg->from, last_new);
+}
+
+/* Answers a heartbeat; "commit" in it is known to be in the log. */
+void raft_on_heartbeat(raft_t *raft, const msg_raft_t *msg)
+{
+	const msg_raft_t reply = {
+		.kind = RAFT_MSG_HEARTBEAT_REPLY,
+		.to = msg->from,
+		.context = msg->context,
+	};
+
+	learn_commit(raft, msg->commit);
+	raft_send(raft, &reply, NULL);
+}
+
+static void ask_for_chunk(raft_t *raft, const msg_raft_t *msg, uint64_t offset)
+{
+	const msg_raft_t reply = {
+		.kind = RAFT_MSG_SNAPSHOT_REPLY,
+		.to = msg->from,
+		.context = msg->log_index,
+		.hint = offset,
+	};
+
+	raft_send(raft, &reply, NULL);
+}
+
+/* Replaces the log and the state by a complete snapshot. */
+static void install(raft_t *raft, const msg_raft_t *msg,
+		    const raft_members_t *members)
+{
+	raft_snapshot_t *snapshot = &raft->snapshot;
+	uint64_t term = 0;
+	bool continues = raft_log_term(&raft->log, msg->log_index, &term) &&
+			 term == msg->log_term;
+
+	if (snapshot->data != NULL)
+		g_bytes_unref(snapshot->data);
+	snapshot->index = msg->log_index;
+	snapshot->term = msg->log_term;
+	snapshot->members = *members;
+	snapshot->data = g_byte_array_free_to_bytes(raft->incoming);
+	raft->incoming = NULL;
+	if (continues) {
+		raft_log_drop_through(&raft->log, msg->log_index);
+	} else {
+		raft_cut_log(raft, raft->log.base_index + 1);
+		raft_log_reset(&raft->log, msg->log_index, msg->log_term);
+	}
+	raft->save_from = msg->log_index + 1;
+	raft->snapshot_dirty = true;
+	raft->commit = msg->log_index;
+	raft->restore_pending = true;
+	raft_find_members(raft);
+}
+
+static bool begins_new(const raft_t *raft, const msg_raft_t *msg)
+{
+	return raft->incoming == NULL ||
+	       raft->incoming_index != msg->log_index ||
+	       raft->incoming_term != msg->log_term;
+}
+
+static void take_chunk(raft_t *raft, const msg_raft_t *msg)
+{
+	if (begins_new(raft, msg)) {
+		if (raft->incoming != NULL)
+			g_byte_array_unref(raft->incoming);
+		raft->incoming = g_byte_array_new();
+		raft->incoming_index = msg->log_index;
+		raft->incoming_term = msg->log_term;
+	}
+	if (raft->incoming->len == msg->snapshot_offset)
+		g_byte_array_append(raft->incoming, msg->snapshot.data,
+				    (guint)msg->snapshot.len);
+}
+
+/*
+ * Takes one part of a snapshot.  The last one replaces log and state, which
+ * is answered like an append, once it is synced.
+ */
+void raft_on_snapshot(raft_t *raft, const msg_raft_t *msg)
+{
+	raft_members_t members;
+	err_t err = ERR_INIT;
+	bool complete;
+
+	if (msg->log_index <= raft->commit) {
+		reply_append(raft, msg->from, raft->commit);
+		return;
+	}
+	if (!raft_members_decode(&members, msg->members.data, msg->members.len,
+				 &err))
+		return;
+	take_chunk(raft, msg);
+	complete =
+		msg->snapshot_done &&
+		raft->incoming->len == msg->snapshot_offset + msg->snapshot.len;
+	if (!complete) {
+		ask_for_chunk(raft, msg, raft->incoming->len);
+		return;
+	}
+	install(raft, msg, &members);
+	reply_append(raft, msg->from, msg->log_index);
+}
--- /dev/null
+++ b/test/fuzz/raft_faults.h
@@ -0,0 +1,57 @@
+#ifndef TEST_FUZZ_RAFT_FAULTS_H
+#define TEST_FUZZ_RAFT_FAULTS_H
+
+/* Known mistakes, put back on purpose to show that the oracle finds them. */
+#include "raft_sim.h"
+
+static uint64_t fault_release_votes(const raft_t *raft, uint32_t kind)
+{
+	if (kind == RAFT_MSG_VOTE_REPLY)
+		return 0;
+	return raft_rules.release_after(raft, kind);
+}
+
+static bool fault_commit_any_term(const raft_t *raft, uint64_t index)
+{
+	(void)raft;
+	(void)index;
+	return true;
+}
+
+typedef struct {
+	const char *name;
+	uint64_t (*release_after)(const raft_t *raft, uint32_t kind);
+	bool (*may_commit)(const raft_t *raft, uint64_t index);
+	bool lease_from_answer;
+} fault_t;
+
+static const fault_t faults[] = {
+	{ "none", NULL, NULL, false },
+	{ "vote_before_sync", fault_release_votes, NULL, false },
+	{ "commit_older_term", NULL, fault_commit_any_term, false },
+	{ "lease_from_answer", NULL, NULL, true },
+};
+
+/* Returns the run that has the fault "name"; NULL names none. */
+static const sim_variant_t *fault_variant(const char *name)
+{
+	static raft_rules_t rules;
+	static sim_variant_t variant = { .rules = &rules };
+
+	rules = raft_rules;
+	variant.lease_from_answer = false;
+	for (size_t i = 0; name != NULL && i < ARRAY_SIZE(faults); i++) {
+		const fault_t *fault = &faults[i];
+
+		if (strcmp(fault->name, name) != 0)
+			continue;
+		if (fault->release_after != NULL)
+			rules.release_after = fault->release_after;
+		if (fault->may_commit != NULL)
+			rules.may_commit = fault->may_commit;
+		variant.lease_from_answer = fault->lease_from_answer;
+	}
+	return &variant;
+}
+
+#endif
