Show that the raft oracle finds three known mistakes

Cause: a fuzz target that never fails proves nothing. Change: test/fuzz/raft_faults.h puts back voting before the sync, committing an older term's entry by count, and counting a lease from the answer, through raft_rules_t; test/unit/raft_faults_test.c expects each committed input to violate the oracle with its fault and to pass without.

--- /dev/null
+++ b/test/unit/raft_faults_test.c
@@ -0,0 +1,60 @@
+/*
+ * Shows that the oracle of the raft fuzz target finds known mistakes: each
+ * committed input violates it when the mistake is put back, and only then.
+ */
+#include "unit.h"
+
+#include "../fuzz/raft_faults.h"
+
+static const char *run_seed(const char *seed, const char *fault)
+{
+	gchar *folder = g_path_get_dirname(__FILE__);
+	gchar *path = g_build_filename(folder, "..", "fuzz", "seeds", "raft",
+				       seed, NULL);
+	gchar *data = NULL;
+	gsize len = 0;
+	const char *violation;
+
+	CU_ASSERT_FATAL(g_file_get_contents(path, &data, &len, NULL));
+	violation = sim_run((const uint8_t *)data, len, fault_variant(fault));
+	g_free(data);
+	g_free(path);
+	g_free(folder);
+	return violation;
+}
+
+static void expect_found(const char *fault, const char *expected)
+{
+	const char *violation = run_seed(fault, fault);
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(violation);
+	CU_ASSERT_STRING_EQUAL(violation, expected);
+	CU_ASSERT_PTR_NULL(run_seed(fault, "none"));
+}
+
+static void test_vote_before_sync_is_found(void)
+{
+	expect_found("vote_before_sync", "two leaders in one term");
+}
+
+static void test_commit_of_older_term_is_found(void)
+{
+	expect_found("commit_older_term", "a leader lacks a committed entry");
+}
+
+static void test_lease_from_answer_is_found(void)
+{
+	expect_found("lease_from_answer",
+		     "an old revision under a valid lease");
+}
+
+static const unit_test_t tests[] = {
+	{ "vote before sync is found", test_vote_before_sync_is_found },
+	{ "commit of older term is found", test_commit_of_older_term_is_found },
+	{ "lease from answer is found", test_lease_from_answer_is_found },
+};
+
+int main(void)
+{
+	return unit_run("raft_faults", tests, ARRAY_SIZE(tests));
+}
