--- /dev/null
+++ b/test/functional/harness/relay.h
@@ -0,0 +1,23 @@
+#ifndef TEST_FUNCTIONAL_HARNESS_RELAY_H
+#define TEST_FUNCTIONAL_HARNESS_RELAY_H
+
+#include "harness/harness.h"
+
+/*
+ * Passes TCP connections on to an address, and does to them what networks
+ * do: falls silent, cuts, delays.
+ */
+typedef struct relay_t relay_t;
+
+relay_t *relay_new(harness_t *harness, const char *target) ATTR_NONNULL_ALL;
+void relay_free(relay_t *relay);
+const char *relay_address(const relay_t *relay) ATTR_NONNULL_ALL;
+/* Swallows what open connections carry and never closes them. */
+void relay_silence_open(relay_t *relay) ATTR_NONNULL_ALL;
+/* The same for open and new connections, until "silent" is false again. */
+void relay_silence(relay_t *relay, bool silent) ATTR_NONNULL_ALL;
+void relay_cut(relay_t *relay) ATTR_NONNULL_ALL;
+void relay_set_delay(relay_t *relay, clock_ms_t delay_ms) ATTR_NONNULL_ALL;
+size_t relay_open_count(relay_t *relay) ATTR_NONNULL_ALL;
+
+#endif
