Let an agent advertise another address than it listens on

Cause: behind address translation, or a relay in a test, the address bound is not the one that others reach. Change: settings_agent_t has an optional advertise. Conclusion: interface only; the loader follows.

--- a/src/wisteria/settings/settings_defs.h
+++ b/src/wisteria/settings/settings_defs.h
@@ -50,6 +50,7 @@
 	char *listen; /* IP:PORT, for entries and agents */
 	settings_endpoint_t *endpoints;
 	unsigned endpoints_count;
+	char *advertise; /* IP:PORT told to others; NULL: "listen" */
 } settings_agent_t;
 
 /* The settings of one process. */
