--- a/test/functional/harness/cluster.c
+++ b/test/functional/harness/cluster.c
@@ -306,18 +306,20 @@
 static void start_engine(cluster_t *cluster, cluster_endpoint_t *endpoint)
 {
 	harness_t *harness = cluster->harness;
-	bool is_model = endpoint->end_layer > 0;
+	const cluster_params_t *params = &cluster->params;
 	const char *const argv[] = {
-		harness_program(harness,
-				is_model ? "fake_engine" : "fake_service"),
-		"--listen",
-		endpoint->url_address,
-		"--journal",
-		endpoint->journal,
-		is_model ? "--step-us" : NULL,
-		harness_string(harness, "%u", cluster->params.step_us),
-		cluster->params.ignores_fencing ? "--ignore-fencing" : NULL,
-		NULL
+		harness_program(harness, "fake_engine"),
+		harness_string(harness, "--journal=%s", endpoint->journal),
+		harness_string(harness, "--layers=%u", params->layers),
+		harness_string(harness, "--first-layer=%u",
+			       endpoint->first_layer),
+		harness_string(harness, "--end-layer=%u", endpoint->end_layer),
+		harness_string(harness, "--slots=%u", params->slots),
+		harness_string(harness, "--step-us=%u", params->step_us),
+		params->ignores_fencing ? "--ignore-fencing"
+					: "--batch-step-us=0",
+		harness_string(harness, "--listen=%s", endpoint->url_address),
+		NULL,
 	};
 
 	endpoint->engine = harness_start(
@@ -325,13 +327,30 @@
 		argv);
 }
 
+static void start_service(cluster_t *cluster, cluster_endpoint_t *endpoint)
+{
+	harness_t *harness = cluster->harness;
+	const char *const argv[] = {
+		harness_program(harness, "fake_service"),
+		harness_string(harness, "--journal=%s", endpoint->journal),
+		harness_string(harness, "--listen=%s", endpoint->url_address),
+		NULL,
+	};
+
+	endpoint->engine = harness_start(
+		harness, harness_string(harness, "service-%s", endpoint->name),
+		argv);
+}
+
 /* Starts, or starts again, an engine or service and then its agent. */
 void cluster_start_endpoint(cluster_t *cluster, cluster_endpoint_t *endpoint)
 {
 	if (endpoint->engine != NULL)
 		harness_restart(endpoint->engine);
-	else
+	else if (endpoint->end_layer > 0)
 		start_engine(cluster, endpoint);
+	else
+		start_service(cluster, endpoint);
 	if (endpoint->agent != NULL)
 		harness_restart(endpoint->agent);
 	else
