--- a/test/functional/harness/http.c
+++ b/test/functional/harness/http.c
@@ -150,6 +150,9 @@
 	curl_easy_setopt(easy, CURLOPT_URL, params->url);
 	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(easy, CURLOPT_PROXY, "");
+	/* On a kept connection that fails, libcurl would send again. */
+	curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+	curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
 	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, URL_CONNECT_MS);
 	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, request->header_list);
 	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
