Check settings and presets by schema

Cause: nothing read the settings file or a preset. Conclusion: wrong settings are named before anything is opened.

--- a/src/wisteria/settings/preset.h
+++ b/src/wisteria/settings/preset.h
@@ -1,6 +1,7 @@
 #ifndef WISTERIA_SETTINGS_PRESET_H
 #define WISTERIA_SETTINGS_PRESET_H
 
+#include <stdbool.h>
 #include <stddef.h>
 
 #include "wisteria/base/err_defs.h"
@@ -8,6 +9,7 @@
 #include "wisteria/settings/preset_defs.h"
 
 #define PRESET_KEY_HASH_BYTES 32
+#define PRESET_TEXT_BYTES_MAX (2u << 20)
 
 preset_t *preset_parse(const char *text, size_t len,
 		       err_t *err) ATTR_WARN_UNUSED;
--- /dev/null
+++ b/test/unit/settings_test.c
@@ -0,0 +1,165 @@
+/* Unit tests of the settings file: what is taken, and what errors say. */
+#include "unit.h"
+
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <string.h>
+
+#include "wisteria/base/err.h"
+#include "wisteria/settings/settings.h"
+
+#define BASE "instance: a1\nfailure_domain: recife\ncluster_key_file: /k\n"
+#define PEERS "control_instances:\n  - {instance: c1, address: 127.0.0.1:1}\n"
+#define ENTRY \
+	BASE "roles: [entry]\n" PEERS "entry:\n  http_listen: 127.0.0.1:2\n"
+#define AGENT \
+	BASE "roles: [agent]\n" PEERS \
+	     "agent:\n  listen: 127.0.0.1:3\n  endpoints:\n"
+#define ENDPOINT(name, first, end) \
+	"    - {name: " name ", kind: model, target: m, first_layer: " first \
+	", end_layer: " end ", url: http://127.0.0.1:4}\n"
+#define CONTROL \
+	BASE "roles: [control]\ncontrol:\n  listen: 127.0.0.1:5\n" \
+	     "  admin_listen: 127.0.0.1:6\n  admin_token_file: /t\n" \
+	     "  data_dir: /d\n  voters:\n"
+
+typedef struct {
+	const char *text;
+	const char *error; /* a part of the error's text */
+} refused_t;
+
+static settings_t *load(const char *text, err_t *err)
+{
+	char *path = NULL;
+	int file = g_file_open_tmp("settings_XXXXXX", &path, NULL);
+	settings_t *settings;
+
+	g_close(file, NULL);
+	g_file_set_contents(path, text, -1, NULL);
+	settings = settings_load(path, err);
+	if (settings == NULL)
+		CU_ASSERT_STRING_EQUAL(err->peer, path);
+	g_remove(path);
+	g_free(path);
+	return settings;
+}
+
+static void test_defaults(void)
+{
+	err_t err = ERR_INIT;
+	settings_t *settings = load(ENTRY, &err);
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(settings);
+	CU_ASSERT_TRUE(settings_has_role(settings, "entry"));
+	CU_ASSERT_FALSE(settings_has_role(settings, "control"));
+	CU_ASSERT_STRING_EQUAL(settings->region, "default");
+	CU_ASSERT_STRING_EQUAL(settings->log_level, "info");
+	CU_ASSERT_PTR_NULL(settings->trace_file);
+	CU_ASSERT_EQUAL(settings->entry->http_threads, 2);
+	settings_free(settings);
+}
+
+static void test_agent(void)
+{
+	err_t err = ERR_INIT;
+	settings_t *settings =
+		load(AGENT ENDPOINT("x", "0", "4") ENDPOINT("y", "0", "4")
+			     ENDPOINT("z", "4", "8"),
+		     &err);
+
+	CU_ASSERT_STRING_EQUAL(err.text, "");
+	CU_ASSERT_PTR_NOT_NULL_FATAL(settings);
+	CU_ASSERT_EQUAL(settings->agent->endpoints_count, 3);
+	CU_ASSERT_EQUAL(settings->agent->endpoints[2].first_layer, 4);
+	CU_ASSERT_EQUAL(settings->agent->endpoints[2].slots, 8);
+	CU_ASSERT_FALSE(settings->agent->endpoints[2].checks_fencing);
+	settings_free(settings);
+}
+
+static void test_control(void)
+{
+	err_t err = ERR_INIT;
+	settings_t *settings = load(
+		CONTROL "    - {instance: a1, address: 127.0.0.1:5}\n", &err);
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(settings);
+	CU_ASSERT_EQUAL(settings->control->voters_count, 1);
+	CU_ASSERT_PTR_NULL(settings->control->bootstrap_preset_file);
+	settings_free(settings);
+}
+
+static const refused_t refused[] = {
+	{ "", "is empty" },
+	{ "instance: a1\n", "Missing required" },
+	{ ENTRY "  colour: red\n", "key colour: unknown key" },
+	{ ENTRY "  http_threads: many\n", "line 9, key http_threads" },
+	{ ENTRY "  http_threads: 65\n", "expected 1 to 64" },
+	{ BASE "roles: []\n", "key roles" },
+	{ BASE "roles: [king]\n", "line 4, key roles: \"king\" is no role" },
+	{ BASE "roles: [entry, entry]\n" PEERS, "stands twice" },
+	{ BASE "roles: [entry]\n" PEERS, "needs a section \"entry\"" },
+	{ BASE "roles: [entry]\nentry:\n  http_listen: 127.0.0.1:2\n",
+	  "needs \"control_instances\"" },
+	{ CONTROL "    - {instance: a1, address: 127.0.0.1:5}\n"
+		  "entry:\n  http_listen: 127.0.0.1:2\n",
+	  "stands without the role" },
+	{ BASE "roles: [entry]\n" PEERS "entry:\n  http_listen: host:2\n",
+	  "line 8, key http_listen: \"host:2\": not an IP number" },
+	{ ENTRY "metrics_listen: 127.0.0.1\n", "expected IP:PORT" },
+	{ ENTRY "log_level: loud\n", "line 9, key log_level" },
+	{ BASE "roles: [entry]\nregion: a b\n" PEERS, "a name holds" },
+	{ CONTROL "    - {instance: a1, address: 127.0.0.1:5}\n"
+		  "    - {instance: a1, address: 127.0.0.1:6}\n",
+	  "duplicate name \"a1\"" },
+	{ AGENT, "endpoints" },
+	{ AGENT ENDPOINT("x", "4", "4"), "empty layer range [4, 4)" },
+	{ AGENT ENDPOINT("x", "5", "4"), "empty layer range [5, 4)" },
+	{ AGENT ENDPOINT("x", "0", "4") ENDPOINT("y", "3", "8"),
+	  "layers [3, 8) of y overlap [0, 4) of x" },
+	{ AGENT ENDPOINT("x", "0", "4") ENDPOINT("x", "4", "8"),
+	  "duplicate name \"x\"" },
+	{ AGENT "    - {name: p, kind: service, target: s, end_layer: 3,"
+		" url: http://127.0.0.1:4}\n",
+	  "a service has no layers" },
+	{ AGENT "    - {name: p, kind: service, target: s,"
+		" url: http://pedidos:4}\n",
+	  "not an IP number" },
+	{ AGENT "    - {name: p, kind: service, target: s,"
+		" url: ftp://127.0.0.1:4}\n",
+	  "expected http://IP:PORT" },
+};
+
+static void test_refused(void)
+{
+	for (size_t i = 0; i < ARRAY_SIZE(refused); i++) {
+		err_t err = ERR_INIT;
+		settings_t *settings = load(refused[i].text, &err);
+
+		CU_ASSERT_PTR_NULL(settings);
+		CU_ASSERT_EQUAL(err.code, ERR_INVALID);
+		CU_ASSERT_PTR_NOT_NULL(strstr(err.text, refused[i].error));
+		if (strstr(err.text, refused[i].error) == NULL)
+			printf("\n  %zu: %s\n", i, err.text);
+		settings_free(settings);
+	}
+}
+
+static void test_missing_file(void)
+{
+	err_t err = ERR_INIT;
+
+	CU_ASSERT_PTR_NULL(settings_load("/nonexistent/settings.yaml", &err));
+	CU_ASSERT_EQUAL(err.code, ERR_IO);
+	CU_ASSERT_STRING_EQUAL(err.peer, "/nonexistent/settings.yaml");
+}
+
+static const unit_test_t tests[] = {
+	{ "defaults", test_defaults },	       { "agent", test_agent },
+	{ "control", test_control },	       { "refused", test_refused },
+	{ "missing file", test_missing_file },
+};
+
+int main(void)
+{
+	return unit_run("settings", tests, ARRAY_SIZE(tests));
+}
