Take the agent's advertised address

Change: settings_agent_t.advertise is loaded and checked; the unit tests end at once where a valid text is refused.

--- a/src/wisteria/settings/settings.c
+++ b/src/wisteria/settings/settings.c
@@ -89,6 +89,7 @@
 
 static const cyaml_schema_field_t agent_fields[] = {
 	STRING_FIELD(settings_agent_t, listen),
+	OPTIONAL_STRING_FIELD(settings_agent_t, advertise),
 	CYAML_FIELD_SEQUENCE("endpoints", CYAML_FLAG_POINTER, settings_agent_t,
 			     endpoints, &endpoint_schema, 1,
 			     SETTINGS_ENDPOINTS_MAX),
@@ -340,7 +341,8 @@
 {
 	if (agent == NULL)
 		return true;
-	if (!check_address(doc, "listen", agent->listen, err))
+	if (!check_address(doc, "listen", agent->listen, err) ||
+	    !check_address(doc, "advertise", agent->advertise, err))
 		return false;
 	for (unsigned i = 0; i < agent->endpoints_count; i++) {
 		if (!check_endpoint(doc, &agent->endpoints[i], err))
--- a/test/unit/preset_test.c
+++ b/test/unit/preset_test.c
@@ -22,6 +22,17 @@
 	return preset_parse(text, strlen(text), err);
 }
 
+static preset_t *parse_valid(const char *text)
+{
+	err_t err = ERR_INIT;
+	preset_t *preset = parse(text, &err);
+
+	CU_ASSERT_STRING_EQUAL(err.text, "");
+	if (preset == NULL)
+		abort();
+	return preset;
+}
+
 static void test_whole_preset(void)
 {
 	static const char text[] =
@@ -39,11 +50,8 @@
 		", deserved_sessions: 2, capability_sessions: 2}\n"
 		"limits: {retry_percent: 0, queue_ms: 5}\n"
 		"recovery: replay\n";
-	err_t err = ERR_INIT;
-	preset_t *preset = parse(text, &err);
+	preset_t *preset = parse_valid(text);
 
-	CU_ASSERT_STRING_EQUAL(err.text, "");
-	CU_ASSERT_PTR_NOT_NULL_FATAL(preset);
 	CU_ASSERT_STRING_EQUAL(preset->name, "peak");
 	CU_ASSERT_EQUAL(preset_model(preset, "modelo")->layers, 48);
 	CU_ASSERT_EQUAL(preset_model(preset, "modelo")->max_tokens, 512);
@@ -59,13 +67,10 @@
 
 static void test_idempotent_methods(void)
 {
-	err_t err = ERR_INIT;
-	preset_t *preset = parse("name: a\nservices:\n  - name: padron\n"
-				 "    idempotent_methods: [PUT]\n",
-				 &err);
+	preset_t *preset = parse_valid("name: a\nservices:\n  - name: padron\n"
+				       "    idempotent_methods: [PUT]\n");
 	const preset_service_t *service;
 
-	CU_ASSERT_PTR_NOT_NULL_FATAL(preset);
 	service = preset_service(preset, "padron");
 	CU_ASSERT_TRUE(preset_is_idempotent(service, "GET"));
 	CU_ASSERT_TRUE(preset_is_idempotent(service, "PUT"));
@@ -79,7 +84,6 @@
 	char hex[2 * PRESET_KEY_HASH_BYTES + 1];
 	GString *text = g_string_new("name: a\nmodels:\n"
 				     "  - {name: m, layers: 1}\ncontracts:\n");
-	err_t err = ERR_INIT;
 	preset_t *preset;
 	char key[32];
 
@@ -92,8 +96,7 @@
 				       " capability_sessions: 1}\n",
 				       i, hex);
 	}
-	preset = parse(text->str, &err);
-	CU_ASSERT_PTR_NOT_NULL_FATAL(preset);
+	preset = parse_valid(text->str);
 	CU_ASSERT_STRING_EQUAL(
 		preset_contract_by_key(preset, "key-217")->customer, "c217");
 	CU_ASSERT_PTR_NULL(preset_contract_by_key(preset, "key-300"));
--- a/test/unit/settings_test.c
+++ b/test/unit/settings_test.c
@@ -44,12 +44,21 @@
 	return settings;
 }
 
-static void test_defaults(void)
+static settings_t *load_valid(const char *text)
 {
 	err_t err = ERR_INIT;
-	settings_t *settings = load(ENTRY, &err);
+	settings_t *settings = load(text, &err);
+
+	CU_ASSERT_STRING_EQUAL(err.text, "");
+	if (settings == NULL)
+		abort();
+	return settings;
+}
+
+static void test_defaults(void)
+{
+	settings_t *settings = load_valid(ENTRY);
 
-	CU_ASSERT_PTR_NOT_NULL_FATAL(settings);
 	CU_ASSERT_TRUE(settings_has_role(settings, "entry"));
 	CU_ASSERT_FALSE(settings_has_role(settings, "control"));
 	CU_ASSERT_STRING_EQUAL(settings->region, "default");
@@ -61,14 +70,9 @@
 
 static void test_agent(void)
 {
-	err_t err = ERR_INIT;
-	settings_t *settings =
-		load(AGENT ENDPOINT("x", "0", "4") ENDPOINT("y", "0", "4")
-			     ENDPOINT("z", "4", "8"),
-		     &err);
+	settings_t *settings = load_valid(AGENT ENDPOINT(
+		"x", "0", "4") ENDPOINT("y", "0", "4") ENDPOINT("z", "4", "8"));
 
-	CU_ASSERT_STRING_EQUAL(err.text, "");
-	CU_ASSERT_PTR_NOT_NULL_FATAL(settings);
 	CU_ASSERT_EQUAL(settings->agent->endpoints_count, 3);
 	CU_ASSERT_EQUAL(settings->agent->endpoints[2].first_layer, 4);
 	CU_ASSERT_EQUAL(settings->agent->endpoints[2].slots, 8);
@@ -78,11 +82,9 @@
 
 static void test_control(void)
 {
-	err_t err = ERR_INIT;
-	settings_t *settings = load(
-		CONTROL "    - {instance: a1, address: 127.0.0.1:5}\n", &err);
+	settings_t *settings = load_valid(
+		CONTROL "    - {instance: a1, address: 127.0.0.1:5}\n");
 
-	CU_ASSERT_PTR_NOT_NULL_FATAL(settings);
 	CU_ASSERT_EQUAL(settings->control->voters_count, 1);
 	CU_ASSERT_PTR_NULL(settings->control->bootstrap_preset_file);
 	settings_free(settings);
@@ -105,6 +107,8 @@
 	  "stands without the role" },
 	{ BASE "roles: [entry]\n" PEERS "entry:\n  http_listen: host:2\n",
 	  "line 8, key http_listen: \"host:2\": not an IP number" },
+	{ AGENT ENDPOINT("x", "0", "4") "  advertise: host:1\n",
+	  "key advertise: \"host:1\": not an IP number" },
 	{ ENTRY "metrics_listen: 127.0.0.1\n", "expected IP:PORT" },
 	{ ENTRY "log_level: loud\n", "line 9, key log_level" },
 	{ BASE "roles: [entry]\nregion: a b\n" PEERS, "a name holds" },
