--- /dev/null
+++ b/src/wisteria/route/group_defs.h
@@ -0,0 +1,27 @@
+#ifndef WISTERIA_ROUTE_GROUP_DEFS_H
+#define WISTERIA_ROUTE_GROUP_DEFS_H
+
+#include <stdint.h>
+
+#include "wisteria/base/table_defs.h"
+
+/* Most candidates that one group offers for one choice. */
+#define GROUP_BEST_MAX 16
+
+typedef struct {
+	double key;
+	handle_t candidate;
+} group_entry_t;
+
+/*
+ * The candidates of one layer range in one failure domain, as a binary heap
+ * by expected wait.
+ */
+typedef struct {
+	uint32_t domain;
+	uint32_t count;
+	uint32_t capacity;
+	group_entry_t *entries;
+} group_t;
+
+#endif
--- /dev/null
+++ b/src/wisteria/route/links.h
@@ -0,0 +1,18 @@
+#ifndef WISTERIA_ROUTE_LINKS_H
+#define WISTERIA_ROUTE_LINKS_H
+
+#include "wisteria/base/macros_defs.h"
+#include "wisteria/route/links_defs.h"
+
+void links_init(links_t *links) ATTR_NONNULL_ALL;
+void links_finish(links_t *links) ATTR_NONNULL_ALL;
+uint32_t links_domain(links_t *links, const char *domain,
+		      const char *region) ATTR_NONNULL_ALL;
+uint32_t links_instance(links_t *links, const char *instance,
+			uint32_t domain) ATTR_NONNULL_ALL;
+void links_learn(links_t *links, const char *from, const char *to,
+		 double ms) ATTR_NONNULL_ALL;
+double links_time(const links_t *links, const link_end_t *from,
+		  const link_end_t *to) ATTR_NONNULL_ALL;
+
+#endif
