--- a/src/wisteria/codec/msg.c
+++ b/src/wisteria/codec/msg.c
@@ -233,6 +233,9 @@
 static const field_desc_t share_fields[] = {
 	FIELD(FIELD_STR, msg_share_t, customer),
 	FIELD(FIELD_U32, msg_share_t, sessions),
+	FIELD(FIELD_U32, msg_share_t, running),
+	FIELD(FIELD_U32, msg_share_t, held),
+	FIELD(FIELD_U32, msg_share_t, capability),
 };
 const record_desc_t msg_share_desc = RECORD_DESC(msg_share_t, share_fields);
 
--- a/src/wisteria/codec/msg_defs.h
+++ b/src/wisteria/codec/msg_defs.h
@@ -291,10 +291,17 @@
 	const char *text;
 } msg_name_t;
 
-/* Sessions that an entry wants, or may have, for one customer. */
+/*
+ * Sessions that an entry wants, or may have, for one customer.  An entry
+ * that asks also says how many it runs, and which part it holds; a part that
+ * is given out names the capability of the contract that it is part of.
+ */
 typedef struct {
 	const char *customer;
 	uint32_t sessions;
+	uint32_t running;
+	uint32_t held;
+	uint32_t capability;
 } msg_share_t;
 
 /* How much work an endpoint still runs; lets an operator see it empty. */
--- /dev/null
+++ b/src/wisteria/ledger/ledger.h
@@ -0,0 +1,35 @@
+#ifndef WISTERIA_LEDGER_LEDGER_H
+#define WISTERIA_LEDGER_LEDGER_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "wisteria/base/macros_defs.h"
+#include "wisteria/codec/msg_defs.h"
+
+/*
+ * The ledger of non-idempotent calls: at most one dispatch for a key.  It is
+ * a state machine of the replicated log; all that it does follows from the
+ * commands applied and the times in them.  The times are those of the log's
+ * leader and may not run backwards.
+ */
+typedef struct ledger_t ledger_t;
+
+/* What the ledger holds, for counters and status. */
+typedef struct {
+	size_t entries;
+	size_t bytes;
+} ledger_usage_t;
+
+ledger_t *ledger_new(size_t bytes_max) ATTR_WARN_UNUSED;
+void ledger_free(ledger_t *ledger);
+void ledger_apply(ledger_t *ledger, const msg_ledger_t *command, int64_t now_ms,
+		  msg_ledger_reply_t *reply) ATTR_NONNULL_ALL;
+void ledger_snapshot(const ledger_t *ledger,
+		     msgpack_sbuffer *out) ATTR_NONNULL_ALL;
+bool ledger_restore(ledger_t *ledger, const uint8_t *data, size_t len,
+		    err_t *err) ATTR_NONNULL(1, 4) ATTR_WARN_UNUSED;
+ledger_usage_t ledger_usage(const ledger_t *ledger) ATTR_NONNULL_ALL;
+
+#endif
--- /dev/null
+++ b/src/wisteria/limits/admission.h
@@ -0,0 +1,51 @@
+#ifndef WISTERIA_LIMITS_ADMISSION_H
+#define WISTERIA_LIMITS_ADMISSION_H
+
+#include <stdbool.h>
+#include <stddef.h>
+
+#include "wisteria/base/macros_defs.h"
+#include "wisteria/codec/msg_defs.h"
+#include "wisteria/limits/admission_defs.h"
+#include "wisteria/settings/preset_defs.h"
+
+/*
+ * Lets requests in at one entry, within its parts of the customers'
+ * contracts, and queues what has to wait.  No clock, no I/O.  The owner
+ *
+ *   - calls admission_offer() for each request;
+ *   - starts what is admitted, and calls admission_put_back() if the router
+ *     then says that no endpoint is free;
+ *   - calls admission_finished() when a started request has ended, however
+ *     it ended;
+ *   - after that, and on a timer, takes requests from admission_next() until
+ *     it returns false, and from admission_expire() those to refuse.
+ */
+typedef struct admission_t admission_t;
+
+admission_t *admission_new(void) ATTR_WARN_UNUSED;
+void admission_free(admission_t *admission);
+void admission_set_contracts(admission_t *admission, const preset_t *preset,
+			     const msg_share_t *shares, size_t share_count,
+			     clock_ms_t now) ATTR_NONNULL(1, 2);
+admission_answer_t
+admission_offer(admission_t *admission, const admission_offer_t *offer,
+		clock_ms_t now) ATTR_NONNULL_ALL ATTR_WARN_UNUSED;
+bool admission_next(admission_t *admission, clock_ms_t now,
+		    handle_t *request) ATTR_NONNULL_ALL ATTR_WARN_UNUSED;
+admission_answer_t
+admission_put_back(admission_t *admission, const admission_offer_t *offer,
+		   clock_ms_t now) ATTR_NONNULL_ALL ATTR_WARN_UNUSED;
+void admission_finished(admission_t *admission, const char *customer,
+			const char *target, uint64_t tokens,
+			clock_ms_t now) ATTR_NONNULL_ALL;
+bool admission_cancel(admission_t *admission,
+		      handle_t request) ATTR_NONNULL_ALL;
+bool admission_expire(admission_t *admission, clock_ms_t now, handle_t *request,
+		      clock_ms_t *retry_after_ms)
+	ATTR_NONNULL_ALL ATTR_WARN_UNUSED;
+size_t admission_demand(const admission_t *admission, msg_share_t *demand,
+			size_t capacity) ATTR_NONNULL(1);
+uint32_t admission_queued(const admission_t *admission) ATTR_NONNULL_ALL;
+
+#endif
