--- /dev/null
+++ b/src/wisteria/control/control_defs.h
@@ -0,0 +1,12 @@
+#ifndef WISTERIA_CONTROL_CONTROL_DEFS_H
+#define WISTERIA_CONTROL_CONTROL_DEFS_H
+
+/* How long a renewed lease lasts, counted from when it was asked for. */
+#define LEASE_MS 2500
+/* How often a daemon renews, and how long it waits for one answer. */
+#define LEASE_RENEW_MS 500
+#define LEASE_ANSWER_MS 400
+/* An agent not heard for this long loses its place in the directory. */
+#define DIRECTORY_SILENCE_MS 4000
+
+#endif
--- /dev/null
+++ b/src/wisteria/control/directory.c
@@ -0,0 +1,304 @@
+/*
+ * The directory of endpoints.  Every change of an endpoint takes the next
+ * version; removed endpoints stay as tombstones so that deltas can name them.
+ */
+#include "wisteria/control/directory.h"
+
+#include <string.h>
+
+#include <glib.h>
+
+/* Tombstones kept; a daemon that lags further is sent everything. */
+#define DIRECTORY_TOMBSTONES_MAX 4096
+
+typedef struct {
+	msg_endpoint_t endpoint; /* strings are owned */
+	msg_name_t name;	 /* the endpoint's, for removals */
+	uint64_t version;
+	bool removed;
+} directory_entry_t;
+
+/* An agent that announces endpoints. */
+typedef struct {
+	char *instance;
+	uint64_t incarnation;
+	clock_ms_t heard_ms;
+} directory_agent_t;
+
+struct directory_t {
+	uint64_t epoch;
+	uint64_t version;
+	uint64_t forgotten_version; /* newest dropped tombstone */
+	size_t tombstones;
+	GHashTable *entries; /* name -> directory_entry_t */
+	GHashTable *agents;  /* instance -> directory_agent_t */
+	GArray *delta_endpoints;
+	GArray *delta_removed;
+};
+
+static void free_strings(msg_endpoint_t *endpoint)
+{
+	g_free((char *)endpoint->name);
+	g_free((char *)endpoint->instance);
+	g_free((char *)endpoint->address);
+	g_free((char *)endpoint->target);
+	g_free((char *)endpoint->accelerator);
+	g_free((char *)endpoint->failure_domain);
+	g_free((char *)endpoint->region);
+}
+
+static void copy_strings(msg_endpoint_t *copy, const msg_endpoint_t *endpoint)
+{
+	*copy = *endpoint;
+	copy->name = g_strdup(endpoint->name);
+	copy->instance = g_strdup(endpoint->instance);
+	copy->address = g_strdup(endpoint->address);
+	copy->target = g_strdup(endpoint->target);
+	copy->accelerator = g_strdup(endpoint->accelerator);
+	copy->failure_domain = g_strdup(endpoint->failure_domain);
+	copy->region = g_strdup(endpoint->region);
+}
+
+static void free_entry(gpointer data)
+{
+	directory_entry_t *entry = data;
+
+	free_strings(&entry->endpoint);
+	g_free(entry);
+}
+
+static void free_agent(gpointer data)
+{
+	directory_agent_t *agent = data;
+
+	g_free(agent->instance);
+	g_free(agent);
+}
+
+static bool same_endpoint(const msg_endpoint_t *a, const msg_endpoint_t *b)
+{
+	return a->incarnation == b->incarnation && a->kind == b->kind &&
+	       a->first_layer == b->first_layer &&
+	       a->end_layer == b->end_layer && a->slots == b->slots &&
+	       a->checks_fencing == b->checks_fencing &&
+	       strcmp(a->instance, b->instance) == 0 &&
+	       strcmp(a->address, b->address) == 0 &&
+	       strcmp(a->target, b->target) == 0 &&
+	       strcmp(a->accelerator, b->accelerator) == 0 &&
+	       strcmp(a->failure_domain, b->failure_domain) == 0 &&
+	       strcmp(a->region, b->region) == 0;
+}
+
+/* Makes an empty directory; "epoch" tells it from all others. */
+directory_t *directory_new(uint64_t epoch)
+{
+	directory_t *directory = g_new0(directory_t, 1);
+
+	directory->epoch = epoch;
+	directory->entries = g_hash_table_new_full(g_str_hash, g_str_equal,
+						   NULL, free_entry);
+	directory->agents = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+						  free_agent);
+	directory->delta_endpoints =
+		g_array_new(FALSE, FALSE, sizeof(msg_endpoint_t));
+	directory->delta_removed =
+		g_array_new(FALSE, FALSE, sizeof(msg_name_t));
+	return directory;
+}
+
+/* Frees a directory. */
+void directory_free(directory_t *directory)
+{
+	if (directory == NULL)
+		return;
+	g_hash_table_destroy(directory->entries);
+	g_hash_table_destroy(directory->agents);
+	g_array_free(directory->delta_endpoints, TRUE);
+	g_array_free(directory->delta_removed, TRUE);
+	g_free(directory);
+}
+
+static void remove_entry(directory_t *directory, directory_entry_t *entry)
+{
+	entry->removed = true;
+	entry->version = ++directory->version;
+	directory->tombstones++;
+}
+
+static void put_endpoint(directory_t *directory, const msg_endpoint_t *endpoint)
+{
+	directory_entry_t *entry =
+		g_hash_table_lookup(directory->entries, endpoint->name);
+	msg_endpoint_t copy;
+
+	if (entry != NULL && !entry->removed &&
+	    same_endpoint(&entry->endpoint, endpoint))
+		return;
+	copy_strings(&copy, endpoint);
+	if (entry != NULL) {
+		g_hash_table_steal(directory->entries, endpoint->name);
+		free_strings(&entry->endpoint);
+		directory->tombstones -= entry->removed;
+	} else {
+		entry = g_new0(directory_entry_t, 1);
+	}
+	entry->endpoint = copy;
+	entry->name.text = copy.name;
+	entry->removed = false;
+	entry->version = ++directory->version;
+	g_hash_table_insert(directory->entries, (char *)copy.name, entry);
+}
+
+static bool announces(const msg_renew_t *renew, const char *name)
+{
+	for (size_t i = 0; i < renew->endpoint_count; i++)
+		if (strcmp(renew->endpoints[i].name, name) == 0)
+			return true;
+	return false;
+}
+
+/* Removes the endpoints of an agent that it no longer announces. */
+static void remove_absent(directory_t *directory, const msg_renew_t *renew)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, directory->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		directory_entry_t *entry = value;
+
+		if (!entry->removed &&
+		    strcmp(entry->endpoint.instance, renew->instance) == 0 &&
+		    !announces(renew, entry->endpoint.name))
+			remove_entry(directory, entry);
+	}
+}
+
+/*
+ * Takes the full list of endpoints that an agent announces.  What an earlier
+ * incarnation of the agent says after a later one is ignored.
+ */
+void directory_announce(directory_t *directory, const msg_renew_t *renew,
+			clock_ms_t now)
+{
+	directory_agent_t *agent =
+		g_hash_table_lookup(directory->agents, renew->instance);
+
+	if (agent != NULL && agent->incarnation > renew->incarnation)
+		return;
+	if (agent == NULL) {
+		agent = g_new0(directory_agent_t, 1);
+		agent->instance = g_strdup(renew->instance);
+		g_hash_table_insert(directory->agents, agent->instance, agent);
+	}
+	agent->incarnation = renew->incarnation;
+	agent->heard_ms = now;
+	remove_absent(directory, renew);
+	for (size_t i = 0; i < renew->endpoint_count; i++)
+		put_endpoint(directory, &renew->endpoints[i]);
+}
+
+/*
+ * Notes that an agent lives and announces nothing new.  Returns false if the
+ * directory does not know what it announced before.
+ */
+bool directory_touch(directory_t *directory, const char *instance,
+		     uint64_t incarnation, clock_ms_t now)
+{
+	directory_agent_t *agent =
+		g_hash_table_lookup(directory->agents, instance);
+
+	if (agent == NULL || agent->incarnation != incarnation)
+		return false;
+	agent->heard_ms = now;
+	return true;
+}
+
+static void drop_tombstones(directory_t *directory)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	if (directory->tombstones <= DIRECTORY_TOMBSTONES_MAX)
+		return;
+	g_hash_table_iter_init(&iter, directory->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const directory_entry_t *entry = value;
+
+		if (entry->removed)
+			g_hash_table_iter_remove(&iter);
+	}
+	directory->tombstones = 0;
+	directory->forgotten_version = directory->version;
+}
+
+static void expire_agent(directory_t *directory, const char *instance)
+{
+	const msg_renew_t nothing = { .instance = instance };
+
+	remove_absent(directory, &nothing);
+}
+
+/* Removes the endpoints of agents not heard for "silence_ms". */
+void directory_expire(directory_t *directory, clock_ms_t now,
+		      clock_ms_t silence_ms)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, directory->agents);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const directory_agent_t *agent = value;
+
+		if (now - agent->heard_ms < silence_ms)
+			continue;
+		expire_agent(directory, agent->instance);
+		g_hash_table_iter_remove(&iter);
+	}
+	drop_tombstones(directory);
+}
+
+/*
+ * Says what a daemon that knows "version" of "epoch" lacks: a delta, or
+ * everything where it knows another epoch or lags too far.
+ */
+void directory_delta(directory_t *directory, uint64_t epoch, uint64_t version,
+		     directory_delta_t *delta)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	memset(delta, 0, sizeof(*delta));
+	delta->epoch = directory->epoch;
+	delta->version = directory->version;
+	delta->full = epoch != directory->epoch ||
+		      version < directory->forgotten_version ||
+		      version > directory->version;
+	if (!delta->full && version == directory->version)
+		return;
+	g_array_set_size(directory->delta_endpoints, 0);
+	g_array_set_size(directory->delta_removed, 0);
+	g_hash_table_iter_init(&iter, directory->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const directory_entry_t *entry = value;
+
+		if (!delta->full && entry->version <= version)
+			continue;
+		if (!entry->removed)
+			g_array_append_val(directory->delta_endpoints,
+					   entry->endpoint);
+		else if (!delta->full)
+			g_array_append_val(directory->delta_removed,
+					   entry->name);
+	}
+	delta->endpoints = (msg_endpoint_t *)directory->delta_endpoints->data;
+	delta->endpoint_count = directory->delta_endpoints->len;
+	delta->removed = (msg_name_t *)directory->delta_removed->data;
+	delta->removed_count = directory->delta_removed->len;
+}
+
+/* Returns the number of endpoints now announced. */
+size_t directory_count(const directory_t *directory)
+{
+	return g_hash_table_size(directory->entries) - directory->tombstones;
+}
--- /dev/null
+++ b/src/wisteria/control/directory.h
@@ -0,0 +1,40 @@
+#ifndef WISTERIA_CONTROL_DIRECTORY_H
+#define WISTERIA_CONTROL_DIRECTORY_H
+
+#include <stdbool.h>
+
+#include "wisteria/base/clock_defs.h"
+#include "wisteria/base/macros_defs.h"
+#include "wisteria/codec/msg_defs.h"
+
+/*
+ * The endpoints that agents have announced: soft state of a control instance,
+ * versioned so that a daemon is sent only what changed.  It has no clock.
+ */
+typedef struct directory_t directory_t;
+
+/* What changed since a version; arrays are valid until the next change. */
+typedef struct {
+	bool full;
+	uint64_t epoch;
+	uint64_t version;
+	const msg_endpoint_t *endpoints;
+	size_t endpoint_count;
+	const msg_name_t *removed;
+	size_t removed_count;
+} directory_delta_t;
+
+directory_t *directory_new(uint64_t epoch) ATTR_WARN_UNUSED;
+void directory_free(directory_t *directory);
+void directory_announce(directory_t *directory, const msg_renew_t *renew,
+			clock_ms_t now) ATTR_NONNULL_ALL;
+bool directory_touch(directory_t *directory, const char *instance,
+		     uint64_t incarnation,
+		     clock_ms_t now) ATTR_NONNULL_ALL ATTR_WARN_UNUSED;
+void directory_expire(directory_t *directory, clock_ms_t now,
+		      clock_ms_t silence_ms) ATTR_NONNULL_ALL;
+void directory_delta(directory_t *directory, uint64_t epoch, uint64_t version,
+		     directory_delta_t *delta) ATTR_NONNULL_ALL;
+size_t directory_count(const directory_t *directory) ATTR_NONNULL_ALL;
+
+#endif
--- /dev/null
+++ b/src/wisteria/control/lease_client.c
@@ -0,0 +1,294 @@
+/*
+ * A daemon's side of the configuration lease: renews it from one control
+ * instance at a time, goes to the next when that one is silent, and publishes
+ * what it learns.  A lease counts from when the renewal was sent.
+ */
+#include "wisteria/control/lease_client.h"
+
+#include <string.h>
+
+#include <glib.h>
+
+#include "wisteria/base/clock.h"
+#include "wisteria/base/counters.h"
+#include "wisteria/base/err.h"
+#include "wisteria/base/log.h"
+#include "wisteria/control/control_defs.h"
+#include "wisteria/control/view.h"
+#include "wisteria/control/view_builder.h"
+#include "wisteria/net/link.h"
+#include "wisteria/settings/settings.h"
+
+#define LEASE_TICK_MS 50
+#define LEASE_PRESETS_MAX 16
+
+struct lease_client_t {
+	conn_handler_t handler;
+	net_t *net;
+	const settings_t *settings;
+	view_board_t *board;
+	view_builder_t *builder;
+	link_t link;
+	unsigned instance; /* index of the one renewed from */
+	uv_timer_t tick;
+	uint64_t sequence;
+	clock_ms_t asked_ms; /* 0: no question is open */
+	clock_ms_t next_ms;
+	clock_ms_t lease_until_ms;
+	bool announced;
+	bool leaving;
+	msg_endpoint_t *endpoints;
+	size_t endpoint_count;
+	GArray *running; /* msg_running_t; names are owned */
+	GArray *demand;	 /* msg_share_t; names are owned */
+};
+
+static lease_client_t *client_of(conn_handler_t *handler)
+{
+	return CONTAINER_OF(handler, lease_client_t, handler);
+}
+
+static void send_renewal(lease_client_t *client, clock_ms_t now)
+{
+	msg_name_t presets[LEASE_PRESETS_MAX];
+	msg_renew_t renew = {
+		.sequence = ++client->sequence,
+		.instance = client->net->instance,
+		.incarnation = client->net->incarnation,
+		.revision = view_builder_revision(client->builder),
+		.endpoints_unchanged = client->announced,
+		.running = (msg_running_t *)client->running->data,
+		.running_count = client->running->len,
+		.demand = (msg_share_t *)client->demand->data,
+		.demand_count = client->demand->len,
+		.presets = presets,
+		.leaving = client->leaving,
+	};
+
+	view_builder_directory(client->builder, &renew.directory_epoch,
+			       &renew.directory_version);
+	renew.preset_count = view_builder_presets(client->builder, presets,
+						  LEASE_PRESETS_MAX);
+	if (!client->announced) {
+		renew.endpoints = client->endpoints;
+		renew.endpoint_count = client->endpoint_count;
+	}
+	client->asked_ms = now;
+	client->next_ms = now + LEASE_RENEW_MS;
+	link_send(&client->link, MSG_RENEW, &renew);
+}
+
+static void use_next_instance(lease_client_t *client)
+{
+	const settings_t *settings = client->settings;
+
+	client->asked_ms = 0;
+	client->announced = false;
+	if (settings->control_instances_count > 1) {
+		link_finish(&client->link);
+		client->instance = (client->instance + 1) %
+				   settings->control_instances_count;
+		link_init(&client->link, client->net,
+			  settings->control_instances[client->instance].address,
+			  &client->handler);
+	}
+	client->next_ms = clock_now(client->net->clock) + LEASE_ANSWER_MS;
+}
+
+static void on_opened(conn_handler_t *handler, conn_t *conn)
+{
+	lease_client_t *client = client_of(handler);
+
+	(void)conn;
+	client->announced = false;
+	send_renewal(client, clock_now(client->net->clock));
+}
+
+static void on_closed(conn_handler_t *handler, conn_t *conn, const err_t *why)
+{
+	(void)conn;
+	log_err(G_LOG_LEVEL_WARNING, "control_lost", why);
+	use_next_instance(client_of(handler));
+}
+
+static void take_reply(lease_client_t *client, const msg_renew_reply_t *reply)
+{
+	uint64_t revision = view_builder_revision(client->builder);
+	err_t err = ERR_INIT;
+
+	if (reply->sequence != client->sequence || client->asked_ms == 0)
+		return;
+	if (!reply->granted ||
+	    !view_builder_apply(client->builder, reply, &err)) {
+		if (err_is_set(&err))
+			log_err(G_LOG_LEVEL_WARNING, "renewal_failed", &err);
+		use_next_instance(client);
+		return;
+	}
+	client->announced = !reply->announce_again;
+	client->lease_until_ms = client->asked_ms + reply->lease_ms;
+	client->asked_ms = 0;
+	if (reply->announce_again)
+		client->next_ms = 0;
+	counter_add(COUNTER_RENEWALS, 1);
+	view_publish(client->board, view_builder_make(client->builder,
+						      client->lease_until_ms));
+	if (view_builder_revision(client->builder) == revision)
+		return;
+	revision = view_builder_revision(client->builder);
+	counter_set(GAUGE_REVISION, revision);
+	LOG_INFO("revision_in_force",
+		 "revision=%" G_GUINT64_FORMAT " preset=%s", revision,
+		 reply->config.preset);
+}
+
+static void on_message(conn_handler_t *handler, conn_t *conn, const msg_t *msg)
+{
+	(void)conn;
+	if (msg->type == MSG_RENEW_REPLY)
+		take_reply(client_of(handler), msg->body);
+}
+
+static void on_tick(uv_timer_t *timer)
+{
+	lease_client_t *client = timer->data;
+	clock_ms_t now = clock_now(client->net->clock);
+
+	if (client->asked_ms != 0 && now - client->asked_ms > LEASE_ANSWER_MS)
+		use_next_instance(client);
+	if (client->asked_ms != 0 || now < client->next_ms)
+		return;
+	if (link_is_open(&client->link))
+		send_renewal(client, now);
+	else
+		use_next_instance(client);
+}
+
+static void collect_endpoints(lease_client_t *client)
+{
+	const settings_t *settings = client->settings;
+	const settings_agent_t *agent = settings->agent;
+
+	if (!settings_has_role(settings, "agent"))
+		return;
+	client->endpoints = g_new0(msg_endpoint_t, agent->endpoints_count);
+	client->endpoint_count = agent->endpoints_count;
+	for (unsigned i = 0; i < agent->endpoints_count; i++) {
+		const settings_endpoint_t *endpoint = &agent->endpoints[i];
+
+		client->endpoints[i] = (msg_endpoint_t){
+			.name = endpoint->name,
+			.instance = settings->instance,
+			.incarnation = client->net->incarnation,
+			.address = agent->advertise != NULL ? agent->advertise
+							    : agent->listen,
+			.kind = endpoint->kind == SETTINGS_MODEL
+					? ENDPOINT_MODEL
+					: ENDPOINT_SERVICE,
+			.target = endpoint->target,
+			.first_layer = endpoint->first_layer,
+			.end_layer = endpoint->end_layer,
+			.accelerator = endpoint->accelerator,
+			.slots = endpoint->slots,
+			.failure_domain = settings->failure_domain,
+			.region = settings->region,
+			.checks_fencing = endpoint->checks_fencing,
+		};
+	}
+}
+
+/*
+ * Starts renewing for this daemon on the loop of "net" and publishing to
+ * "board".  "settings" must outlive the client.
+ */
+lease_client_t *lease_client_new(net_t *net, const settings_t *settings,
+				 view_board_t *board)
+{
+	lease_client_t *client = g_new0(lease_client_t, 1);
+
+	client->handler.opened = on_opened;
+	client->handler.message = on_message;
+	client->handler.closed = on_closed;
+	client->net = net;
+	client->settings = settings;
+	client->board = board;
+	client->builder = view_builder_new();
+	client->running = g_array_new(FALSE, FALSE, sizeof(msg_running_t));
+	client->demand = g_array_new(FALSE, FALSE, sizeof(msg_share_t));
+	collect_endpoints(client);
+	client->instance = (unsigned)(net->incarnation %
+				      settings->control_instances_count);
+	client->next_ms = clock_now(net->clock) + LEASE_ANSWER_MS;
+	link_init(&client->link, net,
+		  settings->control_instances[client->instance].address,
+		  &client->handler);
+	uv_timer_init(net->loop, &client->tick);
+	client->tick.data = client;
+	uv_timer_start(&client->tick, on_tick, LEASE_TICK_MS, LEASE_TICK_MS);
+	return client;
+}
+
+static void clear_running(lease_client_t *client)
+{
+	for (guint i = 0; i < client->running->len; i++)
+		g_free((char *)g_array_index(client->running, msg_running_t, i)
+			       .endpoint);
+	g_array_set_size(client->running, 0);
+}
+
+static void clear_demand(lease_client_t *client)
+{
+	for (guint i = 0; i < client->demand->len; i++)
+		g_free((char *)g_array_index(client->demand, msg_share_t, i)
+			       .customer);
+	g_array_set_size(client->demand, 0);
+}
+
+/* Frees the client; the loop must have run to its end. */
+void lease_client_free(lease_client_t *client)
+{
+	if (client == NULL)
+		return;
+	clear_running(client);
+	clear_demand(client);
+	g_array_free(client->running, TRUE);
+	g_array_free(client->demand, TRUE);
+	view_builder_free(client->builder);
+	g_free(client->endpoints);
+	g_free(client);
+}
+
+/* Sets the sessions that this entry wants for each customer. */
+void lease_client_set_demand(lease_client_t *client, const msg_share_t *demand,
+			     size_t count)
+{
+	clear_demand(client);
+	for (size_t i = 0; i < count; i++) {
+		msg_share_t copy = demand[i];
+
+		copy.customer = g_strdup(demand[i].customer);
+		g_array_append_val(client->demand, copy);
+	}
+}
+
+/* Sets how much work the endpoints of this agent run. */
+void lease_client_set_running(lease_client_t *client,
+			      const msg_running_t *running, size_t count)
+{
+	clear_running(client);
+	for (size_t i = 0; i < count; i++) {
+		const msg_running_t copy = {
+			.endpoint = g_strdup(running[i].endpoint),
+			.running = running[i].running,
+		};
+
+		g_array_append_val(client->running, copy);
+	}
+}
+
+/* Says, with the next renewal, that this daemon is to stop. */
+void lease_client_leave(lease_client_t *client)
+{
+	client->leaving = true;
+	client->next_ms = 0;
+}
