--- /dev/null
+++ b/test/functional/path_test.c
@@ -0,0 +1,253 @@
+/*
+ * The whole path with real processes: answers byte for byte, clear errors,
+ * streams that survive a killed stage and a silent connection, and planned
+ * stops that cut nothing.
+ */
+#include "../unit/unit.h"
+
+#include <signal.h>
+#include <sys/wait.h>
+
+#include <jansson.h>
+
+#include "fakes/answer.h"
+#include "harness/load.h"
+#include "harness/relay.h"
+
+#define STREAMS 200
+#define RUN_MS 60000
+
+static harness_t harness;
+
+static void check_journal(const cluster_t *cluster, journal_t *journal)
+{
+	journal_read_cluster(journal, cluster);
+	CU_ASSERT(journal_check(journal));
+	journal_finish(journal);
+}
+
+static void stop_all(cluster_t *cluster)
+{
+	for (size_t i = 0; i < cluster->endpoint_count; i++)
+		cluster_kill_endpoint(&cluster->endpoints[i]);
+	for (size_t i = 0; i < cluster->entry_count; i++)
+		harness_kill(cluster->entries[i].process);
+}
+
+static void test_answers(void)
+{
+	static const cluster_params_t params = { .entries = 1 };
+	cluster_t cluster;
+	http_client_t client;
+	const http_request_t *streamed;
+	const http_request_t *plain;
+	const http_request_t *bounded;
+	char *expected = answer_text("two pallets of M8 bolts", 12, 0, NULL);
+	char *shorter = answer_text("two pallets of M8 bolts", 12, 5, NULL);
+	char *text;
+
+	cluster_init(&cluster, &harness, &params);
+	cluster_write(&cluster);
+	CU_ASSERT_FATAL(cluster_start(&cluster));
+	http_client_init(&client);
+	streamed = cluster_ask(&cluster, &client, 0, "two pallets of M8 bolts",
+			       0, true);
+	plain = cluster_ask(&cluster, &client, 0, "two pallets of M8 bolts", 0,
+			    false);
+	bounded = cluster_ask(&cluster, &client, 0, "two pallets of M8 bolts",
+			      5, true);
+	CU_ASSERT(http_client_run(&client, HARNESS_WAIT_MS));
+	CU_ASSERT_EQUAL(streamed->status, 200);
+	CU_ASSERT(streamed->ended);
+	CU_ASSERT_STRING_EQUAL(streamed->answer->str, expected);
+	CU_ASSERT_STRING_EQUAL(bounded->answer->str, shorter);
+	CU_ASSERT_EQUAL(bounded->events, 5);
+	CU_ASSERT_EQUAL(plain->status, 200);
+	text = http_body_text(plain);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(text);
+	CU_ASSERT_STRING_EQUAL(text, expected);
+	g_free(text);
+	http_client_finish(&client);
+	g_free(expected);
+	g_free(shorter);
+	stop_all(&cluster);
+}
+
+typedef struct {
+	const char *path;
+	const char *method;
+	const char *api_key;
+	const char *body;
+	long status;
+} bad_case_t;
+
+static const bad_case_t bad_cases[] = {
+	{ "/v1/completions", NULL, NULL, "{\"model\":\"modelo\"}", 401 },
+	{ "/v1/completions", NULL, "wrong",
+	  "{\"model\":\"modelo\",\"prompt\":\"a\"}", 401 },
+	{ "/v1/completions", NULL, CLUSTER_API_KEY, "{\"model\":", 400 },
+	{ "/v1/completions", NULL, CLUSTER_API_KEY, "[]", 400 },
+	{ "/v1/completions", NULL, CLUSTER_API_KEY, "{\"model\":\"modelo\"}",
+	  400 },
+	{ "/v1/completions", NULL, CLUSTER_API_KEY,
+	  "{\"model\":\"modelo\",\"prompt\":7}", 400 },
+	{ "/v1/completions", NULL, CLUSTER_API_KEY,
+	  "{\"model\":\"modelo\",\"prompt\":\"a\",\"max_tokens\":-1}", 400 },
+	{ "/v1/completions", NULL, CLUSTER_API_KEY,
+	  "{\"model\":\"other\",\"prompt\":\"a\"}", 404 },
+	{ "/v1/completions", "GET", CLUSTER_API_KEY, NULL, 405 },
+	{ "/v1/other", NULL, CLUSTER_API_KEY, "{}", 404 },
+	{ "/services/other/a", "GET", CLUSTER_API_KEY, NULL, 404 },
+};
+
+static void check_error(const http_request_t *request, const bad_case_t *bad)
+{
+	json_t *body = json_loads(request->body->str, 0, NULL);
+	json_t *error = json_object_get(body, "error");
+
+	if (request->status != bad->status || error == NULL)
+		printf("%s %s: status %ld, body %s\n", bad->path,
+		       bad->body == NULL ? "" : bad->body, request->status,
+		       request->body->str);
+	CU_ASSERT_EQUAL(request->status, bad->status);
+	CU_ASSERT(json_is_string(json_object_get(error, "code")));
+	CU_ASSERT(json_is_string(json_object_get(error, "message")));
+	CU_ASSERT_STRING_EQUAL(json_string_value(json_object_get(error, "run")),
+			       "not_run");
+	json_decref(body);
+}
+
+static void test_bad_requests(void)
+{
+	static const cluster_params_t params = { .entries = 1,
+						 .endpoints_per_range = 1 };
+	cluster_t cluster;
+	http_client_t client;
+
+	cluster_init(&cluster, &harness, &params);
+	cluster_write(&cluster);
+	CU_ASSERT_FATAL(cluster_start(&cluster));
+	http_client_init(&client);
+	for (size_t i = 0; i < ARRAY_SIZE(bad_cases); i++) {
+		const bad_case_t *bad = &bad_cases[i];
+		const http_params_t bad_params = {
+			.url = harness_string(&harness, "http://%s%s",
+					      cluster.entries[0].http,
+					      bad->path),
+			.method = bad->method,
+			.api_key = bad->api_key,
+			.body = bad->body,
+		};
+		const http_request_t *request = http_send(&client, &bad_params);
+
+		CU_ASSERT(http_wait(&client, request, HARNESS_WAIT_MS));
+		check_error(request, bad);
+	}
+	http_client_finish(&client);
+	stop_all(&cluster);
+}
+
+/* The endpoint of "range" with the number "index". */
+static cluster_endpoint_t *endpoint_of(cluster_t *cluster, size_t range,
+				       size_t index)
+{
+	return &cluster->endpoints[range * cluster->params.endpoints_per_range +
+				   index];
+}
+
+static void test_streams_survive(void)
+{
+	static const cluster_params_t params = { .entries = 3,
+						 .endpoints_per_range = 3,
+						 .step_us = 4000 };
+	cluster_t cluster;
+	journal_t journal;
+	relay_t *relay;
+	load_t load;
+
+	cluster_init(&cluster, &harness, &params);
+	relay = relay_new(&harness, endpoint_of(&cluster, 2, 1)->listen);
+	endpoint_of(&cluster, 2, 1)->advertise = relay_address(relay);
+	cluster_write(&cluster);
+	CU_ASSERT_FATAL(cluster_start(&cluster));
+	load_init(&load, &cluster);
+	for (size_t i = 0; i < STREAMS; i++)
+		load_send(&load, i % params.entries);
+	CU_ASSERT(load_wait_events(&load, 1000, RUN_MS));
+	cluster_kill_endpoint(endpoint_of(&cluster, 1, 0));
+	CU_ASSERT(load_wait_events(&load, 2000, RUN_MS));
+	CU_ASSERT(relay_open_count(relay) > 0);
+	relay_silence_open(relay);
+	CU_ASSERT(http_client_run(&load.client, RUN_MS));
+	journal_init(&journal, cluster.params.layers);
+	load_check(&load, &journal);
+	CU_ASSERT_EQUAL(load.whole, STREAMS);
+	check_journal(&cluster, &journal);
+	load_finish(&load);
+	relay_free(relay);
+	stop_all(&cluster);
+}
+
+/* Stops one process by SIGTERM while streams run; none is cut or refused. */
+static void stop_under_load(load_t *load, harness_process_t *process,
+			    const char *metrics)
+{
+	uint64_t before = load_events(load);
+
+	for (size_t i = 0; i < STREAMS / 4; i++)
+		load_send(load, i % load->cluster->entry_count);
+	CU_ASSERT(load_wait_events(load, before + 200, RUN_MS));
+	harness_signal(process, SIGTERM);
+	for (size_t i = 0; i < STREAMS / 4; i++)
+		load_send(load, 1 + i % (load->cluster->entry_count - 1));
+	CU_ASSERT(http_client_run(&load->client, RUN_MS));
+	CU_ASSERT(harness_wait_exit(process, RUN_MS));
+	CU_ASSERT_EQUAL(process->exit_status, 0);
+	harness_restart(process);
+	CU_ASSERT(harness_wait_http(metrics, "/readyz", 200, RUN_MS));
+}
+
+static void test_planned_stops(void)
+{
+	static const cluster_params_t params = { .entries = 3,
+						 .endpoints_per_range = 2,
+						 .step_us = 2000 };
+	cluster_t cluster;
+	journal_t journal;
+	load_t load;
+
+	cluster_init(&cluster, &harness, &params);
+	cluster_write(&cluster);
+	CU_ASSERT_FATAL(cluster_start(&cluster));
+	load_init(&load, &cluster);
+	for (size_t range = 0; range < cluster.params.ranges; range++)
+		stop_under_load(&load, endpoint_of(&cluster, range, 0)->agent,
+				endpoint_of(&cluster, range, 0)->metrics);
+	stop_under_load(&load, cluster.entries[0].process,
+			cluster.entries[0].metrics);
+	journal_init(&journal, cluster.params.layers);
+	load_check(&load, &journal);
+	CU_ASSERT_EQUAL(load.faulty, 0);
+	CU_ASSERT_EQUAL(load.whole, load.sent);
+	check_journal(&cluster, &journal);
+	load_finish(&load);
+	stop_all(&cluster);
+}
+
+static const unit_test_t tests[] = {
+	{ "answers are whole", test_answers },
+	{ "bad requests get clear errors", test_bad_requests },
+	{ "streams survive a killed stage and a silent connection",
+	  test_streams_survive },
+	{ "planned stops cut and refuse nothing", test_planned_stops },
+};
+
+int main(void)
+{
+	int status;
+
+	harness_init(&harness, "path");
+	status = unit_run("path", tests, ARRAY_SIZE(tests));
+	harness_finish(&harness, status == EXIT_SUCCESS);
+	return status;
+}
