--- /dev/null
+++ b/src/wisteria/agent/engine_http.c
@@ -0,0 +1,520 @@
+/*
+ * An engine behind HTTP.  Steps of all sessions that come while a request is
+ * in progress leave together in the next one, so that the engine can batch
+ * continuously (Yu et al., "Orca", 2022).  A request that takes much longer
+ * than the learned step time makes the engine be asked for its health; an
+ * engine that is slow but answers is waited for.
+ */
+#include "wisteria/agent/engine_http.h"
+
+#include <string.h>
+
+#include <glib.h>
+
+#include "wisteria/agent/engine_wire.h"
+#include "wisteria/base/clock.h"
+#include "wisteria/base/err.h"
+#include "wisteria/base/log.h"
+#include "wisteria/codec/codec.h"
+
+/* A request is overdue after so many times its expected duration... */
+#define ENGINE_OVERDUE_FACTOR 4
+/* ...and at least this. */
+#define ENGINE_OVERDUE_MIN_MS 300
+#define ENGINE_HEALTH_MS 300L
+#define ENGINE_BATCH_STEPS_MAX 256
+#define ENGINE_SMOOTHING 0.2
+
+typedef struct {
+	http_done_t done; /* first member */
+	struct engine_http_t *engine;
+	CURL *handle;
+	GByteArray *reply;
+	msgpack_sbuffer out;
+	http_body_t body;
+} engine_request_t;
+
+/* A step that waits or is run; owns copies of its positions. */
+typedef struct {
+	engine_step_t step;
+	GPtrArray *contents; /* GBytes */
+	bool forgotten;
+} engine_job_t;
+
+typedef struct engine_http_t {
+	engine_ops_t ops; /* first member */
+	http_client_t *client;
+	const clock_source_t *clock;
+	engine_handler_t *handler;
+	char *url;
+	GPtrArray *waiting;	  /* engine_job_t */
+	GPtrArray *running;	  /* of the request in progress */
+	engine_request_t *batch;  /* NULL: none in progress */
+	engine_request_t *health; /* NULL: none in progress */
+	clock_ms_t sent_ms;
+	clock_ms_t heard_ms; /* when the engine last said that it runs */
+	double step_ms;
+	double position_ms;
+	bool closed;
+} engine_http_t;
+
+static void start_batch(engine_http_t *engine);
+
+static void job_free(gpointer data)
+{
+	engine_job_t *job = data;
+
+	g_ptr_array_free(job->contents, TRUE);
+	g_free((msg_position_t *)job->step.positions);
+	g_free(job);
+}
+
+static void unref_bytes(gpointer data)
+{
+	g_bytes_unref(data);
+}
+
+static engine_job_t *job_new(const hop_work_t *work)
+{
+	engine_job_t *job = g_new0(engine_job_t, 1);
+	msg_position_t *positions = g_new(msg_position_t, work->position_count);
+
+	job->contents = g_ptr_array_new_with_free_func(unref_bytes);
+	for (size_t i = 0; i < work->position_count; i++) {
+		bytes_t from = work->positions[i].activations;
+		GBytes *copy = g_bytes_new(from.data, from.len);
+		gsize len;
+
+		positions[i].activations.data = g_bytes_get_data(copy, &len);
+		positions[i].activations.len = len;
+		g_ptr_array_add(job->contents, copy);
+	}
+	job->step = (engine_step_t){
+		.session = work->session,
+		.sequence = work->sequence,
+		.attempt = work->attempt,
+		.first_layer = work->first_layer,
+		.end_layer = work->end_layer,
+		.first_position = work->first_position,
+		.positions = positions,
+		.position_count = work->position_count,
+		.first_range = work->first_range,
+		.last_range = work->last_range,
+		.priority = work->priority,
+	};
+	return job;
+}
+
+static size_t on_reply_data(char *data, size_t size, size_t count, void *user)
+{
+	engine_request_t *request = user;
+
+	g_byte_array_append(request->reply, (const guint8 *)data,
+			    (guint)(size * count));
+	return size * count;
+}
+
+static engine_request_t *request_new(engine_http_t *engine, const char *path,
+				     void (*done)(http_done_t *self,
+						  CURL *handle, CURLcode code))
+{
+	engine_request_t *request = g_new0(engine_request_t, 1);
+	char *url = g_strconcat(engine->url, path, NULL);
+
+	request->done.done = done;
+	request->engine = engine;
+	request->reply = g_byte_array_new();
+	msgpack_sbuffer_init(&request->out);
+	request->handle = http_client_request(engine->client, url);
+	curl_easy_setopt(request->handle, CURLOPT_WRITEFUNCTION, on_reply_data);
+	curl_easy_setopt(request->handle, CURLOPT_WRITEDATA, request);
+	g_free(url);
+	return request;
+}
+
+/* Sends what was encoded to the request's "out". */
+static void set_body(engine_request_t *request)
+{
+	request->body.data = request->out.data;
+	request->body.len = request->out.size;
+	http_client_set_body(request->handle, &request->body);
+}
+
+static void request_free(engine_request_t *request)
+{
+	g_byte_array_free(request->reply, TRUE);
+	msgpack_sbuffer_destroy(&request->out);
+	g_free(request);
+}
+
+static void engine_free(engine_http_t *engine)
+{
+	g_ptr_array_free(engine->waiting, TRUE);
+	g_ptr_array_free(engine->running, TRUE);
+	g_free(engine->url);
+	g_free(engine);
+}
+
+static engine_key_t key_of(const engine_step_t *step)
+{
+	return (engine_key_t){ step->session, step->sequence,
+			       step->first_layer };
+}
+
+static void fail_jobs(engine_http_t *engine, GPtrArray *jobs,
+		      const char *reason)
+{
+	for (guint i = 0; i < jobs->len; i++) {
+		const engine_job_t *job = g_ptr_array_index(jobs, i);
+		engine_key_t key = key_of(&job->step);
+
+		if (!job->forgotten)
+			engine->handler->failed(engine->handler, &key,
+						job->step.attempt, reason);
+	}
+}
+
+static void report_result(engine_http_t *engine, const engine_job_t *job,
+			  const engine_result_t *result)
+{
+	engine_key_t key = key_of(&job->step);
+	const hop_result_t output = {
+		.positions = result->positions,
+		.position_count = result->position_count,
+		.text = result->text,
+		.last = result->last,
+	};
+
+	if (job->forgotten)
+		return;
+	if (!result->ok || result->session != job->step.session ||
+	    result->sequence != job->step.sequence)
+		engine->handler->failed(
+			engine->handler, &key, job->step.attempt,
+			result->ok ? "answer to another step" : result->reason);
+	else
+		engine->handler->done(engine->handler, &key, job->step.attempt,
+				      &output);
+}
+
+static void report_reply(engine_http_t *engine, GPtrArray *jobs,
+			 const GByteArray *body)
+{
+	engine_reply_t reply;
+	msgpack_zone zone;
+	err_t err = ERR_INIT;
+
+	msgpack_zone_init(&zone, MSGPACK_ZONE_CHUNK_SIZE);
+	if (!codec_decode(&engine_reply_desc, body->data, body->len, &zone,
+			  &reply, &err))
+		fail_jobs(engine, jobs, err.text);
+	else if (reply.result_count != jobs->len)
+		fail_jobs(engine, jobs, "wrong number of results");
+	else
+		for (guint i = 0; i < jobs->len; i++)
+			report_result(engine, g_ptr_array_index(jobs, i),
+				      &reply.results[i]);
+	msgpack_zone_destroy(&zone);
+}
+
+static void learn_time(engine_http_t *engine, size_t position_count)
+{
+	double took = (double)(clock_now(engine->clock) - engine->sent_ms);
+	double each = took / (double)MAX(position_count, 1);
+
+	if (engine->step_ms == 0) {
+		engine->step_ms = took;
+		engine->position_ms = each;
+		return;
+	}
+	engine->step_ms += ENGINE_SMOOTHING * (took - engine->step_ms);
+	engine->position_ms += ENGINE_SMOOTHING * (each - engine->position_ms);
+}
+
+static size_t count_positions(const GPtrArray *jobs)
+{
+	size_t count = 0;
+
+	for (guint i = 0; i < jobs->len; i++) {
+		const engine_job_t *job = g_ptr_array_index(jobs, i);
+
+		count += job->step.position_count;
+	}
+	return count;
+}
+
+static bool same_sequence(const engine_step_t *step, const engine_key_t *key)
+{
+	return step->session == key->session &&
+	       step->sequence == key->sequence &&
+	       step->first_layer == key->first_layer;
+}
+
+static void on_forget_done(http_done_t *self, CURL *handle, CURLcode code)
+{
+	(void)handle;
+	(void)code;
+	request_free(CONTAINER_OF(self, engine_request_t, done));
+}
+
+static void send_forget(engine_http_t *engine, const engine_key_t *key)
+{
+	const engine_forget_t forget = { key->session, key->sequence,
+					 key->first_layer };
+	engine_request_t *request =
+		request_new(engine, ENGINE_FORGET_PATH, on_forget_done);
+
+	codec_encode(&engine_forget_desc, &forget, &request->out);
+	set_body(request);
+	http_client_start(engine->client, request->handle, &request->done);
+}
+
+static void send_forgotten(engine_http_t *engine, const GPtrArray *jobs)
+{
+	for (guint i = 0; i < jobs->len; i++) {
+		const engine_job_t *job = g_ptr_array_index(jobs, i);
+		engine_key_t key = key_of(&job->step);
+
+		if (job->forgotten)
+			send_forget(engine, &key);
+	}
+}
+
+static void on_batch_done(http_done_t *self, CURL *handle, CURLcode code)
+{
+	engine_request_t *request = CONTAINER_OF(self, engine_request_t, done);
+	engine_http_t *engine = request->engine;
+	GPtrArray *jobs = engine->running;
+	long status = 0;
+
+	engine->batch = NULL;
+	engine->running = g_ptr_array_new_with_free_func(job_free);
+	curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
+	if (engine->closed) {
+		g_ptr_array_free(jobs, TRUE);
+		request_free(request);
+		return;
+	}
+	if (code != CURLE_OK || status != 200) {
+		LOG_WARN("engine_failed", "url=%s status=%ld reason=%d",
+			 engine->url, status, (int)code);
+		fail_jobs(engine, jobs,
+			  code == CURLE_OK ? "engine refused the steps"
+					   : curl_easy_strerror(code));
+	} else {
+		learn_time(engine, count_positions(jobs));
+		report_reply(engine, jobs, request->reply);
+	}
+	send_forgotten(engine, jobs);
+	g_ptr_array_free(jobs, TRUE);
+	request_free(request);
+	start_batch(engine);
+}
+
+static void encode_batch(const GPtrArray *jobs, msgpack_sbuffer *body)
+{
+	engine_step_t *steps = g_new(engine_step_t, jobs->len);
+	const engine_batch_t batch = { steps, jobs->len };
+
+	for (guint i = 0; i < jobs->len; i++) {
+		const engine_job_t *job = g_ptr_array_index(jobs, i);
+
+		steps[i] = job->step;
+	}
+	codec_encode(&engine_batch_desc, &batch, body);
+	g_free(steps);
+}
+
+static void take_waiting(engine_http_t *engine)
+{
+	guint count = MIN(engine->waiting->len, ENGINE_BATCH_STEPS_MAX);
+
+	for (guint i = 0; i < count; i++)
+		g_ptr_array_add(engine->running,
+				g_ptr_array_index(engine->waiting, i));
+	for (guint i = 0; i < count; i++)
+		engine->waiting->pdata[i] = NULL;
+	g_ptr_array_set_free_func(engine->waiting, NULL);
+	g_ptr_array_remove_range(engine->waiting, 0, count);
+	g_ptr_array_set_free_func(engine->waiting, job_free);
+}
+
+static void start_batch(engine_http_t *engine)
+{
+	if (engine->batch != NULL || engine->waiting->len == 0 ||
+	    engine->closed)
+		return;
+	take_waiting(engine);
+	engine->batch = request_new(engine, ENGINE_STEPS_PATH, on_batch_done);
+	engine->sent_ms = clock_now(engine->clock);
+	engine->heard_ms = engine->sent_ms;
+	encode_batch(engine->running, &engine->batch->out);
+	set_body(engine->batch);
+	http_client_start(engine->client, engine->batch->handle,
+			  &engine->batch->done);
+}
+
+static void engine_run(engine_ops_t *self, const hop_work_t *work)
+{
+	engine_http_t *engine = CONTAINER_OF(self, engine_http_t, ops);
+
+	g_ptr_array_add(engine->waiting, job_new(work));
+	start_batch(engine);
+}
+
+static bool mark_forgotten(engine_http_t *engine, const engine_key_t *key)
+{
+	for (guint i = 0; i < engine->running->len; i++) {
+		engine_job_t *job = g_ptr_array_index(engine->running, i);
+
+		if (!same_sequence(&job->step, key))
+			continue;
+		job->forgotten = true;
+		return true;
+	}
+	return false;
+}
+
+/* A sequence that is run now is dropped when its run has ended. */
+static void engine_forget(engine_ops_t *self, const engine_key_t *key)
+{
+	engine_http_t *engine = CONTAINER_OF(self, engine_http_t, ops);
+
+	for (guint i = engine->waiting->len; i-- > 0;) {
+		engine_job_t *job = g_ptr_array_index(engine->waiting, i);
+
+		if (same_sequence(&job->step, key))
+			g_ptr_array_remove_index(engine->waiting, i);
+	}
+	if (engine->closed || mark_forgotten(engine, key))
+		return;
+	send_forget(engine, key);
+}
+
+/* An order in progress. */
+typedef struct {
+	engine_request_t *request;
+	http_done_t done;
+	engine_order_done_t *owner;
+	struct curl_slist *headers;
+} engine_order_t;
+
+static void on_order_done(http_done_t *self, CURL *handle, CURLcode code)
+{
+	engine_order_t *order = CONTAINER_OF(self, engine_order_t, done);
+	long status = 0;
+
+	curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
+	order->owner->done(order->owner, code == CURLE_OK && status == 200,
+			   code == CURLE_OK && status == 409);
+	curl_slist_free_all(order->headers);
+	request_free(order->request);
+	g_free(order);
+}
+
+static void engine_order(engine_ops_t *self, const char *text, uint64_t fence,
+			 engine_order_done_t *done)
+{
+	engine_http_t *engine = CONTAINER_OF(self, engine_http_t, ops);
+	engine_order_t *order = g_new0(engine_order_t, 1);
+	char *header =
+		g_strdup_printf("X-Fencing-Number: %" G_GUINT64_FORMAT, fence);
+
+	order->owner = done;
+	order->done.done = on_order_done;
+	order->request = request_new(engine, ENGINE_ORDERS_PATH, NULL);
+	order->headers = curl_slist_append(NULL, header);
+	curl_easy_setopt(order->request->handle, CURLOPT_HTTPHEADER,
+			 order->headers);
+	curl_easy_setopt(order->request->handle, CURLOPT_COPYPOSTFIELDS, text);
+	http_client_start(engine->client, order->request->handle, &order->done);
+	g_free(header);
+}
+
+static void on_health_done(http_done_t *self, CURL *handle, CURLcode code)
+{
+	engine_request_t *request = CONTAINER_OF(self, engine_request_t, done);
+	engine_http_t *engine = request->engine;
+	long status = 0;
+
+	curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
+	engine->health = NULL;
+	request_free(request);
+	if (engine->closed || engine->batch == NULL)
+		return;
+	if (code == CURLE_OK && status == 200) {
+		engine->heard_ms = clock_now(engine->clock);
+		return;
+	}
+	LOG_WARN("engine_silent", "url=%s status=%ld", engine->url, status);
+	http_client_cancel(engine->client, engine->batch->handle);
+}
+
+static void ask_for_health(engine_http_t *engine)
+{
+	engine->health =
+		request_new(engine, ENGINE_HEALTH_PATH, on_health_done);
+	curl_easy_setopt(engine->health->handle, CURLOPT_TIMEOUT_MS,
+			 ENGINE_HEALTH_MS);
+	http_client_start(engine->client, engine->health->handle,
+			  &engine->health->done);
+}
+
+static void engine_tick(engine_ops_t *self, clock_ms_t now)
+{
+	engine_http_t *engine = CONTAINER_OF(self, engine_http_t, ops);
+	double expected;
+
+	if (engine->batch == NULL || engine->health != NULL)
+		return;
+	expected = MAX(engine->step_ms,
+		       engine->position_ms *
+			       (double)count_positions(engine->running));
+	expected = MAX(expected * ENGINE_OVERDUE_FACTOR, ENGINE_OVERDUE_MIN_MS);
+	if ((double)(now - engine->heard_ms) >= expected)
+		ask_for_health(engine);
+}
+
+static double engine_step_ms(const engine_ops_t *self)
+{
+	return ((const engine_http_t *)self)->step_ms;
+}
+
+static void engine_close(engine_ops_t *self)
+{
+	engine_http_t *engine = CONTAINER_OF(self, engine_http_t, ops);
+
+	engine->closed = true;
+	if (engine->batch != NULL)
+		http_client_cancel(engine->client, engine->batch->handle);
+	if (engine->health != NULL)
+		http_client_cancel(engine->client, engine->health->handle);
+	engine_free(engine);
+}
+
+/*
+ * Creates the adapter to the engine at "url" ("http://IP:PORT").  It is ended
+ * by its close(), before the client is.
+ */
+engine_ops_t *engine_http_new(http_client_t *client,
+			      const clock_source_t *clock, const char *url,
+			      engine_handler_t *handler)
+{
+	engine_http_t *engine = g_new0(engine_http_t, 1);
+
+	engine->ops = (engine_ops_t){
+		.run = engine_run,
+		.forget = engine_forget,
+		.order = engine_order,
+		.tick = engine_tick,
+		.step_ms = engine_step_ms,
+		.close = engine_close,
+	};
+	engine->client = client;
+	engine->clock = clock;
+	engine->handler = handler;
+	engine->url = g_strdup(url);
+	engine->waiting = g_ptr_array_new_with_free_func(job_free);
+	engine->running = g_ptr_array_new_with_free_func(job_free);
+	return &engine->ops;
+}
--- /dev/null
+++ b/src/wisteria/agent/http_client.c
@@ -0,0 +1,248 @@
+/* Drives libcurl's multi interface with an event loop. */
+#include "wisteria/agent/http_client.h"
+
+#include <string.h>
+
+#include <glib.h>
+
+/* Longest time to connect to an engine or service. */
+#define HTTP_CONNECT_MS 500L
+
+/* A socket that libcurl watches. */
+typedef struct {
+	uv_poll_t poll;
+	http_client_t *client;
+	curl_socket_t socket;
+} http_socket_t;
+
+/* A request in progress, in the list of its client. */
+typedef struct http_transfer_t {
+	struct http_transfer_t *next;
+	struct http_transfer_t **place;
+	CURL *handle;
+	http_done_t *done;
+} http_transfer_t;
+
+static void unlink_transfer(http_transfer_t *transfer)
+{
+	*transfer->place = transfer->next;
+	if (transfer->next != NULL)
+		transfer->next->place = transfer->place;
+	g_free(transfer);
+}
+
+static http_transfer_t *transfer_of(CURL *handle)
+{
+	char *transfer = NULL;
+
+	curl_easy_getinfo(handle, CURLINFO_PRIVATE, &transfer);
+	return (http_transfer_t *)(void *)transfer;
+}
+
+static void end_transfer(http_client_t *client, CURL *handle, CURLcode code)
+{
+	http_transfer_t *transfer = transfer_of(handle);
+	http_done_t *done = transfer->done;
+
+	curl_multi_remove_handle(client->multi, handle);
+	unlink_transfer(transfer);
+	done->done(done, handle, code);
+	curl_easy_cleanup(handle);
+}
+
+static void report_ended(http_client_t *client)
+{
+	CURLMsg *message;
+	int left;
+
+	while ((message = curl_multi_info_read(client->multi, &left)) != NULL)
+		if (message->msg == CURLMSG_DONE)
+			end_transfer(client, message->easy_handle,
+				     message->data.result);
+}
+
+static void on_timer(uv_timer_t *timer)
+{
+	http_client_t *client = timer->data;
+	int running;
+
+	curl_multi_socket_action(client->multi, CURL_SOCKET_TIMEOUT, 0,
+				 &running);
+	report_ended(client);
+}
+
+static void on_poll(uv_poll_t *poll, int status, int events)
+{
+	http_socket_t *watched = poll->data;
+	http_client_t *client = watched->client;
+	int flags = 0;
+	int running;
+
+	if (status < 0)
+		flags = CURL_CSELECT_ERR;
+	if ((events & UV_READABLE) != 0)
+		flags |= CURL_CSELECT_IN;
+	if ((events & UV_WRITABLE) != 0)
+		flags |= CURL_CSELECT_OUT;
+	curl_multi_socket_action(client->multi, watched->socket, flags,
+				 &running);
+	report_ended(client);
+}
+
+static void on_socket_closed(uv_handle_t *handle)
+{
+	g_free(handle->data);
+}
+
+static http_socket_t *watch_socket(http_client_t *client, curl_socket_t socket)
+{
+	http_socket_t *watched = g_new0(http_socket_t, 1);
+
+	watched->client = client;
+	watched->socket = socket;
+	uv_poll_init_socket(client->loop, &watched->poll, socket);
+	watched->poll.data = watched;
+	curl_multi_assign(client->multi, socket, watched);
+	return watched;
+}
+
+static int on_socket(CURL *handle, curl_socket_t socket, int what, void *user,
+		     void *socket_user)
+{
+	http_client_t *client = user;
+	http_socket_t *watched = socket_user;
+	int events = 0;
+
+	(void)handle;
+	if (what == CURL_POLL_REMOVE) {
+		if (watched == NULL)
+			return 0;
+		curl_multi_assign(client->multi, socket, NULL);
+		uv_poll_stop(&watched->poll);
+		uv_close((uv_handle_t *)&watched->poll, on_socket_closed);
+		return 0;
+	}
+	if (watched == NULL)
+		watched = watch_socket(client, socket);
+	if ((what & CURL_POLL_IN) != 0)
+		events |= UV_READABLE;
+	if ((what & CURL_POLL_OUT) != 0)
+		events |= UV_WRITABLE;
+	uv_poll_start(&watched->poll, events, on_poll);
+	return 0;
+}
+
+static int on_timeout(CURLM *multi, long timeout_ms, void *user)
+{
+	http_client_t *client = user;
+
+	(void)multi;
+	if (timeout_ms < 0)
+		uv_timer_stop(&client->timer);
+	else
+		uv_timer_start(&client->timer, on_timer, (uint64_t)timeout_ms,
+			       0);
+	return 0;
+}
+
+/* Prepares a client on "loop". */
+void http_client_init(http_client_t *client, uv_loop_t *loop)
+{
+	client->loop = loop;
+	client->transfers = NULL;
+	client->multi = curl_multi_init();
+	uv_timer_init(loop, &client->timer);
+	client->timer.data = client;
+	curl_multi_setopt(client->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
+	curl_multi_setopt(client->multi, CURLMOPT_SOCKETDATA, client);
+	curl_multi_setopt(client->multi, CURLMOPT_TIMERFUNCTION, on_timeout);
+	curl_multi_setopt(client->multi, CURLMOPT_TIMERDATA, client);
+}
+
+/*
+ * Ends all requests, telling their owners that they were aborted.  The client
+ * may be freed once the loop has run to its end.
+ */
+void http_client_close(http_client_t *client)
+{
+	while (client->transfers != NULL)
+		end_transfer(client, client->transfers->handle,
+			     CURLE_ABORTED_BY_CALLBACK);
+	curl_multi_cleanup(client->multi);
+	uv_timer_stop(&client->timer);
+	uv_close((uv_handle_t *)&client->timer, NULL);
+}
+
+/*
+ * Returns a new request to "url" for the caller to fill in; it is taken over
+ * by http_client_start().
+ */
+CURL *http_client_request(http_client_t *client, const char *url)
+{
+	CURL *handle = curl_easy_init();
+
+	(void)client;
+	curl_easy_setopt(handle, CURLOPT_URL, url);
+	curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(handle, CURLOPT_TCP_NODELAY, 1L);
+	curl_easy_setopt(handle, CURLOPT_PROTOCOLS_STR, "http,https");
+	curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, HTTP_CONNECT_MS);
+	curl_easy_setopt(handle, CURLOPT_PROXY, "");
+	return handle;
+}
+
+static size_t on_read_body(char *buffer, size_t size, size_t count, void *user)
+{
+	http_body_t *body = user;
+	size_t len = MIN(size * count, body->len - body->sent);
+
+	memcpy(buffer, body->data + body->sent, len);
+	body->sent += len;
+	return len;
+}
+
+static int on_seek_body(void *user, curl_off_t offset, int origin)
+{
+	(void)user;
+	(void)offset;
+	(void)origin;
+	return CURL_SEEKFUNC_FAIL;
+}
+
+/*
+ * Makes the request a POST of "body" that is sent at most once: libcurl
+ * repeats a request on a kept connection that was lost, which needs to rewind
+ * the body and fails here.
+ */
+void http_client_set_body(CURL *handle, http_body_t *body)
+{
+	curl_easy_setopt(handle, CURLOPT_POST, 1L);
+	curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE,
+			 (curl_off_t)body->len);
+	curl_easy_setopt(handle, CURLOPT_READFUNCTION, on_read_body);
+	curl_easy_setopt(handle, CURLOPT_READDATA, body);
+	curl_easy_setopt(handle, CURLOPT_SEEKFUNCTION, on_seek_body);
+	curl_easy_setopt(handle, CURLOPT_EXPECT_100_TIMEOUT_MS, 1L);
+}
+
+/* Starts a request; "done" must live until it is told. */
+void http_client_start(http_client_t *client, CURL *handle, http_done_t *done)
+{
+	http_transfer_t *transfer = g_new0(http_transfer_t, 1);
+
+	transfer->handle = handle;
+	transfer->done = done;
+	transfer->next = client->transfers;
+	transfer->place = &client->transfers;
+	if (transfer->next != NULL)
+		transfer->next->place = &transfer->next;
+	client->transfers = transfer;
+	curl_easy_setopt(handle, CURLOPT_PRIVATE, transfer);
+	curl_multi_add_handle(client->multi, handle);
+}
+
+/* Ends a request at once; its owner is told that it was aborted. */
+void http_client_cancel(http_client_t *client, CURL *handle)
+{
+	end_transfer(client, handle, CURLE_ABORTED_BY_CALLBACK);
+}
--- a/src/wisteria/codec/msg.c
+++ b/src/wisteria/codec/msg.c
@@ -100,6 +100,7 @@
 	FIELD(FIELD_U64, msg_tokens_ack_t, session),
 	FIELD(FIELD_U32, msg_tokens_ack_t, attempt),
 	FIELD(FIELD_U32, msg_tokens_ack_t, next),
+	FIELD(FIELD_U32, msg_tokens_ack_t, hop),
 };
 static const record_desc_t msg_tokens_ack_desc =
 	RECORD_DESC(msg_tokens_ack_t, tokens_ack_fields);
@@ -108,6 +109,8 @@
 	FIELD(FIELD_U64, msg_close_t, session),
 	FIELD(FIELD_U32, msg_close_t, attempt),
 	FIELD(FIELD_STR, msg_close_t, reason),
+	FIELD(FIELD_BOOL, msg_close_t, one_hop),
+	FIELD(FIELD_U32, msg_close_t, hop),
 };
 static const record_desc_t msg_close_desc =
 	RECORD_DESC(msg_close_t, close_fields);
@@ -154,6 +157,7 @@
 	FIELD(FIELD_U32, msg_step_ack_t, attempt),
 	FIELD(FIELD_U32, msg_step_ack_t, hop),
 	FIELD(FIELD_U32, msg_step_ack_t, next),
+	FIELD(FIELD_BOOL, msg_step_ack_t, resend),
 };
 static const record_desc_t msg_step_ack_desc =
 	RECORD_DESC(msg_step_ack_t, step_ack_fields);
@@ -184,6 +188,7 @@
 	FIELD(FIELD_BYTES, msg_call_t, body),
 	FIELD(FIELD_I64, msg_call_t, remaining_ms),
 	FIELD(FIELD_STR, msg_call_t, traceparent),
+	FIELD(FIELD_U64, msg_call_t, incarnation),
 };
 static const record_desc_t msg_call_desc = RECORD_DESC(msg_call_t, call_fields);
 
@@ -203,6 +208,7 @@
 
 static const field_desc_t call_cancel_fields[] = {
 	FIELD(FIELD_U64, msg_call_cancel_t, call),
+	FIELD(FIELD_U64, msg_call_cancel_t, incarnation),
 };
 static const record_desc_t msg_call_cancel_desc =
 	RECORD_DESC(msg_call_cancel_t, call_cancel_fields);
--- a/src/wisteria/codec/msg_defs.h
+++ b/src/wisteria/codec/msg_defs.h
@@ -157,12 +157,15 @@
 	uint64_t session;
 	uint32_t attempt;
 	uint32_t next;
+	uint32_t hop; /* the receiver's */
 } msg_tokens_ack_t;
 
 typedef struct {
 	uint64_t session;
 	uint32_t attempt;
 	const char *reason;
+	bool one_hop; /* close "hop" alone; otherwise all of the agent's */
+	uint32_t hop;
 } msg_close_t;
 
 /* An attempt that can't go on; "hop" is the hop found at fault. */
@@ -207,12 +210,16 @@
 	size_t position_count;
 } msg_step_t;
 
-/* The receiver has positions below "next"; the sender may drop them. */
+/*
+ * The receiver has positions below "next" and, with "resend", asks for those
+ * from there on.  From hop 0 to the last hop it speaks of tokens.
+ */
 typedef struct {
 	uint64_t session;
 	uint32_t attempt;
-	uint32_t hop; /* the receiver's of the steps */
+	uint32_t hop; /* the receiver's of the steps; 0: of the tokens */
 	uint32_t next;
+	bool resend;
 } msg_step_ack_t;
 
 /* The token that the last hop made, on its way to the first hop. */
@@ -241,6 +248,11 @@
 	bytes_t body;
 	int64_t remaining_ms;
 	const char *traceparent;
+	/*
+	 * 0 when first sent; when sent again after a lost connection, the
+	 * incarnation of the agent that it was first sent to.
+	 */
+	uint64_t incarnation;
 } msg_call_t;
 
 typedef enum {
@@ -263,6 +275,7 @@
 
 typedef struct {
 	uint64_t call;
+	uint64_t incarnation; /* of the agent that the call was sent to */
 } msg_call_cancel_t;
 
 typedef enum {
--- a/src/wisteria/session/entry_session.h
+++ b/src/wisteria/session/entry_session.h
@@ -35,6 +35,8 @@
 uint32_t entry_session_attempt(const entry_session_t *session) ATTR_NONNULL_ALL;
 const route_choice_t *
 entry_session_chain(const entry_session_t *session) ATTR_NONNULL_ALL;
+void entry_session_set_revision(entry_session_t *session,
+				uint64_t revision) ATTR_NONNULL_ALL;
 void entry_session_start(entry_session_t *session, const route_choice_t *chain,
 			 clock_ms_t now) ATTR_NONNULL_ALL;
 void entry_session_on_open_reply(entry_session_t *session,
--- a/src/wisteria/session/hop_session.h
+++ b/src/wisteria/session/hop_session.h
@@ -12,6 +12,7 @@
 /* Positions for the engine to run, in order. */
 typedef struct {
 	uint64_t session;
+	uint32_t sequence; /* the attempt under which the session was opened */
 	uint32_t attempt;
 	uint32_t first_layer;
 	uint32_t end_layer;
@@ -62,6 +63,8 @@
 void hop_session_free(hop_session_t *session);
 const msg_open_t *
 hop_session_open(const hop_session_t *session) ATTR_NONNULL_ALL;
+const msg_hop_t *
+hop_session_hops(const hop_session_t *session) ATTR_NONNULL_ALL;
 uint32_t hop_session_attempt(const hop_session_t *session) ATTR_NONNULL_ALL;
 bool hop_session_has_started(const hop_session_t *session) ATTR_NONNULL_ALL;
 bool hop_session_is_done(const hop_session_t *session) ATTR_NONNULL_ALL;
@@ -93,6 +96,8 @@
 			   clock_ms_t now) ATTR_NONNULL_ALL;
 void hop_session_on_hop_down(hop_session_t *session, uint32_t hop,
 			     clock_ms_t now) ATTR_NONNULL_ALL;
+void hop_session_on_hop_lost(hop_session_t *session, uint32_t hop,
+			     const char *reason) ATTR_NONNULL_ALL;
 void hop_session_tick(hop_session_t *session, clock_ms_t now) ATTR_NONNULL_ALL;
 
 #endif
--- a/test/functional/fakes/fake_engine.c
+++ b/test/functional/fakes/fake_engine.c
@@ -1,8 +1,9 @@
 /*
  * Stand-ins for model engines that hold one range of layers each.  Every
  * --listen adds an engine with the options given before it.  An engine does
- * what it is told, in the order in which it is told, and checks nothing: a
- * fault of the router shows in its journal and in the answer.
+ * what it is told, in the order in which it is told, and does not check that
+ * positions follow each other: a fault of the router shows in its journal and
+ * in the answer.
  *
  * PUT /fake?step_us=N&hang=0|1 changes a running engine.
  */
@@ -110,13 +111,18 @@
 	return sequence;
 }
 
-static bool has_slot(engine_t *engine, const engine_step_t *step)
+static bool has_sequence(engine_t *engine, const engine_step_t *step)
 {
 	const sequence_t key = { .session = step->session,
 				 .sequence = step->sequence,
 				 .first_layer = step->first_layer };
 
-	return g_hash_table_contains(engine->sequences, &key) ||
+	return g_hash_table_contains(engine->sequences, &key);
+}
+
+static bool has_slot(engine_t *engine, const engine_step_t *step)
+{
+	return has_sequence(engine, step) ||
 	       g_hash_table_size(engine->sequences) < engine->slots;
 }
 
@@ -200,6 +206,10 @@
 		result->reason = "wrong about the last range";
 		return;
 	}
+	if (step->first_position > 0 && !has_sequence(engine, step)) {
+		result->reason = "unknown sequence";
+		return;
+	}
 	if (!has_slot(engine, step)) {
 		result->reason = "no free slot";
 		return;
