Flush only the connections that have frames to write

Cause: every turn of the loop walked all connections, so an entry with 400 agents would pay for 400 on each token.

--- a/src/wisteria/net/conn.c
+++ b/src/wisteria/net/conn.c
@@ -35,6 +35,14 @@
 	return conn->state == CONN_CLOSED;
 }
 
+static void unmark_unflushed(conn_t *conn)
+{
+	if (!conn->is_unflushed)
+		return;
+	LIST_REMOVE(conn, unflushed_entry);
+	conn->is_unflushed = false;
+}
+
 static void on_tcp_closed(uv_handle_t *handle)
 {
 	conn_t *conn = handle->data;
@@ -56,6 +64,7 @@
 		return;
 	conn->state = CONN_CLOSED;
 	LIST_REMOVE(conn, entry);
+	unmark_unflushed(conn);
 	if (!conn->net->closing && was_open)
 		LOG_INFO("connection_closed", "peer=%s address=%s code=%s",
 			 conn->peer_instance, conn->peer_address,
@@ -101,7 +110,8 @@
 	conn_write_t *write;
 	uv_buf_t buf;
 
-	if (conn->out.size == 0 || conn->state < CONN_HELLO || is_ended(conn))
+	unmark_unflushed(conn);
+	if (conn->out.size == 0 || is_ended(conn))
 		return;
 	write = g_new0(conn_write_t, 1);
 	write->conn = conn;
@@ -126,6 +136,9 @@
 	len = (uint32_t)(conn->out.size - start - FRAME_HEADER_BYTES);
 	for (size_t i = 0; i < FRAME_HEADER_BYTES; i++)
 		conn->out.data[start + i] = (char)(len >> (24 - 8 * i));
+	if (!conn->is_unflushed)
+		LIST_INSERT_HEAD(&conn->net->unflushed, conn, unflushed_entry);
+	conn->is_unflushed = true;
 	counter_add(COUNTER_FRAMES_OUT, 1);
 	counter_add(COUNTER_BYTES_OUT, len + FRAME_HEADER_BYTES);
 }
--- a/src/wisteria/net/net.c
+++ b/src/wisteria/net/net.c
@@ -100,14 +100,9 @@
 static void on_flush(uv_prepare_t *prepare)
 {
 	net_t *net = prepare->data;
-	conn_t *conn = LIST_FIRST(&net->conns);
-
-	while (conn != NULL) {
-		conn_t *next = LIST_NEXT(conn, entry);
 
-		conn_flush(conn);
-		conn = next;
-	}
+	while (!LIST_EMPTY(&net->unflushed))
+		conn_flush(LIST_FIRST(&net->unflushed));
 }
 
 /* Prepares "net" on "loop"; called on the loop's thread. */
@@ -124,6 +119,7 @@
 		 failure_domain);
 	memcpy(net->key, key, NET_KEY_BYTES);
 	LIST_INIT(&net->conns);
+	LIST_INIT(&net->unflushed);
 	LIST_INIT(&net->links);
 	uv_timer_init(loop, &net->tick);
 	net->tick.data = net;
--- a/src/wisteria/net/net_defs.h
+++ b/src/wisteria/net/net_defs.h
@@ -60,6 +60,7 @@
 	uint64_t incarnation;
 	uint8_t key[NET_KEY_BYTES];
 	conn_list_t conns;
+	conn_list_t unflushed; /* have frames to write */
 	link_list_t links;
 	uv_timer_t tick;
 	uv_prepare_t flush;
@@ -77,6 +78,8 @@
 /* One TCP connection to another process of the system. */
 typedef struct conn_t {
 	LIST_ENTRY(conn_t) entry;
+	LIST_ENTRY(conn_t) unflushed_entry;
+	bool is_unflushed;
 	uv_tcp_t tcp;
 	uv_connect_t connect;
 	net_t *net;
