--- /dev/null
+++ b/src/wisteria/agent/agent.h
@@ -0,0 +1,25 @@
+#ifndef WISTERIA_AGENT_AGENT_H
+#define WISTERIA_AGENT_AGENT_H
+
+#include <stdbool.h>
+
+#include "wisteria/base/macros_defs.h"
+#include "wisteria/control/view_defs.h"
+#include "wisteria/net/net_defs.h"
+#include "wisteria/settings/settings_defs.h"
+
+/*
+ * The role of the small process beside endpoints.  All functions are called
+ * on the thread of the net's loop.
+ */
+typedef struct agent_t agent_t;
+
+agent_t *agent_new(net_t *net, const settings_t *settings, view_board_t *board,
+		   err_t *err) ATTR_WARN_UNUSED;
+void agent_free(agent_t *agent);
+void agent_drain(agent_t *agent) ATTR_NONNULL_ALL;
+bool agent_is_idle(const agent_t *agent) ATTR_NONNULL_ALL;
+size_t agent_running(const agent_t *agent, msg_running_t *out,
+		     size_t max) ATTR_NONNULL_ALL;
+
+#endif
--- /dev/null
+++ b/src/wisteria/agent/agent_defs.h
@@ -0,0 +1,83 @@
+#ifndef WISTERIA_AGENT_AGENT_DEFS_H
+#define WISTERIA_AGENT_AGENT_DEFS_H
+
+#include <glib.h>
+
+#include "wisteria/agent/agent.h"
+#include "wisteria/agent/curl_loop.h"
+#include "wisteria/agent/engine.h"
+#include "wisteria/net/listener.h"
+#include "wisteria/session/hop_session.h"
+
+#define AGENT_TICK_MS 50
+#define AGENT_HOPS_MAX 32
+
+/* One endpoint that the agent stands beside. */
+typedef struct {
+	engine_handler_t handler; /* first member */
+	agent_t *agent;
+	const settings_endpoint_t *settings;
+	engine_ops_t *engine; /* NULL for a plain service */
+	uint32_t in_flight;   /* sessions or calls */
+} agent_endpoint_t;
+
+/* The connection to another agent, by its address. */
+typedef struct {
+	conn_handler_t handler; /* first member */
+	agent_t *agent;
+	link_t link;
+	uint32_t users; /* sessions that depend on it */
+	clock_ms_t idle_ms;
+} agent_peer_t;
+
+typedef struct {
+	uint64_t session;
+	uint32_t hop;
+} agent_session_key_t;
+
+/* The hops that one session exchanges messages with. */
+enum {
+	AGENT_PEER_PREVIOUS,
+	AGENT_PEER_NEXT,
+	AGENT_PEER_END, /* of the chain: the last for the first, or back */
+	AGENT_PEER_COUNT
+};
+
+/* One hop of one session. */
+typedef struct {
+	hop_session_ops_t ops; /* first member */
+	agent_t *agent;
+	agent_endpoint_t *endpoint;
+	hop_session_t *hop;
+	agent_session_key_t key;
+	agent_peer_t *peers[AGENT_PEER_COUNT]; /* NULL: none, or local */
+	conn_t *entry;			       /* NULL while it is lost */
+	clock_ms_t orphaned_ms;
+	clock_ms_t expires_ms;
+} agent_session_t;
+
+struct agent_t {
+	conn_handler_t inbound; /* first member */
+	net_t *net;
+	const settings_t *settings;
+	const char *address; /* under which others know this agent */
+	view_reader_t reader;
+	listener_t listener;
+	curl_loop_t curl;
+	uv_timer_t tick;
+	uv_idle_t local;     /* active while "local_frames" holds any */
+	GQueue local_frames; /* GBytes: messages to this agent itself */
+	agent_endpoint_t *endpoints;
+	size_t endpoint_count;
+	GHashTable *sessions; /* agent_session_key_t -> agent_session_t */
+	GHashTable *fences;   /* session -> highest closed attempt */
+	GHashTable *peers;    /* address -> agent_peer_t */
+	GHashTable *calls;    /* call id -> agent_call_t */
+	bool listening;
+	bool leaving;
+};
+
+/* A message that an agent takes; "conn" is NULL from itself. */
+typedef void (*agent_message_t)(agent_t *agent, conn_t *conn, const msg_t *msg);
+
+#endif
--- /dev/null
+++ b/src/wisteria/agent/agent_session.c
@@ -0,0 +1,632 @@
+/*
+ * The sessions of an agent: finds the hop that a message is for, keeps the
+ * connections that it needs, and ends it when its entry has gone for good.
+ */
+#include "wisteria/agent/agent_session.h"
+
+#include <string.h>
+
+#include "wisteria/agent/agent_endpoint.h"
+#include "wisteria/agent/agent_peer.h"
+#include "wisteria/base/clock.h"
+#include "wisteria/base/counters.h"
+#include "wisteria/base/log.h"
+#include "wisteria/net/conn.h"
+#include "wisteria/net/link.h"
+
+/* A session whose entry is gone is kept this long. */
+#define SESSION_ORPHAN_MS 30000
+/* How long a session is kept after its caller's deadline. */
+#define SESSION_EXPIRY_MS 5000
+/* How long a closed attempt is remembered. */
+#define SESSION_FENCE_MS 60000
+
+/* The highest attempt of a session that was closed here. */
+typedef struct {
+	uint64_t session;
+	uint32_t attempt;
+	clock_ms_t closed_ms;
+} fence_t;
+
+static guint key_hash(gconstpointer data)
+{
+	const agent_session_key_t *key = data;
+
+	return g_int64_hash(&key->session) ^ key->hop;
+}
+
+static gboolean key_equal(gconstpointer a, gconstpointer b)
+{
+	const agent_session_key_t *left = a;
+	const agent_session_key_t *right = b;
+
+	return left->session == right->session && left->hop == right->hop;
+}
+
+static agent_session_t *find(const agent_t *agent, uint64_t session,
+			     uint32_t hop)
+{
+	const agent_session_key_t key = { session, hop };
+
+	return g_hash_table_lookup(agent->sessions, &key);
+}
+
+static const msg_hop_t *hop_at(const agent_session_t *session, uint32_t hop)
+{
+	return &hop_session_hops(session->hop)[hop];
+}
+
+static uint32_t hop_count(const agent_session_t *session)
+{
+	return (uint32_t)hop_session_open(session->hop)->hop_count;
+}
+
+static void bind_entry(agent_session_t *session, conn_t *conn)
+{
+	if (session->entry == conn)
+		return;
+	if (session->entry != NULL)
+		conn_release(session->entry);
+	session->entry = conn;
+	if (conn != NULL)
+		conn_hold(conn);
+	else
+		session->orphaned_ms = clock_now(session->agent->net->clock);
+}
+
+static void drop_peers(agent_session_t *session)
+{
+	for (size_t i = 0; i < AGENT_PEER_COUNT; i++) {
+		agent_peer_drop(session->peers[i]);
+		session->peers[i] = NULL;
+	}
+}
+
+static agent_peer_t *take_peer(agent_session_t *session, uint32_t hop,
+			       clock_ms_t now)
+{
+	agent_peer_t *peer =
+		agent_peer_take(session->agent, hop_at(session, hop)->address);
+
+	if (peer != NULL && !link_is_open(&peer->link))
+		hop_session_on_hop_down(session->hop, hop, now);
+	return peer;
+}
+
+static void take_peers(agent_session_t *session)
+{
+	clock_ms_t now = clock_now(session->agent->net->clock);
+	uint32_t hop = session->key.hop;
+	uint32_t last = hop_count(session) - 1;
+
+	if (hop > 0)
+		session->peers[AGENT_PEER_PREVIOUS] =
+			take_peer(session, hop - 1, now);
+	if (hop < last)
+		session->peers[AGENT_PEER_NEXT] =
+			take_peer(session, hop + 1, now);
+	if (last > 0 && (hop == 0 || hop == last))
+		session->peers[AGENT_PEER_END] =
+			take_peer(session, hop == 0 ? last : 0, now);
+}
+
+static void run_work(hop_session_ops_t *self, hop_session_t *hop,
+		     const hop_work_t *work)
+{
+	agent_session_t *session = CONTAINER_OF(self, agent_session_t, ops);
+	engine_ops_t *engine = session->endpoint->engine;
+
+	(void)hop;
+	engine->run(engine, work);
+}
+
+static void forget(hop_session_ops_t *self, hop_session_t *hop)
+{
+	agent_session_t *session = CONTAINER_OF(self, agent_session_t, ops);
+	engine_ops_t *engine = session->endpoint->engine;
+	const msg_open_t *open = hop_session_open(hop);
+	const engine_key_t key = {
+		.session = open->session,
+		.sequence = open->attempt,
+		.first_layer = open->hops[open->hop].first_layer,
+		.hop = open->hop,
+	};
+
+	if (hop_session_has_started(hop))
+		engine->forget(engine, &key);
+}
+
+static void send_hop(hop_session_ops_t *self, hop_session_t *hop,
+		     uint32_t number, msg_type_t type, const void *body)
+{
+	agent_session_t *session = CONTAINER_OF(self, agent_session_t, ops);
+
+	agent_peer_send(session->agent, hop_session_hops(hop)[number].address,
+			type, body);
+}
+
+static void send_entry(hop_session_ops_t *self, hop_session_t *hop,
+		       msg_type_t type, const void *body)
+{
+	agent_session_t *session = CONTAINER_OF(self, agent_session_t, ops);
+
+	(void)hop;
+	if (session->entry == NULL)
+		return;
+	if (type == MSG_TOKENS) {
+		msg_tokens_t tokens = *(const msg_tokens_t *)body;
+
+		tokens.load = agent_endpoint_load(session->endpoint);
+		conn_send(session->entry, type, &tokens);
+		return;
+	}
+	conn_send(session->entry, type, body);
+}
+
+static void session_free(gpointer data)
+{
+	agent_session_t *session = data;
+
+	hop_session_free(session->hop);
+	drop_peers(session);
+	bind_entry(session, NULL);
+	session->endpoint->in_flight--;
+	g_free(session);
+}
+
+static agent_session_t *session_new(agent_t *agent, agent_endpoint_t *endpoint,
+				    const msg_open_t *open)
+{
+	agent_session_t *session = g_new0(agent_session_t, 1);
+
+	session->ops = (hop_session_ops_t){
+		.run = run_work,
+		.forget = forget,
+		.send_hop = send_hop,
+		.send_entry = send_entry,
+	};
+	session->agent = agent;
+	session->endpoint = endpoint;
+	session->key = (agent_session_key_t){ open->session, open->hop };
+	session->hop = hop_session_new(open, &session->ops);
+	session->expires_ms = clock_now(agent->net->clock) +
+			      open->remaining_ms + SESSION_EXPIRY_MS;
+	endpoint->in_flight++;
+	g_hash_table_insert(agent->sessions, &session->key, session);
+	take_peers(session);
+	return session;
+}
+
+/* Prepares the tables of sessions. */
+void agent_session_init(agent_t *agent)
+{
+	agent->sessions =
+		g_hash_table_new_full(key_hash, key_equal, NULL, session_free);
+	agent->fences = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					      g_free);
+}
+
+/* Ends all sessions. */
+void agent_session_finish(agent_t *agent)
+{
+	g_hash_table_destroy(agent->sessions);
+	g_hash_table_destroy(agent->fences);
+}
+
+static uint32_t fenced_attempt(const agent_t *agent, uint64_t session)
+{
+	const fence_t *fence = g_hash_table_lookup(agent->fences, &session);
+
+	return fence == NULL ? 0 : fence->attempt;
+}
+
+static void raise_fence(agent_t *agent, uint64_t session, uint32_t attempt)
+{
+	fence_t *fence = g_hash_table_lookup(agent->fences, &session);
+
+	if (fence == NULL) {
+		fence = g_new0(fence_t, 1);
+		fence->session = session;
+		g_hash_table_insert(agent->fences, &fence->session, fence);
+	}
+	fence->attempt = MAX(fence->attempt, attempt);
+	fence->closed_ms = clock_now(agent->net->clock);
+}
+
+static refusal_t check_open(agent_t *agent, const agent_endpoint_t *endpoint,
+			    const msg_open_t *open)
+{
+	const msg_hop_t *hop = &open->hops[open->hop];
+
+	if (open->attempt <= fenced_attempt(agent, open->session))
+		return REFUSAL_OLD_ATTEMPT;
+	if (endpoint == NULL || endpoint->engine == NULL ||
+	    (hop->incarnation != 0 &&
+	     hop->incarnation != agent->net->incarnation))
+		return REFUSAL_UNKNOWN_ENDPOINT;
+	if (hop->first_layer != endpoint->settings->first_layer ||
+	    hop->end_layer != endpoint->settings->end_layer)
+		return REFUSAL_WRONG_LAYERS;
+	return agent_endpoint_admit(agent, endpoint, open->revision);
+}
+
+static refusal_t open_session(agent_t *agent, agent_endpoint_t *endpoint,
+			      conn_t *conn, const msg_open_t *open)
+{
+	agent_session_t *session = find(agent, open->session, open->hop);
+	refusal_t refusal;
+
+	if (session != NULL &&
+	    hop_session_attempt(session->hop) > open->attempt)
+		return REFUSAL_OLD_ATTEMPT;
+	if (session != NULL &&
+	    hop_session_attempt(session->hop) == open->attempt) {
+		bind_entry(session, conn);
+		return REFUSAL_NONE;
+	}
+	if (session != NULL)
+		g_hash_table_remove(agent->sessions, &session->key);
+	refusal = check_open(agent, endpoint, open);
+	if (refusal != REFUSAL_NONE)
+		return refusal;
+	session = session_new(agent, endpoint, open);
+	bind_entry(session, conn);
+	return REFUSAL_NONE;
+}
+
+/* Reserves a slot for one hop of an attempt, or says why not. */
+void agent_session_on_open(agent_t *agent, conn_t *conn, const msg_t *msg)
+{
+	const msg_open_t *open = msg->body;
+	msg_open_reply_t reply = {
+		.session = open->session,
+		.attempt = open->attempt,
+		.hop = open->hop,
+		.refusal = REFUSAL_WRONG_LAYERS,
+	};
+	agent_endpoint_t *endpoint;
+
+	if (conn == NULL)
+		return;
+	if (open->hop < open->hop_count && open->hop_count <= AGENT_HOPS_MAX) {
+		endpoint = agent_endpoint_find(agent,
+					       open->hops[open->hop].endpoint);
+		reply.refusal = open_session(agent, endpoint, conn, open);
+		if (endpoint != NULL)
+			reply.load = agent_endpoint_load(endpoint);
+	}
+	if (reply.refusal != REFUSAL_NONE)
+		LOG_INFO("open_refused",
+			 "session=%" G_GUINT64_FORMAT
+			 " attempt=%u hop=%u refusal=%u",
+			 open->session, open->attempt, open->hop,
+			 reply.refusal);
+	conn_send(conn, MSG_OPEN_REPLY, &reply);
+}
+
+/* Says to the sender that there is no such attempt here. */
+static void reply_no_session(agent_t *agent, conn_t *conn, uint64_t session,
+			     uint32_t attempt, uint32_t hop)
+{
+	const msg_session_failed_t failed = {
+		.session = session,
+		.attempt = attempt,
+		.hop = hop,
+		.step = "session",
+		.peer = agent->net->instance,
+		.reason = "no such session here",
+	};
+
+	if (attempt > fenced_attempt(agent, session))
+		agent_peer_reply(agent, conn, MSG_SESSION_FAILED, &failed);
+}
+
+/* Starts the token loop. */
+void agent_session_on_start(agent_t *agent, conn_t *conn, const msg_t *msg)
+{
+	const msg_session_t *start = msg->body;
+	agent_session_t *session = find(agent, start->session, 0);
+
+	if (session == NULL) {
+		reply_no_session(agent, conn, start->session, start->attempt,
+				 0);
+		return;
+	}
+	if (hop_session_attempt(session->hop) != start->attempt)
+		return;
+	bind_entry(session, conn);
+	hop_session_on_start(session->hop, clock_now(agent->net->clock));
+}
+
+/* The entry has tokens. */
+void agent_session_on_tokens_ack(agent_t *agent, conn_t *conn, const msg_t *msg)
+{
+	const msg_tokens_ack_t *ack = msg->body;
+	agent_session_t *session = find(agent, ack->session, 0);
+
+	(void)conn;
+	if (session != NULL)
+		hop_session_on_tokens_ack(session->hop, ack,
+					  clock_now(agent->net->clock));
+}
+
+/* An entry is back after a lost connection. */
+void agent_session_on_resume(agent_t *agent, conn_t *conn, const msg_t *msg)
+{
+	const msg_tokens_ack_t *resume = msg->body;
+	agent_session_t *session = find(agent, resume->session, resume->hop);
+
+	if (session == NULL) {
+		reply_no_session(agent, conn, resume->session, resume->attempt,
+				 resume->hop);
+		return;
+	}
+	if (hop_session_attempt(session->hop) != resume->attempt)
+		return;
+	bind_entry(session, conn);
+	hop_session_on_resume(session->hop, resume,
+			      clock_now(agent->net->clock));
+}
+
+/* One hop of the chain was replaced. */
+void agent_session_on_reroute(agent_t *agent, conn_t *conn, const msg_t *msg)
+{
+	const msg_reroute_t *reroute = msg->body;
+	agent_session_t *session = find(agent, reroute->session, reroute->hop);
+
+	if (session == NULL) {
+		reply_no_session(agent, conn, reroute->session,
+				 reroute->attempt, reroute->hop);
+		return;
+	}
+	bind_entry(session, conn);
+	hop_session_on_reroute(session->hop, reroute,
+			       clock_now(agent->net->clock));
+	if (hop_session_attempt(session->hop) != reroute->attempt)
+		return;
+	drop_peers(session);
+	take_peers(session);
+}
+
+static void close_one(agent_t *agent, const msg_close_t *close, uint32_t hop)
+{
+	agent_session_t *session = find(agent, close->session, hop);
+
+	if (session != NULL &&
+	    hop_session_attempt(session->hop) <= close->attempt)
+		g_hash_table_remove(agent->sessions, &session->key);
+}
+
+/* Ends an attempt, or one hop of it, and older ones. */
+void agent_session_on_close(agent_t *agent, conn_t *conn, const msg_t *msg)
+{
+	const msg_close_t *close = msg->body;
+
+	(void)conn;
+	if (close->one_hop) {
+		close_one(agent, close, close->hop);
+		return;
+	}
+	raise_fence(agent, close->session, close->attempt);
+	for (uint32_t hop = 0; hop < AGENT_HOPS_MAX; hop++)
+		close_one(agent, close, hop);
+}
+
+/* Another agent knows nothing of a session: tells the entry. */
+void agent_session_on_failed(agent_t *agent, conn_t *conn, const msg_t *msg)
+{
+	const msg_session_failed_t *failed = msg->body;
+
+	(void)conn;
+	for (uint32_t hop = 0; hop < AGENT_HOPS_MAX; hop++) {
+		agent_session_t *session = find(agent, failed->session, hop);
+
+		if (session == NULL ||
+		    hop_session_attempt(session->hop) != failed->attempt)
+			continue;
+		hop_session_on_hop_lost(session->hop, failed->hop,
+					failed->reason);
+		return;
+	}
+}
+
+/* Positions for a hop to run. */
+void agent_session_on_step(agent_t *agent, conn_t *conn, const msg_t *msg)
+{
+	const msg_step_t *step = msg->body;
+	agent_session_t *session = find(agent, step->session, step->hop);
+
+	if (session == NULL) {
+		reply_no_session(agent, conn, step->session, step->attempt,
+				 step->hop);
+		return;
+	}
+	hop_session_on_step(session->hop, step, clock_now(agent->net->clock));
+}
+
+/* The next hop, or for the last hop the first one, has positions. */
+void agent_session_on_step_ack(agent_t *agent, conn_t *conn, const msg_t *msg)
+{
+	const msg_step_ack_t *ack = msg->body;
+	uint32_t first = ack->hop > 0 ? ack->hop - 1 : 0;
+	uint32_t end = ack->hop > 0 ? ack->hop : AGENT_HOPS_MAX;
+
+	(void)conn;
+	for (uint32_t hop = first; hop < end && hop < AGENT_HOPS_MAX; hop++) {
+		agent_session_t *session = find(agent, ack->session, hop);
+
+		if (session != NULL)
+			hop_session_on_step_ack(session->hop, ack,
+						clock_now(agent->net->clock));
+	}
+}
+
+/* A token has come round to the first hop. */
+void agent_session_on_step_result(agent_t *agent, conn_t *conn,
+				  const msg_t *msg)
+{
+	const msg_step_result_t *result = msg->body;
+	agent_session_t *session = find(agent, result->session, 0);
+
+	if (session == NULL) {
+		reply_no_session(agent, conn, result->session, result->attempt,
+				 0);
+		return;
+	}
+	hop_session_on_step_result(session->hop, result,
+				   clock_now(agent->net->clock));
+}
+
+static agent_session_t *find_sequence(const agent_t *agent,
+				      const engine_key_t *key)
+{
+	agent_session_t *session = find(agent, key->session, key->hop);
+
+	if (session == NULL ||
+	    hop_session_open(session->hop)->attempt != key->sequence)
+		return NULL;
+	return session;
+}
+
+/* The engine has run positions of a session. */
+void agent_session_on_engine_done(engine_handler_t *self,
+				  const engine_key_t *key, uint32_t attempt,
+				  const hop_result_t *result)
+{
+	agent_endpoint_t *endpoint =
+		CONTAINER_OF(self, agent_endpoint_t, handler);
+	agent_session_t *session = find_sequence(endpoint->agent, key);
+
+	if (session != NULL)
+		hop_session_on_engine_done(
+			session->hop, attempt, result,
+			clock_now(endpoint->agent->net->clock));
+}
+
+/* The engine could not run positions of a session. */
+void agent_session_on_engine_failed(engine_handler_t *self,
+				    const engine_key_t *key, uint32_t attempt,
+				    const char *reason)
+{
+	agent_endpoint_t *endpoint =
+		CONTAINER_OF(self, agent_endpoint_t, handler);
+	agent_session_t *session = find_sequence(endpoint->agent, key);
+
+	if (session != NULL)
+		hop_session_on_engine_failed(
+			session->hop, attempt, reason,
+			clock_now(endpoint->agent->net->clock));
+}
+
+typedef void (*visit_hop_t)(agent_session_t *session, uint32_t hop,
+			    uint64_t incarnation, clock_ms_t now);
+
+/* Visits each hop of each session whose agent is at "address". */
+static void visit_hops(agent_t *agent, const char *address,
+		       uint64_t incarnation, visit_hop_t visit)
+{
+	clock_ms_t now = clock_now(agent->net->clock);
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, agent->sessions);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		agent_session_t *session = value;
+		uint32_t count = hop_count(session);
+
+		for (uint32_t hop = 0; hop < count; hop++)
+			if (strcmp(hop_at(session, hop)->address, address) == 0)
+				visit(session, hop, incarnation, now);
+	}
+}
+
+static void visit_up(agent_session_t *session, uint32_t hop,
+		     uint64_t incarnation, clock_ms_t now)
+{
+	uint64_t expected = hop_at(session, hop)->incarnation;
+
+	if (expected != 0 && expected != incarnation)
+		hop_session_on_hop_lost(session->hop, hop,
+					"the agent has restarted");
+	else
+		hop_session_on_hop_up(session->hop, hop, now);
+}
+
+static void visit_down(agent_session_t *session, uint32_t hop,
+		       uint64_t incarnation, clock_ms_t now)
+{
+	(void)incarnation;
+	hop_session_on_hop_down(session->hop, hop, now);
+}
+
+/* The connection to another agent is open. */
+void agent_session_on_peer_up(agent_t *agent, const char *address,
+			      uint64_t incarnation)
+{
+	visit_hops(agent, address, incarnation, visit_up);
+}
+
+/* The connection to another agent was lost. */
+void agent_session_on_peer_down(agent_t *agent, const char *address)
+{
+	visit_hops(agent, address, 0, visit_down);
+}
+
+/* A connection that an entry may have made was lost. */
+void agent_session_on_entry_down(agent_t *agent, const conn_t *conn)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, agent->sessions);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		agent_session_t *session = value;
+
+		if (session->entry == conn)
+			bind_entry(session, NULL);
+	}
+}
+
+static bool is_over(const agent_session_t *session, clock_ms_t now)
+{
+	if (now >= session->expires_ms)
+		return true;
+	return session->entry == NULL &&
+	       now - session->orphaned_ms >= SESSION_ORPHAN_MS;
+}
+
+static void drop_old_fences(agent_t *agent, clock_ms_t now)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, agent->fences);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const fence_t *fence = value;
+
+		if (now - fence->closed_ms >= SESSION_FENCE_MS)
+			g_hash_table_iter_remove(&iter);
+	}
+}
+
+/* Acts on what is due for all sessions. */
+void agent_session_tick(agent_t *agent, clock_ms_t now)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, agent->sessions);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		agent_session_t *session = value;
+
+		if (!is_over(session, now)) {
+			hop_session_tick(session->hop, now);
+			continue;
+		}
+		LOG_INFO("session_expired",
+			 "session=%" G_GUINT64_FORMAT " hop=%u",
+			 session->key.session, session->key.hop);
+		g_hash_table_iter_remove(&iter);
+	}
+	drop_old_fences(agent, now);
+}
--- a/src/wisteria/agent/http_client.c
+++ b/src/wisteria/agent/curl_loop.c
@@ -1,29 +1,29 @@
 /* Drives libcurl's multi interface with an event loop. */
-#include "wisteria/agent/http_client.h"
+#include "wisteria/agent/curl_loop.h"
 
 #include <string.h>
 
 #include <glib.h>
 
 /* Longest time to connect to an engine or service. */
-#define HTTP_CONNECT_MS 500L
+#define CURL_LOOP_CONNECT_MS 500L
 
 /* A socket that libcurl watches. */
 typedef struct {
 	uv_poll_t poll;
-	http_client_t *client;
+	curl_loop_t *client;
 	curl_socket_t socket;
-} http_socket_t;
+} curl_watch_t;
 
 /* A request in progress, in the list of its client. */
-typedef struct http_transfer_t {
-	struct http_transfer_t *next;
-	struct http_transfer_t **place;
+typedef struct curl_transfer_t {
+	struct curl_transfer_t *next;
+	struct curl_transfer_t **place;
 	CURL *handle;
-	http_done_t *done;
-} http_transfer_t;
+	curl_done_t *done;
+} curl_transfer_t;
 
-static void unlink_transfer(http_transfer_t *transfer)
+static void unlink_transfer(curl_transfer_t *transfer)
 {
 	*transfer->place = transfer->next;
 	if (transfer->next != NULL)
@@ -31,18 +31,18 @@
 	g_free(transfer);
 }
 
-static http_transfer_t *transfer_of(CURL *handle)
+static curl_transfer_t *transfer_of(CURL *handle)
 {
 	char *transfer = NULL;
 
 	curl_easy_getinfo(handle, CURLINFO_PRIVATE, &transfer);
-	return (http_transfer_t *)(void *)transfer;
+	return (curl_transfer_t *)(void *)transfer;
 }
 
-static void end_transfer(http_client_t *client, CURL *handle, CURLcode code)
+static void end_transfer(curl_loop_t *client, CURL *handle, CURLcode code)
 {
-	http_transfer_t *transfer = transfer_of(handle);
-	http_done_t *done = transfer->done;
+	curl_transfer_t *transfer = transfer_of(handle);
+	curl_done_t *done = transfer->done;
 
 	curl_multi_remove_handle(client->multi, handle);
 	unlink_transfer(transfer);
@@ -50,7 +50,7 @@
 	curl_easy_cleanup(handle);
 }
 
-static void report_ended(http_client_t *client)
+static void report_ended(curl_loop_t *client)
 {
 	CURLMsg *message;
 	int left;
@@ -63,7 +63,7 @@
 
 static void on_timer(uv_timer_t *timer)
 {
-	http_client_t *client = timer->data;
+	curl_loop_t *client = timer->data;
 	int running;
 
 	curl_multi_socket_action(client->multi, CURL_SOCKET_TIMEOUT, 0,
@@ -73,8 +73,8 @@
 
 static void on_poll(uv_poll_t *poll, int status, int events)
 {
-	http_socket_t *watched = poll->data;
-	http_client_t *client = watched->client;
+	curl_watch_t *watched = poll->data;
+	curl_loop_t *client = watched->client;
 	int flags = 0;
 	int running;
 
@@ -94,9 +94,9 @@
 	g_free(handle->data);
 }
 
-static http_socket_t *watch_socket(http_client_t *client, curl_socket_t socket)
+static curl_watch_t *watch_socket(curl_loop_t *client, curl_socket_t socket)
 {
-	http_socket_t *watched = g_new0(http_socket_t, 1);
+	curl_watch_t *watched = g_new0(curl_watch_t, 1);
 
 	watched->client = client;
 	watched->socket = socket;
@@ -109,8 +109,8 @@
 static int on_socket(CURL *handle, curl_socket_t socket, int what, void *user,
 		     void *socket_user)
 {
-	http_client_t *client = user;
-	http_socket_t *watched = socket_user;
+	curl_loop_t *client = user;
+	curl_watch_t *watched = socket_user;
 	int events = 0;
 
 	(void)handle;
@@ -134,7 +134,7 @@
 
 static int on_timeout(CURLM *multi, long timeout_ms, void *user)
 {
-	http_client_t *client = user;
+	curl_loop_t *client = user;
 
 	(void)multi;
 	if (timeout_ms < 0)
@@ -146,7 +146,7 @@
 }
 
 /* Prepares a client on "loop". */
-void http_client_init(http_client_t *client, uv_loop_t *loop)
+void curl_loop_init(curl_loop_t *client, uv_loop_t *loop)
 {
 	client->loop = loop;
 	client->transfers = NULL;
@@ -163,7 +163,7 @@
  * Ends all requests, telling their owners that they were aborted.  The client
  * may be freed once the loop has run to its end.
  */
-void http_client_close(http_client_t *client)
+void curl_loop_close(curl_loop_t *client)
 {
 	while (client->transfers != NULL)
 		end_transfer(client, client->transfers->handle,
@@ -175,9 +175,9 @@
 
 /*
  * Returns a new request to "url" for the caller to fill in; it is taken over
- * by http_client_start().
+ * by curl_loop_start().
  */
-CURL *http_client_request(http_client_t *client, const char *url)
+CURL *curl_loop_request(curl_loop_t *client, const char *url)
 {
 	CURL *handle = curl_easy_init();
 
@@ -186,14 +186,15 @@
 	curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(handle, CURLOPT_TCP_NODELAY, 1L);
 	curl_easy_setopt(handle, CURLOPT_PROTOCOLS_STR, "http,https");
-	curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, HTTP_CONNECT_MS);
+	curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS,
+			 CURL_LOOP_CONNECT_MS);
 	curl_easy_setopt(handle, CURLOPT_PROXY, "");
 	return handle;
 }
 
 static size_t on_read_body(char *buffer, size_t size, size_t count, void *user)
 {
-	http_body_t *body = user;
+	curl_body_t *body = user;
 	size_t len = MIN(size * count, body->len - body->sent);
 
 	memcpy(buffer, body->data + body->sent, len);
@@ -214,7 +215,7 @@
  * repeats a request on a kept connection that was lost, which needs to rewind
  * the body and fails here.
  */
-void http_client_set_body(CURL *handle, http_body_t *body)
+void curl_loop_set_body(CURL *handle, curl_body_t *body)
 {
 	curl_easy_setopt(handle, CURLOPT_POST, 1L);
 	curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE,
@@ -226,9 +227,9 @@
 }
 
 /* Starts a request; "done" must live until it is told. */
-void http_client_start(http_client_t *client, CURL *handle, http_done_t *done)
+void curl_loop_start(curl_loop_t *client, CURL *handle, curl_done_t *done)
 {
-	http_transfer_t *transfer = g_new0(http_transfer_t, 1);
+	curl_transfer_t *transfer = g_new0(curl_transfer_t, 1);
 
 	transfer->handle = handle;
 	transfer->done = done;
@@ -242,7 +243,7 @@
 }
 
 /* Ends a request at once; its owner is told that it was aborted. */
-void http_client_cancel(http_client_t *client, CURL *handle)
+void curl_loop_cancel(curl_loop_t *client, CURL *handle)
 {
 	end_transfer(client, handle, CURLE_ABORTED_BY_CALLBACK);
 }
--- /dev/null
+++ b/src/wisteria/agent/curl_loop.h
@@ -0,0 +1,43 @@
+#ifndef WISTERIA_AGENT_CURL_LOOP_H
+#define WISTERIA_AGENT_CURL_LOOP_H
+
+#include <curl/curl.h>
+#include <uv.h>
+
+#include "wisteria/base/macros_defs.h"
+
+struct curl_transfer_t;
+
+/* HTTP requests of one event loop, through libcurl. */
+typedef struct {
+	uv_loop_t *loop;
+	CURLM *multi;
+	uv_timer_t timer;
+	struct curl_transfer_t *transfers;
+} curl_loop_t;
+
+/* A body to send; "data" lives as long as the request. */
+typedef struct {
+	const char *data;
+	size_t len;
+	size_t sent;
+} curl_body_t;
+
+/*
+ * Told once of the end of a request.  It stands first in the owner's struct.
+ * "handle" is valid during the call.
+ */
+typedef struct curl_done_t {
+	void (*done)(struct curl_done_t *self, CURL *handle, CURLcode code);
+} curl_done_t;
+
+void curl_loop_init(curl_loop_t *client, uv_loop_t *loop) ATTR_NONNULL_ALL;
+void curl_loop_close(curl_loop_t *client) ATTR_NONNULL_ALL;
+CURL *curl_loop_request(curl_loop_t *client,
+			const char *url) ATTR_NONNULL_ALL ATTR_WARN_UNUSED;
+void curl_loop_set_body(CURL *handle, curl_body_t *body) ATTR_NONNULL_ALL;
+void curl_loop_start(curl_loop_t *client, CURL *handle,
+		     curl_done_t *done) ATTR_NONNULL_ALL;
+void curl_loop_cancel(curl_loop_t *client, CURL *handle) ATTR_NONNULL_ALL;
+
+#endif
--- a/src/wisteria/agent/engine.h
+++ b/src/wisteria/agent/engine.h
@@ -14,6 +14,7 @@
 	uint64_t session;
 	uint32_t sequence;
 	uint32_t first_layer;
+	uint32_t hop; /* of the session's chain; no part of the name */
 } engine_key_t;
 
 /*
--- a/src/wisteria/agent/engine_http.c
+++ b/src/wisteria/agent/engine_http.c
@@ -26,24 +26,25 @@
 #define ENGINE_SMOOTHING 0.2
 
 typedef struct {
-	http_done_t done; /* first member */
+	curl_done_t done; /* first member */
 	struct engine_http_t *engine;
 	CURL *handle;
 	GByteArray *reply;
 	msgpack_sbuffer out;
-	http_body_t body;
+	curl_body_t body;
 } engine_request_t;
 
 /* A step that waits or is run; owns copies of its positions. */
 typedef struct {
 	engine_step_t step;
 	GPtrArray *contents; /* GBytes */
+	uint32_t hop;
 	bool forgotten;
 } engine_job_t;
 
 typedef struct engine_http_t {
 	engine_ops_t ops; /* first member */
-	http_client_t *client;
+	curl_loop_t *client;
 	const clock_source_t *clock;
 	engine_handler_t *handler;
 	char *url;
@@ -89,6 +90,7 @@
 		positions[i].activations.len = len;
 		g_ptr_array_add(job->contents, copy);
 	}
+	job->hop = work->hop;
 	job->step = (engine_step_t){
 		.session = work->session,
 		.sequence = work->sequence,
@@ -115,7 +117,7 @@
 }
 
 static engine_request_t *request_new(engine_http_t *engine, const char *path,
-				     void (*done)(http_done_t *self,
+				     void (*done)(curl_done_t *self,
 						  CURL *handle, CURLcode code))
 {
 	engine_request_t *request = g_new0(engine_request_t, 1);
@@ -125,7 +127,7 @@
 	request->engine = engine;
 	request->reply = g_byte_array_new();
 	msgpack_sbuffer_init(&request->out);
-	request->handle = http_client_request(engine->client, url);
+	request->handle = curl_loop_request(engine->client, url);
 	curl_easy_setopt(request->handle, CURLOPT_WRITEFUNCTION, on_reply_data);
 	curl_easy_setopt(request->handle, CURLOPT_WRITEDATA, request);
 	g_free(url);
@@ -137,7 +139,7 @@
 {
 	request->body.data = request->out.data;
 	request->body.len = request->out.size;
-	http_client_set_body(request->handle, &request->body);
+	curl_loop_set_body(request->handle, &request->body);
 }
 
 static void request_free(engine_request_t *request)
@@ -155,10 +157,14 @@
 	g_free(engine);
 }
 
-static engine_key_t key_of(const engine_step_t *step)
+static engine_key_t key_of(const engine_job_t *job)
 {
-	return (engine_key_t){ step->session, step->sequence,
-			       step->first_layer };
+	return (engine_key_t){
+		.session = job->step.session,
+		.sequence = job->step.sequence,
+		.first_layer = job->step.first_layer,
+		.hop = job->hop,
+	};
 }
 
 static void fail_jobs(engine_http_t *engine, GPtrArray *jobs,
@@ -166,7 +172,7 @@
 {
 	for (guint i = 0; i < jobs->len; i++) {
 		const engine_job_t *job = g_ptr_array_index(jobs, i);
-		engine_key_t key = key_of(&job->step);
+		engine_key_t key = key_of(job);
 
 		if (!job->forgotten)
 			engine->handler->failed(engine->handler, &key,
@@ -177,7 +183,7 @@
 static void report_result(engine_http_t *engine, const engine_job_t *job,
 			  const engine_result_t *result)
 {
-	engine_key_t key = key_of(&job->step);
+	engine_key_t key = key_of(job);
 	const hop_result_t output = {
 		.positions = result->positions,
 		.position_count = result->position_count,
@@ -250,7 +256,7 @@
 	       step->first_layer == key->first_layer;
 }
 
-static void on_forget_done(http_done_t *self, CURL *handle, CURLcode code)
+static void on_forget_done(curl_done_t *self, CURL *handle, CURLcode code)
 {
 	(void)handle;
 	(void)code;
@@ -266,21 +272,21 @@
 
 	codec_encode(&engine_forget_desc, &forget, &request->out);
 	set_body(request);
-	http_client_start(engine->client, request->handle, &request->done);
+	curl_loop_start(engine->client, request->handle, &request->done);
 }
 
 static void send_forgotten(engine_http_t *engine, const GPtrArray *jobs)
 {
 	for (guint i = 0; i < jobs->len; i++) {
 		const engine_job_t *job = g_ptr_array_index(jobs, i);
-		engine_key_t key = key_of(&job->step);
+		engine_key_t key = key_of(job);
 
 		if (job->forgotten)
 			send_forget(engine, &key);
 	}
 }
 
-static void on_batch_done(http_done_t *self, CURL *handle, CURLcode code)
+static void on_batch_done(curl_done_t *self, CURL *handle, CURLcode code)
 {
 	engine_request_t *request = CONTAINER_OF(self, engine_request_t, done);
 	engine_http_t *engine = request->engine;
@@ -350,8 +356,8 @@
 	engine->heard_ms = engine->sent_ms;
 	encode_batch(engine->running, &engine->batch->out);
 	set_body(engine->batch);
-	http_client_start(engine->client, engine->batch->handle,
-			  &engine->batch->done);
+	curl_loop_start(engine->client, engine->batch->handle,
+			&engine->batch->done);
 }
 
 static void engine_run(engine_ops_t *self, const hop_work_t *work)
@@ -394,12 +400,12 @@
 /* An order in progress. */
 typedef struct {
 	engine_request_t *request;
-	http_done_t done;
+	curl_done_t done;
 	engine_order_done_t *owner;
 	struct curl_slist *headers;
 } engine_order_t;
 
-static void on_order_done(http_done_t *self, CURL *handle, CURLcode code)
+static void on_order_done(curl_done_t *self, CURL *handle, CURLcode code)
 {
 	engine_order_t *order = CONTAINER_OF(self, engine_order_t, done);
 	long status = 0;
@@ -427,11 +433,11 @@
 	curl_easy_setopt(order->request->handle, CURLOPT_HTTPHEADER,
 			 order->headers);
 	curl_easy_setopt(order->request->handle, CURLOPT_COPYPOSTFIELDS, text);
-	http_client_start(engine->client, order->request->handle, &order->done);
+	curl_loop_start(engine->client, order->request->handle, &order->done);
 	g_free(header);
 }
 
-static void on_health_done(http_done_t *self, CURL *handle, CURLcode code)
+static void on_health_done(curl_done_t *self, CURL *handle, CURLcode code)
 {
 	engine_request_t *request = CONTAINER_OF(self, engine_request_t, done);
 	engine_http_t *engine = request->engine;
@@ -447,7 +453,7 @@
 		return;
 	}
 	LOG_WARN("engine_silent", "url=%s status=%ld", engine->url, status);
-	http_client_cancel(engine->client, engine->batch->handle);
+	curl_loop_cancel(engine->client, engine->batch->handle);
 }
 
 static void ask_for_health(engine_http_t *engine)
@@ -456,8 +462,8 @@
 		request_new(engine, ENGINE_HEALTH_PATH, on_health_done);
 	curl_easy_setopt(engine->health->handle, CURLOPT_TIMEOUT_MS,
 			 ENGINE_HEALTH_MS);
-	http_client_start(engine->client, engine->health->handle,
-			  &engine->health->done);
+	curl_loop_start(engine->client, engine->health->handle,
+			&engine->health->done);
 }
 
 static void engine_tick(engine_ops_t *self, clock_ms_t now)
@@ -486,9 +492,9 @@
 
 	engine->closed = true;
 	if (engine->batch != NULL)
-		http_client_cancel(engine->client, engine->batch->handle);
+		curl_loop_cancel(engine->client, engine->batch->handle);
 	if (engine->health != NULL)
-		http_client_cancel(engine->client, engine->health->handle);
+		curl_loop_cancel(engine->client, engine->health->handle);
 	engine_free(engine);
 }
 
@@ -496,9 +502,8 @@
  * Creates the adapter to the engine at "url" ("http://IP:PORT").  It is ended
  * by its close(), before the client is.
  */
-engine_ops_t *engine_http_new(http_client_t *client,
-			      const clock_source_t *clock, const char *url,
-			      engine_handler_t *handler)
+engine_ops_t *engine_http_new(curl_loop_t *client, const clock_source_t *clock,
+			      const char *url, engine_handler_t *handler)
 {
 	engine_http_t *engine = g_new0(engine_http_t, 1);
 
--- a/src/wisteria/session/entry_session.c
+++ b/src/wisteria/session/entry_session.c
@@ -22,6 +22,8 @@
 #define ENTRY_CHOOSE_MS 5000
 #define ENTRY_CHOOSE_INTERVAL_MS 50
 #define ENTRY_RETRY_AFTER_MS 1000
+/* After so many refusals in a row a chain is asked for at intervals only. */
+#define ENTRY_QUICK_REFUSALS 3
 
 typedef enum {
 	ENTRY_IDLE,
@@ -50,11 +52,30 @@
 	clock_ms_t state_ms;	/* when "state" was entered */
 	clock_ms_t progress_ms; /* when the last token came */
 	clock_ms_t chosen_ms;	/* when a chain was last asked for */
+	clock_ms_t seeking_ms;	/* since when no attempt runs */
+	uint32_t refusals;	/* of MSG_OPEN since then */
 	char failed[ROUTER_NAME_BYTES];
 	err_t why;
 	GPtrArray *tokens; /* texts delivered */
 };
 
+static const char *refusal_name(uint32_t refusal)
+{
+	static const char *const names[] = {
+		[REFUSAL_NONE] = "none",
+		[REFUSAL_BUSY] = "busy",
+		[REFUSAL_LEAVING] = "leaving",
+		[REFUSAL_OLD_REVISION] = "old_revision",
+		[REFUSAL_OLD_ATTEMPT] = "old_attempt",
+		[REFUSAL_WRONG_LAYERS] = "wrong_layers",
+		[REFUSAL_NO_LEASE] = "no_lease",
+		[REFUSAL_UNKNOWN_ENDPOINT] = "unknown_endpoint",
+		[REFUSAL_NO_SESSION] = "no_session",
+	};
+
+	return refusal < ARRAY_SIZE(names) ? names[refusal] : "unknown";
+}
+
 static void enter(entry_session_t *session, entry_state_t state, clock_ms_t now)
 {
 	session->state = state;
@@ -206,20 +227,27 @@
 }
 
 /* Gives the attempt up and begins another one on a new chain. */
-static void restart(entry_session_t *session, clock_ms_t now)
+static void begin_again(entry_session_t *session, clock_ms_t now)
 {
 	close_chain(session, "attempt failed");
 	session->chain.hop_count = 0;
-	if (!session->ops->may_retry(session->ops, session)) {
-		refuse(session, now);
-		return;
-	}
 	if (session->ever_started)
 		counter_add(COUNTER_RECOVERIES, 1);
 	if (!choose(session, now))
 		enter(session, ENTRY_CHOOSING, now);
 }
 
+/* The same, where a fault caused it: the retry budget may forbid it. */
+static void restart(entry_session_t *session, clock_ms_t now)
+{
+	if (session->state == ENTRY_RUNNING)
+		session->seeking_ms = now;
+	if (session->ops->may_retry(session->ops, session))
+		begin_again(session, now);
+	else
+		refuse(session, now);
+}
+
 static bool others_are_up(const entry_session_t *session, size_t lost)
 {
 	for (size_t i = 0; i < session->chain.hop_count; i++)
@@ -245,6 +273,7 @@
 	session->hops[lost] =
 		(entry_hop_t){ .up_to_date = true, .down_ms = CLOCK_NEVER_MS };
 	session->replaced = (uint32_t)lost;
+	session->seeking_ms = now;
 	session->attempt++;
 	counter_add(COUNTER_ATTEMPTS, 1);
 	counter_add(COUNTER_RECOVERIES, 1);
@@ -351,6 +380,7 @@
 			 clock_ms_t now)
 {
 	session->chain = *chain;
+	session->seeking_ms = now;
 	open_chain(session, now);
 }
 
@@ -366,6 +396,7 @@
 {
 	enter(session, ENTRY_RUNNING, now);
 	session->progress_ms = now;
+	session->refusals = 0;
 	send_start(session);
 }
 
@@ -374,6 +405,7 @@
 {
 	enter(session, ENTRY_RUNNING, now);
 	session->progress_ms = now;
+	session->refusals = 0;
 	for (size_t i = 0; i < session->chain.hop_count; i++) {
 		if (i == session->replaced)
 			continue;
@@ -384,7 +416,36 @@
 		send_start(session);
 }
 
-/* A hop has reserved its slot or refused to. */
+/*
+ * A hop refused.  Nothing of this attempt ran, so that trying again costs no
+ * retry budget.  A refusal that says nothing against the endpoint (it knows a
+ * newer configuration, or none) is waited out.
+ */
+static void take_refusal(entry_session_t *session,
+			 const msg_open_reply_t *reply, clock_ms_t now)
+{
+	const char *endpoint = session->chain.hops[reply->hop].endpoint;
+	bool wait = reply->refusal == REFUSAL_OLD_REVISION ||
+		    reply->refusal == REFUSAL_NO_LEASE;
+
+	err_set(&session->why, ERR_OVERLOAD, "open", endpoint, "refused: %s",
+		refusal_name(reply->refusal));
+	g_strlcpy(session->failed, wait ? "" : endpoint,
+		  sizeof(session->failed));
+	if (session->state == ENTRY_RUNNING)
+		session->seeking_ms = now;
+	if (session->state == ENTRY_RUNNING ||
+	    (!wait && ++session->refusals <= ENTRY_QUICK_REFUSALS)) {
+		begin_again(session, now);
+		return;
+	}
+	close_chain(session, "refused");
+	session->chain.hop_count = 0;
+	session->chosen_ms = now;
+	enter(session, ENTRY_CHOOSING, now);
+}
+
+/* A hop has reserved its slot or taken the new chain, or refused to. */
 void entry_session_on_open_reply(entry_session_t *session,
 				 const msg_open_reply_t *reply, clock_ms_t now)
 {
@@ -398,13 +459,7 @@
 	    session->state != ENTRY_RUNNING)
 		return;
 	if (reply->refusal != REFUSAL_NONE) {
-		err_set(&session->why, ERR_OVERLOAD, "open",
-			session->chain.hops[reply->hop].endpoint,
-			"refused with %u", reply->refusal);
-		g_strlcpy(session->failed,
-			  session->chain.hops[reply->hop].endpoint,
-			  sizeof(session->failed));
-		restart(session, now);
+		take_refusal(session, reply, now);
 		return;
 	}
 	hop = &session->hops[reply->hop];
@@ -564,12 +619,12 @@
 
 static void check_choice(entry_session_t *session, clock_ms_t now)
 {
-	if (now - session->state_ms >= ENTRY_CHOOSE_MS) {
-		refuse(session, now);
+	if (now - session->chosen_ms < ENTRY_CHOOSE_INTERVAL_MS)
 		return;
-	}
-	if (now - session->chosen_ms >= ENTRY_CHOOSE_INTERVAL_MS)
-		choose(session, now);
+	if (choose(session, now))
+		return;
+	if (now - session->seeking_ms >= ENTRY_CHOOSE_MS)
+		refuse(session, now);
 }
 
 /* Acts on what is due; called several times in ENTRY_DOWN_MS. */
--- a/src/wisteria/session/hop_session.c
+++ b/src/wisteria/session/hop_session.c
@@ -240,6 +240,7 @@
 		.session = session->open->session,
 		.sequence = session->sequence,
 		.attempt = session->attempt,
+		.hop = session->hop,
 		.first_layer = range->first_layer,
 		.end_layer = range->end_layer,
 		.first_position = first,
--- a/src/wisteria/session/hop_session.h
+++ b/src/wisteria/session/hop_session.h
@@ -14,6 +14,7 @@
 	uint64_t session;
 	uint32_t sequence; /* the attempt under which the session was opened */
 	uint32_t attempt;
+	uint32_t hop;
 	uint32_t first_layer;
 	uint32_t end_layer;
 	uint32_t first_position;
