--- a/src/wisteria/raft/raft.c
+++ b/src/wisteria/raft/raft.c
@@ -78,7 +78,7 @@
 void raft_use_members(raft_t *raft, const raft_members_t *members,
 		      uint64_t index)
 {
-	raft_progress_t kept[RAFT_MEMBERS_MAX];
+	raft_progress_t kept[RAFT_MEMBERS_MAX] = { 0 };
 
 	for (uint32_t i = 0; i < members->count; i++) {
 		const raft_progress_t *known =
--- /dev/null
+++ b/src/wisteria/storage/storage_load.c
@@ -0,0 +1,287 @@
+/* Reads a data folder: identity, newest snapshot, and the log after it. */
+#include "wisteria/storage/storage_load.h"
+
+#include <string.h>
+#include <unistd.h>
+
+#include "wisteria/base/err.h"
+#include "wisteria/base/log.h"
+#include "wisteria/raft/raft_log.h"
+#include "wisteria/raft/raft_members.h"
+#include "wisteria/storage/record.h"
+
+#define NAME_DIGITS 16
+#define ENTRY_HEADER_BYTES 20
+
+/* A log file as it is being read. */
+typedef struct {
+	uint64_t base_index;
+	uint64_t base_term;
+	uint64_t term;
+	uint64_t vote;
+	GArray *entries;
+} log_reader_t;
+
+static bool damaged(err_t *err, const char *path, uint64_t offset,
+		    const char *what)
+{
+	err_set(err, ERR_CORRUPT, "load", path,
+		"%s: %s at offset %" G_GUINT64_FORMAT, path, what, offset);
+	return false;
+}
+
+static bool read_file(const char *path, gchar **data, gsize *len, err_t *err)
+{
+	if (g_file_get_contents(path, data, len, NULL))
+		return true;
+	err_set(err, ERR_IO, "load", path, "%s: cannot read", path);
+	return false;
+}
+
+/* Returns the path of the numbered file; the caller frees it. */
+char *storage_path(const char *folder, const char *prefix, uint64_t number)
+{
+	return g_strdup_printf("%s/%s%0*" G_GINT64_MODIFIER "x", folder, prefix,
+			       NAME_DIGITS, number);
+}
+
+static bool number_of(const char *name, const char *prefix, uint64_t *number)
+{
+	if (!g_str_has_prefix(name, prefix) ||
+	    strlen(name) != strlen(prefix) + NAME_DIGITS)
+		return false;
+	return g_ascii_string_to_unsigned(name + strlen(prefix), 16, 0,
+					  UINT64_MAX, number, NULL);
+}
+
+/* Finds the highest number among the files of "prefix"; 0: there is none. */
+bool storage_newest(const char *folder, const char *prefix, uint64_t *number,
+		    err_t *err)
+{
+	GDir *dir = g_dir_open(folder, 0, NULL);
+	const char *name;
+	uint64_t found;
+
+	*number = 0;
+	if (dir == NULL) {
+		err_set(err, ERR_IO, "load", folder, "cannot open the folder");
+		return false;
+	}
+	while ((name = g_dir_read_name(dir)) != NULL)
+		if (number_of(name, prefix, &found))
+			*number = MAX(*number, found);
+	g_dir_close(dir);
+	return true;
+}
+
+/* Removes the files of "prefix" but one, and what was left aside. */
+void storage_remove_others(const char *folder, const char *prefix,
+			   uint64_t keep)
+{
+	GDir *dir = g_dir_open(folder, 0, NULL);
+	const char *name;
+	uint64_t number;
+
+	while (dir != NULL && (name = g_dir_read_name(dir)) != NULL) {
+		char *path = g_build_filename(folder, name, NULL);
+
+		if (g_str_has_suffix(name, STORAGE_ASIDE_SUFFIX) ||
+		    (number_of(name, prefix, &number) && number != keep))
+			unlink(path);
+		g_free(path);
+	}
+	if (dir != NULL)
+		g_dir_close(dir);
+}
+
+/* Reads the id under which this disk takes part, if it has one. */
+bool storage_load_identity(const char *folder, uint64_t *id, bool *found,
+			   err_t *err)
+{
+	char *path = g_build_filename(folder, STORAGE_IDENTITY_NAME, NULL);
+	gchar *data = NULL;
+	gsize len = 0;
+	record_t record;
+	bool ok = true;
+
+	*found = g_file_test(path, G_FILE_TEST_EXISTS);
+	if (*found && !read_file(path, &data, &len, err)) {
+		ok = false;
+	} else if (*found && (!record_read((uint8_t *)data, len, 0, &record) ||
+			      record.type != RECORD_IDENTITY ||
+			      record.len != sizeof(*id))) {
+		ok = damaged(err, path, 0, "damaged identity");
+	} else if (*found) {
+		*id = record_get_u64(record.body);
+	}
+	g_free(data);
+	g_free(path);
+	return ok;
+}
+
+static bool parse_snapshot(const record_t *record, raft_snapshot_t *snapshot,
+			   err_t *err)
+{
+	size_t members_len;
+
+	if (record->type != RECORD_SNAPSHOT || record->len < ENTRY_HEADER_BYTES)
+		return false;
+	snapshot->index = record_get_u64(record->body);
+	snapshot->term = record_get_u64(record->body + 8);
+	members_len = record_get_u32(record->body + 16);
+	if (members_len > record->len - ENTRY_HEADER_BYTES ||
+	    !raft_members_decode(&snapshot->members,
+				 record->body + ENTRY_HEADER_BYTES, members_len,
+				 err))
+		return false;
+	snapshot->data =
+		g_bytes_new(record->body + ENTRY_HEADER_BYTES + members_len,
+			    record->len - ENTRY_HEADER_BYTES - members_len);
+	return true;
+}
+
+/* Reads the newest snapshot; "data" stays NULL where there is none. */
+bool storage_load_snapshot(const char *folder, raft_snapshot_t *snapshot,
+			   err_t *err)
+{
+	uint64_t number;
+	gchar *data = NULL;
+	gsize len = 0;
+	record_t record;
+	char *path;
+	bool ok;
+
+	memset(snapshot, 0, sizeof(*snapshot));
+	if (!storage_newest(folder, STORAGE_SNAPSHOT_PREFIX, &number, err))
+		return false;
+	if (number == 0)
+		return true;
+	path = storage_path(folder, STORAGE_SNAPSHOT_PREFIX, number);
+	ok = read_file(path, &data, &len, err);
+	if (ok &&
+	    (!record_read((uint8_t *)data, len, 0, &record) ||
+	     record.next != len || !parse_snapshot(&record, snapshot, err)))
+		ok = damaged(err, path, 0, "damaged snapshot");
+	g_free(data);
+	g_free(path);
+	return ok;
+}
+
+static bool take_base(log_reader_t *reader, const record_t *record)
+{
+	if (record->len != 16)
+		return false;
+	reader->base_index = record_get_u64(record->body);
+	reader->base_term = record_get_u64(record->body + 8);
+	return true;
+}
+
+static bool take_state(log_reader_t *reader, const record_t *record)
+{
+	if (record->len != 16)
+		return false;
+	reader->term = record_get_u64(record->body);
+	reader->vote = record_get_u64(record->body + 8);
+	return true;
+}
+
+/* An entry replaces those of its index and after. */
+static bool take_entry(log_reader_t *reader, const record_t *record)
+{
+	raft_entry_t entry;
+	uint64_t at;
+
+	if (record->len < ENTRY_HEADER_BYTES)
+		return false;
+	entry.index = record_get_u64(record->body);
+	entry.term = record_get_u64(record->body + 8);
+	entry.kind = record_get_u32(record->body + 16);
+	at = entry.index - reader->base_index - 1;
+	if (entry.index <= reader->base_index || at > reader->entries->len)
+		return false;
+	g_array_set_size(reader->entries, (guint)at);
+	entry.data = g_bytes_new(record->body + ENTRY_HEADER_BYTES,
+				 record->len - ENTRY_HEADER_BYTES);
+	g_array_append_val(reader->entries, entry);
+	return true;
+}
+
+typedef bool (*take_record_t)(log_reader_t *reader, const record_t *record);
+
+static const take_record_t takers[RECORD_TYPE_COUNT] = {
+	[RECORD_BASE] = take_base,
+	[RECORD_STATE] = take_state,
+	[RECORD_ENTRY] = take_entry,
+};
+
+static bool read_records(log_reader_t *reader, const char *path,
+			 const uint8_t *data, size_t len, uint64_t *good_len,
+			 err_t *err)
+{
+	uint64_t offset = 0;
+	record_t record;
+
+	while (offset < len && record_read(data, len, offset, &record)) {
+		if (takers[record.type] == NULL ||
+		    !takers[record.type](reader, &record) ||
+		    (offset == 0) != (record.type == RECORD_BASE))
+			return damaged(err, path, offset, "misplaced record");
+		offset = record.next;
+	}
+	if (offset == 0 ||
+	    (offset < len && record_was_synced(data, len, offset)))
+		return damaged(err, path, offset, "damaged record");
+	if (offset < len)
+		LOG_WARN("log_tail_cut",
+			 "file=%s offset=%" G_GUINT64_FORMAT
+			 " bytes=%" G_GUINT64_FORMAT,
+			 path, offset, (uint64_t)len - offset);
+	*good_len = offset;
+	return true;
+}
+
+/* Keeps of the log what follows the snapshot. */
+static bool join(const log_reader_t *reader, const char *path,
+		 raft_stored_t *stored, err_t *err)
+{
+	uint64_t index = stored->snapshot.index;
+	uint64_t skip = index - reader->base_index;
+	uint64_t term = reader->base_term;
+
+	if (reader->base_index > index)
+		return damaged(err, path, 0, "no snapshot before this log");
+	if (skip > reader->entries->len)
+		return true;
+	if (skip > 0)
+		term = g_array_index(reader->entries, raft_entry_t, skip - 1)
+			       .term;
+	for (uint64_t i = skip;
+	     term == stored->snapshot.term && i < reader->entries->len; i++)
+		raft_entries_add(
+			stored->entries,
+			&g_array_index(reader->entries, raft_entry_t, i));
+	return true;
+}
+
+/*
+ * Reads a log file behind the snapshot that "stored" already holds, up to
+ * "good_len".  A torn tail is left out, with a log line; damage to what had
+ * been synced is an error that names file and offset.
+ */
+bool storage_load_log(const char *path, raft_stored_t *stored,
+		      uint64_t *good_len, err_t *err)
+{
+	log_reader_t reader = { .entries = raft_entries_new() };
+	gchar *data = NULL;
+	gsize len = 0;
+	bool ok = read_file(path, &data, &len, err) &&
+		  read_records(&reader, path, (uint8_t *)data, len, good_len,
+			       err) &&
+		  join(&reader, path, stored, err);
+
+	stored->term = reader.term;
+	stored->vote = reader.vote;
+	g_array_unref(reader.entries);
+	g_free(data);
+	return ok;
+}
