--- a/test/unit/raft_faults_test.c
+++ b/test/unit/raft_faults_test.c
@@ -16,7 +16,9 @@
 	const char *violation;
 
 	CU_ASSERT_FATAL(g_file_get_contents(path, &data, &len, NULL));
-	violation = sim_run((const uint8_t *)data, len, fault_variant(fault));
+	violation = data == NULL ? "no seed"
+				 : sim_run((const uint8_t *)data, len,
+					   fault_variant(fault));
 	g_free(data);
 	g_free(path);
 	g_free(folder);
