Test agents over real connections and fake engines

Cause: the sessions and the agent had not been run. Change: agent_rig runs agents and a small entry on one loop; agent_test kills agents and engines, cuts connections, refuses work and repeats calls.

--- /dev/null
+++ b/test/functional/agent_test.c
@@ -0,0 +1,512 @@
+/*
+ * Agents over fake engines: whole answers while agents and engines die, and
+ * calls that run at most once.
+ */
+#include "../unit/unit.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "fakes/answer.h"
+#include "harness/agent_rig.h"
+#include "harness/journal.h"
+
+#define LAYERS 12
+#define RANGES 3
+#define REQUESTS 40
+#define STEP_US "500"
+#define KILL_AFTER_TOKENS 5
+
+static harness_t harness;
+static agent_rig_t rig;
+static harness_process_t *engines[RIG_AGENTS_MAX];
+
+static settings_endpoint_t *add_model_endpoint(rig_agent_t *agent,
+					       uint32_t range)
+{
+	uint32_t first = LAYERS * range / RANGES;
+	uint32_t end = LAYERS * (range + 1) / RANGES;
+	settings_endpoint_t *endpoint = agent_rig_endpoint(agent, first, end);
+	const char *address = harness_address(&harness);
+	const char *const argv[] = {
+		harness_program(&harness, "fake_engine"),
+		harness_string(&harness, "--first-layer=%u", first),
+		harness_string(&harness, "--end-layer=%u", end),
+		harness_string(&harness, "--layers=%u", LAYERS),
+		"--step-us=" STEP_US,
+		harness_string(&harness, "--journal=%s", rig.journal),
+		harness_string(&harness, "--listen=%s", address),
+		NULL,
+	};
+
+	engines[rig.agent_count - 1] =
+		harness_start(&harness, endpoint->name, argv);
+	endpoint->url = (char *)harness_string(&harness, "http://%s", address);
+	CU_ASSERT_FATAL(
+		harness_wait_http(address, "/v1/health", 200, HARNESS_WAIT_MS));
+	return endpoint;
+}
+
+/* Agents 0, 2, 4 serve the ranges; 1, 3, 5 are their substitutes. */
+static void start_ranges(preset_recovery_t recovery)
+{
+	harness_init(&harness, "agent");
+	agent_rig_init(&rig, &harness, LAYERS);
+	rig.recovery = recovery;
+	for (uint32_t range = 0; range < RANGES; range++)
+		for (int i = 0; i < 2; i++) {
+			rig_agent_t *agent = agent_rig_add(&rig);
+
+			add_model_endpoint(agent, range);
+			agent_rig_start(agent);
+		}
+}
+
+static void ask_many(void)
+{
+	for (int i = 0; i < REQUESTS; i++) {
+		char *prompt = g_strdup_printf("summarise order %d", i);
+
+		agent_rig_ask(&rig, prompt, 0);
+		g_free(prompt);
+	}
+}
+
+static void check_whole(void)
+{
+	journal_t journal;
+
+	CU_ASSERT(agent_rig_run_all(&rig));
+	journal_init(&journal, LAYERS);
+	journal.all_answered = false;
+	for (guint i = 0; i < rig.requests->len; i++) {
+		const rig_request_t *request =
+			g_ptr_array_index(rig.requests, i);
+
+		CU_ASSERT(agent_rig_is_whole(request));
+		journal_expect(&journal, request->tokens);
+	}
+	journal_read(&journal, rig.journal);
+	CU_ASSERT(journal_check(&journal));
+	journal_finish(&journal);
+}
+
+static bool all_idle(void *user)
+{
+	(void)user;
+	for (size_t i = 0; i < rig.agent_count; i++)
+		if (rig.agents[i].net != NULL &&
+		    !agent_is_idle(rig.agents[i].agent))
+			return false;
+	return true;
+}
+
+static void finish(void)
+{
+	CU_ASSERT(agent_rig_run_until(&rig, all_idle, NULL));
+	agent_rig_finish(&rig);
+	harness_finish(&harness, CU_get_number_of_failures() == 0);
+}
+
+static bool is_under_way(void *user)
+{
+	const rig_request_t *request = user;
+
+	return request->tokens >= KILL_AFTER_TOKENS || request->refused;
+}
+
+static void run_under_way(void)
+{
+	rig_request_t *last =
+		g_ptr_array_index(rig.requests, rig.requests->len - 1);
+
+	CU_ASSERT(agent_rig_run_until(&rig, is_under_way, last));
+}
+
+static void test_whole_answers(void)
+{
+	start_ranges(PRESET_RESTART);
+	ask_many();
+	check_whole();
+	for (guint i = 0; i < rig.requests->len; i++) {
+		const rig_request_t *request =
+			g_ptr_array_index(rig.requests, i);
+
+		CU_ASSERT_EQUAL(entry_session_attempt(request->session), 1);
+	}
+	finish();
+}
+
+static void test_max_tokens(void)
+{
+	const rig_request_t *request;
+
+	start_ranges(PRESET_RESTART);
+	request = agent_rig_ask(&rig, "short", 3);
+	check_whole();
+	CU_ASSERT_EQUAL(request->tokens, 3);
+	finish();
+}
+
+/* Counts how often the engines began a sequence at "first_layer". */
+static guint count_beginnings(uint32_t first_layer)
+{
+	char *text = harness_read(rig.journal);
+	char **lines = g_strsplit(text, "\n", -1);
+	guint count = 0;
+
+	for (char **line = lines; *line != NULL; line++) {
+		uint32_t position;
+		uint32_t layer;
+
+		if (sscanf(*line, "%*u %*u %u %u", &position, &layer) == 2 &&
+		    position == 0 && layer == first_layer)
+			count++;
+	}
+	g_strfreev(lines);
+	g_free(text);
+	return count;
+}
+
+/* Replay leaves the state of the surviving ranges alone. */
+static void check_survivors(size_t lost)
+{
+	for (size_t i = 0; i < rig.agent_count; i += 2)
+		if (i != lost)
+			CU_ASSERT_EQUAL(
+				count_beginnings(
+					rig.agents[i].endpoints[0].first_layer),
+				REQUESTS);
+}
+
+static void kill_agents(preset_recovery_t recovery, size_t first, size_t second)
+{
+	start_ranges(recovery);
+	ask_many();
+	run_under_way();
+	agent_rig_kill(&rig.agents[first]);
+	if (second != first)
+		agent_rig_kill(&rig.agents[second]);
+	check_whole();
+	if (recovery == PRESET_REPLAY && second == first)
+		check_survivors(first);
+	finish();
+}
+
+static void test_restart_first_lost(void)
+{
+	kill_agents(PRESET_RESTART, 0, 0);
+}
+
+static void test_restart_middle_lost(void)
+{
+	kill_agents(PRESET_RESTART, 2, 2);
+}
+
+static void test_restart_last_lost(void)
+{
+	kill_agents(PRESET_RESTART, 4, 4);
+}
+
+static void test_restart_two_lost(void)
+{
+	kill_agents(PRESET_RESTART, 0, 4);
+}
+
+static void test_replay_first_lost(void)
+{
+	kill_agents(PRESET_REPLAY, 0, 0);
+}
+
+static void test_replay_middle_lost(void)
+{
+	kill_agents(PRESET_REPLAY, 2, 2);
+}
+
+static void test_replay_last_lost(void)
+{
+	kill_agents(PRESET_REPLAY, 4, 4);
+}
+
+static void test_replay_two_lost(void)
+{
+	kill_agents(PRESET_REPLAY, 2, 4);
+}
+
+static void lose_engine(preset_recovery_t recovery)
+{
+	start_ranges(recovery);
+	ask_many();
+	run_under_way();
+	harness_kill(engines[2]);
+	check_whole();
+	finish();
+}
+
+static void test_engine_lost(void)
+{
+	lose_engine(PRESET_RESTART);
+	lose_engine(PRESET_REPLAY);
+}
+
+/* The agent is back at once, with a new incarnation and no sessions. */
+static void restart_agent(preset_recovery_t recovery, size_t index)
+{
+	start_ranges(recovery);
+	ask_many();
+	run_under_way();
+	agent_rig_kill(&rig.agents[index]);
+	uv_run(&rig.loop, UV_RUN_NOWAIT);
+	uv_run(&rig.loop, UV_RUN_NOWAIT);
+	agent_rig_start(&rig.agents[index]);
+	check_whole();
+	finish();
+}
+
+static void test_new_incarnation(void)
+{
+	restart_agent(PRESET_RESTART, 0);
+	restart_agent(PRESET_RESTART, 2);
+	restart_agent(PRESET_REPLAY, 2);
+	restart_agent(PRESET_REPLAY, 4);
+}
+
+/* The entry's connections break again and again; nothing is restarted. */
+static void test_entry_connection_lost(void)
+{
+	start_ranges(PRESET_RESTART);
+	ask_many();
+	for (int i = 0; i < 5; i++) {
+		run_under_way();
+		for (size_t agent = 0; agent < rig.agent_count; agent += 2)
+			agent_rig_cut(&rig, rig.agents[agent].role.listen);
+		for (int turn = 0; turn < 50; turn++)
+			uv_run(&rig.loop, UV_RUN_ONCE);
+	}
+	check_whole();
+	for (guint i = 0; i < rig.requests->len; i++) {
+		const rig_request_t *request =
+			g_ptr_array_index(rig.requests, i);
+
+		CU_ASSERT_EQUAL(entry_session_attempt(request->session), 1);
+	}
+	finish();
+}
+
+/* One agent stands beside two endpoints of the same chain. */
+static void test_two_hops_of_one_agent(void)
+{
+	rig_agent_t *agent;
+
+	harness_init(&harness, "agent");
+	agent_rig_init(&rig, &harness, LAYERS);
+	agent = agent_rig_add(&rig);
+	add_model_endpoint(agent, 0);
+	add_model_endpoint(agent, 2);
+	agent_rig_start(agent);
+	agent = agent_rig_add(&rig);
+	add_model_endpoint(agent, 1);
+	agent_rig_start(agent);
+	ask_many();
+	check_whole();
+	finish();
+}
+
+static const rig_request_t *ask_refused(void)
+{
+	const rig_request_t *request = agent_rig_ask(&rig, "refused", 0);
+
+	CU_ASSERT(agent_rig_run_all(&rig));
+	CU_ASSERT(request->refused);
+	CU_ASSERT(request->not_run);
+	return request;
+}
+
+/* What an agent refuses never runs: the engines' journal stays empty. */
+static void test_refusals(void)
+{
+	char *text;
+
+	start_ranges(PRESET_RESTART);
+	agent_rig_kill(&rig.agents[3]);
+	agent_rig_set_view(&rig, 1, rig.agents[2].endpoints[0].name);
+	ask_refused();
+	agent_rig_set_view(&rig, 1, NULL);
+	rig.agents[2].endpoints[0].slots = 0;
+	ask_refused();
+	rig.agents[2].endpoints[0].slots = 64;
+	agent_drain(rig.agents[2].agent);
+	ask_refused();
+	text = harness_read(rig.journal);
+	CU_ASSERT_STRING_EQUAL(text, "");
+	g_free(text);
+	finish();
+}
+
+static void start_service(void)
+{
+	rig_agent_t *agent;
+	settings_endpoint_t *endpoint;
+	const char *address;
+
+	harness_init(&harness, "agent");
+	agent_rig_init(&rig, &harness, LAYERS);
+	agent = agent_rig_add(&rig);
+	endpoint = agent_rig_endpoint(agent, 0, 0);
+	address = harness_address(&harness);
+	endpoint->url = (char *)harness_string(&harness, "http://%s", address);
+	{
+		const char *const argv[] = {
+			harness_program(&harness, "fake_service"),
+			harness_string(&harness, "--journal=%s", rig.journal),
+			harness_string(&harness, "--listen=%s", address),
+			NULL,
+		};
+
+		engines[0] = harness_start(&harness, "service", argv);
+	}
+	CU_ASSERT_FATAL(
+		harness_wait_http(address, "/ready", 200, HARNESS_WAIT_MS));
+	agent_rig_start(agent);
+}
+
+static bool has_reply(void *user)
+{
+	const uint32_t *count = user;
+
+	return rig.call_replies >= *count;
+}
+
+static bool link_is_up(void *user)
+{
+	return agent_rig_is_linked(&rig, user);
+}
+
+static void send_call(uint64_t id, const char *fake, uint64_t incarnation)
+{
+	const msg_header_t header = { "X-Fake", fake };
+	const msg_call_t call = {
+		.call = id,
+		.revision = 1,
+		.endpoint = rig.agents[0].endpoints[0].name,
+		.method = "POST",
+		.path = "/book",
+		.headers = &header,
+		.header_count = 1,
+		.body = { (const uint8_t *)"pallet-7", 8 },
+		.remaining_ms = HARNESS_WAIT_MS,
+		.traceparent = "",
+		.incarnation = incarnation,
+	};
+	const char *address = rig.agents[0].role.listen;
+	uint32_t expected = rig.call_replies + 1;
+
+	CU_ASSERT(agent_rig_run_until(&rig, link_is_up, (void *)address));
+	agent_rig_send(&rig, address, MSG_CALL, &call);
+	CU_ASSERT(agent_rig_run_until(&rig, has_reply, &expected));
+	CU_ASSERT_EQUAL(rig.call_reply.call, id);
+}
+
+static void send_cancel(uint64_t id, uint64_t incarnation)
+{
+	const msg_call_cancel_t cancel = { id, incarnation };
+	const char *address = rig.agents[0].role.listen;
+	uint32_t expected = rig.call_replies + 1;
+
+	agent_rig_send(&rig, address, MSG_CALL_CANCEL, &cancel);
+	CU_ASSERT(agent_rig_run_until(&rig, has_reply, &expected));
+}
+
+static unsigned count_runs(void)
+{
+	char *text = harness_read(rig.journal);
+	unsigned count = 0;
+
+	for (const char *at = strstr(text, "POST /book"); at != NULL;
+	     at = strstr(at + 1, "POST /book"))
+		count++;
+	g_free(text);
+	return count;
+}
+
+static void test_call_runs_once(void)
+{
+	start_service();
+	send_call(1, "", 0);
+	CU_ASSERT_EQUAL(rig.call_reply.outcome, CALL_DONE);
+	CU_ASSERT_EQUAL(rig.call_reply.status, 200);
+	CU_ASSERT_PTR_NOT_NULL(strstr(rig.call_body, "\"bytes\":8"));
+	send_call(1, "", 1);
+	CU_ASSERT_EQUAL(rig.call_reply.outcome, CALL_DONE);
+	CU_ASSERT_PTR_NOT_NULL(strstr(rig.call_body, "\"bytes\":8"));
+	send_cancel(1, 1);
+	CU_ASSERT_EQUAL(rig.call_reply.outcome, CALL_DONE);
+	CU_ASSERT_EQUAL(count_runs(), 1);
+	finish();
+}
+
+/* The service runs the call and closes the connection unanswered. */
+static void test_call_unanswered_is_unknown(void)
+{
+	start_service();
+	send_call(2, "drop", 0);
+	CU_ASSERT_EQUAL(rig.call_reply.outcome, CALL_UNKNOWN);
+	send_call(2, "drop", 1);
+	CU_ASSERT_EQUAL(rig.call_reply.outcome, CALL_UNKNOWN);
+	CU_ASSERT_EQUAL(count_runs(), 1);
+	finish();
+}
+
+static void test_call_not_run(void)
+{
+	start_service();
+	send_call(3, "", 0);
+	CU_ASSERT_EQUAL(rig.call_reply.outcome, CALL_DONE);
+	send_cancel(4, 1);
+	CU_ASSERT_EQUAL(rig.call_reply.outcome, CALL_NOT_RUN);
+	send_call(4, "", 0);
+	CU_ASSERT_EQUAL(rig.call_reply.outcome, CALL_NOT_RUN);
+	send_cancel(5, 99);
+	CU_ASSERT_EQUAL(rig.call_reply.outcome, CALL_UNKNOWN);
+	send_call(6, "", 99);
+	CU_ASSERT_EQUAL(rig.call_reply.outcome, CALL_UNKNOWN);
+	agent_rig_set_view(&rig, 2, NULL);
+	send_call(7, "", 0);
+	CU_ASSERT_EQUAL(rig.call_reply.outcome, CALL_NOT_RUN);
+	CU_ASSERT_EQUAL(rig.call_reply.refusal, REFUSAL_OLD_REVISION);
+	agent_rig_set_view(&rig, 1, NULL);
+	send_call(7, "", 1);
+	CU_ASSERT_EQUAL(rig.call_reply.outcome, CALL_NOT_RUN);
+	harness_kill(engines[0]);
+	send_call(8, "", 0);
+	CU_ASSERT_EQUAL(rig.call_reply.outcome, CALL_NOT_RUN);
+	CU_ASSERT_EQUAL(count_runs(), 1);
+	finish();
+}
+
+static const unit_test_t tests[] = {
+	{ "whole answers", test_whole_answers },
+	{ "max_tokens ends an answer", test_max_tokens },
+	{ "restart: first hop lost", test_restart_first_lost },
+	{ "restart: middle hop lost", test_restart_middle_lost },
+	{ "restart: last hop lost", test_restart_last_lost },
+	{ "restart: two hops lost", test_restart_two_lost },
+	{ "replay: first hop lost", test_replay_first_lost },
+	{ "replay: middle hop lost", test_replay_middle_lost },
+	{ "replay: last hop lost", test_replay_last_lost },
+	{ "replay: two hops lost", test_replay_two_lost },
+	{ "an engine is lost", test_engine_lost },
+	{ "an agent is back with a new incarnation", test_new_incarnation },
+	{ "the entry's connections are lost", test_entry_connection_lost },
+	{ "two hops of one agent", test_two_hops_of_one_agent },
+	{ "refused is not run", test_refusals },
+	{ "a call runs once", test_call_runs_once },
+	{ "an unanswered call is unknown", test_call_unanswered_is_unknown },
+	{ "a call that is not run", test_call_not_run },
+};
+
+int main(void)
+{
+	return unit_run("agent", tests, ARRAY_SIZE(tests));
+}
--- /dev/null
+++ b/test/functional/harness/agent_rig.h
@@ -0,0 +1,93 @@
+#ifndef TEST_FUNCTIONAL_HARNESS_AGENT_RIG_H
+#define TEST_FUNCTIONAL_HARNESS_AGENT_RIG_H
+
+#include "harness/harness.h"
+
+#include "wisteria/agent/agent.h"
+#include "wisteria/control/view_defs.h"
+#include "wisteria/net/net_defs.h"
+#include "wisteria/session/entry_session.h"
+#include "wisteria/settings/settings_defs.h"
+
+#define RIG_AGENTS_MAX 16
+#define RIG_ENDPOINTS_MAX 4
+#define RIG_MODEL "modelo"
+
+struct agent_rig_t;
+
+/* One agent in this process, with a loop's connections of its own. */
+typedef struct {
+	struct agent_rig_t *rig;
+	char instance[HARNESS_NAME_BYTES];
+	uint64_t incarnation;
+	net_t *net; /* NULL while it is dead */
+	agent_t *agent;
+	settings_t settings;
+	settings_agent_t role;
+	settings_endpoint_t endpoints[RIG_ENDPOINTS_MAX];
+} rig_agent_t;
+
+/* One request and what has come of it. */
+typedef struct {
+	entry_session_ops_t ops; /* first member */
+	struct agent_rig_t *rig;
+	entry_session_t *session;
+	char *prompt;
+	uint32_t max_tokens;
+	GString *answer;
+	uint32_t tokens;
+	bool finished;
+	bool refused;
+	bool not_run;
+	char why[ERR_TEXT_BYTES];
+	clock_ms_t last_ms;
+	clock_ms_t longest_gap_ms; /* between tokens */
+} rig_request_t;
+
+/* Agents and an entry on one loop of the test's thread, over fake engines. */
+typedef struct agent_rig_t {
+	harness_t *harness;
+	uv_loop_t loop;
+	uv_timer_t tick;
+	view_board_t *board;
+	GPtrArray *dead_nets; /* freed when the loop has ended */
+	rig_agent_t agents[RIG_AGENTS_MAX];
+	size_t agent_count;
+	net_t *entry_net;
+	GHashTable *links; /* address -> rig_link_t */
+	GPtrArray *requests;
+	uint32_t layers;
+	uint64_t next_session;
+	preset_recovery_t recovery;
+	bool may_retry;
+	char failed[ROUTER_NAME_BYTES];
+	const char *journal;
+	/* Of the answers to calls, the last one. */
+	uint32_t call_replies;
+	msg_call_reply_t call_reply;
+	char call_body[256];
+} agent_rig_t;
+
+void agent_rig_init(agent_rig_t *rig, harness_t *harness,
+		    uint32_t layers) ATTR_NONNULL_ALL;
+void agent_rig_finish(agent_rig_t *rig) ATTR_NONNULL_ALL;
+rig_agent_t *agent_rig_add(agent_rig_t *rig) ATTR_NONNULL_ALL;
+settings_endpoint_t *agent_rig_endpoint(rig_agent_t *agent, uint32_t first,
+					uint32_t end) ATTR_NONNULL_ALL;
+void agent_rig_start(rig_agent_t *agent) ATTR_NONNULL_ALL;
+void agent_rig_kill(rig_agent_t *agent) ATTR_NONNULL_ALL;
+void agent_rig_set_view(agent_rig_t *rig, uint64_t revision,
+			const char *leaving) ATTR_NONNULL(1);
+rig_request_t *agent_rig_ask(agent_rig_t *rig, const char *prompt,
+			     uint32_t max_tokens) ATTR_NONNULL_ALL;
+bool agent_rig_run_until(agent_rig_t *rig, bool (*holds)(void *user),
+			 void *user) ATTR_NONNULL(1, 2);
+bool agent_rig_run_all(agent_rig_t *rig) ATTR_NONNULL_ALL;
+bool agent_rig_is_whole(const rig_request_t *request) ATTR_NONNULL_ALL;
+void agent_rig_send(agent_rig_t *rig, const char *address, msg_type_t type,
+		    const void *body) ATTR_NONNULL_ALL;
+bool agent_rig_is_linked(agent_rig_t *rig,
+			 const char *address) ATTR_NONNULL_ALL;
+void agent_rig_cut(agent_rig_t *rig, const char *address) ATTR_NONNULL_ALL;
+
+#endif
