Join the whole path: entry, traffic thread, announcements, demo

Cause: the parts stood alone; no request passed from caller to caller. Change: the entry role (HTTP front, model requests, calls, ledger client), the daemon with its threads and graceful stop, agents that announce their endpoints first-hand to every control instance, make demo. The first stop of an agent died in uv_close, because the loop's handles were closed twice; roles now close their own.

--- a/src/wisteria/codec/msg.c
+++ b/src/wisteria/codec/msg.c
@@ -227,6 +227,7 @@
 	FIELD(FIELD_STR, msg_endpoint_t, failure_domain),
 	FIELD(FIELD_STR, msg_endpoint_t, region),
 	FIELD(FIELD_BOOL, msg_endpoint_t, checks_fencing),
+	FIELD(FIELD_BOOL, msg_endpoint_t, leaving),
 };
 const record_desc_t msg_endpoint_desc =
 	RECORD_DESC(msg_endpoint_t, endpoint_fields);
@@ -259,13 +260,8 @@
 	FIELD(FIELD_U64, msg_renew_t, revision),
 	FIELD(FIELD_U64, msg_renew_t, directory_epoch),
 	FIELD(FIELD_U64, msg_renew_t, directory_version),
-	FIELD_LIST_OF(msg_renew_t, endpoints, endpoint_count,
-		      &msg_endpoint_desc),
-	FIELD(FIELD_BOOL, msg_renew_t, endpoints_unchanged),
-	FIELD_LIST_OF(msg_renew_t, running, running_count, &msg_running_desc),
 	FIELD_LIST_OF(msg_renew_t, demand, demand_count, &msg_share_desc),
 	FIELD_LIST_OF(msg_renew_t, presets, preset_count, &msg_name_desc),
-	FIELD(FIELD_BOOL, msg_renew_t, leaving),
 };
 static const record_desc_t msg_renew_desc =
 	RECORD_DESC(msg_renew_t, renew_fields);
@@ -284,6 +280,24 @@
 };
 const record_desc_t msg_config_desc = RECORD_DESC(msg_config_t, config_fields);
 
+static const field_desc_t announce_fields[] = {
+	FIELD(FIELD_STR, msg_announce_t, instance),
+	FIELD(FIELD_U64, msg_announce_t, incarnation),
+	FIELD(FIELD_BOOL, msg_announce_t, unchanged),
+	FIELD_LIST_OF(msg_announce_t, endpoints, endpoint_count,
+		      &msg_endpoint_desc),
+	FIELD_LIST_OF(msg_announce_t, running, running_count,
+		      &msg_running_desc),
+};
+static const record_desc_t msg_announce_desc =
+	RECORD_DESC(msg_announce_t, announce_fields);
+
+static const field_desc_t announce_reply_fields[] = {
+	FIELD(FIELD_BOOL, msg_announce_reply_t, again),
+};
+static const record_desc_t msg_announce_reply_desc =
+	RECORD_DESC(msg_announce_reply_t, announce_reply_fields);
+
 static const field_desc_t renew_reply_fields[] = {
 	FIELD(FIELD_U64, msg_renew_reply_t, sequence),
 	FIELD(FIELD_BOOL, msg_renew_reply_t, granted),
@@ -300,7 +314,6 @@
 	FIELD_LIST_OF(msg_renew_reply_t, removed, removed_count,
 		      &msg_name_desc),
 	FIELD_LIST_OF(msg_renew_reply_t, shares, share_count, &msg_share_desc),
-	FIELD(FIELD_BOOL, msg_renew_reply_t, announce_again),
 	FIELD(FIELD_U64, msg_renew_reply_t, fence),
 };
 static const record_desc_t msg_renew_reply_desc =
@@ -408,6 +421,8 @@
 	[MSG_ORDER_REPLY] = { "order_reply", &msg_order_reply_desc },
 	[MSG_LEDGER] = { "ledger", &msg_ledger_desc },
 	[MSG_LEDGER_REPLY] = { "ledger_reply", &msg_ledger_reply_desc },
+	[MSG_ANNOUNCE] = { "announce", &msg_announce_desc },
+	[MSG_ANNOUNCE_REPLY] = { "announce_reply", &msg_announce_reply_desc },
 	[MSG_RAFT] = { "raft", &msg_raft_desc },
 };
 
--- a/src/wisteria/codec/msg_defs.h
+++ b/src/wisteria/codec/msg_defs.h
@@ -46,6 +46,8 @@
 	MSG_ORDER_REPLY = 67,
 	MSG_LEDGER = 68,
 	MSG_LEDGER_REPLY = 69,
+	MSG_ANNOUNCE = 70,
+	MSG_ANNOUNCE_REPLY = 71,
 
 	/* Between control instances. */
 	MSG_RAFT = 80,
@@ -298,6 +300,7 @@
 	const char *failure_domain;
 	const char *region;
 	bool checks_fencing;
+	bool leaving; /* its daemon has been told to stop */
 } msg_endpoint_t;
 
 typedef struct {
@@ -334,18 +337,30 @@
 	uint64_t revision; /* newest that the daemon holds; 0: none */
 	uint64_t directory_epoch;
 	uint64_t directory_version;
-	const msg_endpoint_t *endpoints; /* all, when they changed */
-	size_t endpoint_count;
-	bool endpoints_unchanged;
-	const msg_running_t *running;
-	size_t running_count;
 	const msg_share_t *demand;
 	size_t demand_count;
 	const msg_name_t *presets; /* names of the presets it holds */
 	size_t preset_count;
-	bool leaving; /* a planned stop of the daemon */
 } msg_renew_t;
 
+/*
+ * An agent tells every control instance, first-hand, which endpoints it
+ * stands beside and that it lives.
+ */
+typedef struct {
+	const char *instance;
+	uint64_t incarnation;
+	bool unchanged; /* since the last on this connection; no list */
+	const msg_endpoint_t *endpoints;
+	size_t endpoint_count;
+	const msg_running_t *running;
+	size_t running_count;
+} msg_announce_t;
+
+typedef struct {
+	bool again; /* the list is not known: send it with the next one */
+} msg_announce_reply_t;
+
 /* One preset as accepted; "text" is its YAML. */
 typedef struct {
 	const char *name;
@@ -378,8 +393,7 @@
 	size_t removed_count;
 	const msg_share_t *shares;
 	size_t share_count;
-	bool announce_again; /* send the endpoints with the next renewal */
-	uint64_t fence;	     /* highest fencing number given out */
+	uint64_t fence; /* highest fencing number given out */
 } msg_renew_reply_t;
 
 typedef enum {
--- a/src/wisteria/control/control.c
+++ b/src/wisteria/control/control.c
@@ -57,16 +57,20 @@
 	return false;
 }
 
-static bool take_announcement(control_t *control, const msg_renew_t *renew)
+static void take_announcement(control_t *control, conn_t *conn,
+			      const msg_announce_t *announce)
 {
 	clock_ms_t now = clock_now(control->net->clock);
+	msg_announce_reply_t reply = { .again = false };
 
-	if (!renew->endpoints_unchanged) {
-		directory_announce(control->directory, renew, now);
-		return true;
+	if (!announce->unchanged) {
+		directory_announce(control->directory, announce, now);
+		return;
 	}
-	return directory_touch(control->directory, renew->instance,
-			       renew->incarnation, now);
+	reply.again = !directory_touch(control->directory, announce->instance,
+				       announce->incarnation, now);
+	if (reply.again)
+		conn_send(conn, MSG_ANNOUNCE_REPLY, &reply);
 }
 
 static void answer_renewal(control_t *control, conn_t *conn,
@@ -77,13 +81,11 @@
 		.revision = 1,
 		.text = control->preset_text,
 	};
-	bool known = take_announcement(control, renew);
 	directory_delta_t delta;
 	msg_renew_reply_t reply = {
 		.sequence = renew->sequence,
 		.granted = true,
 		.lease_ms = LEASE_MS,
-		.announce_again = !known,
 	};
 
 	directory_delta(control->directory, renew->directory_epoch,
@@ -110,6 +112,8 @@
 {
 	if (msg->type == MSG_RENEW)
 		answer_renewal(control_of(handler), conn, msg->body);
+	else if (msg->type == MSG_ANNOUNCE)
+		take_announcement(control_of(handler), conn, msg->body);
 }
 
 static void on_tick(uv_timer_t *timer)
--- a/src/wisteria/control/control_defs.h
+++ b/src/wisteria/control/control_defs.h
@@ -6,6 +6,8 @@
 /* How often a daemon renews, and how long it waits for one answer. */
 #define LEASE_RENEW_MS 500
 #define LEASE_ANSWER_MS 400
+/* How often an agent tells every control instance that it lives. */
+#define ANNOUNCE_MS 1000
 /* An agent not heard for this long loses its place in the directory. */
 #define DIRECTORY_SILENCE_MS 4000
 
--- a/src/wisteria/control/directory.c
+++ b/src/wisteria/control/directory.c
@@ -81,6 +81,7 @@
 	       a->first_layer == b->first_layer &&
 	       a->end_layer == b->end_layer && a->slots == b->slots &&
 	       a->checks_fencing == b->checks_fencing &&
+	       a->leaving == b->leaving &&
 	       strcmp(a->instance, b->instance) == 0 &&
 	       strcmp(a->address, b->address) == 0 &&
 	       strcmp(a->target, b->target) == 0 &&
@@ -149,16 +150,17 @@
 	g_hash_table_insert(directory->entries, (char *)copy.name, entry);
 }
 
-static bool announces(const msg_renew_t *renew, const char *name)
+static bool announces(const msg_announce_t *announce, const char *name)
 {
-	for (size_t i = 0; i < renew->endpoint_count; i++)
-		if (strcmp(renew->endpoints[i].name, name) == 0)
+	for (size_t i = 0; i < announce->endpoint_count; i++)
+		if (strcmp(announce->endpoints[i].name, name) == 0)
 			return true;
 	return false;
 }
 
 /* Removes the endpoints of an agent that it no longer announces. */
-static void remove_absent(directory_t *directory, const msg_renew_t *renew)
+static void remove_absent(directory_t *directory,
+			  const msg_announce_t *announce)
 {
 	GHashTableIter iter;
 	gpointer value;
@@ -168,8 +170,8 @@
 		directory_entry_t *entry = value;
 
 		if (!entry->removed &&
-		    strcmp(entry->endpoint.instance, renew->instance) == 0 &&
-		    !announces(renew, entry->endpoint.name))
+		    strcmp(entry->endpoint.instance, announce->instance) == 0 &&
+		    !announces(announce, entry->endpoint.name))
 			remove_entry(directory, entry);
 	}
 }
@@ -178,24 +180,24 @@
  * Takes the full list of endpoints that an agent announces.  What an earlier
  * incarnation of the agent says after a later one is ignored.
  */
-void directory_announce(directory_t *directory, const msg_renew_t *renew,
+void directory_announce(directory_t *directory, const msg_announce_t *announce,
 			clock_ms_t now)
 {
 	directory_agent_t *agent =
-		g_hash_table_lookup(directory->agents, renew->instance);
+		g_hash_table_lookup(directory->agents, announce->instance);
 
-	if (agent != NULL && agent->incarnation > renew->incarnation)
+	if (agent != NULL && agent->incarnation > announce->incarnation)
 		return;
 	if (agent == NULL) {
 		agent = g_new0(directory_agent_t, 1);
-		agent->instance = g_strdup(renew->instance);
+		agent->instance = g_strdup(announce->instance);
 		g_hash_table_insert(directory->agents, agent->instance, agent);
 	}
-	agent->incarnation = renew->incarnation;
+	agent->incarnation = announce->incarnation;
 	agent->heard_ms = now;
-	remove_absent(directory, renew);
-	for (size_t i = 0; i < renew->endpoint_count; i++)
-		put_endpoint(directory, &renew->endpoints[i]);
+	remove_absent(directory, announce);
+	for (size_t i = 0; i < announce->endpoint_count; i++)
+		put_endpoint(directory, &announce->endpoints[i]);
 }
 
 /*
@@ -234,7 +236,7 @@
 
 static void expire_agent(directory_t *directory, const char *instance)
 {
-	const msg_renew_t nothing = { .instance = instance };
+	const msg_announce_t nothing = { .instance = instance };
 
 	remove_absent(directory, &nothing);
 }
--- a/src/wisteria/control/directory.h
+++ b/src/wisteria/control/directory.h
@@ -26,7 +26,7 @@
 
 directory_t *directory_new(uint64_t epoch) ATTR_WARN_UNUSED;
 void directory_free(directory_t *directory);
-void directory_announce(directory_t *directory, const msg_renew_t *renew,
+void directory_announce(directory_t *directory, const msg_announce_t *announce,
 			clock_ms_t now) ATTR_NONNULL_ALL;
 bool directory_touch(directory_t *directory, const char *instance,
 		     uint64_t incarnation,
--- a/src/wisteria/control/lease_client.c
+++ b/src/wisteria/control/lease_client.c
@@ -17,7 +17,6 @@
 #include "wisteria/control/view.h"
 #include "wisteria/control/view_builder.h"
 #include "wisteria/net/link.h"
-#include "wisteria/settings/settings.h"
 
 #define LEASE_TICK_MS 50
 #define LEASE_PRESETS_MAX 16
@@ -35,12 +34,7 @@
 	clock_ms_t asked_ms; /* 0: no question is open */
 	clock_ms_t next_ms;
 	clock_ms_t lease_until_ms;
-	bool announced;
-	bool leaving;
-	msg_endpoint_t *endpoints;
-	size_t endpoint_count;
-	GArray *running; /* msg_running_t; names are owned */
-	GArray *demand;	 /* msg_share_t; names are owned */
+	GArray *demand; /* msg_share_t; names are owned */
 };
 
 static lease_client_t *client_of(conn_handler_t *handler)
@@ -56,23 +50,15 @@
 		.instance = client->net->instance,
 		.incarnation = client->net->incarnation,
 		.revision = view_builder_revision(client->builder),
-		.endpoints_unchanged = client->announced,
-		.running = (msg_running_t *)client->running->data,
-		.running_count = client->running->len,
 		.demand = (msg_share_t *)client->demand->data,
 		.demand_count = client->demand->len,
 		.presets = presets,
-		.leaving = client->leaving,
 	};
 
 	view_builder_directory(client->builder, &renew.directory_epoch,
 			       &renew.directory_version);
 	renew.preset_count = view_builder_presets(client->builder, presets,
 						  LEASE_PRESETS_MAX);
-	if (!client->announced) {
-		renew.endpoints = client->endpoints;
-		renew.endpoint_count = client->endpoint_count;
-	}
 	client->asked_ms = now;
 	client->next_ms = now + LEASE_RENEW_MS;
 	link_send(&client->link, MSG_RENEW, &renew);
@@ -83,7 +69,6 @@
 	const settings_t *settings = client->settings;
 
 	client->asked_ms = 0;
-	client->announced = false;
 	if (settings->control_instances_count > 1) {
 		link_finish(&client->link);
 		client->instance = (client->instance + 1) %
@@ -100,7 +85,6 @@
 	lease_client_t *client = client_of(handler);
 
 	(void)conn;
-	client->announced = false;
 	send_renewal(client, clock_now(client->net->clock));
 }
 
@@ -125,11 +109,8 @@
 		use_next_instance(client);
 		return;
 	}
-	client->announced = !reply->announce_again;
 	client->lease_until_ms = client->asked_ms + reply->lease_ms;
 	client->asked_ms = 0;
-	if (reply->announce_again)
-		client->next_ms = 0;
 	counter_add(COUNTER_RENEWALS, 1);
 	view_publish(client->board, view_builder_make(client->builder,
 						      client->lease_until_ms));
@@ -164,39 +145,6 @@
 		use_next_instance(client);
 }
 
-static void collect_endpoints(lease_client_t *client)
-{
-	const settings_t *settings = client->settings;
-	const settings_agent_t *agent = settings->agent;
-
-	if (!settings_has_role(settings, "agent"))
-		return;
-	client->endpoints = g_new0(msg_endpoint_t, agent->endpoints_count);
-	client->endpoint_count = agent->endpoints_count;
-	for (unsigned i = 0; i < agent->endpoints_count; i++) {
-		const settings_endpoint_t *endpoint = &agent->endpoints[i];
-
-		client->endpoints[i] = (msg_endpoint_t){
-			.name = endpoint->name,
-			.instance = settings->instance,
-			.incarnation = client->net->incarnation,
-			.address = agent->advertise != NULL ? agent->advertise
-							    : agent->listen,
-			.kind = endpoint->kind == SETTINGS_MODEL
-					? ENDPOINT_MODEL
-					: ENDPOINT_SERVICE,
-			.target = endpoint->target,
-			.first_layer = endpoint->first_layer,
-			.end_layer = endpoint->end_layer,
-			.accelerator = endpoint->accelerator,
-			.slots = endpoint->slots,
-			.failure_domain = settings->failure_domain,
-			.region = settings->region,
-			.checks_fencing = endpoint->checks_fencing,
-		};
-	}
-}
-
 /*
  * Starts renewing for this daemon on the loop of "net" and publishing to
  * "board".  "settings" must outlive the client.
@@ -213,9 +161,7 @@
 	client->settings = settings;
 	client->board = board;
 	client->builder = view_builder_new();
-	client->running = g_array_new(FALSE, FALSE, sizeof(msg_running_t));
 	client->demand = g_array_new(FALSE, FALSE, sizeof(msg_share_t));
-	collect_endpoints(client);
 	client->instance = (unsigned)(net->incarnation %
 				      settings->control_instances_count);
 	client->next_ms = clock_now(net->clock) + LEASE_ANSWER_MS;
@@ -228,14 +174,6 @@
 	return client;
 }
 
-static void clear_running(lease_client_t *client)
-{
-	for (guint i = 0; i < client->running->len; i++)
-		g_free((char *)g_array_index(client->running, msg_running_t, i)
-			       .endpoint);
-	g_array_set_size(client->running, 0);
-}
-
 static void clear_demand(lease_client_t *client)
 {
 	for (guint i = 0; i < client->demand->len; i++)
@@ -249,12 +187,9 @@
 {
 	if (client == NULL)
 		return;
-	clear_running(client);
 	clear_demand(client);
-	g_array_free(client->running, TRUE);
 	g_array_free(client->demand, TRUE);
 	view_builder_free(client->builder);
-	g_free(client->endpoints);
 	g_free(client);
 }
 
@@ -270,25 +205,3 @@
 		g_array_append_val(client->demand, copy);
 	}
 }
-
-/* Sets how much work the endpoints of this agent run. */
-void lease_client_set_running(lease_client_t *client,
-			      const msg_running_t *running, size_t count)
-{
-	clear_running(client);
-	for (size_t i = 0; i < count; i++) {
-		const msg_running_t copy = {
-			.endpoint = g_strdup(running[i].endpoint),
-			.running = running[i].running,
-		};
-
-		g_array_append_val(client->running, copy);
-	}
-}
-
-/* Says, with the next renewal, that this daemon is to stop. */
-void lease_client_leave(lease_client_t *client)
-{
-	client->leaving = true;
-	client->next_ms = 0;
-}
--- a/src/wisteria/control/lease_client.h
+++ b/src/wisteria/control/lease_client.h
@@ -13,9 +13,5 @@
 void lease_client_free(lease_client_t *client);
 void lease_client_set_demand(lease_client_t *client, const msg_share_t *demand,
 			     size_t count) ATTR_NONNULL(1);
-void lease_client_set_running(lease_client_t *client,
-			      const msg_running_t *running, size_t count)
-	ATTR_NONNULL(1);
-void lease_client_leave(lease_client_t *client) ATTR_NONNULL_ALL;
 
 #endif
--- a/src/wisteria/control/view_builder.c
+++ b/src/wisteria/control/view_builder.c
@@ -39,10 +39,10 @@
 	uint64_t version;
 	uint64_t fence;
 	char *preset_name;
-	GHashTable *endpoints; /* name -> msg_endpoint_t in "shared" */
-	GHashTable *presets;   /* name -> shared_t */
+	GHashTable *presets; /* name -> shared_t */
 	shared_t *endpoints_shared;
-	shared_t *leaving;
+	shared_t *ordered_leaving; /* by operators */
+	shared_t *leaving;	   /* by operators and by their daemons */
 	shared_t *shares;
 };
 
@@ -111,8 +111,8 @@
 
 	builder->presets = g_hash_table_new_full(g_str_hash, g_str_equal,
 						 g_free, shared_drop);
-	builder->endpoints = g_hash_table_new(g_str_hash, g_str_equal);
 	builder->endpoints_shared = shared_new(sizeof(msg_endpoint_t));
+	builder->ordered_leaving = shared_new(sizeof(msg_name_t));
 	builder->leaving = shared_new(sizeof(msg_name_t));
 	builder->shares = shared_new(sizeof(msg_share_t));
 	return builder;
@@ -124,8 +124,8 @@
 	if (builder == NULL)
 		return;
 	g_hash_table_destroy(builder->presets);
-	g_hash_table_destroy(builder->endpoints);
 	shared_drop(builder->endpoints_shared);
+	shared_drop(builder->ordered_leaving);
 	shared_drop(builder->leaving);
 	shared_drop(builder->shares);
 	g_free(builder->preset_name);
@@ -143,18 +143,26 @@
 	return false;
 }
 
-static void index_endpoints(view_builder_t *builder)
+/* Lists the endpoints that get no new work. */
+static void collect_leaving(view_builder_t *builder)
 {
-	GArray *items = builder->endpoints_shared->items;
-
-	g_hash_table_remove_all(builder->endpoints);
-	for (guint i = 0; i < items->len; i++) {
-		msg_endpoint_t *endpoint =
-			&g_array_index(items, msg_endpoint_t, i);
+	const GArray *ordered = builder->ordered_leaving->items;
+	const GArray *endpoints = builder->endpoints_shared->items;
+	shared_t *leaving = shared_new(sizeof(msg_name_t));
+
+	for (guint i = 0; i < ordered->len; i++)
+		append_name(leaving,
+			    g_array_index(ordered, msg_name_t, i).text);
+	for (guint i = 0; i < endpoints->len; i++) {
+		const msg_endpoint_t *endpoint =
+			&g_array_index(endpoints, msg_endpoint_t, i);
 
-		g_hash_table_insert(builder->endpoints, (char *)endpoint->name,
-				    endpoint);
+		if (endpoint->leaving)
+			append_name(leaving, endpoint->name);
 	}
+	shared_drop(builder->leaving);
+	builder->leaving = leaving;
+	builder->directory_serial++;
 }
 
 static void apply_directory(view_builder_t *builder,
@@ -179,9 +187,8 @@
 	for (size_t i = 0; i < reply->endpoint_count; i++)
 		append_endpoint(fresh, &reply->endpoints[i]);
 	builder->endpoints_shared = fresh;
-	builder->directory_serial++;
-	index_endpoints(builder);
 	shared_drop(old);
+	collect_leaving(builder);
 }
 
 static bool apply_presets(view_builder_t *builder,
@@ -220,9 +227,9 @@
 	leaving = shared_new(sizeof(msg_name_t));
 	for (size_t i = 0; i < config->leaving_count; i++)
 		append_name(leaving, config->leaving[i].text);
-	shared_drop(builder->leaving);
-	builder->leaving = leaving;
-	builder->directory_serial++;
+	shared_drop(builder->ordered_leaving);
+	builder->ordered_leaving = leaving;
+	collect_leaving(builder);
 	g_free(builder->preset_name);
 	builder->preset_name = g_strdup(config->preset);
 	builder->revision = config->revision;
--- /dev/null
+++ b/src/wisteria/daemon/daemon.c
@@ -0,0 +1,193 @@
+/*
+ * One process: the control thread, which is the main thread, the traffic
+ * thread, the HTTP threads, and the graceful stop.
+ */
+#include "wisteria/daemon/daemon.h"
+
+#include <signal.h>
+#include <string.h>
+
+#include <ck_pr.h>
+#include <glib.h>
+
+#include "wisteria/base/clock.h"
+#include "wisteria/base/err.h"
+#include "wisteria/base/log.h"
+#include "wisteria/base/mailbox.h"
+#include "wisteria/control/announcer.h"
+#include "wisteria/control/control.h"
+#include "wisteria/control/lease_client.h"
+#include "wisteria/control/view.h"
+#include "wisteria/daemon/traffic.h"
+#include "wisteria/entry/http_front.h"
+#include "wisteria/net/net.h"
+#include "wisteria/settings/settings.h"
+
+/*
+ * From the order to stop until new work is refused: long enough for entries
+ * to hear that the endpoint leaves and for a balancer to see /readyz fail.
+ */
+#define DAEMON_GRACE_MS 3000
+#define DAEMON_DRAIN_TICK_MS 100
+
+typedef struct {
+	const settings_t *settings;
+	uv_loop_t loop;
+	net_t net;
+	mailbox_t mailbox;
+	view_board_t board;
+	uint8_t key[NET_KEY_BYTES];
+	control_t *control;
+	lease_client_t *lease;
+	announcer_t *announcer; /* NULL without the agent role */
+	traffic_t *traffic;
+	http_front_t *front;
+	uv_signal_t sigterm;
+	uv_signal_t sigint;
+	uv_timer_t drain;
+	clock_ms_t drain_since_ms; /* 0: not draining */
+} daemon_t;
+
+static void on_drain_tick(uv_timer_t *timer)
+{
+	daemon_t *daemon = timer->data;
+	clock_ms_t now = clock_now(&clock_monotonic);
+
+	if (now - daemon->drain_since_ms < DAEMON_GRACE_MS)
+		return;
+	if (daemon->traffic == NULL || traffic_is_idle(daemon->traffic))
+		uv_stop(&daemon->loop);
+}
+
+static void on_signal(uv_signal_t *handle, int signal_number)
+{
+	daemon_t *daemon = handle->data;
+
+	if (daemon->drain_since_ms != 0) {
+		LOG_WARN("stop_forced", "signal=%d", signal_number);
+		uv_stop(&daemon->loop);
+		return;
+	}
+	LOG_INFO("stop_begun", "signal=%d", signal_number);
+	daemon->drain_since_ms = clock_now(&clock_monotonic);
+	if (daemon->announcer != NULL)
+		announcer_leave(daemon->announcer);
+	if (daemon->traffic != NULL)
+		traffic_drain(daemon->traffic);
+	uv_timer_start(&daemon->drain, on_drain_tick, DAEMON_DRAIN_TICK_MS,
+		       DAEMON_DRAIN_TICK_MS);
+}
+
+static void watch_signal(daemon_t *daemon, uv_signal_t *handle, int number)
+{
+	uv_signal_init(&daemon->loop, handle);
+	handle->data = daemon;
+	uv_signal_start(handle, on_signal, number);
+}
+
+static bool start_control(daemon_t *daemon, err_t *err)
+{
+	if (!settings_has_role(daemon->settings, "control"))
+		return true;
+	daemon->control = control_new(&daemon->net, daemon->settings, err);
+	return daemon->control != NULL;
+}
+
+static bool start_traffic(daemon_t *daemon, err_t *err)
+{
+	const settings_t *settings = daemon->settings;
+	const traffic_params_t params = {
+		.settings = settings,
+		.key = daemon->key,
+		.incarnation = daemon->net.incarnation,
+		.board = &daemon->board,
+		.lease = daemon->lease,
+		.announcer = daemon->announcer,
+		.control_mailbox = &daemon->mailbox,
+	};
+
+	if (!settings_has_role(settings, "entry") &&
+	    !settings_has_role(settings, "agent"))
+		return true;
+	daemon->traffic = traffic_start(&params, err);
+	if (daemon->traffic == NULL)
+		return false;
+	if (!settings_has_role(settings, "entry"))
+		return true;
+	daemon->front = http_front_new(settings->entry->http_listen,
+				       settings->entry->http_threads,
+				       traffic_entry(daemon->traffic), err);
+	return daemon->front != NULL;
+}
+
+static bool start(daemon_t *daemon, err_t *err)
+{
+	const settings_t *settings = daemon->settings;
+
+	net_init(&daemon->net, &daemon->loop, &clock_monotonic,
+		 settings->instance, settings->failure_domain,
+		 (uint64_t)g_get_real_time(), daemon->key);
+	mailbox_init(&daemon->mailbox, &daemon->loop);
+	view_board_init(&daemon->board);
+	uv_timer_init(&daemon->loop, &daemon->drain);
+	daemon->drain.data = daemon;
+	watch_signal(daemon, &daemon->sigterm, SIGTERM);
+	watch_signal(daemon, &daemon->sigint, SIGINT);
+	if (!start_control(daemon, err))
+		return false;
+	daemon->lease =
+		lease_client_new(&daemon->net, settings, &daemon->board);
+	if (settings_has_role(settings, "agent"))
+		daemon->announcer = announcer_new(&daemon->net, settings);
+	return start_traffic(daemon, err);
+}
+
+static void close_handle(uv_handle_t *handle, void *data)
+{
+	(void)data;
+	if (!uv_is_closing(handle))
+		uv_close(handle, NULL);
+}
+
+static void stop(daemon_t *daemon)
+{
+	traffic_stop(daemon->traffic);
+	http_front_free(daemon->front);
+	net_close(&daemon->net);
+	mailbox_close(&daemon->mailbox);
+	uv_walk(&daemon->loop, close_handle, NULL);
+	uv_run(&daemon->loop, UV_RUN_DEFAULT);
+	lease_client_free(daemon->lease);
+	announcer_free(daemon->announcer);
+	control_free(daemon->control);
+	view_board_finish(&daemon->board);
+	uv_loop_close(&daemon->loop);
+}
+
+/*
+ * Runs the process with the roles of "settings" until it is told to stop by
+ * SIGTERM and its work has ended.  Returns false if it could not start.
+ */
+bool daemon_run(const settings_t *settings, err_t *err)
+{
+	daemon_t *daemon = g_new0(daemon_t, 1);
+	bool ok;
+
+	daemon->settings = settings;
+	if (!net_load_key(settings->cluster_key_file, daemon->key, err)) {
+		g_free(daemon);
+		return false;
+	}
+	uv_loop_init(&daemon->loop);
+	ok = start(daemon, err);
+	if (ok) {
+		LOG_INFO("started", "incarnation=%" G_GUINT64_FORMAT,
+			 daemon->net.incarnation);
+		uv_run(&daemon->loop, UV_RUN_DEFAULT);
+	}
+	stop(daemon);
+	if (ok)
+		LOG_INFO("stopped", "code=0");
+	g_free(daemon);
+	return ok;
+}
--- /dev/null
+++ b/src/wisteria/entry/agent_links.c
@@ -0,0 +1,63 @@
+/* The links of one traffic thread to agents. */
+#include "wisteria/entry/agent_links.h"
+
+#include <string.h>
+
+#include "wisteria/net/link.h"
+
+static void free_link(gpointer data)
+{
+	link_t *link = data;
+
+	link_finish(link);
+	g_free(link);
+}
+
+/* Prepares an empty set; "handler" is told of all its connections. */
+void agent_links_init(agent_links_t *links, net_t *net, conn_handler_t *handler)
+{
+	links->net = net;
+	links->handler = handler;
+	links->by_address = g_hash_table_new_full(g_str_hash, g_str_equal,
+						  g_free, free_link);
+}
+
+/* Ends all links. */
+void agent_links_finish(agent_links_t *links)
+{
+	g_hash_table_destroy(links->by_address);
+}
+
+/* Returns the link to "address", which connects if it is new. */
+link_t *agent_links_get(agent_links_t *links, const char *address)
+{
+	link_t *link = g_hash_table_lookup(links->by_address, address);
+
+	if (link != NULL)
+		return link;
+	link = g_new0(link_t, 1);
+	link_init(link, links->net, address, links->handler);
+	g_hash_table_insert(links->by_address, g_strdup(address), link);
+	return link;
+}
+
+/* Ends the links without work whose address is not among "addresses". */
+void agent_links_drop_unused(agent_links_t *links, const char *const *addresses,
+			     size_t count)
+{
+	GHashTable *wanted = g_hash_table_new(g_str_hash, g_str_equal);
+	GHashTableIter iter;
+	gpointer address;
+	gpointer value;
+
+	for (size_t i = 0; i < count; i++)
+		g_hash_table_add(wanted, (char *)addresses[i]);
+	g_hash_table_iter_init(&iter, links->by_address);
+	while (g_hash_table_iter_next(&iter, &address, &value)) {
+		const link_t *link = value;
+
+		if (link->holds == 0 && !g_hash_table_contains(wanted, address))
+			g_hash_table_iter_remove(&iter);
+	}
+	g_hash_table_destroy(wanted);
+}
--- /dev/null
+++ b/src/wisteria/entry/call_ledger.c
@@ -0,0 +1,113 @@
+/*
+ * What a call that may not be repeated asks of the replicated ledger: its key
+ * is reserved before it is dispatched, and its result recorded before it is
+ * answered.
+ */
+#include "wisteria/entry/call_ledger.h"
+
+#include <string.h>
+
+#include <xxhash.h>
+
+#include "wisteria/base/clock.h"
+#include "wisteria/codec/codec.h"
+#include "wisteria/codec/msg.h"
+
+/* How long an answer waits for its result to be recorded. */
+#define CALL_RECORD_MS 3000
+/* How long the ledger is asked to take what nobody waits for. */
+#define CALL_BACKGROUND_MS 30000
+
+static uint64_t fingerprint(const call_t *call)
+{
+	const request_t *request = call->request;
+	XXH64_hash_t hash = XXH64(request->method, strlen(request->method), 0);
+
+	hash = XXH64(call->path, strlen(call->path), hash);
+	return XXH64(request->body->data, request->body->len, hash);
+}
+
+static msg_ledger_t question_of(const call_t *call, ledger_op_t op)
+{
+	const view_t *view = call->entry->view;
+	msg_ledger_t question = {
+		.op = op,
+		.customer = call->customer,
+		.service = call->service,
+		.key = call->request->idempotency_key,
+		.owner = call->id,
+		.fingerprint = fingerprint(call),
+	};
+
+	if (view != NULL && view->preset != NULL)
+		question.retention_ms =
+			view->preset->limits.ledger_retention_ms;
+	return question;
+}
+
+static void ask(call_t *call, const msg_ledger_t *question,
+		clock_ms_t deadline_ms)
+{
+	call->question =
+		ledger_client_ask(&call->entry->ledger, question, deadline_ms);
+}
+
+static void ask_in_background(const call_t *call, const msg_ledger_t *question)
+{
+	entry_t *entry = call->entry;
+	clock_ms_t now = clock_now(entry->net->clock);
+
+	ledger_client_ask(&entry->ledger, question, now + CALL_BACKGROUND_MS);
+}
+
+/* Asks for the key of "call"; the answer comes to the ledger's owner. */
+void call_ledger_reserve(call_t *call, clock_ms_t now)
+{
+	const msg_ledger_t question = question_of(call, LEDGER_RESERVE);
+
+	call->state = CALL_RESERVING;
+	call->reserve_at_ms = now;
+	ask(call, &question, call->deadline_ms);
+}
+
+/* Records call->result; the answer comes to the ledger's owner. */
+void call_ledger_record(call_t *call, clock_ms_t now)
+{
+	msg_ledger_t question = question_of(call, LEDGER_RECORD);
+
+	question.result = (bytes_t){ (const uint8_t *)call->result.data,
+				     call->result.size };
+	call->state = CALL_RECORDING;
+	ask(call, &question, now + CALL_RECORD_MS);
+}
+
+/* Records that "call" may have run, without waiting for the ledger. */
+void call_ledger_record_unknown(call_t *call, const char *reason)
+{
+	const msg_call_reply_t unknown = {
+		.call = call->id,
+		.outcome = CALL_UNKNOWN,
+		.reason = reason,
+	};
+	msg_ledger_t question = question_of(call, LEDGER_RECORD);
+
+	if (!call->reserved)
+		return;
+	call->reserved = false;
+	msgpack_sbuffer_clear(&call->result);
+	codec_encode(&msg_call_reply_desc, &unknown, &call->result);
+	question.result = (bytes_t){ (const uint8_t *)call->result.data,
+				     call->result.size };
+	ask_in_background(call, &question);
+}
+
+/* Gives the key back because "call" provably did not run. */
+void call_ledger_release(call_t *call)
+{
+	const msg_ledger_t question = question_of(call, LEDGER_RELEASE);
+
+	if (!call->reserved)
+		return;
+	call->reserved = false;
+	ask_in_background(call, &question);
+}
--- /dev/null
+++ b/src/wisteria/entry/entry_defs.h
@@ -0,0 +1,91 @@
+#ifndef WISTERIA_ENTRY_ENTRY_DEFS_H
+#define WISTERIA_ENTRY_ENTRY_DEFS_H
+
+#include "wisteria/control/view_defs.h"
+#include "wisteria/entry/agent_links.h"
+#include "wisteria/entry/entry.h"
+#include "wisteria/entry/ledger_client.h"
+#include "wisteria/limits/admission.h"
+#include "wisteria/limits/retry_budget.h"
+#include "wisteria/route/router.h"
+#include "wisteria/session/entry_session.h"
+
+/* A model request on the traffic thread. */
+typedef struct job_t {
+	uint64_t id;	 /* of the session */
+	handle_t handle; /* into the entry's table of jobs */
+	struct entry_t *entry;
+	request_t *request;
+	entry_session_t *session; /* NULL while it waits */
+	char *customer;
+	route_choice_t chain; /* whose links and slots it holds */
+	GString *text;	      /* the answer so far, where not streamed */
+	uint32_t delivered;
+	bool stopped; /* the model ended the answer */
+	clock_ms_t deadline_ms;
+	bool admitted;	/* counted against the customer's contract */
+	bool answering; /* the head of the response was sent */
+	bool ended;
+} job_t;
+
+typedef enum {
+	CALL_RESERVING,	 /* its key, in the ledger */
+	CALL_QUEUED,	 /* no endpoint yet */
+	CALL_DISPATCHED, /* sent to an agent */
+	CALL_RECORDING,	 /* its result, in the ledger */
+	CALL_ENDED
+} call_state_t;
+
+/* A call to a plain service on the traffic thread. */
+typedef struct call_t {
+	uint64_t id;
+	struct entry_t *entry;
+	request_t *request;
+	call_state_t state;
+	char *customer;
+	char *service;
+	const char *path; /* within request->path */
+	bool idempotent;
+	clock_ms_t deadline_ms;
+	clock_ms_t lost_ms; /* when the connection went; 0: it stands */
+	route_hop_t hop;
+	link_t *link; /* held while dispatched */
+	uint64_t agent_incarnation;
+	uint32_t dispatches;
+	const char *avoid[4];
+	char avoid_names[4][ROUTER_NAME_BYTES];
+	size_t avoid_count;
+	bool reserved;		  /* holds its key in the ledger */
+	clock_ms_t reserve_at_ms; /* when to ask for a pending key again */
+	uint64_t question;	  /* open in the ledger; 0: none */
+	msgpack_sbuffer result;	  /* an encoded msg_call_reply_t */
+} call_t;
+
+/* The entry role on its traffic thread. */
+struct entry_t {
+	conn_handler_t handler;
+	entry_session_ops_t session_ops;
+	net_t *net;
+	const settings_t *settings;
+	mailbox_t *mailbox;
+	view_reader_t reader;
+	const view_t *view; /* within one turn of the loop; may be NULL */
+	uint64_t view_serial;
+	uint64_t routed_serial;
+	uint64_t revision;
+	router_t *router;
+	admission_t *admission;
+	retry_budget_t retries;
+	agent_links_t links;
+	GHashTable *jobs;  /* session id -> job_t */
+	GHashTable *calls; /* call id -> call_t */
+	ledger_owner_t ledger_owner;
+	ledger_client_t ledger;
+	table_t job_handles; /* of job_t pointers */
+	GPtrArray *ended_jobs;
+	GPtrArray *ended_calls;
+	uv_timer_t tick;
+	uint32_t posted; /* by other threads, not yet taken */
+};
+
+#endif
--- /dev/null
+++ b/src/wisteria/entry/request_defs.h
@@ -0,0 +1,75 @@
+#ifndef WISTERIA_ENTRY_REQUEST_DEFS_H
+#define WISTERIA_ENTRY_REQUEST_DEFS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <ck_fifo.h>
+#include <glib.h>
+#include <microhttpd.h>
+
+#include "wisteria/base/mailbox_defs.h"
+
+#define REQUEST_ID_BYTES 40
+
+typedef enum {
+	REQUEST_COMPLETION, /* POST /v1/completions */
+	REQUEST_CHAT,	    /* POST /v1/chat/completions */
+	REQUEST_CALL,	    /* any method, /services/NAME/... */
+	REQUEST_EXPLAIN	    /* GET /v1/explain/ID */
+} request_kind_t;
+
+typedef struct {
+	char *name;
+	char *value;
+} request_header_t;
+
+/* A piece of the response, on its way to the HTTP thread. */
+typedef struct {
+	ck_fifo_spsc_entry_t entry;
+	bool head; /* carries status and headers */
+	bool end;  /* nothing follows */
+	unsigned status;
+	GArray *headers; /* request_header_t, or NULL */
+	char *data;
+	size_t len;
+} request_chunk_t;
+
+/*
+ * One HTTP request, shared by the HTTP thread that reads and answers it and
+ * the traffic thread that serves it, and counted.  The HTTP thread fills the
+ * first part before it posts the request and does not change it afterwards.
+ */
+typedef struct request_t {
+	task_t task;
+	request_kind_t kind;
+	char id[REQUEST_ID_BYTES];
+	char *method;
+	char *path; /* with the query */
+	char *api_key;
+	char *idempotency_key;
+	char *last_event_id;
+	char *traceparent;
+	GArray *headers; /* request_header_t */
+	GByteArray *body;
+	char *model;
+	char *prompt;
+	uint32_t max_tokens; /* 0: the model's own bound */
+	int64_t timeout_ms;  /* 0: the preset's own bound */
+	bool stream;
+
+	struct MHD_Connection *connection;
+	struct entry_t *entry;
+	uint32_t references;
+	uint32_t waiting;   /* the HTTP thread has suspended itself */
+	uint32_t cancelled; /* the caller has gone */
+	ck_fifo_spsc_t out;
+
+	/* The HTTP thread's own. */
+	bool posted;
+	bool responded;
+	request_chunk_t *sending;
+	size_t sent;
+} request_t;
+
+#endif
