--- a/src/wisteria/settings/yaml_doc.c
+++ b/src/wisteria/settings/yaml_doc.c
@@ -13,10 +13,10 @@
 #include <glib.h>
 
 #include "wisteria/base/err.h"
+#include "wisteria/settings/name.h"
 
 #define YAML_DOC_KEY_BYTES 64
 #define YAML_DOC_REASON_BYTES 160
-#define YAML_DOC_NAME_LEN_MAX 63
 
 /* The first problem that the library logged. */
 typedef struct {
@@ -250,28 +250,15 @@
 		cyaml_free(&config, schema, data, 0);
 }
 
-/*
- * Checks a name that appears in paths, logs and metrics: 1 to 63 letters,
- * digits, ".", "_", "-" and the bytes of "extra".
- */
+/* Checks a name by name_is_valid() and reports it otherwise. */
 bool yaml_doc_check_name(const yaml_doc_t *doc, const char *key,
 			 const char *name, const char *extra, err_t *err)
 {
-	size_t len = strlen(name);
-
-	if (len == 0 || len > YAML_DOC_NAME_LEN_MAX)
-		return yaml_doc_fail(doc, key, name, err,
-				     "a name has 1 to %d bytes",
-				     YAML_DOC_NAME_LEN_MAX);
-	for (size_t i = 0; i < len; i++) {
-		if (isalnum((unsigned char)name[i]) ||
-		    strchr("._-", name[i]) != NULL ||
-		    strchr(extra, name[i]) != NULL)
-			continue;
-		return yaml_doc_fail(
-			doc, key, name, err,
-			"a name holds letters, digits, \".\", \"_\", \"-\"%s%s",
-			extra[0] == '\0' ? "" : " and ", extra);
-	}
-	return true;
+	if (name_is_valid(name, extra))
+		return true;
+	return yaml_doc_fail(doc, key, name, err,
+			     "a name holds 1 to %d letters, digits, \".\", "
+			     "\"_\", \"-\"%s%s",
+			     NAME_LEN_MAX, extra[0] == '\0' ? "" : " and ",
+			     extra);
 }
--- /dev/null
+++ b/test/fuzz/store_fuzz.c
@@ -0,0 +1,381 @@
+/*
+ * Fuzzes the replicated store against a plain list of accepted orders.  The
+ * bytes choose among: a new order, an order resent, an id used again for
+ * something else, orders that race with equal revisions, a snapshot restored
+ * in place of the store, and a damaged snapshot.  A second replica applies
+ * the same log later and must end in the same bytes.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "wisteria/base/err.h"
+#include "wisteria/store/store.h"
+
+#define ORDERS_MAX 256
+#define NAMES 3
+#define TEXTS 3
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+
+#define CHECK(condition) \
+	do { \
+		if (!(condition)) { \
+			fprintf(stderr, "failed: %s\n", #condition); \
+			abort(); \
+		} \
+	} while (0)
+
+typedef struct {
+	const uint8_t *data;
+	size_t left;
+} input_t;
+
+/* An order as sent, and what was answered the first time. */
+typedef struct {
+	char id[16];
+	char text[96];
+	msg_order_t order;
+	order_outcome_t outcome;
+	uint64_t revision;
+	bool changed;
+	char winner_id[16];
+} sent_t;
+
+typedef struct {
+	store_t store;
+	store_t replica;
+	sent_t sent[ORDERS_MAX];
+	size_t sent_count;
+	size_t replica_count; /* of the log, applied by the replica */
+	const sent_t *log[2 * ORDERS_MAX];
+	size_t log_count;
+	const sent_t *accepted[ORDERS_MAX]; /* the oracle */
+	size_t accepted_count;
+} world_t;
+
+static const char *const names[NAMES] = { "p0", "p1", "p2" };
+
+static uint8_t take(input_t *input)
+{
+	if (input->left == 0)
+		return 0;
+	input->left--;
+	return *input->data++;
+}
+
+static const sent_t *find_created(const world_t *world, const char *name)
+{
+	for (size_t i = 0; i < world->accepted_count; i++) {
+		const msg_order_t *order = &world->accepted[i]->order;
+
+		if (order->kind == ORDER_PRESET_CREATE &&
+		    strcmp(order->name, name) == 0)
+			return world->accepted[i];
+	}
+	return NULL;
+}
+
+static const char *find_in_force(const world_t *world)
+{
+	for (size_t i = world->accepted_count; i > 0; i--)
+		if (world->accepted[i - 1]->order.kind == ORDER_PRESET_USE)
+			return world->accepted[i - 1]->order.name;
+	return "";
+}
+
+static bool is_leaving(const world_t *world, const char *name)
+{
+	for (size_t i = world->accepted_count; i > 0; i--) {
+		const msg_order_t *order = &world->accepted[i - 1]->order;
+
+		if (strcmp(order->name, name) != 0)
+			continue;
+		if (order->kind == ORDER_ENDPOINT_LEAVE)
+			return true;
+		if (order->kind == ORDER_ENDPOINT_RETURN)
+			return false;
+	}
+	return false;
+}
+
+/* What the oracle expects of an order with a new id. */
+static void expect_create(const world_t *world, sent_t *sent)
+{
+	const sent_t *created = find_created(world, sent->order.name);
+
+	if (created != NULL && strcmp(created->text, sent->text) == 0)
+		sent->revision = created->revision;
+	else if (created != NULL || strstr(sent->text, "layers: 0") != NULL)
+		sent->outcome = ORDER_REFUSED;
+	else
+		sent->changed = true;
+}
+
+static void expect(const world_t *world, sent_t *sent)
+{
+	const msg_order_t *order = &sent->order;
+	uint64_t revision = world->accepted_count;
+
+	sent->outcome = ORDER_APPLIED;
+	sent->revision = revision;
+	if (order->has_expected && order->expected_revision != revision) {
+		bool past = order->expected_revision < revision;
+
+		sent->outcome = past ? ORDER_CONFLICT : ORDER_REFUSED;
+		if (past)
+			strcpy(sent->winner_id,
+			       world->accepted[order->expected_revision]->id);
+		return;
+	}
+	if (order->kind == ORDER_PRESET_CREATE) {
+		expect_create(world, sent);
+	} else if (order->kind == ORDER_PRESET_USE) {
+		if (find_created(world, order->name) == NULL)
+			sent->outcome = ORDER_REFUSED;
+		else
+			sent->changed =
+				strcmp(find_in_force(world), order->name) != 0;
+	} else if (order->kind == ORDER_ENDPOINT_LEAVE) {
+		sent->changed = !is_leaving(world, order->name);
+	} else if (order->kind == ORDER_ENDPOINT_RETURN) {
+		sent->changed = is_leaving(world, order->name);
+	} else {
+		sent->changed = true;
+	}
+	if (sent->changed)
+		sent->revision = revision + 1;
+}
+
+static void check_reply(const sent_t *sent, const msg_order_reply_t *reply)
+{
+	CHECK(strcmp(reply->id, sent->id) == 0);
+	CHECK(reply->outcome == sent->outcome);
+	CHECK(reply->revision == sent->revision);
+	if (sent->outcome == ORDER_CONFLICT)
+		CHECK(strcmp(reply->winner.id, sent->winner_id) == 0);
+}
+
+static void check_state(const world_t *world)
+{
+	msg_config_t config;
+	size_t preset_count;
+	size_t leaving = 0;
+
+	store_config(&world->store, &config);
+	CHECK(config.revision == world->accepted_count);
+	CHECK(strcmp(config.preset, find_in_force(world)) == 0);
+	for (size_t i = 0; i < NAMES; i++) {
+		const sent_t *created = find_created(world, names[i]);
+		const msg_preset_t *preset =
+			store_preset(&world->store, names[i]);
+
+		leaving += is_leaving(world, names[i]);
+		CHECK((created == NULL) == (preset == NULL));
+		if (created != NULL)
+			CHECK(strcmp(preset->text, created->text) == 0 &&
+			      preset->revision == created->revision);
+	}
+	CHECK(config.leaving_count == leaving);
+	for (size_t i = 0; i < config.leaving_count; i++)
+		CHECK(is_leaving(world, config.leaving[i].text));
+	store_presets(&world->store, &preset_count);
+	CHECK(preset_count <= NAMES);
+}
+
+static void check_history(const world_t *world)
+{
+	const store_change_t *changes[ORDERS_MAX];
+	size_t count = store_history(&world->store, 0, changes, ORDERS_MAX);
+
+	CHECK(count == world->accepted_count);
+	for (size_t i = 0; i < count; i++) {
+		CHECK(changes[i]->revision == i + 1);
+		CHECK(strcmp(changes[i]->order.id, world->accepted[i]->id) ==
+		      0);
+	}
+}
+
+static void submit(world_t *world, const sent_t *sent, msg_order_reply_t *reply,
+		   bool changed)
+{
+	world->log[world->log_count++] = sent;
+	CHECK(store_apply(&world->store, &sent->order, world->log_count,
+			  reply) == changed);
+}
+
+static void choose_order(const world_t *world, input_t *input, sent_t *sent)
+{
+	uint8_t choice = take(input);
+	uint8_t name = take(input) % NAMES;
+	uint8_t expected = take(input);
+
+	snprintf(sent->id, sizeof(sent->id), "o%zu", world->sent_count);
+	sent->order.id = sent->id;
+	sent->order.kind = choice % ORDER_KIND_COUNT;
+	sent->order.name = names[name];
+	sent->order.operator_name = choice & 0x80 ? "rui" : "joana";
+	sent->order.wall_ms = (int64_t)world->sent_count;
+	sent->order.has_expected = (expected & 1) != 0;
+	sent->order.expected_revision =
+		expected >= 0xf0 ? world->accepted_count + 1
+		: expected >= 0x80 && world->accepted_count > 0
+			? world->accepted_count - 1
+			: world->accepted_count;
+	if (sent->order.kind == ORDER_PRESET_CREATE)
+		snprintf(sent->text, sizeof(sent->text),
+			 "name: %s\nmodels:\n  - {name: m, layers: %u}\n",
+			 names[name], (unsigned)take(input) % TEXTS);
+	sent->order.text = sent->text;
+}
+
+static void send_new(world_t *world, input_t *input)
+{
+	sent_t *sent = &world->sent[world->sent_count];
+	msg_order_reply_t reply;
+
+	if (world->sent_count == ORDERS_MAX)
+		return;
+	choose_order(world, input, sent);
+	world->sent_count++;
+	expect(world, sent);
+	submit(world, sent, &reply, sent->changed);
+	check_reply(sent, &reply);
+	if (sent->changed)
+		world->accepted[world->accepted_count++] = sent;
+}
+
+/* A resent order carries a new time and gets the first answer. */
+static void resend(world_t *world, input_t *input)
+{
+	msg_order_reply_t reply;
+	sent_t *sent;
+
+	if (world->sent_count == 0 || world->log_count == 2 * ORDERS_MAX)
+		return;
+	sent = &world->sent[take(input) % world->sent_count];
+	submit(world, sent, &reply, false);
+	check_reply(sent, &reply);
+}
+
+static void reuse_id(world_t *world, input_t *input)
+{
+	msg_order_reply_t reply;
+	msg_order_t other;
+
+	if (world->sent_count == 0)
+		return;
+	other = world->sent[take(input) % world->sent_count].order;
+	other.kind = (other.kind + 1) % ORDER_KIND_COUNT;
+	CHECK(!store_apply(&world->store, &other, world->log_count, &reply));
+	CHECK(reply.outcome == ORDER_REFUSED);
+	CHECK(reply.revision == world->accepted_count);
+}
+
+static void restart(store_t *store)
+{
+	msgpack_sbuffer before;
+	msgpack_sbuffer after;
+	err_t err = ERR_INIT;
+
+	msgpack_sbuffer_init(&before);
+	msgpack_sbuffer_init(&after);
+	store_snapshot(store, &before);
+	store_finish(store);
+	store_init(store);
+	CHECK(store_restore(store, (const uint8_t *)before.data, before.size,
+			    &err));
+	store_snapshot(store, &after);
+	CHECK(before.size == after.size);
+	CHECK(memcmp(before.data, after.data, before.size) == 0);
+	msgpack_sbuffer_destroy(&before);
+	msgpack_sbuffer_destroy(&after);
+}
+
+static void catch_up(world_t *world, size_t until)
+{
+	msg_order_reply_t reply;
+
+	while (world->replica_count < until) {
+		const sent_t *sent = world->log[world->replica_count++];
+
+		store_apply(&world->replica, &sent->order, world->replica_count,
+			    &reply);
+		check_reply(sent, &reply);
+	}
+}
+
+/* A damaged snapshot is refused or read, and never half taken. */
+static void damage(const world_t *world, input_t *input)
+{
+	msgpack_sbuffer bytes;
+	err_t err = ERR_INIT;
+	store_t scratch;
+	size_t place;
+
+	msgpack_sbuffer_init(&bytes);
+	store_snapshot(&world->store, &bytes);
+	place = (take(input) * 256u + take(input)) % bytes.size;
+	bytes.data[place] = (char)take(input);
+	store_init(&scratch);
+	if (!store_restore(&scratch, (const uint8_t *)bytes.data, bytes.size,
+			   &err))
+		CHECK(scratch.revision == 0 && err_is_set(&err));
+	store_finish(&scratch);
+	msgpack_sbuffer_destroy(&bytes);
+}
+
+static void check_replica(world_t *world)
+{
+	msgpack_sbuffer one;
+	msgpack_sbuffer other;
+
+	catch_up(world, world->log_count);
+	msgpack_sbuffer_init(&one);
+	msgpack_sbuffer_init(&other);
+	store_snapshot(&world->store, &one);
+	store_snapshot(&world->replica, &other);
+	CHECK(one.size == other.size);
+	CHECK(memcmp(one.data, other.data, one.size) == 0);
+	msgpack_sbuffer_destroy(&one);
+	msgpack_sbuffer_destroy(&other);
+}
+
+static void step(world_t *world, input_t *input)
+{
+	uint8_t choice = take(input);
+
+	if (choice < 0x90)
+		send_new(world, input);
+	else if (choice < 0xc0)
+		resend(world, input);
+	else if (choice < 0xd0)
+		reuse_id(world, input);
+	else if (choice < 0xe0)
+		restart(&world->store);
+	else if (choice < 0xe8)
+		restart(&world->replica);
+	else if (choice < 0xf8)
+		catch_up(world, world->log_count);
+	else
+		damage(world, input);
+}
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+	input_t input = { .data = data, .left = size };
+	world_t *world = calloc(1, sizeof(*world));
+
+	store_init(&world->store);
+	store_init(&world->replica);
+	while (input.left > 0 && world->log_count < 2 * ORDERS_MAX) {
+		step(world, &input);
+		check_state(world);
+	}
+	check_history(world);
+	check_replica(world);
+	store_finish(&world->store);
+	store_finish(&world->replica);
+	free(world);
+	return 0;
+}
