--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -2,11 +2,21 @@
 # shared by the functional tests, the demo and the benchmarks.
 enable_testing()
 
+# Worlds and oracles that fuzz targets and unit tests share.
+file(GLOB WORLD_SOURCES CONFIGURE_DEPENDS test/fuzz/session_*.c)
+list(FILTER WORLD_SOURCES EXCLUDE REGEX "_fuzz\\.c$")
+add_library(session_world STATIC ${WORLD_SOURCES})
+target_link_libraries(session_world PUBLIC wisteria)
+target_include_directories(session_world PUBLIC test/fuzz)
+
 file(GLOB UNIT_SOURCES CONFIGURE_DEPENDS test/unit/*_test.c)
 foreach(source ${UNIT_SOURCES})
 	get_filename_component(name ${source} NAME_WE)
 	add_executable(${name} ${source})
 	target_link_libraries(${name} wisteria PkgConfig::CUNIT)
+	if(name MATCHES "^session_world")
+		target_link_libraries(${name} session_world)
+	endif()
 	add_test(NAME unit/${name} COMMAND ${name})
 endforeach()
 
@@ -51,6 +61,9 @@
 		get_filename_component(name ${source} NAME_WE)
 		add_executable(${name} ${source})
 		target_link_libraries(${name} wisteria)
+		if(name MATCHES "^session")
+			target_link_libraries(${name} session_world)
+		endif()
 		target_link_options(${name} PRIVATE -fsanitize=fuzzer)
 	endforeach()
 endif()
--- /dev/null
+++ b/test/fuzz/session_agent.c
@@ -0,0 +1,263 @@
+/* The agents of the session fuzzing and their engines. */
+#include "session_world_defs.h"
+
+#include <string.h>
+
+#include "wisteria/codec/msg.h"
+
+typedef struct {
+	uint32_t first_layer;
+	uint32_t end_layer;
+} range_t;
+
+static const range_t agent_ranges[AGENTS] = {
+	{ 0, 2 }, { 0, 2 }, { 2, 4 }, { 2, 4 },
+	{ 4, 6 }, { 4, 6 }, { 0, 4 }, { 2, 6 },
+};
+
+static agent_t *agent_of(hop_session_ops_t *ops)
+{
+	return CONTAINER_OF(ops, agent_t, ops);
+}
+
+static void run_once(agent_t *agent, const hop_work_t *work, answer_t *answer)
+{
+	session_oracle_t *oracle = &agent->world->oracle;
+
+	if (work->first_layer != agent->first_layer ||
+	    work->end_layer != agent->end_layer)
+		oracle_fault(oracle, "%s was asked for layers [%u,%u)",
+			     agent->name, work->first_layer, work->end_layer);
+	for (size_t i = 0; i < work->position_count; i++) {
+		answer->values[i % ORACLE_TOKENS_MAX] =
+			oracle_run(oracle, &agent->engine, work, i);
+		answer->last = agent->engine.next >= oracle->token_count;
+	}
+}
+
+static void on_run(hop_session_ops_t *ops, hop_session_t *session,
+		   const hop_work_t *work)
+{
+	agent_t *agent = agent_of(ops);
+	world_t *world = agent->world;
+	answer_t *answer = g_new0(answer_t, 1);
+
+	(void)session;
+	world_trace(world, "  %s runs attempt %u positions %u+%zu", agent->name,
+		    work->attempt, work->first_position, work->position_count);
+	answer->attempt = work->attempt;
+	answer->count = work->position_count;
+	answer->last_range = work->last_range;
+	run_once(agent, work, answer);
+	if (world->fault == FAULT_REPEATED_RUN && world_byte(world) % 8 == 1)
+		run_once(agent, work, answer);
+	if (work->position_count > 0)
+		oracle_token_text(answer->values[work->position_count - 1],
+				  work->attempt, answer->text);
+	g_queue_push_tail(&agent->answers, answer);
+}
+
+static void on_forget(hop_session_ops_t *ops, hop_session_t *session)
+{
+	agent_t *agent = agent_of(ops);
+
+	(void)session;
+	world_trace(agent->world, "  %s forgets", agent->name);
+	memset(&agent->engine, 0, sizeof(agent->engine));
+}
+
+static void on_send_hop(hop_session_ops_t *ops, hop_session_t *session,
+			uint32_t hop, msg_type_t type, const void *body)
+{
+	agent_t *agent = agent_of(ops);
+	const msg_hop_t *hops = hop_session_hops(session);
+
+	if (hop >= hop_session_open(session)->hop_count) {
+		oracle_fault(&agent->world->oracle, "%s sends to hop %u",
+			     agent->name, hop);
+		return;
+	}
+	world_send(agent->world, agent->index,
+		   world_find_agent(agent->world, hops[hop].address), type,
+		   body);
+}
+
+static void on_send_entry(hop_session_ops_t *ops, hop_session_t *session,
+			  msg_type_t type, const void *body)
+{
+	agent_t *agent = agent_of(ops);
+
+	(void)session;
+	world_send(agent->world, agent->index, ENTRY, type, body);
+}
+
+void agent_end_session(agent_t *agent)
+{
+	if (agent->session == NULL)
+		return;
+	hop_session_free(agent->session);
+	agent->session = NULL;
+	memset(&agent->engine, 0, sizeof(agent->engine));
+}
+
+static refusal_t open_refusal(const agent_t *agent, const msg_open_t *open)
+{
+	if (open->hop >= open->hop_count ||
+	    strcmp(open->hops[open->hop].endpoint, agent->name) != 0)
+		return REFUSAL_UNKNOWN_ENDPOINT;
+	if (open->hops[open->hop].incarnation != agent->incarnation)
+		return REFUSAL_UNKNOWN_ENDPOINT;
+	if (open->attempt <= agent->closed_attempt)
+		return REFUSAL_OLD_ATTEMPT;
+	if (agent->session != NULL &&
+	    open->attempt < hop_session_attempt(agent->session))
+		return REFUSAL_OLD_ATTEMPT;
+	return REFUSAL_NONE;
+}
+
+static void on_open(agent_t *agent, const msg_open_t *open)
+{
+	refusal_t refusal = open_refusal(agent, open);
+	const msg_open_reply_t reply = {
+		.session = open->session,
+		.attempt = open->attempt,
+		.hop = open->hop,
+		.refusal = refusal,
+		.load = { .endpoint = agent->name, .slots = 1 },
+	};
+
+	if (refusal == REFUSAL_NONE &&
+	    (agent->session == NULL ||
+	     hop_session_attempt(agent->session) < open->attempt)) {
+		agent_end_session(agent);
+		agent->session = hop_session_new(open, &agent->ops);
+	}
+	world_send(agent->world, agent->index, ENTRY, MSG_OPEN_REPLY, &reply);
+}
+
+static void on_close(agent_t *agent, const msg_close_t *close)
+{
+	if (close->one_hop && agent->session != NULL &&
+	    hop_session_open(agent->session)->hop != close->hop)
+		return;
+	agent->closed_attempt = MAX(agent->closed_attempt, close->attempt);
+	if (agent->session != NULL &&
+	    hop_session_attempt(agent->session) <= close->attempt)
+		agent_end_session(agent);
+}
+
+static void say_no_session(agent_t *agent, uint64_t session, uint32_t attempt)
+{
+	const msg_session_failed_t failed = {
+		.session = session,
+		.attempt = attempt,
+		.step = "resume",
+		.peer = agent->name,
+		.reason = "no such session",
+	};
+
+	world_send(agent->world, agent->index, ENTRY, MSG_SESSION_FAILED,
+		   &failed);
+}
+
+static void to_session(agent_t *agent, const msg_t *msg)
+{
+	hop_session_t *session = agent->session;
+	clock_ms_t now = agent->world->now;
+	const msg_session_t *start = msg->body;
+	msg_step_t step;
+
+	switch (msg->type) {
+	case MSG_START:
+		if (start->attempt == hop_session_attempt(session))
+			hop_session_on_start(session, now);
+		return;
+	case MSG_STEP:
+		step = *(const msg_step_t *)msg->body;
+		if (agent->world->fault == FAULT_OLD_STEPS)
+			step.attempt = hop_session_attempt(session);
+		hop_session_on_step(session, &step, now);
+		return;
+	case MSG_STEP_ACK:
+		hop_session_on_step_ack(session, msg->body, now);
+		return;
+	case MSG_STEP_RESULT:
+		hop_session_on_step_result(session, msg->body, now);
+		return;
+	case MSG_TOKENS_ACK:
+		hop_session_on_tokens_ack(session, msg->body, now);
+		return;
+	case MSG_RESUME:
+		hop_session_on_resume(session, msg->body, now);
+		return;
+	case MSG_REROUTE:
+		hop_session_on_reroute(session, msg->body, now);
+		return;
+	default:
+		oracle_fault(&agent->world->oracle, "%s received %s",
+			     agent->name, msg_type_name(msg->type));
+	}
+}
+
+void agent_receive(agent_t *agent, const msg_t *msg)
+{
+	const msg_tokens_ack_t *resume = msg->body;
+
+	if (msg->type == MSG_OPEN) {
+		on_open(agent, msg->body);
+	} else if (msg->type == MSG_CLOSE) {
+		on_close(agent, msg->body);
+	} else if (agent->session != NULL) {
+		to_session(agent, msg);
+	} else if (msg->type == MSG_RESUME) {
+		say_no_session(agent, resume->session, resume->attempt);
+	}
+}
+
+void agent_answer_engine(agent_t *agent, bool fails)
+{
+	answer_t *answer = g_queue_pop_head(&agent->answers);
+	msg_position_t positions[ORACLE_TOKENS_MAX];
+	hop_result_t result = { .position_count = 0 };
+
+	if (answer == NULL)
+		return;
+	for (size_t i = 0; i < answer->count && i < ORACLE_TOKENS_MAX; i++)
+		positions[i].activations =
+			(bytes_t){ (const uint8_t *)&answer->values[i],
+				   sizeof(answer->values[i]) };
+	if (answer->last_range) {
+		result.text = answer->text;
+		result.last = answer->last;
+	} else {
+		result.positions = positions;
+		result.position_count = answer->count;
+	}
+	world_trace(agent->world, "engine of %s %s attempt %u", agent->name,
+		    fails ? "fails" : "answers", answer->attempt);
+	if (agent->session != NULL && fails)
+		hop_session_on_engine_failed(agent->session, answer->attempt,
+					     "fake", agent->world->now);
+	else if (agent->session != NULL)
+		hop_session_on_engine_done(agent->session, answer->attempt,
+					   &result, agent->world->now);
+	g_free(answer);
+}
+
+void agent_init(world_t *world, size_t index)
+{
+	agent_t *agent = &world->agents[index];
+
+	agent->ops = (hop_session_ops_t){ on_run, on_forget, on_send_hop,
+					  on_send_entry };
+	agent->world = world;
+	agent->index = index;
+	g_snprintf(agent->name, sizeof(agent->name), "e%zu", index);
+	g_snprintf(agent->address, sizeof(agent->address), "10.0.0.%zu:1",
+		   index + 1);
+	agent->first_layer = agent_ranges[index].first_layer;
+	agent->end_layer = agent_ranges[index].end_layer;
+	agent->alive = true;
+	agent->incarnation = 1;
+	g_queue_init(&agent->answers);
+}
--- /dev/null
+++ b/test/fuzz/session_fuzz.c
@@ -0,0 +1,21 @@
+/*
+ * Fuzzes the session modules: the bytes choose what the network, the engines
+ * and the instances do; the oracle says what must hold.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "session_world.h"
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+	static world_outcome_t outcome;
+
+	world_run(data, size, FAULT_NONE, &outcome);
+	if (outcome.fault[0] == '\0')
+		return 0;
+	fprintf(stderr, "%s\nfault: %s\n", outcome.trace, outcome.fault);
+	abort();
+}
