Fuzz the session modules against a table of what ran and what was delivered

Cause: the users ask for stateful fuzzing against a simple oracle. Five faults put between the modules and the world must be found. A late answer of an older sequence was taken for a newer one; the agent names the sequence, so the world now does the same.

--- a/test/fuzz/session_agent.c
+++ b/test/fuzz/session_agent.c
@@ -45,6 +45,7 @@
 	(void)session;
 	world_trace(world, "  %s runs attempt %u positions %u+%zu", agent->name,
 		    work->attempt, work->first_position, work->position_count);
+	answer->sequence = work->sequence;
 	answer->attempt = work->attempt;
 	answer->count = work->position_count;
 	answer->last_range = work->last_range;
@@ -146,18 +147,50 @@
 		agent_end_session(agent);
 }
 
-static void say_no_session(agent_t *agent, uint64_t session, uint32_t attempt)
+static void say_no_session(agent_t *agent, size_t to, uint32_t attempt,
+			   uint32_t hop)
 {
 	const msg_session_failed_t failed = {
-		.session = session,
+		.session = WORLD_SESSION,
 		.attempt = attempt,
-		.step = "resume",
+		.hop = hop,
+		.step = "session",
 		.peer = agent->name,
-		.reason = "no such session",
+		.reason = "no such session here",
 	};
 
-	world_send(agent->world, agent->index, ENTRY, MSG_SESSION_FAILED,
-		   &failed);
+	if (attempt > agent->closed_attempt)
+		world_send(agent->world, agent->index, to, MSG_SESSION_FAILED,
+			   &failed);
+}
+
+static void on_peer_failed(agent_t *agent, const msg_session_failed_t *failed)
+{
+	if (agent->session != NULL &&
+	    hop_session_attempt(agent->session) == failed->attempt)
+		hop_session_on_hop_lost(agent->session, failed->hop,
+					failed->reason);
+}
+
+/* Answers a message for a session that is not here. */
+static void without_session(agent_t *agent, size_t from, const msg_t *msg)
+{
+	const msg_session_t *start = msg->body;
+	const msg_tokens_ack_t *resume = msg->body;
+	const msg_reroute_t *reroute = msg->body;
+	const msg_step_t *step = msg->body;
+	const msg_step_result_t *result = msg->body;
+
+	if (msg->type == MSG_START)
+		say_no_session(agent, from, start->attempt, 0);
+	else if (msg->type == MSG_RESUME)
+		say_no_session(agent, from, resume->attempt, resume->hop);
+	else if (msg->type == MSG_REROUTE)
+		say_no_session(agent, from, reroute->attempt, reroute->hop);
+	else if (msg->type == MSG_STEP)
+		say_no_session(agent, from, step->attempt, step->hop);
+	else if (msg->type == MSG_STEP_RESULT)
+		say_no_session(agent, from, result->attempt, 0);
 }
 
 static void to_session(agent_t *agent, const msg_t *msg)
@@ -199,19 +232,28 @@
 	}
 }
 
-void agent_receive(agent_t *agent, const msg_t *msg)
+/* Takes a message as the agent role does. */
+void agent_receive(agent_t *agent, size_t from, const msg_t *msg)
 {
-	const msg_tokens_ack_t *resume = msg->body;
-
-	if (msg->type == MSG_OPEN) {
+	if (msg->type == MSG_OPEN)
 		on_open(agent, msg->body);
-	} else if (msg->type == MSG_CLOSE) {
+	else if (msg->type == MSG_CLOSE)
 		on_close(agent, msg->body);
-	} else if (agent->session != NULL) {
+	else if (msg->type == MSG_SESSION_FAILED)
+		on_peer_failed(agent, msg->body);
+	else if (agent->session != NULL)
 		to_session(agent, msg);
-	} else if (msg->type == MSG_RESUME) {
-		say_no_session(agent, resume->session, resume->attempt);
-	}
+	else
+		without_session(agent, from, msg);
+}
+
+/* The session that the engine's answer is for; the engine names it. */
+static hop_session_t *session_of(const agent_t *agent, const answer_t *answer)
+{
+	if (agent->session == NULL ||
+	    hop_session_open(agent->session)->attempt != answer->sequence)
+		return NULL;
+	return agent->session;
 }
 
 void agent_answer_engine(agent_t *agent, bool fails)
@@ -219,6 +261,7 @@
 	answer_t *answer = g_queue_pop_head(&agent->answers);
 	msg_position_t positions[ORACLE_TOKENS_MAX];
 	hop_result_t result = { .position_count = 0 };
+	hop_session_t *session;
 
 	if (answer == NULL)
 		return;
@@ -235,12 +278,13 @@
 	}
 	world_trace(agent->world, "engine of %s %s attempt %u", agent->name,
 		    fails ? "fails" : "answers", answer->attempt);
-	if (agent->session != NULL && fails)
-		hop_session_on_engine_failed(agent->session, answer->attempt,
-					     "fake", agent->world->now);
-	else if (agent->session != NULL)
-		hop_session_on_engine_done(agent->session, answer->attempt,
-					   &result, agent->world->now);
+	session = session_of(agent, answer);
+	if (session != NULL && fails)
+		hop_session_on_engine_failed(session, answer->attempt, "fake",
+					     agent->world->now);
+	else if (session != NULL)
+		hop_session_on_engine_done(session, answer->attempt, &result,
+					   agent->world->now);
 	g_free(answer);
 }
 
--- a/test/fuzz/session_caller.c
+++ b/test/fuzz/session_caller.c
@@ -182,7 +182,7 @@
 	uint8_t shape = world_byte(world);
 	uint32_t made = 1 + shape % TOKENS_MAX;
 	const entry_session_params_t params = {
-		.session = 77,
+		.session = WORLD_SESSION,
 		.request_id = "r",
 		.customer = "recife",
 		.model = "modelo",
--- a/test/fuzz/session_world.c
+++ b/test/fuzz/session_world.c
@@ -34,7 +34,7 @@
 	if (frame->to == ENTRY)
 		caller_receive(world, &msg);
 	else
-		agent_receive(&world->agents[frame->to], &msg);
+		agent_receive(&world->agents[frame->to], frame->from, &msg);
 	msg_finish(&msg);
 }
 
@@ -155,7 +155,11 @@
 	     hop++) {
 		if (strcmp(hops[hop].address, world->agents[peer].address) != 0)
 			continue;
-		if (up)
+		if (up &&
+		    hops[hop].incarnation != world->agents[peer].incarnation)
+			hop_session_on_hop_lost(session, hop,
+						"the agent has restarted");
+		else if (up)
 			hop_session_on_hop_up(session, hop, world->now);
 		else
 			hop_session_on_hop_down(session, hop, world->now);
--- a/test/fuzz/session_world_defs.h
+++ b/test/fuzz/session_world_defs.h
@@ -8,6 +8,7 @@
 
 #define AGENTS 8
 #define ENTRY AGENTS
+#define WORLD_SESSION 77
 #define NODES (AGENTS + 1)
 #define QUEUE_MAX 400
 
@@ -22,6 +23,7 @@
 
 /* What an engine will answer, some time. */
 typedef struct {
+	uint32_t sequence;
 	uint32_t attempt;
 	uint64_t values[ORACLE_TOKENS_MAX];
 	size_t count;
@@ -77,7 +79,7 @@
 
 void agent_init(world_t *world, size_t index);
 void agent_end_session(agent_t *agent);
-void agent_receive(agent_t *agent, const msg_t *msg);
+void agent_receive(agent_t *agent, size_t from, const msg_t *msg);
 void agent_answer_engine(agent_t *agent, bool fails);
 
 void caller_start(world_t *world);
--- a/test/unit/session_world_test.c
+++ b/test/unit/session_world_test.c
@@ -9,7 +9,8 @@
 
 #include "session_world.h"
 
-#define WORLDS 400
+#define WORLDS 4000
+#define FAULT_WORLDS 40000
 #define BYTES 400
 
 static void fill(uint32_t seed, uint8_t *data, size_t size)
@@ -22,11 +23,12 @@
 }
 
 /* Returns the first seed in which a rule is broken; 0 if none. */
-static uint32_t find_fault(world_fault_t fault, world_outcome_t *outcome)
+static uint32_t find_fault(world_fault_t fault, uint32_t worlds,
+			   world_outcome_t *outcome)
 {
 	uint8_t data[BYTES];
 
-	for (uint32_t seed = 1; seed <= WORLDS; seed++) {
+	for (uint32_t seed = 1; seed <= worlds; seed++) {
 		fill(seed, data, sizeof(data));
 		world_run(data, sizeof(data), fault, outcome);
 		if (outcome->fault[0] != '\0')
@@ -38,7 +40,7 @@
 static void test_modules_hold(void)
 {
 	static world_outcome_t outcome;
-	uint32_t seed = find_fault(FAULT_NONE, &outcome);
+	uint32_t seed = find_fault(FAULT_NONE, WORLDS, &outcome);
 
 	if (seed != 0)
 		printf("seed %u: %s\n%s\n", seed, outcome.fault, outcome.trace);
@@ -50,7 +52,8 @@
 	static world_outcome_t outcome;
 
 	for (int fault = FAULT_NONE + 1; fault < FAULT_COUNT; fault++) {
-		uint32_t seed = find_fault((world_fault_t)fault, &outcome);
+		uint32_t seed = find_fault((world_fault_t)fault, FAULT_WORLDS,
+					   &outcome);
 
 		printf("fault %d: seed %u: %s\n", fault, seed, outcome.fault);
 		CU_ASSERT_NOT_EQUAL(seed, 0);
