--- a/test/functional/harness/cluster.h
+++ b/test/functional/harness/cluster.h
@@ -19,8 +19,10 @@
 	size_t services;	    /* endpoints of the plain service [0] */
 	uint32_t layers;	    /* of the model [12] */
 	uint32_t slots;		    /* of each endpoint [256] */
+	uint32_t engine_slots;	    /* of each engine [slots] */
 	uint32_t step_us;	    /* engine time of one step [1000] */
-	uint32_t sessions;	    /* contract of the one customer [1000] */
+	uint32_t sessions;	    /* of the contract of a customer [1000] */
+	size_t customers;	    /* with a contract of "sessions" each [1] */
 	const char *recovery;	    /* "restart" or "replay" [restart] */
 	bool ignores_fencing;	    /* engines take old orders */
 } cluster_params_t;
@@ -80,9 +82,15 @@
 bool cluster_wait_ready(cluster_t *cluster) ATTR_NONNULL_ALL ATTR_WARN_UNUSED;
 /* Kills an agent and its engine. */
 void cluster_kill_endpoint(cluster_endpoint_t *endpoint) ATTR_NONNULL_ALL;
+/* The API key of a customer by number; that of 0 is CLUSTER_API_KEY. */
+const char *cluster_api_key(cluster_t *cluster,
+			    size_t customer) ATTR_NONNULL_ALL;
 http_request_t *cluster_ask(cluster_t *cluster, http_client_t *client,
 			    size_t entry, const char *prompt,
 			    uint32_t max_tokens, bool stream) ATTR_NONNULL_ALL;
+http_request_t *cluster_ask_as(cluster_t *cluster, http_client_t *client,
+			       size_t customer, size_t entry,
+			       const char *prompt) ATTR_NONNULL_ALL;
 uint64_t cluster_metric(const char *metrics_address,
 			const char *name) ATTR_NONNULL_ALL;
 
