--- a/src/wisteria/route/chain.c
+++ b/src/wisteria/route/chain.c
@@ -7,6 +7,7 @@
  */
 #include "wisteria/route/chain.h"
 
+#include <math.h>
 #include <string.h>
 
 #include <glib.h>
@@ -45,6 +46,12 @@
 	return false;
 }
 
+static size_t wanted_per_group(const range_t *range)
+{
+	return MAX(CANDIDATES_PER_GROUP_MIN,
+		   CANDIDATES_WANTED / MAX(range->group_count, 1));
+}
+
 /* Writes up to "wanted" nodes of one group and returns their number. */
 static size_t group_candidates(const chain_search_t *search,
 			       const group_t *group, size_t wanted,
@@ -63,6 +70,9 @@
 			continue;
 		nodes[count++] = (chain_node_t){
 			.candidate = candidate,
+			.end = candidate->end,
+			.exceptions = links_has_exceptions(search->links,
+							   &candidate->end),
 			.wait_ms = best[i].key,
 		};
 	}
@@ -90,46 +100,117 @@
 	return count;
 }
 
-static void extend(chain_t *chain, const chain_search_t *search, int before,
-		   chain_node_t *node)
-{
-	const chain_node_t *from = &chain->nodes[before];
+/* The best way to reach a failure domain from the nodes of earlier ranges. */
+typedef struct {
 	double total_ms;
+	int before;
+	bool exceptions; /* some nodes' links must be looked at one by one */
+} arrival_t;
 
-	if (from->before == -2 || from->hops == ROUTER_HOPS_MAX)
-		return;
-	total_ms = from->total_ms + node->wait_ms +
-		   links_time(search->links, &from->candidate->end,
-			      &node->candidate->end);
-	if (node->before != -2 && total_ms >= node->total_ms)
-		return;
-	node->total_ms = total_ms;
-	node->before = before;
-	node->hops = from->hops + 1;
-}
-
-static void begin(const chain_search_t *search, chain_node_t *node)
+/*
+ * Looks for the best way into "domain" over the nodes whose links go by
+ * failure domain alone.
+ */
+static arrival_t arrive(const chain_t *chain, const chain_search_t *search,
+			const range_t *range, uint32_t domain)
 {
-	node->before = -1;
-	node->hops = 1;
-	node->total_ms =
-		node->wait_ms + links_time(search->links, &search->entry,
-					   &node->candidate->end);
-}
+	arrival_t arrival = { INFINITY, CHAIN_FROM_ENTRY, false };
 
-static void reach(chain_t *chain, const chain_search_t *search,
-		  const range_t *range, chain_node_t *node)
-{
-	node->before = -2;
 	if (range->first_layer == 0) {
-		begin(search, node);
-		return;
+		arrival.total_ms = links_domain_time(
+			search->links, search->entry.domain, domain);
+		return arrival;
+	}
+	for (uint32_t i = 0; i < range->before_count; i++) {
+		const chain_span_t *span = &chain->spans[range->before[i]];
+
+		arrival.exceptions |= span->exceptions;
+		for (uint32_t j = 0; j < span->count; j++) {
+			const uint32_t at = span->first + j;
+			const chain_node_t *from = &chain->nodes[at];
+			double total_ms;
+
+			if (from->exceptions)
+				continue;
+			total_ms = from->total_ms +
+				   links_domain_time(search->links,
+						     from->end.domain, domain);
+			if (total_ms >= arrival.total_ms)
+				continue;
+			arrival.total_ms = total_ms;
+			arrival.before = (int)at;
+		}
 	}
+	return arrival;
+}
+
+/* Looks at the nodes from which some links have times of their own. */
+static void arrive_by_exceptions(const chain_t *chain,
+				 const chain_search_t *search,
+				 const range_t *range, const link_end_t *to,
+				 arrival_t *arrival)
+{
 	for (uint32_t i = 0; i < range->before_count; i++) {
 		const chain_span_t *span = &chain->spans[range->before[i]];
 
-		for (uint32_t j = 0; j < span->count; j++)
-			extend(chain, search, (int)(span->first + j), node);
+		for (uint32_t j = 0; span->exceptions && j < span->count; j++) {
+			const uint32_t at = span->first + j;
+			const chain_node_t *from = &chain->nodes[at];
+			double total_ms;
+
+			if (!from->exceptions)
+				continue;
+			total_ms = from->total_ms +
+				   links_time(search->links, &from->end, to);
+			if (total_ms >= arrival->total_ms)
+				continue;
+			arrival->total_ms = total_ms;
+			arrival->before = (int)at;
+		}
+	}
+}
+
+static void reach(const chain_t *chain, const chain_search_t *search,
+		  const range_t *range, arrival_t arrival, chain_node_t *node)
+{
+	if (arrival.exceptions)
+		arrive_by_exceptions(chain, search, range, &node->end,
+				     &arrival);
+	node->before = arrival.before;
+	node->total_ms = arrival.total_ms + node->wait_ms;
+	node->hops = arrival.before == CHAIN_FROM_ENTRY
+			     ? 1
+			     : chain->nodes[arrival.before].hops + 1;
+	if (node->hops > ROUTER_HOPS_MAX)
+		node->total_ms = INFINITY;
+}
+
+/* Works out the nodes of one range. */
+static void reach_range(chain_t *chain, const chain_search_t *search,
+			uint32_t range_index)
+{
+	const range_t *range = &search->target->ranges[range_index];
+	const size_t wanted = wanted_per_group(range);
+	chain_span_t *span = &chain->spans[range_index];
+
+	*span = (chain_span_t){ .first = chain->node_count };
+	for (uint32_t i = 0; i < range->group_count; i++) {
+		const group_t *group = &range->groups[i];
+		const size_t room = CHAIN_CANDIDATES_MAX - span->count;
+		chain_node_t *nodes = &chain->nodes[chain->node_count];
+		const size_t count = group_candidates(search, group,
+						      MIN(wanted, room), nodes);
+		arrival_t arrival;
+
+		if (count == 0)
+			continue;
+		arrival = arrive(chain, search, range, group->domain);
+		for (size_t j = 0; j < count; j++) {
+			reach(chain, search, range, arrival, &nodes[j]);
+			span->exceptions |= nodes[j].exceptions;
+		}
+		span->count += (uint32_t)count;
+		chain->node_count += (uint32_t)count;
 	}
 }
 
@@ -140,29 +221,24 @@
 int chain_find(chain_t *chain, const chain_search_t *search)
 {
 	const target_t *target = search->target;
+	double least_ms = INFINITY;
 	int best = -1;
 
 	reserve(chain, target->range_count);
 	chain->node_count = 0;
 	for (uint32_t i = 0; i < target->range_count; i++) {
-		const range_t *range = &target->ranges[i];
-		chain_span_t *span = &chain->spans[i];
+		const chain_span_t *span = &chain->spans[i];
 
-		span->first = chain->node_count;
-		span->count = (uint32_t)chain_candidates(
-			search, range, &chain->nodes[span->first]);
-		chain->node_count += span->count;
+		reach_range(chain, search, i);
+		if (target->ranges[i].end_layer != search->request->layers)
+			continue;
 		for (uint32_t j = 0; j < span->count; j++) {
-			const int at = (int)(span->first + j);
-			chain_node_t *node = &chain->nodes[at];
+			const uint32_t at = span->first + j;
 
-			reach(chain, search, range, node);
-			if (node->before == -2 ||
-			    range->end_layer != search->request->layers)
+			if (chain->nodes[at].total_ms >= least_ms)
 				continue;
-			if (best < 0 ||
-			    node->total_ms < chain->nodes[best].total_ms)
-				best = at;
+			least_ms = chain->nodes[at].total_ms;
+			best = (int)at;
 		}
 	}
 	return best;
--- a/src/wisteria/route/links.c
+++ b/src/wisteria/route/links.c
@@ -173,11 +173,8 @@
 double links_time(const links_t *links, const link_end_t *from,
 		  const link_end_t *to)
 {
-	const link_instance_t *instances = (void *)links->instances->data;
-
-	if (from->instance != LINK_NO_INSTANCE &&
-	    to->instance != LINK_NO_INSTANCE &&
-	    instances[from->instance].exception_count > 0) {
+	if (links_has_exceptions(links, from) &&
+	    to->instance != LINK_NO_INSTANCE) {
 		const gint64 key = (gint64)from->instance << 32 | to->instance;
 		const double *known =
 			g_hash_table_lookup(links->exceptions, &key);
@@ -185,5 +182,5 @@
 		if (known != NULL)
 			return *known;
 	}
-	return *domain_time(links, from->domain, to->domain);
+	return links_domain_time(links, from->domain, to->domain);
 }
--- a/src/wisteria/route/links.h
+++ b/src/wisteria/route/links.h
@@ -1,6 +1,8 @@
 #ifndef WISTERIA_ROUTE_LINKS_H
 #define WISTERIA_ROUTE_LINKS_H
 
+#include <stddef.h>
+
 #include "wisteria/base/macros_defs.h"
 #include "wisteria/route/links_defs.h"
 
@@ -15,4 +17,20 @@
 double links_time(const links_t *links, const link_end_t *from,
 		  const link_end_t *to) ATTR_NONNULL_ALL;
 
+/* Returns the expected time between two failure domains, in milliseconds. */
+static inline double links_domain_time(const links_t *links, uint32_t from,
+				       uint32_t to)
+{
+	return links->times[(size_t)from * links->domain_capacity + to];
+}
+
+/* Returns whether some links from "end" have times of their own. */
+static inline bool links_has_exceptions(const links_t *links,
+					const link_end_t *end)
+{
+	return end->instance != LINK_NO_INSTANCE &&
+	       g_array_index(links->instances, link_instance_t, end->instance)
+			       .exception_count > 0;
+}
+
 #endif
