Add the ledger of non-idempotent calls

A call must run at most once for its key. The key is reserved before dispatch in a state machine of the replicated log; only its owner can give it back, and an owner that gave it back isn't granted it again by a late copy of its question.

--- /dev/null
+++ b/src/wisteria/ledger/ledger.c
@@ -0,0 +1,293 @@
+/*
+ * The ledger of non-idempotent calls.  A key is reserved before its call is
+ * dispatched, and stays reserved whatever happens to the owner: it is given
+ * back only by the owner itself, which can tell that the call did not run.
+ * So a key is dispatched at most once for as long as it is kept.
+ *
+ * What the owner keeps to: it asks again with the same owner number only
+ * until it has seen an answer, dispatches once at most after LEDGER_GRANTED,
+ * and uses an owner number for one call only.
+ */
+#include "wisteria/ledger/ledger.h"
+
+#include <string.h>
+
+#include <glib.h>
+
+#include "wisteria/base/err.h"
+#include "wisteria/codec/codec.h"
+#include "wisteria/ledger/ledger_entry.h"
+#include "wisteria/ledger/ledger_private.h"
+
+static int compare_expiry(const void *a, const void *b, void *unused)
+{
+	const ledger_entry_t *left = a;
+	const ledger_entry_t *right = b;
+
+	(void)unused;
+	if (left->expires_ms != right->expires_ms)
+		return left->expires_ms < right->expires_ms ? -1 : 1;
+	if (left->serial != right->serial)
+		return left->serial < right->serial ? -1 : 1;
+	return 0;
+}
+
+static void free_entry(void *entry)
+{
+	ledger_entry_free(entry);
+}
+
+/* Sets up the tables of an empty ledger. */
+void ledger_init_tables(ledger_t *ledger)
+{
+	ledger->by_key = g_hash_table_new_full(
+		ledger_entry_hash, ledger_entry_equal, free_entry, NULL);
+	ledger->by_expiry = g_tree_new_full(compare_expiry, NULL, NULL, NULL);
+	ledger->bytes = 0;
+}
+
+/* Frees the tables and all entries. */
+void ledger_finish_tables(ledger_t *ledger)
+{
+	g_tree_destroy(ledger->by_expiry);
+	g_hash_table_destroy(ledger->by_key);
+}
+
+/* Returns an empty ledger that holds at most "bytes_max" of entries. */
+ledger_t *ledger_new(size_t bytes_max)
+{
+	ledger_t *ledger = g_new0(ledger_t, 1);
+
+	ledger->bytes_max = bytes_max;
+	ledger->now_ms = INT64_MIN;
+	ledger_init_tables(ledger);
+	return ledger;
+}
+
+/* Frees a ledger; NULL is ignored. */
+void ledger_free(ledger_t *ledger)
+{
+	if (ledger == NULL)
+		return;
+	ledger_finish_tables(ledger);
+	g_free(ledger);
+}
+
+/* Returns how much the ledger holds. */
+ledger_usage_t ledger_usage(const ledger_t *ledger)
+{
+	return (ledger_usage_t){
+		.entries = g_hash_table_size(ledger->by_key),
+		.bytes = ledger->bytes,
+	};
+}
+
+/* Takes an entry into the tables. */
+void ledger_insert(ledger_t *ledger, ledger_entry_t *entry)
+{
+	ledger->bytes += ledger_entry_bytes(entry);
+	g_hash_table_add(ledger->by_key, entry);
+	g_tree_insert(ledger->by_expiry, entry, entry);
+}
+
+/* Drops what has not changed for longer than its retention. */
+static void expire(ledger_t *ledger)
+{
+	for (;;) {
+		GTreeNode *node = g_tree_node_first(ledger->by_expiry);
+		ledger_entry_t *entry;
+
+		if (node == NULL)
+			return;
+		entry = g_tree_node_value(node);
+		if (entry->expires_ms > ledger->now_ms)
+			return;
+		ledger->bytes -= ledger_entry_bytes(entry);
+		g_tree_remove(ledger->by_expiry, entry);
+		g_hash_table_remove(ledger->by_key, entry);
+	}
+}
+
+static int64_t add_time(int64_t time_ms, int64_t span_ms)
+{
+	int64_t sum;
+
+	if (__builtin_add_overflow(time_ms, span_ms, &sum))
+		return INT64_MAX;
+	return sum;
+}
+
+/* Starts the entry's retention again. */
+static void touch(ledger_t *ledger, ledger_entry_t *entry)
+{
+	g_tree_remove(ledger->by_expiry, entry);
+	entry->expires_ms = add_time(ledger->now_ms, entry->retention_ms);
+	g_tree_insert(ledger->by_expiry, entry, entry);
+}
+
+static void reserve_for(ledger_t *ledger, ledger_entry_t *entry,
+			const msg_ledger_t *command)
+{
+	entry->state = ENTRY_PENDING;
+	entry->owner = command->owner;
+	entry->fingerprint = command->fingerprint;
+	entry->reserved_ms = ledger->now_ms;
+	entry->retention_ms =
+		MAX(command->retention_ms, LEDGER_RETENTION_MIN_MS);
+	entry->expires_ms = add_time(ledger->now_ms, entry->retention_ms);
+}
+
+static bool key_is_valid(const msg_ledger_t *command)
+{
+	return command->key[0] != '\0' &&
+	       strlen(command->customer) + strlen(command->service) +
+			       strlen(command->key) <=
+		       LEDGER_KEY_BYTES_MAX;
+}
+
+static ledger_state_t reserve_new(ledger_t *ledger, const msg_ledger_t *command)
+{
+	ledger_entry_t *entry;
+
+	if (!key_is_valid(command))
+		return LEDGER_MISMATCH;
+	entry = ledger_entry_new(command->customer, command->service,
+				 command->key);
+	if (ledger->bytes + ledger_entry_bytes(entry) > ledger->bytes_max) {
+		ledger_entry_free(entry);
+		return LEDGER_FULL;
+	}
+	entry->serial = ledger->next_serial++;
+	reserve_for(ledger, entry, command);
+	ledger_insert(ledger, entry);
+	return LEDGER_GRANTED;
+}
+
+static ledger_state_t reserve_pending(const ledger_t *ledger,
+				      const ledger_entry_t *entry,
+				      uint64_t owner)
+{
+	if (entry->owner == owner)
+		return LEDGER_GRANTED;
+	if (ledger->now_ms - entry->reserved_ms >= LEDGER_PENDING_MS)
+		return LEDGER_UNKNOWN;
+	return LEDGER_PENDING;
+}
+
+static ledger_state_t reserve_released(ledger_t *ledger, ledger_entry_t *entry,
+				       const msg_ledger_t *command)
+{
+	if (ledger_entry_was_released_by(entry, command->owner))
+		return LEDGER_PENDING;
+	g_tree_remove(ledger->by_expiry, entry);
+	reserve_for(ledger, entry, command);
+	g_tree_insert(ledger->by_expiry, entry, entry);
+	return LEDGER_GRANTED;
+}
+
+static ledger_state_t reserve(ledger_t *ledger, ledger_entry_t *entry,
+			      const msg_ledger_t *command)
+{
+	if (entry == NULL)
+		return reserve_new(ledger, command);
+	if (entry->state == ENTRY_RELEASED)
+		return reserve_released(ledger, entry, command);
+	if (entry->fingerprint != command->fingerprint)
+		return LEDGER_MISMATCH;
+	if (entry->state == ENTRY_STORED)
+		return LEDGER_STORED;
+	if (entry->state == ENTRY_UNKNOWN)
+		return LEDGER_UNKNOWN;
+	return reserve_pending(ledger, entry, command->owner);
+}
+
+/* What a command by somebody other than the owner is told. */
+static ledger_state_t state_for_stranger(const ledger_entry_t *entry)
+{
+	if (entry == NULL || entry->state == ENTRY_UNKNOWN)
+		return LEDGER_UNKNOWN;
+	if (entry->state == ENTRY_STORED)
+		return LEDGER_STORED;
+	return LEDGER_PENDING;
+}
+
+static bool is_owner(const ledger_entry_t *entry, const msg_ledger_t *command)
+{
+	return entry != NULL && entry->owner == command->owner &&
+	       entry->state != ENTRY_RELEASED;
+}
+
+/*
+ * Keeps the result.  An empty one says that the outcome is unknown; so does
+ * one for which there is no room.
+ */
+static ledger_state_t record(ledger_t *ledger, ledger_entry_t *entry,
+			     const msg_ledger_t *command)
+{
+	const size_t len = command->result.len;
+
+	if (!is_owner(entry, command))
+		return state_for_stranger(entry);
+	if (entry->state == ENTRY_STORED)
+		return LEDGER_OK;
+	entry->state = ENTRY_UNKNOWN;
+	if (len > 0 && len <= LEDGER_RESULT_BYTES_MAX &&
+	    ledger->bytes + len <= ledger->bytes_max) {
+		entry->state = ENTRY_STORED;
+		ledger_entry_set_result(entry, command->result);
+		ledger->bytes += len;
+	}
+	touch(ledger, entry);
+	return LEDGER_OK;
+}
+
+/* Gives the key back; not after a result, which shows that the call ran. */
+static ledger_state_t release(ledger_t *ledger, ledger_entry_t *entry,
+			      const msg_ledger_t *command)
+{
+	if (entry != NULL && entry->state == ENTRY_RELEASED &&
+	    ledger_entry_was_released_by(entry, command->owner))
+		return LEDGER_OK;
+	if (!is_owner(entry, command))
+		return state_for_stranger(entry);
+	if (entry->state != ENTRY_PENDING)
+		return state_for_stranger(entry);
+	ledger_entry_release(entry);
+	touch(ledger, entry);
+	return LEDGER_OK;
+}
+
+/*
+ * Applies one command at "now_ms" and writes the reply.  The reply's result
+ * is the ledger's own and lives until the next command.
+ */
+void ledger_apply(ledger_t *ledger, const msg_ledger_t *command, int64_t now_ms,
+		  msg_ledger_reply_t *reply)
+{
+	ledger_entry_t key = {
+		.customer = (char *)command->customer,
+		.service = (char *)command->service,
+		.key = (char *)command->key,
+	};
+	ledger_entry_t *entry;
+
+	ledger->now_ms = MAX(ledger->now_ms, now_ms);
+	expire(ledger);
+	*reply = (msg_ledger_reply_t){ .sequence = command->sequence };
+	entry = g_hash_table_lookup(ledger->by_key, &key);
+	switch (command->op) {
+	case LEDGER_RESERVE:
+		reply->state = reserve(ledger, entry, command);
+		break;
+	case LEDGER_RECORD:
+		reply->state = record(ledger, entry, command);
+		break;
+	case LEDGER_RELEASE:
+		reply->state = release(ledger, entry, command);
+		break;
+	default:
+		reply->state = LEDGER_MISMATCH;
+	}
+	if (reply->state == LEDGER_STORED && command->op == LEDGER_RESERVE)
+		reply->result = (bytes_t){ entry->result, entry->result_len };
+}
--- a/src/wisteria/ledger/ledger.h
+++ b/src/wisteria/ledger/ledger.h
@@ -5,8 +5,10 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "wisteria/base/err_defs.h"
 #include "wisteria/base/macros_defs.h"
 #include "wisteria/codec/msg_defs.h"
+#include "wisteria/ledger/ledger_defs.h"
 
 /*
  * The ledger of non-idempotent calls: at most one dispatch for a key.  It is
@@ -16,12 +18,6 @@
  */
 typedef struct ledger_t ledger_t;
 
-/* What the ledger holds, for counters and status. */
-typedef struct {
-	size_t entries;
-	size_t bytes;
-} ledger_usage_t;
-
 ledger_t *ledger_new(size_t bytes_max) ATTR_WARN_UNUSED;
 void ledger_free(ledger_t *ledger);
 void ledger_apply(ledger_t *ledger, const msg_ledger_t *command, int64_t now_ms,
--- /dev/null
+++ b/src/wisteria/ledger/ledger_private.h
@@ -0,0 +1,23 @@
+#ifndef WISTERIA_LEDGER_LEDGER_PRIVATE_H
+#define WISTERIA_LEDGER_LEDGER_PRIVATE_H
+
+#include <glib.h>
+
+#include "wisteria/ledger/ledger.h"
+#include "wisteria/ledger/ledger_entry_defs.h"
+
+/* Shared by the ledger and its snapshots. */
+struct ledger_t {
+	GHashTable *by_key; /* a set of ledger_entry_t, which it owns */
+	GTree *by_expiry;   /* the same entries, the next to expire first */
+	size_t bytes;
+	size_t bytes_max;
+	int64_t now_ms;
+	uint64_t next_serial;
+};
+
+void ledger_init_tables(ledger_t *ledger) ATTR_NONNULL_ALL;
+void ledger_finish_tables(ledger_t *ledger) ATTR_NONNULL_ALL;
+void ledger_insert(ledger_t *ledger, ledger_entry_t *entry) ATTR_NONNULL_ALL;
+
+#endif
