--- a/test/unit/ledger_test.c
+++ b/test/unit/ledger_test.c
@@ -95,7 +95,7 @@
 
 static void test_keys_expire_and_make_room(void)
 {
-	ledger_t *ledger = ledger_new(400);
+	ledger_t *ledger = ledger_new(300);
 	const msg_ledger_t other = {
 		.op = LEDGER_RESERVE,
 		.customer = "ferragens",
