Admit requests within leased contract parts, fairly and in time

An entry must refuse early under overload and keep large customers from starving small ones. Queues are bounded in length (dynamic thresholds) and by time; customers below their guarantee go first, then those below what they deserve, then by priority, and within a level the one that uses the least of what it deserves. Refusals carry the time that the backlog needs. An entry without leased parts starts nothing.

--- a/src/wisteria/limits/admission_defs.h
+++ b/src/wisteria/limits/admission_defs.h
@@ -29,6 +29,7 @@
 	const char *target;	/* model or service */
 	handle_t request;	/* the caller's own, unique while waiting */
 	clock_ms_t deadline_ms; /* of the whole answer */
+	clock_ms_t offered_ms;	/* for the first time; 0: now */
 } admission_offer_t;
 
 typedef struct {
--- /dev/null
+++ b/test/unit/admission_test.c
@@ -0,0 +1,204 @@
+/* Unit tests of admission and the retry budget. */
+#include "unit.h"
+
+#include "wisteria/limits/admission.h"
+#include "wisteria/limits/retry_budget.h"
+
+static preset_contract_t contracts[] = {
+	{ .customer = "grande",
+	  .guarantee_sessions = 1,
+	  .deserved_sessions = 2,
+	  .capability_sessions = 8 },
+	{ .customer = "pequeno",
+	  .guarantee_sessions = 1,
+	  .deserved_sessions = 2,
+	  .capability_sessions = 8 },
+};
+
+static const preset_t preset = {
+	.contracts = contracts,
+	.contracts_count = 2,
+	.limits = { .queue_length = 12, .queue_ms = 1000 },
+};
+
+static const msg_share_t shares[] = {
+	{ .customer = "grande", .sessions = 4, .capability = 8 },
+	{ .customer = "pequeno", .sessions = 4, .capability = 8 },
+};
+
+static admission_t *with_contracts(void)
+{
+	admission_t *admission = admission_new();
+
+	admission_set_contracts(admission, &preset, shares, 2, 0);
+	return admission;
+}
+
+static admission_answer_t offer(admission_t *admission, const char *customer,
+				uint32_t number, clock_ms_t now)
+{
+	const admission_offer_t request = {
+		.customer = customer,
+		.target = "modelo",
+		.request = { number, 1 },
+		.deadline_ms = now + 60000,
+	};
+
+	return admission_offer(admission, &request, now);
+}
+
+static void test_share_bounds_sessions(void)
+{
+	admission_t *admission = with_contracts();
+	handle_t request;
+
+	for (uint32_t i = 0; i < 4; i++)
+		CU_ASSERT_EQUAL(offer(admission, "grande", i, 0).result,
+				ADMISSION_ADMITTED);
+	CU_ASSERT_EQUAL(offer(admission, "grande", 4, 0).result,
+			ADMISSION_QUEUED);
+	CU_ASSERT_EQUAL(offer(admission, "pequeno", 5, 0).result,
+			ADMISSION_ADMITTED);
+	CU_ASSERT_FALSE(admission_next(admission, 0, &request));
+	admission_finished(admission, "grande", "modelo", 10, 1);
+	CU_ASSERT_TRUE(admission_next(admission, 1, &request));
+	CU_ASSERT_EQUAL(request.index, 4);
+	admission_free(admission);
+}
+
+static void test_less_served_customer_goes_first(void)
+{
+	admission_t *admission = with_contracts();
+	const admission_offer_t back = {
+		.customer = "grande",
+		.target = "modelo",
+		.request = { 3, 1 },
+		.deadline_ms = 60000,
+	};
+	handle_t request;
+
+	for (uint32_t i = 0; i < 4; i++)
+		CU_ASSERT_EQUAL(offer(admission, "grande", i, 0).result,
+				ADMISSION_ADMITTED);
+	CU_ASSERT_EQUAL(admission_put_back(admission, &back, 0).result,
+			ADMISSION_QUEUED);
+	CU_ASSERT_EQUAL(offer(admission, "pequeno", 9, 0).result,
+			ADMISSION_QUEUED);
+	CU_ASSERT_FALSE(admission_next(admission, 0, &request));
+	admission_finished(admission, "grande", "modelo", 10, 1);
+	CU_ASSERT_TRUE(admission_next(admission, 1, &request));
+	CU_ASSERT_EQUAL(request.index, 9);
+	admission_free(admission);
+}
+
+static void test_one_customer_does_not_fill_the_queue(void)
+{
+	admission_t *admission = with_contracts();
+	uint32_t number = 0;
+	admission_answer_t answer;
+
+	do
+		answer = offer(admission, "grande", number++, 0);
+	while (answer.result != ADMISSION_REFUSED);
+	CU_ASSERT_EQUAL(answer.reason, ADMISSION_REASON_QUEUE_FULL);
+	CU_ASSERT(answer.retry_after_ms > 0);
+	CU_ASSERT(admission_queued(admission) < 12);
+	for (uint32_t i = 0; i < 5; i++)
+		CU_ASSERT_NOT_EQUAL(
+			offer(admission, "pequeno", number++, 0).result,
+			ADMISSION_REFUSED);
+	admission_free(admission);
+}
+
+static void test_expired_request_comes_out_at_once(void)
+{
+	admission_t *admission = with_contracts();
+	clock_ms_t retry_after_ms;
+	handle_t request;
+
+	for (uint32_t i = 0; i < 5; i++)
+		(void)!offer(admission, "grande", i, 0).result;
+	CU_ASSERT_FALSE(
+		admission_expire(admission, 999, &request, &retry_after_ms));
+	CU_ASSERT_TRUE(
+		admission_expire(admission, 1000, &request, &retry_after_ms));
+	CU_ASSERT_EQUAL(request.index, 4);
+	CU_ASSERT(retry_after_ms > 0);
+	admission_free(admission);
+}
+
+static void test_lost_contract_ends_waiting(void)
+{
+	static const preset_t fewer = { .contracts = contracts + 1,
+					.contracts_count = 1,
+					.limits = { .queue_length = 12,
+						    .queue_ms = 1000 } };
+	admission_t *admission = with_contracts();
+	clock_ms_t retry_after_ms;
+	handle_t request;
+
+	for (uint32_t i = 0; i < 5; i++)
+		(void)!offer(admission, "grande", i, 0).result;
+	admission_set_contracts(admission, &fewer, shares, 2, 5);
+	CU_ASSERT_TRUE(
+		admission_expire(admission, 5, &request, &retry_after_ms));
+	CU_ASSERT_EQUAL(request.index, 4);
+	CU_ASSERT_EQUAL(offer(admission, "grande", 9, 5).reason,
+			ADMISSION_REASON_NO_CONTRACT);
+	admission_free(admission);
+}
+
+static void test_shrunk_contract_cuts_old_parts(void)
+{
+	preset_contract_t small = contracts[0];
+	preset_t shrunk = preset;
+	admission_t *admission = with_contracts();
+
+	small.capability_sessions = 2;
+	shrunk.contracts = &small;
+	shrunk.contracts_count = 1;
+	admission_set_contracts(admission, &shrunk, shares, 2, 0);
+	CU_ASSERT_EQUAL(offer(admission, "grande", 1, 0).result,
+			ADMISSION_ADMITTED);
+	CU_ASSERT_EQUAL(offer(admission, "grande", 2, 0).result,
+			ADMISSION_QUEUED);
+	admission_free(admission);
+}
+
+static void test_retries_are_a_fraction(void)
+{
+	retry_budget_t budget;
+	uint32_t taken = 0;
+
+	retry_budget_init(&budget, 10);
+	while (retry_budget_take(&budget))
+		taken++;
+	CU_ASSERT(taken <= 10);
+	for (int i = 0; i < 100; i++)
+		retry_budget_fresh(&budget);
+	for (taken = 0; retry_budget_take(&budget);)
+		taken++;
+	CU_ASSERT_EQUAL(taken, 10);
+	retry_budget_set_percent(&budget, 0);
+	retry_budget_fresh(&budget);
+	CU_ASSERT_FALSE(retry_budget_take(&budget));
+}
+
+static const unit_test_t tests[] = {
+	{ "share bounds sessions", test_share_bounds_sessions },
+	{ "less served customer goes first",
+	  test_less_served_customer_goes_first },
+	{ "one customer doesn't fill the queue",
+	  test_one_customer_does_not_fill_the_queue },
+	{ "expired request comes out at once",
+	  test_expired_request_comes_out_at_once },
+	{ "lost contract ends waiting", test_lost_contract_ends_waiting },
+	{ "shrunk contract cuts old parts",
+	  test_shrunk_contract_cuts_old_parts },
+	{ "retries are a fraction", test_retries_are_a_fraction },
+};
+
+int main(void)
+{
+	return unit_run("admission", tests, ARRAY_SIZE(tests));
+}
