--- a/src/wisteria/limits/admission.c
+++ b/src/wisteria/limits/admission.c
@@ -312,8 +312,7 @@
 static bool may_start_at_once(customer_t *customer, const flow_queue_t *flow,
 			      clock_ms_t now)
 {
-	if (now < flow->lane->blocked_until_ms ||
-	    flow->waiting.length > 0)
+	if (now < flow->lane->blocked_until_ms || flow->waiting.length > 0)
 		return false;
 	return customer_may_start(customer, now) &&
 	       next_of_lane(flow->lane, now) == NULL;
@@ -458,7 +457,8 @@
 
 /*
  * Writes what the entry wants of each contract, for the next renewal, and
- * returns the number of lines.  Names live as long as the contracts do.
+ * returns the number of lines.  The first has no customer: it marks an entry
+ * also where nothing is wanted.  Names live as long as the contracts do.
  */
 size_t admission_demand(const admission_t *admission, msg_share_t *demand,
 			size_t capacity)
@@ -467,6 +467,8 @@
 	gpointer value;
 	size_t count = 0;
 
+	if (capacity > 0)
+		demand[count++] = (msg_share_t){ .customer = "" };
 	g_hash_table_iter_init(&iter, admission->customers);
 	while (count < capacity &&
 	       g_hash_table_iter_next(&iter, NULL, &value)) {
