Put the replicated log under the control role

Cause: configuration, orders and the ledger must survive any one instance. A blank replica founds, or joins under a new id as a learner. An instance that just started says nothing of the directory for one lease to a daemon that holds one. msg_order_t and msg_ledger_t gain "forwarded".

--- a/src/wisteria/codec/msg.c
+++ b/src/wisteria/codec/msg.c
@@ -328,6 +328,7 @@
 	FIELD(FIELD_STR, msg_order_t, text),
 	FIELD(FIELD_STR, msg_order_t, operator_name),
 	FIELD(FIELD_I64, msg_order_t, wall_ms),
+	FIELD(FIELD_BOOL, msg_order_t, forwarded),
 };
 const record_desc_t msg_order_desc = RECORD_DESC(msg_order_t, order_fields);
 
@@ -351,6 +352,7 @@
 	FIELD(FIELD_U64, msg_ledger_t, fingerprint),
 	FIELD(FIELD_BYTES, msg_ledger_t, result),
 	FIELD(FIELD_I64, msg_ledger_t, retention_ms),
+	FIELD(FIELD_BOOL, msg_ledger_t, forwarded),
 };
 const record_desc_t msg_ledger_desc = RECORD_DESC(msg_ledger_t, ledger_fields);
 
--- a/src/wisteria/codec/msg_defs.h
+++ b/src/wisteria/codec/msg_defs.h
@@ -418,6 +418,7 @@
 	const char *text; /* preset text, engine order, address */
 	const char *operator_name;
 	int64_t wall_ms; /* UTC, for people only */
+	bool forwarded;	 /* by a control instance, to the leader */
 } msg_order_t;
 
 typedef enum {
@@ -463,6 +464,7 @@
 	uint64_t fingerprint; /* of method, path and body */
 	bytes_t result;	      /* an encoded msg_call_reply_t */
 	int64_t retention_ms;
+	bool forwarded; /* by a control instance, to the leader */
 } msg_ledger_t;
 
 typedef struct {
--- /dev/null
+++ b/src/wisteria/control/renewals.c
@@ -0,0 +1,196 @@
+/*
+ * Answers renewals of configuration leases.  An answer is given only on a
+ * commit index that a quorum confirmed after the renewal arrived, so that a
+ * control instance which was cut off grants no lease on an old revision.
+ */
+#include "wisteria/control/renewals.h"
+
+#include <string.h>
+
+#include "wisteria/base/clock.h"
+#include "wisteria/base/counters.h"
+#include "wisteria/base/err.h"
+#include "wisteria/base/log.h"
+#include "wisteria/codec/codec.h"
+#include "wisteria/codec/msg.h"
+#include "wisteria/control/control_defs.h"
+#include "wisteria/control/replica.h"
+#include "wisteria/net/conn.h"
+#include "wisteria/store/store.h"
+
+typedef struct {
+	conn_t *conn;
+	uint64_t ticket; /* 0: not asked for yet */
+	clock_ms_t taken_ms;
+	msgpack_zone zone;
+	msg_renew_t renew; /* in "zone" */
+} renewal_t;
+
+static clock_ms_t now_of(const renewals_t *renewals)
+{
+	return clock_now(renewals->replica->net->clock);
+}
+
+static void free_renewal(gpointer data)
+{
+	renewal_t *renewal = data;
+
+	msgpack_zone_destroy(&renewal->zone);
+	g_free(renewal);
+}
+
+/* Prepares an empty set; all that it is given must outlive it. */
+void renewals_init(renewals_t *renewals, replica_t *replica,
+		   const store_t *store, directory_t *directory)
+{
+	renewals->replica = replica;
+	renewals->store = store;
+	renewals->directory = directory;
+	renewals->started_ms = now_of(renewals);
+	renewals->waiting = g_ptr_array_new_with_free_func(free_renewal);
+}
+
+/* Drops what still waits. */
+void renewals_finish(renewals_t *renewals)
+{
+	g_ptr_array_unref(renewals->waiting);
+}
+
+/* Takes a renewal; it is answered once the next batch is confirmed. */
+void renewals_take(renewals_t *renewals, conn_t *conn, const msg_renew_t *renew)
+{
+	renewal_t *renewal = g_new0(renewal_t, 1);
+	msgpack_sbuffer out;
+	err_t err = ERR_INIT;
+
+	msgpack_zone_init(&renewal->zone, MSGPACK_ZONE_CHUNK_SIZE);
+	msgpack_sbuffer_init(&out);
+	codec_encode(msg_desc(MSG_RENEW), renew, &out);
+	if (!codec_decode(msg_desc(MSG_RENEW), (const uint8_t *)out.data,
+			  out.size, &renewal->zone, &renewal->renew, &err))
+		g_error("a decoded message cannot be decoded again");
+	msgpack_sbuffer_destroy(&out);
+	renewal->conn = conn;
+	renewal->taken_ms = now_of(renewals);
+	g_ptr_array_add(renewals->waiting, renewal);
+}
+
+/* Asks for one read for all that came since the last tick. */
+void renewals_tick(renewals_t *renewals)
+{
+	clock_ms_t now = now_of(renewals);
+	uint64_t ticket = 0;
+	guint i = 0;
+
+	while (i < renewals->waiting->len) {
+		renewal_t *renewal = g_ptr_array_index(renewals->waiting, i);
+
+		if (now - renewal->taken_ms > LEASE_ANSWER_MS) {
+			g_ptr_array_remove_index(renewals->waiting, i);
+			continue;
+		}
+		if (renewal->ticket == 0) {
+			if (ticket == 0)
+				ticket = replica_read(renewals->replica);
+			renewal->ticket = ticket;
+		}
+		i++;
+	}
+}
+
+static bool holds_preset(const msg_renew_t *renew, const char *name)
+{
+	for (size_t i = 0; i < renew->preset_count; i++)
+		if (strcmp(renew->presets[i].text, name) == 0)
+			return true;
+	return false;
+}
+
+/*
+ * Fills in the directory.  An instance that has just started may not know
+ * every endpoint yet: to a daemon that has a directory from elsewhere it says
+ * nothing until all agents have had the time to announce.
+ */
+static void fill_directory(const renewals_t *renewals, const msg_renew_t *renew,
+			   msg_renew_reply_t *reply)
+{
+	bool warming =
+		now_of(renewals) - renewals->started_ms < DIRECTORY_WARM_UP_MS;
+	directory_delta_t delta;
+
+	directory_delta(renewals->directory, renew->directory_epoch,
+			renew->directory_version, &delta);
+	if (warming && delta.full && renew->directory_epoch != 0) {
+		reply->directory_epoch = renew->directory_epoch;
+		reply->directory_version = renew->directory_version;
+		return;
+	}
+	reply->directory_full = delta.full;
+	reply->directory_epoch = delta.epoch;
+	reply->directory_version = delta.version;
+	reply->endpoints = delta.endpoints;
+	reply->endpoint_count = delta.endpoint_count;
+	reply->removed = delta.removed;
+	reply->removed_count = delta.removed_count;
+}
+
+static void answer(const renewals_t *renewals, const renewal_t *renewal)
+{
+	const msg_renew_t *renew = &renewal->renew;
+	const msg_preset_t *preset;
+	msg_renew_reply_t reply = {
+		.sequence = renew->sequence,
+		.granted = true,
+		.lease_ms = LEASE_MS,
+		.fence = renewals->store->fence,
+	};
+
+	store_config(renewals->store, &reply.config);
+	preset = store_preset(renewals->store, reply.config.preset);
+	if (preset == NULL || renew->revision > reply.config.revision)
+		return;
+	reply.has_config = renew->revision < reply.config.revision;
+	if (reply.has_config && !holds_preset(renew, preset->name)) {
+		reply.presets = preset;
+		reply.preset_count = 1;
+	}
+	if (!reply.has_config)
+		reply.config = (msg_config_t){ .revision = renew->revision };
+	fill_directory(renewals, renew, &reply);
+	counter_add(COUNTER_RENEWALS, 1);
+	conn_send(renewal->conn, MSG_RENEW_REPLY, &reply);
+}
+
+/* Answers all renewals whose read is confirmed. */
+void renewals_confirmed(renewals_t *renewals, uint64_t ticket)
+{
+	guint i = 0;
+
+	while (i < renewals->waiting->len) {
+		const renewal_t *renewal =
+			g_ptr_array_index(renewals->waiting, i);
+
+		if (renewal->ticket == 0 || renewal->ticket > ticket) {
+			i++;
+			continue;
+		}
+		answer(renewals, renewal);
+		g_ptr_array_remove_index(renewals->waiting, i);
+	}
+}
+
+/* Drops the renewals of a connection that has ended. */
+void renewals_conn_closed(renewals_t *renewals, const conn_t *conn)
+{
+	guint i = 0;
+
+	while (i < renewals->waiting->len) {
+		const renewal_t *renewal =
+			g_ptr_array_index(renewals->waiting, i);
+
+		if (renewal->conn == conn)
+			g_ptr_array_remove_index(renewals->waiting, i);
+		else
+			i++;
+	}
+}
--- /dev/null
+++ b/src/wisteria/control/renewals.h
@@ -0,0 +1,34 @@
+#ifndef WISTERIA_CONTROL_RENEWALS_H
+#define WISTERIA_CONTROL_RENEWALS_H
+
+#include <glib.h>
+
+#include "wisteria/base/macros_defs.h"
+#include "wisteria/control/directory.h"
+#include "wisteria/control/replica_defs.h"
+#include "wisteria/store/store_defs.h"
+
+/*
+ * The renewals of daemons' leases.  Those that arrive within one batch are
+ * confirmed by one read of the log, at any control instance.
+ */
+typedef struct {
+	replica_t *replica;
+	const store_t *store;
+	directory_t *directory;
+	clock_ms_t started_ms;
+	GPtrArray *waiting; /* of renewal_t */
+} renewals_t;
+
+void renewals_init(renewals_t *renewals, replica_t *replica,
+		   const store_t *store,
+		   directory_t *directory) ATTR_NONNULL_ALL;
+void renewals_finish(renewals_t *renewals) ATTR_NONNULL_ALL;
+void renewals_take(renewals_t *renewals, conn_t *conn,
+		   const msg_renew_t *renew) ATTR_NONNULL_ALL;
+void renewals_tick(renewals_t *renewals) ATTR_NONNULL_ALL;
+void renewals_confirmed(renewals_t *renewals, uint64_t ticket) ATTR_NONNULL_ALL;
+void renewals_conn_closed(renewals_t *renewals,
+			  const conn_t *conn) ATTR_NONNULL_ALL;
+
+#endif
--- /dev/null
+++ b/src/wisteria/control/replica_group.c
@@ -0,0 +1,386 @@
+/*
+ * How a replica finds its group: the founding of a new one, the joining of
+ * one that exists, and the replacement of a replica that lost its disk.
+ *
+ * A blank replica asks the others.  Where all first voters are blank, the one
+ * whose instance sorts first founds the group; wherever one is not, the blank
+ * replica has lost its disk or is new, and asks to join.  The leader takes it
+ * in as a learner under its new id; once it has caught up, the instance's old
+ * id is removed and, where the instance is a first voter, the learner votes.
+ */
+#include "wisteria/control/replica_group.h"
+
+#include <string.h>
+
+#include "wisteria/base/clock.h"
+#include "wisteria/base/err.h"
+#include "wisteria/base/log.h"
+#include "wisteria/net/conn.h"
+#include "wisteria/net/link.h"
+#include "wisteria/raft/raft.h"
+#include "wisteria/raft/raft_members.h"
+
+static clock_ms_t now_of(const replica_t *replica)
+{
+	return clock_now(replica->net->clock);
+}
+
+static bool is_self(const replica_t *replica, const char *instance)
+{
+	return strcmp(instance, replica->net->instance) == 0;
+}
+
+/* Returns the peer of "instance", or NULL. */
+replica_peer_t *replica_peer(const replica_t *replica, const char *instance)
+{
+	for (guint i = 0; i < replica->peers->len; i++) {
+		replica_peer_t *peer = g_ptr_array_index(replica->peers, i);
+
+		if (strcmp(peer->instance, instance) == 0)
+			return peer;
+	}
+	return NULL;
+}
+
+static void link_peer(replica_t *replica, replica_peer_t *peer,
+		      const char *address)
+{
+	if (peer->linked && strcmp(peer->address, address) == 0)
+		return;
+	if (peer->linked)
+		link_finish(&peer->link);
+	g_strlcpy(peer->address, address, sizeof(peer->address));
+	link_init(&peer->link, replica->net, address, &replica->handler);
+	link_hold(&peer->link);
+	peer->linked = true;
+}
+
+static replica_peer_t *add_peer(replica_t *replica, const char *instance,
+				const char *address)
+{
+	replica_peer_t *peer = replica_peer(replica, instance);
+
+	if (is_self(replica, instance))
+		return NULL;
+	if (peer == NULL) {
+		peer = g_new0(replica_peer_t, 1);
+		peer->answered_ms = -REPLICA_FRESH_MS;
+		g_strlcpy(peer->instance, instance, sizeof(peer->instance));
+		g_ptr_array_add(replica->peers, peer);
+	}
+	link_peer(replica, peer, address);
+	return peer;
+}
+
+/* Links to the first voters of the settings. */
+void replica_make_peers(replica_t *replica)
+{
+	const settings_control_t *control = replica->settings->control;
+
+	for (unsigned i = 0; i < control->voters_count; i++) {
+		replica_peer_t *peer =
+			add_peer(replica, control->voters[i].instance,
+				 control->voters[i].address);
+
+		if (peer != NULL)
+			peer->is_first_voter = true;
+	}
+}
+
+/* Links to the members that the log names. */
+void replica_follow_members(replica_t *replica)
+{
+	const raft_members_t *members = &replica->raft.members;
+
+	for (uint32_t i = 0; i < members->count; i++)
+		add_peer(replica, members->items[i].instance,
+			 members->items[i].address);
+}
+
+/* Ends all links to peers. */
+void replica_close_peers(replica_t *replica)
+{
+	for (guint i = 0; i < replica->peers->len; i++) {
+		replica_peer_t *peer = g_ptr_array_index(replica->peers, i);
+
+		if (peer->linked)
+			link_finish(&peer->link);
+		peer->linked = false;
+	}
+}
+
+static const settings_peer_t *own_voter(const replica_t *replica)
+{
+	const settings_control_t *control = replica->settings->control;
+
+	for (unsigned i = 0; i < control->voters_count; i++)
+		if (is_self(replica, control->voters[i].instance))
+			return &control->voters[i];
+	return NULL;
+}
+
+static raft_member_t own_member(const replica_t *replica)
+{
+	const settings_peer_t *voter = own_voter(replica);
+	raft_member_t member = { .id = replica->raft.id, .voter = true };
+
+	g_strlcpy(member.instance, replica->net->instance, RAFT_NAME_BYTES);
+	g_strlcpy(member.address,
+		  voter != NULL ? voter->address
+				: replica->settings->control->listen,
+		  RAFT_NAME_BYTES);
+	return member;
+}
+
+static void send_group_message(replica_t *replica, replica_peer_t *peer,
+			       uint32_t kind)
+{
+	raft_members_t self = { .count = 1 };
+	msg_raft_t msg = {
+		.kind = kind,
+		.from = replica->raft.id,
+		.reject = !raft_is_blank(&replica->raft),
+	};
+	GBytes *bytes;
+
+	self.items[0] = own_member(replica);
+	bytes = raft_members_encode(&self);
+	msg.members.data = g_bytes_get_data(bytes, &msg.members.len);
+	link_send(&peer->link, MSG_RAFT, &msg);
+	g_bytes_unref(bytes);
+}
+
+static void send_to_all(replica_t *replica, uint32_t kind)
+{
+	for (guint i = 0; i < replica->peers->len; i++)
+		send_group_message(replica,
+				   g_ptr_array_index(replica->peers, i), kind);
+}
+
+static bool is_founder(const replica_t *replica)
+{
+	const settings_control_t *control = replica->settings->control;
+	const char *first = replica->net->instance;
+
+	for (unsigned i = 0; i < control->voters_count; i++)
+		if (strcmp(control->voters[i].instance, first) < 0)
+			first = control->voters[i].instance;
+	return own_voter(replica) != NULL && is_self(replica, first);
+}
+
+static bool all_are_blank(const replica_t *replica)
+{
+	clock_ms_t now = now_of(replica);
+
+	for (guint i = 0; i < replica->peers->len; i++) {
+		const replica_peer_t *peer =
+			g_ptr_array_index(replica->peers, i);
+
+		if (peer->is_first_voter &&
+		    (!peer->blank ||
+		     now - peer->answered_ms >= REPLICA_FRESH_MS))
+			return false;
+	}
+	return true;
+}
+
+static bool any_has_a_group(const replica_t *replica)
+{
+	clock_ms_t now = now_of(replica);
+
+	for (guint i = 0; i < replica->peers->len; i++) {
+		const replica_peer_t *peer =
+			g_ptr_array_index(replica->peers, i);
+
+		if (!peer->blank && now - peer->answered_ms < REPLICA_FRESH_MS)
+			return true;
+	}
+	return false;
+}
+
+static void found_group(replica_t *replica)
+{
+	raft_members_t members = { .count = 1 };
+
+	members.items[0] = own_member(replica);
+	for (guint i = 0; i < replica->peers->len; i++) {
+		const replica_peer_t *peer =
+			g_ptr_array_index(replica->peers, i);
+		raft_member_t *member = &members.items[members.count];
+
+		if (!peer->is_first_voter)
+			continue;
+		member->id = peer->id;
+		member->voter = true;
+		g_strlcpy(member->instance, peer->instance, RAFT_NAME_BYTES);
+		g_strlcpy(member->address, peer->address, RAFT_NAME_BYTES);
+		members.count++;
+	}
+	LOG_INFO("group_founded", "members=%u", members.count);
+	raft_bootstrap(&replica->raft, &members);
+}
+
+/* Looks for a group while this replica belongs to none. */
+void replica_search(replica_t *replica)
+{
+	const raft_t *raft = &replica->raft;
+	clock_ms_t now = now_of(replica);
+
+	if (now < replica->search_at_ms ||
+	    raft_members_find(&raft->members, raft->id) != NULL)
+		return;
+	replica->search_at_ms = now + REPLICA_SEARCH_MS;
+	if (raft_is_blank(raft) && is_founder(replica) &&
+	    all_are_blank(replica)) {
+		found_group(replica);
+		return;
+	}
+	send_to_all(replica, REPLICA_MSG_SEARCH);
+	if (!raft_is_blank(raft) || any_has_a_group(replica))
+		send_to_all(replica, REPLICA_MSG_JOIN);
+}
+
+static void note_answer(replica_t *replica, const char *instance,
+			const msg_raft_t *msg)
+{
+	replica_peer_t *peer = replica_peer(replica, instance);
+
+	if (peer == NULL)
+		return;
+	peer->id = msg->from;
+	peer->blank = !msg->reject;
+	peer->answered_ms = now_of(replica);
+}
+
+static void note_joiner(replica_t *replica, const raft_member_t *member)
+{
+	replica_joiner_t joiner = { .member = *member };
+
+	joiner.asked_ms = now_of(replica);
+	for (guint i = 0; i < replica->joiners->len; i++) {
+		replica_joiner_t *known =
+			&g_array_index(replica->joiners, replica_joiner_t, i);
+
+		if (strcmp(known->member.instance, member->instance) == 0) {
+			*known = joiner;
+			return;
+		}
+	}
+	if (replica->joiners->len < RAFT_MEMBERS_MAX)
+		g_array_append_val(replica->joiners, joiner);
+}
+
+/* Takes a message by which instances find their group. */
+void replica_on_group_message(replica_t *replica, conn_t *conn,
+			      const msg_raft_t *msg)
+{
+	raft_members_t sender;
+	replica_peer_t *peer;
+	err_t err = ERR_INIT;
+
+	if (!raft_members_decode(&sender, msg->members.data, msg->members.len,
+				 &err) ||
+	    sender.count != 1 ||
+	    strcmp(sender.items[0].instance, conn->peer_instance) != 0)
+		return;
+	if (msg->kind == REPLICA_MSG_SEARCH_REPLY) {
+		note_answer(replica, conn->peer_instance, msg);
+		return;
+	}
+	if (msg->kind == REPLICA_MSG_JOIN) {
+		note_joiner(replica, &sender.items[0]);
+		return;
+	}
+	peer = add_peer(replica, conn->peer_instance, sender.items[0].address);
+	if (peer != NULL)
+		send_group_message(replica, peer, REPLICA_MSG_SEARCH_REPLY);
+}
+
+static const raft_member_t *older_member(const replica_t *replica,
+					 const raft_member_t *joiner)
+{
+	const raft_members_t *members = &replica->raft.members;
+
+	for (uint32_t i = 0; i < members->count; i++)
+		if (members->items[i].id != joiner->id &&
+		    strcmp(members->items[i].instance, joiner->instance) == 0)
+			return &members->items[i];
+	return NULL;
+}
+
+static const raft_progress_t *progress_of(const replica_t *replica, uint64_t id)
+{
+	const raft_t *raft = &replica->raft;
+
+	for (uint32_t i = 0; i < raft->members.count; i++)
+		if (raft->progress[i].id == id)
+			return &raft->progress[i];
+	return NULL;
+}
+
+static bool is_first_voter(const replica_t *replica, const char *instance)
+{
+	const settings_control_t *control = replica->settings->control;
+
+	for (unsigned i = 0; i < control->voters_count; i++)
+		if (strcmp(control->voters[i].instance, instance) == 0)
+			return true;
+	return false;
+}
+
+static void change(replica_t *replica, raft_member_change_t kind,
+		   const raft_member_t *member, const char *event)
+{
+	err_t err = ERR_INIT;
+
+	if (raft_change_member(&replica->raft, kind, member, &err) != 0)
+		LOG_INFO(event,
+			 "member=%s address=%s replica=%" G_GINT64_MODIFIER "x",
+			 member->instance, member->address, member->id);
+}
+
+/* Takes the next step by which the learner of an instance takes its place. */
+static void settle_learner(replica_t *replica, const raft_member_t *learner)
+{
+	const raft_progress_t *progress = progress_of(replica, learner->id);
+	const raft_member_t *older = older_member(replica, learner);
+
+	if (progress == NULL || progress->match < replica->raft.commit)
+		return;
+	if (older != NULL) {
+		const raft_progress_t *old = progress_of(replica, older->id);
+
+		if (old != NULL &&
+		    replica->raft.now_ms - old->heard_ms >= REPLICA_FRESH_MS)
+			change(replica, RAFT_MEMBER_REMOVE, older,
+			       "member_replaced");
+		return;
+	}
+	if (is_first_voter(replica, learner->instance))
+		change(replica, RAFT_MEMBER_PROMOTE, learner,
+		       "member_promoted");
+}
+
+/* The leader takes in those who asked to join, one change at a time. */
+void replica_take_joiners(replica_t *replica)
+{
+	const raft_members_t *members = &replica->raft.members;
+	clock_ms_t now = now_of(replica);
+
+	if (replica->raft.role != RAFT_LEADER)
+		return;
+	for (guint i = 0; i < replica->joiners->len; i++) {
+		const replica_joiner_t *joiner =
+			&g_array_index(replica->joiners, replica_joiner_t, i);
+
+		if (now - joiner->asked_ms < REPLICA_FRESH_MS &&
+		    raft_members_find(members, joiner->member.id) == NULL)
+			change(replica, RAFT_MEMBER_ADD, &joiner->member,
+			       "member_added");
+	}
+	for (uint32_t i = 0; i < members->count; i++)
+		if (!members->items[i].voter) {
+			settle_learner(replica, &members->items[i]);
+			return;
+		}
+}
--- a/src/wisteria/daemon/daemon.c
+++ b/src/wisteria/daemon/daemon.c
@@ -72,6 +72,8 @@
 	daemon->drain_since_ms = clock_now(&clock_monotonic);
 	if (daemon->announcer != NULL)
 		announcer_leave(daemon->announcer);
+	if (daemon->control != NULL)
+		control_leave(daemon->control);
 	if (daemon->traffic != NULL)
 		traffic_drain(daemon->traffic);
 	uv_timer_start(&daemon->drain, on_drain_tick, DAEMON_DRAIN_TICK_MS,
@@ -153,6 +155,7 @@
 {
 	traffic_stop(daemon->traffic);
 	http_front_free(daemon->front);
+	control_close(daemon->control);
 	net_close(&daemon->net);
 	mailbox_close(&daemon->mailbox);
 	uv_walk(&daemon->loop, close_handle, NULL);
--- a/src/wisteria/raft/raft.c
+++ b/src/wisteria/raft/raft.c
@@ -423,18 +423,31 @@
 }
 
 /*
- * Replaces the log up to "index", which is applied, by the state "data" that
- * the caller has synced.  Some entries stay for followers that are late.
+ * Makes the snapshot whose state at "index", which is applied, is "data".
+ * Returns false where there is a later one; "snapshot" holds a reference.
+ */
+bool raft_make_snapshot(const raft_t *raft, uint64_t index, GBytes *data,
+			raft_snapshot_t *snapshot)
+{
+	*snapshot = (raft_snapshot_t){ .index = index };
+	if (index <= raft->snapshot.index || index > raft->applied ||
+	    !raft_log_term(&raft->log, index, &snapshot->term))
+		return false;
+	members_at(raft, index, &snapshot->members);
+	snapshot->data = g_bytes_ref(data);
+	return true;
+}
+
+/*
+ * Replaces the log up to "index" by the state "data" that the caller has
+ * synced.  Some entries stay for followers that are late.
  */
 void raft_compact(raft_t *raft, uint64_t index, GBytes *data)
 {
-	raft_snapshot_t next = { .index = index };
+	raft_snapshot_t next;
 
-	if (index <= raft->snapshot.index || index > raft->applied ||
-	    !raft_log_term(&raft->log, index, &next.term))
+	if (!raft_make_snapshot(raft, index, data, &next))
 		return;
-	members_at(raft, index, &next.members);
-	next.data = g_bytes_ref(data);
 	if (raft->snapshot.data != NULL)
 		g_bytes_unref(raft->snapshot.data);
 	raft->snapshot = next;
--- a/src/wisteria/raft/raft.h
+++ b/src/wisteria/raft/raft.h
@@ -24,6 +24,9 @@
 			    err_t *err) ATTR_WARN_UNUSED;
 bool raft_transfer(raft_t *raft) ATTR_NONNULL_ALL ATTR_WARN_UNUSED;
 uint64_t raft_read(raft_t *raft) ATTR_NONNULL_ALL ATTR_WARN_UNUSED;
+bool raft_make_snapshot(const raft_t *raft, uint64_t index, GBytes *data,
+			raft_snapshot_t *snapshot)
+	ATTR_NONNULL_ALL ATTR_WARN_UNUSED;
 void raft_compact(raft_t *raft, uint64_t index, GBytes *data) ATTR_NONNULL_ALL;
 
 bool raft_next_save(raft_t *raft,
