Answer ledger questions in the unreplicated control role

Cause: a call with an Idempotency-Key hung: nobody answered its question. Change: the control role applies questions to a ledger of its own until the replicated log stands under it. Conclusion: to be replaced by the log.

--- a/src/wisteria/control/control.c
+++ b/src/wisteria/control/control.c
@@ -14,17 +14,20 @@
 #include "wisteria/base/log.h"
 #include "wisteria/control/control_defs.h"
 #include "wisteria/control/directory.h"
+#include "wisteria/ledger/ledger.h"
 #include "wisteria/net/conn.h"
 #include "wisteria/net/listener.h"
 #include "wisteria/settings/preset.h"
 
 #define CONTROL_TICK_MS 100
+#define CONTROL_LEDGER_BYTES_MAX (32u << 20)
 
 struct control_t {
 	conn_handler_t handler;
 	net_t *net;
 	listener_t listener;
 	directory_t *directory;
+	ledger_t *ledger;
 	uv_timer_t tick;
 	char *preset_text;
 	preset_t *preset;
@@ -108,10 +111,22 @@
 	conn_send(conn, MSG_RENEW_REPLY, &reply);
 }
 
+static void answer_ledger(control_t *control, conn_t *conn,
+			  const msg_ledger_t *question)
+{
+	msg_ledger_reply_t reply = { .sequence = question->sequence };
+
+	ledger_apply(control->ledger, question,
+		     clock_now(control->net->clock), &reply);
+	conn_send(conn, MSG_LEDGER_REPLY, &reply);
+}
+
 static void on_message(conn_handler_t *handler, conn_t *conn, const msg_t *msg)
 {
 	if (msg->type == MSG_RENEW)
 		answer_renewal(control_of(handler), conn, msg->body);
+	else if (msg->type == MSG_LEDGER)
+		answer_ledger(control_of(handler), conn, msg->body);
 	else if (msg->type == MSG_ANNOUNCE)
 		take_announcement(control_of(handler), conn, msg->body);
 }
@@ -156,6 +171,7 @@
 		g_free(control);
 		return NULL;
 	}
+	control->ledger = ledger_new(CONTROL_LEDGER_BYTES_MAX);
 	control->directory = directory_new(net->incarnation);
 	uv_timer_init(net->loop, &control->tick);
 	control->tick.data = control;
@@ -170,6 +186,7 @@
 	if (control == NULL)
 		return;
 	directory_free(control->directory);
+	ledger_free(control->ledger);
 	preset_free(control->preset);
 	g_free(control->preset_text);
 	g_free(control);
