--- a/test/functional/harness/harness.c
+++ b/test/functional/harness/harness.c
@@ -244,7 +244,7 @@
 	g_strlcpy(process->name, name, sizeof(process->name));
 	g_snprintf(process->log_path, sizeof(process->log_path), "%s/%s.log",
 		   harness->dir, name);
-	for (size_t i = 0; argv[i] != NULL && i < HARNESS_ARGS_MAX; i++)
+	for (size_t i = 0; i < HARNESS_ARGS_MAX && argv[i] != NULL; i++)
 		process->argv[i] = g_strdup(argv[i]);
 	spawn(process);
 	return process;
--- a/test/functional/path_test.c
+++ b/test/functional/path_test.c
@@ -6,7 +6,7 @@
 #include "../unit/unit.h"
 
 #include <signal.h>
-#include <sys/wait.h>
+#include <string.h>
 
 #include <jansson.h>
 
@@ -64,8 +64,7 @@
 	CU_ASSERT_EQUAL(bounded->events, 5);
 	CU_ASSERT_EQUAL(plain->status, 200);
 	text = http_body_text(plain);
-	CU_ASSERT_PTR_NOT_NULL_FATAL(text);
-	CU_ASSERT_STRING_EQUAL(text, expected);
+	CU_ASSERT(text != NULL && strcmp(text, expected) == 0);
 	g_free(text);
 	http_client_finish(&client);
 	g_free(expected);
