--- a/bench/capacity_bench.c
+++ b/bench/capacity_bench.c
@@ -20,6 +20,7 @@
 #define MIB (1024.0 * 1024.0)
 #define TARGET_DAEMONS 400
 #define TARGET_ENDPOINTS 2400
+#define TARGET_CUSTOMERS 2100
 #define TARGET_TOKENS_PER_S 540000.0
 #define TARGET_BETWEEN_TOKENS_S 0.061
 #define TARGET_RANGES 3.0
@@ -136,9 +137,10 @@
 	cost->control_bytes = control.resident_bytes;
 }
 
-static void start_control(cluster_t *cluster)
+static void start_control(cluster_t *cluster, size_t customers)
 {
-	static const cluster_params_t params = { .entries = 1 };
+	const cluster_params_t params = { .entries = 1,
+					  .customers = customers };
 
 	cluster_init(cluster, &harness, &params);
 	cluster->endpoint_count = 0;
@@ -150,16 +152,17 @@
 }
 
 static void measure_control(size_t daemon_count, size_t endpoints_each,
-			    control_cost_t *cost)
+			    size_t customers, control_cost_t *cost)
 {
 	double before = usage_of(getpid()).resident_bytes;
 	cluster_t cluster;
 	daemons_params_t params = { .cluster = &cluster,
 				    .count = daemon_count,
-				    .endpoints_each = endpoints_each };
+				    .endpoints_each = endpoints_each,
+				    .customers = customers };
 	daemons_t *daemons;
 
-	start_control(&cluster);
+	start_control(&cluster, customers);
 	daemons = daemons_start(&params);
 	if (!daemons_wait(daemons, daemon_count * endpoints_each, 1, SETTLE_MS))
 		die("the daemons do not learn the directory");
@@ -205,7 +208,7 @@
 		control_cost_t cost;
 		double x = (double)sizes[i];
 
-		measure_control(sizes[i], DAEMON_ENDPOINTS, &cost);
+		measure_control(sizes[i], DAEMON_ENDPOINTS, 0, &cost);
 		add_point(&memory, x, cost.control_bytes / MIB);
 		add_point(&cpu, x, 100 * cost.control_cpu);
 		add_point(&bytes, x, cost.wire_bytes / KIB);
@@ -246,7 +249,7 @@
 		control_cost_t cost;
 		double x = (double)(daemon_count * each[i]);
 
-		measure_control(daemon_count, each[i], &cost);
+		measure_control(daemon_count, each[i], 0, &cost);
 		add_point(&memory, x, cost.daemon_bytes / KIB);
 		add_point(&cpu, x, 100 * cost.daemon_cpu);
 		add_point(&bytes, x,
@@ -257,6 +260,39 @@
 	print_slope(&bytes);
 }
 
+/* An entry's part of the contracts against the number of customers. */
+static void run_shares(void)
+{
+	static const size_t sizes[] = { 50, 100, 200, 400 };
+	const size_t entry_count = 20;
+	slope_t bytes = { .role = "entry, control part",
+			  .quantity = "wire, both ways",
+			  .unit = "KiB/s",
+			  .size_of = "customer with work at the entry",
+			  .mechanism = "msg_renew_t.demand, "
+				       "msg_renew_reply_t.shares",
+			  .target = TARGET_CUSTOMERS };
+	slope_t cpu = { .role = "control voter",
+			.quantity = "processor for one entry",
+			.unit = "% of a core",
+			.size_of = "customer with work at the entry",
+			.mechanism = "limits/shares, control/control.c",
+			.target = TARGET_CUSTOMERS };
+
+	for (size_t i = 0; i < ARRAY_SIZE(sizes); i++) {
+		control_cost_t cost;
+		double x = (double)sizes[i];
+
+		measure_control(entry_count, 0, sizes[i], &cost);
+		add_point(&bytes, x,
+			  cost.wire_bytes / KIB / (double)entry_count);
+		add_point(&cpu, x,
+			  100 * cost.control_cpu / (double)entry_count);
+	}
+	print_slope(&bytes);
+	print_slope(&cpu);
+}
+
 static void start_path(cluster_t *cluster, uint32_t step_us)
 {
 	const cluster_params_t params = { .slots = 4096,
@@ -383,14 +419,13 @@
 }
 
 static const part_t parts[] = {
-	{ "control", run_control },
-	{ "daemon", run_daemon },
-	{ "sessions", run_sessions },
+	{ "control", run_control }, { "daemon", run_daemon },
+	{ "shares", run_shares },   { "sessions", run_sessions },
 	{ "tokens", run_tokens },
 };
 
 static const struct argp_option option_table[] = {
-	{ "part", 'p', "NAME", 0, "control, daemon, sessions or tokens", 0 },
+	{ "part", 'p', "NAME", 0, "Only one part", 0 },
 	{ 0 },
 };
 
