--- a/src/wisteria/limits/shares.c
+++ b/src/wisteria/limits/shares.c
@@ -190,13 +190,14 @@
 	return shares->entries->len - 1;
 }
 
+/* Returns the number of live entries, the one that asks among them. */
 static guint live_count(const shares_t *shares, clock_ms_t now)
 {
 	guint count = 0;
 
 	for (guint i = 0; i < shares->entries->len; i++)
 		count += is_live(shares, i, now);
-	return count;
+	return MAX(count, 1);
 }
 
 /* What all live entries want; an idle one wants a little, for first calls. */
@@ -238,6 +239,8 @@
 	uint64_t rank = (uint64_t)(now / REMAINDER_TURN_MS);
 	uint64_t asking = 0;
 
+	if (wants->sum == 0)
+		return false;
 	for (guint i = 0; i < shares->entries->len; i++) {
 		const uint64_t want =
 			is_live(shares, i, now)
@@ -248,7 +251,7 @@
 		asking += want > 0;
 		rank += want > 0 && i < entry;
 	}
-	return rank % asking < contract->capability - floors;
+	return asking > 0 && rank % asking < contract->capability - floors;
 }
 
 /* The part that would be right for an entry, were all parts free. */
