Add the HTTP interface for operators and the metrics listener

Cause: orders and questions of operators had no way in, and a process no page for its counters, health and readiness. Change: admin.c turns an authorized request into a job for a backend and suspends the connection until the job is answered on any thread; a table of routes names each question; metrics_http.c serves /metrics, /healthz and /readyz. The token is compared by its hash in constant time. Conclusion: the control role plugs in by one function, submit().

--- /dev/null
+++ b/src/wisteria/admin/admin.c
@@ -0,0 +1,290 @@
+/*
+ * The HTTP interface for operators.  A request with the right token becomes
+ * a job for the backend; its connection is suspended until the job is
+ * answered, so a slow quorum holds no thread.
+ */
+#include "wisteria/admin/admin.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+#include <sodium.h>
+
+#include "wisteria/admin/admin_render.h"
+#include "wisteria/admin/admin_route.h"
+#include "wisteria/admin/http.h"
+#include "wisteria/base/err.h"
+
+#define ADMIN_HASH_BYTES 32
+
+struct admin_t {
+	struct MHD_Daemon *daemon;
+	admin_backend_t *backend;
+	uint8_t token_hash[ADMIN_HASH_BYTES];
+};
+
+/* One HTTP request on its way: the job, and the body as far as it came. */
+typedef struct {
+	admin_job_t job;
+	GString *body;
+	bool is_submitted;
+	bool is_too_large;
+} request_t;
+
+static void hash_token(const char *token, uint8_t hash[ADMIN_HASH_BYTES])
+{
+	crypto_generichash(hash, ADMIN_HASH_BYTES, (const uint8_t *)token,
+			   strlen(token), NULL, 0);
+}
+
+static bool load_token(admin_t *admin, const char *path, err_t *err)
+{
+	gchar *text = NULL;
+	size_t len;
+
+	if (!g_file_get_contents(path, &text, NULL, NULL)) {
+		err_set(err, ERR_IO, "load_token", path,
+			"cannot read the file");
+		return false;
+	}
+	g_strstrip(text);
+	len = strlen(text);
+	hash_token(text, admin->token_hash);
+	sodium_memzero(text, len);
+	g_free(text);
+	if (len >= ADMIN_TOKEN_LEN_MIN)
+		return true;
+	err_set(err, ERR_INVALID, "load_token", path,
+		"a token has at least %d bytes", ADMIN_TOKEN_LEN_MIN);
+	return false;
+}
+
+/* Compares hashes, so that the time tells nothing of the token. */
+static bool is_authorized(const admin_t *admin,
+			  struct MHD_Connection *connection)
+{
+	static const char scheme[] = "Bearer ";
+	const char *header = MHD_lookup_connection_value(
+		connection, MHD_HEADER_KIND, MHD_HTTP_HEADER_AUTHORIZATION);
+	uint8_t hash[ADMIN_HASH_BYTES];
+
+	if (header == NULL ||
+	    g_ascii_strncasecmp(header, scheme, sizeof(scheme) - 1) != 0)
+		return false;
+	hash_token(header + sizeof(scheme) - 1, hash);
+	return sodium_memcmp(hash, admin->token_hash, sizeof(hash)) == 0;
+}
+
+static enum MHD_Result fail(struct MHD_Connection *connection, unsigned status,
+			    err_code_t code, const char *reason)
+{
+	http_answer_t answer = { .status = status, .type = "application/json" };
+	err_t err = ERR_INIT;
+
+	err_set(&err, code, "admin", "", "%s", reason);
+	answer.body = admin_render_err(&err);
+	return http_answer(connection, &answer);
+}
+
+static enum MHD_Result answer_job(struct MHD_Connection *connection,
+				  admin_job_t *job)
+{
+	http_answer_t answer = {
+		.status = job->http_status,
+		.type = "application/json",
+		.body = job->body,
+		.retry_after = job->http_status == 503 ? "1" : NULL,
+	};
+
+	job->body = NULL;
+	return http_answer(connection, &answer);
+}
+
+static bool read_query(admin_job_t *job, struct MHD_Connection *connection)
+{
+	const char *after = MHD_lookup_connection_value(
+		connection, MHD_GET_ARGUMENT_KIND, "after");
+	guint64 revision = 0;
+
+	if (after != NULL && !g_ascii_string_to_unsigned(
+				     after, 10, 0, INT64_MAX, &revision, NULL))
+		return false;
+	job->after_revision = revision;
+	return true;
+}
+
+static enum MHD_Result submit(admin_t *admin, struct MHD_Connection *connection,
+			      request_t *request)
+{
+	request->is_submitted = true;
+	request->job.connection = connection;
+	request->job.order.wall_ms = g_get_real_time() / 1000;
+	MHD_suspend_connection(connection);
+	admin->backend->submit(admin->backend, &request->job);
+	return MHD_YES;
+}
+
+static enum MHD_Result on_whole_request(admin_t *admin,
+					struct MHD_Connection *connection,
+					request_t *request, const char *method,
+					const char *path)
+{
+	admin_job_t *job = &request->job;
+	admin_route_result_t found;
+	err_t err = ERR_INIT;
+
+	if (request->is_too_large)
+		return fail(connection, 413, ERR_INVALID, "body too large");
+	found = admin_route(job, method, path);
+	if (found == ADMIN_ROUTE_NO_PATH)
+		return fail(connection, 404, ERR_NOT_FOUND, "no such path");
+	if (found == ADMIN_ROUTE_NO_METHOD)
+		return fail(connection, 405, ERR_INVALID,
+			    "the path does not take this method");
+	if (job->kind == ADMIN_ORDER &&
+	    !admin_read_order(job, request->body->str, request->body->len,
+			      &err))
+		return fail(connection, 400, err.code, err.text);
+	if (!read_query(job, connection))
+		return fail(connection, 400, ERR_INVALID,
+			    "after: expected a revision");
+	return submit(admin, connection, request);
+}
+
+static void keep_body(request_t *request, const char *data, size_t len)
+{
+	if (request->body->len + len > ADMIN_BODY_BYTES_MAX)
+		request->is_too_large = true;
+	else
+		g_string_append_len(request->body, data, (gssize)len);
+}
+
+static enum MHD_Result on_request(void *owner,
+				  struct MHD_Connection *connection,
+				  const char *path, const char *method,
+				  const char *version, const char *data,
+				  size_t *len, void **context)
+{
+	admin_t *admin = owner;
+	request_t *request = *context;
+
+	(void)version;
+	if (request == NULL) {
+		if (!is_authorized(admin, connection))
+			return fail(connection, 401, ERR_AUTH,
+				    "no valid bearer token");
+		request = g_new0(request_t, 1);
+		request->body = g_string_new(NULL);
+		*context = request;
+		return MHD_YES;
+	}
+	if (*len != 0) {
+		keep_body(request, data, *len);
+		*len = 0;
+		return MHD_YES;
+	}
+	if (request->is_submitted)
+		return answer_job(connection, &request->job);
+	return on_whole_request(admin, connection, request, method, path);
+}
+
+static void on_completed(void *owner, struct MHD_Connection *connection,
+			 void **context, enum MHD_RequestTerminationCode code)
+{
+	request_t *request = *context;
+
+	(void)owner;
+	(void)connection;
+	(void)code;
+	if (request == NULL)
+		return;
+	admin_job_finish(&request->job);
+	g_string_free(request->body, TRUE);
+	g_free(request);
+}
+
+/*
+ * Listens for operators on "address" (IP:PORT).  Requests carry the token in
+ * "token_file" and are answered by "backend", which outlives the listener.
+ */
+admin_t *admin_new(const char *address, const char *token_file,
+		   admin_backend_t *backend, err_t *err)
+{
+	admin_t *admin = g_new0(admin_t, 1);
+
+	admin->backend = backend;
+	if (load_token(admin, token_file, err))
+		admin->daemon = http_start(address, on_request, on_completed,
+					   admin, err);
+	if (admin->daemon != NULL)
+		return admin;
+	g_free(admin);
+	return NULL;
+}
+
+/* Stops listening.  The backend has answered every job before. */
+void admin_free(admin_t *admin)
+{
+	if (admin == NULL)
+		return;
+	MHD_stop_daemon(admin->daemon);
+	g_free(admin);
+}
+
+/* Returns the port that is listened on. */
+unsigned admin_port(const admin_t *admin)
+{
+	return http_port(admin->daemon);
+}
+
+static void resume(admin_job_t *job, unsigned http_status, char *body)
+{
+	job->http_status = http_status;
+	job->body = body;
+	MHD_resume_connection(job->connection);
+}
+
+static unsigned order_status(uint32_t outcome)
+{
+	switch (outcome) {
+	case ORDER_APPLIED:
+		return 200;
+	case ORDER_REFUSED:
+		return 422;
+	case ORDER_CONFLICT:
+		return 409;
+	default:
+		return 503;
+	}
+}
+
+/* Answers an order; "reply" is used before the call returns. */
+void admin_job_reply_order(admin_job_t *job, const msg_order_reply_t *reply)
+{
+	resume(job, order_status(reply->outcome), admin_render_order(reply));
+}
+
+/*
+ * Answers any job for which no quorum was reached in time: an order may or
+ * may not apply later, and a question has no confirmed answer.
+ */
+void admin_job_reply_unknown(admin_job_t *job, const char *reason)
+{
+	const msg_order_reply_t reply = {
+		.id = job->kind == ADMIN_ORDER ? job->order.id : "",
+		.outcome = ORDER_UNKNOWN,
+		.reason = reason,
+	};
+
+	resume(job, 503, admin_render_order(&reply));
+}
+
+/* Answers a question; "state" is used before the call returns. */
+void admin_job_reply_state(admin_job_t *job, const admin_state_t *state)
+{
+	unsigned http_status;
+	char *body = admin_render_state(job, state, &http_status);
+
+	resume(job, http_status, body);
+}
--- /dev/null
+++ b/src/wisteria/admin/metrics_http.c
@@ -0,0 +1,127 @@
+/*
+ * A listener in every process: /metrics in the usual text format, /healthz
+ * while the process lives, and /readyz while it takes new work.
+ */
+#include "wisteria/admin/metrics_http.h"
+
+#include <stdatomic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "wisteria/admin/http.h"
+#include "wisteria/base/counters.h"
+
+#define METRICS_TYPE "text/plain; version=0.0.4"
+
+struct metrics_http_t {
+	struct MHD_Daemon *daemon;
+	atomic_bool is_ready;
+};
+
+typedef void (*page_t)(metrics_http_t *metrics, http_answer_t *answer);
+
+static void show_metrics(metrics_http_t *metrics, http_answer_t *answer)
+{
+	size_t len = 0;
+	FILE *out = open_memstream(&answer->body, &len);
+
+	(void)metrics;
+	if (out == NULL)
+		return;
+	counter_print(out);
+	fclose(out);
+	answer->type = METRICS_TYPE;
+}
+
+static void show_health(metrics_http_t *metrics, http_answer_t *answer)
+{
+	(void)metrics;
+	answer->body = strdup("ok\n");
+}
+
+static void show_readiness(metrics_http_t *metrics, http_answer_t *answer)
+{
+	if (atomic_load(&metrics->is_ready)) {
+		answer->body = strdup("ready\n");
+		return;
+	}
+	answer->status = MHD_HTTP_SERVICE_UNAVAILABLE;
+	answer->body = strdup("not ready\n");
+}
+
+static const struct {
+	const char *path;
+	page_t show;
+} pages[] = {
+	{ "/metrics", show_metrics },
+	{ "/healthz", show_health },
+	{ "/readyz", show_readiness },
+};
+
+static page_t find_page(const char *path)
+{
+	for (size_t i = 0; i < ARRAY_SIZE(pages); i++)
+		if (strcmp(pages[i].path, path) == 0)
+			return pages[i].show;
+	return NULL;
+}
+
+static enum MHD_Result on_request(void *owner,
+				  struct MHD_Connection *connection,
+				  const char *path, const char *method,
+				  const char *version, const char *data,
+				  size_t *len, void **context)
+{
+	http_answer_t answer = { .status = MHD_HTTP_OK, .type = "text/plain" };
+	page_t show = find_page(path);
+
+	(void)version;
+	(void)data;
+	(void)context;
+	*len = 0;
+	if (strcmp(method, MHD_HTTP_METHOD_GET) != 0)
+		answer.status = MHD_HTTP_METHOD_NOT_ALLOWED;
+	else if (show == NULL)
+		answer.status = MHD_HTTP_NOT_FOUND;
+	else
+		show(owner, &answer);
+	if (answer.body == NULL)
+		answer.body = strdup("no such page\n");
+	return http_answer(connection, &answer);
+}
+
+/* Listens on "address" (IP:PORT); not ready at first. */
+metrics_http_t *metrics_http_new(const char *address, err_t *err)
+{
+	metrics_http_t *metrics = g_new0(metrics_http_t, 1);
+
+	metrics->daemon = http_start(address, on_request, NULL, metrics, err);
+	if (metrics->daemon != NULL)
+		return metrics;
+	g_free(metrics);
+	return NULL;
+}
+
+/* Stops listening; "metrics" may be NULL. */
+void metrics_http_free(metrics_http_t *metrics)
+{
+	if (metrics == NULL)
+		return;
+	MHD_stop_daemon(metrics->daemon);
+	g_free(metrics);
+}
+
+/* Says whether the process takes new work; may be called on any thread. */
+void metrics_http_set_ready(metrics_http_t *metrics, bool is_ready)
+{
+	atomic_store(&metrics->is_ready, is_ready);
+}
+
+/* Returns the port that is listened on. */
+unsigned metrics_http_port(const metrics_http_t *metrics)
+{
+	return http_port(metrics->daemon);
+}
