Serve operators, metrics and readiness; stop callers gracefully

Cause: the admin API and the metrics listener had nobody behind them, and a stopping entry could be caught with a suspended connection. Change: the admin backend on the control thread; readiness follows the lease; a stopping entry asks callers to reconnect elsewhere, and after the grace accepts nothing; the directory knows what endpoints run.

--- a/src/wisteria/control/control.c
+++ b/src/wisteria/control/control.c
@@ -92,12 +92,13 @@
 	clock_ms_t now = now_of(control);
 	msg_announce_reply_t reply = { .again = false };
 
-	if (!announce->unchanged) {
+	if (!announce->unchanged)
 		directory_announce(control->directory, announce, now);
-		return;
-	}
-	reply.again = !directory_touch(control->directory, announce->instance,
-				       announce->incarnation, now);
+	else
+		reply.again =
+			!directory_touch(control->directory, announce->instance,
+					 announce->incarnation, now);
+	directory_note_running(control->directory, announce);
 	if (reply.again)
 		conn_send(conn, MSG_ANNOUNCE_REPLY, &reply);
 }
--- a/src/wisteria/control/directory.c
+++ b/src/wisteria/control/directory.c
@@ -16,6 +16,8 @@
 	msg_name_t name;	 /* the endpoint's, for removals */
 	uint64_t version;
 	bool removed;
+	bool knows_running;
+	uint32_t running;
 } directory_entry_t;
 
 /* An agent that announces endpoints. */
@@ -146,6 +148,7 @@
 	entry->endpoint = copy;
 	entry->name.text = copy.name;
 	entry->removed = false;
+	entry->knows_running = false;
 	entry->version = ++directory->version;
 	g_hash_table_insert(directory->entries, (char *)copy.name, entry);
 }
@@ -299,6 +302,39 @@
 	delta->removed_count = directory->delta_removed->len;
 }
 
+/* Takes in how much work the endpoints of an agent run. */
+void directory_note_running(directory_t *directory,
+			    const msg_announce_t *announce)
+{
+	for (size_t i = 0; i < announce->running_count; i++) {
+		const msg_running_t *running = &announce->running[i];
+		directory_entry_t *entry = g_hash_table_lookup(
+			directory->entries, running->endpoint);
+
+		if (entry == NULL || entry->removed ||
+		    entry->endpoint.incarnation != announce->incarnation)
+			continue;
+		entry->running = running->running;
+		entry->knows_running = true;
+	}
+}
+
+/*
+ * Sets "running" to the work that "endpoint" ran when its agent last said so;
+ * returns false if it has not said so.
+ */
+bool directory_running(const directory_t *directory, const char *endpoint,
+		       uint32_t *running)
+{
+	const directory_entry_t *entry =
+		g_hash_table_lookup(directory->entries, endpoint);
+
+	if (entry == NULL || entry->removed || !entry->knows_running)
+		return false;
+	*running = entry->running;
+	return true;
+}
+
 /* Returns the number of endpoints now announced. */
 size_t directory_count(const directory_t *directory)
 {
--- a/src/wisteria/control/directory.h
+++ b/src/wisteria/control/directory.h
@@ -35,6 +35,10 @@
 		      clock_ms_t silence_ms) ATTR_NONNULL_ALL;
 void directory_delta(directory_t *directory, uint64_t epoch, uint64_t version,
 		     directory_delta_t *delta) ATTR_NONNULL_ALL;
+bool directory_running(const directory_t *directory, const char *endpoint,
+		       uint32_t *running) ATTR_NONNULL_ALL;
+void directory_note_running(directory_t *directory,
+			    const msg_announce_t *announce) ATTR_NONNULL_ALL;
 size_t directory_count(const directory_t *directory) ATTR_NONNULL_ALL;
 
 #endif
--- a/src/wisteria/daemon/daemon.c
+++ b/src/wisteria/daemon/daemon.c
@@ -5,11 +5,15 @@
 #include "wisteria/daemon/daemon.h"
 
 #include <signal.h>
+#include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include <ck_pr.h>
 #include <glib.h>
 
+#include "wisteria/admin/admin.h"
+#include "wisteria/admin/metrics_http.h"
 #include "wisteria/base/clock.h"
 #include "wisteria/base/err.h"
 #include "wisteria/base/log.h"
@@ -18,6 +22,7 @@
 #include "wisteria/control/control.h"
 #include "wisteria/control/lease_client.h"
 #include "wisteria/control/view.h"
+#include "wisteria/daemon/operators.h"
 #include "wisteria/daemon/traffic.h"
 #include "wisteria/entry/http_front.h"
 #include "wisteria/net/net.h"
@@ -29,6 +34,7 @@
  */
 #define DAEMON_GRACE_MS 3000
 #define DAEMON_DRAIN_TICK_MS 100
+#define DAEMON_READY_TICK_MS 100
 
 typedef struct {
 	const settings_t *settings;
@@ -42,12 +48,38 @@
 	announcer_t *announcer; /* NULL without the agent role */
 	traffic_t *traffic;
 	http_front_t *front;
+	operators_t operators;
+	admin_t *admin;
+	metrics_http_t *metrics;
+	uv_timer_t readiness;
 	uv_signal_t sigterm;
 	uv_signal_t sigint;
 	uv_timer_t drain;
 	clock_ms_t drain_since_ms; /* 0: not draining */
 } daemon_t;
 
+/* Ready: not told to stop, and the lease is valid or a leader is known. */
+static bool is_ready(const daemon_t *daemon)
+{
+	const view_t *view = daemon->board.current;
+	control_status_t status;
+
+	if (daemon->drain_since_ms != 0)
+		return false;
+	if (daemon->traffic != NULL)
+		return view != NULL && view->preset != NULL &&
+		       clock_now(&clock_monotonic) < view->lease_until_ms;
+	control_status(daemon->control, &status);
+	return status.leader[0] != '\0';
+}
+
+static void on_readiness(uv_timer_t *timer)
+{
+	const daemon_t *daemon = timer->data;
+
+	metrics_http_set_ready(daemon->metrics, is_ready(daemon));
+}
+
 static void on_drain_tick(uv_timer_t *timer)
 {
 	daemon_t *daemon = timer->data;
@@ -55,6 +87,8 @@
 
 	if (now - daemon->drain_since_ms < DAEMON_GRACE_MS)
 		return;
+	if (daemon->front != NULL)
+		http_front_close(daemon->front);
 	if (daemon->traffic == NULL || traffic_is_idle(daemon->traffic))
 		uv_stop(&daemon->loop);
 }
@@ -65,15 +99,18 @@
 
 	if (daemon->drain_since_ms != 0) {
 		LOG_WARN("stop_forced", "signal=%d", signal_number);
-		uv_stop(&daemon->loop);
-		return;
+		_exit(EXIT_FAILURE);
 	}
 	LOG_INFO("stop_begun", "signal=%d", signal_number);
 	daemon->drain_since_ms = clock_now(&clock_monotonic);
-	if (daemon->announcer != NULL)
-		announcer_leave(daemon->announcer);
+	if (daemon->metrics != NULL)
+		metrics_http_set_ready(daemon->metrics, false);
 	if (daemon->control != NULL)
 		control_leave(daemon->control);
+	if (daemon->announcer != NULL)
+		announcer_leave(daemon->announcer);
+	if (daemon->front != NULL)
+		http_front_drain(daemon->front);
 	if (daemon->traffic != NULL)
 		traffic_drain(daemon->traffic);
 	uv_timer_start(&daemon->drain, on_drain_tick, DAEMON_DRAIN_TICK_MS,
@@ -89,10 +126,32 @@
 
 static bool start_control(daemon_t *daemon, err_t *err)
 {
-	if (!settings_has_role(daemon->settings, "control"))
+	const settings_t *settings = daemon->settings;
+
+	if (!settings_has_role(settings, "control"))
 		return true;
-	daemon->control = control_new(&daemon->net, daemon->settings, err);
-	return daemon->control != NULL;
+	daemon->control = control_new(&daemon->net, settings, err);
+	if (daemon->control == NULL)
+		return false;
+	operators_init(&daemon->operators, &daemon->mailbox, daemon->control,
+		       settings->instance);
+	daemon->admin = admin_new(settings->control->admin_listen,
+				  settings->control->admin_token_file,
+				  &daemon->operators.backend, err);
+	return daemon->admin != NULL;
+}
+
+static bool start_metrics(daemon_t *daemon, err_t *err)
+{
+	if (daemon->settings->metrics_listen == NULL)
+		return true;
+	daemon->metrics =
+		metrics_http_new(daemon->settings->metrics_listen, err);
+	if (daemon->metrics == NULL)
+		return false;
+	uv_timer_start(&daemon->readiness, on_readiness, DAEMON_READY_TICK_MS,
+		       DAEMON_READY_TICK_MS);
+	return true;
 }
 
 static bool start_traffic(daemon_t *daemon, err_t *err)
@@ -133,6 +192,8 @@
 	view_board_init(&daemon->board);
 	uv_timer_init(&daemon->loop, &daemon->drain);
 	daemon->drain.data = daemon;
+	uv_timer_init(&daemon->loop, &daemon->readiness);
+	daemon->readiness.data = daemon;
 	watch_signal(daemon, &daemon->sigterm, SIGTERM);
 	watch_signal(daemon, &daemon->sigint, SIGINT);
 	if (!start_control(daemon, err))
@@ -141,7 +202,7 @@
 		lease_client_new(&daemon->net, settings, &daemon->board);
 	if (settings_has_role(settings, "agent"))
 		daemon->announcer = announcer_new(&daemon->net, settings);
-	return start_traffic(daemon, err);
+	return start_traffic(daemon, err) && start_metrics(daemon, err);
 }
 
 static void close_handle(uv_handle_t *handle, void *data)
@@ -153,8 +214,10 @@
 
 static void stop(daemon_t *daemon)
 {
-	traffic_stop(daemon->traffic);
+	metrics_http_free(daemon->metrics);
+	admin_free(daemon->admin);
 	http_front_free(daemon->front);
+	traffic_stop(daemon->traffic);
 	control_close(daemon->control);
 	net_close(&daemon->net);
 	mailbox_close(&daemon->mailbox);
--- a/src/wisteria/entry/http_front.c
+++ b/src/wisteria/entry/http_front.c
@@ -7,7 +7,9 @@
 
 #include <string.h>
 
+#include <ck_pr.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include "wisteria/base/counters.h"
 #include "wisteria/base/err.h"
@@ -26,6 +28,9 @@
 struct http_front_t {
 	struct MHD_Daemon *daemon;
 	entry_t *entry;
+	bool quiesced;
+	uint32_t draining; /* read by the HTTP threads */
+	uint32_t closed;
 };
 
 typedef struct {
@@ -131,6 +136,7 @@
 	GString *path = g_string_new(url);
 
 	request->entry = front->entry;
+	request->front = front;
 	request->method = g_strdup(method);
 	MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND,
 				  append_argument, path);
@@ -161,6 +167,11 @@
 	err_t err = ERR_INIT;
 
 	request->posted = true;
+	if (ck_pr_load_32(&request->front->closed) != 0) {
+		refuse(request, ERR_UNAVAILABLE, "stop",
+		       "this entry is stopping; ask another");
+		return;
+	}
 	if (route == NULL) {
 		refuse(request, ERR_NOT_FOUND, "route", "no such path");
 		return;
@@ -234,6 +245,8 @@
 
 		MHD_add_response_header(response, line->name, line->value);
 	}
+	if (ck_pr_load_32(&request->front->draining) != 0)
+		MHD_add_response_header(response, "Connection", "close");
 	result =
 		MHD_queue_response(request->connection, head->status, response);
 	MHD_destroy_response(response);
@@ -338,6 +351,26 @@
 	return front;
 }
 
+/* Asks callers, with each answer, to connect to another entry. */
+void http_front_drain(http_front_t *front)
+{
+	ck_pr_store_32(&front->draining, 1);
+}
+
+/* Accepts no connection and no request from now on; may be called again. */
+void http_front_close(http_front_t *front)
+{
+	MHD_socket listening;
+
+	ck_pr_store_32(&front->closed, 1);
+	if (front->quiesced)
+		return;
+	front->quiesced = true;
+	listening = MHD_quiesce_daemon(front->daemon);
+	if (listening != MHD_INVALID_SOCKET)
+		close(listening);
+}
+
 /* Stops listening; every request must have been answered. */
 void http_front_free(http_front_t *front)
 {
--- a/src/wisteria/entry/request_defs.h
+++ b/src/wisteria/entry/request_defs.h
@@ -60,6 +60,7 @@
 
 	struct MHD_Connection *connection;
 	struct entry_t *entry;
+	struct http_front_t *front;
 	uint32_t references;
 	uint32_t waiting;   /* the HTTP thread has suspended itself */
 	uint32_t cancelled; /* the caller has gone */
