Give entries their contract parts with their renewals

The leader gives them out (limits/shares); another control instance asks it with MSG_SHARES, and the answer counts only in the term of the read that confirms the renewal, so that a replaced leader gives none.

--- a/src/wisteria/codec/msg.c
+++ b/src/wisteria/codec/msg.c
@@ -298,6 +298,22 @@
 static const record_desc_t msg_announce_reply_desc =
 	RECORD_DESC(msg_announce_reply_t, announce_reply_fields);
 
+static const field_desc_t shares_fields[] = {
+	FIELD(FIELD_U64, msg_shares_t, sequence),
+	FIELD(FIELD_STR, msg_shares_t, instance),
+	FIELD_LIST_OF(msg_shares_t, demand, demand_count, &msg_share_desc),
+};
+static const record_desc_t msg_shares_desc =
+	RECORD_DESC(msg_shares_t, shares_fields);
+
+static const field_desc_t shares_reply_fields[] = {
+	FIELD(FIELD_U64, msg_shares_reply_t, sequence),
+	FIELD(FIELD_U64, msg_shares_reply_t, term),
+	FIELD_LIST_OF(msg_shares_reply_t, shares, share_count, &msg_share_desc),
+};
+static const record_desc_t msg_shares_reply_desc =
+	RECORD_DESC(msg_shares_reply_t, shares_reply_fields);
+
 static const field_desc_t renew_reply_fields[] = {
 	FIELD(FIELD_U64, msg_renew_reply_t, sequence),
 	FIELD(FIELD_BOOL, msg_renew_reply_t, granted),
@@ -425,6 +441,8 @@
 	[MSG_LEDGER_REPLY] = { "ledger_reply", &msg_ledger_reply_desc },
 	[MSG_ANNOUNCE] = { "announce", &msg_announce_desc },
 	[MSG_ANNOUNCE_REPLY] = { "announce_reply", &msg_announce_reply_desc },
+	[MSG_SHARES] = { "shares", &msg_shares_desc },
+	[MSG_SHARES_REPLY] = { "shares_reply", &msg_shares_reply_desc },
 	[MSG_RAFT] = { "raft", &msg_raft_desc },
 };
 
--- a/src/wisteria/codec/msg_defs.h
+++ b/src/wisteria/codec/msg_defs.h
@@ -48,6 +48,8 @@
 	MSG_LEDGER_REPLY = 69,
 	MSG_ANNOUNCE = 70,
 	MSG_ANNOUNCE_REPLY = 71,
+	MSG_SHARES = 72,
+	MSG_SHARES_REPLY = 73,
 
 	/* Between control instances. */
 	MSG_RAFT = 80,
@@ -396,6 +398,22 @@
 	uint64_t fence; /* highest fencing number given out */
 } msg_renew_reply_t;
 
+/* A control instance asks the leader for the contract parts of an entry. */
+typedef struct {
+	uint64_t sequence;
+	const char *instance; /* the entry */
+	const msg_share_t *demand;
+	size_t demand_count;
+} msg_shares_t;
+
+/* They are given under "term", and count with a read confirmed in it. */
+typedef struct {
+	uint64_t sequence;
+	uint64_t term;
+	const msg_share_t *shares;
+	size_t share_count;
+} msg_shares_reply_t;
+
 typedef enum {
 	ORDER_PRESET_CREATE,
 	ORDER_PRESET_USE,
--- a/src/wisteria/control/control.c
+++ b/src/wisteria/control/control.c
@@ -122,10 +122,15 @@
 	replica_on_message(&control->replica, conn, body);
 }
 
+static void on_shares(control_t *control, conn_t *conn, const void *body)
+{
+	parts_take_question(&control->renewals.parts, conn, body);
+}
+
 static const control_message_t handlers[MSG_TYPE_COUNT] = {
 	[MSG_ANNOUNCE] = on_announce, [MSG_RENEW] = on_renew,
 	[MSG_ORDER] = on_order,	      [MSG_LEDGER] = on_ledger,
-	[MSG_RAFT] = on_raft,
+	[MSG_RAFT] = on_raft,	      [MSG_SHARES] = on_shares,
 };
 
 static void on_message(conn_handler_t *handler, conn_t *conn, const msg_t *msg)
@@ -207,8 +212,13 @@
 static void machine_message(replica_machine_t *machine, conn_t *conn,
 			    const msg_t *msg)
 {
+	control_t *control = control_of_machine(machine);
+
 	(void)conn;
-	requests_on_reply(&control_of_machine(machine)->requests, msg);
+	if (msg->type == MSG_SHARES_REPLY)
+		renewals_take_shares(&control->renewals, msg->body);
+	else
+		requests_on_reply(&control->requests, msg);
 }
 
 static const replica_machine_t machine_functions = {
--- a/src/wisteria/control/control_defs.h
+++ b/src/wisteria/control/control_defs.h
@@ -10,6 +10,8 @@
 #define ANNOUNCE_MS 1000
 /* An agent not heard for this long loses its place in the directory. */
 #define DIRECTORY_SILENCE_MS 4000
+/* How long the leader counts a contract part as given out. */
+#define CONTROL_PART_LEASE_MS (LEASE_MS * 11 / 10)
 /* Within this time all agents have announced to a new control instance. */
 #define DIRECTORY_WARM_UP_MS LEASE_MS
 
--- a/src/wisteria/control/renewals.c
+++ b/src/wisteria/control/renewals.c
@@ -21,9 +21,15 @@
 typedef struct {
 	conn_t *conn;
 	uint64_t ticket; /* 0: not asked for yet */
+	bool confirmed;
 	clock_ms_t taken_ms;
 	msgpack_zone zone;
 	msg_renew_t renew; /* in "zone" */
+	/* Contract parts, where the leader was asked for them. */
+	uint64_t parts_sequence; /* 0: not asked yet */
+	uint64_t parts_term;	 /* 0: no answer yet */
+	GArray *parts;		 /* of msg_share_t; names in "names" */
+	GStringChunk *names;
 } renewal_t;
 
 static clock_ms_t now_of(const renewals_t *renewals)
@@ -36,6 +42,8 @@
 	renewal_t *renewal = data;
 
 	msgpack_zone_destroy(&renewal->zone);
+	g_array_unref(renewal->parts);
+	g_string_chunk_free(renewal->names);
 	g_free(renewal);
 }
 
@@ -48,12 +56,32 @@
 	renewals->directory = directory;
 	renewals->started_ms = now_of(renewals);
 	renewals->waiting = g_ptr_array_new_with_free_func(free_renewal);
+	parts_init(&renewals->parts, replica, store);
 }
 
 /* Drops what still waits. */
 void renewals_finish(renewals_t *renewals)
 {
 	g_ptr_array_unref(renewals->waiting);
+	parts_finish(&renewals->parts);
+}
+
+/* Only entries say what they want, and are given parts of contracts. */
+static bool wants_parts(const renewal_t *renewal)
+{
+	return renewal->renew.demand_count > 0;
+}
+
+static void ask_for_parts(renewals_t *renewals, renewal_t *renewal)
+{
+	const msg_renew_t *renew = &renewal->renew;
+
+	if (!wants_parts(renewal) || renewal->parts_sequence != 0 ||
+	    replica_leads(renewals->replica))
+		return;
+	renewal->parts_sequence =
+		parts_ask_leader(&renewals->parts, renew->instance,
+				 renew->demand, renew->demand_count);
 }
 
 /* Takes a renewal; it is answered once the next batch is confirmed. */
@@ -72,7 +100,10 @@
 	msgpack_sbuffer_destroy(&out);
 	renewal->conn = conn;
 	renewal->taken_ms = now_of(renewals);
+	renewal->parts = g_array_new(FALSE, FALSE, sizeof(msg_share_t));
+	renewal->names = g_string_chunk_new(256);
 	g_ptr_array_add(renewals->waiting, renewal);
+	ask_for_parts(renewals, renewal);
 }
 
 /* Asks for one read for all that came since the last tick. */
@@ -134,7 +165,45 @@
 	reply->removed_count = delta.removed_count;
 }
 
-static void answer(const renewals_t *renewals, const renewal_t *renewal)
+/* Returns whether the renewal has its parts, in the present term. */
+static bool has_parts(renewals_t *renewals, renewal_t *renewal)
+{
+	const msg_renew_t *renew = &renewal->renew;
+
+	if (!wants_parts(renewal))
+		return true;
+	if (replica_leads(renewals->replica)) {
+		g_array_set_size(renewal->parts, 0);
+		return parts_give(&renewals->parts, renew->instance,
+				  renew->demand, renew->demand_count,
+				  renewal->parts);
+	}
+	if (renewal->parts_term == renewals->replica->raft.term)
+		return true;
+	if (renewal->parts_term != 0)
+		renewal->parts_sequence = 0;
+	renewal->parts_term = 0;
+	ask_for_parts(renewals, renewal);
+	return false;
+}
+
+static void fill_config(const renewals_t *renewals, const msg_renew_t *renew,
+			const msg_preset_t *preset, msg_renew_reply_t *reply)
+{
+	reply->has_config = renew->revision < reply->config.revision;
+	if (!reply->has_config) {
+		reply->config = (msg_config_t){ .revision = renew->revision };
+		return;
+	}
+	if (holds_preset(renew, preset->name))
+		return;
+	reply->presets = preset;
+	reply->preset_count = 1;
+	(void)renewals;
+}
+
+/* Answers a renewal if all that it needs is there. */
+static bool try_answer(renewals_t *renewals, renewal_t *renewal)
 {
 	const msg_renew_t *renew = &renewal->renew;
 	const msg_preset_t *preset;
@@ -147,18 +216,17 @@
 
 	store_config(renewals->store, &reply.config);
 	preset = store_preset(renewals->store, reply.config.preset);
-	if (preset == NULL || renew->revision > reply.config.revision)
-		return;
-	reply.has_config = renew->revision < reply.config.revision;
-	if (reply.has_config && !holds_preset(renew, preset->name)) {
-		reply.presets = preset;
-		reply.preset_count = 1;
-	}
-	if (!reply.has_config)
-		reply.config = (msg_config_t){ .revision = renew->revision };
+	if (!renewal->confirmed || preset == NULL ||
+	    renew->revision > reply.config.revision ||
+	    !has_parts(renewals, renewal))
+		return false;
+	fill_config(renewals, renew, preset, &reply);
 	fill_directory(renewals, renew, &reply);
+	reply.shares = (msg_share_t *)renewal->parts->data;
+	reply.share_count = renewal->parts->len;
 	counter_add(COUNTER_RENEWALS, 1);
 	conn_send(renewal->conn, MSG_RENEW_REPLY, &reply);
+	return true;
 }
 
 /* Answers all renewals whose read is confirmed. */
@@ -167,15 +235,42 @@
 	guint i = 0;
 
 	while (i < renewals->waiting->len) {
-		const renewal_t *renewal =
-			g_ptr_array_index(renewals->waiting, i);
+		renewal_t *renewal = g_ptr_array_index(renewals->waiting, i);
 
-		if (renewal->ticket == 0 || renewal->ticket > ticket) {
+		if (renewal->ticket != 0 && renewal->ticket <= ticket)
+			renewal->confirmed = true;
+		if (try_answer(renewals, renewal))
+			g_ptr_array_remove_index(renewals->waiting, i);
+		else
 			i++;
+	}
+}
+
+static void copy_parts(renewal_t *renewal, const msg_shares_reply_t *reply)
+{
+	renewal->parts_term = reply->term;
+	g_array_set_size(renewal->parts, 0);
+	for (size_t i = 0; i < reply->share_count; i++) {
+		msg_share_t part = reply->shares[i];
+
+		part.customer = g_string_chunk_insert_const(renewal->names,
+							    part.customer);
+		g_array_append_val(renewal->parts, part);
+	}
+}
+
+/* The leader gave the parts of an entry that renews here. */
+void renewals_take_shares(renewals_t *renewals, const msg_shares_reply_t *reply)
+{
+	for (guint i = 0; i < renewals->waiting->len; i++) {
+		renewal_t *renewal = g_ptr_array_index(renewals->waiting, i);
+
+		if (renewal->parts_sequence != reply->sequence)
 			continue;
-		}
-		answer(renewals, renewal);
-		g_ptr_array_remove_index(renewals->waiting, i);
+		copy_parts(renewal, reply);
+		if (try_answer(renewals, renewal))
+			g_ptr_array_remove_index(renewals->waiting, i);
+		return;
 	}
 }
 
--- a/src/wisteria/control/renewals.h
+++ b/src/wisteria/control/renewals.h
@@ -5,6 +5,7 @@
 
 #include "wisteria/base/macros_defs.h"
 #include "wisteria/control/directory.h"
+#include "wisteria/control/parts.h"
 #include "wisteria/control/replica_defs.h"
 #include "wisteria/store/store_defs.h"
 
@@ -16,6 +17,7 @@
 	replica_t *replica;
 	const store_t *store;
 	directory_t *directory;
+	parts_t parts;
 	clock_ms_t started_ms;
 	GPtrArray *waiting; /* of renewal_t */
 } renewals_t;
@@ -28,6 +30,8 @@
 		   const msg_renew_t *renew) ATTR_NONNULL_ALL;
 void renewals_tick(renewals_t *renewals) ATTR_NONNULL_ALL;
 void renewals_confirmed(renewals_t *renewals, uint64_t ticket) ATTR_NONNULL_ALL;
+void renewals_take_shares(renewals_t *renewals,
+			  const msg_shares_reply_t *reply) ATTR_NONNULL_ALL;
 void renewals_conn_closed(renewals_t *renewals,
 			  const conn_t *conn) ATTR_NONNULL_ALL;
 
