Add traces, explanations and wisteriactl

Cause: operators had no tool, and nothing recorded why a request went as it did. Not run yet: wisteriactl against a server.

--- /dev/null
+++ b/src/cli/orders.c
@@ -0,0 +1,91 @@
+/* Commands that change something. */
+#include <stdio.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "cli/client.h"
+#include "cli/commands.h"
+#include "wisteria/base/err.h"
+#include "wisteria/settings/preset.h"
+
+static cli_exit_t send_preset(const cli_options_t *options, const char *path,
+			      const char *text, size_t len)
+{
+	err_t err = ERR_INIT;
+	preset_t *preset = preset_parse(text, len, &err);
+	json_t *order;
+
+	if (preset == NULL) {
+		fprintf(stderr, "wisteriactl: %s: %s\nNothing was sent.\n",
+			path, err.text);
+		return CLI_REFUSED;
+	}
+	order = json_pack("{s:s, s:s#}", "name", preset->name, "text", text,
+			  len);
+	preset_free(preset);
+	if (order == NULL) {
+		fprintf(stderr, "wisteriactl: %s: not UTF-8\n", path);
+		return CLI_REFUSED;
+	}
+	return client_order(options, "POST", "/v1/presets", order);
+}
+
+/* Checks a preset file here and creates the preset that it names. */
+CLI_COMMAND(cli_preset_create)
+{
+	GError *error = NULL;
+	gchar *text = NULL;
+	gsize len = 0;
+	cli_exit_t code;
+
+	(void)arg_count;
+	if (!g_file_get_contents(args[0], &text, &len, &error)) {
+		fprintf(stderr, "wisteriactl: %s\n", error->message);
+		g_error_free(error);
+		return CLI_USAGE;
+	}
+	code = send_preset(options, args[0], text, len);
+	g_free(text);
+	return code;
+}
+
+/* Puts a preset in force. */
+CLI_COMMAND(cli_preset_use)
+{
+	(void)arg_count;
+	return client_order(options, "PUT", "/v1/presets/in-force",
+			    json_pack("{s:s}", "name", args[0]));
+}
+
+static cli_exit_t order_endpoint(const cli_options_t *options, const char *name,
+				 const char *verb, json_t *order)
+{
+	char *path = g_strdup_printf("/v1/endpoints/%s/%s", name, verb);
+	cli_exit_t code = client_order(options, "POST", path, order);
+
+	g_free(path);
+	return code;
+}
+
+/* Says that an endpoint leaves: it gets no new work. */
+CLI_COMMAND(cli_endpoint_leave)
+{
+	(void)arg_count;
+	return order_endpoint(options, args[0], "leave", json_object());
+}
+
+/* Takes an endpoint back that was leaving. */
+CLI_COMMAND(cli_endpoint_return)
+{
+	(void)arg_count;
+	return order_endpoint(options, args[0], "return", json_object());
+}
+
+/* Gives an order to the engine of an endpoint. */
+CLI_COMMAND(cli_order_engine)
+{
+	(void)arg_count;
+	return order_endpoint(options, args[0], "engine",
+			      json_pack("{s:s}", "text", args[1]));
+}
--- /dev/null
+++ b/src/wisteria/trace/explain.c
@@ -0,0 +1,239 @@
+/*
+ * Explains one request in plain sentences: what applied, what was possible,
+ * what was chosen and why, and what was tried again.  The sentences are
+ * written when the decision falls, from what it was taken on.
+ */
+#include "wisteria/trace/explain.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <jansson.h>
+
+static void say(explain_t *explain, const char *format, ...) ATTR_PRINTF(2, 3);
+
+/* The last sentence that fits says that more is left out. */
+static void say(explain_t *explain, const char *format, ...)
+{
+	char sentence[EXPLAIN_SENTENCE_LEN_MAX + 1];
+	va_list args;
+
+	if (explain->sentence_count >= EXPLAIN_SENTENCES_MAX)
+		return;
+	explain->sentence_count++;
+	if (explain->sentence_count == EXPLAIN_SENTENCES_MAX) {
+		g_string_append(explain->text, "More happened; it is left "
+					       "out here.\n");
+		return;
+	}
+	va_start(args, format);
+	vsnprintf(sentence, sizeof(sentence), format, args);
+	va_end(args);
+	for (char *at = sentence; *at != '\0'; at++)
+		if (*at == '\n')
+			*at = ' ';
+	g_string_append(explain->text, sentence);
+	g_string_append_c(explain->text, '\n');
+}
+
+static double seconds(const explain_t *explain, clock_ms_t now)
+{
+	return (double)(now - explain->start_ms) / 1000.0;
+}
+
+/* Starts the explanation of a request that arrived at "now". */
+void explain_init(explain_t *explain, const char *request_id, clock_ms_t now)
+{
+	memset(explain, 0, sizeof(*explain));
+	snprintf(explain->request_id, sizeof(explain->request_id), "%s",
+		 request_id);
+	explain->start_ms = now;
+	explain->text = g_string_new(NULL);
+}
+
+/* Frees what the explanation holds. */
+void explain_finish(explain_t *explain)
+{
+	g_string_free(explain->text, TRUE);
+	explain->text = NULL;
+}
+
+/* Who asked for what. */
+void explain_request(explain_t *explain, const char *customer,
+		     const char *target)
+{
+	say(explain, "Customer %s asked for %s.", customer, target);
+}
+
+/* Which preset applied, and what it grants; "contract" may be NULL. */
+void explain_preset(explain_t *explain, const char *preset, uint64_t revision,
+		    const preset_contract_t *contract)
+{
+	if (contract == NULL) {
+		say(explain,
+		    "Preset %s was in force (revision %" G_GUINT64_FORMAT
+		    "); it has no contract for this API key.",
+		    preset, (guint64)revision);
+		return;
+	}
+	say(explain,
+	    "Preset %s was in force (revision %" G_GUINT64_FORMAT
+	    "); it grants %s %u sessions always, %u as its fair share and %u "
+	    "at most, at priority %u.",
+	    preset, (guint64)revision, contract->customer,
+	    contract->guarantee_sessions, contract->deserved_sessions,
+	    contract->capability_sessions, contract->priority);
+}
+
+/* The request waits behind "waiting" others. */
+void explain_queued(explain_t *explain, uint32_t waiting, clock_ms_t now)
+{
+	say(explain,
+	    "After %.3f s it was put in the queue, because the customer's "
+	    "sessions or the endpoints were all in use; %u requests were "
+	    "waiting before it.",
+	    seconds(explain, now), waiting);
+}
+
+/* The request may run. */
+void explain_admitted(explain_t *explain, clock_ms_t now)
+{
+	say(explain, "After %.3f s it was admitted.", seconds(explain, now));
+}
+
+static void describe_chain(const route_choice_t *choice, GString *out)
+{
+	for (size_t i = 0; i < choice->hop_count; i++) {
+		const route_hop_t *hop = &choice->hops[i];
+
+		g_string_append(out, i == 0 ? "" : ", then ");
+		g_string_append(out, hop->endpoint);
+		if (hop->end_layer > 0)
+			g_string_append_printf(out, " (layers %u to %u)",
+					       hop->first_layer,
+					       hop->end_layer - 1);
+	}
+}
+
+/* A chain was chosen: its endpoints, and what else was possible. */
+void explain_chose(explain_t *explain, const route_choice_t *choice,
+		   clock_ms_t now)
+{
+	GString *chain = g_string_new(NULL);
+
+	describe_chain(choice, chain);
+	say(explain,
+	    "After %.3f s, %u endpoints were possible, %u of them full; %s "
+	    "was chosen, because it was expected to be the fastest with room "
+	    "(%.1f ms a token).",
+	    seconds(explain, now), choice->alternatives, choice->full,
+	    chain->str, choice->expected_ms);
+	g_string_free(chain, TRUE);
+}
+
+/* No chain could be chosen. */
+void explain_no_chain(explain_t *explain, route_result_t result, clock_ms_t now)
+{
+	say(explain, "After %.3f s no chain could be chosen: %s.",
+	    seconds(explain, now),
+	    result == ROUTE_FULL
+		    ? "every endpoint that could serve was full"
+		    : "some layers were held by no endpoint that takes work");
+}
+
+/* An endpoint failed the request. */
+void explain_lost(explain_t *explain, const char *endpoint, const char *reason,
+		  clock_ms_t now)
+{
+	say(explain, "After %.3f s endpoint %s was lost: %s.",
+	    seconds(explain, now), endpoint, reason);
+}
+
+/* One endpoint took the place of a lost one after "tokens" tokens. */
+void explain_replaced(explain_t *explain, const char *lost,
+		      const route_hop_t *replacement, uint32_t tokens,
+		      clock_ms_t now)
+{
+	say(explain,
+	    "After %.3f s endpoint %s took the place of %s; the other "
+	    "endpoints kept their work, and the answer went on after token "
+	    "%u.",
+	    seconds(explain, now), replacement->endpoint, lost, tokens);
+}
+
+/* A new chain takes the request over after "tokens" tokens. */
+void explain_restarted(explain_t *explain, uint32_t tokens, clock_ms_t now)
+{
+	say(explain,
+	    "After %.3f s it was tried again on a new chain; the %u tokens "
+	    "that the caller had were kept and not sent again.",
+	    seconds(explain, now), tokens);
+}
+
+/* It was not tried again. */
+void explain_not_retried(explain_t *explain, const char *reason, clock_ms_t now)
+{
+	say(explain, "After %.3f s it was not tried again: %s.",
+	    seconds(explain, now), reason);
+}
+
+/* A call was sent to an endpoint of a plain service. */
+void explain_call(explain_t *explain, const char *endpoint, bool is_idempotent,
+		  clock_ms_t now)
+{
+	say(explain, "After %.3f s the call was sent to %s; %s.",
+	    seconds(explain, now), endpoint,
+	    is_idempotent ? "it may be repeated"
+			  : "it may run once only, so it is not sent again "
+			    "unless it provably did not run");
+}
+
+/* The request ended without its whole answer. */
+void explain_refused(explain_t *explain, const err_t *err, bool not_run,
+		     clock_ms_t retry_after_ms, clock_ms_t now)
+{
+	say(explain, "After %.3f s it was refused at step %s%s%s: %s.",
+	    seconds(explain, now), err->step,
+	    err->peer[0] == '\0' ? "" : " with ", err->peer, err->text);
+	say(explain, "%s",
+	    not_run ? "It was not run."
+		    : "It is unknown whether it ran; part of it may have.");
+	if (retry_after_ms > 0)
+		say(explain, "The caller was told to come back after %.1f s.",
+		    (double)retry_after_ms / 1000.0);
+}
+
+/* The caller has the whole answer; "tokens" is 0 for a call. */
+void explain_answered(explain_t *explain, uint32_t tokens, clock_ms_t now)
+{
+	if (tokens == 0)
+		say(explain, "After %.3f s the whole answer was delivered.",
+		    seconds(explain, now));
+	else
+		say(explain,
+		    "After %.3f s the whole answer was delivered: %u tokens.",
+		    seconds(explain, now), tokens);
+}
+
+/*
+ * Returns the answer to GET /v1/explain/REQUEST-ID as JSON; the caller frees
+ * it with free().
+ */
+char *explain_render(const char *request_id, const char *text)
+{
+	gchar **lines = g_strsplit(text, "\n", -1);
+	json_t *sentences = json_array();
+	json_t *object;
+	char *out;
+
+	for (size_t i = 0; lines[i] != NULL; i++)
+		if (lines[i][0] != '\0')
+			json_array_append_new(sentences, json_string(lines[i]));
+	object = json_pack("{s:s, s:o}", "request_id", request_id, "sentences",
+			   sentences);
+	out = json_dumps(object, JSON_INDENT(2));
+	json_decref(object);
+	g_strfreev(lines);
+	return out;
+}
--- /dev/null
+++ b/src/wisteria/trace/trace.c
@@ -0,0 +1,164 @@
+/*
+ * Spans and the W3C traceparent header (W3C Recommendation "Trace Context",
+ * 2021), version 00.
+ */
+#include "wisteria/trace/trace.h"
+
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+
+#include <sodium.h>
+
+#include "wisteria/trace/trace_writer.h"
+
+#define TRACE_SAMPLED_FLAG 0x01
+#define TRACE_HEX_ID_LEN (2 * TRACE_ID_BYTES)
+#define TRACE_HEX_SPAN_LEN (2 * TRACE_SPAN_ID_BYTES)
+
+static uint64_t wall_ns(void)
+{
+	struct timespec now;
+
+	timespec_get(&now, TIME_UTC);
+	return (uint64_t)now.tv_sec * 1000000000u + (uint64_t)now.tv_nsec;
+}
+
+/* The header holds lower-case digits only; returns -1 for anything else. */
+static int hex_digit(char digit)
+{
+	if (digit >= '0' && digit <= '9')
+		return digit - '0';
+	if (digit >= 'a' && digit <= 'f')
+		return digit - 'a' + 10;
+	return -1;
+}
+
+static bool read_hex(const char *hex, size_t len, uint8_t *out)
+{
+	for (size_t i = 0; i < len; i += 2) {
+		int high = hex_digit(hex[i]);
+		int low = hex_digit(hex[i + 1]);
+
+		if (high < 0 || low < 0)
+			return false;
+		out[i / 2] = (uint8_t)(high << 4 | low);
+	}
+	return true;
+}
+
+static bool read_parts(const char *header, trace_context_t *context)
+{
+	uint8_t flags = 0;
+
+	if (!read_hex(header + 3, TRACE_HEX_ID_LEN, context->trace_id) ||
+	    !read_hex(header + 36, TRACE_HEX_SPAN_LEN, context->span_id) ||
+	    !read_hex(header + 53, 2, &flags))
+		return false;
+	context->is_sampled = (flags & TRACE_SAMPLED_FLAG) != 0;
+	return !sodium_is_zero(context->trace_id, TRACE_ID_BYTES) &&
+	       !sodium_is_zero(context->span_id, TRACE_SPAN_ID_BYTES);
+}
+
+/*
+ * Reads a traceparent header.  Later versions are read by the parts that they
+ * share with version 00.  Returns false, and leaves "context" zero, where the
+ * header is not valid.
+ */
+bool trace_parse_parent(const char *header, trace_context_t *context)
+{
+	size_t len = strlen(header);
+	uint8_t version = 0;
+
+	memset(context, 0, sizeof(*context));
+	if (len < TRACE_PARENT_LEN || header[2] != '-' || header[35] != '-' ||
+	    header[52] != '-' || !read_hex(header, 2, &version) ||
+	    version == 0xff)
+		return false;
+	if (len > TRACE_PARENT_LEN &&
+	    (version == 0 || header[TRACE_PARENT_LEN] != '-'))
+		return false;
+	if (read_parts(header, context))
+		return true;
+	memset(context, 0, sizeof(*context));
+	return false;
+}
+
+/* Writes "context" as a traceparent header of version 00. */
+void trace_format_parent(const trace_context_t *context,
+			 char header[TRACE_PARENT_LEN + 1])
+{
+	char trace_id[TRACE_HEX_ID_LEN + 1];
+	char span_id[TRACE_HEX_SPAN_LEN + 1];
+
+	sodium_bin2hex(trace_id, sizeof(trace_id), context->trace_id,
+		       TRACE_ID_BYTES);
+	sodium_bin2hex(span_id, sizeof(span_id), context->span_id,
+		       TRACE_SPAN_ID_BYTES);
+	snprintf(header, TRACE_PARENT_LEN + 1, "00-%s-%s-%02x", trace_id,
+		 span_id, context->is_sampled ? TRACE_SAMPLED_FLAG : 0);
+}
+
+/* Starts a span that is part of "parent". */
+void span_start(span_t *span, const trace_context_t *parent, const char *name)
+{
+	memset(span, 0, sizeof(*span));
+	span->context = *parent;
+	memcpy(span->parent_id, parent->span_id, TRACE_SPAN_ID_BYTES);
+	randombytes_buf(span->context.span_id, TRACE_SPAN_ID_BYTES);
+	snprintf(span->name, sizeof(span->name), "%s", name);
+	span->start_ns = wall_ns();
+}
+
+/* Starts a span that is the first of a new trace. */
+void span_start_trace(span_t *span, const char *name)
+{
+	trace_context_t parent = { .is_sampled = true };
+
+	randombytes_buf(parent.trace_id, TRACE_ID_BYTES);
+	span_start(span, &parent, name);
+}
+
+static trace_attribute_t *add_attribute(span_t *span, const char *key)
+{
+	trace_attribute_t *attribute;
+
+	if (span->attribute_count == TRACE_ATTRIBUTES_MAX)
+		return NULL;
+	attribute = &span->attributes[span->attribute_count++];
+	snprintf(attribute->key, sizeof(attribute->key), "%s", key);
+	return attribute;
+}
+
+/* Adds a text; it is cut at TRACE_TEXT_BYTES, and dropped where none fits. */
+void span_set_text(span_t *span, const char *key, const char *text)
+{
+	trace_attribute_t *attribute = add_attribute(span, key);
+
+	if (attribute == NULL)
+		return;
+	attribute->kind = TRACE_TEXT;
+	snprintf(attribute->text, sizeof(attribute->text), "%s", text);
+}
+
+/* Adds a number; it is dropped where none fits. */
+void span_set_number(span_t *span, const char *key, int64_t number)
+{
+	trace_attribute_t *attribute = add_attribute(span, key);
+
+	if (attribute == NULL)
+		return;
+	attribute->kind = TRACE_NUMBER;
+	attribute->number = number;
+}
+
+/*
+ * Ends a span and leaves a copy to "writer", unless that is NULL or the trace
+ * is not sampled.  Never waits.
+ */
+void span_end(span_t *span, trace_writer_t *writer)
+{
+	span->end_ns = wall_ns();
+	if (writer != NULL && span->context.is_sampled)
+		trace_writer_add(writer, span);
+}
--- /dev/null
+++ b/src/wisteria/trace/trace_defs.h
@@ -0,0 +1,50 @@
+#ifndef WISTERIA_TRACE_TRACE_DEFS_H
+#define WISTERIA_TRACE_TRACE_DEFS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#define TRACE_ID_BYTES 16
+#define TRACE_SPAN_ID_BYTES 8
+#define TRACE_PARENT_LEN 55 /* of a traceparent header */
+#define TRACE_NAME_BYTES 32
+#define TRACE_KEY_BYTES 24
+#define TRACE_TEXT_BYTES 64
+#define TRACE_ATTRIBUTES_MAX 8
+
+/* Where a span belongs: its trace, and the span that it is part of. */
+typedef struct {
+	uint8_t trace_id[TRACE_ID_BYTES];
+	uint8_t span_id[TRACE_SPAN_ID_BYTES];
+	bool is_sampled;
+} trace_context_t;
+
+typedef enum {
+	TRACE_TEXT,
+	TRACE_NUMBER
+} trace_attribute_kind_t;
+
+typedef struct {
+	trace_attribute_kind_t kind;
+	char key[TRACE_KEY_BYTES];
+	char text[TRACE_TEXT_BYTES];
+	int64_t number;
+} trace_attribute_t;
+
+/*
+ * One piece of work of one process.  The times are wall-clock UTC and serve
+ * the record only.
+ */
+typedef struct {
+	trace_context_t context; /* its own */
+	uint8_t parent_id
+		[TRACE_SPAN_ID_BYTES]; /* zero: the first of its trace */
+	char name[TRACE_NAME_BYTES];
+	uint64_t start_ns;
+	uint64_t end_ns;
+	bool is_error;
+	trace_attribute_t attributes[TRACE_ATTRIBUTES_MAX];
+	uint32_t attribute_count;
+} span_t;
+
+#endif
