Test the control group as real processes

Cause: the log's promises must hold for processes that are killed, paused, cut off, and lose disks. Change: harness/control_rig starts control instances and sends orders; four tests: leader killed -9 in the middle of 300 changes and all restarted, leader paused beyond the lease, open connections swallowed, a lost disk and then a second instance. A leader takes commands only once it has applied an entry of its own term and a preset is in force: before, an order could come ahead of the first preset, and an old first preset could have been put in force again once its order id was forgotten.

--- a/src/wisteria/control/control.c
+++ b/src/wisteria/control/control.c
@@ -231,15 +231,6 @@
 	.message = machine_message,
 };
 
-static void on_first_preset_done(void *user, const msg_order_reply_t *reply)
-{
-	(void)user;
-	if (reply->outcome != ORDER_APPLIED)
-		LOG_WARN("first_preset", "order=%s outcome=%u reason=%s",
-			 reply->id, reply->outcome,
-			 reply->reason == NULL ? "-" : reply->reason);
-}
-
 /* The leader of a new group puts the first preset in force. */
 static void give_first_preset(control_t *control)
 {
@@ -252,19 +243,30 @@
 	};
 	clock_ms_t now = now_of(control);
 
-	if (control->first_preset_text == NULL ||
-	    control->state.store.in_force[0] != '\0' ||
-	    !replica_leads(&control->replica) ||
-	    now < control->first_preset_at_ms)
+	if (now < control->first_preset_at_ms)
 		return;
 	control->first_preset_at_ms = now + CONTROL_FIRST_PRESET_MS;
-	requests_submit_order(&control->requests, &order, on_first_preset_done,
-			      NULL);
+	requests_submit_first(&control->requests, &order);
 	order.id = "first-preset-use";
 	order.kind = ORDER_PRESET_USE;
 	order.text = "";
-	requests_submit_order(&control->requests, &order, on_first_preset_done,
-			      NULL);
+	requests_submit_first(&control->requests, &order);
+}
+
+/*
+ * Lets a leader take commands once it has applied an entry of its own term,
+ * and so all earlier ones, and a preset is in force.
+ */
+static void open_requests(control_t *control)
+{
+	bool is_empty = control->state.store.in_force[0] == '\0';
+
+	if (control->requests.open || !replica_is_settled(&control->replica))
+		return;
+	if (is_empty && control->first_preset_text != NULL)
+		give_first_preset(control);
+	else
+		control->requests.open = true;
 }
 
 static void on_tick(uv_timer_t *timer)
@@ -273,10 +275,10 @@
 
 	directory_expire(control->directory, now_of(control),
 			 DIRECTORY_SILENCE_MS);
+	open_requests(control);
 	requests_tick(&control->requests);
 	renewals_tick(&control->renewals);
 	end_reads(control, 0);
-	give_first_preset(control);
 }
 
 static bool load_first_preset(control_t *control, const char *path, err_t *err)
--- a/src/wisteria/control/replica.c
+++ b/src/wisteria/control/replica.c
@@ -364,6 +364,17 @@
 	return replica->raft.role == RAFT_LEADER;
 }
 
+/* Returns whether this leader has applied all that earlier ones committed. */
+bool replica_is_settled(const replica_t *replica)
+{
+	const raft_t *raft = &replica->raft;
+	uint64_t term = 0;
+
+	return replica_leads(replica) &&
+	       raft_log_term(&raft->log, raft->applied, &term) &&
+	       term == raft->term;
+}
+
 /* Like raft_propose(). */
 uint64_t replica_propose(replica_t *replica, const uint8_t *data, size_t len)
 {
--- a/src/wisteria/control/requests.c
+++ b/src/wisteria/control/requests.c
@@ -26,6 +26,7 @@
 typedef struct {
 	msg_type_t type; /* MSG_ORDER or MSG_LEDGER */
 	request_state_t state;
+	bool is_first;	   /* goes before the requests are open */
 	conn_t *conn;	   /* where it came from; NULL: gone, or a call */
 	order_done_t done; /* NULL: from a connection */
 	void *user;
@@ -216,6 +217,8 @@
 	if (request->state != REQUEST_QUEUED)
 		return;
 	if (replica_leads(replica)) {
+		if (!requests->open && !request->is_first)
+			return;
 		if (is_member_order(request) &&
 		    !change_member(requests, request))
 			return;
@@ -279,6 +282,15 @@
 	push(requests, request);
 }
 
+/* Takes an order of this leader that goes before all others. */
+void requests_submit_first(requests_t *requests, const msg_order_t *order)
+{
+	request_t *request = add_order(requests, NULL, order);
+
+	request->is_first = true;
+	push(requests, request);
+}
+
 /* Takes a question to the ledger from a connection, where it is answered. */
 void requests_take_ledger(requests_t *requests, conn_t *conn,
 			  const msg_ledger_t *question)
@@ -384,6 +396,7 @@
 {
 	GList *link;
 
+	requests->open = false;
 	for (link = requests->waiting.head; link != NULL; link = link->next) {
 		request_t *request = link->data;
 
--- a/src/wisteria/control/requests.h
+++ b/src/wisteria/control/requests.h
@@ -10,6 +10,8 @@
 			 const msg_order_t *order) ATTR_NONNULL_ALL;
 void requests_submit_order(requests_t *requests, const msg_order_t *order,
 			   order_done_t done, void *user) ATTR_NONNULL(1, 2, 3);
+void requests_submit_first(requests_t *requests,
+			   const msg_order_t *order) ATTR_NONNULL_ALL;
 void requests_take_ledger(requests_t *requests, conn_t *conn,
 			  const msg_ledger_t *question) ATTR_NONNULL_ALL;
 void requests_order_applied(requests_t *requests, uint64_t index, uint64_t term,
--- a/src/wisteria/control/requests_defs.h
+++ b/src/wisteria/control/requests_defs.h
@@ -16,6 +16,7 @@
 	replica_t *replica;
 	GQueue waiting; /* of request_t, oldest first */
 	uint64_t sequence;
+	bool open; /* the leader knows its state and takes commands */
 	/* The log's own time: grows with this leader's clock. */
 	int64_t log_time_ms;
 	clock_ms_t log_time_at_ms;
--- /dev/null
+++ b/test/functional/control_test.c
@@ -0,0 +1,172 @@
+/*
+ * The control group as real processes: the leader killed in the middle of
+ * changes, a paused leader, silent connections, a lost disk.
+ */
+#include "../unit/unit.h"
+
+#include <signal.h>
+
+#include "harness/control_rig.h"
+
+#include "wisteria/base/clock.h"
+#include "wisteria/control/control_defs.h"
+
+#define CHANGES 300
+
+static harness_t harness;
+
+typedef struct {
+	rig_daemon_t *daemon;
+	uint64_t revision;
+} wanted_t;
+
+static bool has_revision(void *user)
+{
+	const wanted_t *wanted = user;
+
+	return control_rig_revision(wanted->daemon) >= wanted->revision;
+}
+
+static bool comes_in_force(control_rig_t *rig, rig_daemon_t *daemon,
+			   uint64_t revision)
+{
+	wanted_t wanted = { daemon, revision };
+
+	return control_rig_until(rig, has_revision, &wanted, HARNESS_WAIT_MS);
+}
+
+/* All orders so far were applied exactly once, and the last one shows. */
+static void expect_last_in_force(control_rig_t *rig, const char *daemon_name)
+{
+	rig_daemon_t *daemon =
+		control_rig_add_daemon(rig, daemon_name, 0, rig->control_count);
+	uint64_t expected = RIG_FIRST_REVISION + rig->orders;
+	const view_t *view;
+
+	CU_ASSERT_FATAL(comes_in_force(rig, daemon, expected));
+	view = control_rig_view(daemon);
+	CU_ASSERT_EQUAL(view->revision, expected);
+	CU_ASSERT_EQUAL(view->leaving_count, rig->orders % 2);
+}
+
+static void test_killed_leader_loses_nothing(void)
+{
+	control_rig_t rig;
+
+	control_rig_init(&rig, &harness, 3, false);
+	CU_ASSERT_FATAL(control_rig_start_all(&rig));
+	for (size_t i = 0; i < CHANGES; i++) {
+		rig_answer_t answer;
+
+		if (i == CHANGES / 2)
+			harness_kill(
+				rig.controls[control_rig_leader(&rig)].process);
+		answer = control_rig_change(&rig, i);
+		CU_ASSERT_EQUAL_FATAL(answer.outcome, ORDER_APPLIED);
+		CU_ASSERT_EQUAL(answer.revision,
+				RIG_FIRST_REVISION + rig.orders);
+	}
+	for (size_t i = 0; i < rig.control_count; i++)
+		harness_kill(rig.controls[i].process);
+	for (size_t i = 0; i < rig.control_count; i++)
+		control_rig_start(&rig, i);
+	expect_last_in_force(&rig, "after-restart");
+	control_rig_finish(&rig);
+}
+
+static bool lease_ran_out(void *user)
+{
+	return control_rig_revision(user) == 0;
+}
+
+static void test_paused_leader_grants_nothing_old(void)
+{
+	control_rig_t rig;
+	rig_daemon_t *daemon;
+	uint64_t before;
+	size_t leader;
+
+	control_rig_init(&rig, &harness, 3, false);
+	CU_ASSERT_FATAL(control_rig_start_all(&rig));
+	leader = control_rig_leader(&rig);
+	daemon = control_rig_add_daemon(&rig, "pinned", leader, 1);
+	before = RIG_FIRST_REVISION + rig.orders;
+	CU_ASSERT_FATAL(comes_in_force(&rig, daemon, before));
+	harness_signal(rig.controls[leader].process, SIGSTOP);
+	CU_ASSERT_EQUAL(control_rig_change(&rig, leader + 1).outcome,
+			ORDER_APPLIED);
+	CU_ASSERT(control_rig_until(&rig, lease_ran_out, daemon,
+				    HARNESS_WAIT_MS));
+	harness_signal(rig.controls[leader].process, SIGCONT);
+	CU_ASSERT_FATAL(comes_in_force(&rig, daemon, 1));
+	CU_ASSERT_EQUAL(control_rig_revision(daemon), before + 1);
+	control_rig_finish(&rig);
+}
+
+static void test_silent_connections_are_left(void)
+{
+	control_rig_t rig;
+
+	control_rig_init(&rig, &harness, 3, true);
+	CU_ASSERT_FATAL(control_rig_start_all(&rig));
+	for (size_t i = 0; i < rig.control_count; i++)
+		relay_silence_open(rig.controls[i].relay);
+	for (size_t i = 0; i < 10; i++)
+		CU_ASSERT_EQUAL(control_rig_change(&rig, i).outcome,
+				ORDER_APPLIED);
+	expect_last_in_force(&rig, "after-silence");
+	control_rig_finish(&rig);
+}
+
+static bool promoted(void *user)
+{
+	control_rig_t *rig = user;
+	rig_control_t *leader = &rig->controls[control_rig_leader(rig)];
+	char *log = harness_read(leader->process->log_path);
+	bool found = strstr(log, "event=member_promoted") != NULL;
+
+	g_free(log);
+	return found;
+}
+
+static void test_lost_disk_then_lost_instance(void)
+{
+	control_rig_t rig;
+	size_t leader;
+	size_t wiped;
+
+	control_rig_init(&rig, &harness, 3, false);
+	CU_ASSERT_FATAL(control_rig_start_all(&rig));
+	for (size_t i = 0; i < 20; i++)
+		CU_ASSERT_EQUAL(control_rig_change(&rig, i).outcome,
+				ORDER_APPLIED);
+	leader = control_rig_leader(&rig);
+	wiped = (leader + 1) % rig.control_count;
+	harness_kill(rig.controls[wiped].process);
+	control_rig_wipe(&rig, wiped);
+	control_rig_start(&rig, wiped);
+	CU_ASSERT_FATAL(
+		control_rig_until(&rig, promoted, &rig, HARNESS_WAIT_MS));
+	harness_kill(rig.controls[leader].process);
+	CU_ASSERT_EQUAL(control_rig_change(&rig, wiped).outcome, ORDER_APPLIED);
+	expect_last_in_force(&rig, "after-repair");
+	control_rig_finish(&rig);
+}
+
+static const unit_test_t tests[] = {
+	{ "killed leader loses nothing", test_killed_leader_loses_nothing },
+	{ "paused leader grants nothing old",
+	  test_paused_leader_grants_nothing_old },
+	{ "silent connections are left", test_silent_connections_are_left },
+	{ "lost disk, then lost instance", test_lost_disk_then_lost_instance },
+};
+
+int main(void)
+{
+	int status;
+
+	harness_init(&harness, "control");
+	status = unit_run("control", tests, ARRAY_SIZE(tests));
+	harness_finish(&harness, status == EXIT_SUCCESS);
+	return status;
+}
--- /dev/null
+++ b/test/functional/harness/control_rig.h
@@ -0,0 +1,85 @@
+#ifndef TEST_FUNCTIONAL_HARNESS_CONTROL_RIG_H
+#define TEST_FUNCTIONAL_HARNESS_CONTROL_RIG_H
+
+#include "harness/harness.h"
+#include "harness/relay.h"
+
+#include "wisteria/control/lease_client.h"
+#include "wisteria/control/view_defs.h"
+#include "wisteria/net/net_defs.h"
+#include "wisteria/settings/settings_defs.h"
+
+#define RIG_CONTROLS_MAX 5
+#define RIG_DAEMONS_MAX 32
+/* The revision that the first preset makes: created, then put in force. */
+#define RIG_FIRST_REVISION 2
+
+/* A process with the control role alone. */
+typedef struct {
+	char name[HARNESS_NAME_BYTES];
+	const char *address;
+	relay_t *relay; /* through which the others reach it; or NULL */
+	const char *data_dir;
+	const char *settings;
+	harness_process_t *process;
+} rig_control_t;
+
+/* A daemon of this process that only keeps its lease. */
+typedef struct {
+	char name[HARNESS_NAME_BYTES];
+	net_t net;
+	settings_t settings;
+	settings_peer_t peers[RIG_CONTROLS_MAX];
+	view_board_t board;
+	lease_client_t *lease;
+} rig_daemon_t;
+
+typedef struct {
+	uint32_t outcome; /* an order_outcome_t */
+	uint64_t revision;
+	bool answered;
+	char winner[HARNESS_NAME_BYTES];
+} rig_answer_t;
+
+/* Control instances as processes, and a client of theirs. */
+typedef struct {
+	conn_handler_t handler;
+	harness_t *harness;
+	uv_loop_t loop;
+	net_t net;
+	rig_control_t controls[RIG_CONTROLS_MAX];
+	size_t control_count;
+	link_t links[RIG_CONTROLS_MAX];
+	rig_daemon_t *daemons[RIG_DAEMONS_MAX];
+	size_t daemon_count;
+	const char *order_id; /* that is waited for */
+	rig_answer_t answer;
+	uint64_t orders;
+	uint8_t key[NET_KEY_BYTES];
+} control_rig_t;
+
+void control_rig_init(control_rig_t *rig, harness_t *harness, size_t controls,
+		      bool relays) ATTR_NONNULL_ALL;
+void control_rig_finish(control_rig_t *rig) ATTR_NONNULL_ALL;
+void control_rig_start(control_rig_t *rig, size_t control) ATTR_NONNULL_ALL;
+bool control_rig_start_all(control_rig_t *rig)
+	ATTR_NONNULL_ALL ATTR_WARN_UNUSED;
+void control_rig_wipe(control_rig_t *rig, size_t control) ATTR_NONNULL_ALL;
+size_t control_rig_leader(control_rig_t *rig) ATTR_NONNULL_ALL;
+rig_daemon_t *control_rig_add_daemon(control_rig_t *rig, const char *name,
+				     size_t first_control,
+				     size_t control_count) ATTR_NONNULL_ALL;
+const view_t *control_rig_view(rig_daemon_t *daemon) ATTR_NONNULL_ALL;
+uint64_t control_rig_revision(rig_daemon_t *daemon) ATTR_NONNULL_ALL;
+void control_rig_run(control_rig_t *rig, clock_ms_t span_ms) ATTR_NONNULL_ALL;
+bool control_rig_until(control_rig_t *rig, bool (*holds)(void *user),
+		       void *user, clock_ms_t limit_ms)
+	ATTR_NONNULL(1, 2) ATTR_WARN_UNUSED;
+rig_answer_t control_rig_try(control_rig_t *rig, size_t control,
+			     const msg_order_t *order) ATTR_NONNULL_ALL;
+rig_answer_t control_rig_order(control_rig_t *rig, size_t control,
+			       const msg_order_t *order) ATTR_NONNULL_ALL;
+rig_answer_t control_rig_change(control_rig_t *rig,
+				size_t control) ATTR_NONNULL_ALL;
+
+#endif
