--- a/bench/support/route_model.c
+++ b/bench/support/route_model.c
@@ -223,6 +223,7 @@
 static bool abort_if_lost(bench_t *bench, bench_session_t *session)
 {
 	entry_t *entry = &bench->entries[session->entry];
+	bool lost = false;
 
 	for (uint32_t i = 0; i < session->hop_count; i++) {
 		const uint32_t at = session->hops[i];
@@ -232,11 +233,12 @@
 		entry->known_gone[at] = true;
 		router_failed(entry->router, bench->endpoints[at].name,
 			      (clock_ms_t)bench->now_ms);
-		session->aborted = true;
+		lost = true;
 	}
-	if (session->aborted)
+	session->aborted = lost;
+	if (lost)
 		end_session(bench, session);
-	return session->aborted;
+	return lost;
 }
 
 static void at_hop(bench_t *bench, bench_session_t *session)
--- a/src/wisteria/route/router.c
+++ b/src/wisteria/route/router.c
@@ -24,6 +24,8 @@
 #define NEAR_EQUAL 0.1
 /* Candidates whose wait is worked out anew for each choice. */
 #define REFRESH_COUNT 4
+/* Least time between two refreshes of all candidates. */
+#define REFRESH_ALL_MS 100
 
 struct router_t {
 	table_t candidates;
@@ -36,6 +38,7 @@
 	handle_t refreshed; /* where the last refresh ended */
 	clock_ms_t now_ms;  /* the latest time heard of */
 	clock_ms_t next_pause_end_ms;
+	clock_ms_t refreshed_all_ms;
 };
 
 /* Returns a router for an entry in the given region and failure domain. */
@@ -56,6 +59,7 @@
 	};
 	router->random = g_rand_new_with_seed(seed);
 	router->next_pause_end_ms = CLOCK_NEVER_MS;
+	router->refreshed_all_ms = -REFRESH_ALL_MS;
 	return router;
 }
 
@@ -177,6 +181,23 @@
 	}
 }
 
+/*
+ * Refreshes all candidates, so that none stays full by an old report; returns
+ * false if that was done a moment ago.
+ */
+static bool refresh_all(router_t *router, clock_ms_t now)
+{
+	handle_t handle = { 0, 0 };
+
+	if (now - router->refreshed_all_ms < REFRESH_ALL_MS)
+		return false;
+	router->refreshed_all_ms = now;
+	while (handle = table_next(&router->candidates, handle),
+	       !handle_is_null(handle))
+		refresh(router, table_get(&router->candidates, handle), now);
+	return true;
+}
+
 static bool is_routable(const msg_endpoint_t *endpoint)
 {
 	if (endpoint->kind == ENDPOINT_SERVICE)
@@ -310,6 +331,18 @@
 	}
 }
 
+static chain_search_t search_for(const router_t *router, const target_t *target,
+				 const route_request_t *request)
+{
+	return (chain_search_t){
+		.candidates = &router->candidates,
+		.links = &router->links,
+		.target = target,
+		.request = request,
+		.entry = router->entry,
+	};
+}
+
 /*
  * Chooses a chain that covers layers [0, request->layers) exactly, for a
  * service a single endpoint.  ROUTE_FULL says that chains exist, but that
@@ -320,13 +353,7 @@
 {
 	const target_t *target =
 		g_hash_table_lookup(router->targets, request->target);
-	const chain_search_t search = {
-		.candidates = &router->candidates,
-		.links = &router->links,
-		.target = target,
-		.request = request,
-		.entry = router->entry,
-	};
+	const chain_search_t search = search_for(router, target, request);
 	int last;
 
 	choice->hop_count = 0;
@@ -339,6 +366,8 @@
 	refresh_some(router, now);
 	count_alternatives(target, choice);
 	last = chain_find(&router->chain, &search);
+	if (last < 0 && refresh_all(router, now))
+		last = chain_find(&router->chain, &search);
 	if (last < 0)
 		return target_is_covered(target, request->layers)
 			       ? ROUTE_FULL
@@ -365,6 +394,22 @@
 	return ms;
 }
 
+/* Writes the candidates for the place of "lost", which is none of them. */
+static size_t substitutes(router_t *router, const chain_search_t *search,
+			  const range_t *range, const route_hop_t *lost,
+			  chain_node_t nodes[CHAIN_CANDIDATES_MAX])
+{
+	const size_t found = chain_candidates(search, range, nodes);
+	size_t count = 0;
+
+	for (size_t i = 0; i < found; i++)
+		if (strcmp(nodes[i].candidate->name, lost->endpoint) != 0)
+			nodes[count++] = nodes[i];
+	if (count == 0 && refresh_all(router, router->now_ms))
+		return substitutes(router, search, range, lost, nodes);
+	return count;
+}
+
 /*
  * Chooses an endpoint that can take the place of hop "lost_hop": one that
  * holds exactly its layers and is none of the chain's own.
@@ -376,13 +421,7 @@
 	const route_hop_t *lost = &chain->hops[lost_hop];
 	const target_t *target =
 		g_hash_table_lookup(router->targets, request->target);
-	const chain_search_t search = {
-		.candidates = &router->candidates,
-		.links = &router->links,
-		.target = target,
-		.request = request,
-		.entry = router->entry,
-	};
+	const chain_search_t search = search_for(router, target, request);
 	chain_node_t nodes[CHAIN_CANDIDATES_MAX];
 	const chain_node_t *best = NULL;
 	const range_t *range;
@@ -394,15 +433,11 @@
 	if (range == NULL)
 		return ROUTE_NO_CHAIN;
 	advance(router, now);
-	count = chain_candidates(&search, range, nodes);
+	count = substitutes(router, &search, range, lost, nodes);
 	for (size_t i = 0; i < count; i++) {
-		const candidate_t *candidate = nodes[i].candidate;
-
-		if (strcmp(candidate->name, lost->endpoint) == 0)
-			continue;
 		nodes[i].total_ms =
-			nodes[i].wait_ms +
-			links_around(router, chain, lost_hop, candidate);
+			nodes[i].wait_ms + links_around(router, chain, lost_hop,
+							nodes[i].candidate);
 		if (best == NULL || nodes[i].total_ms < best->total_ms)
 			best = &nodes[i];
 	}
--- a/test/unit/router_test.c
+++ b/test/unit/router_test.c
@@ -223,6 +223,23 @@
 	router_free(router);
 }
 
+static void test_old_report_does_not_fill_an_endpoint(void)
+{
+	const msg_endpoint_t endpoints[] = {
+		endpoint("a", 0, 12), endpoint("b", 0, 6), endpoint("c", 0, 6),
+		endpoint("d", 0, 6),  endpoint("e", 0, 6), endpoint("f", 0, 6)
+	};
+	const msg_load_t load = { .endpoint = "a", .in_flight = 4, .slots = 4 };
+	router_t *router = router_new("nordeste", "recife", 1);
+	route_choice_t choice;
+
+	router_update(router, endpoints, 6, NULL, 0, 0);
+	router_load(router, &load, 0);
+	CU_ASSERT_EQUAL(choose(router, 0, &choice), ROUTE_FULL);
+	CU_ASSERT_EQUAL(choose(router, 60000, &choice), ROUTE_FOUND);
+	router_free(router);
+}
+
 static void test_service_is_one_hop(void)
 {
 	msg_endpoint_t endpoints[] = { endpoint("a", 0, 0) };
@@ -249,6 +266,8 @@
 	{ "replacement holds the same layers",
 	  test_replacement_holds_the_same_layers },
 	{ "newcomer gets traffic", test_newcomer_gets_traffic },
+	{ "old report doesn't fill an endpoint",
+	  test_old_report_does_not_fill_an_endpoint },
 	{ "service is one hop", test_service_is_one_hop },
 };
 
