Make the test of the faded report fail without its mend

The test passed also without the refresh of all candidates, because its turn came anyway; with more endpoints it fails without and passes with.

--- a/test/unit/router_test.c
+++ b/test/unit/router_test.c
@@ -227,13 +227,14 @@
 {
 	const msg_endpoint_t endpoints[] = {
 		endpoint("a", 0, 12), endpoint("b", 0, 6), endpoint("c", 0, 6),
-		endpoint("d", 0, 6),  endpoint("e", 0, 6), endpoint("f", 0, 6)
+		endpoint("d", 0, 6),  endpoint("e", 0, 6), endpoint("f", 0, 6),
+		endpoint("g", 0, 6),  endpoint("h", 0, 6)
 	};
 	const msg_load_t load = { .endpoint = "a", .in_flight = 4, .slots = 4 };
 	router_t *router = router_new("nordeste", "recife", 1);
 	route_choice_t choice;
 
-	router_update(router, endpoints, 6, NULL, 0, 0);
+	router_update(router, endpoints, 8, NULL, 0, 0);
 	router_load(router, &load, 0);
 	CU_ASSERT_EQUAL(choose(router, 0, &choice), ROUTE_FULL);
 	CU_ASSERT_EQUAL(choose(router, 60000, &choice), ROUTE_FOUND);
