--- a/src/wisteria/control/directory.c
+++ b/src/wisteria/control/directory.c
@@ -16,6 +16,8 @@
 	msg_name_t name;	 /* the endpoint's, for removals */
 	uint64_t version;
 	bool removed;
+	bool knows_running;
+	uint32_t running;
 } directory_entry_t;
 
 /* An agent that announces endpoints. */
@@ -81,6 +83,7 @@
 	       a->first_layer == b->first_layer &&
 	       a->end_layer == b->end_layer && a->slots == b->slots &&
 	       a->checks_fencing == b->checks_fencing &&
+	       a->leaving == b->leaving &&
 	       strcmp(a->instance, b->instance) == 0 &&
 	       strcmp(a->address, b->address) == 0 &&
 	       strcmp(a->target, b->target) == 0 &&
@@ -145,20 +148,22 @@
 	entry->endpoint = copy;
 	entry->name.text = copy.name;
 	entry->removed = false;
+	entry->knows_running = false;
 	entry->version = ++directory->version;
 	g_hash_table_insert(directory->entries, (char *)copy.name, entry);
 }
 
-static bool announces(const msg_renew_t *renew, const char *name)
+static bool announces(const msg_announce_t *announce, const char *name)
 {
-	for (size_t i = 0; i < renew->endpoint_count; i++)
-		if (strcmp(renew->endpoints[i].name, name) == 0)
+	for (size_t i = 0; i < announce->endpoint_count; i++)
+		if (strcmp(announce->endpoints[i].name, name) == 0)
 			return true;
 	return false;
 }
 
 /* Removes the endpoints of an agent that it no longer announces. */
-static void remove_absent(directory_t *directory, const msg_renew_t *renew)
+static void remove_absent(directory_t *directory,
+			  const msg_announce_t *announce)
 {
 	GHashTableIter iter;
 	gpointer value;
@@ -168,8 +173,8 @@
 		directory_entry_t *entry = value;
 
 		if (!entry->removed &&
-		    strcmp(entry->endpoint.instance, renew->instance) == 0 &&
-		    !announces(renew, entry->endpoint.name))
+		    strcmp(entry->endpoint.instance, announce->instance) == 0 &&
+		    !announces(announce, entry->endpoint.name))
 			remove_entry(directory, entry);
 	}
 }
@@ -178,24 +183,24 @@
  * Takes the full list of endpoints that an agent announces.  What an earlier
  * incarnation of the agent says after a later one is ignored.
  */
-void directory_announce(directory_t *directory, const msg_renew_t *renew,
+void directory_announce(directory_t *directory, const msg_announce_t *announce,
 			clock_ms_t now)
 {
 	directory_agent_t *agent =
-		g_hash_table_lookup(directory->agents, renew->instance);
+		g_hash_table_lookup(directory->agents, announce->instance);
 
-	if (agent != NULL && agent->incarnation > renew->incarnation)
+	if (agent != NULL && agent->incarnation > announce->incarnation)
 		return;
 	if (agent == NULL) {
 		agent = g_new0(directory_agent_t, 1);
-		agent->instance = g_strdup(renew->instance);
+		agent->instance = g_strdup(announce->instance);
 		g_hash_table_insert(directory->agents, agent->instance, agent);
 	}
-	agent->incarnation = renew->incarnation;
+	agent->incarnation = announce->incarnation;
 	agent->heard_ms = now;
-	remove_absent(directory, renew);
-	for (size_t i = 0; i < renew->endpoint_count; i++)
-		put_endpoint(directory, &renew->endpoints[i]);
+	remove_absent(directory, announce);
+	for (size_t i = 0; i < announce->endpoint_count; i++)
+		put_endpoint(directory, &announce->endpoints[i]);
 }
 
 /*
@@ -234,7 +239,7 @@
 
 static void expire_agent(directory_t *directory, const char *instance)
 {
-	const msg_renew_t nothing = { .instance = instance };
+	const msg_announce_t nothing = { .instance = instance };
 
 	remove_absent(directory, &nothing);
 }
@@ -297,6 +302,39 @@
 	delta->removed_count = directory->delta_removed->len;
 }
 
+/* Takes in how much work the endpoints of an agent run. */
+void directory_note_running(directory_t *directory,
+			    const msg_announce_t *announce)
+{
+	for (size_t i = 0; i < announce->running_count; i++) {
+		const msg_running_t *running = &announce->running[i];
+		directory_entry_t *entry = g_hash_table_lookup(
+			directory->entries, running->endpoint);
+
+		if (entry == NULL || entry->removed ||
+		    entry->endpoint.incarnation != announce->incarnation)
+			continue;
+		entry->running = running->running;
+		entry->knows_running = true;
+	}
+}
+
+/*
+ * Sets "running" to the work that "endpoint" ran when its agent last said so;
+ * returns false if it has not said so.
+ */
+bool directory_running(const directory_t *directory, const char *endpoint,
+		       uint32_t *running)
+{
+	const directory_entry_t *entry =
+		g_hash_table_lookup(directory->entries, endpoint);
+
+	if (entry == NULL || entry->removed || !entry->knows_running)
+		return false;
+	*running = entry->running;
+	return true;
+}
+
 /* Returns the number of endpoints now announced. */
 size_t directory_count(const directory_t *directory)
 {
