Answer 405 where the path takes another method

Cause: the path test expects a GET of /v1/completions to be told that the method is wrong, and got 404.

--- a/src/wisteria/base/err.c
+++ b/src/wisteria/base/err.c
@@ -17,6 +17,7 @@
 	[ERR_AUTH] = "auth",
 	[ERR_CLOSED] = "closed",
 	[ERR_NOT_FOUND] = "not_found",
+	[ERR_NOT_ALLOWED] = "not_allowed",
 	[ERR_CONFLICT] = "conflict",
 	[ERR_UNAVAILABLE] = "unavailable",
 	[ERR_OVERLOAD] = "overload",
