--- a/src/wisteria/entry/http_front.c
+++ b/src/wisteria/entry/http_front.c
@@ -47,27 +47,45 @@
 	{ NULL, "/services/", true, REQUEST_CALL },
 };
 
-static const http_route_t *find_route(const char *method, const char *path)
+static bool matches(const http_route_t *route, const char *path)
 {
+	if (route->prefix)
+		return g_str_has_prefix(path, route->path);
+	return strcmp(path, route->path) == 0;
+}
+
+/* Finds the route of a request, or says why there is none. */
+static const http_route_t *find_route(const char *method, const char *path,
+				      err_t *err)
+{
+	err_set(err, ERR_NOT_FOUND, "route", "", "no such path");
 	for (size_t i = 0; i < ARRAY_SIZE(routes); i++) {
 		const http_route_t *route = &routes[i];
-		bool match = route->prefix ? g_str_has_prefix(path, route->path)
-					   : strcmp(path, route->path) == 0;
 
-		if (match && (route->method == NULL ||
-			      strcmp(route->method, method) == 0))
+		if (!matches(route, path))
+			continue;
+		if (route->method == NULL || strcmp(route->method, method) == 0)
 			return route;
+		err_set(err, ERR_NOT_ALLOWED, "route", "",
+			"the path takes %s only", route->method);
 	}
 	return NULL;
 }
 
+static void refuse_with(request_t *request, const err_t *err)
+{
+	const entry_refusal_t refusal = { .err = *err, .not_run = true };
+
+	refusal_send(request, &refusal, NULL);
+}
+
 static void refuse(request_t *request, err_code_t code, const char *step,
 		   const char *text)
 {
-	entry_refusal_t refusal = { .not_run = true };
+	err_t err = ERR_INIT;
 
-	err_set(&refusal.err, code, step, "", "%s", text);
-	refusal_send(request, &refusal, NULL);
+	err_set(&err, code, step, "", "%s", text);
+	refuse_with(request, &err);
 }
 
 static enum MHD_Result copy_header(void *data, enum MHD_ValueKind kind,
@@ -163,8 +181,8 @@
 /* Checks a request that has been read whole and hands it on. */
 static void finish_reading(request_t *request, const char *url)
 {
-	const http_route_t *route = find_route(request->method, url);
 	err_t err = ERR_INIT;
+	const http_route_t *route = find_route(request->method, url, &err);
 
 	request->posted = true;
 	if (ck_pr_load_32(&request->front->closed) != 0) {
@@ -173,9 +191,10 @@
 		return;
 	}
 	if (route == NULL) {
-		refuse(request, ERR_NOT_FOUND, "route", "no such path");
+		refuse_with(request, &err);
 		return;
 	}
+	err_clear(&err);
 	request->kind = route->kind;
 	if (request->body->len > HTTP_BODY_BYTES_MAX) {
 		refuse(request, ERR_INVALID, "read_body", "body too long");
@@ -188,9 +207,7 @@
 	if ((request->kind == REQUEST_COMPLETION ||
 	     request->kind == REQUEST_CHAT) &&
 	    !openai_parse(request, &err)) {
-		entry_refusal_t refusal = { .err = err, .not_run = true };
-
-		refusal_send(request, &refusal, NULL);
+		refuse_with(request, &err);
 		return;
 	}
 	entry_post(request->entry, request);
