agent_test: let all agents fall idle before the journals are read

Cause: under ASan reading the journals held the loop up for over a second; all connections then counted as silent, and a close still in the buffer was lost (build/sanitize/agent_test, 3 of 4 runs of one test). Change: the check waits for idle agents first. Before and after: build/sanitize/agent_test fails 4 of 18 tests; now 18 pass, 1,018 assertions, clean under ASan, UBSan and LeakSanitizer. Conclusion: a daemon whose loop stands still as long would lose its connections too; left to the net module.

--- a/test/functional/agent_test.c
+++ b/test/functional/agent_test.c
@@ -73,11 +73,23 @@
 	}
 }
 
+static bool all_idle(void *user)
+{
+	(void)user;
+	for (size_t i = 0; i < rig.agent_count; i++)
+		if (rig.agents[i].net != NULL &&
+		    !agent_is_idle(rig.agents[i].agent))
+			return false;
+	return true;
+}
+
 static void check_whole(void)
 {
 	journal_t journal;
 
 	CU_ASSERT(agent_rig_run_all(&rig));
+	/* The loop stands still during the check; nothing may be under way. */
+	CU_ASSERT(agent_rig_run_until(&rig, all_idle, NULL));
 	journal_init(&journal, LAYERS);
 	journal.all_answered = false;
 	for (guint i = 0; i < rig.requests->len; i++) {
@@ -92,19 +104,8 @@
 	journal_finish(&journal);
 }
 
-static bool all_idle(void *user)
-{
-	(void)user;
-	for (size_t i = 0; i < rig.agent_count; i++)
-		if (rig.agents[i].net != NULL &&
-		    !agent_is_idle(rig.agents[i].agent))
-			return false;
-	return true;
-}
-
 static void finish(void)
 {
-	CU_ASSERT(agent_rig_run_until(&rig, all_idle, NULL));
 	agent_rig_finish(&rig);
 	harness_finish(&harness, CU_get_number_of_failures() == 0);
 }
