--- a/test/functional/agent_test.c
+++ b/test/functional/agent_test.c
@@ -15,7 +15,7 @@
 #define LAYERS 12
 #define RANGES 3
 #define REQUESTS 40
-#define STEP_US "500"
+#define STEP_US 500u
 #define KILL_AFTER_TOKENS 5
 
 static harness_t harness;
@@ -34,7 +34,7 @@
 		harness_string(&harness, "--first-layer=%u", first),
 		harness_string(&harness, "--end-layer=%u", end),
 		harness_string(&harness, "--layers=%u", LAYERS),
-		"--step-us=" STEP_US,
+		harness_string(&harness, "--step-us=%u", STEP_US),
 		harness_string(&harness, "--journal=%s", rig.journal),
 		harness_string(&harness, "--listen=%s", address),
 		NULL,
