Test wisteriactl as a process

Change: fake_admin is a control instance that stands alone; cli_test runs the tool against it: presets, races, lost answers, unknown outcomes, servers in turn, usage errors that change nothing, and the waterfall of a trace. An empty reason is no longer printed.

--- a/src/cli/output.c
+++ b/src/cli/output.c
@@ -134,8 +134,12 @@
 		{ "reason", "reason" },
 	};
 	const json_t *winner = json_object_get(answer, "winner");
+	const char *reason =
+		json_string_value(json_object_get(answer, "reason"));
+	bool has_reason = reason != NULL && reason[0] != '\0';
 
-	output_pairs(answer, columns, ARRAY_SIZE(columns));
+	output_pairs(answer, columns,
+		     ARRAY_SIZE(columns) - (has_reason ? 0 : 1));
 	if (winner != NULL)
 		print_winner(winner);
 }
--- /dev/null
+++ b/test/functional/cli_test.c
@@ -0,0 +1,271 @@
+/*
+ * wisteriactl as a process against a control instance that stands alone:
+ * what it prints, what it changes, and its exit codes.
+ */
+#include "../unit/unit.h"
+
+#include <signal.h>
+#include <string.h>
+#include <sys/wait.h>
+
+#include "harness/harness.h"
+
+#define TOKEN "operator-token"
+#define ARGS_MAX 16
+
+static harness_t harness;
+static const char *address;
+static const char *token_file;
+static char *output;
+static unsigned run_count;
+
+static harness_process_t *start_admin(unsigned answers_to_lose)
+{
+	const char *argv[] = {
+		harness_program(&harness, "fake_admin"), NULL, NULL, NULL, NULL,
+	};
+	harness_process_t *process;
+
+	address = harness_address(&harness);
+	token_file = harness_write(&harness, "token", TOKEN "\n");
+	argv[1] = harness_string(&harness, "--listen=%s", address);
+	argv[2] = harness_string(&harness, "--token-file=%s", token_file);
+	argv[3] =
+		harness_string(&harness, "--lose-answers=%u", answers_to_lose);
+	process = harness_start(
+		&harness, harness_string(&harness, "admin-%u", run_count++),
+		argv);
+	CU_ASSERT_FATAL(
+		harness_wait_http(address, "/v1/status", 401, HARNESS_WAIT_MS));
+	return process;
+}
+
+static void stop_admin(harness_process_t *process)
+{
+	harness_signal(process, SIGTERM);
+	CU_ASSERT(harness_wait_exit(process, HARNESS_WAIT_MS));
+	CU_ASSERT_EQUAL(process->exit_status, 0);
+}
+
+/* Runs the tool with "words"; its output is in "output" until the next run. */
+static int run(const char *words)
+{
+	const char *argv[ARGS_MAX + 4] = { harness_program(&harness,
+							   "wisteriactl") };
+	gchar **parts = g_strsplit(words, " ", ARGS_MAX);
+	harness_process_t *process;
+	size_t count = 1;
+
+	for (size_t i = 0; parts[i] != NULL; i++)
+		argv[count++] = harness_string(&harness, "%s", parts[i]);
+	g_strfreev(parts);
+	process = harness_start(&harness,
+				harness_string(&harness, "ctl-%u", run_count++),
+				argv);
+	CU_ASSERT_FATAL(harness_wait_exit(process, HARNESS_WAIT_MS));
+	g_free(output);
+	output = harness_read(process->log_path);
+	return WIFEXITED(process->exit_status)
+		       ? WEXITSTATUS(process->exit_status)
+		       : -1;
+}
+
+/* Runs a command with the server and the token added. */
+static int ask(const char *words)
+{
+	return run(harness_string(&harness, "-s %s --token-file %s %s", address,
+				  token_file, words));
+}
+
+static void expect(const char *words, int code, const char *part)
+{
+	int given = ask(words);
+
+	CU_ASSERT_EQUAL(given, code);
+	CU_ASSERT_PTR_NOT_NULL(strstr(output, part));
+	if (given != code || strstr(output, part) == NULL)
+		printf("\n  %s: %d\n%s", words, given, output);
+}
+
+static const char *write_preset(const char *name, unsigned layers)
+{
+	return harness_write(
+		&harness, harness_string(&harness, "%s-%u.yaml", name, layers),
+		harness_string(&harness,
+			       "name: %s\nmodels:\n"
+			       "  - {name: modelo, layers: %u}\n",
+			       name, layers));
+}
+
+static void expect_create(const char *path, int code, const char *part)
+{
+	expect(harness_string(&harness, "preset create %s", path), code, part);
+}
+
+static void test_presets(void)
+{
+	harness_process_t *admin = start_admin(0);
+
+	expect("preset use day", 1, "there is no preset day");
+	expect_create(write_preset("day", 4), 0, "applied");
+	expect_create(write_preset("day", 4), 0, "applied");
+	expect_create(write_preset("day", 5), 1, "since revision 1");
+	expect_create(write_preset("bad", 0), 1, "key layers");
+	expect_create("/nonexistent.yaml", 2, "No such file");
+	expect("preset use day --expect 1 --operator joana", 0, "applied");
+	expect("preset use day --expect 1", 3, "by joana at 20");
+	expect("preset use day --expect 9", 1, "before the expected one");
+	expect("preset list", 0, "day     1         yes");
+	stop_admin(admin);
+}
+
+static void test_shown_states(void)
+{
+	harness_process_t *admin = start_admin(0);
+
+	expect_create(write_preset("day", 4), 0, "applied");
+	expect("preset use day", 0, "applied");
+	expect("preset show day", 0, "layers: 4");
+	expect("preset show night", 1, "there is no preset night");
+	expect("status", 0, "preset         day");
+	expect("status --json", 0, "\"preset\": \"day\"");
+	expect("endpoint leave stage-0-0", 0, "applied");
+	expect("endpoint leave stage-0-1", 0, "applied");
+	expect("endpoint list --json", 0, "\"may_stop\": true");
+	expect("endpoint list", 0, "stage-0-1");
+	expect("endpoint return stage-0-1 --order-id back", 0, "applied");
+	expect("order show back", 0, "revision       5");
+	expect("order show other", 1, "no order with id other");
+	expect("config history", 0, "endpoint_return");
+	expect("explain q-1", 1, "no such path");
+	stop_admin(admin);
+}
+
+/* The answer is lost twice; the order applies once. */
+static void test_lost_answers(void)
+{
+	harness_process_t *admin = start_admin(2);
+
+	expect("endpoint leave e1 --order-id once", 0, "revision       1");
+	expect("config history --json", 0, "{\n  \"revision\": 1,\n");
+	stop_admin(admin);
+}
+
+static void test_unknown(void)
+{
+	harness_process_t *admin = start_admin(1000);
+
+	expect("endpoint leave e1 --order-id first --timeout-ms 50", 4,
+	       "--order-id first");
+	expect("endpoint leave e1 --order-id first --timeout-ms 50 --json", 4,
+	       "\"outcome\": \"unknown\"");
+	expect("order show first", 0, "revision       1");
+	stop_admin(admin);
+}
+
+static void test_servers_in_turn(void)
+{
+	harness_process_t *admin = start_admin(0);
+	const char *nowhere = harness_address(&harness);
+
+	CU_ASSERT_EQUAL(
+		run(harness_string(&harness, "-s %s,%s --token-file %s status",
+				   nowhere, address, token_file)),
+		0);
+	CU_ASSERT_EQUAL(
+		run(harness_string(&harness, "-s %s --timeout-ms 50 status",
+				   nowhere)),
+		5);
+	CU_ASSERT_EQUAL(
+		run(harness_string(&harness,
+				   "-s %s --timeout-ms 50 preset use day",
+				   nowhere)),
+		5);
+	CU_ASSERT_PTR_NOT_NULL(strstr(output, "nothing was sent"));
+	CU_ASSERT_EQUAL(run(harness_string(&harness, "-s %s status", address)),
+			1);
+	CU_ASSERT_PTR_NOT_NULL(strstr(output, "no valid bearer token"));
+	stop_admin(admin);
+}
+
+static void test_usage_errors_change_nothing(void)
+{
+	static const char *const wrong[] = {
+		"",
+		"preset",
+		"preset use",
+		"preset use a b",
+		"preset drop a",
+		"endpoint leave",
+		"endpoint leave e1 --expect many",
+		"endpoint leave e1 --expect -1",
+		"endpoint leave e1 --colour red",
+		"endpoint leave e1 --order-id a/b",
+		"endpoint leave e1 --timeout-ms 0",
+		"endpoint leave e1 -s host:1",
+		"status --expect 3",
+		"trace 00",
+	};
+	harness_process_t *admin = start_admin(0);
+
+	for (size_t i = 0; i < ARRAY_SIZE(wrong); i++)
+		CU_ASSERT_EQUAL(ask(wrong[i]), 2);
+	CU_ASSERT_EQUAL(run("endpoint leave e1"), 2);
+	expect("config history --json", 0, "\"revision\": 0");
+	stop_admin(admin);
+}
+
+#define SPAN(id, parent, name, start, end) \
+	"{\"resourceSpans\":[{\"resource\":{\"attributes\":[{\"key\":" \
+	"\"service.instance.id\",\"value\":{\"stringValue\":\"a1\"}}]}," \
+	"\"scopeSpans\":[{\"spans\":[{\"traceId\":\"0af7\",\"spanId\":\"" id \
+	"\",\"parentSpanId\":\"" parent "\",\"name\":\"" name \
+	"\",\"startTimeUnixNano\":\"" start "\",\"endTimeUnixNano\":\"" end \
+	"\"}]}]}]}\n"
+
+static void test_trace(void)
+{
+	const char *entry = harness_write(
+		&harness, "entry.jsonl",
+		SPAN("01", "", "request", "1000000", "9000000")
+			SPAN("02", "01", "queue", "1000000", "3000000"));
+	const char *agent = harness_write(
+		&harness, "agent.jsonl",
+		SPAN("03", "01", "steps", "3000000", "9000000") "{\"torn");
+
+	CU_ASSERT_EQUAL(
+		run(harness_string(&harness, "trace 0af7 %s %s", agent, entry)),
+		0);
+	CU_ASSERT_PTR_NOT_NULL(strstr(
+		output,
+		"|========================================|     8.000 ms  "
+		"request  (a1)\n"
+		"|==========                              |     2.000 ms    "
+		"queue  (a1)\n"
+		"|          ==============================|     6.000 ms    "
+		"steps  (a1)\n"));
+	CU_ASSERT_EQUAL(run(harness_string(&harness, "trace ffff %s", entry)),
+			1);
+	CU_ASSERT_EQUAL(run("trace 0af7 /nonexistent"), 2);
+}
+
+static const unit_test_t tests[] = {
+	{ "presets", test_presets },
+	{ "shown states", test_shown_states },
+	{ "lost answers", test_lost_answers },
+	{ "unknown", test_unknown },
+	{ "servers in turn", test_servers_in_turn },
+	{ "usage errors change nothing", test_usage_errors_change_nothing },
+	{ "trace", test_trace },
+};
+
+int main(void)
+{
+	int status;
+
+	harness_init(&harness, "cli");
+	status = unit_run("cli", tests, ARRAY_SIZE(tests));
+	g_free(output);
+	harness_finish(&harness, status == EXIT_SUCCESS);
+	return status;
+}
