--- a/src/cli/show.c
+++ b/src/cli/show.c
@@ -32,11 +32,10 @@
 CLI_COMMAND(cli_status)
 {
 	static const output_column_t columns[] = {
-		{ "preset", "preset" },	  { "revision", "revision" },
-		{ "leader", "leader" },	  { "answered by", "instance" },
-		{ "its role", "role" },	  { "confirmed", "confirmed" },
-		{ "daemons", "daemons" }, { "endpoints", "endpoints" },
-		{ "leaving", "leaving" },
+		{ "preset", "preset" },	      { "revision", "revision" },
+		{ "leader", "leader" },	      { "answered by", "instance" },
+		{ "its role", "role" },	      { "confirmed", "confirmed" },
+		{ "endpoints", "endpoints" }, { "leaving", "leaving" },
 	};
 	static const output_column_t member_columns[] = {
 		{ "INSTANCE", "instance" },
--- a/src/wisteria/admin/admin_defs.h
+++ b/src/wisteria/admin/admin_defs.h
@@ -72,7 +72,6 @@
 	size_t member_count;
 	const admin_endpoint_t *endpoints;
 	size_t endpoint_count;
-	size_t daemon_count; /* that renew their lease */
 } admin_state_t;
 
 #endif
--- a/src/wisteria/admin/admin_render.c
+++ b/src/wisteria/admin/admin_render.c
@@ -141,7 +141,6 @@
 	set_text(object, "preset", config.preset);
 	set_number(object, "endpoints", state->endpoint_count);
 	set_number(object, "leaving", config.leaving_count);
-	set_number(object, "daemons", state->daemon_count);
 	json_object_set_new(object, "members", describe_members(state));
 	return object;
 }
