Explain model requests at the entry

Cause: the entry took GET /v1/explain/ID and answered "not served". The token's code is shared with admin.c.

--- a/src/cli/client.c
+++ b/src/cli/client.c
@@ -147,6 +147,9 @@
 	const char *reason =
 		json_string_value(json_object_get(answer->body, "reason"));
 
+	if (reason == NULL)
+		reason = json_string_value(json_object_get(
+			json_object_get(answer->body, "error"), "message"));
 	if (reason == NULL && answer->status != 0)
 		fprintf(stderr, "wisteriactl: HTTP status %ld\n",
 			answer->status);
--- a/src/wisteria/admin/admin.c
+++ b/src/wisteria/admin/admin.c
@@ -9,19 +9,17 @@
 #include <string.h>
 
 #include <glib.h>
-#include <sodium.h>
 
 #include "wisteria/admin/admin_render.h"
 #include "wisteria/admin/admin_route.h"
 #include "wisteria/admin/http.h"
+#include "wisteria/admin/token.h"
 #include "wisteria/base/err.h"
 
-#define ADMIN_HASH_BYTES 32
-
 struct admin_t {
 	struct MHD_Daemon *daemon;
 	admin_backend_t *backend;
-	uint8_t token_hash[ADMIN_HASH_BYTES];
+	admin_token_t token;
 };
 
 /* One HTTP request on its way: the job, and the body as far as it came. */
@@ -32,48 +30,17 @@
 	bool is_too_large;
 } request_t;
 
-static void hash_token(const char *token, uint8_t hash[ADMIN_HASH_BYTES])
-{
-	crypto_generichash(hash, ADMIN_HASH_BYTES, (const uint8_t *)token,
-			   strlen(token), NULL, 0);
-}
-
-static bool load_token(admin_t *admin, const char *path, err_t *err)
-{
-	gchar *text = NULL;
-	size_t len;
-
-	if (!g_file_get_contents(path, &text, NULL, NULL)) {
-		err_set(err, ERR_IO, "load_token", path,
-			"cannot read the file");
-		return false;
-	}
-	g_strstrip(text);
-	len = strlen(text);
-	hash_token(text, admin->token_hash);
-	sodium_memzero(text, len);
-	g_free(text);
-	if (len >= ADMIN_TOKEN_LEN_MIN)
-		return true;
-	err_set(err, ERR_INVALID, "load_token", path,
-		"a token has at least %d bytes", ADMIN_TOKEN_LEN_MIN);
-	return false;
-}
-
-/* Compares hashes, so that the time tells nothing of the token. */
 static bool is_authorized(const admin_t *admin,
 			  struct MHD_Connection *connection)
 {
 	static const char scheme[] = "Bearer ";
 	const char *header = MHD_lookup_connection_value(
 		connection, MHD_HEADER_KIND, MHD_HTTP_HEADER_AUTHORIZATION);
-	uint8_t hash[ADMIN_HASH_BYTES];
 
 	if (header == NULL ||
 	    g_ascii_strncasecmp(header, scheme, sizeof(scheme) - 1) != 0)
 		return false;
-	hash_token(header + sizeof(scheme) - 1, hash);
-	return sodium_memcmp(hash, admin->token_hash, sizeof(hash)) == 0;
+	return admin_token_matches(&admin->token, header + sizeof(scheme) - 1);
 }
 
 static enum MHD_Result fail(struct MHD_Connection *connection, unsigned status,
@@ -214,7 +181,7 @@
 	admin_t *admin = g_new0(admin_t, 1);
 
 	admin->backend = backend;
-	if (load_token(admin, token_file, err))
+	if (admin_token_load(&admin->token, token_file, err))
 		admin->daemon = http_start(address, on_request, on_completed,
 					   admin, err);
 	if (admin->daemon != NULL)
--- a/src/wisteria/admin/admin_defs.h
+++ b/src/wisteria/admin/admin_defs.h
@@ -9,7 +9,6 @@
 #include "wisteria/store/store_defs.h"
 
 #define ADMIN_BODY_BYTES_MAX (4u << 20)
-#define ADMIN_TOKEN_LEN_MIN 8
 #define ADMIN_HISTORY_MAX 1000 /* changes in one answer */
 
 typedef enum {
--- a/src/wisteria/entry/entry.c
+++ b/src/wisteria/entry/entry.c
@@ -17,10 +17,12 @@
 #include "wisteria/control/view.h"
 #include "wisteria/entry/entry_call.h"
 #include "wisteria/entry/entry_defs.h"
+#include "wisteria/entry/entry_explain.h"
 #include "wisteria/entry/entry_model.h"
 #include "wisteria/entry/refusal.h"
 #include "wisteria/entry/request.h"
 #include "wisteria/settings/preset.h"
+#include "wisteria/trace/explain.h"
 
 #define ENTRY_TICK_MS 20
 
@@ -153,6 +155,10 @@
 {
 	const preset_contract_t *contract;
 
+	if (request->kind == REQUEST_EXPLAIN) {
+		entry_explain_accept(entry, request);
+		return;
+	}
 	if (!has_lease(entry)) {
 		refuse(entry, request, ERR_UNAVAILABLE, "lease",
 		       "this entry is cut off from control and takes no work",
@@ -264,6 +270,7 @@
 	entry->ledger_owner.answered = on_ledger_answer;
 	ledger_client_init(&entry->ledger, net, settings, &entry->ledger_owner);
 	entry_model_init(entry);
+	entry_explain_init(entry);
 	uv_timer_init(net->loop, &entry->tick);
 	entry->tick.data = entry;
 	uv_timer_start(&entry->tick, on_tick, ENTRY_TICK_MS, ENTRY_TICK_MS);
@@ -281,6 +288,7 @@
 	admission_free(entry->admission);
 	g_ptr_array_free(entry->ended_jobs, TRUE);
 	g_ptr_array_free(entry->ended_calls, TRUE);
+	explain_log_finish(&entry->explanations);
 	g_free(entry);
 }
 
--- a/src/wisteria/entry/entry_defs.h
+++ b/src/wisteria/entry/entry_defs.h
@@ -1,6 +1,7 @@
 #ifndef WISTERIA_ENTRY_ENTRY_DEFS_H
 #define WISTERIA_ENTRY_ENTRY_DEFS_H
 
+#include "wisteria/admin/token.h"
 #include "wisteria/control/view_defs.h"
 #include "wisteria/entry/agent_links.h"
 #include "wisteria/entry/entry.h"
@@ -9,6 +10,7 @@
 #include "wisteria/limits/retry_budget.h"
 #include "wisteria/route/router.h"
 #include "wisteria/session/entry_session.h"
+#include "wisteria/trace/explain_defs.h"
 
 /* A model request on the traffic thread. */
 typedef struct job_t {
@@ -27,6 +29,9 @@
 	bool admitted;	/* counted against the customer's contract */
 	bool answering; /* the head of the response was sent */
 	bool ended;
+	explain_t explain;
+	bool told_no_chain;    /* in the explanation */
+	char fail_reason[128]; /* of the last failure; "": none told */
 } job_t;
 
 typedef enum {
@@ -87,6 +92,8 @@
 	GPtrArray *ended_calls;
 	uv_timer_t tick;
 	uint32_t posted; /* by other threads, not yet taken */
+	explain_log_t explanations;
+	admin_token_t admin_token;
 };
 
 #endif
--- a/src/wisteria/entry/entry_model.c
+++ b/src/wisteria/entry/entry_model.c
@@ -20,6 +20,7 @@
 #include "wisteria/entry/request.h"
 #include "wisteria/net/link.h"
 #include "wisteria/settings/preset.h"
+#include "wisteria/trace/explain.h"
 
 /* Recoveries of one request that the retry budget does not count. */
 #define JOB_FREE_RECOVERIES 2
@@ -81,6 +82,7 @@
 	else
 		admission_cancel(entry->admission, job->handle);
 	table_remove(&entry->job_handles, job->handle);
+	explain_log_add(&entry->explanations, &job->explain);
 	g_ptr_array_add(entry->ended_jobs, job);
 }
 
@@ -107,6 +109,16 @@
 	return request;
 }
 
+static void note_lost(job_t *job, const char *endpoint, clock_ms_t now)
+{
+	explain_lost(&job->explain, endpoint,
+		     job->fail_reason[0] == '\0'
+			     ? "its connection was lost or it did not answer"
+			     : job->fail_reason,
+		     now);
+	job->fail_reason[0] = '\0';
+}
+
 static void op_send(entry_session_ops_t *ops, entry_session_t *session,
 		    const route_hop_t *hop, msg_type_t type, const void *body)
 {
@@ -126,11 +138,18 @@
 	const route_request_t request = route_request(job, failed);
 	route_result_t result;
 
-	if (failed != NULL && failed[0] != '\0')
+	if (failed != NULL && failed[0] != '\0') {
 		router_failed(entry->router, failed, now);
+		note_lost(job, failed, now);
+	}
 	result = router_choose(entry->router, &request, now, choice);
-	if (result == ROUTE_FOUND)
-		hold_chain(job, choice);
+	if (result != ROUTE_FOUND) {
+		explain_no_chain(&job->explain, result, now);
+		return result;
+	}
+	explain_restarted(&job->explain, job->delivered, now);
+	explain_chose(&job->explain, choice, now);
+	hold_chain(job, choice);
 	return result;
 }
 
@@ -146,10 +165,15 @@
 	route_result_t result;
 
 	router_failed(entry->router, failed, now);
+	note_lost(job, failed, now);
 	result = router_replace(entry->router, &request, &job->chain, lost_hop,
 				now, replacement);
-	if (result != ROUTE_FOUND)
+	if (result != ROUTE_FOUND) {
+		explain_no_chain(&job->explain, result, now);
 		return result;
+	}
+	explain_replaced(&job->explain, failed, replacement, job->delivered,
+			 now);
 	hold_hop(entry, replacement);
 	release_hop(entry, &job->chain.hops[lost_hop]);
 	job->chain.hops[lost_hop] = *replacement;
@@ -167,7 +191,12 @@
 
 	if (job->recoveries++ < JOB_FREE_RECOVERIES)
 		return true;
-	return retry_budget_take(&entry->retries);
+	if (retry_budget_take(&entry->retries))
+		return true;
+	explain_not_retried(&job->explain,
+			    "this entry's retry budget is used up",
+			    clock_now(entry->net->clock));
+	return false;
 }
 
 static void begin_answer(job_t *job, const char *content_type)
@@ -235,6 +264,8 @@
 	if (job->request->stream)
 		request_write(job->request, done, sizeof(done) - 1);
 	request_end(job->request);
+	explain_answered(&job->explain, job->delivered,
+			 clock_now(job->entry->net->clock));
 	end_job(job);
 }
 
@@ -254,6 +285,9 @@
 static void refuse_job(job_t *job, const entry_refusal_t *refusal)
 {
 	log_err(G_LOG_LEVEL_INFO, "request_refused", &refusal->err);
+	explain_refused(&job->explain, &refusal->err, refusal->not_run,
+			refusal->retry_after_ms,
+			clock_now(job->entry->net->clock));
 	if (job->answering)
 		send_error_event(job, refusal);
 	else
@@ -308,18 +342,31 @@
 	entry_session_start(job->session, chain, clock_now(entry->net->clock));
 }
 
+/* A job that waits for a chain says so once in its explanation. */
+static void note_no_chain(job_t *job, route_result_t result, clock_ms_t now)
+{
+	if (!job->told_no_chain)
+		explain_no_chain(&job->explain, result, now);
+	job->told_no_chain = true;
+}
+
 /* Starts an admitted job; returns false if there is no chain for it now. */
 static bool try_start(job_t *job, clock_ms_t now)
 {
 	const route_request_t request = route_request(job, NULL);
 	route_choice_t chain;
+	route_result_t result;
 
 	if (request.layers == 0)
 		return false;
-	if (router_choose(job->entry->router, &request, now, &chain) !=
-	    ROUTE_FOUND)
+	result = router_choose(job->entry->router, &request, now, &chain);
+	if (result != ROUTE_FOUND) {
+		note_no_chain(job, result, now);
 		return false;
+	}
 	job->admitted = true;
+	explain_admitted(&job->explain, now);
+	explain_chose(&job->explain, &chain, now);
 	start_session(job, &chain);
 	return true;
 }
@@ -401,6 +448,10 @@
 	job->handle = table_add(&entry->job_handles);
 	*(job_t **)table_get(&entry->job_handles, job->handle) = job;
 	g_hash_table_insert(entry->jobs, &job->id, job);
+	explain_init(&job->explain, request->id, now);
+	explain_request(&job->explain, job->customer, request->model);
+	explain_preset(&job->explain, entry->view->preset->name,
+		       entry->view->revision, contract);
 	return job;
 }
 
@@ -419,6 +470,7 @@
 	clock_ms_t now = clock_now(entry->net->clock);
 	job_t *job = new_job(entry, request, contract);
 	admission_offer_t offer;
+	admission_answer_t answer;
 
 	if (model == NULL) {
 		refuse_waiting(job, ERR_NOT_FOUND, "route",
@@ -428,7 +480,11 @@
 	bound_tokens(request, model);
 	retry_budget_fresh(&entry->retries);
 	offer = offer_of(job);
-	act_on(job, admission_offer(entry->admission, &offer, now), now);
+	answer = admission_offer(entry->admission, &offer, now);
+	if (answer.result == ADMISSION_QUEUED)
+		explain_queued(&job->explain,
+			       admission_queued(entry->admission), now);
+	act_on(job, answer, now);
 }
 
 /* Ends the job of a request whose caller has gone. */
@@ -446,6 +502,7 @@
 		if (job->session != NULL)
 			entry_session_on_cancel(job->session,
 						"the caller has gone");
+		explain_cancelled(&job->explain, clock_now(entry->net->clock));
 		end_job(job);
 		return;
 	}
@@ -531,11 +588,14 @@
 static void on_session_failed(entry_t *entry, const msg_t *msg)
 {
 	const msg_session_failed_t *failed = msg->body;
-	const job_t *job = find_job(entry, failed->session);
+	job_t *job = find_job(entry, failed->session);
 
-	if (job != NULL && job->session != NULL && !job->ended)
-		entry_session_on_failed(job->session, failed,
-					clock_now(entry->net->clock));
+	if (job == NULL || job->session == NULL || job->ended)
+		return;
+	snprintf(job->fail_reason, sizeof(job->fail_reason), "%s",
+		 failed->reason);
+	entry_session_on_failed(job->session, failed,
+				clock_now(entry->net->clock));
 }
 
 static const model_message_t messages[MSG_TYPE_COUNT] = {
@@ -581,6 +641,7 @@
 	entry_session_free(job->session);
 	request_drop(job->request);
 	g_string_free(job->text, TRUE);
+	explain_finish(&job->explain);
 	g_free(job->customer);
 	g_free(job);
 }
--- a/src/wisteria/settings/settings.c
+++ b/src/wisteria/settings/settings.c
@@ -45,6 +45,7 @@
 	STRING_FIELD(settings_entry_t, http_listen),
 	CYAML_FIELD_UINT("http_threads", CYAML_FLAG_OPTIONAL, settings_entry_t,
 			 http_threads),
+	OPTIONAL_STRING_FIELD(settings_entry_t, admin_token_file),
 	CYAML_FIELD_END,
 };
 
--- a/src/wisteria/settings/settings_defs.h
+++ b/src/wisteria/settings/settings_defs.h
@@ -14,6 +14,7 @@
 typedef struct {
 	char *http_listen; /* IP:PORT */
 	uint32_t http_threads;
+	char *admin_token_file; /* of those who may ask for explanations */
 } settings_entry_t;
 
 /* The role that keeps the durable state. */
--- a/src/wisteria/trace/explain.c
+++ b/src/wisteria/trace/explain.c
@@ -204,6 +204,14 @@
 		    (double)retry_after_ms / 1000.0);
 }
 
+/* The caller went away before the end. */
+void explain_cancelled(explain_t *explain, clock_ms_t now)
+{
+	say(explain,
+	    "After %.3f s the caller went away; what was left was stopped.",
+	    seconds(explain, now));
+}
+
 /* The caller has the whole answer; "tokens" is 0 for a call. */
 void explain_answered(explain_t *explain, uint32_t tokens, clock_ms_t now)
 {
--- a/src/wisteria/trace/explain.h
+++ b/src/wisteria/trace/explain.h
@@ -37,6 +37,7 @@
 void explain_refused(explain_t *explain, const err_t *err, bool not_run,
 		     clock_ms_t retry_after_ms,
 		     clock_ms_t now) ATTR_NONNULL_ALL;
+void explain_cancelled(explain_t *explain, clock_ms_t now) ATTR_NONNULL_ALL;
 void explain_answered(explain_t *explain, uint32_t tokens,
 		      clock_ms_t now) ATTR_NONNULL_ALL;
 char *explain_render(const char *request_id, const char *text) ATTR_NONNULL_ALL;
