--- a/test/functional/harness/harness.c
+++ b/test/functional/harness/harness.c
@@ -24,7 +24,7 @@
 
 #define POLL_US 5000
 #define STOP_MS 5000
-#define LOG_TAIL_BYTES 3000
+#define LOG_TAIL_BYTES 1200
 #define OPEN_FILES 16384
 #define PORT_TRIES 100
 
--- a/test/functional/path_test.c
+++ b/test/functional/path_test.c
@@ -18,6 +18,22 @@
 #define RUN_MS 60000
 
 static harness_t harness;
+static unsigned int failures_before;
+
+/* Every test has processes and files of its own. */
+static void begin(const char *name, cluster_t *cluster,
+		  const cluster_params_t *params)
+{
+	harness_init(&harness, name);
+	failures_before = CU_get_number_of_failures();
+	cluster_init(cluster, &harness, params);
+}
+
+static void end(void)
+{
+	harness_finish(&harness,
+		       CU_get_number_of_failures() == failures_before);
+}
 
 static void check_journal(const cluster_t *cluster, journal_t *journal)
 {
@@ -26,14 +42,6 @@
 	journal_finish(journal);
 }
 
-static void stop_all(cluster_t *cluster)
-{
-	for (size_t i = 0; i < cluster->endpoint_count; i++)
-		cluster_kill_endpoint(&cluster->endpoints[i]);
-	for (size_t i = 0; i < cluster->entry_count; i++)
-		harness_kill(cluster->entries[i].process);
-}
-
 static void test_answers(void)
 {
 	static const cluster_params_t params = { .entries = 1 };
@@ -46,7 +54,7 @@
 	char *shorter = answer_text("two pallets of M8 bolts", 12, 5, NULL);
 	char *text;
 
-	cluster_init(&cluster, &harness, &params);
+	begin("answers", &cluster, &params);
 	cluster_write(&cluster);
 	CU_ASSERT_FATAL(cluster_start(&cluster));
 	http_client_init(&client);
@@ -69,7 +77,7 @@
 	http_client_finish(&client);
 	g_free(expected);
 	g_free(shorter);
-	stop_all(&cluster);
+	end();
 }
 
 typedef struct {
@@ -123,7 +131,7 @@
 	cluster_t cluster;
 	http_client_t client;
 
-	cluster_init(&cluster, &harness, &params);
+	begin("bad", &cluster, &params);
 	cluster_write(&cluster);
 	CU_ASSERT_FATAL(cluster_start(&cluster));
 	http_client_init(&client);
@@ -143,7 +151,7 @@
 		check_error(request, bad);
 	}
 	http_client_finish(&client);
-	stop_all(&cluster);
+	end();
 }
 
 /* The endpoint of "range" with the number "index". */
@@ -164,7 +172,7 @@
 	relay_t *relay;
 	load_t load;
 
-	cluster_init(&cluster, &harness, &params);
+	begin("survive", &cluster, &params);
 	relay = relay_new(&harness, endpoint_of(&cluster, 2, 1)->listen);
 	endpoint_of(&cluster, 2, 1)->advertise = relay_address(relay);
 	cluster_write(&cluster);
@@ -184,7 +192,7 @@
 	check_journal(&cluster, &journal);
 	load_finish(&load);
 	relay_free(relay);
-	stop_all(&cluster);
+	end();
 }
 
 /* Stops one process by SIGTERM while streams run; none is cut or refused. */
@@ -215,7 +223,7 @@
 	journal_t journal;
 	load_t load;
 
-	cluster_init(&cluster, &harness, &params);
+	begin("stops", &cluster, &params);
 	cluster_write(&cluster);
 	CU_ASSERT_FATAL(cluster_start(&cluster));
 	load_init(&load, &cluster);
@@ -230,7 +238,7 @@
 	CU_ASSERT_EQUAL(load.whole, load.sent);
 	check_journal(&cluster, &journal);
 	load_finish(&load);
-	stop_all(&cluster);
+	end();
 }
 
 static const unit_test_t tests[] = {
@@ -243,10 +251,5 @@
 
 int main(void)
 {
-	int status;
-
-	harness_init(&harness, "path");
-	status = unit_run("path", tests, ARRAY_SIZE(tests));
-	harness_finish(&harness, status == EXIT_SUCCESS);
-	return status;
+	return unit_run("path", tests, ARRAY_SIZE(tests));
 }
