--- a/src/wisteria/control/control.c
+++ b/src/wisteria/control/control.c
@@ -23,6 +23,8 @@
 #include "wisteria/store/store.h"
 
 #define CONTROL_TICK_MS 20
+/* How often silent agents are looked for. */
+#define CONTROL_EXPIRE_MS 200
 /* How often an empty store is given its first preset. */
 #define CONTROL_FIRST_PRESET_MS 1000
 /* An operator's read without a quorum ends after this long. */
@@ -50,6 +52,7 @@
 	char *first_preset_name;
 	char *first_preset_text;
 	clock_ms_t first_preset_at_ms;
+	clock_ms_t expire_at_ms;
 	bool closed;
 };
 
@@ -272,9 +275,12 @@
 static void on_tick(uv_timer_t *timer)
 {
 	control_t *control = timer->data;
+	clock_ms_t now = now_of(control);
 
-	directory_expire(control->directory, now_of(control),
-			 DIRECTORY_SILENCE_MS);
+	if (now >= control->expire_at_ms) {
+		control->expire_at_ms = now + CONTROL_EXPIRE_MS;
+		directory_expire(control->directory, now, DIRECTORY_SILENCE_MS);
+	}
 	open_requests(control);
 	requests_tick(&control->requests);
 	renewals_tick(&control->renewals);
