--- a/bench/control_bench.c
+++ b/bench/control_bench.c
@@ -55,7 +55,7 @@
 {
 	char name[HARNESS_NAME_BYTES];
 
-	control_rig_init(rig, &harness, 3, false);
+	control_rig_init(rig, &harness, 3, 3, false);
 	must(control_rig_start_all(rig), "the group did not start");
 	for (size_t i = 0; i < daemons; i++) {
 		snprintf(name, sizeof(name), "daemon-%zu", i + 1);
--- a/test/functional/control_test.c
+++ b/test/functional/control_test.c
@@ -53,7 +53,7 @@
 {
 	control_rig_t rig;
 
-	control_rig_init(&rig, &harness, 3, false);
+	control_rig_init(&rig, &harness, 3, 3, false);
 	CU_ASSERT_FATAL(control_rig_start_all(&rig));
 	for (size_t i = 0; i < CHANGES; i++) {
 		rig_answer_t answer;
@@ -86,7 +86,7 @@
 	uint64_t before;
 	size_t leader;
 
-	control_rig_init(&rig, &harness, 3, false);
+	control_rig_init(&rig, &harness, 3, 3, false);
 	CU_ASSERT_FATAL(control_rig_start_all(&rig));
 	leader = control_rig_leader(&rig);
 	daemon = control_rig_add_daemon(&rig, "pinned", leader, 1);
@@ -107,7 +107,7 @@
 {
 	control_rig_t rig;
 
-	control_rig_init(&rig, &harness, 3, true);
+	control_rig_init(&rig, &harness, 3, 3, true);
 	CU_ASSERT_FATAL(control_rig_start_all(&rig));
 	for (size_t i = 0; i < rig.control_count; i++)
 		relay_silence_open(rig.controls[i].relay);
@@ -135,7 +135,7 @@
 	size_t leader;
 	size_t wiped;
 
-	control_rig_init(&rig, &harness, 3, false);
+	control_rig_init(&rig, &harness, 3, 3, false);
 	CU_ASSERT_FATAL(control_rig_start_all(&rig));
 	for (size_t i = 0; i < 20; i++)
 		CU_ASSERT_EQUAL(control_rig_change(&rig, i % 3).outcome,
@@ -153,12 +153,87 @@
 	control_rig_finish(&rig);
 }
 
+static void test_learner_serves_daemons(void)
+{
+	control_rig_t rig;
+	rig_daemon_t *daemon;
+
+	control_rig_init(&rig, &harness, 4, 3, false);
+	CU_ASSERT_FATAL(control_rig_start_all(&rig));
+	daemon = control_rig_add_daemon(&rig, "at-learner", 3, 1);
+	CU_ASSERT_FATAL(
+		comes_in_force(&rig, daemon, RIG_FIRST_REVISION + rig.orders));
+	CU_ASSERT_EQUAL(control_rig_change(&rig, 3).outcome, ORDER_APPLIED);
+	CU_ASSERT(
+		comes_in_force(&rig, daemon, RIG_FIRST_REVISION + rig.orders));
+	control_rig_finish(&rig);
+}
+
+static void test_planned_stop_hands_over(void)
+{
+	control_rig_t rig;
+	harness_process_t *process;
+	size_t leader;
+
+	control_rig_init(&rig, &harness, 3, 3, false);
+	CU_ASSERT_FATAL(control_rig_start_all(&rig));
+	leader = control_rig_leader(&rig);
+	process = rig.controls[leader].process;
+	harness_signal(process, SIGTERM);
+	CU_ASSERT(harness_wait_log(process, "event=office_handed_over",
+				   HARNESS_WAIT_MS));
+	CU_ASSERT_EQUAL(control_rig_change(&rig, (leader + 1) % 3).outcome,
+			ORDER_APPLIED);
+	CU_ASSERT(harness_wait_exit(process, HARNESS_WAIT_MS));
+	CU_ASSERT_EQUAL(process->exit_status, 0);
+	expect_last_in_force(&rig, "after-stop");
+	control_rig_finish(&rig);
+}
+
+/* Two operators expect the same revision: one wins, the other learns whom. */
+static void test_racing_orders_have_one_winner(void)
+{
+	control_rig_t rig;
+	msg_order_t order = {
+		.kind = ORDER_ENDPOINT_LEAVE,
+		.has_expected = true,
+		.text = "",
+	};
+	rig_answer_t first;
+	rig_answer_t second;
+
+	control_rig_init(&rig, &harness, 3, 3, false);
+	CU_ASSERT_FATAL(control_rig_start_all(&rig));
+	order.expected_revision = RIG_FIRST_REVISION + rig.orders;
+	order.id = "race-joana";
+	order.name = "range-1-0";
+	order.operator_name = "joana";
+	first = control_rig_order(&rig, 0, &order);
+	order.id = "race-rui";
+	order.name = "range-1-1";
+	order.operator_name = "rui";
+	second = control_rig_order(&rig, 1, &order);
+	CU_ASSERT_EQUAL(first.outcome, ORDER_APPLIED);
+	CU_ASSERT_EQUAL(second.outcome, ORDER_CONFLICT);
+	CU_ASSERT_STRING_EQUAL(second.winner, "joana");
+	order.id = "race-joana";
+	order.name = "range-1-0";
+	order.operator_name = "joana";
+	second = control_rig_order(&rig, 2, &order);
+	CU_ASSERT_EQUAL(second.outcome, ORDER_APPLIED);
+	CU_ASSERT_EQUAL(second.revision, first.revision);
+	control_rig_finish(&rig);
+}
+
 static const unit_test_t tests[] = {
 	{ "killed leader loses nothing", test_killed_leader_loses_nothing },
 	{ "paused leader grants nothing old",
 	  test_paused_leader_grants_nothing_old },
 	{ "silent connections are left", test_silent_connections_are_left },
 	{ "lost disk, then lost instance", test_lost_disk_then_lost_instance },
+	{ "learner serves daemons", test_learner_serves_daemons },
+	{ "planned stop hands over", test_planned_stop_hands_over },
+	{ "racing orders have one winner", test_racing_orders_have_one_winner },
 };
 
 int main(void)
--- a/test/functional/harness/control_rig.c
+++ b/test/functional/harness/control_rig.c
@@ -104,10 +104,10 @@
 }
 
 static void put_peers(const control_rig_t *rig, GString *out, const char *key,
-		      const char *indent, bool relayed)
+		      const char *indent, size_t count, bool relayed)
 {
 	g_string_append_printf(out, "%s%s:\n", indent, key);
-	for (size_t i = 0; i < rig->control_count; i++) {
+	for (size_t i = 0; i < count; i++) {
 		const rig_control_t *control = &rig->controls[i];
 
 		g_string_append_printf(
@@ -132,14 +132,14 @@
 			       "roles: [control]\nmetrics_listen: %s\n",
 			       control->name, control->name, key_path,
 			       harness_address(harness));
-	put_peers(rig, out, "control_instances", "", false);
+	put_peers(rig, out, "control_instances", "", rig->control_count, false);
 	g_string_append_printf(out,
 			       "control:\n  listen: %s\n  admin_listen: %s\n"
 			       "  admin_token_file: %s\n  data_dir: %s\n"
 			       "  bootstrap_preset_file: %s\n",
 			       control->address, harness_address(harness),
 			       token_path, control->data_dir, preset_path);
-	put_peers(rig, out, "voters", "  ", true);
+	put_peers(rig, out, "voters", "  ", rig->voter_count, true);
 	control->settings = harness_write(
 		harness, harness_string(harness, "%s.yaml", control->name),
 		out->str);
@@ -161,9 +161,12 @@
 		control->relay = relay_new(harness, control->address);
 }
 
-/* Lays out control instances; with "relays" they reach each other by those. */
+/*
+ * Lays out control instances, of which the first "voters" found the group and
+ * the others join it; with "relays" they reach each other by those.
+ */
 void control_rig_init(control_rig_t *rig, harness_t *harness, size_t controls,
-		      bool relays)
+		      size_t voters, bool relays)
 {
 	char hex[2 * NET_KEY_BYTES + 1];
 	const char *key_path;
@@ -176,6 +179,7 @@
 	rig->handler.closed = on_closed;
 	rig->handler.message = on_message;
 	rig->control_count = controls;
+	rig->voter_count = voters;
 	memset(rig->key, 0xab, sizeof(rig->key));
 	for (size_t i = 0; i < NET_KEY_BYTES; i++)
 		snprintf(hex + 2 * i, 3, "ab");
--- a/test/functional/harness/control_rig.h
+++ b/test/functional/harness/control_rig.h
@@ -49,6 +49,7 @@
 	net_t net;
 	rig_control_t controls[RIG_CONTROLS_MAX];
 	size_t control_count;
+	size_t voter_count; /* the first ones; the others learn */
 	link_t links[RIG_CONTROLS_MAX];
 	rig_daemon_t *daemons[RIG_DAEMONS_MAX];
 	size_t daemon_count;
@@ -59,7 +60,7 @@
 } control_rig_t;
 
 void control_rig_init(control_rig_t *rig, harness_t *harness, size_t controls,
-		      bool relays) ATTR_NONNULL_ALL;
+		      size_t voters, bool relays) ATTR_NONNULL_ALL;
 void control_rig_finish(control_rig_t *rig) ATTR_NONNULL_ALL;
 void control_rig_start(control_rig_t *rig, size_t control) ATTR_NONNULL_ALL;
 bool control_rig_start_all(control_rig_t *rig)
