Split model requests by what they do; write spans of the entry

Change: job.c holds what a request holds, job_session.c is the session's way to the world, job_answer.c is what the caller is sent; a span for the request and one for its wait, with traceparent taken and passed on; the demo shows explain, preset, endpoint and history.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -172,10 +172,15 @@
 	sed -n 's/^data: .*"text":"\([^"]*\)".*/\1/p' "$1" | tr -d '\n'
 }
 
-chain_of () {
-	id=$(sed -n 's/^data: {"id":"\([^"]*\)".*/\1/p' "$1" | head -n 1)
-	curl -sS --max-time 5 -H "Authorization: Bearer $key" \
-		"http://$ip:$((port + 41))/v1/explain/$id" || true
+id_of () {
+	sed -n 's/^data: {"id":"\([^"]*\)".*/\1/p' "$1" | head -n 1
+}
+
+ctl () {
+	server=$1
+	shift
+	"$bin/wisteriactl" --server "$ip:$server" \
+		--token-file "$dir/admin.token" "$@"
 }
 
 stop_all
@@ -256,9 +261,15 @@
 test "$(text_of "$dir/killed.sse")" = "$expected" ||
 	fail "the killed stage cut an answer"
 echo "the answer is whole: $(text_of "$dir/killed.sse" | cut -c1-60)..."
-echo "== why, in words"
-chain_of "$dir/expected.sse"
-echo
+echo "== why the killed one went as it did, in words"
+ctl $((port + 43)) explain "$(id_of "$dir/killed.sse")"
+
+echo "== an operator puts another preset in force and lets an endpoint leave"
+ctl $((port + 5)) preset create "$dir/peak.yaml"
+ctl $((port + 9)) preset use peak
+ctl $((port + 13)) endpoint leave orders-a
+ctl $((port + 5)) endpoint list
+ctl $((port + 5)) config history
 
 if test -n "${KEEP:-}"
 then
--- a/src/wisteria/daemon/daemon.c
+++ b/src/wisteria/daemon/daemon.c
@@ -27,6 +27,7 @@
 #include "wisteria/entry/http_front.h"
 #include "wisteria/net/net.h"
 #include "wisteria/settings/settings.h"
+#include "wisteria/trace/trace.h"
 
 /*
  * From the order to stop until new work is refused: long enough for entries
@@ -51,6 +52,7 @@
 	operators_t operators;
 	admin_t *admin;
 	metrics_http_t *metrics;
+	trace_writer_t *tracer; /* NULL: no traces are written */
 	uv_timer_t readiness;
 	uv_signal_t sigterm;
 	uv_signal_t sigint;
@@ -141,6 +143,18 @@
 	return daemon->admin != NULL;
 }
 
+static bool start_tracer(daemon_t *daemon, err_t *err)
+{
+	const settings_t *settings = daemon->settings;
+
+	if (settings->trace_file == NULL)
+		return true;
+	daemon->tracer =
+		trace_writer_new(settings->trace_file, settings->instance,
+				 settings->roles[0], err);
+	return daemon->tracer != NULL;
+}
+
 static bool start_metrics(daemon_t *daemon, err_t *err)
 {
 	if (daemon->settings->metrics_listen == NULL)
@@ -165,6 +179,7 @@
 		.lease = daemon->lease,
 		.announcer = daemon->announcer,
 		.control_mailbox = &daemon->mailbox,
+		.tracer = daemon->tracer,
 	};
 
 	if (!settings_has_role(settings, "entry") &&
@@ -196,7 +211,7 @@
 	daemon->readiness.data = daemon;
 	watch_signal(daemon, &daemon->sigterm, SIGTERM);
 	watch_signal(daemon, &daemon->sigint, SIGINT);
-	if (!start_control(daemon, err))
+	if (!start_tracer(daemon, err) || !start_control(daemon, err))
 		return false;
 	daemon->lease =
 		lease_client_new(&daemon->net, settings, &daemon->board);
@@ -227,6 +242,7 @@
 	announcer_free(daemon->announcer);
 	control_free(daemon->control);
 	view_board_finish(&daemon->board);
+	trace_writer_free(daemon->tracer);
 	uv_loop_close(&daemon->loop);
 }
 
--- a/src/wisteria/daemon/traffic.c
+++ b/src/wisteria/daemon/traffic.c
@@ -174,8 +174,9 @@
 			return false;
 	}
 	if (settings_has_role(settings, "entry"))
-		traffic->entry = entry_new(&traffic->net, settings,
-					   params->board, &traffic->mailbox);
+		traffic->entry =
+			entry_new(&traffic->net, settings, params->board,
+				  &traffic->mailbox, params->tracer);
 	return true;
 }
 
--- a/src/wisteria/daemon/traffic.h
+++ b/src/wisteria/daemon/traffic.h
@@ -21,6 +21,7 @@
 	lease_client_t *lease;	    /* of the control thread */
 	announcer_t *announcer;	    /* of the control thread; agents only */
 	mailbox_t *control_mailbox; /* of the control thread */
+	trace_writer_t *tracer;	    /* NULL: no traces are written */
 } traffic_params_t;
 
 traffic_t *traffic_start(const traffic_params_t *params,
--- a/src/wisteria/entry/entry.c
+++ b/src/wisteria/entry/entry.c
@@ -245,9 +245,9 @@
 	       ledger_client_pending(&entry->ledger) == 0;
 }
 
-/* Starts the entry role on the loop of "net". */
+/* Starts the entry role on the loop of "net"; "tracer" may be NULL. */
 entry_t *entry_new(net_t *net, const settings_t *settings, view_board_t *board,
-		   mailbox_t *mailbox)
+		   mailbox_t *mailbox, trace_writer_t *tracer)
 {
 	entry_t *entry = g_new0(entry_t, 1);
 
@@ -257,6 +257,7 @@
 	entry->net = net;
 	entry->settings = settings;
 	entry->mailbox = mailbox;
+	entry->tracer = tracer;
 	view_reader_init(&entry->reader, board);
 	entry->router = router_new(settings->region, settings->failure_domain,
 				   (uint32_t)net->incarnation);
--- a/src/wisteria/entry/entry.h
+++ b/src/wisteria/entry/entry.h
@@ -7,12 +7,14 @@
 #include "wisteria/entry/request_defs.h"
 #include "wisteria/net/net_defs.h"
 #include "wisteria/settings/settings_defs.h"
+#include "wisteria/trace/trace.h"
 
 /* The entry role; it belongs to one traffic thread. */
 typedef struct entry_t entry_t;
 
 entry_t *entry_new(net_t *net, const settings_t *settings, view_board_t *board,
-		   mailbox_t *mailbox) ATTR_NONNULL_ALL;
+		   mailbox_t *mailbox, trace_writer_t *tracer)
+	ATTR_NONNULL(1, 2, 3, 4);
 void entry_free(entry_t *entry);
 /* May be called on any thread. */
 void entry_post(entry_t *entry, request_t *request) ATTR_NONNULL_ALL;
--- a/src/wisteria/entry/entry_defs.h
+++ b/src/wisteria/entry/entry_defs.h
@@ -11,6 +11,7 @@
 #include "wisteria/route/router.h"
 #include "wisteria/session/entry_session.h"
 #include "wisteria/trace/explain_defs.h"
+#include "wisteria/trace/trace.h"
 
 /* A model request on the traffic thread. */
 typedef struct job_t {
@@ -29,6 +30,9 @@
 	bool admitted;	/* counted against the customer's contract */
 	bool answering; /* the head of the response was sent */
 	bool ended;
+	span_t span;	  /* the whole request */
+	span_t wait_span; /* until a chain is chosen */
+	char traceparent[TRACE_PARENT_LEN + 1];
 	explain_t explain;
 	bool told_no_chain;    /* in the explanation */
 	char fail_reason[128]; /* of the last failure; "": none told */
@@ -74,6 +78,7 @@
 	net_t *net;
 	const settings_t *settings;
 	mailbox_t *mailbox;
+	trace_writer_t *tracer; /* NULL: no traces are written */
 	view_reader_t reader;
 	const view_t *view; /* within one turn of the loop; may be NULL */
 	uint64_t view_serial;
--- /dev/null
+++ b/src/wisteria/entry/job_session.c
@@ -0,0 +1,196 @@
+/*
+ * How the sessions of model requests reach the world: the agents' links, the
+ * router, the retry budget and the caller.
+ */
+#include "wisteria/entry/job_session.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "wisteria/base/clock.h"
+#include "wisteria/entry/job.h"
+#include "wisteria/entry/job_answer.h"
+#include "wisteria/net/link.h"
+#include "wisteria/settings/preset.h"
+#include "wisteria/trace/explain.h"
+#include "wisteria/trace/trace.h"
+
+/* Recoveries of one request that the retry budget does not count. */
+#define JOB_FREE_RECOVERIES 2
+
+static job_t *job_of(entry_session_ops_t *ops, const entry_session_t *session)
+{
+	return job_find(CONTAINER_OF(ops, entry_t, session_ops),
+			entry_session_params(session)->session);
+}
+
+static uint32_t layers_of(const entry_t *entry, const char *name)
+{
+	const preset_model_t *model;
+
+	if (entry->view == NULL || entry->view->preset == NULL)
+		return 0;
+	model = preset_model(entry->view->preset, name);
+	return model == NULL ? 0 : model->layers;
+}
+
+/* Returns what the router is asked for "job"; "failed" may be NULL. */
+route_request_t job_route_request(const job_t *job, const char *failed)
+{
+	route_request_t request = {
+		.target = job->request->model,
+		.layers = layers_of(job->entry, job->request->model),
+		.expected_tokens = job->request->max_tokens,
+	};
+
+	if (failed != NULL && failed[0] != '\0')
+		request.avoid[request.avoid_count++] = failed;
+	return request;
+}
+
+static void note_lost(job_t *job, const char *endpoint, clock_ms_t now)
+{
+	explain_lost(&job->explain, endpoint,
+		     job->fail_reason[0] == '\0'
+			     ? "its connection was lost or it did not answer"
+			     : job->fail_reason,
+		     now);
+	job->fail_reason[0] = '\0';
+}
+
+static void op_send(entry_session_ops_t *ops, entry_session_t *session,
+		    const route_hop_t *hop, msg_type_t type, const void *body)
+{
+	entry_t *entry = CONTAINER_OF(ops, entry_t, session_ops);
+
+	(void)session;
+	link_send(agent_links_get(&entry->links, hop->address), type, body);
+}
+
+static route_result_t op_choose(entry_session_ops_t *ops,
+				entry_session_t *session, const char *failed,
+				route_choice_t *choice)
+{
+	job_t *job = job_of(ops, session);
+	entry_t *entry = job->entry;
+	clock_ms_t now = clock_now(entry->net->clock);
+	const route_request_t request = job_route_request(job, failed);
+	route_result_t result;
+
+	if (failed != NULL && failed[0] != '\0') {
+		router_failed(entry->router, failed, now);
+		note_lost(job, failed, now);
+	}
+	result = router_choose(entry->router, &request, now, choice);
+	if (result != ROUTE_FOUND) {
+		explain_no_chain(&job->explain, result, now);
+		return result;
+	}
+	explain_restarted(&job->explain, job->delivered, now);
+	explain_chose(&job->explain, choice, now);
+	job_hold_chain(job, choice);
+	return result;
+}
+
+static route_result_t op_replace(entry_session_ops_t *ops,
+				 entry_session_t *session, size_t lost_hop,
+				 route_hop_t *replacement)
+{
+	job_t *job = job_of(ops, session);
+	entry_t *entry = job->entry;
+	clock_ms_t now = clock_now(entry->net->clock);
+	const char *failed = job->chain.hops[lost_hop].endpoint;
+	const route_request_t request = job_route_request(job, failed);
+	route_result_t result;
+
+	router_failed(entry->router, failed, now);
+	note_lost(job, failed, now);
+	result = router_replace(entry->router, &request, &job->chain, lost_hop,
+				now, replacement);
+	if (result != ROUTE_FOUND) {
+		explain_no_chain(&job->explain, result, now);
+		return result;
+	}
+	explain_replaced(&job->explain, failed, replacement, job->delivered,
+			 now);
+	job_replace_hop(job, lost_hop, replacement);
+	return result;
+}
+
+/*
+ * A request may be recovered a few times whatever befalls the others; beyond
+ * that it draws on the entry's budget, so that an outage is not multiplied.
+ */
+static bool op_may_retry(entry_session_ops_t *ops, entry_session_t *session)
+{
+	entry_t *entry = CONTAINER_OF(ops, entry_t, session_ops);
+	job_t *job = job_of(ops, session);
+
+	if (job->recoveries++ < JOB_FREE_RECOVERIES)
+		return true;
+	if (retry_budget_take(&entry->retries))
+		return true;
+	explain_not_retried(&job->explain,
+			    "this entry's retry budget is used up",
+			    clock_now(entry->net->clock));
+	return false;
+}
+
+static void op_deliver(entry_session_ops_t *ops, entry_session_t *session,
+		       const msg_token_t *tokens, size_t count)
+{
+	job_answer_tokens(job_of(ops, session), tokens, count);
+}
+
+static void op_finished(entry_session_ops_t *ops, entry_session_t *session)
+{
+	job_answer_finish(job_of(ops, session));
+}
+
+static void op_refused(entry_session_ops_t *ops, entry_session_t *session,
+		       const entry_refusal_t *refusal)
+{
+	job_answer_refuse(job_of(ops, session), refusal);
+}
+
+/* Starts the session of an admitted job on "chain". */
+void job_session_start(job_t *job, const route_choice_t *chain)
+{
+	entry_t *entry = job->entry;
+	const preset_t *preset = entry->view->preset;
+	const preset_contract_t *contract =
+		preset_contract(preset, job->customer);
+	const entry_session_params_t params = {
+		.session = job->id,
+		.request_id = job->request->id,
+		.customer = job->customer,
+		.model = job->request->model,
+		.prompt = job->request->prompt,
+		.traceparent = job->traceparent,
+		.layers = layers_of(entry, job->request->model),
+		.priority = contract == NULL ? 0 : contract->priority,
+		.max_tokens = job->request->max_tokens,
+		.revision = entry->view->revision,
+		.deadline_ms = job->deadline_ms,
+		.recovery = preset->recovery,
+	};
+
+	job->session = entry_session_new(&params, &entry->session_ops);
+	span_end(&job->wait_span, entry->tracer);
+	job_hold_chain(job, chain);
+	entry_session_start(job->session, chain, clock_now(entry->net->clock));
+}
+
+/* Prepares the sessions of "entry". */
+void job_session_init(entry_t *entry)
+{
+	entry->session_ops = (entry_session_ops_t){
+		.send = op_send,
+		.choose = op_choose,
+		.replace = op_replace,
+		.may_retry = op_may_retry,
+		.deliver = op_deliver,
+		.finished = op_finished,
+		.refused = op_refused,
+	};
+}
