Do not count a pause of our own as silence of the peers

Change: a tick that comes late moves the time at which each peer was last heard by as much; unit tests of connections with an injected clock. Before and after: 'own pause is not silence' fails without the change (one connection closed) and passes with it. Conclusion: silence is still noticed within 700 ms under work.

--- a/src/wisteria/control/control.c
+++ b/src/wisteria/control/control.c
@@ -240,6 +240,7 @@
 		.name = control->first_preset_name,
 		.text = control->first_preset_text,
 		.operator_name = "first-preset",
+		.wall_ms = g_get_real_time() / 1000,
 	};
 	clock_ms_t now = now_of(control);
 
--- a/src/wisteria/net/conn.c
+++ b/src/wisteria/net/conn.c
@@ -382,6 +382,14 @@
 	return conn->heard_ms;
 }
 
+/* Does not count "span" milliseconds as silence of the peer. */
+void conn_forgive(conn_t *conn, clock_ms_t span)
+{
+	conn->created_ms += span;
+	conn->heard_ms += span;
+	conn->busy_since_ms += span;
+}
+
 /* Sends heartbeats that are due and leaves a connection that is silent. */
 void conn_tick(conn_t *conn, clock_ms_t now)
 {
--- a/src/wisteria/net/net.c
+++ b/src/wisteria/net/net.c
@@ -80,13 +80,26 @@
 	return true;
 }
 
+/* What came while our own loop stood still has not been read yet. */
+static void forgive_silence(net_t *net, clock_ms_t late)
+{
+	conn_t *conn;
+
+	LIST_FOREACH(conn, &net->conns, entry)
+	conn_forgive(conn, late);
+}
+
 static void on_tick(uv_timer_t *timer)
 {
 	net_t *net = timer->data;
 	clock_ms_t now = clock_now(net->clock);
+	clock_ms_t late = now - net->ticked_ms - NET_TICK_MS;
 	conn_t *conn = LIST_FIRST(&net->conns);
 	link_t *link;
 
+	net->ticked_ms = now;
+	if (late > NET_LATE_MS)
+		forgive_silence(net, late);
 	while (conn != NULL) {
 		conn_t *next = LIST_NEXT(conn, entry);
 
@@ -114,6 +127,7 @@
 	net->loop = loop;
 	net->clock = clock;
 	net->incarnation = incarnation;
+	net->ticked_ms = clock_now(clock);
 	snprintf(net->instance, sizeof(net->instance), "%s", instance);
 	snprintf(net->failure_domain, sizeof(net->failure_domain), "%s",
 		 failure_domain);
--- a/src/wisteria/net/net_defs.h
+++ b/src/wisteria/net/net_defs.h
@@ -21,6 +21,8 @@
 #define NET_BACKLOG_BYTES_MAX (64u << 20)
 
 #define NET_TICK_MS 50
+/* A tick that comes later than this says that our own loop stood still. */
+#define NET_LATE_MS 100
 /* A connection with work on it: heartbeat interval and silence allowed. */
 #define NET_BUSY_PING_MS 200
 #define NET_BUSY_SILENCE_MS 700
@@ -63,6 +65,7 @@
 	conn_list_t unflushed; /* have frames to write */
 	link_list_t links;
 	uv_timer_t tick;
+	clock_ms_t ticked_ms;
 	uv_prepare_t flush;
 	bool closing;
 } net_t;
--- /dev/null
+++ b/test/unit/net_test.c
@@ -0,0 +1,267 @@
+/* Unit tests of connections, over loopback and with an injected clock. */
+#include "unit.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include <arpa/inet.h>
+#include <sodium.h>
+
+#include "wisteria/base/counters.h"
+#include "wisteria/base/err.h"
+#include "wisteria/net/conn.h"
+#include "wisteria/net/link.h"
+#include "wisteria/net/listener.h"
+#include "wisteria/net/net.h"
+
+#define TURNS_MAX 200
+
+typedef struct {
+	clock_source_t source;
+	clock_ms_t now_ms;
+} fake_clock_t;
+
+/* Counts what a handler is told. */
+typedef struct {
+	conn_handler_t handler;
+	int opened;
+	int closed;
+	int messages;
+	err_code_t why;
+	conn_t *conn;
+} counting_t;
+
+typedef struct {
+	uv_loop_t loop;
+	fake_clock_t clock;
+	net_t near;
+	net_t far;
+	listener_t listener;
+	link_t link;
+	counting_t connector;
+	counting_t acceptor;
+	char address[NET_ADDRESS_BYTES];
+} pair_t;
+
+static clock_ms_t fake_now(const clock_source_t *self)
+{
+	return CONTAINER_OF(self, const fake_clock_t, source)->now_ms;
+}
+
+static void on_opened(conn_handler_t *handler, conn_t *conn)
+{
+	counting_t *counting = CONTAINER_OF(handler, counting_t, handler);
+
+	counting->opened++;
+	counting->conn = conn;
+}
+
+static void on_message(conn_handler_t *handler, conn_t *conn, const msg_t *msg)
+{
+	(void)conn;
+	(void)msg;
+	CONTAINER_OF(handler, counting_t, handler)->messages++;
+}
+
+static void on_closed(conn_handler_t *handler, conn_t *conn, const err_t *why)
+{
+	counting_t *counting = CONTAINER_OF(handler, counting_t, handler);
+
+	(void)conn;
+	counting->closed++;
+	counting->why = why->code;
+}
+
+static void counting_init(counting_t *counting)
+{
+	*counting =
+		(counting_t){ .handler = { on_opened, on_message, on_closed } };
+}
+
+static void find_address(pair_t *pair)
+{
+	struct sockaddr_in bound;
+	int len = sizeof(bound);
+
+	uv_tcp_getsockname(&pair->listener.tcp, (struct sockaddr *)&bound,
+			   &len);
+	snprintf(pair->address, sizeof(pair->address), "127.0.0.1:%d",
+		 ntohs(bound.sin_port));
+}
+
+static void pair_init(pair_t *pair, uint8_t far_key)
+{
+	uint8_t key[NET_KEY_BYTES] = { 1 };
+	err_t err = ERR_INIT;
+
+	memset(pair, 0, sizeof(*pair));
+	CU_ASSERT_FATAL(sodium_init() >= 0);
+	uv_loop_init(&pair->loop);
+	pair->clock = (fake_clock_t){ { fake_now }, 1000 };
+	counting_init(&pair->connector);
+	counting_init(&pair->acceptor);
+	net_init(&pair->near, &pair->loop, &pair->clock.source, "near", "d", 1,
+		 key);
+	key[0] = far_key;
+	net_init(&pair->far, &pair->loop, &pair->clock.source, "far", "d", 2,
+		 key);
+	CU_ASSERT_FATAL(listener_init(&pair->listener, &pair->far,
+				      "127.0.0.1:0", &pair->acceptor.handler,
+				      &err));
+	find_address(pair);
+}
+
+static void pair_finish(pair_t *pair)
+{
+	listener_close(&pair->listener);
+	net_close(&pair->near);
+	net_close(&pair->far);
+	uv_run(&pair->loop, UV_RUN_DEFAULT);
+	CU_ASSERT_EQUAL(uv_loop_close(&pair->loop), 0);
+}
+
+static void turn_until(pair_t *pair, const int *value, int wanted)
+{
+	for (int i = 0; i < TURNS_MAX && *value < wanted; i++)
+		uv_run(&pair->loop, UV_RUN_ONCE);
+	CU_ASSERT(*value >= wanted);
+}
+
+static void connect_pair(pair_t *pair)
+{
+	link_init(&pair->link, &pair->near, pair->address,
+		  &pair->connector.handler);
+	turn_until(pair, &pair->connector.opened, 1);
+	turn_until(pair, &pair->acceptor.opened, 1);
+}
+
+/* Advances the clock in steps that a loop that runs would take. */
+static void pass(pair_t *pair, clock_ms_t span)
+{
+	for (clock_ms_t i = 0; i < span; i += NET_TICK_MS) {
+		pair->clock.now_ms += NET_TICK_MS;
+		pair->near.tick.timer_cb(&pair->near.tick);
+		uv_run(&pair->loop, UV_RUN_NOWAIT);
+	}
+}
+
+static void test_opens_and_carries_messages(void)
+{
+	const msg_session_t start = { 7, 1 };
+	pair_t pair;
+
+	pair_init(&pair, 1);
+	connect_pair(&pair);
+	CU_ASSERT_STRING_EQUAL(pair.acceptor.conn->peer_instance, "near");
+	CU_ASSERT(link_send(&pair.link, MSG_START, &start));
+	turn_until(&pair, &pair.acceptor.messages, 1);
+	pair_finish(&pair);
+}
+
+static void test_wrong_key_is_refused(void)
+{
+	uint64_t refused = counter_get(COUNTER_CONNECTIONS_REFUSED);
+	pair_t pair;
+
+	pair_init(&pair, 2);
+	link_init(&pair.link, &pair.near, pair.address,
+		  &pair.connector.handler);
+	for (int i = 0; i < TURNS_MAX &&
+			counter_get(COUNTER_CONNECTIONS_REFUSED) == refused;
+	     i++)
+		uv_run(&pair.loop, UV_RUN_ONCE);
+	CU_ASSERT(counter_get(COUNTER_CONNECTIONS_REFUSED) > refused);
+	CU_ASSERT_EQUAL(pair.connector.opened, 0);
+	CU_ASSERT_EQUAL(pair.acceptor.opened, 0);
+	pair_finish(&pair);
+}
+
+/* Stops "conn" from reading, as a path that swallows bytes would. */
+static void make_silent(conn_t *conn)
+{
+	uv_read_stop((uv_stream_t *)&conn->tcp);
+}
+
+static void test_silence_under_work_is_noticed(void)
+{
+	pair_t pair;
+
+	pair_init(&pair, 1);
+	connect_pair(&pair);
+	link_hold(&pair.link);
+	make_silent(pair.acceptor.conn);
+	pass(&pair, NET_BUSY_SILENCE_MS + 2 * NET_TICK_MS);
+	CU_ASSERT_EQUAL(pair.connector.closed, 1);
+	CU_ASSERT_EQUAL(pair.connector.why, ERR_TIMEOUT);
+	pair_finish(&pair);
+}
+
+static void test_silence_without_work_is_borne(void)
+{
+	pair_t pair;
+
+	pair_init(&pair, 1);
+	connect_pair(&pair);
+	make_silent(pair.acceptor.conn);
+	pass(&pair, NET_BUSY_SILENCE_MS + 2 * NET_TICK_MS);
+	CU_ASSERT_EQUAL(pair.connector.closed, 0);
+	pair_finish(&pair);
+}
+
+static void test_own_pause_is_not_silence(void)
+{
+	pair_t pair;
+
+	pair_init(&pair, 1);
+	connect_pair(&pair);
+	link_hold(&pair.link);
+	pair.clock.now_ms += 10 * NET_BUSY_SILENCE_MS;
+	pair.near.tick.timer_cb(&pair.near.tick);
+	CU_ASSERT_EQUAL(pair.connector.closed, 0);
+	pair_finish(&pair);
+}
+
+static void test_lost_connection_is_made_again(void)
+{
+	const err_t why = { .code = ERR_CLOSED };
+	pair_t pair;
+
+	pair_init(&pair, 1);
+	connect_pair(&pair);
+	conn_abandon(pair.acceptor.conn, &why);
+	turn_until(&pair, &pair.connector.closed, 1);
+	pass(&pair, NET_RECONNECT_MAX_MS);
+	turn_until(&pair, &pair.connector.opened, 2);
+	pair_finish(&pair);
+}
+
+static void test_addresses(void)
+{
+	static const char *const bad[] = { "localhost:80", "127.0.0.1",
+					   "127.0.0.1:70000", "[::1]", "" };
+	struct sockaddr_storage address;
+
+	for (size_t i = 0; i < ARRAY_SIZE(bad); i++) {
+		err_t err = ERR_INIT;
+
+		CU_ASSERT_FALSE(net_parse_address(bad[i], &address, &err));
+		CU_ASSERT_EQUAL(err.code, ERR_INVALID);
+	}
+	CU_ASSERT(net_parse_address("[::1]:80", &address, NULL));
+	CU_ASSERT_EQUAL(address.ss_family, AF_INET6);
+}
+
+static const unit_test_t tests[] = {
+	{ "opens and carries messages", test_opens_and_carries_messages },
+	{ "wrong key is refused", test_wrong_key_is_refused },
+	{ "silence under work is noticed", test_silence_under_work_is_noticed },
+	{ "silence without work is borne", test_silence_without_work_is_borne },
+	{ "own pause is not silence", test_own_pause_is_not_silence },
+	{ "lost connection is made again", test_lost_connection_is_made_again },
+	{ "addresses", test_addresses },
+};
+
+int main(void)
+{
+	return unit_run("net", tests, ARRAY_SIZE(tests));
+}
