--- a/src/cli/output.c
+++ b/src/cli/output.c
@@ -22,6 +22,10 @@
 	time_t seconds = (time_t)(wall_ms / 1000);
 	struct tm utc;
 
+	if (wall_ms == 0) {
+		snprintf(out, size, "-");
+		return;
+	}
 	gmtime_r(&seconds, &utc);
 	strftime(out, size, "%Y-%m-%d %H:%M:%S UTC", &utc);
 }
--- /dev/null
+++ b/test/functional/operate_test.c
@@ -0,0 +1,203 @@
+/*
+ * What operators do, with real processes: presets in force, endpoints that
+ * leave, the history, and the explanation of a request.
+ */
+#include "../unit/unit.h"
+
+#include <string.h>
+#include <sys/wait.h>
+
+#include <jansson.h>
+
+#include "harness/cluster.h"
+
+#define ARGS_MAX 16
+
+static harness_t harness;
+static cluster_t cluster;
+static char *output;
+static unsigned run_count;
+
+/* Runs wisteriactl against "server"; returns its exit code. */
+static int ask(const char *server, const char *words)
+{
+	const char *argv[ARGS_MAX + 8] = {
+		harness_program(&harness, "wisteriactl"),
+		"-s",
+		server,
+		"--token-file",
+		cluster.token_file,
+	};
+	gchar **parts = g_strsplit(words, " ", ARGS_MAX);
+	harness_process_t *process;
+	size_t count = 5;
+
+	for (size_t i = 0; parts[i] != NULL; i++)
+		argv[count++] = harness_string(&harness, "%s", parts[i]);
+	g_strfreev(parts);
+	process = harness_start(&harness,
+				harness_string(&harness, "ctl-%u", run_count++),
+				argv);
+	CU_ASSERT_FATAL(harness_wait_exit(process, HARNESS_WAIT_MS));
+	g_free(output);
+	output = harness_read(process->log_path);
+	return WIFEXITED(process->exit_status)
+		       ? WEXITSTATUS(process->exit_status)
+		       : -1;
+}
+
+static void expect(size_t entry, const char *words, int code, const char *part)
+{
+	int given = ask(cluster.entries[entry].admin, words);
+
+	CU_ASSERT_EQUAL(given, code);
+	CU_ASSERT_PTR_NOT_NULL(strstr(output, part));
+	if (given != code || strstr(output, part) == NULL)
+		printf("\n  %s: %d\n%s", words, given, output);
+}
+
+static void start(const char *name, const cluster_params_t *params)
+{
+	harness_init(&harness, name);
+	cluster_init(&cluster, &harness, params);
+	cluster_write(&cluster);
+	CU_ASSERT_FATAL(cluster_start(&cluster));
+}
+
+static void stop_all(void)
+{
+	for (size_t i = 0; i < cluster.endpoint_count; i++)
+		cluster_kill_endpoint(&cluster.endpoints[i]);
+	for (size_t i = 0; i < cluster.entry_count; i++)
+		harness_kill(cluster.entries[i].process);
+	g_clear_pointer(&output, g_free);
+	harness_finish(&harness, CU_get_number_of_failures() == 0);
+}
+
+/* The id of the one request that was asked; freed with g_free(). */
+static char *request_id(const http_request_t *request)
+{
+	const char *name = "X-Request-Id: ";
+	const char *at = strstr(request->headers->str, name);
+
+	if (at == NULL)
+		return g_strdup("none");
+	at += strlen(name);
+	return g_strndup(at, strcspn(at, "\r\n"));
+}
+
+static void test_explanation(void)
+{
+	static const cluster_params_t params = { .entries = 1 };
+	const http_request_t *request;
+	http_client_t client;
+	char *id;
+
+	start("operate-explanation", &params);
+	http_client_init(&client);
+	request = cluster_ask(&cluster, &client, 0, "two pallets", 0, true);
+	CU_ASSERT(http_client_run(&client, HARNESS_WAIT_MS));
+	CU_ASSERT_EQUAL(request->status, 200);
+	id = request_id(request);
+	CU_ASSERT_EQUAL(ask(cluster.entries[0].http,
+			    harness_string(&harness, "explain %s", id)),
+			0);
+	CU_ASSERT_PTR_NOT_NULL(
+		strstr(output, "Customer customer-0 asked for modelo.\n"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(
+		output, "Preset everyday was in force (revision 2); it grants "
+			"customer-0 1000 sessions always"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(output, "(layers 0 to 3), then "));
+	CU_ASSERT_PTR_NOT_NULL(strstr(
+		output, harness_string(&harness, "delivered: %u tokens.\n",
+				       request->events)));
+	CU_ASSERT_EQUAL(ask(cluster.entries[0].http, "explain req-0"), 1);
+	CU_ASSERT_PTR_NOT_NULL(strstr(output, "keeps no such request"));
+	g_free(id);
+	http_client_finish(&client);
+	stop_all();
+}
+
+/* A change made through one entry is seen through the others. */
+static void test_presets_everywhere(void)
+{
+	static const cluster_params_t params = { .entries = 3 };
+	const char *peak;
+	char *text;
+
+	start("operate-presets-everywhere", &params);
+	text = harness_read(cluster.preset_file);
+	peak = harness_write(&harness, "peak.yaml",
+			     harness_string(&harness, "name: peak\n%s",
+					    strchr(text, '\n') + 1));
+	g_free(text);
+	expect(0, harness_string(&harness, "preset create %s", peak), 0,
+	       "applied");
+	expect(1, "preset use peak --expect 3 --operator joana", 0, "applied");
+	expect(2, "preset use everyday --expect 3 --operator rui", 3,
+	       "preset_use peak, by joana");
+	for (size_t i = 0; i < cluster.entry_count; i++) {
+		expect(i, "status", 0, "preset         peak");
+		expect(i, "config history", 0, "joana");
+		CU_ASSERT(harness_wait_log(cluster.entries[i].process,
+					   "event=revision_in_force revision=4",
+					   HARNESS_WAIT_MS));
+	}
+	stop_all();
+}
+
+static bool may_stop(void *user)
+{
+	const cluster_endpoint_t *endpoint = user;
+	json_t *body;
+	json_t *list;
+	bool found = false;
+
+	if (ask(cluster.entries[0].admin, "endpoint list --json") != 0)
+		return false;
+	body = json_loads(output, 0, NULL);
+	list = json_object_get(body, "endpoints");
+	for (size_t i = 0; i < json_array_size(list); i++) {
+		const json_t *row = json_array_get(list, i);
+
+		if (strcmp(json_string_value(json_object_get(row, "name")),
+			   endpoint->name) == 0)
+			found = json_is_true(json_object_get(row, "may_stop"));
+	}
+	json_decref(body);
+	return found;
+}
+
+static void test_leaving_endpoint(void)
+{
+	static const cluster_params_t params = { .entries = 1 };
+	cluster_endpoint_t *endpoint;
+	const http_request_t *request;
+	http_client_t client;
+
+	start("operate-leaving-endpoint", &params);
+	endpoint = &cluster.endpoints[0];
+	CU_ASSERT_FALSE(may_stop(endpoint));
+	expect(0, harness_string(&harness, "endpoint leave %s", endpoint->name),
+	       0, "applied");
+	CU_ASSERT(harness_until(may_stop, endpoint, HARNESS_WAIT_MS));
+	cluster_kill_endpoint(endpoint);
+	http_client_init(&client);
+	request = cluster_ask(&cluster, &client, 0, "two pallets", 0, true);
+	CU_ASSERT(http_client_run(&client, HARNESS_WAIT_MS));
+	CU_ASSERT_EQUAL(request->status, 200);
+	CU_ASSERT(request->ended);
+	http_client_finish(&client);
+	stop_all();
+}
+
+static const unit_test_t tests[] = {
+	{ "explanation", test_explanation },
+	{ "presets everywhere", test_presets_everywhere },
+	{ "leaving endpoint", test_leaving_endpoint },
+};
+
+int main(void)
+{
+	return unit_run("operate", tests, ARRAY_SIZE(tests));
+}
