Ledger: remember releases whose question may still be on its way

An entry that gives a call up before it saw the answer to its reservation can't tell whether the key is reserved. Its release of an unreserved key was not remembered, so a late copy of the question reserved the key for a call that had ended, and a resend got PENDING and then UNKNOWN though nothing ran. A release is now remembered whether or not the key is reserved, and its owner isn't granted the key any more.

--- a/src/wisteria/ledger/ledger.c
+++ b/src/wisteria/ledger/ledger.c
@@ -6,7 +6,8 @@
  *
  * What the owner keeps to: it asks again with the same owner number only
  * until it has seen an answer, dispatches once at most after LEDGER_GRANTED,
- * and uses an owner number for one call only.
+ * uses an owner number for one call only, and gives the key back whenever it
+ * ends without having dispatched, whether or not it saw the grant.
  */
 #include "wisteria/ledger/ledger.h"
 
@@ -145,22 +146,28 @@
 		       LEDGER_KEY_BYTES_MAX;
 }
 
-static ledger_state_t reserve_new(ledger_t *ledger, const msg_ledger_t *command)
+/* Adds an entry for the command's key; NULL where there is no room. */
+static ledger_entry_t *add_entry(ledger_t *ledger, const msg_ledger_t *command)
 {
-	ledger_entry_t *entry;
+	ledger_entry_t *entry = ledger_entry_new(
+		command->customer, command->service, command->key);
 
-	if (!key_is_valid(command))
-		return LEDGER_MISMATCH;
-	entry = ledger_entry_new(command->customer, command->service,
-				 command->key);
 	if (ledger->bytes + ledger_entry_bytes(entry) > ledger->bytes_max) {
 		ledger_entry_free(entry);
-		return LEDGER_FULL;
+		return NULL;
 	}
 	entry->serial = ledger->next_serial++;
 	reserve_for(ledger, entry, command);
 	ledger_insert(ledger, entry);
-	return LEDGER_GRANTED;
+	return entry;
+}
+
+static ledger_state_t reserve_new(ledger_t *ledger, const msg_ledger_t *command)
+{
+	if (!key_is_valid(command))
+		return LEDGER_MISMATCH;
+	return add_entry(ledger, command) != NULL ? LEDGER_GRANTED
+						  : LEDGER_FULL;
 }
 
 static ledger_state_t reserve_pending(const ledger_t *ledger,
@@ -241,18 +248,28 @@
 	return LEDGER_OK;
 }
 
-/* Gives the key back; not after a result, which shows that the call ran. */
+/*
+ * Gives the key back; not after a result, which shows that the call ran.  The
+ * owner need not have seen that it was granted: also where the key is not
+ * reserved for it, a late copy of its question won't be granted any more.
+ */
 static ledger_state_t release(ledger_t *ledger, ledger_entry_t *entry,
 			      const msg_ledger_t *command)
 {
-	if (entry != NULL && entry->state == ENTRY_RELEASED &&
-	    ledger_entry_was_released_by(entry, command->owner))
-		return LEDGER_OK;
-	if (!is_owner(entry, command))
-		return state_for_stranger(entry);
-	if (entry->state != ENTRY_PENDING)
+	if (entry == NULL && key_is_valid(command)) {
+		entry = add_entry(ledger, command);
+		if (entry == NULL)
+			return LEDGER_FULL;
+	}
+	if (entry == NULL)
+		return LEDGER_MISMATCH;
+	if (entry->state == ENTRY_STORED || entry->state == ENTRY_UNKNOWN)
 		return state_for_stranger(entry);
-	ledger_entry_release(entry);
+	ledger_entry_add_released(entry, command->owner);
+	if (!is_owner(entry, command))
+		return entry->state == ENTRY_RELEASED ? LEDGER_OK
+						      : LEDGER_PENDING;
+	entry->state = ENTRY_RELEASED;
 	touch(ledger, entry);
 	return LEDGER_OK;
 }
--- a/src/wisteria/ledger/ledger_entry.c
+++ b/src/wisteria/ledger/ledger_entry.c
@@ -69,18 +69,6 @@
 	entry->result_len = result.len;
 }
 
-/* The owner gives the key back.  Only the latest such owners are kept. */
-void ledger_entry_release(ledger_entry_t *entry)
-{
-	entry->state = ENTRY_RELEASED;
-	if (entry->released_count == LEDGER_RELEASED_MAX) {
-		memmove(&entry->released[0], &entry->released[1],
-			sizeof(entry->released) - sizeof(entry->released[0]));
-		entry->released_count--;
-	}
-	entry->released[entry->released_count++] = entry->owner;
-}
-
 /* Whether "owner" is one of the latest owners that gave the key back. */
 bool ledger_entry_was_released_by(const ledger_entry_t *entry, uint64_t owner)
 {
@@ -89,3 +77,16 @@
 			return true;
 	return false;
 }
+
+/* Keeps in mind that "owner" gave the key back; only the latest are kept. */
+void ledger_entry_add_released(ledger_entry_t *entry, uint64_t owner)
+{
+	if (ledger_entry_was_released_by(entry, owner))
+		return;
+	if (entry->released_count == LEDGER_RELEASED_MAX) {
+		memmove(&entry->released[0], &entry->released[1],
+			sizeof(entry->released) - sizeof(entry->released[0]));
+		entry->released_count--;
+	}
+	entry->released[entry->released_count++] = owner;
+}
