--- a/src/cli/output.c
+++ b/src/cli/output.c
@@ -22,6 +22,10 @@
 	time_t seconds = (time_t)(wall_ms / 1000);
 	struct tm utc;
 
+	if (wall_ms == 0) {
+		snprintf(out, size, "-");
+		return;
+	}
 	gmtime_r(&seconds, &utc);
 	strftime(out, size, "%Y-%m-%d %H:%M:%S UTC", &utc);
 }
@@ -134,8 +138,12 @@
 		{ "reason", "reason" },
 	};
 	const json_t *winner = json_object_get(answer, "winner");
+	const char *reason =
+		json_string_value(json_object_get(answer, "reason"));
+	bool has_reason = reason != NULL && reason[0] != '\0';
 
-	output_pairs(answer, columns, ARRAY_SIZE(columns));
+	output_pairs(answer, columns,
+		     ARRAY_SIZE(columns) - (has_reason ? 0 : 1));
 	if (winner != NULL)
 		print_winner(winner);
 }
