Measure recovery over real processes; avoid all endpoints that are down

Cause: with two stages lost at once, the restart chose the second dead one and found out only after another 300 ms; and no figure told the two ways of recovery apart. Change: recovery_bench; a restart asks again for a chain while the one offered has an endpoint whose connection is down. Counters of tokens and refusals are left to the entry, which counted them too.

--- /dev/null
+++ b/bench/recovery_bench.c
@@ -0,0 +1,292 @@
+/*
+ * Time to recover from lost stages, over real processes.  Streams run through
+ * one entry; the agent and the engine of one endpoint (or two) are killed, and
+ * the pause that the callers of the streams concerned see is measured, for
+ * both ways of recovery in the same run.
+ */
+#include <argp.h>
+#include <math.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <gsl/gsl_sort.h>
+#include <gsl/gsl_statistics.h>
+
+#include "harness/cluster.h"
+#include "harness/journal.h"
+
+#define RANGES 3
+#define KILL_AFTER_EVENTS 8
+#define RUN_MS 60000
+
+typedef struct {
+	uint32_t streams;
+	uint32_t rounds;
+	uint32_t step_us;
+} options_t;
+
+/* Which endpoints are killed: those numbered 0 of these ranges. */
+typedef struct {
+	const char *name;
+	size_t ranges[2];
+	size_t range_count;
+	bool silent; /* stopped, with its connections open */
+} failure_t;
+
+static const failure_t failures[] = {
+	{ "first stage", { 0 }, 1, false },
+	{ "middle stage", { 1 }, 1, false },
+	{ "last stage", { 2 }, 1, false },
+	{ "two stages", { 0, 2 }, 2, false },
+	{ "silent stage", { 1 }, 1, true },
+};
+
+/* What all rounds of one kind of failure gave. */
+typedef struct {
+	GArray *pause_ms;	/* double, of the streams concerned */
+	GArray *other_pause_ms; /* double, of the others */
+	double rerun;		/* positions run again, over all ranges */
+	double needed;		/* positions that the answers need */
+	uint32_t whole;
+	uint32_t sent;
+} figures_t;
+
+typedef struct {
+	harness_t harness;
+	cluster_t cluster;
+	http_client_t client;
+	GPtrArray *requests;
+	int64_t killed_us;
+} round_t;
+
+static options_t options = { .streams = 100, .rounds = 3, .step_us = 4000 };
+
+static void send_streams(round_t *round)
+{
+	for (uint32_t i = 0; i < options.streams; i++) {
+		char *prompt = g_strdup_printf("draft a letter %u", i);
+
+		g_ptr_array_add(round->requests,
+				cluster_ask(&round->cluster, &round->client, 0,
+					    prompt, 0, true));
+		g_free(prompt);
+	}
+}
+
+static void stop_stage(cluster_endpoint_t *endpoint)
+{
+	harness_signal(endpoint->agent, SIGSTOP);
+	harness_signal(endpoint->engine, SIGSTOP);
+}
+
+static void kill_stages(round_t *round, const failure_t *failure)
+{
+	size_t per_range = round->cluster.params.endpoints_per_range;
+
+	round->killed_us = g_get_monotonic_time();
+	for (size_t i = 0; i < failure->range_count; i++) {
+		cluster_endpoint_t *endpoint =
+			&round->cluster
+				 .endpoints[failure->ranges[i] * per_range];
+
+		if (failure->silent)
+			stop_stage(endpoint);
+		else
+			cluster_kill_endpoint(endpoint);
+	}
+}
+
+/* The longest pause between events that ends after the kill. */
+static double pause_of(const http_request_t *request, int64_t killed_us)
+{
+	int64_t longest = 0;
+
+	for (guint i = 1; i < request->event_us->len; i++) {
+		int64_t from = g_array_index(request->event_us, int64_t, i - 1);
+		int64_t to = g_array_index(request->event_us, int64_t, i);
+
+		if (to > killed_us && to - from > longest)
+			longest = to - from;
+	}
+	return (double)longest / 1000;
+}
+
+/* The sessions of which some engine ran a later attempt than the first. */
+static GHashTable *recovered_sessions(const cluster_t *cluster, double *lines)
+{
+	GHashTable *sessions = g_hash_table_new_full(
+		g_int64_hash, g_int64_equal, g_free, NULL);
+
+	*lines = 0;
+	for (size_t i = 0; i < cluster->endpoint_count; i++) {
+		char *text = harness_read(cluster->endpoints[i].journal);
+		char **rows = g_strsplit(text, "\n", -1);
+
+		for (char **row = rows; *row != NULL; row++) {
+			guint64 session;
+			unsigned attempt;
+
+			if (sscanf(*row, "%lu %u", &session, &attempt) != 2)
+				continue;
+			(*lines)++;
+			if (attempt > 1)
+				g_hash_table_add(
+					sessions,
+					g_memdup2(&session, sizeof(session)));
+		}
+		g_strfreev(rows);
+		g_free(text);
+	}
+	return sessions;
+}
+
+static guint64 session_of(const http_request_t *request)
+{
+	return g_ascii_strtoull(request->last_event_id, NULL, 16);
+}
+
+static void take_figures(const round_t *round, figures_t *figures)
+{
+	double lines;
+	double needed = 0;
+	GHashTable *recovered = recovered_sessions(&round->cluster, &lines);
+
+	for (guint i = 0; i < round->requests->len; i++) {
+		const http_request_t *request =
+			g_ptr_array_index(round->requests, i);
+		guint64 session = session_of(request);
+		double pause = pause_of(request, round->killed_us);
+
+		figures->sent++;
+		if (!request->ended || request->failed)
+			continue;
+		figures->whole++;
+		needed += request->events * RANGES;
+		if (request->ended_us < round->killed_us)
+			continue;
+		if (g_hash_table_contains(recovered, &session))
+			g_array_append_val(figures->pause_ms, pause);
+		else
+			g_array_append_val(figures->other_pause_ms, pause);
+	}
+	figures->needed += needed;
+	figures->rerun += lines - needed;
+	g_hash_table_destroy(recovered);
+}
+
+static bool run_round(const char *recovery, const failure_t *failure,
+		      figures_t *figures)
+{
+	const cluster_params_t params = {
+		.entries = 1,
+		.ranges = RANGES,
+		.endpoints_per_range = 2,
+		.step_us = options.step_us,
+		.recovery = recovery,
+	};
+	round_t round = { .requests = g_ptr_array_new() };
+	bool ran = false;
+
+	harness_init(&round.harness, "recovery");
+	cluster_init(&round.cluster, &round.harness, &params);
+	cluster_write(&round.cluster);
+	http_client_init(&round.client);
+	if (cluster_start(&round.cluster)) {
+		send_streams(&round);
+		ran = http_wait_events(
+			&round.client,
+			g_ptr_array_index(round.requests,
+					  round.requests->len - 1),
+			KILL_AFTER_EVENTS, RUN_MS);
+		kill_stages(&round, failure);
+		ran = http_client_run(&round.client, RUN_MS) && ran;
+		take_figures(&round, figures);
+	}
+	http_client_finish(&round.client);
+	g_ptr_array_free(round.requests, TRUE);
+	harness_finish(&round.harness, true);
+	return ran;
+}
+
+static double quantile(GArray *values, double fraction)
+{
+	if (values->len == 0)
+		return NAN;
+	gsl_sort((double *)(void *)values->data, 1, values->len);
+	return gsl_stats_quantile_from_sorted_data(
+		(double *)(void *)values->data, 1, values->len, fraction);
+}
+
+static bool measure(const char *recovery, const failure_t *failure)
+{
+	figures_t figures = {
+		.pause_ms = g_array_new(FALSE, FALSE, sizeof(double)),
+		.other_pause_ms = g_array_new(FALSE, FALSE, sizeof(double)),
+	};
+	bool ran = true;
+
+	for (uint32_t i = 0; i < options.rounds; i++)
+		ran = run_round(recovery, failure, &figures) && ran;
+	printf("%-8s %-13s %5u/%-5u %6u %8.0f %8.0f %8.0f %10.0f %9.3f\n",
+	       recovery, failure->name, figures.whole, figures.sent,
+	       figures.pause_ms->len, quantile(figures.pause_ms, 0.5),
+	       quantile(figures.pause_ms, 0.99),
+	       quantile(figures.other_pause_ms, 0.99), figures.rerun,
+	       figures.rerun / figures.needed);
+	fflush(stdout);
+	g_array_free(figures.pause_ms, TRUE);
+	g_array_free(figures.other_pause_ms, TRUE);
+	return ran && figures.whole == figures.sent;
+}
+
+static error_t parse_option(int key, char *text, struct argp_state *state)
+{
+	uint32_t number =
+		text == NULL ? 0 : (uint32_t)g_ascii_strtoull(text, NULL, 10);
+
+	(void)state;
+	switch (key) {
+	case 's':
+		options.streams = number;
+		return 0;
+	case 'r':
+		options.rounds = number;
+		return 0;
+	case 'u':
+		options.step_us = number;
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+static const struct argp_option argp_options[] = {
+	{ "streams", 's', "N", 0, "Streams in each round", 0 },
+	{ "rounds", 'r', "N", 0, "Rounds of each kind", 0 },
+	{ "step-us", 'u', "US", 0, "Engine time of one step", 0 },
+	{ 0 },
+};
+
+int main(int argc, char **argv)
+{
+	static const char *const recoveries[] = { "restart", "replay" };
+	const struct argp argp = {
+		argp_options, parse_option,
+		NULL,	      "Measures recovery from lost stages.",
+		NULL,	      NULL,
+		NULL
+	};
+	bool ran = true;
+
+	argp_parse(&argp, argc, argv, 0, NULL, NULL);
+	printf("%u streams, %u rounds, step %u us; times in ms\n"
+	       "recovery failure         whole       hit      p50      p99 "
+	       "other99      rerun  rerun/needed\n",
+	       options.streams, options.rounds, options.step_us);
+	for (size_t i = 0; i < ARRAY_SIZE(recoveries); i++)
+		for (size_t j = 0; j < ARRAY_SIZE(failures); j++)
+			ran = measure(recoveries[i], &failures[j]) && ran;
+	return ran ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- a/src/wisteria/session/entry_session.c
+++ b/src/wisteria/session/entry_session.c
@@ -55,6 +55,8 @@
 	clock_ms_t seeking_ms;	/* since when no attempt runs */
 	uint32_t refusals;	/* of MSG_OPEN since then */
 	char failed[ROUTER_NAME_BYTES];
+	char suspects[ROUTER_HOPS_MAX][ROUTER_NAME_BYTES];
+	size_t suspect_count;
 	err_t why;
 	GPtrArray *tokens; /* texts delivered */
 };
@@ -194,7 +196,6 @@
 
 	close_chain(session, "refused");
 	enter(session, ENTRY_ENDED, now);
-	counter_add(COUNTER_REQUESTS_REFUSED, 1);
 	session->ops->refused(session->ops, session, &refusal);
 }
 
@@ -212,24 +213,60 @@
 		send_open(session, i, now);
 }
 
-/* Asks for a chain; returns false if none is possible now. */
+/* Returns an endpoint of "choice" that is suspected, or NULL. */
+static const char *find_suspect(const entry_session_t *session,
+				const route_choice_t *choice)
+{
+	for (size_t i = 0; i < choice->hop_count; i++)
+		for (size_t j = 0; j < session->suspect_count; j++)
+			if (strcmp(choice->hops[i].endpoint,
+				   session->suspects[j]) == 0)
+				return choice->hops[i].endpoint;
+	return NULL;
+}
+
+/*
+ * Asks for a chain; returns false if none is possible now.  Where it has an
+ * endpoint whose connection is down, another is asked for, naming that one as
+ * failed; one that can't be avoided is tried.
+ */
 static bool choose(entry_session_t *session, clock_ms_t now)
 {
 	route_choice_t choice = { .hop_count = 0 };
+	const char *suspect;
+	size_t tries = session->suspect_count + 1;
 
 	session->chosen_ms = now;
-	if (session->ops->choose(session->ops, session, session->failed,
-				 &choice) != ROUTE_FOUND)
-		return false;
+	while (tries-- > 0) {
+		if (session->ops->choose(session->ops, session, session->failed,
+					 &choice) != ROUTE_FOUND)
+			return false;
+		suspect = find_suspect(session, &choice);
+		if (suspect == NULL)
+			break;
+		g_strlcpy(session->failed, suspect, sizeof(session->failed));
+	}
 	session->chain = choice;
 	open_chain(session, now);
 	return true;
 }
 
+/* Remembers the endpoints of the chain whose connection is down. */
+static void note_suspects(entry_session_t *session)
+{
+	session->suspect_count = 0;
+	for (size_t i = 0; i < session->chain.hop_count; i++)
+		if (session->hops[i].down_ms != CLOCK_NEVER_MS)
+			g_strlcpy(session->suspects[session->suspect_count++],
+				  session->chain.hops[i].endpoint,
+				  ROUTER_NAME_BYTES);
+}
+
 /* Gives the attempt up and begins another one on a new chain. */
 static void begin_again(entry_session_t *session, clock_ms_t now)
 {
 	close_chain(session, "attempt failed");
+	note_suspects(session);
 	session->chain.hop_count = 0;
 	if (session->ever_started)
 		counter_add(COUNTER_RECOVERIES, 1);
@@ -494,7 +531,6 @@
 		g_ptr_array_add(session->tokens, g_strdup(token->text));
 		last = token->last;
 		session->progress_ms = now;
-		counter_add(COUNTER_TOKENS_DELIVERED, 1);
 		session->ops->deliver(session->ops, session, token, 1);
 		if (session->state == ENTRY_ENDED)
 			return false;
