Let another entry take a session over

Cause: when its entry dies, a stream was lost although its agents go on. Change: MSG_TAKEOVER and MSG_TAKEOVER_REPLY: the first hop gives the present attempt, chain and tokens to another entry of the same customer, which adopts the session (entry_session_adopt()) and goes on from the token that the caller lacks. From then on the first hop ignores the old entry, and attempts of the new one are numbered apart from those that the old may still begin. Conclusion: the entry role has to use it for Last-Event-ID.

--- a/src/wisteria/agent/agent.c
+++ b/src/wisteria/agent/agent.c
@@ -21,6 +21,7 @@
 	[MSG_TOKENS_ACK] = agent_session_on_tokens_ack,
 	[MSG_RESUME] = agent_session_on_resume,
 	[MSG_REROUTE] = agent_session_on_reroute,
+	[MSG_TAKEOVER] = agent_session_on_takeover,
 	[MSG_CLOSE] = agent_session_on_close,
 	[MSG_SESSION_FAILED] = agent_session_on_failed,
 	[MSG_STEP] = agent_session_on_step,
--- a/src/wisteria/agent/agent_defs.h
+++ b/src/wisteria/agent/agent_defs.h
@@ -52,6 +52,8 @@
 	agent_session_key_t key;
 	agent_peer_t *peers[AGENT_PEER_COUNT]; /* NULL: none, or local */
 	conn_t *entry;			       /* NULL while it is lost */
+	char owner[NET_INSTANCE_BYTES];	       /* the entry that took it over */
+	uint32_t takeovers;
 	clock_ms_t orphaned_ms;
 	clock_ms_t expires_ms;
 } agent_session_t;
--- a/src/wisteria/agent/agent_session.c
+++ b/src/wisteria/agent/agent_session.c
@@ -18,6 +18,8 @@
 #define SESSION_ORPHAN_MS 30000
 /* How long a session is kept after its caller's deadline. */
 #define SESSION_EXPIRY_MS 5000
+/* Attempts are numbered anew, from a multiple of this, at each takeover. */
+#define SESSION_TAKEOVER_STRIDE (1u << 16)
 /* How long a closed attempt is remembered. */
 #define SESSION_FENCE_MS 60000
 
@@ -321,6 +323,13 @@
 		agent_peer_reply(agent, conn, MSG_SESSION_FAILED, &failed);
 }
 
+/* Returns whether another entry than the peer of "conn" took it over. */
+static bool is_taken_over(const agent_session_t *session, const conn_t *conn)
+{
+	return session->owner[0] != '\0' && conn != NULL &&
+	       strcmp(session->owner, conn->peer_instance) != 0;
+}
+
 /* Starts the token loop. */
 void agent_session_on_start(agent_t *agent, conn_t *conn, const msg_t *msg)
 {
@@ -332,7 +341,8 @@
 				 0);
 		return;
 	}
-	if (hop_session_attempt(session->hop) != start->attempt)
+	if (hop_session_attempt(session->hop) != start->attempt ||
+	    is_taken_over(session, conn))
 		return;
 	bind_entry(session, conn);
 	hop_session_on_start(session->hop, clock_now(agent->net->clock));
@@ -361,7 +371,8 @@
 				 resume->hop);
 		return;
 	}
-	if (hop_session_attempt(session->hop) != resume->attempt)
+	if (hop_session_attempt(session->hop) != resume->attempt ||
+	    is_taken_over(session, conn))
 		return;
 	bind_entry(session, conn);
 	hop_session_on_resume(session->hop, resume,
@@ -379,6 +390,8 @@
 				 reroute->attempt, reroute->hop);
 		return;
 	}
+	if (is_taken_over(session, conn))
+		return;
 	bind_entry(session, conn);
 	hop_session_on_reroute(session->hop, reroute,
 			       clock_now(agent->net->clock));
@@ -388,11 +401,48 @@
 	take_peers(session);
 }
 
-static void close_one(agent_t *agent, const msg_close_t *close, uint32_t hop)
+/*
+ * Gives a session to another entry of the same customer's request.  What the
+ * old one still asks of this hop is ignored.
+ */
+void agent_session_on_takeover(agent_t *agent, conn_t *conn, const msg_t *msg)
+{
+	const msg_takeover_t *takeover = msg->body;
+	agent_session_t *session = find(agent, takeover->session, 0);
+	clock_ms_t now = clock_now(agent->net->clock);
+	msg_takeover_reply_t reply = { .session = takeover->session };
+	msg_token_t *tokens = NULL;
+
+	if (conn == NULL)
+		return;
+	if (session != NULL && strcmp(hop_session_open(session->hop)->customer,
+				      takeover->customer) == 0) {
+		uint32_t attempt = hop_session_attempt(session->hop);
+		uint32_t base = attempt / SESSION_TAKEOVER_STRIDE;
+
+		tokens = hop_session_describe(session->hop, &reply.open);
+		reply.found = true;
+		reply.next_attempt =
+			(base + ++session->takeovers) * SESSION_TAKEOVER_STRIDE;
+		reply.open.remaining_ms =
+			session->expires_ms - SESSION_EXPIRY_MS - now;
+		g_strlcpy(session->owner, conn->peer_instance,
+			  sizeof(session->owner));
+		bind_entry(session, conn);
+		LOG_INFO("session_taken_over",
+			 "session=%" G_GUINT64_FORMAT " entry=%s",
+			 takeover->session, session->owner);
+	}
+	conn_send(conn, MSG_TAKEOVER_REPLY, &reply);
+	g_free(tokens);
+}
+
+static void close_one(agent_t *agent, const conn_t *conn,
+		      const msg_close_t *close, uint32_t hop)
 {
 	agent_session_t *session = find(agent, close->session, hop);
 
-	if (session != NULL &&
+	if (session != NULL && !is_taken_over(session, conn) &&
 	    hop_session_attempt(session->hop) <= close->attempt)
 		g_hash_table_remove(agent->sessions, &session->key);
 }
@@ -402,14 +452,13 @@
 {
 	const msg_close_t *close = msg->body;
 
-	(void)conn;
 	if (close->one_hop) {
-		close_one(agent, close, close->hop);
+		close_one(agent, conn, close, close->hop);
 		return;
 	}
 	raise_fence(agent, close->session, close->attempt);
 	for (uint32_t hop = 0; hop < AGENT_HOPS_MAX; hop++)
-		close_one(agent, close, hop);
+		close_one(agent, conn, close, hop);
 }
 
 /* Another agent knows nothing of a session: tells the entry. */
--- a/src/wisteria/agent/agent_session.h
+++ b/src/wisteria/agent/agent_session.h
@@ -25,6 +25,7 @@
 				 const msg_t *msg);
 void agent_session_on_resume(agent_t *agent, conn_t *conn, const msg_t *msg);
 void agent_session_on_reroute(agent_t *agent, conn_t *conn, const msg_t *msg);
+void agent_session_on_takeover(agent_t *agent, conn_t *conn, const msg_t *msg);
 void agent_session_on_close(agent_t *agent, conn_t *conn, const msg_t *msg);
 void agent_session_on_failed(agent_t *agent, conn_t *conn, const msg_t *msg);
 void agent_session_on_step(agent_t *agent, conn_t *conn, const msg_t *msg);
--- a/src/wisteria/codec/msg.c
+++ b/src/wisteria/codec/msg.c
@@ -136,6 +136,22 @@
 static const record_desc_t msg_reroute_desc =
 	RECORD_DESC(msg_reroute_t, reroute_fields);
 
+static const field_desc_t takeover_fields[] = {
+	FIELD(FIELD_U64, msg_takeover_t, session),
+	FIELD(FIELD_STR, msg_takeover_t, customer),
+};
+static const record_desc_t msg_takeover_desc =
+	RECORD_DESC(msg_takeover_t, takeover_fields);
+
+static const field_desc_t takeover_reply_fields[] = {
+	FIELD(FIELD_U64, msg_takeover_reply_t, session),
+	FIELD(FIELD_BOOL, msg_takeover_reply_t, found),
+	FIELD(FIELD_U32, msg_takeover_reply_t, next_attempt),
+	FIELD_RECORD_OF(msg_takeover_reply_t, open, &msg_open_desc),
+};
+static const record_desc_t msg_takeover_reply_desc =
+	RECORD_DESC(msg_takeover_reply_t, takeover_reply_fields);
+
 static const field_desc_t position_fields[] = {
 	FIELD(FIELD_BYTES, msg_position_t, activations),
 };
@@ -427,6 +443,8 @@
 	[MSG_CLOSE] = { "close", &msg_close_desc },
 	[MSG_SESSION_FAILED] = { "session_failed", &msg_session_failed_desc },
 	[MSG_REROUTE] = { "reroute", &msg_reroute_desc },
+	[MSG_TAKEOVER] = { "takeover", &msg_takeover_desc },
+	[MSG_TAKEOVER_REPLY] = { "takeover_reply", &msg_takeover_reply_desc },
 	[MSG_STEP] = { "step", &msg_step_desc },
 	[MSG_STEP_ACK] = { "step_ack", &msg_step_ack_desc },
 	[MSG_STEP_RESULT] = { "step_result", &msg_step_result_desc },
--- a/src/wisteria/codec/msg_defs.h
+++ b/src/wisteria/codec/msg_defs.h
@@ -28,6 +28,8 @@
 	MSG_CLOSE = 22,
 	MSG_SESSION_FAILED = 23,
 	MSG_REROUTE = 24,
+	MSG_TAKEOVER = 25,
+	MSG_TAKEOVER_REPLY = 26,
 
 	/* Between agents. */
 	MSG_STEP = 32,
@@ -196,6 +198,27 @@
 	uint32_t replaced;
 } msg_reroute_t;
 
+/*
+ * Another entry asks the first hop for a session whose entry has gone.  Only
+ * the same customer gets it.
+ */
+typedef struct {
+	uint64_t session;
+	const char *customer;
+} msg_takeover_t;
+
+/*
+ * The session as it is now.  "open" has the present attempt, chain and all
+ * tokens made so far; later attempts are numbered from "next_attempt" on, so
+ * that they differ from those that the old entry may still begin.
+ */
+typedef struct {
+	uint64_t session;
+	bool found;
+	uint32_t next_attempt;
+	msg_open_t open;
+} msg_takeover_reply_t;
+
 /* The activations of one position of the sequence. */
 typedef struct {
 	bytes_t activations;
--- a/src/wisteria/session/entry_session.c
+++ b/src/wisteria/session/entry_session.c
@@ -45,6 +45,7 @@
 	entry_session_params_t params;
 	entry_state_t state;
 	uint32_t attempt;
+	uint32_t attempt_floor; /* of attempts begun after a takeover */
 	route_choice_t chain;
 	entry_hop_t hops[ROUTER_HOPS_MAX];
 	uint32_t replaced;
@@ -199,9 +200,14 @@
 	session->ops->refused(session->ops, session, &refusal);
 }
 
+static void begin_attempt(entry_session_t *session)
+{
+	session->attempt = MAX(session->attempt + 1, session->attempt_floor);
+}
+
 static void open_chain(entry_session_t *session, clock_ms_t now)
 {
-	session->attempt++;
+	begin_attempt(session);
 	counter_add(COUNTER_ATTEMPTS, 1);
 	enter(session, ENTRY_OPENING, now);
 	for (size_t i = 0; i < session->chain.hop_count; i++)
@@ -311,7 +317,7 @@
 		(entry_hop_t){ .up_to_date = true, .down_ms = CLOCK_NEVER_MS };
 	session->replaced = (uint32_t)lost;
 	session->seeking_ms = now;
-	session->attempt++;
+	begin_attempt(session);
 	counter_add(COUNTER_ATTEMPTS, 1);
 	counter_add(COUNTER_RECOVERIES, 1);
 	enter(session, ENTRY_REPLACING, now);
@@ -370,6 +376,66 @@
 	return session;
 }
 
+static void adopt_chain(entry_session_t *session, const msg_open_t *open)
+{
+	route_choice_t *chain = &session->chain;
+
+	chain->hop_count = open->hop_count;
+	for (size_t i = 0; i < open->hop_count; i++) {
+		route_hop_t *hop = &chain->hops[i];
+
+		g_strlcpy(hop->endpoint, open->hops[i].endpoint,
+			  sizeof(hop->endpoint));
+		g_strlcpy(hop->address, open->hops[i].address,
+			  sizeof(hop->address));
+		hop->incarnation = open->hops[i].incarnation;
+		hop->first_layer = open->hops[i].first_layer;
+		hop->end_layer = open->hops[i].end_layer;
+		session->hops[i] = (entry_hop_t){ .accepted = true,
+						  .up_to_date = true,
+						  .down_ms = CLOCK_NEVER_MS };
+	}
+}
+
+/*
+ * Creates a running session from what its first hop says of it, for a caller
+ * that has the tokens below "next".  What is in both, "params" is right for
+ * the limits and "reply" for the rest.  Returns NULL if the session was not
+ * found or does not have that many tokens.
+ */
+entry_session_t *entry_session_adopt(const entry_session_params_t *params,
+				     const msg_takeover_reply_t *reply,
+				     uint32_t next, entry_session_ops_t *ops,
+				     clock_ms_t now)
+{
+	const msg_open_t *open = &reply->open;
+	entry_session_params_t merged = *params;
+	entry_session_t *session;
+
+	if (!reply->found || next > open->token_count || open->hop_count == 0 ||
+	    open->hop_count > ROUTER_HOPS_MAX)
+		return NULL;
+	merged.session = reply->session;
+	merged.model = open->model;
+	merged.prompt = open->prompt;
+	merged.max_tokens = open->max_tokens;
+	session = entry_session_new(&merged, ops);
+	session->attempt = open->attempt;
+	session->attempt_floor = reply->next_attempt;
+	session->ever_started = true;
+	session->progress_ms = now;
+	session->seeking_ms = now;
+	for (uint32_t i = 0; i < next; i++)
+		g_ptr_array_add(session->tokens,
+				g_strdup(open->tokens[i].text));
+	adopt_chain(session, open);
+	enter(session, ENTRY_RUNNING, now);
+	for (size_t i = 0; i < open->hop_count; i++)
+		send_next(session, i, MSG_RESUME);
+	send_start(session);
+	return session;
+}
+
 /* Frees a session; says nothing to the agents. */
 void entry_session_free(entry_session_t *session)
 {
--- a/src/wisteria/session/hop_session.c
+++ b/src/wisteria/session/hop_session.c
@@ -344,6 +344,32 @@
 	return session->hops;
 }
 
+/*
+ * Writes the session as it is now: the opening message with the present
+ * attempt, chain and tokens.  Returns the tokens, which the caller frees; all
+ * else points into the session.
+ */
+msg_token_t *hop_session_describe(const hop_session_t *session,
+				  msg_open_t *open)
+{
+	msg_token_t *tokens = g_new0(msg_token_t, session->tokens->len + 1);
+
+	for (guint i = 0; i < session->tokens->len; i++) {
+		const stored_token_t *stored = token_at(session, i);
+
+		tokens[i] = (msg_token_t){ stored->index, stored->text,
+					   stored->last };
+	}
+	*open = *session->open;
+	open->attempt = session->attempt;
+	open->hops = session->hops;
+	if (session->started) {
+		open->tokens = tokens;
+		open->token_count = session->tokens->len;
+	}
+	return tokens;
+}
+
 /* Returns the attempt that the session serves now. */
 uint32_t hop_session_attempt(const hop_session_t *session)
 {
--- a/src/wisteria/session/hop_session.h
+++ b/src/wisteria/session/hop_session.h
@@ -66,6 +66,9 @@
 hop_session_open(const hop_session_t *session) ATTR_NONNULL_ALL;
 const msg_hop_t *
 hop_session_hops(const hop_session_t *session) ATTR_NONNULL_ALL;
+msg_token_t *
+hop_session_describe(const hop_session_t *session,
+		     msg_open_t *open) ATTR_NONNULL_ALL ATTR_WARN_UNUSED;
 uint32_t hop_session_attempt(const hop_session_t *session) ATTR_NONNULL_ALL;
 bool hop_session_has_started(const hop_session_t *session) ATTR_NONNULL_ALL;
 bool hop_session_is_done(const hop_session_t *session) ATTR_NONNULL_ALL;
--- a/test/functional/agent_test.c
+++ b/test/functional/agent_test.c
@@ -295,6 +295,59 @@
 	finish();
 }
 
+static bool link_is_up(void *user)
+{
+	return agent_rig_is_linked(&rig, user);
+}
+
+static rig_request_t *lose_entry(preset_recovery_t recovery)
+{
+	rig_request_t *first;
+
+	start_ranges(recovery);
+	ask_many();
+	run_under_way();
+	first = g_ptr_array_index(rig.requests, 0);
+	agent_rig_replace_entry(&rig);
+	CU_ASSERT(agent_rig_run_until(&rig, link_is_up, first->first_address));
+	return first;
+}
+
+/* The entry dies and another goes on with its streams; then a stage dies. */
+static void take_over(preset_recovery_t recovery)
+{
+	lose_entry(recovery);
+	for (guint i = 0; i < rig.requests->len; i++)
+		agent_rig_take_over(g_ptr_array_index(rig.requests, i),
+				    "recife");
+	uv_run(&rig.loop, UV_RUN_ONCE);
+	agent_rig_kill(&rig.agents[2]);
+	check_whole();
+	finish();
+}
+
+static bool is_refused(void *user)
+{
+	(void)user;
+	return rig.takeovers_refused > 0;
+}
+
+static void test_takeover_of_another_customer(void)
+{
+	rig_request_t *first = lose_entry(PRESET_RESTART);
+
+	agent_rig_take_over(first, "olinda");
+	CU_ASSERT(agent_rig_run_until(&rig, is_refused, NULL));
+	CU_ASSERT_PTR_NULL(first->session);
+	finish();
+}
+
+static void test_entry_lost(void)
+{
+	take_over(PRESET_RESTART);
+	take_over(PRESET_REPLAY);
+}
+
 /* One agent stands beside two endpoints of the same chain. */
 static void test_two_hops_of_one_agent(void)
 {
@@ -379,11 +432,6 @@
 	return rig.call_replies >= *count;
 }
 
-static bool link_is_up(void *user)
-{
-	return agent_rig_is_linked(&rig, user);
-}
-
 static void send_call(uint64_t id, const char *fake, uint64_t incarnation)
 {
 	const msg_header_t header = { "X-Fake", fake };
@@ -500,6 +548,9 @@
 	{ "an engine is lost", test_engine_lost },
 	{ "an agent is back with a new incarnation", test_new_incarnation },
 	{ "the entry's connections are lost", test_entry_connection_lost },
+	{ "another entry takes the streams over", test_entry_lost },
+	{ "another customer can't take a stream over",
+	  test_takeover_of_another_customer },
 	{ "two hops of one agent", test_two_hops_of_one_agent },
 	{ "refused is not run", test_refusals },
 	{ "a call runs once", test_call_runs_once },
--- a/test/functional/harness/agent_rig.c
+++ b/test/functional/harness/agent_rig.c
@@ -67,8 +67,9 @@
 		rig_request_t *request =
 			g_ptr_array_index(link->rig->requests, i);
 
-		entry_session_on_agent_up(request->session, link->link.address,
-					  now_ms());
+		if (request->session != NULL)
+			entry_session_on_agent_up(request->session,
+						  link->link.address, now_ms());
 	}
 }
 
@@ -82,8 +83,9 @@
 		rig_request_t *request =
 			g_ptr_array_index(link->rig->requests, i);
 
-		entry_session_on_agent_down(request->session,
-					    link->link.address, now_ms());
+		if (request->session != NULL)
+			entry_session_on_agent_down(
+				request->session, link->link.address, now_ms());
 	}
 }
 
@@ -92,7 +94,7 @@
 	for (guint i = 0; i < rig->requests->len; i++) {
 		rig_request_t *request = g_ptr_array_index(rig->requests, i);
 
-		if (entry_session_params(request->session)->session == session)
+		if (request->number == session)
 			return request;
 	}
 	return NULL;
@@ -106,6 +108,22 @@
 		 (int)reply->body.len, (const char *)reply->body.data);
 }
 
+static void adopt(rig_request_t *request, const msg_takeover_reply_t *reply)
+{
+	const entry_session_params_t params = {
+		.customer = "recife",
+		.layers = request->rig->layers,
+		.revision = 1,
+		.deadline_ms = now_ms() + HARNESS_WAIT_MS,
+		.recovery = request->rig->recovery,
+	};
+
+	request->session = entry_session_adopt(&params, reply, request->tokens,
+					       &request->ops, now_ms());
+	if (request->session == NULL)
+		request->rig->takeovers_refused++;
+}
+
 /* Every message to an entry begins with the number of its session. */
 static void on_message(conn_handler_t *self, conn_t *conn, const msg_t *msg)
 {
@@ -118,7 +136,9 @@
 		return;
 	}
 	request = find_request(rig, *(const uint64_t *)msg->body);
-	if (request == NULL)
+	if (request != NULL && msg->type == MSG_TAKEOVER_REPLY)
+		adopt(request, msg->body);
+	if (request == NULL || request->session == NULL)
 		return;
 	if (msg->type == MSG_OPEN_REPLY)
 		entry_session_on_open_reply(request->session, msg->body,
@@ -314,6 +334,7 @@
 	request->prompt = g_strdup(prompt);
 	request->max_tokens = max_tokens;
 	request->answer = g_string_new(NULL);
+	request->number = params.session;
 	request->session = entry_session_new(&params, &request->ops);
 	g_ptr_array_add(rig->requests, request);
 	if (choose_chain(rig, "", &choice) != ROUTE_FOUND)
@@ -329,7 +350,8 @@
 	for (guint i = 0; i < rig->requests->len; i++) {
 		rig_request_t *request = g_ptr_array_index(rig->requests, i);
 
-		entry_session_tick(request->session, now_ms());
+		if (request->session != NULL)
+			entry_session_tick(request->session, now_ms());
 	}
 }
 
@@ -450,6 +472,37 @@
 	g_ptr_array_add(agent->rig->dead_nets, net);
 }
 
+/* Ends the entry as when its process is killed; another takes its place. */
+void agent_rig_replace_entry(agent_rig_t *rig)
+{
+	char *name = g_strdup_printf("entry-%u", ++rig->entry_number);
+
+	for (guint i = 0; i < rig->requests->len; i++) {
+		rig_request_t *request = g_ptr_array_index(rig->requests, i);
+
+		g_strlcpy(
+			request->first_address,
+			entry_session_chain(request->session)->hops[0].address,
+			sizeof(request->first_address));
+		entry_session_free(request->session);
+		request->session = NULL;
+	}
+	g_hash_table_remove_all(rig->links);
+	net_close(rig->entry_net);
+	g_ptr_array_add(rig->dead_nets, rig->entry_net);
+	rig->entry_net = new_net(rig, name, 1);
+	g_free(name);
+}
+
+/* Has the present entry ask for the session of one that is gone. */
+void agent_rig_take_over(rig_request_t *request, const char *customer)
+{
+	const msg_takeover_t takeover = { request->number, customer };
+
+	agent_rig_send(request->rig, request->first_address, MSG_TAKEOVER,
+		       &takeover);
+}
+
 /* Runs the loop until "holds" or the longest wait of a test is over. */
 bool agent_rig_run_until(agent_rig_t *rig, bool (*holds)(void *user),
 			 void *user)
--- a/test/functional/harness/agent_rig.h
+++ b/test/functional/harness/agent_rig.h
@@ -39,6 +39,8 @@
 	bool finished;
 	bool refused;
 	bool not_run;
+	uint64_t number;		       /* of the session */
+	char first_address[ROUTER_NAME_BYTES]; /* once its entry is gone */
 	char why[ERR_TEXT_BYTES];
 	clock_ms_t last_ms;
 	clock_ms_t longest_gap_ms; /* between tokens */
@@ -54,7 +56,9 @@
 	rig_agent_t agents[RIG_AGENTS_MAX];
 	size_t agent_count;
 	net_t *entry_net;
+	uint32_t entry_number;
 	GHashTable *links; /* address -> rig_link_t */
+	uint32_t takeovers_refused;
 	GPtrArray *requests;
 	uint32_t layers;
 	uint64_t next_session;
@@ -84,6 +88,9 @@
 			 void *user) ATTR_NONNULL(1, 2);
 bool agent_rig_run_all(agent_rig_t *rig) ATTR_NONNULL_ALL;
 bool agent_rig_is_whole(const rig_request_t *request) ATTR_NONNULL_ALL;
+void agent_rig_replace_entry(agent_rig_t *rig) ATTR_NONNULL_ALL;
+void agent_rig_take_over(rig_request_t *request,
+			 const char *customer) ATTR_NONNULL_ALL;
 void agent_rig_send(agent_rig_t *rig, const char *address, msg_type_t type,
 		    const void *body) ATTR_NONNULL_ALL;
 bool agent_rig_is_linked(agent_rig_t *rig,
