--- a/src/wisteria/session/entry_session.c
+++ b/src/wisteria/session/entry_session.c
@@ -55,6 +55,7 @@
 	clock_ms_t chosen_ms;	/* when a chain was last asked for */
 	clock_ms_t seeking_ms;	/* since when no attempt runs */
 	uint32_t refusals;	/* of MSG_OPEN since then */
+	route_result_t route;	/* the last answer of the router */
 	char failed[ROUTER_NAME_BYTES];
 	char suspects[ROUTER_HOPS_MAX][ROUTER_NAME_BYTES];
 	size_t suspect_count;
@@ -244,8 +245,9 @@
 
 	session->chosen_ms = now;
 	while (tries-- > 0) {
-		if (session->ops->choose(session->ops, session, session->failed,
-					 &choice) != ROUTE_FOUND)
+		session->route = session->ops->choose(session->ops, session,
+						      session->failed, &choice);
+		if (session->route != ROUTE_FOUND)
 			return false;
 		suspect = find_suspect(session, &choice);
 		if (suspect == NULL)
@@ -719,12 +721,18 @@
 		}
 }
 
+/*
+ * Asks for a chain again.  A request that has not run waits for a free slot
+ * until its deadline; otherwise the wait for a chain is bounded.
+ */
 static void check_choice(entry_session_t *session, clock_ms_t now)
 {
 	if (now - session->chosen_ms < ENTRY_CHOOSE_INTERVAL_MS)
 		return;
 	if (choose(session, now))
 		return;
+	if (session->route == ROUTE_FULL && !session->ever_started)
+		return;
 	if (now - session->seeking_ms >= ENTRY_CHOOSE_MS)
 		refuse(session, now);
 }
--- a/test/functional/agent_test.c
+++ b/test/functional/agent_test.c
@@ -10,6 +10,7 @@
 
 #include "fakes/answer.h"
 #include "harness/agent_rig.h"
+#include "harness/http.h"
 #include "harness/journal.h"
 
 #define LAYERS 12
@@ -251,6 +252,50 @@
 	lose_engine(PRESET_REPLAY);
 }
 
+static void put_fake(size_t engine, const char *query)
+{
+	const settings_endpoint_t *endpoint = &rig.agents[engine].endpoints[0];
+	const http_params_t params = {
+		.method = "PUT",
+		.url = harness_string(&harness, "%s/fake?%s", endpoint->url,
+				      query),
+	};
+	http_client_t client;
+	const http_request_t *request;
+
+	http_client_init(&client);
+	request = http_send(&client, &params);
+	CU_ASSERT(http_wait(&client, request, HARNESS_WAIT_MS));
+	CU_ASSERT_EQUAL(request->status, 200);
+	http_client_finish(&client);
+}
+
+/* An engine stops without closing anything; its streams go on elsewhere. */
+static void test_engine_silent(void)
+{
+	start_ranges(PRESET_REPLAY);
+	ask_many();
+	run_under_way();
+	harness_signal(engines[2], SIGSTOP);
+	check_whole();
+	check_survivors(2);
+	finish();
+}
+
+/* One step takes many times longer than ever before: that is not a fault. */
+static void test_engine_slow(void)
+{
+	const rig_request_t *request;
+
+	start_ranges(PRESET_RESTART);
+	request = agent_rig_ask(&rig, "slow", KILL_AFTER_TOKENS + 2);
+	run_under_way();
+	put_fake(2, "step_us=1500000");
+	check_whole();
+	CU_ASSERT_EQUAL(entry_session_attempt(request->session), 1);
+	finish();
+}
+
 /* The agent is back at once, with a new incarnation and no sessions. */
 static void restart_agent(preset_recovery_t recovery, size_t index)
 {
@@ -546,6 +591,8 @@
 	{ "replay: last hop lost", test_replay_last_lost },
 	{ "replay: two hops lost", test_replay_two_lost },
 	{ "an engine is lost", test_engine_lost },
+	{ "an engine falls silent", test_engine_silent },
+	{ "a slow engine is waited for", test_engine_slow },
 	{ "an agent is back with a new incarnation", test_new_incarnation },
 	{ "the entry's connections are lost", test_entry_connection_lost },
 	{ "another entry takes the streams over", test_entry_lost },
