--- a/test/functional/agent_test.c
+++ b/test/functional/agent_test.c
@@ -10,6 +10,7 @@
 
 #include "fakes/answer.h"
 #include "harness/agent_rig.h"
+#include "harness/http.h"
 #include "harness/journal.h"
 
 #define LAYERS 12
@@ -251,6 +252,50 @@
 	lose_engine(PRESET_REPLAY);
 }
 
+static void put_fake(size_t engine, const char *query)
+{
+	const settings_endpoint_t *endpoint = &rig.agents[engine].endpoints[0];
+	const http_params_t params = {
+		.method = "PUT",
+		.url = harness_string(&harness, "%s/fake?%s", endpoint->url,
+				      query),
+	};
+	http_client_t client;
+	const http_request_t *request;
+
+	http_client_init(&client);
+	request = http_send(&client, &params);
+	CU_ASSERT(http_wait(&client, request, HARNESS_WAIT_MS));
+	CU_ASSERT_EQUAL(request->status, 200);
+	http_client_finish(&client);
+}
+
+/* An engine stops without closing anything; its streams go on elsewhere. */
+static void test_engine_silent(void)
+{
+	start_ranges(PRESET_REPLAY);
+	ask_many();
+	run_under_way();
+	harness_signal(engines[2], SIGSTOP);
+	check_whole();
+	check_survivors(2);
+	finish();
+}
+
+/* One step takes many times longer than ever before: that is not a fault. */
+static void test_engine_slow(void)
+{
+	const rig_request_t *request;
+
+	start_ranges(PRESET_RESTART);
+	request = agent_rig_ask(&rig, "slow", KILL_AFTER_TOKENS + 2);
+	run_under_way();
+	put_fake(2, "step_us=1500000");
+	check_whole();
+	CU_ASSERT_EQUAL(entry_session_attempt(request->session), 1);
+	finish();
+}
+
 /* The agent is back at once, with a new incarnation and no sessions. */
 static void restart_agent(preset_recovery_t recovery, size_t index)
 {
@@ -295,6 +340,59 @@
 	finish();
 }
 
+static bool link_is_up(void *user)
+{
+	return agent_rig_is_linked(&rig, user);
+}
+
+static rig_request_t *lose_entry(preset_recovery_t recovery)
+{
+	rig_request_t *first;
+
+	start_ranges(recovery);
+	ask_many();
+	run_under_way();
+	first = g_ptr_array_index(rig.requests, 0);
+	agent_rig_replace_entry(&rig);
+	CU_ASSERT(agent_rig_run_until(&rig, link_is_up, first->first_address));
+	return first;
+}
+
+/* The entry dies and another goes on with its streams; then a stage dies. */
+static void take_over(preset_recovery_t recovery)
+{
+	lose_entry(recovery);
+	for (guint i = 0; i < rig.requests->len; i++)
+		agent_rig_take_over(g_ptr_array_index(rig.requests, i),
+				    "recife");
+	uv_run(&rig.loop, UV_RUN_ONCE);
+	agent_rig_kill(&rig.agents[2]);
+	check_whole();
+	finish();
+}
+
+static bool is_refused(void *user)
+{
+	(void)user;
+	return rig.takeovers_refused > 0;
+}
+
+static void test_takeover_of_another_customer(void)
+{
+	rig_request_t *first = lose_entry(PRESET_RESTART);
+
+	agent_rig_take_over(first, "olinda");
+	CU_ASSERT(agent_rig_run_until(&rig, is_refused, NULL));
+	CU_ASSERT_PTR_NULL(first->session);
+	finish();
+}
+
+static void test_entry_lost(void)
+{
+	take_over(PRESET_RESTART);
+	take_over(PRESET_REPLAY);
+}
+
 /* One agent stands beside two endpoints of the same chain. */
 static void test_two_hops_of_one_agent(void)
 {
@@ -379,11 +477,6 @@
 	return rig.call_replies >= *count;
 }
 
-static bool link_is_up(void *user)
-{
-	return agent_rig_is_linked(&rig, user);
-}
-
 static void send_call(uint64_t id, const char *fake, uint64_t incarnation)
 {
 	const msg_header_t header = { "X-Fake", fake };
@@ -498,8 +591,13 @@
 	{ "replay: last hop lost", test_replay_last_lost },
 	{ "replay: two hops lost", test_replay_two_lost },
 	{ "an engine is lost", test_engine_lost },
+	{ "an engine falls silent", test_engine_silent },
+	{ "a slow engine is waited for", test_engine_slow },
 	{ "an agent is back with a new incarnation", test_new_incarnation },
 	{ "the entry's connections are lost", test_entry_connection_lost },
+	{ "another entry takes the streams over", test_entry_lost },
+	{ "another customer can't take a stream over",
+	  test_takeover_of_another_customer },
 	{ "two hops of one agent", test_two_hops_of_one_agent },
 	{ "refused is not run", test_refusals },
 	{ "a call runs once", test_call_runs_once },
