Write spans of hops and of groups of engine steps

Cause: a trace held the entry's spans only. Change: agent_trace.c keeps the span of a hop and of each group of 16 positions; the daemon hands its writer to the agent. Conclusion: one trace shows entry, queue, each hop and its engine steps.

--- a/src/wisteria/agent/agent.c
+++ b/src/wisteria/agent/agent.c
@@ -209,6 +209,12 @@
 	agent->leaving = true;
 }
 
+/* Has spans written by "tracer", which outlives the agent; NULL: none. */
+void agent_set_tracer(agent_t *agent, trace_writer_t *tracer)
+{
+	agent->tracer = tracer;
+}
+
 /* Returns whether nothing runs on any endpoint. */
 bool agent_is_idle(const agent_t *agent)
 {
--- a/src/wisteria/agent/agent.h
+++ b/src/wisteria/agent/agent.h
@@ -7,6 +7,7 @@
 #include "wisteria/control/view_defs.h"
 #include "wisteria/net/net_defs.h"
 #include "wisteria/settings/settings_defs.h"
+#include "wisteria/trace/trace.h"
 
 /*
  * The role of the small process beside endpoints.  All functions are called
@@ -17,6 +18,7 @@
 agent_t *agent_new(net_t *net, const settings_t *settings, view_board_t *board,
 		   err_t *err) ATTR_WARN_UNUSED;
 void agent_free(agent_t *agent);
+void agent_set_tracer(agent_t *agent, trace_writer_t *tracer) ATTR_NONNULL(1);
 void agent_drain(agent_t *agent) ATTR_NONNULL_ALL;
 bool agent_is_idle(const agent_t *agent) ATTR_NONNULL_ALL;
 size_t agent_running(const agent_t *agent, msg_running_t *out,
--- a/src/wisteria/agent/agent_defs.h
+++ b/src/wisteria/agent/agent_defs.h
@@ -4,6 +4,7 @@
 #include <glib.h>
 
 #include "wisteria/agent/agent.h"
+#include "wisteria/agent/agent_trace.h"
 #include "wisteria/agent/curl_loop.h"
 #include "wisteria/agent/engine.h"
 #include "wisteria/net/listener.h"
@@ -54,6 +55,7 @@
 	conn_t *entry;			       /* NULL while it is lost */
 	clock_ms_t orphaned_ms;
 	clock_ms_t expires_ms;
+	agent_trace_t trace;
 } agent_session_t;
 
 struct agent_t {
@@ -75,6 +77,7 @@
 	GHashTable *calls;    /* call id -> agent_call_t */
 	bool listening;
 	bool leaving;
+	trace_writer_t *tracer; /* NULL: no spans */
 };
 
 /* A message that an agent takes; "conn" is NULL from itself. */
--- a/src/wisteria/agent/agent_session.c
+++ b/src/wisteria/agent/agent_session.c
@@ -117,6 +117,7 @@
 	engine_ops_t *engine = session->endpoint->engine;
 
 	(void)hop;
+	agent_trace_run(&session->trace, work->position_count);
 	engine->run(engine, work);
 }
 
@@ -167,6 +168,7 @@
 {
 	agent_session_t *session = data;
 
+	agent_trace_end(&session->trace);
 	hop_session_free(session->hop);
 	drop_peers(session);
 	bind_entry(session, NULL);
@@ -191,6 +193,8 @@
 	session->hop = hop_session_new(open, &session->ops);
 	session->expires_ms = clock_now(agent->net->clock) +
 			      open->remaining_ms + SESSION_EXPIRY_MS;
+	agent_trace_start(&session->trace, agent->tracer, open,
+			  endpoint->settings->name);
 	endpoint->in_flight++;
 	g_hash_table_insert(agent->sessions, &session->key, session);
 	take_peers(session);
@@ -497,10 +501,11 @@
 		CONTAINER_OF(self, agent_endpoint_t, handler);
 	agent_session_t *session = find_sequence(endpoint->agent, key);
 
-	if (session != NULL)
-		hop_session_on_engine_done(
-			session->hop, attempt, result,
-			clock_now(endpoint->agent->net->clock));
+	if (session == NULL)
+		return;
+	agent_trace_ran(&session->trace);
+	hop_session_on_engine_done(session->hop, attempt, result,
+				   clock_now(endpoint->agent->net->clock));
 }
 
 /* The engine could not run positions of a session. */
@@ -512,10 +517,11 @@
 		CONTAINER_OF(self, agent_endpoint_t, handler);
 	agent_session_t *session = find_sequence(endpoint->agent, key);
 
-	if (session != NULL)
-		hop_session_on_engine_failed(
-			session->hop, attempt, reason,
-			clock_now(endpoint->agent->net->clock));
+	if (session == NULL)
+		return;
+	agent_trace_failed(&session->trace, reason);
+	hop_session_on_engine_failed(session->hop, attempt, reason,
+				     clock_now(endpoint->agent->net->clock));
 }
 
 typedef void (*visit_hop_t)(agent_session_t *session, uint32_t hop,
--- /dev/null
+++ b/src/wisteria/agent/agent_trace.c
@@ -0,0 +1,77 @@
+/*
+ * The spans of a hop: one for the session on this endpoint, and under it one
+ * for each group of engine steps.
+ */
+#include "wisteria/agent/agent_trace.h"
+
+#include <string.h>
+
+/*
+ * Starts the span of a hop under the entry's, or none where "writer" is NULL
+ * or the session carries no valid traceparent.
+ */
+void agent_trace_start(agent_trace_t *trace, trace_writer_t *writer,
+		       const msg_open_t *open, const char *endpoint)
+{
+	const msg_hop_t *hop = &open->hops[open->hop];
+	trace_context_t parent;
+
+	memset(trace, 0, sizeof(*trace));
+	if (writer == NULL || !trace_parse_parent(open->traceparent, &parent) ||
+	    !parent.is_sampled)
+		return;
+	trace->writer = writer;
+	span_start(&trace->hop, &parent, "hop");
+	span_set_text(&trace->hop, "endpoint", endpoint);
+	span_set_number(&trace->hop, "attempt", open->attempt);
+	span_set_number(&trace->hop, "first_layer", hop->first_layer);
+	span_set_number(&trace->hop, "end_layer", hop->end_layer);
+}
+
+/* The engine is given "positions" positions to run. */
+void agent_trace_run(agent_trace_t *trace, size_t positions)
+{
+	if (trace->writer == NULL)
+		return;
+	if (trace->positions == 0)
+		span_start(&trace->group, &trace->hop.context, "engine_steps");
+	trace->positions += (uint32_t)positions;
+}
+
+static void end_group(agent_trace_t *trace)
+{
+	if (trace->positions == 0)
+		return;
+	span_set_number(&trace->group, "positions", trace->positions);
+	span_end(&trace->group, trace->writer);
+	trace->total_positions += trace->positions;
+	trace->positions = 0;
+}
+
+/* The engine ran what it was given; ends the group if it is large enough. */
+void agent_trace_ran(agent_trace_t *trace)
+{
+	if (trace->positions >= AGENT_TRACE_GROUP_POSITIONS)
+		end_group(trace);
+}
+
+/* The engine could not run what it was given. */
+void agent_trace_failed(agent_trace_t *trace, const char *reason)
+{
+	if (trace->writer == NULL || trace->positions == 0)
+		return;
+	trace->group.is_error = true;
+	span_set_text(&trace->group, "reason", reason);
+	end_group(trace);
+}
+
+/* The session has ended here. */
+void agent_trace_end(agent_trace_t *trace)
+{
+	if (trace->writer == NULL)
+		return;
+	end_group(trace);
+	span_set_number(&trace->hop, "positions", trace->total_positions);
+	span_end(&trace->hop, trace->writer);
+	trace->writer = NULL;
+}
--- a/src/wisteria/daemon/traffic.c
+++ b/src/wisteria/daemon/traffic.c
@@ -172,6 +172,7 @@
 			agent_new(&traffic->net, settings, params->board, err);
 		if (traffic->agent == NULL)
 			return false;
+		agent_set_tracer(traffic->agent, params->tracer);
 	}
 	if (settings_has_role(settings, "entry"))
 		traffic->entry =
--- a/test/functional/operate_test.c
+++ b/test/functional/operate_test.c
@@ -191,10 +191,99 @@
 	stop_all();
 }
 
+#define TRACE_ID "4bf92f3577b34da6a3ce929d0e0e4736"
+
+/* Adds a file of spans to the settings file "path" of process "name". */
+static const char *add_trace_file(const char *path, const char *name)
+{
+	const char *file = harness_path(
+		&harness, harness_string(&harness, "%s.spans", name));
+	char *text = harness_read(path);
+
+	harness_write(
+		&harness, harness_string(&harness, "%s.yaml", name),
+		harness_string(&harness, "%strace_file: %s\n", text, file));
+	g_free(text);
+	return file;
+}
+
+static const char *add_trace_files(void)
+{
+	const char *files = add_trace_file(cluster.entries[0].settings,
+					   cluster.entries[0].name);
+
+	for (size_t i = 0; i < cluster.endpoint_count; i++) {
+		const char *name = harness_string(&harness, "agent-%s",
+						  cluster.endpoints[i].name);
+
+		files = harness_string(
+			&harness, "%s %s", files,
+			add_trace_file(cluster.endpoints[i].settings, name));
+	}
+	return files;
+}
+
+static size_t count_lines(const char *part)
+{
+	size_t count = 0;
+
+	for (const char *at = strstr(output, part); at != NULL;
+	     at = strstr(at + 1, part))
+		count++;
+	return count;
+}
+
+/* Every hop writes its span once its session has been closed. */
+static bool is_drawn(void *files)
+{
+	if (ask(cluster.entries[0].admin,
+		harness_string(&harness, "trace " TRACE_ID " %s",
+			       (const char *)files)) != 0)
+		return false;
+	return count_lines("  hop  (agent-range-") == 3;
+}
+
+static void test_trace(void)
+{
+	static const cluster_params_t params = { .entries = 1 };
+	static const char *const headers[] = {
+		"Content-Type: application/json",
+		"traceparent: 00-" TRACE_ID "-00f067aa0ba902b7-01",
+		NULL,
+	};
+	http_params_t sent = {
+		.body = "{\"model\":\"modelo\",\"prompt\":\"two pallets\"}",
+		.headers = headers,
+	};
+	const http_request_t *request;
+	http_client_t client;
+	const char *files;
+
+	harness_init(&harness, "operate-trace");
+	cluster_init(&cluster, &harness, &params);
+	cluster_write(&cluster);
+	files = add_trace_files();
+	CU_ASSERT_FATAL(cluster_start(&cluster));
+	sent.url = harness_string(&harness, "http://%s/v1/completions",
+				  cluster.entries[0].http);
+	sent.api_key = cluster_api_key(&cluster, 0);
+	http_client_init(&client);
+	request = http_send(&client, &sent);
+	CU_ASSERT(http_client_run(&client, HARNESS_WAIT_MS));
+	CU_ASSERT_EQUAL(request->status, 200);
+	CU_ASSERT(harness_until(is_drawn, (void *)files, HARNESS_WAIT_MS));
+	CU_ASSERT_EQUAL(count_lines("ms  request  (entry-1)"), 1);
+	CU_ASSERT_EQUAL(count_lines("ms    entry_queue  (entry-1)"), 1);
+	CU_ASSERT(count_lines("ms      engine_steps  (agent-range-") >= 3);
+	http_client_finish(&client);
+	stop_all();
+}
+
 static const unit_test_t tests[] = {
 	{ "explanation", test_explanation },
 	{ "presets everywhere", test_presets_everywhere },
 	{ "leaving endpoint", test_leaving_endpoint },
+	{ "trace", test_trace },
 };
 
 int main(void)
