Let operators delete presets; offer no order that nothing carries out

Cause: presets are immutable and were never removed, so after 256 of them, or 48 MiB, none could be created; and orders to engines and to add a member were answered as applied although nothing carries them out. Change: ORDER_PRESET_DELETE, refused for the one in force; the name stays taken, because daemons keep presets by name. Not run: member promote and remove against a real group.

--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -35,12 +35,14 @@
 	"  preset list                all presets\n"
 	"  preset show NAME           text of a preset\n"
 	"  preset use NAME            put a preset in force\n"
+	"  preset delete NAME         delete one that is not in force\n"
 	"  endpoint list              endpoints, their work, which may stop\n"
 	"  endpoint leave NAME        no new work for an endpoint\n"
 	"  endpoint return NAME       take it back\n"
 	"  config history             accepted changes\n"
 	"  order show ID              what became of an order\n"
-	"  order engine NAME TEXT     an order to the engine of an endpoint\n"
+	"  member promote NAME        make a control instance a voter\n"
+	"  member remove NAME         take a control instance out\n"
 	"  explain REQUEST-ID         why a request went as it did; --server\n"
 	"                             is the entry that took it\n"
 	"  trace TRACE-ID FILE...     draw a trace from the processes' files\n"
@@ -99,13 +101,6 @@
 	  cli_endpoint_return },
 	{ { "config", "history" }, 0, 0, "", false, true, cli_config_history },
 	{ { "order", "show" }, 1, 1, "ID", false, true, cli_order_show },
-	{ { "order", "engine" },
-	  2,
-	  2,
-	  "NAME TEXT",
-	  true,
-	  true,
-	  cli_order_engine },
 	{ { "explain", NULL }, 1, 1, "REQUEST-ID", false, true, cli_explain },
 	{ { "trace", NULL },
 	  2,
@@ -114,6 +109,15 @@
 	  false,
 	  false,
 	  cli_trace },
+	{ { "preset", "delete" }, 1, 1, "NAME", true, true, cli_preset_delete },
+	{ { "member", "promote" },
+	  1,
+	  1,
+	  "NAME",
+	  true,
+	  true,
+	  cli_member_promote },
+	{ { "member", "remove" }, 1, 1, "NAME", true, true, cli_member_remove },
 	{ { "key", "hash" }, 1, 1, "KEY", false, false, cli_key_hash },
 };
 
--- a/src/cli/orders.c
+++ b/src/cli/orders.c
@@ -58,34 +58,47 @@
 			    json_pack("{s:s}", "name", args[0]));
 }
 
-static cli_exit_t order_endpoint(const cli_options_t *options, const char *name,
-				 const char *verb, json_t *order)
+static cli_exit_t order_path(const cli_options_t *options, const char *kind,
+			     const char *name, const char *verb)
 {
-	char *path = g_strdup_printf("/v1/endpoints/%s/%s", name, verb);
-	cli_exit_t code = client_order(options, "POST", path, order);
+	char *path = g_strdup_printf("/v1/%s/%s/%s", kind, name, verb);
+	cli_exit_t code = client_order(options, "POST", path, json_object());
 
 	g_free(path);
 	return code;
 }
 
+/* Deletes a preset that is not in force. */
+CLI_COMMAND(cli_preset_delete)
+{
+	(void)arg_count;
+	return order_path(options, "presets", args[0], "delete");
+}
+
 /* Says that an endpoint leaves: it gets no new work. */
 CLI_COMMAND(cli_endpoint_leave)
 {
 	(void)arg_count;
-	return order_endpoint(options, args[0], "leave", json_object());
+	return order_path(options, "endpoints", args[0], "leave");
 }
 
 /* Takes an endpoint back that was leaving. */
 CLI_COMMAND(cli_endpoint_return)
 {
 	(void)arg_count;
-	return order_endpoint(options, args[0], "return", json_object());
+	return order_path(options, "endpoints", args[0], "return");
+}
+
+/* Makes a control instance that has caught up a voter. */
+CLI_COMMAND(cli_member_promote)
+{
+	(void)arg_count;
+	return order_path(options, "members", args[0], "promote");
 }
 
-/* Gives an order to the engine of an endpoint. */
-CLI_COMMAND(cli_order_engine)
+/* Takes a control instance out of the group. */
+CLI_COMMAND(cli_member_remove)
 {
 	(void)arg_count;
-	return order_endpoint(options, args[0], "engine",
-			      json_pack("{s:s}", "text", args[1]));
+	return order_path(options, "members", args[0], "remove");
 }
--- a/src/wisteria/admin/admin_render.c
+++ b/src/wisteria/admin/admin_render.c
@@ -18,6 +18,7 @@
 	[ORDER_MEMBER_ADD] = "member_add",
 	[ORDER_MEMBER_PROMOTE] = "member_promote",
 	[ORDER_MEMBER_REMOVE] = "member_remove",
+	[ORDER_PRESET_DELETE] = "preset_delete",
 };
 
 static const char *const outcome_names[] = {
--- a/src/wisteria/store/store.c
+++ b/src/wisteria/store/store.c
@@ -51,11 +51,19 @@
 	store->in_force = g_strdup("");
 	store->presets = g_array_new(FALSE, TRUE, sizeof(msg_preset_t));
 	store->leaving = g_array_new(FALSE, TRUE, sizeof(msg_name_t));
+	store->retired = g_array_new(FALSE, TRUE, sizeof(msg_name_t));
 	g_queue_init(&store->changes);
 	g_queue_init(&store->results);
 	store->results_by_id = g_hash_table_new(g_str_hash, g_str_equal);
 }
 
+static void free_names(GArray *names)
+{
+	for (guint i = 0; i < names->len; i++)
+		g_free((char *)g_array_index(names, msg_name_t, i).text);
+	g_array_free(names, TRUE);
+}
+
 /* Frees what the store holds. */
 void store_finish(store_t *store)
 {
@@ -66,11 +74,9 @@
 		g_free((char *)preset->name);
 		g_free((char *)preset->text);
 	}
-	for (guint i = 0; i < store->leaving->len; i++)
-		g_free((char *)g_array_index(store->leaving, msg_name_t, i)
-			       .text);
 	g_array_free(store->presets, TRUE);
-	g_array_free(store->leaving, TRUE);
+	free_names(store->leaving);
+	free_names(store->retired);
 	g_hash_table_destroy(store->results_by_id);
 	g_queue_clear_full(&store->changes, store_change_free);
 	g_queue_clear_full(&store->results, store_result_free);
@@ -78,6 +84,47 @@
 	memset(store, 0, sizeof(*store));
 }
 
+/* Returns where "name" stands in the sorted "names", or would be inserted. */
+static guint name_place(const GArray *names, const char *name, bool *found)
+{
+	guint low = 0;
+	guint high = names->len;
+
+	*found = false;
+	while (low < high) {
+		guint middle = low + (high - low) / 2;
+		int order = strcmp(
+			g_array_index(names, msg_name_t, middle).text, name);
+
+		if (order == 0) {
+			*found = true;
+			return middle;
+		}
+		if (order < 0)
+			low = middle + 1;
+		else
+			high = middle;
+	}
+	return low;
+}
+
+static bool has_name(const GArray *names, const char *name)
+{
+	bool found;
+
+	name_place(names, name, &found);
+	return found;
+}
+
+/* Inserts "name"; it must not be there. */
+static void add_name(GArray *names, const char *name)
+{
+	const msg_name_t copy = { .text = g_strdup(name) };
+	bool found;
+
+	g_array_insert_val(names, name_place(names, name, &found), copy);
+}
+
 static bool preset_text_is_valid(const msg_order_t *order, verdict_t *verdict)
 {
 	err_t err = ERR_INIT;
@@ -144,6 +191,11 @@
 		       order->name, (guint64)present->revision);
 		return;
 	}
+	if (has_name(store->retired, order->name)) {
+		refuse(verdict, "a preset %s was deleted; take a new name",
+		       order->name);
+		return;
+	}
 	if (!preset_text_is_valid(order, verdict) ||
 	    !preset_fits(store, strlen(text), verdict))
 		return;
@@ -151,6 +203,48 @@
 	verdict->changed = true;
 }
 
+static bool may_delete(const store_t *store, const char *name,
+		       verdict_t *verdict)
+{
+	if (store_preset(store, name) == NULL) {
+		refuse(verdict, "there is no preset %s", name);
+		return false;
+	}
+	if (strcmp(store->in_force, name) == 0) {
+		refuse(verdict, "preset %s is in force", name);
+		return false;
+	}
+	if (store->retired->len >= STORE_RETIRED_MAX) {
+		refuse(verdict, "%d presets were deleted and no more may be",
+		       STORE_RETIRED_MAX);
+		return false;
+	}
+	return true;
+}
+
+/*
+ * A deleted preset's name is never taken again: daemons keep presets by name,
+ * and the history must stay true.
+ */
+static void delete_preset(store_t *store, const msg_order_t *order,
+			  verdict_t *verdict)
+{
+	msg_preset_t *preset;
+
+	if (has_name(store->retired, order->name) ||
+	    !may_delete(store, order->name, verdict))
+		return;
+	preset = (msg_preset_t *)store_preset(store, order->name);
+	store->preset_bytes -= strlen(preset->text);
+	g_free((char *)preset->name);
+	g_free((char *)preset->text);
+	g_array_remove_index(
+		store->presets,
+		(guint)(preset - (msg_preset_t *)store->presets->data));
+	add_name(store->retired, order->name);
+	verdict->changed = true;
+}
+
 static void use_preset(store_t *store, const msg_order_t *order,
 		       verdict_t *verdict)
 {
@@ -165,48 +259,18 @@
 	verdict->changed = true;
 }
 
-/* Returns where "name" stands among those leaving, or would be inserted. */
-static guint leaving_place(const store_t *store, const char *name, bool *found)
-{
-	guint low = 0;
-	guint high = store->leaving->len;
-
-	*found = false;
-	while (low < high) {
-		guint middle = low + (high - low) / 2;
-		int order = strcmp(
-			g_array_index(store->leaving, msg_name_t, middle).text,
-			name);
-
-		if (order == 0) {
-			*found = true;
-			return middle;
-		}
-		if (order < 0)
-			low = middle + 1;
-		else
-			high = middle;
-	}
-	return low;
-}
-
 /* An endpoint may be told to leave before it has announced itself. */
 static void leave_endpoint(store_t *store, const msg_order_t *order,
 			   verdict_t *verdict)
 {
-	bool found;
-	guint place = leaving_place(store, order->name, &found);
-	msg_name_t name;
-
-	if (found)
+	if (has_name(store->leaving, order->name))
 		return;
 	if (store->leaving->len >= STORE_LEAVING_MAX) {
 		refuse(verdict, "%d endpoints are leaving and no more may",
 		       STORE_LEAVING_MAX);
 		return;
 	}
-	name.text = g_strdup(order->name);
-	g_array_insert_val(store->leaving, place, name);
+	add_name(store->leaving, order->name);
 	verdict->changed = true;
 }
 
@@ -214,7 +278,7 @@
 			    verdict_t *verdict)
 {
 	bool found;
-	guint place = leaving_place(store, order->name, &found);
+	guint place = name_place(store->leaving, order->name, &found);
 
 	if (!found)
 		return;
@@ -241,15 +305,24 @@
 	verdict->changed = true;
 }
 
+static void refuse_member(store_t *store, const msg_order_t *order,
+			  verdict_t *verdict)
+{
+	(void)store;
+	(void)order;
+	refuse(verdict, "control instances join by themselves");
+}
+
 static const order_handler_t handlers[ORDER_KIND_COUNT] = {
 	[ORDER_PRESET_CREATE] = create_preset,
 	[ORDER_PRESET_USE] = use_preset,
 	[ORDER_ENDPOINT_LEAVE] = leave_endpoint,
 	[ORDER_ENDPOINT_RETURN] = return_endpoint,
 	[ORDER_ENGINE] = order_engine,
-	[ORDER_MEMBER_ADD] = record_member,
+	[ORDER_MEMBER_ADD] = refuse_member,
 	[ORDER_MEMBER_PROMOTE] = record_member,
 	[ORDER_MEMBER_REMOVE] = record_member,
+	[ORDER_PRESET_DELETE] = delete_preset,
 };
 
 /*
--- a/src/wisteria/store/store_defs.h
+++ b/src/wisteria/store/store_defs.h
@@ -14,6 +14,7 @@
 #define STORE_PRESETS_MAX 256
 #define STORE_PRESET_BYTES_MAX (48u << 20) /* of all texts together */
 #define STORE_LEAVING_MAX 10000
+#define STORE_RETIRED_MAX 100000 /* names of deleted presets */
 #define STORE_ID_LEN_MAX 128
 #define STORE_OPERATOR_LEN_MAX 64
 #define STORE_TEXT_LEN_MAX 4096 /* of an order that is no preset */
@@ -53,6 +54,7 @@
 	const char *in_force; /* name of a preset; "" before the first */
 	size_t preset_bytes;
 	GArray *presets;	   /* of msg_preset_t, by creation */
+	GArray *retired;	   /* of msg_name_t, by name: deleted presets */
 	GArray *leaving;	   /* of msg_name_t, by name */
 	GQueue changes;		   /* of store_change_t, oldest first */
 	GQueue results;		   /* of store_result_t, oldest first */
--- a/src/wisteria/store/store_snapshot.c
+++ b/src/wisteria/store/store_snapshot.c
@@ -24,6 +24,8 @@
 	size_t change_count;
 	const store_result_t *results;
 	size_t result_count;
+	const msg_name_t *retired;
+	size_t retired_count;
 } store_snapshot_t;
 
 static const field_desc_t change_fields[] = {
@@ -60,6 +62,7 @@
 	FIELD_LIST_OF(store_snapshot_t, leaving, leaving_count, &msg_name_desc),
 	FIELD_LIST_OF(store_snapshot_t, changes, change_count, &change_desc),
 	FIELD_LIST_OF(store_snapshot_t, results, result_count, &result_desc),
+	FIELD_LIST_OF(store_snapshot_t, retired, retired_count, &msg_name_desc),
 };
 
 static const record_desc_t snapshot_desc =
@@ -106,6 +109,8 @@
 		.change_count = store->changes.length,
 		.results = results,
 		.result_count = store->results.length,
+		.retired = (const msg_name_t *)store->retired->data,
+		.retired_count = store->retired->len,
 	};
 
 	codec_encode(&snapshot_desc, &snapshot, out);
@@ -125,14 +130,12 @@
 	}
 }
 
-static void take_leaving(store_t *store, const store_snapshot_t *snapshot)
+static void take_names(GArray *names, const msg_name_t *from, size_t count)
 {
-	for (size_t i = 0; i < snapshot->leaving_count; i++) {
-		const msg_name_t name = {
-			.text = g_strdup(snapshot->leaving[i].text),
-		};
+	for (size_t i = 0; i < count; i++) {
+		const msg_name_t name = { .text = g_strdup(from[i].text) };
 
-		g_array_append_val(store->leaving, name);
+		g_array_append_val(names, name);
 	}
 }
 
@@ -176,11 +179,10 @@
 	return ok;
 }
 
-static bool leaving_is_sorted(const store_snapshot_t *snapshot)
+static bool is_sorted(const msg_name_t *names, size_t count)
 {
-	for (size_t i = 1; i < snapshot->leaving_count; i++)
-		if (strcmp(snapshot->leaving[i - 1].text,
-			   snapshot->leaving[i].text) >= 0)
+	for (size_t i = 1; i < count; i++)
+		if (strcmp(names[i - 1].text, names[i].text) >= 0)
 			return false;
 	return true;
 }
@@ -192,7 +194,9 @@
 			"snapshot version %u is not known", snapshot->version);
 		return false;
 	}
-	if (!results_are_sound(snapshot) || !leaving_is_sorted(snapshot)) {
+	if (!results_are_sound(snapshot) ||
+	    !is_sorted(snapshot->leaving, snapshot->leaving_count) ||
+	    !is_sorted(snapshot->retired, snapshot->retired_count)) {
 		err_set(err, ERR_CORRUPT, "restore", "",
 			"the snapshot contradicts itself");
 		return false;
@@ -210,7 +214,8 @@
 	g_free((char *)store->in_force);
 	store->in_force = g_strdup(snapshot->in_force);
 	take_presets(store, snapshot);
-	take_leaving(store, snapshot);
+	take_names(store->leaving, snapshot->leaving, snapshot->leaving_count);
+	take_names(store->retired, snapshot->retired, snapshot->retired_count);
 	take_changes(store, snapshot);
 	for (size_t i = 0; i < snapshot->result_count; i++)
 		take_result(store, &snapshot->results[i]);
--- a/test/functional/cli_test.c
+++ b/test/functional/cli_test.c
@@ -116,6 +116,10 @@
 	expect("preset use day --expect 1", 3, "by joana at 20");
 	expect("preset use day --expect 9", 1, "before the expected one");
 	expect("preset list", 0, "day     1         yes");
+	expect("preset delete day", 1, "preset day is in force");
+	expect_create(write_preset("peak", 4), 0, "applied");
+	expect("preset delete peak", 0, "revision       4");
+	expect_create(write_preset("peak", 4), 1, "take a new name");
 	stop_admin(admin);
 }
 
--- a/test/fuzz/store_fuzz.c
+++ b/test/fuzz/store_fuzz.c
@@ -14,7 +14,7 @@
 
 #define ORDERS_MAX 64
 #define SNAPSHOTS_MAX 8 /* in one run */
-#define NAMES 3
+#define NAMES 6
 #define TEXTS 3
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
@@ -56,7 +56,7 @@
 	size_t snapshot_count;
 } world_t;
 
-static const char *const names[NAMES] = { "p0", "p1", "p2" };
+static const char *const names[NAMES] = { "p0", "p1", "p2", "p3", "p4", "p5" };
 
 static uint8_t take(input_t *input)
 {
@@ -78,6 +78,24 @@
 	return NULL;
 }
 
+static bool is_deleted(const world_t *world, const char *name)
+{
+	for (size_t i = 0; i < world->accepted_count; i++) {
+		const msg_order_t *order = &world->accepted[i]->order;
+
+		if (order->kind == ORDER_PRESET_DELETE &&
+		    strcmp(order->name, name) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* Returns the order that made a preset which is still there, or NULL. */
+static const sent_t *find_present(const world_t *world, const char *name)
+{
+	return is_deleted(world, name) ? NULL : find_created(world, name);
+}
+
 static const char *find_in_force(const world_t *world)
 {
 	for (size_t i = world->accepted_count; i > 0; i--)
@@ -104,16 +122,65 @@
 /* What the oracle expects of an order with a new id. */
 static void expect_create(const world_t *world, sent_t *sent)
 {
-	const sent_t *created = find_created(world, sent->order.name);
+	const sent_t *created = find_present(world, sent->order.name);
 
 	if (created != NULL && strcmp(created->text, sent->text) == 0)
 		sent->revision = created->revision;
-	else if (created != NULL || strstr(sent->text, "layers: 0") != NULL)
+	else if (created != NULL || is_deleted(world, sent->order.name) ||
+		 strstr(sent->text, "layers: 0") != NULL)
 		sent->outcome = ORDER_REFUSED;
 	else
 		sent->changed = true;
 }
 
+static void expect_use(const world_t *world, sent_t *sent)
+{
+	if (find_present(world, sent->order.name) == NULL)
+		sent->outcome = ORDER_REFUSED;
+	else
+		sent->changed =
+			strcmp(find_in_force(world), sent->order.name) != 0;
+}
+
+static void expect_delete(const world_t *world, sent_t *sent)
+{
+	if (is_deleted(world, sent->order.name))
+		return;
+	if (find_created(world, sent->order.name) == NULL ||
+	    strcmp(find_in_force(world), sent->order.name) == 0)
+		sent->outcome = ORDER_REFUSED;
+	else
+		sent->changed = true;
+}
+
+static void expect_by_kind(const world_t *world, sent_t *sent)
+{
+	const msg_order_t *order = &sent->order;
+
+	switch (order->kind) {
+	case ORDER_PRESET_CREATE:
+		expect_create(world, sent);
+		break;
+	case ORDER_PRESET_USE:
+		expect_use(world, sent);
+		break;
+	case ORDER_PRESET_DELETE:
+		expect_delete(world, sent);
+		break;
+	case ORDER_ENDPOINT_LEAVE:
+		sent->changed = !is_leaving(world, order->name);
+		break;
+	case ORDER_ENDPOINT_RETURN:
+		sent->changed = is_leaving(world, order->name);
+		break;
+	case ORDER_MEMBER_ADD:
+		sent->outcome = ORDER_REFUSED;
+		break;
+	default:
+		sent->changed = true;
+	}
+}
+
 static void expect(const world_t *world, sent_t *sent)
 {
 	const msg_order_t *order = &sent->order;
@@ -130,21 +197,7 @@
 			       world->accepted[order->expected_revision]->id);
 		return;
 	}
-	if (order->kind == ORDER_PRESET_CREATE) {
-		expect_create(world, sent);
-	} else if (order->kind == ORDER_PRESET_USE) {
-		if (find_created(world, order->name) == NULL)
-			sent->outcome = ORDER_REFUSED;
-		else
-			sent->changed =
-				strcmp(find_in_force(world), order->name) != 0;
-	} else if (order->kind == ORDER_ENDPOINT_LEAVE) {
-		sent->changed = !is_leaving(world, order->name);
-	} else if (order->kind == ORDER_ENDPOINT_RETURN) {
-		sent->changed = is_leaving(world, order->name);
-	} else {
-		sent->changed = true;
-	}
+	expect_by_kind(world, sent);
 	if (sent->changed)
 		sent->revision = revision + 1;
 }
@@ -168,7 +221,7 @@
 	CHECK(config.revision == world->accepted_count);
 	CHECK(strcmp(config.preset, find_in_force(world)) == 0);
 	for (size_t i = 0; i < NAMES; i++) {
-		const sent_t *created = find_created(world, names[i]);
+		const sent_t *created = find_present(world, names[i]);
 		const msg_preset_t *preset =
 			store_preset(&world->store, names[i]);
 
--- a/test/unit/store_test.c
+++ b/test/unit/store_test.c
@@ -96,6 +96,36 @@
 	store_finish(&store);
 }
 
+static void test_delete(void)
+{
+	msg_order_reply_t reply;
+	store_t store;
+
+	store_init(&store);
+	apply(&store, "1", ORDER_PRESET_CREATE, "day", TEXT("day"));
+	apply(&store, "2", ORDER_PRESET_CREATE, "peak", TEXT("peak"));
+	apply(&store, "3", ORDER_PRESET_USE, "day", NULL);
+	reply = apply(&store, "4", ORDER_PRESET_DELETE, "day", NULL);
+	CU_ASSERT_EQUAL(reply.outcome, ORDER_REFUSED);
+	CU_ASSERT_STRING_EQUAL(reply.reason, "preset day is in force");
+	reply = apply(&store, "5", ORDER_PRESET_DELETE, "night", NULL);
+	CU_ASSERT_EQUAL(reply.outcome, ORDER_REFUSED);
+	reply = apply(&store, "6", ORDER_PRESET_DELETE, "peak", NULL);
+	CU_ASSERT_EQUAL(reply.outcome, ORDER_APPLIED);
+	CU_ASSERT_EQUAL(reply.revision, 4);
+	CU_ASSERT_PTR_NULL(store_preset(&store, "peak"));
+	CU_ASSERT_EQUAL(store.preset_bytes, strlen(TEXT("day")));
+	reply = apply(&store, "7", ORDER_PRESET_DELETE, "peak", NULL);
+	CU_ASSERT_EQUAL(reply.outcome, ORDER_APPLIED);
+	CU_ASSERT_EQUAL(reply.revision, 4);
+	reply = apply(&store, "8", ORDER_PRESET_CREATE, "peak", TEXT("peak"));
+	CU_ASSERT_EQUAL(reply.outcome, ORDER_REFUSED);
+	CU_ASSERT_PTR_NOT_NULL(strstr(reply.reason, "take a new name"));
+	reply = apply(&store, "9", ORDER_PRESET_USE, "peak", NULL);
+	CU_ASSERT_EQUAL(reply.outcome, ORDER_REFUSED);
+	store_finish(&store);
+}
+
 static void test_resent_order_applies_once(void)
 {
 	msg_order_reply_t reply;
@@ -251,6 +281,7 @@
 static const unit_test_t tests[] = {
 	{ "create and use", test_create_and_use },
 	{ "presets never change", test_presets_never_change },
+	{ "delete", test_delete },
 	{ "resent order applies once", test_resent_order_applies_once },
 	{ "race names the winner", test_race_names_the_winner },
 	{ "fencing numbers grow", test_fencing_numbers_grow },
