Explain and trace calls to plain services

Cause: why a booking was or was not run again is what operators are asked most, and explanations covered model requests only. Change: a call says its reservation, each dispatch, what was not run, a result found in the ledger, and its end; it has a span, and the service gets its traceparent.

--- a/src/wisteria/entry/entry_call.c
+++ b/src/wisteria/entry/entry_call.c
@@ -19,6 +19,7 @@
 #include "wisteria/entry/request.h"
 #include "wisteria/net/link.h"
 #include "wisteria/settings/preset.h"
+#include "wisteria/trace/explain.h"
 
 #define CALL_PREFIX "/services/"
 #define CALL_DISPATCHES_MAX 3
@@ -44,6 +45,11 @@
 	return false;
 }
 
+static clock_ms_t now_of(const call_t *call)
+{
+	return clock_now(call->entry->net->clock);
+}
+
 static void release_agent(call_t *call)
 {
 	if (call->link == NULL)
@@ -58,6 +64,8 @@
 	release_agent(call);
 	call->question = 0;
 	call->state = CALL_ENDED;
+	span_end(&call->span, call->entry->tracer);
+	explain_log_add(&call->entry->explanations, &call->explain);
 	g_ptr_array_add(call->entry->ended_calls, call);
 }
 
@@ -74,6 +82,9 @@
 	else
 		call_ledger_record_unknown(call, reason);
 	err_set(&refusal.err, code, step, call->hop.endpoint, "%s", reason);
+	explain_refused(&call->explain, &refusal.err, not_run,
+			refusal.retry_after_ms, now_of(call));
+	call->span.is_error = true;
 	refusal_send(call->request, &refusal, call->entry->view);
 	end_call(call);
 }
@@ -93,7 +104,7 @@
 		.body = { request->body->data, request->body->len },
 		.remaining_ms =
 			call->deadline_ms - clock_now(call->entry->net->clock),
-		.traceparent = request->traceparent,
+		.traceparent = call->traceparent,
 	};
 
 	for (guint i = 0; i < request->headers->len; i++) {
@@ -139,6 +150,7 @@
 	call->state = CALL_DISPATCHED;
 	link_hold(call->link);
 	router_started(entry->router, call->hop.endpoint);
+	explain_call(&call->explain, call->hop.endpoint, call->idempotent, now);
 	send_when_open(call);
 	return true;
 }
@@ -169,8 +181,8 @@
 /* The agent is gone with the call: repeats it or says that it is unknown. */
 static void lose_call(call_t *call, const char *reason)
 {
-	router_failed(call->entry->router, call->hop.endpoint,
-		      clock_now(call->entry->net->clock));
+	router_failed(call->entry->router, call->hop.endpoint, now_of(call));
+	explain_lost(&call->explain, call->hop.endpoint, reason, now_of(call));
 	if (call->agent_incarnation == 0 || call->idempotent) {
 		dispatch_elsewhere(call, reason);
 		return;
@@ -190,6 +202,8 @@
 	request_head(call->request, reply->status, headers);
 	request_write(call->request, reply->body.data, reply->body.len);
 	request_end(call->request);
+	explain_answered(&call->explain, 0, now_of(call));
+	span_set_number(&call->span, "status", reply->status);
 	end_call(call);
 }
 
@@ -209,9 +223,11 @@
 	router_load(entry->router, &reply->load, clock_now(entry->net->clock));
 	if (call == NULL || call->state != CALL_DISPATCHED)
 		return;
-	if (reply->outcome == CALL_NOT_RUN)
+	if (reply->outcome == CALL_NOT_RUN) {
+		explain_not_run(&call->explain, call->hop.endpoint,
+				reply->reason, now_of(call));
 		dispatch_elsewhere(call, reply->reason);
-	else if (reply->outcome != CALL_DONE)
+	} else if (reply->outcome != CALL_DONE)
 		lose_call(call, reply->reason);
 	else if (call->reserved)
 		record_result(call, reply);
@@ -242,6 +258,7 @@
 	(void)reply;
 	call->reserved = true;
 	call->state = CALL_QUEUED;
+	explain_reserved(&call->explain, now_of(call));
 	try_dispatch(call, clock_now(call->entry->net->clock));
 }
 
@@ -254,6 +271,7 @@
 
 static void on_stored(call_t *call, const msg_ledger_reply_t *reply)
 {
+	explain_stored(&call->explain, now_of(call));
 	answer_stored(call, reply->result);
 }
 
@@ -333,6 +351,23 @@
 		reserve_answers[reply->state](call, reply);
 }
 
+/* Starts the span and the explanation of a call. */
+static void start_record(call_t *call, const preset_contract_t *contract)
+{
+	const entry_t *entry = call->entry;
+	const request_t *request = call->request;
+
+	span_start_request(&call->span, request->traceparent, "call");
+	span_set_text(&call->span, "request", request->id);
+	span_set_text(&call->span, "customer", call->customer);
+	span_set_text(&call->span, "service", call->service);
+	trace_format_parent(&call->span.context, call->traceparent);
+	explain_init(&call->explain, request->id, now_of(call));
+	explain_request(&call->explain, call->customer, call->service);
+	explain_preset(&call->explain, entry->view->preset->name,
+		       entry->view->revision, contract);
+}
+
 /* Takes a call of the customer of "contract". */
 void entry_call_accept(entry_t *entry, request_t *request,
 		       const preset_contract_t *contract)
@@ -352,6 +387,7 @@
 	call->path = name[name_len] == '/' ? name + name_len : "/";
 	call->deadline_ms = clock_now(entry->net->clock) + limits->request_ms;
 	g_hash_table_insert(entry->calls, &call->id, call);
+	start_record(call, contract);
 	counter_add(COUNTER_CALLS, 1);
 	service = preset_service(entry->view->preset, call->service);
 	if (service == NULL) {
@@ -373,6 +409,7 @@
 
 	if (call->link != NULL)
 		link_send(call->link, MSG_CALL_CANCEL, &cancel);
+	explain_cancelled(&call->explain, now_of(call));
 	end_call(call);
 }
 
@@ -476,6 +513,7 @@
 
 		g_hash_table_remove(entry->calls, &call->id);
 		msgpack_sbuffer_destroy(&call->result);
+		explain_finish(&call->explain);
 		request_drop(call->request);
 		g_free(call->customer);
 		g_free(call->service);
--- a/src/wisteria/entry/entry_defs.h
+++ b/src/wisteria/entry/entry_defs.h
@@ -69,6 +69,9 @@
 	clock_ms_t reserve_at_ms; /* when to ask for a pending key again */
 	uint64_t question;	  /* open in the ledger; 0: none */
 	msgpack_sbuffer result;	  /* an encoded msg_call_reply_t */
+	explain_t explain;
+	span_t span;
+	char traceparent[TRACE_PARENT_LEN + 1];
 } call_t;
 
 /* The entry role on its traffic thread. */
--- a/src/wisteria/entry/entry_explain.c
+++ b/src/wisteria/entry/entry_explain.c
@@ -35,6 +35,22 @@
 		log_err(G_LOG_LEVEL_WARNING, "no_explanations", &err);
 }
 
+static char *find_call(const entry_t *entry, const char *request_id)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, entry->calls);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const call_t *call = value;
+
+		if (strcmp(call->request->id, request_id) == 0)
+			return explain_render(request_id,
+					      call->explain.text->str);
+	}
+	return NULL;
+}
+
 static char *find_in_progress(const entry_t *entry, const char *request_id)
 {
 	GHashTableIter iter;
@@ -48,7 +64,7 @@
 			return explain_render(request_id,
 					      job->explain.text->str);
 	}
-	return NULL;
+	return find_call(entry, request_id);
 }
 
 static void refuse(const entry_t *entry, request_t *request, err_code_t code,
--- a/src/wisteria/entry/job.c
+++ b/src/wisteria/entry/job.c
@@ -86,13 +86,8 @@
 static void start_span(job_t *job)
 {
 	const request_t *request = job->request;
-	trace_context_t parent;
 
-	if (request->traceparent != NULL &&
-	    trace_parse_parent(request->traceparent, &parent))
-		span_start(&job->span, &parent, "request");
-	else
-		span_start_trace(&job->span, "request");
+	span_start_request(&job->span, request->traceparent, "request");
 	span_set_text(&job->span, "request", request->id);
 	span_set_text(&job->span, "customer", job->customer);
 	span_set_text(&job->span, "model", request->model);
--- a/src/wisteria/trace/explain.c
+++ b/src/wisteria/trace/explain.c
@@ -189,6 +189,35 @@
 			    "unless it provably did not run");
 }
 
+/* An endpoint says that it did not run a call. */
+void explain_not_run(explain_t *explain, const char *endpoint,
+		     const char *reason, clock_ms_t now)
+{
+	say(explain,
+	    "After %.3f s %s said that it did not run the call (%s), so it may "
+	    "be sent elsewhere.",
+	    seconds(explain, now), endpoint, reason);
+}
+
+/* The key of a call was reserved in the ledger. */
+void explain_reserved(explain_t *explain, clock_ms_t now)
+{
+	say(explain,
+	    "After %.3f s its key was reserved in the ledger, so that no other "
+	    "entry runs the same call.",
+	    seconds(explain, now));
+}
+
+/* The ledger holds the result of an earlier run. */
+void explain_stored(explain_t *explain, clock_ms_t now)
+{
+	say(explain,
+	    "After %.3f s the ledger said that a call with this key had run "
+	    "before; it was not run again, and the caller got the recorded "
+	    "answer.",
+	    seconds(explain, now));
+}
+
 /* The request ended without its whole answer. */
 void explain_refused(explain_t *explain, const err_t *err, bool not_run,
 		     clock_ms_t retry_after_ms, clock_ms_t now)
--- a/src/wisteria/trace/explain.h
+++ b/src/wisteria/trace/explain.h
@@ -34,6 +34,10 @@
 			 clock_ms_t now) ATTR_NONNULL_ALL;
 void explain_call(explain_t *explain, const char *endpoint, bool is_idempotent,
 		  clock_ms_t now) ATTR_NONNULL_ALL;
+void explain_not_run(explain_t *explain, const char *endpoint,
+		     const char *reason, clock_ms_t now) ATTR_NONNULL_ALL;
+void explain_reserved(explain_t *explain, clock_ms_t now) ATTR_NONNULL_ALL;
+void explain_stored(explain_t *explain, clock_ms_t now) ATTR_NONNULL_ALL;
 void explain_refused(explain_t *explain, const err_t *err, bool not_run,
 		     clock_ms_t retry_after_ms,
 		     clock_ms_t now) ATTR_NONNULL_ALL;
--- a/src/wisteria/trace/trace.c
+++ b/src/wisteria/trace/trace.c
@@ -119,6 +119,20 @@
 	span_start(span, &parent, name);
 }
 
+/*
+ * Starts the span of a request: part of the caller's trace where
+ * "traceparent" is a valid header, the first of a new one otherwise.
+ */
+void span_start_request(span_t *span, const char *traceparent, const char *name)
+{
+	trace_context_t parent;
+
+	if (traceparent != NULL && trace_parse_parent(traceparent, &parent))
+		span_start(span, &parent, name);
+	else
+		span_start_trace(span, name);
+}
+
 static trace_attribute_t *add_attribute(span_t *span, const char *key)
 {
 	trace_attribute_t *attribute;
--- a/src/wisteria/trace/trace.h
+++ b/src/wisteria/trace/trace.h
@@ -18,6 +18,8 @@
 void span_start(span_t *span, const trace_context_t *parent,
 		const char *name) ATTR_NONNULL_ALL;
 void span_start_trace(span_t *span, const char *name) ATTR_NONNULL_ALL;
+void span_start_request(span_t *span, const char *traceparent, const char *name)
+	ATTR_NONNULL(1, 3);
 void span_set_text(span_t *span, const char *key,
 		   const char *text) ATTR_NONNULL_ALL;
 void span_set_number(span_t *span, const char *key,
--- a/test/functional/operate_test.c
+++ b/test/functional/operate_test.c
@@ -118,6 +118,47 @@
 	stop_all();
 }
 
+/* Sends one booking and asks why it went as it did. */
+static void explain_booking(http_client_t *client, const char *part)
+{
+	static const char *const headers[] = { "Idempotency-Key: order-77",
+					       NULL };
+	const http_params_t sent = {
+		.url = harness_string(
+			&harness, "http://%s/services/" CLUSTER_SERVICE "/book",
+			cluster.entries[0].http),
+		.api_key = cluster_api_key(&cluster, 0),
+		.body = "pallet 9",
+		.headers = headers,
+	};
+	const http_request_t *request = http_send(client, &sent);
+	char *id;
+
+	CU_ASSERT(http_client_run(client, HARNESS_WAIT_MS));
+	CU_ASSERT_EQUAL(request->status, 200);
+	id = request_id(request);
+	CU_ASSERT_EQUAL(ask(cluster.entries[0].http,
+			    harness_string(&harness, "explain %s", id)),
+			0);
+	CU_ASSERT_PTR_NOT_NULL(strstr(output, part));
+	CU_ASSERT_PTR_NOT_NULL(strstr(output, "whole answer was delivered.\n"));
+	g_free(id);
+}
+
+static void test_explained_booking(void)
+{
+	static const cluster_params_t params = { .entries = 1, .services = 2 };
+	http_client_t client;
+
+	start("operate-booking", &params);
+	http_client_init(&client);
+	explain_booking(&client, "it may run once only");
+	explain_booking(&client, "had run before; it was not run again");
+	CU_ASSERT_PTR_NULL(strstr(output, "the call was sent to"));
+	http_client_finish(&client);
+	stop_all();
+}
+
 /* A change made through one entry is seen through the others. */
 static void test_presets_everywhere(void)
 {
@@ -281,6 +322,7 @@
 
 static const unit_test_t tests[] = {
 	{ "explanation", test_explanation },
+	{ "explained booking", test_explained_booking },
 	{ "presets everywhere", test_presets_everywhere },
 	{ "leaving endpoint", test_leaving_endpoint },
 	{ "trace", test_trace },
--- a/test/unit/explain_test.c
+++ b/test/unit/explain_test.c
@@ -90,6 +90,34 @@
 	explain_finish(&explain);
 }
 
+static void test_calls(void)
+{
+	explain_t explain;
+
+	explain_init(&explain, "q-1", 0);
+	explain_reserved(&explain, 10);
+	explain_call(&explain, "p1", false, 20);
+	explain_not_run(&explain, "p1", "it is leaving", 30);
+	explain_call(&explain, "p2", true, 40);
+	explain_stored(&explain, 50);
+	explain_cancelled(&explain, 60);
+	CU_ASSERT_STRING_EQUAL(
+		explain.text->str,
+		"After 0.010 s its key was reserved in the ledger, so that no "
+		"other entry runs the same call.\n"
+		"After 0.020 s the call was sent to p1; it may run once only, "
+		"so it is not sent again unless it provably did not run.\n"
+		"After 0.030 s p1 said that it did not run the call (it is "
+		"leaving), so it may be sent elsewhere.\n"
+		"After 0.040 s the call was sent to p2; it may be repeated.\n"
+		"After 0.050 s the ledger said that a call with this key had "
+		"run before; it was not run again, and the caller got the "
+		"recorded answer.\n"
+		"After 0.060 s the caller went away; what was left was "
+		"stopped.\n");
+	explain_finish(&explain);
+}
+
 static void test_sentences_are_bounded(void)
 {
 	explain_t explain;
@@ -134,6 +162,7 @@
 static const unit_test_t tests[] = {
 	{ "whole story", test_whole_story },
 	{ "refusal", test_refusal },
+	{ "calls", test_calls },
 	{ "sentences are bounded", test_sentences_are_bounded },
 	{ "log is bounded", test_log_is_bounded },
 };
