--- a/bench/held.c
+++ b/bench/held.c
@@ -1,20 +1,21 @@
-/* Opens sessions, holds them by engines that hang, and measures their cost. */
+/* Opens sessions, holds them by engines made slow, and measures their cost. */
 #include "held.h"
 
 #define SETTLE_US 3000000
 #define IDLE_US 3000000
+#define HELD_STEP_US 4000000
 #define END_WAIT_MS 120000
 #define OPEN_AT_A_TIME 50
 
-static void hang(const cluster_t *cluster, bool on)
+static void set_step(const cluster_t *cluster, uint32_t step_us)
 {
 	http_client_t client;
 
 	http_client_init(&client);
 	for (size_t i = 0; i < cluster->endpoint_count; i++) {
-		char *url = g_strdup_printf("http://%s/fake?hang=%d",
+		char *url = g_strdup_printf("http://%s/fake?step_us=%u",
 					    cluster->endpoints[i].url_address,
-					    on ? 1 : 0);
+					    step_us);
 		const http_params_t params = { .method = "PUT", .url = url };
 
 		http_send(&client, &params);
@@ -82,7 +83,7 @@
 	usage_t agents_open;
 	http_client_t client;
 
-	hang(cluster, true);
+	set_step(cluster, HELD_STEP_US);
 	http_client_init(&client);
 	open_all(cluster, &client, count);
 	entry_open = usage_of(entry);
@@ -97,7 +98,7 @@
 	held->agent_cpu =
 		(held_agents_usage(cluster).cpu_s - agents_open.cpu_s) * 1e6 /
 		IDLE_US;
-	hang(cluster, false);
+	set_step(cluster, cluster->params.step_us);
 	if (!http_client_run(&client, END_WAIT_MS))
 		g_warning("not all held sessions ended");
 	held->failed = count_failed(&client);
--- a/test/functional/path_test.c
+++ b/test/functional/path_test.c
@@ -162,6 +162,15 @@
 				   index];
 }
 
+static uint64_t sum_of_entries(const cluster_t *cluster, const char *metric)
+{
+	uint64_t sum = 0;
+
+	for (size_t i = 0; i < cluster->entry_count; i++)
+		sum += cluster_metric(cluster->entries[i].metrics, metric);
+	return sum;
+}
+
 static void test_streams_survive(void)
 {
 	static const cluster_params_t params = { .entries = 3,
@@ -186,6 +195,9 @@
 	CU_ASSERT(relay_open_count(relay) > 0);
 	relay_silence_open(relay);
 	CU_ASSERT(http_client_run(&load.client, RUN_MS));
+	CU_ASSERT(sum_of_entries(&cluster, "wisteria_recoveries_total") > 0);
+	CU_ASSERT(sum_of_entries(&cluster,
+				 "wisteria_connections_silent_total") > 0);
 	journal_init(&journal, cluster.params.layers);
 	load_check(&load, &journal);
 	CU_ASSERT_EQUAL(load.whole, STREAMS);
