--- a/src/wisteria/agent/agent_defs.h
+++ b/src/wisteria/agent/agent_defs.h
@@ -4,6 +4,7 @@
 #include <glib.h>
 
 #include "wisteria/agent/agent.h"
+#include "wisteria/agent/agent_trace.h"
 #include "wisteria/agent/curl_loop.h"
 #include "wisteria/agent/engine.h"
 #include "wisteria/net/listener.h"
@@ -52,8 +53,11 @@
 	agent_session_key_t key;
 	agent_peer_t *peers[AGENT_PEER_COUNT]; /* NULL: none, or local */
 	conn_t *entry;			       /* NULL while it is lost */
+	char owner[NET_INSTANCE_BYTES];	       /* the entry that took it over */
+	uint32_t takeovers;
 	clock_ms_t orphaned_ms;
 	clock_ms_t expires_ms;
+	agent_trace_t trace;
 } agent_session_t;
 
 struct agent_t {
@@ -75,6 +79,7 @@
 	GHashTable *calls;    /* call id -> agent_call_t */
 	bool listening;
 	bool leaving;
+	trace_writer_t *tracer; /* NULL: no spans */
 };
 
 /* A message that an agent takes; "conn" is NULL from itself. */
--- a/src/wisteria/entry/entry_defs.h
+++ b/src/wisteria/entry/entry_defs.h
@@ -11,6 +11,7 @@
 #include "wisteria/route/router.h"
 #include "wisteria/session/entry_session.h"
 #include "wisteria/trace/explain_defs.h"
+#include "wisteria/trace/trace.h"
 
 /* A model request on the traffic thread. */
 typedef struct job_t {
@@ -29,6 +30,9 @@
 	bool admitted;	/* counted against the customer's contract */
 	bool answering; /* the head of the response was sent */
 	bool ended;
+	span_t span;	  /* the whole request */
+	span_t wait_span; /* until a chain is chosen */
+	char traceparent[TRACE_PARENT_LEN + 1];
 	explain_t explain;
 	bool told_no_chain;    /* in the explanation */
 	char fail_reason[128]; /* of the last failure; "": none told */
@@ -65,6 +69,9 @@
 	clock_ms_t reserve_at_ms; /* when to ask for a pending key again */
 	uint64_t question;	  /* open in the ledger; 0: none */
 	msgpack_sbuffer result;	  /* an encoded msg_call_reply_t */
+	explain_t explain;
+	span_t span;
+	char traceparent[TRACE_PARENT_LEN + 1];
 } call_t;
 
 /* The entry role on its traffic thread. */
@@ -74,6 +81,7 @@
 	net_t *net;
 	const settings_t *settings;
 	mailbox_t *mailbox;
+	trace_writer_t *tracer; /* NULL: no traces are written */
 	view_reader_t reader;
 	const view_t *view; /* within one turn of the loop; may be NULL */
 	uint64_t view_serial;
