--- a/src/wisteria/control/replica.c
+++ b/src/wisteria/control/replica.c
@@ -145,7 +145,7 @@
 	GBytes *data;
 
 	if (replica->snapshot_under_way ||
-	    (raft->applied - raft->snapshot.index < REPLICA_SNAPSHOT_ENTRIES &&
+	    (raft->applied - raft->snapshot.index < replica->snapshot_entries &&
 	     replica->log_bytes < REPLICA_SNAPSHOT_BYTES))
 		return;
 	msgpack_sbuffer_init(&state);
@@ -305,6 +305,7 @@
 	replica->writer_owner.saved = on_saved;
 	replica->writer_owner.snapshot_saved = on_snapshot_saved;
 	replica->machine = machine;
+	replica->snapshot_entries = REPLICA_SNAPSHOT_ENTRIES;
 	replica->net = net;
 	replica->settings = settings;
 	replica->peers = g_ptr_array_new_with_free_func(g_free);
--- a/src/wisteria/control/replica_defs.h
+++ b/src/wisteria/control/replica_defs.h
@@ -78,7 +78,8 @@
 	uint64_t seen_term;
 	uint64_t seen_leader;
 	bool snapshot_under_way;
-	size_t log_bytes; /* since the last snapshot */
+	size_t log_bytes;	   /* since the last snapshot */
+	uint64_t snapshot_entries; /* between snapshots */
 	bool closed;
 } replica_t;
 
--- /dev/null
+++ b/test/functional/replica_test.c
@@ -0,0 +1,337 @@
+/*
+ * Replicas of the log over loopback connections and real data folders, in
+ * one process: snapshots, restarts from them, and sending one to a replica
+ * that lost its disk.
+ */
+#include "../unit/unit.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "harness/harness.h"
+
+#include "wisteria/base/clock.h"
+#include "wisteria/control/replica.h"
+#include "wisteria/net/listener.h"
+#include "wisteria/net/net.h"
+#include "wisteria/raft/raft_members.h"
+
+#define MEMBERS 3
+#define SNAPSHOT_ENTRIES 40
+#define ENTRIES 200
+
+static harness_t harness;
+
+/* One replica whose state is the sum of the numbers applied. */
+typedef struct {
+	conn_handler_t handler;
+	replica_machine_t machine;
+	net_t *net; /* NULL while it is down */
+	listener_t listener;
+	replica_t replica;
+	settings_t settings;
+	settings_control_t control;
+	uint64_t sum;
+	uint32_t restored;
+} member_t;
+
+typedef struct {
+	uv_loop_t loop;
+	member_t members[MEMBERS];
+	settings_peer_t voters[MEMBERS];
+	GPtrArray *dead_nets;
+	uint64_t proposed;
+} group_t;
+
+static group_t group;
+
+static void on_opened(conn_handler_t *handler, conn_t *conn)
+{
+	(void)handler;
+	(void)conn;
+}
+
+static void on_closed(conn_handler_t *handler, conn_t *conn, const err_t *why)
+{
+	(void)handler;
+	(void)conn;
+	(void)why;
+}
+
+static void on_message(conn_handler_t *handler, conn_t *conn, const msg_t *msg)
+{
+	member_t *member = CONTAINER_OF(handler, member_t, handler);
+
+	if (msg->type == MSG_RAFT)
+		replica_on_message(&member->replica, conn, msg->body);
+}
+
+static member_t *member_of(replica_machine_t *machine)
+{
+	return CONTAINER_OF(machine, member_t, machine);
+}
+
+static void apply(replica_machine_t *machine, uint64_t index, uint64_t term,
+		  const uint8_t *data, size_t len)
+{
+	uint64_t value = 0;
+
+	(void)index;
+	(void)term;
+	memcpy(&value, data, MIN(len, sizeof(value)));
+	member_of(machine)->sum += value;
+}
+
+static void snapshot(replica_machine_t *machine, msgpack_sbuffer *out)
+{
+	msgpack_sbuffer_write(out, (const char *)&member_of(machine)->sum,
+			      sizeof(uint64_t));
+}
+
+static bool restore(replica_machine_t *machine, const uint8_t *data, size_t len,
+		    err_t *err)
+{
+	member_t *member = member_of(machine);
+
+	(void)err;
+	if (len != sizeof(member->sum))
+		return false;
+	memcpy(&member->sum, data, len);
+	member->restored++;
+	return true;
+}
+
+static void confirmed(replica_machine_t *machine, uint64_t ticket)
+{
+	(void)machine;
+	(void)ticket;
+}
+
+static void leader_changed(replica_machine_t *machine)
+{
+	(void)machine;
+}
+
+static void message(replica_machine_t *machine, conn_t *conn, const msg_t *msg)
+{
+	(void)machine;
+	(void)conn;
+	(void)msg;
+}
+
+static const replica_machine_t functions = {
+	apply, snapshot, restore, confirmed, leader_changed, message
+};
+
+static void start_member(size_t at)
+{
+	static const uint8_t key[NET_KEY_BYTES];
+	member_t *member = &group.members[at];
+	err_t err = ERR_INIT;
+
+	member->sum = 0;
+	member->restored = 0;
+	member->machine = functions;
+	member->net = g_new0(net_t, 1);
+	net_init(member->net, &group.loop, &clock_monotonic,
+		 group.voters[at].instance, "rig", 1, key);
+	CU_ASSERT_FATAL(listener_init(&member->listener, member->net,
+				      group.voters[at].address,
+				      &member->handler, &err));
+	CU_ASSERT_FATAL(replica_init(&member->replica, member->net,
+				     &member->settings, &member->machine,
+				     &err));
+	member->replica.snapshot_entries = SNAPSHOT_ENTRIES;
+}
+
+static void stop_member(size_t at)
+{
+	member_t *member = &group.members[at];
+
+	replica_close(&member->replica);
+	listener_close(&member->listener);
+	net_close(member->net);
+	for (int i = 0; i < 5; i++)
+		uv_run(&group.loop, UV_RUN_NOWAIT);
+	replica_finish(&member->replica);
+	g_ptr_array_add(group.dead_nets, member->net);
+	member->net = NULL;
+}
+
+static void begin(const char *name)
+{
+	memset(&group, 0, sizeof(group));
+	uv_loop_init(&group.loop);
+	group.dead_nets = g_ptr_array_new_with_free_func(g_free);
+	for (size_t i = 0; i < MEMBERS; i++) {
+		member_t *member = &group.members[i];
+
+		group.voters[i].instance =
+			(char *)harness_string(&harness, "%s-%zu", name, i);
+		group.voters[i].address = (char *)harness_address(&harness);
+		member->handler.opened = on_opened;
+		member->handler.closed = on_closed;
+		member->handler.message = on_message;
+		member->settings.control = &member->control;
+		member->control = (settings_control_t){
+			.listen = group.voters[i].address,
+			.data_dir = (char *)harness_path(
+				&harness,
+				harness_string(&harness, "%s-data",
+					       group.voters[i].instance)),
+			.voters = group.voters,
+			.voters_count = MEMBERS,
+		};
+	}
+	for (size_t i = 0; i < MEMBERS; i++)
+		start_member(i);
+}
+
+static void end(void)
+{
+	for (size_t i = 0; i < MEMBERS; i++)
+		if (group.members[i].net != NULL)
+			stop_member(i);
+	uv_run(&group.loop, UV_RUN_DEFAULT);
+	CU_ASSERT_EQUAL(uv_loop_close(&group.loop), 0);
+	g_ptr_array_unref(group.dead_nets);
+}
+
+static bool run_until(bool (*holds)(void))
+{
+	clock_ms_t until = clock_now(&clock_monotonic) + HARNESS_WAIT_MS;
+
+	while (!holds() && clock_now(&clock_monotonic) < until)
+		uv_run(&group.loop, UV_RUN_ONCE);
+	return holds();
+}
+
+static member_t *leader(void)
+{
+	for (size_t i = 0; i < MEMBERS; i++)
+		if (group.members[i].net != NULL &&
+		    replica_is_settled(&group.members[i].replica))
+			return &group.members[i];
+	return NULL;
+}
+
+static bool has_leader(void)
+{
+	return leader() != NULL;
+}
+
+static bool all_have_applied(void)
+{
+	uint64_t sum = group.proposed * (group.proposed + 1) / 2;
+
+	for (size_t i = 0; i < MEMBERS; i++)
+		if (group.members[i].net != NULL && group.members[i].sum != sum)
+			return false;
+	return true;
+}
+
+static void propose(size_t count)
+{
+	CU_ASSERT_FATAL(run_until(has_leader));
+	for (size_t i = 0; i < count; i++) {
+		uint64_t value = ++group.proposed;
+
+		CU_ASSERT_NOT_EQUAL(replica_propose(&leader()->replica,
+						    (const uint8_t *)&value,
+						    sizeof(value)),
+				    0);
+	}
+	CU_ASSERT_FATAL(run_until(all_have_applied));
+}
+
+static bool all_have_snapshots(void)
+{
+	for (size_t i = 0; i < MEMBERS; i++)
+		if (group.members[i].replica.raft.snapshot.index < ENTRIES / 2)
+			return false;
+	return true;
+}
+
+static void propose_until_snapshots(void)
+{
+	for (size_t done = 0; done < ENTRIES; done += 10)
+		propose(10);
+	CU_ASSERT_FATAL(run_until(all_have_snapshots));
+}
+
+static void test_restart_from_snapshots(void)
+{
+	begin("restart");
+	propose_until_snapshots();
+	for (size_t i = 0; i < MEMBERS; i++)
+		stop_member(i);
+	for (size_t i = 0; i < MEMBERS; i++)
+		start_member(i);
+	propose(5);
+	for (size_t i = 0; i < MEMBERS; i++)
+		CU_ASSERT_EQUAL(group.members[i].restored, 1);
+	end();
+}
+
+static size_t wiped;
+
+static bool wiped_member_votes(void)
+{
+	const member_t *member = &group.members[wiped];
+
+	return has_leader() &&
+	       raft_members_is_voter(&leader()->replica.raft.members,
+				     member->replica.raft.id);
+}
+
+static void wipe(const char *folder)
+{
+	GDir *dir = g_dir_open(folder, 0, NULL);
+	const char *name;
+
+	while (dir != NULL && (name = g_dir_read_name(dir)) != NULL) {
+		char *path = g_build_filename(folder, name, NULL);
+
+		remove(path);
+		g_free(path);
+	}
+	if (dir != NULL)
+		g_dir_close(dir);
+}
+
+static void test_lost_disk_takes_a_snapshot(void)
+{
+	uint64_t old_id;
+
+	begin("lost-disk");
+	propose_until_snapshots();
+	/* More entries than the leader keeps behind its snapshot. */
+	propose(RAFT_KEEP_ENTRIES);
+	CU_ASSERT_FATAL(run_until(has_leader));
+	wiped = leader() == &group.members[0] ? 1 : 0;
+	old_id = group.members[wiped].replica.raft.id;
+	stop_member(wiped);
+	wipe(group.members[wiped].control.data_dir);
+	start_member(wiped);
+	CU_ASSERT_NOT_EQUAL(group.members[wiped].replica.raft.id, old_id);
+	CU_ASSERT_FATAL(run_until(wiped_member_votes));
+	CU_ASSERT_FATAL(run_until(all_have_applied));
+	CU_ASSERT_EQUAL(group.members[wiped].restored, 1);
+	CU_ASSERT_EQUAL(leader()->replica.raft.members.count, MEMBERS);
+	end();
+}
+
+static const unit_test_t tests[] = {
+	{ "restart from snapshots", test_restart_from_snapshots },
+	{ "lost disk takes a snapshot", test_lost_disk_takes_a_snapshot },
+};
+
+int main(void)
+{
+	int status;
+
+	harness_init(&harness, "replica");
+	status = unit_run("replica", tests, ARRAY_SIZE(tests));
+	harness_finish(&harness, status == EXIT_SUCCESS);
+	return status;
+}
