--- a/test/functional/control_test.c
+++ b/test/functional/control_test.c
@@ -118,6 +118,35 @@
 	control_rig_finish(&rig);
 }
 
+/* The others no longer reach the leader; it still reaches them. */
+static void test_leader_cut_off_in_one_direction(void)
+{
+	control_rig_t rig;
+	rig_daemon_t *daemon;
+	size_t leader;
+
+	control_rig_init(&rig, &harness, 3, 3, true);
+	CU_ASSERT_FATAL(control_rig_start_all(&rig));
+	leader = control_rig_leader(&rig);
+	daemon = control_rig_add_daemon(&rig, "beside-old-leader", leader, 1);
+	CU_ASSERT_FATAL(
+		comes_in_force(&rig, daemon, RIG_FIRST_REVISION + rig.orders));
+	relay_silence(rig.controls[leader].relay, true);
+	for (size_t i = 0; i < 5; i++)
+		CU_ASSERT_EQUAL(
+			control_rig_change(&rig, (leader + 1) % 3).outcome,
+			ORDER_APPLIED);
+	CU_ASSERT_NOT_EQUAL(control_rig_leader(&rig), leader);
+	CU_ASSERT(control_rig_until(&rig, lease_ran_out, daemon,
+				    HARNESS_WAIT_MS));
+	relay_silence(rig.controls[leader].relay, false);
+	relay_cut(rig.controls[leader].relay);
+	CU_ASSERT(
+		comes_in_force(&rig, daemon, RIG_FIRST_REVISION + rig.orders));
+	expect_last_in_force(&rig, "after-cut");
+	control_rig_finish(&rig);
+}
+
 static bool promoted(void *user)
 {
 	control_rig_t *rig = user;
@@ -230,6 +259,8 @@
 	{ "paused leader grants nothing old",
 	  test_paused_leader_grants_nothing_old },
 	{ "silent connections are left", test_silent_connections_are_left },
+	{ "leader cut off in one direction",
+	  test_leader_cut_off_in_one_direction },
 	{ "lost disk, then lost instance", test_lost_disk_then_lost_instance },
 	{ "learner serves daemons", test_learner_serves_daemons },
 	{ "planned stop hands over", test_planned_stop_hands_over },
