Free the readers' epoch records with the board

Cause: path_test under ASan: every daemon with an entry or agent ended with a leak of 192 bytes, the record that ck_epoch keeps of a reader. Change: the board keeps the records and frees them when it ends; a failing test prints its output. Before and after: sanitize/functional/path_test failed in 'planned stops' by the exit status 9 of four daemons; now it passes.

--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -31,14 +31,21 @@
 	fi
 }
 
+# Runs one test; prints its output only if it fails.
+run_one () {
+	ctest --test-dir "$1" -R "^$2\$" --output-on-failure \
+		>build/test.log 2>&1 && return 0
+	cat build/test.log
+	return 1
+}
+
 ctest_each () {
 	directory=$1
 	label=$2
 	for test_name in $(ctest --test-dir "$directory" -N |
 		sed -n 's/^ *Test *#[0-9]*: //p')
 	do
-		check "$label$test_name" ctest --test-dir "$directory" \
-			-R "^$test_name\$" --output-on-failure --quiet
+		check "$label$test_name" run_one "$directory" "$test_name"
 	done
 }
 
--- a/src/wisteria/control/view.c
+++ b/src/wisteria/control/view.c
@@ -24,6 +24,7 @@
 void view_board_init(view_board_t *board)
 {
 	memset(board, 0, sizeof(*board));
+	board->records = g_ptr_array_new_with_free_func(g_aligned_free);
 	ck_epoch_init(&board->epoch);
 	ck_epoch_register(&board->epoch, &board->writer, NULL);
 }
@@ -35,6 +36,7 @@
 	if (board->current != NULL)
 		board->current->release(board->current);
 	board->current = NULL;
+	g_ptr_array_free(board->records, TRUE);
 }
 
 /*
@@ -52,19 +54,20 @@
 	ck_epoch_poll(&board->writer);
 }
 
-/* Registers the calling thread as a reader. */
+/*
+ * Prepares a reader for one thread.  Readers are prepared before the threads
+ * run; ck_epoch keeps a record of each until the board ends.
+ */
 void view_reader_init(view_reader_t *reader, view_board_t *board)
 {
 	reader->board = board;
 	reader->record =
 		g_aligned_alloc0(1, sizeof(ck_epoch_record_t), CK_MD_CACHELINE);
+	g_ptr_array_add(board->records, reader->record);
 	ck_epoch_register(&board->epoch, reader->record, NULL);
 }
 
-/*
- * Ends a reader.  Its record stays with the board, as ck_epoch requires, and
- * is freed when the process ends.
- */
+/* Ends a reader; its record stays with the board, as ck_epoch requires. */
 void view_reader_finish(view_reader_t *reader)
 {
 	ck_epoch_unregister(reader->record);
--- a/src/wisteria/control/view_defs.h
+++ b/src/wisteria/control/view_defs.h
@@ -4,6 +4,7 @@
 #include <stdbool.h>
 
 #include <ck_epoch.h>
+#include <glib.h>
 #include <msgpack.h>
 
 #include "wisteria/base/clock_defs.h"
@@ -38,6 +39,7 @@
 	ck_epoch_t epoch;
 	view_t *current;
 	ck_epoch_record_t writer;
+	GPtrArray *records; /* of the readers; live as long as the board */
 } view_board_t;
 
 /* A reading thread's registration with a board. */
