Test that restarts of control instances drop no endpoint

Change: the end of a lease is one function, used by the lease client and by the fuzzed daemons alike.

--- a/src/wisteria/control/lease_client.c
+++ b/src/wisteria/control/lease_client.c
@@ -14,6 +14,7 @@
 #include "wisteria/base/err.h"
 #include "wisteria/base/log.h"
 #include "wisteria/control/control_defs.h"
+#include "wisteria/control/lease.h"
 #include "wisteria/control/view.h"
 #include "wisteria/control/view_builder.h"
 #include "wisteria/net/link.h"
@@ -109,7 +110,8 @@
 		use_next_instance(client);
 		return;
 	}
-	client->lease_until_ms = client->asked_ms + reply->lease_ms;
+	client->lease_until_ms =
+		lease_end_ms(client->asked_ms, reply->lease_ms);
 	client->asked_ms = 0;
 	counter_add(COUNTER_RENEWALS, 1);
 	view_publish(client->board, view_builder_make(client->builder,
--- a/test/functional/control_test.c
+++ b/test/functional/control_test.c
@@ -254,6 +254,50 @@
 	control_rig_finish(&rig);
 }
 
+typedef struct {
+	rig_daemon_t *entry;
+	uint64_t revision;
+	size_t fewest;
+} directory_watch_t;
+
+/* Also notes the fewest endpoints that the entry ever knew. */
+static bool renewed_with_all(void *user)
+{
+	directory_watch_t *watch = user;
+	const view_t *view = control_rig_view(watch->entry);
+	size_t count = view == NULL ? 0 : view->endpoint_count;
+
+	watch->fewest = MIN(watch->fewest, count);
+	return count == RIG_ENDPOINTS &&
+	       control_rig_revision(watch->entry) >= watch->revision;
+}
+
+static void test_restarts_drop_no_endpoint(void)
+{
+	control_rig_t rig;
+	directory_watch_t watch = { .fewest = 0 };
+
+	control_rig_init(&rig, &harness, 3, 3, false);
+	CU_ASSERT_FATAL(control_rig_start_all(&rig));
+	control_rig_announce(&rig, control_rig_add_daemon(&rig, "agent", 0, 3));
+	watch.entry = control_rig_add_daemon(&rig, "entry", 0, 3);
+	watch.revision = RIG_FIRST_REVISION + rig.orders;
+	CU_ASSERT_FATAL(control_rig_until(&rig, renewed_with_all, &watch,
+					  HARNESS_WAIT_MS));
+	watch.fewest = SIZE_MAX;
+	for (size_t i = 0; i < 6; i++) {
+		harness_kill(rig.controls[i % 3].process);
+		control_rig_start(&rig, i % 3);
+		CU_ASSERT_EQUAL(control_rig_change(&rig, i % 3).outcome,
+				ORDER_APPLIED);
+		watch.revision = RIG_FIRST_REVISION + rig.orders;
+		CU_ASSERT(control_rig_until(&rig, renewed_with_all, &watch,
+					    HARNESS_WAIT_MS));
+	}
+	CU_ASSERT_EQUAL(watch.fewest, RIG_ENDPOINTS);
+	control_rig_finish(&rig);
+}
+
 static const unit_test_t tests[] = {
 	{ "killed leader loses nothing", test_killed_leader_loses_nothing },
 	{ "paused leader grants nothing old",
@@ -262,6 +306,7 @@
 	{ "leader cut off in one direction",
 	  test_leader_cut_off_in_one_direction },
 	{ "lost disk, then lost instance", test_lost_disk_then_lost_instance },
+	{ "restarts drop no endpoint", test_restarts_drop_no_endpoint },
 	{ "learner serves daemons", test_learner_serves_daemons },
 	{ "planned stop hands over", test_planned_stop_hands_over },
 	{ "racing orders have one winner", test_racing_orders_have_one_winner },
--- a/test/functional/harness/control_rig.c
+++ b/test/functional/harness/control_rig.c
@@ -351,6 +351,33 @@
 	return daemon;
 }
 
+/* Makes the daemon an agent of RIG_ENDPOINTS endpoints. */
+void control_rig_announce(control_rig_t *rig, rig_daemon_t *daemon)
+{
+	for (size_t i = 0; i < RIG_ENDPOINTS; i++) {
+		snprintf(daemon->endpoint_names[i], HARNESS_NAME_BYTES,
+			 "%s-%zu", daemon->name, i);
+		daemon->endpoints[i] = (settings_endpoint_t){
+			.name = daemon->endpoint_names[i],
+			.kind = SETTINGS_MODEL,
+			.target = "modelo",
+			.end_layer = 12,
+			.accelerator = "a",
+			.slots = 1,
+		};
+	}
+	daemon->agent = (settings_agent_t){
+		.listen = "127.0.0.1:1",
+		.endpoints = daemon->endpoints,
+		.endpoints_count = RIG_ENDPOINTS,
+	};
+	daemon->settings.agent = &daemon->agent;
+	daemon->settings.failure_domain = "rig";
+	daemon->settings.region = "litoral";
+	daemon->announcer = announcer_new(&daemon->net, &daemon->settings);
+	(void)rig;
+}
+
 /* Returns the daemon's view, or NULL; it lasts until the loop runs again. */
 const view_t *control_rig_view(rig_daemon_t *daemon)
 {
@@ -387,6 +414,7 @@
 	uv_run(&rig->loop, UV_RUN_DEFAULT);
 	for (size_t i = 0; i < rig->daemon_count; i++) {
 		lease_client_free(rig->daemons[i]->lease);
+		announcer_free(rig->daemons[i]->announcer);
 		view_board_finish(&rig->daemons[i]->board);
 		g_free(rig->daemons[i]);
 	}
--- a/test/functional/harness/control_rig.h
+++ b/test/functional/harness/control_rig.h
@@ -4,6 +4,7 @@
 #include "harness/harness.h"
 #include "harness/relay.h"
 
+#include "wisteria/control/announcer.h"
 #include "wisteria/control/lease_client.h"
 #include "wisteria/control/view_defs.h"
 #include "wisteria/net/net_defs.h"
@@ -11,6 +12,7 @@
 
 #define RIG_CONTROLS_MAX 5
 #define RIG_DAEMONS_MAX 32
+#define RIG_ENDPOINTS 6 /* of each agent */
 /* The revision that the first preset makes: created, then put in force. */
 #define RIG_FIRST_REVISION 2
 
@@ -32,6 +34,10 @@
 	settings_peer_t peers[RIG_CONTROLS_MAX];
 	view_board_t board;
 	lease_client_t *lease;
+	announcer_t *announcer; /* NULL: not an agent */
+	settings_agent_t agent;
+	settings_endpoint_t endpoints[RIG_ENDPOINTS];
+	char endpoint_names[RIG_ENDPOINTS][HARNESS_NAME_BYTES];
 } rig_daemon_t;
 
 typedef struct {
@@ -70,6 +76,8 @@
 rig_daemon_t *control_rig_add_daemon(control_rig_t *rig, const char *name,
 				     size_t first_control,
 				     size_t control_count) ATTR_NONNULL_ALL;
+void control_rig_announce(control_rig_t *rig,
+			  rig_daemon_t *daemon) ATTR_NONNULL_ALL;
 const view_t *control_rig_view(rig_daemon_t *daemon) ATTR_NONNULL_ALL;
 uint64_t control_rig_revision(rig_daemon_t *daemon) ATTR_NONNULL_ALL;
 void control_rig_run(control_rig_t *rig, clock_ms_t span_ms) ATTR_NONNULL_ALL;
--- a/test/fuzz/raft_sim.h
+++ b/test/fuzz/raft_sim.h
@@ -14,6 +14,7 @@
 
 #include "wisteria/base/err.h"
 #include "wisteria/codec/msg.h"
+#include "wisteria/control/lease.h"
 #include "wisteria/raft/raft.h"
 #include "wisteria/raft/raft_log.h"
 #include "wisteria/raft/raft_members.h"
@@ -585,7 +586,7 @@
 	from = sim->variant->lease_from_answer ? sim->now_ms : answer.asked_ms;
 	daemon->revision = answer.revision;
 	daemon->lease_until_ms =
-		MAX(daemon->lease_until_ms, from + SIM_LEASE_MS);
+		MAX(daemon->lease_until_ms, lease_end_ms(from, SIM_LEASE_MS));
 	sim_check_leases(sim);
 }
 
