--- a/test/functional/harness/control_rig.c
+++ b/test/functional/harness/control_rig.c
@@ -355,8 +355,9 @@
 void control_rig_announce(control_rig_t *rig, rig_daemon_t *daemon)
 {
 	for (size_t i = 0; i < RIG_ENDPOINTS; i++) {
-		snprintf(daemon->endpoint_names[i], HARNESS_NAME_BYTES,
-			 "%s-%zu", daemon->name, i);
+		snprintf(daemon->endpoint_names[i],
+			 sizeof(daemon->endpoint_names[i]), "%s-%zu",
+			 daemon->name, i);
 		daemon->endpoints[i] = (settings_endpoint_t){
 			.name = daemon->endpoint_names[i],
 			.kind = SETTINGS_MODEL,
--- a/test/functional/harness/control_rig.h
+++ b/test/functional/harness/control_rig.h
@@ -37,7 +37,7 @@
 	announcer_t *announcer; /* NULL: not an agent */
 	settings_agent_t agent;
 	settings_endpoint_t endpoints[RIG_ENDPOINTS];
-	char endpoint_names[RIG_ENDPOINTS][HARNESS_NAME_BYTES];
+	char endpoint_names[RIG_ENDPOINTS][2 * HARNESS_NAME_BYTES];
 } rig_daemon_t;
 
 typedef struct {
