--- a/src/wisteria/route/candidate.c
+++ b/src/wisteria/route/candidate.c
@@ -11,11 +11,6 @@
 #define STEP_SMOOTHING 0.2
 /* A report of other entries' sessions fades with this time constant. */
 #define REPORT_FADE_MS 5000.0
-#define TOKEN_SMOOTHING 0.05
-/* The last of an endpoint's slots are scarce. */
-#define SCARCE_SHARE 0.7
-/* Scarce slots are spared from chains slower than usual by this factor. */
-#define SLOWER_CHAIN 1.5
 #define PAUSE_FIRST_MS 500
 #define PAUSE_LONGEST_MS 30000
 /* A pause grows only if the last one ended less than this long ago. */
@@ -94,31 +89,6 @@
 	return candidate->others * exp(-fmax(age_ms, 0) / REPORT_FADE_MS);
 }
 
-/* A chain through the endpoint was chosen, with this time for a token. */
-void candidate_chosen(candidate_t *candidate, double token_ms)
-{
-	if (candidate->token_ms == 0)
-		candidate->token_ms = token_ms;
-	else
-		candidate->token_ms +=
-			TOKEN_SMOOTHING * (token_ms - candidate->token_ms);
-}
-
-/*
- * Whether the endpoint's last slots are better kept for faster chains than
- * one that takes "token_ms" for a token: a slot is held for as long as the
- * whole chain takes.
- */
-bool candidate_is_spared(const candidate_t *candidate, double token_ms,
-			 clock_ms_t now)
-{
-	const double busy = candidate->own + others_now(candidate, now);
-
-	if (busy < SCARCE_SHARE * candidate->slots)
-		return false;
-	return token_ms > SLOWER_CHAIN * candidate->token_ms;
-}
-
 /* Returns whether the endpoint may be given a session at "now". */
 candidate_state_t candidate_state(const candidate_t *candidate, clock_ms_t now)
 {
--- a/src/wisteria/route/candidate.h
+++ b/src/wisteria/route/candidate.h
@@ -9,9 +9,6 @@
 void candidate_reported(candidate_t *candidate, const msg_load_t *load,
 			clock_ms_t now) ATTR_NONNULL_ALL;
 void candidate_failed(candidate_t *candidate, clock_ms_t now) ATTR_NONNULL_ALL;
-void candidate_chosen(candidate_t *candidate, double token_ms) ATTR_NONNULL_ALL;
-bool candidate_is_spared(const candidate_t *candidate, double token_ms,
-			 clock_ms_t now) ATTR_NONNULL_ALL;
 candidate_state_t candidate_state(const candidate_t *candidate,
 				  clock_ms_t now) ATTR_NONNULL_ALL;
 double candidate_wait_ms(const candidate_t *candidate, double step_ms,
--- a/src/wisteria/route/candidate_defs.h
+++ b/src/wisteria/route/candidate_defs.h
@@ -34,8 +34,7 @@
 	uint32_t own;	 /* our sessions on it */
 	uint32_t others; /* sessions of other entries, when last reported */
 	clock_ms_t reported_ms;
-	double step_ms;	 /* smoothed; 0: not reported yet */
-	double token_ms; /* smoothed, of the chains chosen through it */
+	double step_ms; /* smoothed; 0: not reported yet */
 
 	clock_ms_t pause_ms; /* length of the last pause */
 	clock_ms_t paused_until_ms;
--- a/src/wisteria/route/chain.c
+++ b/src/wisteria/route/chain.c
@@ -13,7 +13,6 @@
 #include <glib.h>
 
 #include "wisteria/base/table.h"
-#include "wisteria/route/candidate.h"
 #include "wisteria/route/group.h"
 #include "wisteria/route/links.h"
 
@@ -59,20 +58,15 @@
 			       chain_node_t *nodes)
 {
 	group_entry_t best[GROUP_BEST_MAX];
-	const size_t looked_at =
-		search->token_ms > 0 ? GROUP_BEST_MAX
-				     : wanted + search->request->avoid_count;
-	const size_t found = group_best(group, looked_at, best);
+	const size_t found =
+		group_best(group, wanted + search->request->avoid_count, best);
 	size_t count = 0;
 
 	for (size_t i = 0; i < found && count < wanted; i++) {
 		const candidate_t *candidate =
 			table_get(search->candidates, best[i].candidate);
 
-		if (is_avoided(search->request, candidate->name) ||
-		    (search->token_ms > 0 &&
-		     candidate_is_spared(candidate, search->token_ms,
-					 search->now)))
+		if (is_avoided(search->request, candidate->name))
 			continue;
 		nodes[count++] = (chain_node_t){
 			.candidate = candidate,
--- a/src/wisteria/route/chain.h
+++ b/src/wisteria/route/chain.h
@@ -13,8 +13,6 @@
 	const target_t *target;
 	const route_request_t *request;
 	link_end_t entry;
-	double token_ms; /* spare what serves faster chains; 0: spare none */
-	clock_ms_t now;
 } chain_search_t;
 
 void chain_finish(chain_t *chain) ATTR_NONNULL_ALL;
--- a/src/wisteria/route/router.c
+++ b/src/wisteria/route/router.c
@@ -26,8 +26,6 @@
 #define REFRESH_COUNT 4
 /* Least time between two refreshes of all candidates. */
 #define REFRESH_ALL_MS 100
-/* Searches that leave out ever more endpoints. */
-#define SPARING_SEARCHES_MAX 3
 
 struct router_t {
 	table_t candidates;
@@ -333,45 +331,6 @@
 	}
 }
 
-/* Whether some hop's slots are better kept for faster chains. */
-static bool spares_hop(const router_t *router, int last, clock_ms_t now)
-{
-	const chain_node_t *nodes = router->chain.nodes;
-
-	for (int at = last; at >= 0; at = nodes[at].before)
-		if (candidate_is_spared(nodes[at].candidate,
-					nodes[last].total_ms, now))
-			return true;
-	return false;
-}
-
-/*
- * Finds the best chain that doesn't take scarce slots from faster ones.  Each
- * search leaves out what the chain before was too slow for.
- */
-static int find_worthwhile(router_t *router, const chain_search_t *search)
-{
-	chain_search_t sparing = *search;
-	int last = chain_find(&router->chain, search);
-
-	for (int i = 0; i < SPARING_SEARCHES_MAX && last >= 0; i++) {
-		if (!spares_hop(router, last, search->now))
-			return last;
-		sparing.token_ms = router->chain.nodes[last].total_ms;
-		last = chain_find(&router->chain, &sparing);
-	}
-	return last >= 0 && spares_hop(router, last, search->now) ? -1 : last;
-}
-
-static void note_chosen(router_t *router, int last)
-{
-	const chain_node_t *nodes = router->chain.nodes;
-
-	for (int at = last; at >= 0; at = nodes[at].before)
-		candidate_chosen(find(router, nodes[at].candidate->name),
-				 nodes[last].total_ms);
-}
-
 static chain_search_t search_for(const router_t *router, const target_t *target,
 				 const route_request_t *request)
 {
@@ -381,7 +340,6 @@
 		.target = target,
 		.request = request,
 		.entry = router->entry,
-		.now = router->now_ms,
 	};
 }
 
@@ -407,14 +365,13 @@
 	advance(router, now);
 	refresh_some(router, now);
 	count_alternatives(target, choice);
-	last = find_worthwhile(router, &search);
+	last = chain_find(&router->chain, &search);
 	if (last < 0 && refresh_all(router, now))
-		last = find_worthwhile(router, &search);
+		last = chain_find(&router->chain, &search);
 	if (last < 0)
 		return target_is_covered(target, request->layers)
 			       ? ROUTE_FULL
 			       : ROUTE_NO_CHAIN;
-	note_chosen(router, last);
 	chain_write(&router->chain, last, choice);
 	return ROUTE_FOUND;
 }
