Keep a small part of each contract for idle entries

A unit test of the leased parts found that an idle entry was left with nothing while another wanted more than the contract: its base was cut in proportion. Bases are now given first, and the rest is divided. shares_fuzz with -len_control=0 found, in the old code as well, that the committed sum passed the contract: a question sent under a lease that had ended meanwhile named a session that still ran. Also: names and an unused field in limits.

--- a/src/wisteria/limits/customer_defs.h
+++ b/src/wisteria/limits/customer_defs.h
@@ -33,7 +33,6 @@
 	handle_t request;
 	flow_queue_t *flow;
 	clock_ms_t expires_ms;
-	clock_ms_t queued_ms;
 	uint64_t serial;
 } waiting_t;
 
--- a/src/wisteria/limits/shares.c
+++ b/src/wisteria/limits/shares.c
@@ -4,8 +4,9 @@
  * out, so that the parts never add up to more than the contract.
  *
  * Parts follow demand: each entry gets what it wants if the contract has
- * enough, and else in proportion; what nobody wants is spread evenly, so
- * that a first request need not wait for a renewal.
+ * enough.  Else half of the contract is there for small wants, and the rest
+ * is divided in proportion.  What nobody wants is spread evenly, so that a
+ * first request need not wait for a renewal.
  */
 #include "wisteria/limits/shares.h"
 
@@ -33,15 +34,16 @@
 	GArray *parts; /* of part_t, by entry */
 } contract_t;
 
+/* An entry that renews. */
 typedef struct {
 	char *instance;
 	clock_ms_t renewed_ms;
-} entry_t;
+} holder_t;
 
 struct shares_t {
 	clock_ms_t lease_ms;
 	clock_ms_t unknown_until_ms;
-	GArray *entries;       /* of entry_t */
+	GArray *entries;       /* of holder_t */
 	GHashTable *contracts; /* customer -> contract_t * */
 	guint listed_count;
 };
@@ -57,7 +59,7 @@
 
 static void clear_entry(void *data)
 {
-	entry_t *entry = data;
+	holder_t *entry = data;
 
 	g_free(entry->instance);
 }
@@ -73,7 +75,7 @@
 
 	shares->lease_ms = lease_ms;
 	shares->unknown_until_ms = unknown_until_ms;
-	shares->entries = g_array_new(FALSE, TRUE, sizeof(entry_t));
+	shares->entries = g_array_new(FALSE, TRUE, sizeof(holder_t));
 	g_array_set_clear_func(shares->entries, clear_entry);
 	shares->contracts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 						  free_contract);
@@ -131,7 +133,8 @@
 
 static bool is_live(const shares_t *shares, guint entry, clock_ms_t now)
 {
-	const entry_t *known = &g_array_index(shares->entries, entry_t, entry);
+	const holder_t *known =
+		&g_array_index(shares->entries, holder_t, entry);
 
 	return now - known->renewed_ms < shares->lease_ms;
 }
@@ -146,9 +149,9 @@
 			  part->capability);
 }
 
-/* The most sessions that an entry may have under parts given to it. */
-static uint32_t committed(const shares_t *shares, const contract_t *contract,
-			  guint entry, clock_ms_t now)
+/* The largest part that an entry may still use under a lease. */
+static uint32_t leased(const shares_t *shares, const contract_t *contract,
+		       guint entry, clock_ms_t now)
 {
 	const part_t *part = part_at(contract, entry);
 	uint32_t sessions = part->granted;
@@ -157,12 +160,22 @@
 		return 0;
 	if (now < part->before_until_ms)
 		sessions = MAX(sessions, part->before);
-	return MAX(scaled(contract, part, sessions), part->running);
+	return scaled(contract, part, sessions);
 }
 
-/* Returns the sum of what is given out of a customer's contract. */
-uint32_t shares_committed(const shares_t *shares, const char *customer,
-			  clock_ms_t now)
+/* What an entry's part and its running sessions keep from others. */
+static uint32_t committed(const shares_t *shares, const contract_t *contract,
+			  guint entry, clock_ms_t now)
+{
+	if (!is_live(shares, entry, now))
+		return 0;
+	return MAX(leased(shares, contract, entry, now),
+		   part_at(contract, entry)->running);
+}
+
+/* Returns the sum of the parts of a customer's contract that are leased. */
+uint32_t shares_leased(const shares_t *shares, const char *customer,
+		       clock_ms_t now)
 {
 	const contract_t *contract =
 		g_hash_table_lookup(shares->contracts, customer);
@@ -171,7 +184,7 @@
 	if (contract == NULL)
 		return 0;
 	for (guint i = 0; i < shares->entries->len; i++)
-		sum += committed(shares, contract, i, now);
+		sum += leased(shares, contract, i, now);
 	return sum;
 }
 
@@ -179,10 +192,10 @@
 static guint entry_number(shares_t *shares, const char *instance,
 			  clock_ms_t now)
 {
-	entry_t added = { .renewed_ms = now };
+	holder_t added = { .renewed_ms = now };
 
 	for (guint i = 0; i < shares->entries->len; i++)
-		if (strcmp(g_array_index(shares->entries, entry_t, i).instance,
+		if (strcmp(g_array_index(shares->entries, holder_t, i).instance,
 			   instance) == 0)
 			return i;
 	added.instance = g_strdup(instance);
@@ -200,76 +213,103 @@
 	return MAX(count, 1);
 }
 
-/* What all live entries want; an idle one wants a little, for first calls. */
+/* What an entry gets of a contract before the rest is divided. */
+static uint32_t base_of(const contract_t *contract, guint live)
+{
+	return contract->capability / (2 * live);
+}
+
+/* What an entry wants; an idle one wants its base, for first requests. */
 static uint32_t want_of(const shares_t *shares, const contract_t *contract,
 			guint entry, guint live)
 {
-	const uint32_t idle = shares->listed_count <= IDLE_CONTRACTS_MAX
-				      ? contract->capability / (2 * live)
-				      : 0;
+	const uint32_t wanted = part_at(contract, entry)->wanted;
 
-	return MAX(part_at(contract, entry)->wanted, idle);
+	if (shares->listed_count > IDLE_CONTRACTS_MAX)
+		return wanted;
+	return MAX(wanted, base_of(contract, live));
 }
 
-/* What all live entries together want of a contract. */
+/* How a contract is divided among the live entries. */
 typedef struct {
 	guint live;
-	uint64_t sum;
-} wants_t;
+	uint64_t sum;	   /* of what they want */
+	uint64_t rest;	   /* of the contract, after all bases */
+	uint64_t rest_sum; /* of what they want beyond their bases */
+} division_t;
 
-static wants_t wants_of(const shares_t *shares, const contract_t *contract,
-			clock_ms_t now)
+static uint32_t beyond_base(const shares_t *shares, const contract_t *contract,
+			    guint entry, guint live)
 {
-	wants_t wants = { .live = live_count(shares, now) };
+	const uint32_t want = want_of(shares, contract, entry, live);
 
-	for (guint i = 0; i < shares->entries->len; i++)
-		if (is_live(shares, i, now))
-			wants.sum += want_of(shares, contract, i, wants.live);
-	return wants;
+	return want - MIN(want, base_of(contract, live));
+}
+
+static division_t divide(const shares_t *shares, const contract_t *contract,
+			 clock_ms_t now)
+{
+	division_t division = { .live = live_count(shares, now) };
+
+	for (guint i = 0; i < shares->entries->len; i++) {
+		if (!is_live(shares, i, now))
+			continue;
+		division.sum += want_of(shares, contract, i, division.live);
+		division.rest_sum +=
+			beyond_base(shares, contract, i, division.live);
+	}
+	division.rest =
+		contract->capability -
+		MIN(division.sum - division.rest_sum, contract->capability);
+	return division;
 }
 
 /*
- * Whether an entry gets one of the sessions that are left over when the
- * contract is divided in proportion; they go round the entries.
+ * Whether an entry gets one of the sessions that are left over when the rest
+ * is divided in proportion; they go round the entries.
  */
 static bool gets_remainder(const shares_t *shares, const contract_t *contract,
-			   guint entry, const wants_t *wants, clock_ms_t now)
+			   guint entry, const division_t *division,
+			   clock_ms_t now)
 {
 	uint64_t floors = 0;
 	uint64_t rank = (uint64_t)(now / REMAINDER_TURN_MS);
 	uint64_t asking = 0;
 
-	if (wants->sum == 0)
-		return false;
 	for (guint i = 0; i < shares->entries->len; i++) {
-		const uint64_t want =
-			is_live(shares, i, now)
-				? want_of(shares, contract, i, wants->live)
-				: 0;
-
-		floors += want * contract->capability / wants->sum;
-		asking += want > 0;
-		rank += want > 0 && i < entry;
+		const uint64_t beyond = is_live(shares, i, now)
+						? beyond_base(shares, contract,
+							      i, division->live)
+						: 0;
+
+		if (beyond == 0)
+			continue;
+		floors += beyond * division->rest / division->rest_sum;
+		asking++;
+		rank += i < entry;
 	}
-	return asking > 0 && rank % asking < contract->capability - floors;
+	return asking > 0 && rank % asking < division->rest - floors;
 }
 
 /* The part that would be right for an entry, were all parts free. */
 static uint32_t target_of(const shares_t *shares, const contract_t *contract,
 			  guint entry, clock_ms_t now)
 {
-	const wants_t wants = wants_of(shares, contract, now);
-	const uint64_t want = want_of(shares, contract, entry, wants.live);
+	const division_t division = divide(shares, contract, now);
+	const uint32_t want = want_of(shares, contract, entry, division.live);
+	const uint64_t beyond =
+		beyond_base(shares, contract, entry, division.live);
 
 	if (want == 0 && shares->listed_count > IDLE_CONTRACTS_MAX)
 		return 0;
-	if (wants.sum <= contract->capability)
-		return (uint32_t)(want + (contract->capability - wants.sum) /
-						 wants.live);
-	if (want == 0)
-		return 0;
-	return (uint32_t)(want * contract->capability / wants.sum) +
-	       gets_remainder(shares, contract, entry, &wants, now);
+	if (division.sum <= contract->capability)
+		return want + (uint32_t)((contract->capability - division.sum) /
+					 division.live);
+	if (beyond == 0 || division.rest_sum == 0)
+		return want;
+	return want - (uint32_t)beyond +
+	       (uint32_t)(beyond * division.rest / division.rest_sum) +
+	       gets_remainder(shares, contract, entry, &division, now);
 }
 
 static uint32_t room_for(const shares_t *shares, const contract_t *contract,
@@ -367,7 +407,7 @@
 	entry = entry_number(shares, instance, now);
 	if (!is_live(shares, entry, now))
 		start_over(shares, entry);
-	g_array_index(shares->entries, entry_t, entry).renewed_ms = now;
+	g_array_index(shares->entries, holder_t, entry).renewed_ms = now;
 	g_hash_table_iter_init(&iter, shares->contracts);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		part_at(value, entry)->wanted = 0;
