--- a/src/wisteria/session/hop_session.c
+++ b/src/wisteria/session/hop_session.c
@@ -13,76 +13,20 @@
 
 #include "wisteria/base/counters.h"
 #include "wisteria/codec/msg.h"
-#include "wisteria/session/position_log.h"
+#include "wisteria/session/hop_session_impl.h"
 
 /* Bound of acknowledged outputs kept for a rebuild. */
 #define HOP_KEPT_BYTES_MAX (1u << 20)
-/* Most bytes of activations in one step message. */
-#define HOP_STEP_BYTES_MAX (1u << 20)
 /* Time for a lost connection to come back before its hop counts as lost. */
 #define HOP_DOWN_MS 300
 /* An acknowledgement is sent at least for every so many positions. */
 #define HOP_ACK_POSITIONS 8
 
-typedef struct {
-	uint32_t index;
-	char *text;
-	bool last;
-} stored_token_t;
-
-struct hop_session_t {
-	hop_session_ops_t *ops;
-	msg_t open_copy;
-	msg_t reroute_copy;
-	bool rerouted;
-	const msg_open_t *open;
-	const msg_hop_t *hops;
-	uint32_t hop_count;
-	uint32_t hop;
-	uint32_t attempt;
-	uint32_t sequence;
-	bool started;
-	bool done;
-	bool broken;	       /* the engine's state is not known */
-	bool failure_reported; /* of this attempt */
-	position_log_t inputs; /* received and not yet run to the end */
-	uint32_t run_count;    /* positions that the engine runs now */
-	uint32_t acked_to_peer;
-	position_log_t outputs;
-	uint32_t output_sent;
-	uint32_t output_acked;
-	GArray *tokens; /* hop 0: all; last hop: those it made */
-	uint32_t tokens_acked;
-	clock_ms_t next_down_ms;
-	clock_ms_t first_down_ms;
-};
-
-static bool is_first(const hop_session_t *session)
-{
-	return session->hop == 0;
-}
-
-static bool is_last(const hop_session_t *session)
-{
-	return session->hop + 1 == session->hop_count;
-}
-
 static void clear_token(gpointer data)
 {
 	g_free(((stored_token_t *)data)->text);
 }
 
-static void copy_message(msg_t *copy, msg_type_t type, const void *body)
-{
-	msgpack_sbuffer buffer;
-
-	msgpack_sbuffer_init(&buffer);
-	msg_encode(type, body, &buffer);
-	if (!msg_decode(copy, (const uint8_t *)buffer.data, buffer.size, NULL))
-		g_error("a message does not decode");
-	msgpack_sbuffer_destroy(&buffer);
-}
-
 static void store_token(hop_session_t *session, const msg_token_t *token)
 {
 	const stored_token_t stored = { token->index, g_strdup(token->text),
@@ -91,135 +35,6 @@
 	g_array_append_val(session->tokens, stored);
 }
 
-static const stored_token_t *token_at(const hop_session_t *session, guint i)
-{
-	return &g_array_index(session->tokens, stored_token_t, i);
-}
-
-static void report_failure(hop_session_t *session, uint32_t hop,
-			   const char *step, const char *reason)
-{
-	const msg_session_failed_t failed = {
-		.session = session->open->session,
-		.attempt = session->attempt,
-		.hop = hop,
-		.step = step,
-		.peer = session->hops[hop].endpoint,
-		.reason = reason,
-	};
-
-	if (session->failure_reported)
-		return;
-	session->failure_reported = true;
-	session->ops->send_entry(session->ops, session, MSG_SESSION_FAILED,
-				 &failed);
-}
-
-static void send_tokens(hop_session_t *session, uint32_t from)
-{
-	uint32_t count = session->tokens->len;
-	msg_tokens_t message = { .session = session->open->session,
-				 .attempt = session->attempt };
-	msg_token_t *tokens;
-
-	if (from >= count)
-		return;
-	tokens = g_new(msg_token_t, count - from);
-	for (uint32_t i = from; i < count; i++) {
-		const stored_token_t *stored = token_at(session, i);
-
-		tokens[i - from] = (msg_token_t){ stored->index, stored->text,
-						  stored->last };
-	}
-	message.tokens = tokens;
-	message.token_count = count - from;
-	session->ops->send_entry(session->ops, session, MSG_TOKENS, &message);
-	g_free(tokens);
-}
-
-/* Sends one step message of kept outputs; returns the position after them. */
-static uint32_t send_step(hop_session_t *session, uint32_t from, uint32_t to)
-{
-	msg_position_t *positions = g_new(msg_position_t, to - from);
-	msg_step_t step = { .session = session->open->session,
-			    .attempt = session->attempt,
-			    .hop = session->hop + 1,
-			    .first_position = from,
-			    .positions = positions };
-	size_t bytes = 0;
-
-	while (from < to && bytes < HOP_STEP_BYTES_MAX) {
-		bytes_t data = position_log_get(&session->outputs, from++);
-
-		positions[step.position_count++].activations = data;
-		bytes += data.len;
-	}
-	session->ops->send_hop(session->ops, session, step.hop, MSG_STEP,
-			       &step);
-	g_free(positions);
-	return from;
-}
-
-static void send_outputs(hop_session_t *session)
-{
-	uint32_t next = position_log_next(&session->outputs);
-
-	if (session->output_sent < session->output_acked)
-		session->output_sent = session->output_acked;
-	while (session->output_sent < next)
-		session->output_sent =
-			send_step(session, session->output_sent, next);
-}
-
-static void send_result(hop_session_t *session, const stored_token_t *stored)
-{
-	const msg_step_result_t result = {
-		.session = session->open->session,
-		.attempt = session->attempt,
-		.token = { stored->index, stored->text, stored->last },
-	};
-
-	session->ops->send_hop(session->ops, session, 0, MSG_STEP_RESULT,
-			       &result);
-}
-
-static void send_results(hop_session_t *session, uint32_t from_index)
-{
-	for (guint i = 0; i < session->tokens->len; i++)
-		if (token_at(session, i)->index >= from_index)
-			send_result(session, token_at(session, i));
-}
-
-static void send_ack(hop_session_t *session, bool resend)
-{
-	const msg_step_ack_t ack = {
-		.session = session->open->session,
-		.attempt = session->attempt,
-		.hop = session->hop,
-		.next = position_log_next(&session->inputs),
-		.resend = resend,
-	};
-
-	session->acked_to_peer = ack.next;
-	session->ops->send_hop(session->ops, session, session->hop - 1,
-			       MSG_STEP_ACK, &ack);
-}
-
-/* Asks the last hop for the tokens that this first hop lacks. */
-static void ask_for_results(hop_session_t *session)
-{
-	const msg_step_ack_t ack = {
-		.session = session->open->session,
-		.attempt = session->attempt,
-		.hop = 0,
-		.next = session->tokens->len,
-		.resend = true,
-	};
-
-	session->ops->send_hop(session->ops, session, session->hop_count - 1,
-			       MSG_STEP_ACK, &ack);
-}
-
 /* Has the engine run all inputs at hand, unless it is running. */
 static void run_next(hop_session_t *session)
 {
@@ -246,8 +61,8 @@
 		.first_position = first,
 		.positions = positions,
 		.position_count = session->run_count,
-		.first_range = is_first(session),
-		.last_range = is_last(session),
+		.first_range = hop_is_first(session),
+		.last_range = hop_is_last(session),
 		.priority = session->open->priority,
 	};
 	session->ops->run(session->ops, session, &work);
@@ -264,7 +79,7 @@
 static void accept_token(hop_session_t *session, const msg_token_t *token)
 {
 	store_token(session, token);
-	send_tokens(session, token->index);
+	hop_send_tokens(session, token->index);
 	if (token->last) {
 		session->done = true;
 		return;
@@ -284,12 +99,13 @@
 			(max_tokens > 0 && index + 1 >= max_tokens),
 	};
 
-	if (is_first(session)) {
+	if (hop_is_first(session)) {
 		accept_token(session, &token);
 		return;
 	}
 	store_token(session, &token);
-	send_result(session, token_at(session, session->tokens->len - 1));
+	hop_send_result(session,
+			hop_token_at(session, session->tokens->len - 1));
 }
 
 /*
@@ -301,7 +117,7 @@
 	hop_session_t *session = g_new0(hop_session_t, 1);
 
 	session->ops = ops;
-	copy_message(&session->open_copy, MSG_OPEN, open);
+	hop_copy_message(&session->open_copy, MSG_OPEN, open);
 	session->open = session->open_copy.body;
 	session->hops = session->open->hops;
 	session->hop_count = (uint32_t)session->open->hop_count;
@@ -355,7 +171,7 @@
 	msg_token_t *tokens = g_new0(msg_token_t, session->tokens->len + 1);
 
 	for (guint i = 0; i < session->tokens->len; i++) {
-		const stored_token_t *stored = token_at(session, i);
+		const stored_token_t *stored = hop_token_at(session, i);
 
 		tokens[i] = (msg_token_t){ stored->index, stored->text,
 					   stored->last };
@@ -394,7 +210,7 @@
 	const msg_open_t *open = session->open;
 
 	(void)now;
-	if (!is_first(session) || session->started)
+	if (!hop_is_first(session) || session->started)
 		return;
 	session->started = true;
 	append_text(session, open->prompt);
@@ -410,13 +226,13 @@
 static void repeat_outputs(hop_session_t *session, uint32_t position)
 {
 	counter_add(COUNTER_STEPS_REPEATED, 1);
-	if (is_last(session)) {
-		send_results(session, position);
+	if (hop_is_last(session)) {
+		hop_send_results(session, position);
 		return;
 	}
 	if (position < session->output_sent)
 		session->output_sent = MAX(position, session->output_acked);
-	send_outputs(session);
+	hop_send_outputs(session);
 }
 
 /* Takes the positions of a step that are next; the rest was here before. */
@@ -428,12 +244,12 @@
 	uint64_t end = (uint64_t)step->first_position + step->position_count;
 
 	(void)now;
-	if (step->attempt != session->attempt || is_first(session)) {
+	if (step->attempt != session->attempt || hop_is_first(session)) {
 		counter_add(COUNTER_STEPS_REFUSED, 1);
 		return;
 	}
 	if (step->first_position > next) {
-		send_ack(session, true);
+		hop_send_ack(session, true);
 		return;
 	}
 	session->started = true;
@@ -445,7 +261,7 @@
 		repeat_outputs(session, step->first_position);
 	if (next == before || step->position_count > 1 ||
 	    next - session->acked_to_peer >= HOP_ACK_POSITIONS)
-		send_ack(session, false);
+		hop_send_ack(session, false);
 	run_next(session);
 }
 
@@ -466,8 +282,8 @@
 	if (ack->attempt != session->attempt)
 		return;
 	if (ack->hop == 0) {
-		if (is_last(session) && ack->resend)
-			send_results(session, ack->next);
+		if (hop_is_last(session) && ack->resend)
+			hop_send_results(session, ack->next);
 		return;
 	}
 	if (ack->hop != session->hop + 1)
@@ -475,14 +291,14 @@
 	if (ack->next > session->output_acked)
 		session->output_acked = ack->next;
 	if (ack->resend && ack->next < session->outputs.first) {
-		report_failure(session, session->hop + 1, "step",
-			       "kept activations are gone");
+		hop_report_failure(session, session->hop + 1, "step",
+				   "kept activations are gone");
 		return;
 	}
 	if (ack->resend && ack->next < session->output_sent)
 		session->output_sent = ack->next;
 	trim_outputs(session);
-	send_outputs(session);
+	hop_send_outputs(session);
 }
 
 /* Takes the token that the last hop made, if it is the next one. */
@@ -490,7 +306,7 @@
 				const msg_step_result_t *result, clock_ms_t now)
 {
 	(void)now;
-	if (result->attempt != session->attempt || !is_first(session)) {
+	if (result->attempt != session->attempt || !hop_is_first(session)) {
 		counter_add(COUNTER_STEPS_REFUSED, 1);
 		return;
 	}
@@ -509,7 +325,7 @@
 
 	if (run_count == 0 || attempt > session->attempt)
 		return;
-	if (!is_last(session) && result->position_count != run_count) {
+	if (!hop_is_last(session) && result->position_count != run_count) {
 		hop_session_on_engine_failed(session, attempt,
 					     "wrong number of positions", now);
 		return;
@@ -517,13 +333,13 @@
 	counter_add(COUNTER_STEPS_RUN, run_count);
 	session->run_count = 0;
 	position_log_drop(&session->inputs, session->inputs.first + run_count);
-	if (is_last(session)) {
+	if (hop_is_last(session)) {
 		finish_token(session, result);
 	} else {
 		for (size_t i = 0; i < result->position_count; i++)
 			position_log_append(&session->outputs,
 					    result->positions[i].activations);
-		send_outputs(session);
+		hop_send_outputs(session);
 	}
 	run_next(session);
 }
@@ -537,7 +353,7 @@
 		return;
 	session->run_count = 0;
 	session->broken = true;
-	report_failure(session, session->hop, "engine", reason);
+	hop_report_failure(session, session->hop, "engine", reason);
 }
 
 /* The entry has the tokens below "next". */
@@ -545,7 +361,7 @@
 			       const msg_tokens_ack_t *ack, clock_ms_t now)
 {
 	(void)now;
-	if (ack->attempt != session->attempt || !is_first(session))
+	if (ack->attempt != session->attempt || !hop_is_first(session))
 		return;
 	if (ack->next > session->tokens_acked)
 		session->tokens_acked = ack->next;
@@ -560,101 +376,25 @@
 		return;
 	session->failure_reported = false;
 	if (session->broken)
-		report_failure(session, session->hop, "engine", "lost");
-	if (is_first(session))
-		send_tokens(session, resume->next);
-}
-
-static void reply_to_reroute(hop_session_t *session, uint32_t attempt,
-			     refusal_t refusal)
-{
-	const msg_open_reply_t reply = {
-		.session = session->open->session,
-		.attempt = attempt,
-		.hop = session->hop,
-		.refusal = refusal,
-	};
-
-	session->ops->send_entry(session->ops, session, MSG_OPEN_REPLY, &reply);
-}
-
-static refusal_t check_reroute(const hop_session_t *session,
-			       const msg_reroute_t *reroute)
-{
-	if (reroute->attempt < session->attempt)
-		return REFUSAL_OLD_ATTEMPT;
-	if (reroute->hop_count != session->hop_count ||
-	    reroute->replaced >= session->hop_count ||
-	    reroute->replaced == session->hop)
-		return REFUSAL_WRONG_LAYERS;
-	if (session->broken)
-		return REFUSAL_NO_SESSION;
-	if (reroute->replaced == session->hop + 1 && session->outputs.first > 0)
-		return REFUSAL_NO_SESSION;
-	return REFUSAL_NONE;
-}
-
-/*
- * Brings the neighbours of this hop and itself to the same position under
- * the new attempt.  Whichever side changes later makes the other resend.
- */
-static void resynchronise(hop_session_t *session, uint32_t replaced)
-{
-	if (replaced == session->hop + 1)
-		session->output_acked = 0;
-	session->output_sent =
-		MAX(session->output_acked, session->outputs.first);
-	if (!is_last(session))
-		send_outputs(session);
-	if (!is_first(session))
-		send_ack(session, true);
-	else
-		send_tokens(session, session->tokens_acked);
-	if (is_last(session))
-		send_results(session, 0);
-	else if (is_first(session))
-		ask_for_results(session);
-}
-
-/* Takes up a new attempt in which one hop was replaced. */
-void hop_session_on_reroute(hop_session_t *session,
-			    const msg_reroute_t *reroute, clock_ms_t now)
-{
-	refusal_t refusal = check_reroute(session, reroute);
-
-	(void)now;
-	if (refusal != REFUSAL_NONE || reroute->attempt == session->attempt) {
-		reply_to_reroute(session, reroute->attempt, refusal);
-		return;
-	}
-	if (session->rerouted)
-		msg_finish(&session->reroute_copy);
-	copy_message(&session->reroute_copy, MSG_REROUTE, reroute);
-	session->rerouted = true;
-	session->hops =
-		((const msg_reroute_t *)session->reroute_copy.body)->hops;
-	session->attempt = reroute->attempt;
-	session->failure_reported = false;
-	session->next_down_ms = CLOCK_NEVER_MS;
-	session->first_down_ms = CLOCK_NEVER_MS;
-	reply_to_reroute(session, reroute->attempt, REFUSAL_NONE);
-	resynchronise(session, reroute->replaced);
+		hop_report_failure(session, session->hop, "engine", "lost");
+	if (hop_is_first(session))
+		hop_send_tokens(session, resume->next);
 }
 
 /* The connection to the agent of "hop" is open. */
 void hop_session_on_hop_up(hop_session_t *session, uint32_t hop, clock_ms_t now)
 {
 	(void)now;
-	if (hop == 0 && is_last(session) && !is_first(session)) {
+	if (hop == 0 && hop_is_last(session) && !hop_is_first(session)) {
 		session->first_down_ms = CLOCK_NEVER_MS;
-		send_results(session, session->inputs.first > 0
-					      ? session->inputs.first - 1
-					      : 0);
+		hop_send_results(session, session->inputs.first > 0
+						  ? session->inputs.first - 1
+						  : 0);
 	}
 	if (hop == session->hop + 1) {
 		session->next_down_ms = CLOCK_NEVER_MS;
 		session->output_sent = session->output_acked;
-		send_outputs(session);
+		hop_send_outputs(session);
 	}
 }
 
@@ -662,7 +402,7 @@
 void hop_session_on_hop_down(hop_session_t *session, uint32_t hop,
 			     clock_ms_t now)
 {
-	if (hop == 0 && is_last(session) && !is_first(session) &&
+	if (hop == 0 && hop_is_last(session) && !hop_is_first(session) &&
 	    session->first_down_ms == CLOCK_NEVER_MS)
 		session->first_down_ms = now;
 	if (hop == session->hop + 1 && session->next_down_ms == CLOCK_NEVER_MS)
@@ -674,7 +414,7 @@
 			     const char *reason)
 {
 	if (hop < session->hop_count)
-		report_failure(session, hop, "step", reason);
+		hop_report_failure(session, hop, "step", reason);
 }
 
 static bool is_overdue(clock_ms_t since, clock_ms_t now)
@@ -686,9 +426,9 @@
 void hop_session_tick(hop_session_t *session, clock_ms_t now)
 {
 	if (is_overdue(session->next_down_ms, now))
-		report_failure(session, session->hop + 1, "step",
-			       "no connection to the next hop");
+		hop_report_failure(session, session->hop + 1, "step",
+				   "no connection to the next hop");
 	else if (is_overdue(session->first_down_ms, now))
-		report_failure(session, 0, "step_result",
-			       "no connection to the first hop");
+		hop_report_failure(session, 0, "step_result",
+				   "no connection to the first hop");
 }
