--- a/bench/recovery_bench.c
+++ b/bench/recovery_bench.c
@@ -25,6 +25,7 @@
 	uint32_t streams;
 	uint32_t rounds;
 	uint32_t step_us;
+	const char *only; /* part of "RECOVERY FAILURE"; NULL: all */
 } options_t;
 
 /* Which endpoints are killed: those numbered 0 of these ranges. */
@@ -241,6 +242,14 @@
 	return ran && figures.whole == figures.sent;
 }
 
+static bool is_wanted(const char *recovery, const failure_t *failure)
+{
+	char name[64];
+
+	snprintf(name, sizeof(name), "%s %s", recovery, failure->name);
+	return options.only == NULL || strstr(name, options.only) != NULL;
+}
+
 static error_t parse_option(int key, char *text, struct argp_state *state)
 {
 	uint32_t number =
@@ -254,6 +263,9 @@
 	case 'r':
 		options.rounds = number;
 		return 0;
+	case 'o':
+		options.only = text;
+		return 0;
 	case 'u':
 		options.step_us = number;
 		return 0;
@@ -265,6 +277,7 @@
 static const struct argp_option argp_options[] = {
 	{ "streams", 's', "N", 0, "Streams in each round", 0 },
 	{ "rounds", 'r', "N", 0, "Rounds of each kind", 0 },
+	{ "only", 'o', "TEXT", 0, "Only those whose name has it", 0 },
 	{ "step-us", 'u', "US", 0, "Engine time of one step", 0 },
 	{ 0 },
 };
@@ -287,6 +300,8 @@
 	       options.streams, options.rounds, options.step_us);
 	for (size_t i = 0; i < ARRAY_SIZE(recoveries); i++)
 		for (size_t j = 0; j < ARRAY_SIZE(failures); j++)
-			ran = measure(recoveries[i], &failures[j]) && ran;
+			if (is_wanted(recoveries[i], &failures[j]))
+				ran = measure(recoveries[i], &failures[j]) &&
+				      ran;
 	return ran ? EXIT_SUCCESS : EXIT_FAILURE;
 }
--- a/src/wisteria/agent/agent_session.c
+++ b/src/wisteria/agent/agent_session.c
@@ -8,239 +8,23 @@
 
 #include "wisteria/agent/agent_endpoint.h"
 #include "wisteria/agent/agent_peer.h"
+#include "wisteria/agent/agent_session_table.h"
 #include "wisteria/base/clock.h"
 #include "wisteria/base/counters.h"
 #include "wisteria/base/log.h"
 #include "wisteria/net/conn.h"
-#include "wisteria/net/link.h"
 
 /* A session whose entry is gone is kept this long. */
 #define SESSION_ORPHAN_MS 30000
-/* How long a session is kept after its caller's deadline. */
-#define SESSION_EXPIRY_MS 5000
 /* Attempts are numbered anew, from a multiple of this, at each takeover. */
 #define SESSION_TAKEOVER_STRIDE (1u << 16)
-/* How long a closed attempt is remembered. */
-#define SESSION_FENCE_MS 60000
-
-/* The highest attempt of a session that was closed here. */
-typedef struct {
-	uint64_t session;
-	uint32_t attempt;
-	clock_ms_t closed_ms;
-} fence_t;
-
-static guint key_hash(gconstpointer data)
-{
-	const agent_session_key_t *key = data;
-
-	return g_int64_hash(&key->session) ^ key->hop;
-}
-
-static gboolean key_equal(gconstpointer a, gconstpointer b)
-{
-	const agent_session_key_t *left = a;
-	const agent_session_key_t *right = b;
-
-	return left->session == right->session && left->hop == right->hop;
-}
-
-static agent_session_t *find(const agent_t *agent, uint64_t session,
-			     uint32_t hop)
-{
-	const agent_session_key_t key = { session, hop };
-
-	return g_hash_table_lookup(agent->sessions, &key);
-}
-
-static const msg_hop_t *hop_at(const agent_session_t *session, uint32_t hop)
-{
-	return &hop_session_hops(session->hop)[hop];
-}
-
-static uint32_t hop_count(const agent_session_t *session)
-{
-	return (uint32_t)hop_session_open(session->hop)->hop_count;
-}
-
-static void bind_entry(agent_session_t *session, conn_t *conn)
-{
-	if (session->entry == conn)
-		return;
-	if (session->entry != NULL)
-		conn_release(session->entry);
-	session->entry = conn;
-	if (conn != NULL)
-		conn_hold(conn);
-	else
-		session->orphaned_ms = clock_now(session->agent->net->clock);
-}
-
-static void drop_peers(agent_session_t *session)
-{
-	for (size_t i = 0; i < AGENT_PEER_COUNT; i++) {
-		agent_peer_drop(session->peers[i]);
-		session->peers[i] = NULL;
-	}
-}
-
-static agent_peer_t *take_peer(agent_session_t *session, uint32_t hop,
-			       clock_ms_t now)
-{
-	agent_peer_t *peer =
-		agent_peer_take(session->agent, hop_at(session, hop)->address);
-
-	if (peer != NULL && !link_is_open(&peer->link))
-		hop_session_on_hop_down(session->hop, hop, now);
-	return peer;
-}
-
-static void take_peers(agent_session_t *session)
-{
-	clock_ms_t now = clock_now(session->agent->net->clock);
-	uint32_t hop = session->key.hop;
-	uint32_t last = hop_count(session) - 1;
-
-	if (hop > 0)
-		session->peers[AGENT_PEER_PREVIOUS] =
-			take_peer(session, hop - 1, now);
-	if (hop < last)
-		session->peers[AGENT_PEER_NEXT] =
-			take_peer(session, hop + 1, now);
-	if (last > 0 && (hop == 0 || hop == last))
-		session->peers[AGENT_PEER_END] =
-			take_peer(session, hop == 0 ? last : 0, now);
-}
-
-static void run_work(hop_session_ops_t *self, hop_session_t *hop,
-		     const hop_work_t *work)
-{
-	agent_session_t *session = CONTAINER_OF(self, agent_session_t, ops);
-	engine_ops_t *engine = session->endpoint->engine;
-
-	(void)hop;
-	engine->run(engine, work);
-}
-
-static void forget(hop_session_ops_t *self, hop_session_t *hop)
-{
-	agent_session_t *session = CONTAINER_OF(self, agent_session_t, ops);
-	engine_ops_t *engine = session->endpoint->engine;
-	const msg_open_t *open = hop_session_open(hop);
-	const engine_key_t key = {
-		.session = open->session,
-		.sequence = open->attempt,
-		.first_layer = open->hops[open->hop].first_layer,
-		.hop = open->hop,
-	};
-
-	if (hop_session_has_started(hop))
-		engine->forget(engine, &key);
-}
-
-static void send_hop(hop_session_ops_t *self, hop_session_t *hop,
-		     uint32_t number, msg_type_t type, const void *body)
-{
-	agent_session_t *session = CONTAINER_OF(self, agent_session_t, ops);
-
-	agent_peer_send(session->agent, hop_session_hops(hop)[number].address,
-			type, body);
-}
-
-static void send_entry(hop_session_ops_t *self, hop_session_t *hop,
-		       msg_type_t type, const void *body)
-{
-	agent_session_t *session = CONTAINER_OF(self, agent_session_t, ops);
-
-	(void)hop;
-	if (session->entry == NULL)
-		return;
-	if (type == MSG_TOKENS) {
-		msg_tokens_t tokens = *(const msg_tokens_t *)body;
-
-		tokens.load = agent_endpoint_load(session->endpoint);
-		conn_send(session->entry, type, &tokens);
-		return;
-	}
-	conn_send(session->entry, type, body);
-}
-
-static void session_free(gpointer data)
-{
-	agent_session_t *session = data;
-
-	hop_session_free(session->hop);
-	drop_peers(session);
-	bind_entry(session, NULL);
-	session->endpoint->in_flight--;
-	g_free(session);
-}
-
-static agent_session_t *session_new(agent_t *agent, agent_endpoint_t *endpoint,
-				    const msg_open_t *open)
-{
-	agent_session_t *session = g_new0(agent_session_t, 1);
-
-	session->ops = (hop_session_ops_t){
-		.run = run_work,
-		.forget = forget,
-		.send_hop = send_hop,
-		.send_entry = send_entry,
-	};
-	session->agent = agent;
-	session->endpoint = endpoint;
-	session->key = (agent_session_key_t){ open->session, open->hop };
-	session->hop = hop_session_new(open, &session->ops);
-	session->expires_ms = clock_now(agent->net->clock) +
-			      open->remaining_ms + SESSION_EXPIRY_MS;
-	endpoint->in_flight++;
-	g_hash_table_insert(agent->sessions, &session->key, session);
-	take_peers(session);
-	return session;
-}
-
-/* Prepares the tables of sessions. */
-void agent_session_init(agent_t *agent)
-{
-	agent->sessions =
-		g_hash_table_new_full(key_hash, key_equal, NULL, session_free);
-	agent->fences = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
-					      g_free);
-}
-
-/* Ends all sessions. */
-void agent_session_finish(agent_t *agent)
-{
-	g_hash_table_destroy(agent->sessions);
-	g_hash_table_destroy(agent->fences);
-}
-
-static uint32_t fenced_attempt(const agent_t *agent, uint64_t session)
-{
-	const fence_t *fence = g_hash_table_lookup(agent->fences, &session);
-
-	return fence == NULL ? 0 : fence->attempt;
-}
-
-static void raise_fence(agent_t *agent, uint64_t session, uint32_t attempt)
-{
-	fence_t *fence = g_hash_table_lookup(agent->fences, &session);
-
-	if (fence == NULL) {
-		fence = g_new0(fence_t, 1);
-		fence->session = session;
-		g_hash_table_insert(agent->fences, &fence->session, fence);
-	}
-	fence->attempt = MAX(fence->attempt, attempt);
-	fence->closed_ms = clock_now(agent->net->clock);
-}
 
 static refusal_t check_open(agent_t *agent, const agent_endpoint_t *endpoint,
 			    const msg_open_t *open)
 {
 	const msg_hop_t *hop = &open->hops[open->hop];
 
-	if (open->attempt <= fenced_attempt(agent, open->session))
+	if (open->attempt <= agent_session_fenced(agent, open->session))
 		return REFUSAL_OLD_ATTEMPT;
 	if (endpoint == NULL || endpoint->engine == NULL ||
 	    (hop->incarnation != 0 &&
@@ -255,7 +39,8 @@
 static refusal_t open_session(agent_t *agent, agent_endpoint_t *endpoint,
 			      conn_t *conn, const msg_open_t *open)
 {
-	agent_session_t *session = find(agent, open->session, open->hop);
+	agent_session_t *session =
+		agent_session_find(agent, open->session, open->hop);
 	refusal_t refusal;
 
 	if (session != NULL &&
@@ -263,7 +48,7 @@
 		return REFUSAL_OLD_ATTEMPT;
 	if (session != NULL &&
 	    hop_session_attempt(session->hop) == open->attempt) {
-		bind_entry(session, conn);
+		agent_session_bind(session, conn);
 		return REFUSAL_NONE;
 	}
 	if (session != NULL)
@@ -271,8 +56,8 @@
 	refusal = check_open(agent, endpoint, open);
 	if (refusal != REFUSAL_NONE)
 		return refusal;
-	session = session_new(agent, endpoint, open);
-	bind_entry(session, conn);
+	session = agent_session_new(agent, endpoint, open);
+	agent_session_bind(session, conn);
 	return REFUSAL_NONE;
 }
 
@@ -319,7 +104,7 @@
 		.reason = "no such session here",
 	};
 
-	if (attempt > fenced_attempt(agent, session))
+	if (attempt > agent_session_fenced(agent, session))
 		agent_peer_reply(agent, conn, MSG_SESSION_FAILED, &failed);
 }
 
@@ -334,7 +119,7 @@
 void agent_session_on_start(agent_t *agent, conn_t *conn, const msg_t *msg)
 {
 	const msg_session_t *start = msg->body;
-	agent_session_t *session = find(agent, start->session, 0);
+	agent_session_t *session = agent_session_find(agent, start->session, 0);
 
 	if (session == NULL) {
 		reply_no_session(agent, conn, start->session, start->attempt,
@@ -344,7 +129,7 @@
 	if (hop_session_attempt(session->hop) != start->attempt ||
 	    is_taken_over(session, conn))
 		return;
-	bind_entry(session, conn);
+	agent_session_bind(session, conn);
 	hop_session_on_start(session->hop, clock_now(agent->net->clock));
 }
 
@@ -352,7 +137,7 @@
 void agent_session_on_tokens_ack(agent_t *agent, conn_t *conn, const msg_t *msg)
 {
 	const msg_tokens_ack_t *ack = msg->body;
-	agent_session_t *session = find(agent, ack->session, 0);
+	agent_session_t *session = agent_session_find(agent, ack->session, 0);
 
 	(void)conn;
 	if (session != NULL)
@@ -364,7 +149,8 @@
 void agent_session_on_resume(agent_t *agent, conn_t *conn, const msg_t *msg)
 {
 	const msg_tokens_ack_t *resume = msg->body;
-	agent_session_t *session = find(agent, resume->session, resume->hop);
+	agent_session_t *session =
+		agent_session_find(agent, resume->session, resume->hop);
 
 	if (session == NULL) {
 		reply_no_session(agent, conn, resume->session, resume->attempt,
@@ -374,7 +160,7 @@
 	if (hop_session_attempt(session->hop) != resume->attempt ||
 	    is_taken_over(session, conn))
 		return;
-	bind_entry(session, conn);
+	agent_session_bind(session, conn);
 	hop_session_on_resume(session->hop, resume,
 			      clock_now(agent->net->clock));
 }
@@ -383,7 +169,8 @@
 void agent_session_on_reroute(agent_t *agent, conn_t *conn, const msg_t *msg)
 {
 	const msg_reroute_t *reroute = msg->body;
-	agent_session_t *session = find(agent, reroute->session, reroute->hop);
+	agent_session_t *session =
+		agent_session_find(agent, reroute->session, reroute->hop);
 
 	if (session == NULL) {
 		reply_no_session(agent, conn, reroute->session,
@@ -392,13 +179,13 @@
 	}
 	if (is_taken_over(session, conn))
 		return;
-	bind_entry(session, conn);
+	agent_session_bind(session, conn);
 	hop_session_on_reroute(session->hop, reroute,
 			       clock_now(agent->net->clock));
 	if (hop_session_attempt(session->hop) != reroute->attempt)
 		return;
-	drop_peers(session);
-	take_peers(session);
+	agent_session_drop_peers(session);
+	agent_session_take_peers(session);
 }
 
 /*
@@ -408,7 +195,8 @@
 void agent_session_on_takeover(agent_t *agent, conn_t *conn, const msg_t *msg)
 {
 	const msg_takeover_t *takeover = msg->body;
-	agent_session_t *session = find(agent, takeover->session, 0);
+	agent_session_t *session =
+		agent_session_find(agent, takeover->session, 0);
 	clock_ms_t now = clock_now(agent->net->clock);
 	msg_takeover_reply_t reply = { .session = takeover->session };
 	msg_token_t *tokens = NULL;
@@ -425,10 +213,10 @@
 		reply.next_attempt =
 			(base + ++session->takeovers) * SESSION_TAKEOVER_STRIDE;
 		reply.open.remaining_ms =
-			session->expires_ms - SESSION_EXPIRY_MS - now;
+			session->expires_ms - AGENT_SESSION_EXPIRY_MS - now;
 		g_strlcpy(session->owner, conn->peer_instance,
 			  sizeof(session->owner));
-		bind_entry(session, conn);
+		agent_session_bind(session, conn);
 		LOG_INFO("session_taken_over",
 			 "session=%" G_GUINT64_FORMAT " entry=%s",
 			 takeover->session, session->owner);
@@ -440,7 +228,8 @@
 static void close_one(agent_t *agent, const conn_t *conn,
 		      const msg_close_t *close, uint32_t hop)
 {
-	agent_session_t *session = find(agent, close->session, hop);
+	agent_session_t *session =
+		agent_session_find(agent, close->session, hop);
 
 	if (session != NULL && !is_taken_over(session, conn) &&
 	    hop_session_attempt(session->hop) <= close->attempt)
@@ -456,7 +245,7 @@
 		close_one(agent, conn, close, close->hop);
 		return;
 	}
-	raise_fence(agent, close->session, close->attempt);
+	agent_session_fence(agent, close->session, close->attempt);
 	for (uint32_t hop = 0; hop < AGENT_HOPS_MAX; hop++)
 		close_one(agent, conn, close, hop);
 }
@@ -468,7 +257,8 @@
 
 	(void)conn;
 	for (uint32_t hop = 0; hop < AGENT_HOPS_MAX; hop++) {
-		agent_session_t *session = find(agent, failed->session, hop);
+		agent_session_t *session =
+			agent_session_find(agent, failed->session, hop);
 
 		if (session == NULL ||
 		    hop_session_attempt(session->hop) != failed->attempt)
@@ -483,7 +273,8 @@
 void agent_session_on_step(agent_t *agent, conn_t *conn, const msg_t *msg)
 {
 	const msg_step_t *step = msg->body;
-	agent_session_t *session = find(agent, step->session, step->hop);
+	agent_session_t *session =
+		agent_session_find(agent, step->session, step->hop);
 
 	if (session == NULL) {
 		reply_no_session(agent, conn, step->session, step->attempt,
@@ -502,7 +293,8 @@
 
 	(void)conn;
 	for (uint32_t hop = first; hop < end && hop < AGENT_HOPS_MAX; hop++) {
-		agent_session_t *session = find(agent, ack->session, hop);
+		agent_session_t *session =
+			agent_session_find(agent, ack->session, hop);
 
 		if (session != NULL)
 			hop_session_on_step_ack(session->hop, ack,
@@ -515,7 +307,8 @@
 				  const msg_t *msg)
 {
 	const msg_step_result_t *result = msg->body;
-	agent_session_t *session = find(agent, result->session, 0);
+	agent_session_t *session =
+		agent_session_find(agent, result->session, 0);
 
 	if (session == NULL) {
 		reply_no_session(agent, conn, result->session, result->attempt,
@@ -529,7 +322,8 @@
 static agent_session_t *find_sequence(const agent_t *agent,
 				      const engine_key_t *key)
 {
-	agent_session_t *session = find(agent, key->session, key->hop);
+	agent_session_t *session =
+		agent_session_find(agent, key->session, key->hop);
 
 	if (session == NULL ||
 	    hop_session_open(session->hop)->attempt != key->sequence)
@@ -581,10 +375,11 @@
 	g_hash_table_iter_init(&iter, agent->sessions);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		agent_session_t *session = value;
-		uint32_t count = hop_count(session);
+		uint32_t count = agent_session_hop_count(session);
 
 		for (uint32_t hop = 0; hop < count; hop++)
-			if (strcmp(hop_at(session, hop)->address, address) == 0)
+			if (strcmp(agent_session_hop(session, hop)->address,
+				   address) == 0)
 				visit(session, hop, incarnation, now);
 	}
 }
@@ -592,7 +387,7 @@
 static void visit_up(agent_session_t *session, uint32_t hop,
 		     uint64_t incarnation, clock_ms_t now)
 {
-	uint64_t expected = hop_at(session, hop)->incarnation;
+	uint64_t expected = agent_session_hop(session, hop)->incarnation;
 
 	if (expected != 0 && expected != incarnation)
 		hop_session_on_hop_lost(session->hop, hop,
@@ -632,7 +427,7 @@
 		agent_session_t *session = value;
 
 		if (session->entry == conn)
-			bind_entry(session, NULL);
+			agent_session_bind(session, NULL);
 	}
 }
 
@@ -644,20 +439,6 @@
 	       now - session->orphaned_ms >= SESSION_ORPHAN_MS;
 }
 
-static void drop_old_fences(agent_t *agent, clock_ms_t now)
-{
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, agent->fences);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const fence_t *fence = value;
-
-		if (now - fence->closed_ms >= SESSION_FENCE_MS)
-			g_hash_table_iter_remove(&iter);
-	}
-}
-
 /* Acts on what is due for all sessions. */
 void agent_session_tick(agent_t *agent, clock_ms_t now)
 {
@@ -677,5 +458,5 @@
 			 session->key.session, session->key.hop);
 		g_hash_table_iter_remove(&iter);
 	}
-	drop_old_fences(agent, now);
+	agent_session_drop_fences(agent, now);
 }
