--- a/src/wisteria/admin/admin_render.c
+++ b/src/wisteria/admin/admin_render.c
@@ -18,6 +18,7 @@
 	[ORDER_MEMBER_ADD] = "member_add",
 	[ORDER_MEMBER_PROMOTE] = "member_promote",
 	[ORDER_MEMBER_REMOVE] = "member_remove",
+	[ORDER_PRESET_DELETE] = "preset_delete",
 };
 
 static const char *const outcome_names[] = {
@@ -141,7 +142,6 @@
 	set_text(object, "preset", config.preset);
 	set_number(object, "endpoints", state->endpoint_count);
 	set_number(object, "leaving", config.leaving_count);
-	set_number(object, "daemons", state->daemon_count);
 	json_object_set_new(object, "members", describe_members(state));
 	return object;
 }
--- a/src/wisteria/agent/agent_session.c
+++ b/src/wisteria/agent/agent_session.c
@@ -340,10 +340,11 @@
 		CONTAINER_OF(self, agent_endpoint_t, handler);
 	agent_session_t *session = find_sequence(endpoint->agent, key);
 
-	if (session != NULL)
-		hop_session_on_engine_done(
-			session->hop, attempt, result,
-			clock_now(endpoint->agent->net->clock));
+	if (session == NULL)
+		return;
+	agent_trace_ran(&session->trace);
+	hop_session_on_engine_done(session->hop, attempt, result,
+				   clock_now(endpoint->agent->net->clock));
 }
 
 /* The engine could not run positions of a session. */
@@ -355,10 +356,11 @@
 		CONTAINER_OF(self, agent_endpoint_t, handler);
 	agent_session_t *session = find_sequence(endpoint->agent, key);
 
-	if (session != NULL)
-		hop_session_on_engine_failed(
-			session->hop, attempt, reason,
-			clock_now(endpoint->agent->net->clock));
+	if (session == NULL)
+		return;
+	agent_trace_failed(&session->trace, reason);
+	hop_session_on_engine_failed(session->hop, attempt, reason,
+				     clock_now(endpoint->agent->net->clock));
 }
 
 typedef void (*visit_hop_t)(agent_session_t *session, uint32_t hop,
--- a/src/wisteria/agent/agent_session_table.c
+++ b/src/wisteria/agent/agent_session_table.c
@@ -118,6 +118,7 @@
 	engine_ops_t *engine = session->endpoint->engine;
 
 	(void)hop;
+	agent_trace_run(&session->trace, work->position_count);
 	engine->run(engine, work);
 }
 
@@ -168,6 +169,7 @@
 {
 	agent_session_t *session = data;
 
+	agent_trace_end(&session->trace);
 	hop_session_free(session->hop);
 	agent_session_drop_peers(session);
 	agent_session_bind(session, NULL);
@@ -195,6 +197,8 @@
 		clock_now(agent->net->clock) +
 		CLAMP(open->remaining_ms, 0, SESSION_REMAINING_MS_MAX) +
 		AGENT_SESSION_EXPIRY_MS;
+	agent_trace_start(&session->trace, agent->tracer, open,
+			  endpoint->settings->name);
 	endpoint->in_flight++;
 	g_hash_table_insert(agent->sessions, &session->key, session);
 	agent_session_take_peers(session);
