Pick a stream up by Last-Event-ID through another entry

Cause: the agents could give a session to another entry, but no entry asked. Change: job_takeover.c: a streamed request with Last-Event-ID is admitted as any other, asks the agent named in the event id for the session and goes on after that token; what nobody knows any more is refused as unknown, never begun again. job_t gains three fields; job_session.c builds the session's parameters in one place.

--- a/src/wisteria/entry/entry_defs.h
+++ b/src/wisteria/entry/entry_defs.h
@@ -27,8 +27,11 @@
 	uint32_t recoveries;
 	bool stopped; /* the model ended the answer */
 	clock_ms_t deadline_ms;
-	bool admitted;	/* counted against the customer's contract */
-	bool answering; /* the head of the response was sent */
+	bool admitted;	  /* counted against the customer's contract */
+	bool answering;	  /* the head of the response was sent */
+	bool taking_over; /* its session is asked for */
+	uint32_t takeover_next;
+	clock_ms_t takeover_ms;
 	bool ended;
 	span_t span;	  /* the whole request */
 	span_t wait_span; /* until a chain is chosen */
--- a/src/wisteria/entry/entry_model.c
+++ b/src/wisteria/entry/entry_model.c
@@ -12,6 +12,7 @@
 #include "wisteria/entry/job.h"
 #include "wisteria/entry/job_answer.h"
 #include "wisteria/entry/job_session.h"
+#include "wisteria/entry/job_takeover.h"
 #include "wisteria/settings/preset.h"
 #include "wisteria/trace/explain.h"
 
@@ -47,6 +48,11 @@
 
 	if (request.layers == 0)
 		return false;
+	if (job_takeover_is_asked(job)) {
+		job->admitted = true;
+		job_takeover_start(job);
+		return true;
+	}
 	result = router_choose(job->entry->router, &request, now, &chain);
 	if (result != ROUTE_FOUND) {
 		note_no_chain(job, result, now);
@@ -188,6 +194,7 @@
 void entry_model_agent_up(entry_t *entry, const char *address)
 {
 	tell_sessions(entry, address, entry_session_on_agent_up);
+	job_takeover_on_agent_up(entry, address);
 }
 
 /* Tells the sessions that the link to an agent was lost. */
@@ -255,10 +262,16 @@
 				clock_now(entry->net->clock));
 }
 
+static void on_takeover_reply(entry_t *entry, const msg_t *msg)
+{
+	job_takeover_on_reply(entry, msg->body);
+}
+
 static const model_message_t messages[MSG_TYPE_COUNT] = {
 	[MSG_OPEN_REPLY] = on_open_reply,
 	[MSG_TOKENS] = on_tokens,
 	[MSG_SESSION_FAILED] = on_session_failed,
+	[MSG_TAKEOVER_REPLY] = on_takeover_reply,
 };
 
 /* Takes a message that concerns model requests; returns whether it did. */
@@ -290,6 +303,7 @@
 	if (entry->view != NULL && entry->view->preset != NULL)
 		drain_queue(entry, now);
 	tick_sessions(entry, now);
+	job_takeover_tick(entry, now);
 }
 
 /* Frees the jobs that ended in this turn of the loop. */
--- a/src/wisteria/entry/job_session.c
+++ b/src/wisteria/entry/job_session.c
@@ -153,14 +153,14 @@
 	job_answer_refuse(job_of(ops, session), refusal);
 }
 
-/* Starts the session of an admitted job on "chain". */
-void job_session_start(job_t *job, const route_choice_t *chain)
+static entry_session_params_t session_params(const job_t *job)
 {
-	entry_t *entry = job->entry;
+	const entry_t *entry = job->entry;
 	const preset_t *preset = entry->view->preset;
 	const preset_contract_t *contract =
 		preset_contract(preset, job->customer);
-	const entry_session_params_t params = {
+
+	return (entry_session_params_t){
 		.session = job->id,
 		.request_id = job->request->id,
 		.customer = job->customer,
@@ -174,6 +174,13 @@
 		.deadline_ms = job->deadline_ms,
 		.recovery = preset->recovery,
 	};
+}
+
+/* Starts the session of an admitted job on "chain". */
+void job_session_start(job_t *job, const route_choice_t *chain)
+{
+	entry_t *entry = job->entry;
+	const entry_session_params_t params = session_params(job);
 
 	job->session = entry_session_new(&params, &entry->session_ops);
 	span_end(&job->wait_span, entry->tracer);
@@ -181,6 +188,25 @@
 	entry_session_start(job->session, chain, clock_now(entry->net->clock));
 }
 
+/*
+ * Goes on with a session of another entry, from the token that the caller
+ * lacks.  Returns false if "reply" does not have it.
+ */
+bool job_session_adopt(job_t *job, const msg_takeover_reply_t *reply)
+{
+	entry_t *entry = job->entry;
+	const entry_session_params_t params = session_params(job);
+
+	job->session = entry_session_adopt(&params, reply, job->takeover_next,
+					   &entry->session_ops,
+					   clock_now(entry->net->clock));
+	if (job->session == NULL)
+		return false;
+	span_end(&job->wait_span, entry->tracer);
+	job_hold_chain(job, entry_session_chain(job->session));
+	return true;
+}
+
 /* Prepares the sessions of "entry". */
 void job_session_init(entry_t *entry)
 {
