Take back the orders that change the control group

The same order sent again with its id was answered "no control instance of this name" in place of its first answer. Ruled out: the store, which decided both orders rightly. Conclusion: an order that changes the group must follow its commit.

--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -19,8 +19,6 @@
 CLI_COMMAND(cli_config_history);
 CLI_COMMAND(cli_order_show);
 CLI_COMMAND(cli_preset_delete);
-CLI_COMMAND(cli_member_promote);
-CLI_COMMAND(cli_member_remove);
 CLI_COMMAND(cli_explain);
 CLI_COMMAND(cli_key_hash);
 CLI_COMMAND(cli_trace);
--- a/src/cli/orders.c
+++ b/src/cli/orders.c
@@ -88,17 +88,3 @@
 	(void)arg_count;
 	return order_path(options, "endpoints", args[0], "return");
 }
-
-/* Makes a control instance that has caught up a voter. */
-CLI_COMMAND(cli_member_promote)
-{
-	(void)arg_count;
-	return order_path(options, "members", args[0], "promote");
-}
-
-/* Takes a control instance out of the group. */
-CLI_COMMAND(cli_member_remove)
-{
-	(void)arg_count;
-	return order_path(options, "members", args[0], "remove");
-}
--- a/src/wisteria/admin/admin_route.c
+++ b/src/wisteria/admin/admin_route.c
@@ -33,10 +33,6 @@
 	  ORDER_ENDPOINT_LEAVE },
 	{ "POST", "/v1/endpoints/", "/return", true, ADMIN_ORDER,
 	  ORDER_ENDPOINT_RETURN },
-	{ "POST", "/v1/members/", "/promote", true, ADMIN_ORDER,
-	  ORDER_MEMBER_PROMOTE },
-	{ "POST", "/v1/members/", "/remove", true, ADMIN_ORDER,
-	  ORDER_MEMBER_REMOVE },
 	{ "GET", "/v1/config/history", "", false, ADMIN_HISTORY, 0 },
 	{ "GET", "/v1/orders/", "", true, ADMIN_FIND_ORDER, 0 },
 };
