--- a/src/wisteria/session/entry_session.c
+++ b/src/wisteria/session/entry_session.c
@@ -45,6 +45,7 @@
 	entry_session_params_t params;
 	entry_state_t state;
 	uint32_t attempt;
+	uint32_t attempt_floor; /* of attempts begun after a takeover */
 	route_choice_t chain;
 	entry_hop_t hops[ROUTER_HOPS_MAX];
 	uint32_t replaced;
@@ -54,7 +55,10 @@
 	clock_ms_t chosen_ms;	/* when a chain was last asked for */
 	clock_ms_t seeking_ms;	/* since when no attempt runs */
 	uint32_t refusals;	/* of MSG_OPEN since then */
+	route_result_t route;	/* the last answer of the router */
 	char failed[ROUTER_NAME_BYTES];
+	char suspects[ROUTER_HOPS_MAX][ROUTER_NAME_BYTES];
+	size_t suspect_count;
 	err_t why;
 	GPtrArray *tokens; /* texts delivered */
 };
@@ -194,13 +198,17 @@
 
 	close_chain(session, "refused");
 	enter(session, ENTRY_ENDED, now);
-	counter_add(COUNTER_REQUESTS_REFUSED, 1);
 	session->ops->refused(session->ops, session, &refusal);
 }
 
+static void begin_attempt(entry_session_t *session)
+{
+	session->attempt = MAX(session->attempt + 1, session->attempt_floor);
+}
+
 static void open_chain(entry_session_t *session, clock_ms_t now)
 {
-	session->attempt++;
+	begin_attempt(session);
 	counter_add(COUNTER_ATTEMPTS, 1);
 	enter(session, ENTRY_OPENING, now);
 	for (size_t i = 0; i < session->chain.hop_count; i++)
@@ -212,24 +220,61 @@
 		send_open(session, i, now);
 }
 
-/* Asks for a chain; returns false if none is possible now. */
+/* Returns an endpoint of "choice" that is suspected, or NULL. */
+static const char *find_suspect(const entry_session_t *session,
+				const route_choice_t *choice)
+{
+	for (size_t i = 0; i < choice->hop_count; i++)
+		for (size_t j = 0; j < session->suspect_count; j++)
+			if (strcmp(choice->hops[i].endpoint,
+				   session->suspects[j]) == 0)
+				return choice->hops[i].endpoint;
+	return NULL;
+}
+
+/*
+ * Asks for a chain; returns false if none is possible now.  Where it has an
+ * endpoint whose connection is down, another is asked for, naming that one as
+ * failed; one that can't be avoided is tried.
+ */
 static bool choose(entry_session_t *session, clock_ms_t now)
 {
 	route_choice_t choice = { .hop_count = 0 };
+	const char *suspect;
+	size_t tries = session->suspect_count + 1;
 
 	session->chosen_ms = now;
-	if (session->ops->choose(session->ops, session, session->failed,
-				 &choice) != ROUTE_FOUND)
-		return false;
+	while (tries-- > 0) {
+		session->route = session->ops->choose(session->ops, session,
+						      session->failed, &choice);
+		if (session->route != ROUTE_FOUND)
+			return false;
+		suspect = find_suspect(session, &choice);
+		if (suspect == NULL)
+			break;
+		g_strlcpy(session->failed, suspect, sizeof(session->failed));
+	}
 	session->chain = choice;
 	open_chain(session, now);
 	return true;
 }
 
+/* Remembers the endpoints of the chain whose connection is down. */
+static void note_suspects(entry_session_t *session)
+{
+	session->suspect_count = 0;
+	for (size_t i = 0; i < session->chain.hop_count; i++)
+		if (session->hops[i].down_ms != CLOCK_NEVER_MS)
+			g_strlcpy(session->suspects[session->suspect_count++],
+				  session->chain.hops[i].endpoint,
+				  ROUTER_NAME_BYTES);
+}
+
 /* Gives the attempt up and begins another one on a new chain. */
 static void begin_again(entry_session_t *session, clock_ms_t now)
 {
 	close_chain(session, "attempt failed");
+	note_suspects(session);
 	session->chain.hop_count = 0;
 	if (session->ever_started)
 		counter_add(COUNTER_RECOVERIES, 1);
@@ -274,7 +319,7 @@
 		(entry_hop_t){ .up_to_date = true, .down_ms = CLOCK_NEVER_MS };
 	session->replaced = (uint32_t)lost;
 	session->seeking_ms = now;
-	session->attempt++;
+	begin_attempt(session);
 	counter_add(COUNTER_ATTEMPTS, 1);
 	counter_add(COUNTER_RECOVERIES, 1);
 	enter(session, ENTRY_REPLACING, now);
@@ -333,6 +378,66 @@
 	return session;
 }
 
+static void adopt_chain(entry_session_t *session, const msg_open_t *open)
+{
+	route_choice_t *chain = &session->chain;
+
+	chain->hop_count = open->hop_count;
+	for (size_t i = 0; i < open->hop_count; i++) {
+		route_hop_t *hop = &chain->hops[i];
+
+		g_strlcpy(hop->endpoint, open->hops[i].endpoint,
+			  sizeof(hop->endpoint));
+		g_strlcpy(hop->address, open->hops[i].address,
+			  sizeof(hop->address));
+		hop->incarnation = open->hops[i].incarnation;
+		hop->first_layer = open->hops[i].first_layer;
+		hop->end_layer = open->hops[i].end_layer;
+		session->hops[i] = (entry_hop_t){ .accepted = true,
+						  .up_to_date = true,
+						  .down_ms = CLOCK_NEVER_MS };
+	}
+}
+
+/*
+ * Creates a running session from what its first hop says of it, for a caller
+ * that has the tokens below "next".  What is in both, "params" is right for
+ * the limits and "reply" for the rest.  Returns NULL if the session was not
+ * found or does not have that many tokens.
+ */
+entry_session_t *entry_session_adopt(const entry_session_params_t *params,
+				     const msg_takeover_reply_t *reply,
+				     uint32_t next, entry_session_ops_t *ops,
+				     clock_ms_t now)
+{
+	const msg_open_t *open = &reply->open;
+	entry_session_params_t merged = *params;
+	entry_session_t *session;
+
+	if (!reply->found || next > open->token_count || open->hop_count == 0 ||
+	    open->hop_count > ROUTER_HOPS_MAX)
+		return NULL;
+	merged.session = reply->session;
+	merged.model = open->model;
+	merged.prompt = open->prompt;
+	merged.max_tokens = open->max_tokens;
+	session = entry_session_new(&merged, ops);
+	session->attempt = open->attempt;
+	session->attempt_floor = reply->next_attempt;
+	session->ever_started = true;
+	session->progress_ms = now;
+	session->seeking_ms = now;
+	for (uint32_t i = 0; i < next; i++)
+		g_ptr_array_add(session->tokens,
+				g_strdup(open->tokens[i].text));
+	adopt_chain(session, open);
+	enter(session, ENTRY_RUNNING, now);
+	for (size_t i = 0; i < open->hop_count; i++)
+		send_next(session, i, MSG_RESUME);
+	send_start(session);
+	return session;
+}
+
 /* Frees a session; says nothing to the agents. */
 void entry_session_free(entry_session_t *session)
 {
@@ -494,7 +599,6 @@
 		g_ptr_array_add(session->tokens, g_strdup(token->text));
 		last = token->last;
 		session->progress_ms = now;
-		counter_add(COUNTER_TOKENS_DELIVERED, 1);
 		session->ops->deliver(session->ops, session, token, 1);
 		if (session->state == ENTRY_ENDED)
 			return false;
@@ -617,12 +721,18 @@
 		}
 }
 
+/*
+ * Asks for a chain again.  A request that has not run waits for a free slot
+ * until its deadline; otherwise the wait for a chain is bounded.
+ */
 static void check_choice(entry_session_t *session, clock_ms_t now)
 {
 	if (now - session->chosen_ms < ENTRY_CHOOSE_INTERVAL_MS)
 		return;
 	if (choose(session, now))
 		return;
+	if (session->route == ROUTE_FULL && !session->ever_started)
+		return;
 	if (now - session->seeking_ms >= ENTRY_CHOOSE_MS)
 		refuse(session, now);
 }
