Race operators through three entries while one is killed

Change: operate_test races 6 orders with equal revisions in each of 5 rounds; the entry that founded the group is killed with -9 during the third. Each round one order applies and five are conflicts, and every order shown again through another entry keeps its first answer.

--- a/test/functional/operate_test.c
+++ b/test/functional/operate_test.c
@@ -187,6 +187,97 @@
 	stop_all();
 }
 
+#define RACERS 6
+#define ROUNDS 5
+#define KILLED_ROUND 2
+
+static const char *servers_from(size_t first)
+{
+	return harness_string(&harness, "%s,%s,%s",
+			      cluster.entries[first % 3].admin,
+			      cluster.entries[(first + 1) % 3].admin,
+			      cluster.entries[(first + 2) % 3].admin);
+}
+
+static harness_process_t *start_racer(size_t round, size_t racer)
+{
+	const char *const argv[] = {
+		harness_program(&harness, "wisteriactl"),
+		"-s",
+		servers_from(racer),
+		"--token-file",
+		cluster.token_file,
+		"--timeout-ms",
+		"30000",
+		"--expect",
+		harness_string(&harness, "%zu", 2 + round),
+		"--order-id",
+		harness_string(&harness, "race-%zu-%zu", round, racer),
+		"endpoint",
+		"leave",
+		harness_string(&harness, "spare-%zu-%zu", round, racer),
+		NULL,
+	};
+
+	return harness_start(
+		&harness,
+		harness_string(&harness, "racer-%zu-%zu", round, racer), argv);
+}
+
+/* Returns how many of the racers ended with "code". */
+static size_t count_exits(harness_process_t *const racers[RACERS], int code)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < RACERS; i++)
+		count += WIFEXITED(racers[i]->exit_status) &&
+			 WEXITSTATUS(racers[i]->exit_status) == code;
+	return count;
+}
+
+static void race(size_t round)
+{
+	harness_process_t *racers[RACERS];
+
+	for (size_t i = 0; i < RACERS; i++)
+		racers[i] = start_racer(round, i);
+	if (round == KILLED_ROUND)
+		harness_kill(cluster.entries[0].process);
+	for (size_t i = 0; i < RACERS; i++)
+		CU_ASSERT(harness_wait_exit(racers[i], 2 * HARNESS_WAIT_MS));
+	CU_ASSERT_EQUAL(count_exits(racers, 0), 1);
+	CU_ASSERT_EQUAL(count_exits(racers, 3), RACERS - 1);
+}
+
+/*
+ * Operators race with equal revisions through all entries; one of them is
+ * killed meanwhile.  One order wins each round, and all of them, sent again,
+ * get their first answers.
+ */
+static void test_racing_operators(void)
+{
+	static const cluster_params_t params = { .entries = 3 };
+	size_t applied = 0;
+
+	start("operate-race", &params);
+	for (size_t round = 0; round < ROUNDS; round++)
+		race(round);
+	for (size_t round = 0; round < ROUNDS; round++) {
+		for (size_t i = 0; i < RACERS; i++) {
+			int code = ask(cluster.entries[1 + i % 2].admin,
+				       harness_string(&harness,
+						      "order show race-%zu-%zu",
+						      round, i));
+
+			CU_ASSERT(code == 0 || code == 3);
+			applied += code == 0;
+		}
+	}
+	CU_ASSERT_EQUAL(applied, ROUNDS);
+	expect(1, "config history --json", 0, "{\n  \"revision\": 7,\n");
+	stop_all();
+}
+
 static bool may_stop(void *user)
 {
 	const cluster_endpoint_t *endpoint = user;
@@ -324,6 +415,7 @@
 	{ "explanation", test_explanation },
 	{ "explained booking", test_explained_booking },
 	{ "presets everywhere", test_presets_everywhere },
+	{ "racing operators", test_racing_operators },
 	{ "leaving endpoint", test_leaving_endpoint },
 	{ "trace", test_trace },
 };
