--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -41,8 +41,6 @@
 	"  endpoint return NAME       take it back\n"
 	"  config history             accepted changes\n"
 	"  order show ID              what became of an order\n"
-	"  member promote NAME        make a control instance a voter\n"
-	"  member remove NAME         take a control instance out\n"
 	"  explain REQUEST-ID         why a request went as it did; --server\n"
 	"                             is the entry that took it\n"
 	"  trace TRACE-ID FILE...     draw a trace from the processes' files\n"
@@ -84,6 +82,7 @@
 	{ { "preset", "list" }, 0, 0, "", false, true, cli_preset_list },
 	{ { "preset", "show" }, 1, 1, "NAME", false, true, cli_preset_show },
 	{ { "preset", "use" }, 1, 1, "NAME", true, true, cli_preset_use },
+	{ { "preset", "delete" }, 1, 1, "NAME", true, true, cli_preset_delete },
 	{ { "endpoint", "list" }, 0, 0, "", false, true, cli_endpoint_list },
 	{ { "endpoint", "leave" },
 	  1,
@@ -109,15 +108,6 @@
 	  false,
 	  false,
 	  cli_trace },
-	{ { "preset", "delete" }, 1, 1, "NAME", true, true, cli_preset_delete },
-	{ { "member", "promote" },
-	  1,
-	  1,
-	  "NAME",
-	  true,
-	  true,
-	  cli_member_promote },
-	{ { "member", "remove" }, 1, 1, "NAME", true, true, cli_member_remove },
 	{ { "key", "hash" }, 1, 1, "KEY", false, false, cli_key_hash },
 };
 
