capacity_bench: agents announce through the announcer

First run failed: the daemons' endpoints never came into the directory, as announcing had moved from the lease client to a module of its own.

--- a/bench/capacity_bench.c
+++ b/bench/capacity_bench.c
@@ -12,9 +12,10 @@
 #include "daemons.h"
 #include "held.h"
 #include "routed.h"
+#include "wisteria/base/log.h"
 
 #define POINTS_MAX 8
-#define SETTLE_MS 60000
+#define SETTLE_MS 30000
 #define WINDOW_US 5000000
 #define KIB 1024.0
 #define MIB (1024.0 * 1024.0)
@@ -448,6 +449,8 @@
 	const char *part = NULL;
 
 	argp_parse(&argp, argc, argv, 0, NULL, &part);
+	if (!log_init("capacity_bench", "error"))
+		return 1;
 	harness_init(&harness, "capacity_bench");
 	print_head();
 	for (size_t i = 0; i < ARRAY_SIZE(parts); i++)
--- a/bench/daemons.c
+++ b/bench/daemons.c
@@ -10,6 +10,7 @@
 
 #include "wisteria/base/clock.h"
 #include "wisteria/base/err.h"
+#include "wisteria/control/announcer.h"
 #include "wisteria/control/lease_client.h"
 #include "wisteria/control/view.h"
 #include "wisteria/net/net.h"
@@ -25,6 +26,7 @@
 	view_board_t board;
 	view_reader_t reader;
 	lease_client_t *client;
+	announcer_t *announcer; /* NULL for an entry */
 	char name[HARNESS_NAME_BYTES];
 	char listen[HARNESS_NAME_BYTES];
 } daemon_t;
@@ -143,10 +145,14 @@
 					  &daemon->board);
 	if (is_entry)
 		set_demand(daemons, daemon);
+	else
+		daemon->announcer =
+			announcer_new(&daemon->net, &daemon->settings);
 }
 
 static void finish_daemon(daemon_t *daemon)
 {
+	announcer_free(daemon->announcer);
 	lease_client_free(daemon->client);
 	view_reader_finish(&daemon->reader);
 	view_board_finish(&daemon->board);
