--- a/src/wisteria/agent/agent_session.c
+++ b/src/wisteria/agent/agent_session.c
@@ -18,6 +18,8 @@
 #define SESSION_ORPHAN_MS 30000
 /* How long a session is kept after its caller's deadline. */
 #define SESSION_EXPIRY_MS 5000
+/* Attempts are numbered anew, from a multiple of this, at each takeover. */
+#define SESSION_TAKEOVER_STRIDE (1u << 16)
 /* How long a closed attempt is remembered. */
 #define SESSION_FENCE_MS 60000
 
@@ -117,6 +119,7 @@
 	engine_ops_t *engine = session->endpoint->engine;
 
 	(void)hop;
+	agent_trace_run(&session->trace, work->position_count);
 	engine->run(engine, work);
 }
 
@@ -167,6 +170,7 @@
 {
 	agent_session_t *session = data;
 
+	agent_trace_end(&session->trace);
 	hop_session_free(session->hop);
 	drop_peers(session);
 	bind_entry(session, NULL);
@@ -191,6 +195,8 @@
 	session->hop = hop_session_new(open, &session->ops);
 	session->expires_ms = clock_now(agent->net->clock) +
 			      open->remaining_ms + SESSION_EXPIRY_MS;
+	agent_trace_start(&session->trace, agent->tracer, open,
+			  endpoint->settings->name);
 	endpoint->in_flight++;
 	g_hash_table_insert(agent->sessions, &session->key, session);
 	take_peers(session);
@@ -321,6 +327,13 @@
 		agent_peer_reply(agent, conn, MSG_SESSION_FAILED, &failed);
 }
 
+/* Returns whether another entry than the peer of "conn" took it over. */
+static bool is_taken_over(const agent_session_t *session, const conn_t *conn)
+{
+	return session->owner[0] != '\0' && conn != NULL &&
+	       strcmp(session->owner, conn->peer_instance) != 0;
+}
+
 /* Starts the token loop. */
 void agent_session_on_start(agent_t *agent, conn_t *conn, const msg_t *msg)
 {
@@ -332,7 +345,8 @@
 				 0);
 		return;
 	}
-	if (hop_session_attempt(session->hop) != start->attempt)
+	if (hop_session_attempt(session->hop) != start->attempt ||
+	    is_taken_over(session, conn))
 		return;
 	bind_entry(session, conn);
 	hop_session_on_start(session->hop, clock_now(agent->net->clock));
@@ -361,7 +375,8 @@
 				 resume->hop);
 		return;
 	}
-	if (hop_session_attempt(session->hop) != resume->attempt)
+	if (hop_session_attempt(session->hop) != resume->attempt ||
+	    is_taken_over(session, conn))
 		return;
 	bind_entry(session, conn);
 	hop_session_on_resume(session->hop, resume,
@@ -379,6 +394,8 @@
 				 reroute->attempt, reroute->hop);
 		return;
 	}
+	if (is_taken_over(session, conn))
+		return;
 	bind_entry(session, conn);
 	hop_session_on_reroute(session->hop, reroute,
 			       clock_now(agent->net->clock));
@@ -388,11 +405,48 @@
 	take_peers(session);
 }
 
-static void close_one(agent_t *agent, const msg_close_t *close, uint32_t hop)
+/*
+ * Gives a session to another entry of the same customer's request.  What the
+ * old one still asks of this hop is ignored.
+ */
+void agent_session_on_takeover(agent_t *agent, conn_t *conn, const msg_t *msg)
+{
+	const msg_takeover_t *takeover = msg->body;
+	agent_session_t *session = find(agent, takeover->session, 0);
+	clock_ms_t now = clock_now(agent->net->clock);
+	msg_takeover_reply_t reply = { .session = takeover->session };
+	msg_token_t *tokens = NULL;
+
+	if (conn == NULL)
+		return;
+	if (session != NULL && strcmp(hop_session_open(session->hop)->customer,
+				      takeover->customer) == 0) {
+		uint32_t attempt = hop_session_attempt(session->hop);
+		uint32_t base = attempt / SESSION_TAKEOVER_STRIDE;
+
+		tokens = hop_session_describe(session->hop, &reply.open);
+		reply.found = true;
+		reply.next_attempt =
+			(base + ++session->takeovers) * SESSION_TAKEOVER_STRIDE;
+		reply.open.remaining_ms =
+			session->expires_ms - SESSION_EXPIRY_MS - now;
+		g_strlcpy(session->owner, conn->peer_instance,
+			  sizeof(session->owner));
+		bind_entry(session, conn);
+		LOG_INFO("session_taken_over",
+			 "session=%" G_GUINT64_FORMAT " entry=%s",
+			 takeover->session, session->owner);
+	}
+	conn_send(conn, MSG_TAKEOVER_REPLY, &reply);
+	g_free(tokens);
+}
+
+static void close_one(agent_t *agent, const conn_t *conn,
+		      const msg_close_t *close, uint32_t hop)
 {
 	agent_session_t *session = find(agent, close->session, hop);
 
-	if (session != NULL &&
+	if (session != NULL && !is_taken_over(session, conn) &&
 	    hop_session_attempt(session->hop) <= close->attempt)
 		g_hash_table_remove(agent->sessions, &session->key);
 }
@@ -402,14 +456,13 @@
 {
 	const msg_close_t *close = msg->body;
 
-	(void)conn;
 	if (close->one_hop) {
-		close_one(agent, close, close->hop);
+		close_one(agent, conn, close, close->hop);
 		return;
 	}
 	raise_fence(agent, close->session, close->attempt);
 	for (uint32_t hop = 0; hop < AGENT_HOPS_MAX; hop++)
-		close_one(agent, close, hop);
+		close_one(agent, conn, close, hop);
 }
 
 /* Another agent knows nothing of a session: tells the entry. */
@@ -497,10 +550,11 @@
 		CONTAINER_OF(self, agent_endpoint_t, handler);
 	agent_session_t *session = find_sequence(endpoint->agent, key);
 
-	if (session != NULL)
-		hop_session_on_engine_done(
-			session->hop, attempt, result,
-			clock_now(endpoint->agent->net->clock));
+	if (session == NULL)
+		return;
+	agent_trace_ran(&session->trace);
+	hop_session_on_engine_done(session->hop, attempt, result,
+				   clock_now(endpoint->agent->net->clock));
 }
 
 /* The engine could not run positions of a session. */
@@ -512,10 +566,11 @@
 		CONTAINER_OF(self, agent_endpoint_t, handler);
 	agent_session_t *session = find_sequence(endpoint->agent, key);
 
-	if (session != NULL)
-		hop_session_on_engine_failed(
-			session->hop, attempt, reason,
-			clock_now(endpoint->agent->net->clock));
+	if (session == NULL)
+		return;
+	agent_trace_failed(&session->trace, reason);
+	hop_session_on_engine_failed(session->hop, attempt, reason,
+				     clock_now(endpoint->agent->net->clock));
 }
 
 typedef void (*visit_hop_t)(agent_session_t *session, uint32_t hop,
