--- a/bench/capacity_bench.c
+++ b/bench/capacity_bench.c
@@ -4,6 +4,7 @@
  * fitted by a line and carried to the target size.
  */
 #include <argp.h>
+#include <malloc.h>
 #include <stdio.h>
 #include <string.h>
 #include <unistd.h>
@@ -152,10 +153,17 @@
 		die("the control instance does not start");
 }
 
+/* This process's memory without what earlier sizes left free. */
+static double own_bytes(void)
+{
+	malloc_trim(0);
+	return usage_of(getpid()).resident_bytes;
+}
+
 static void measure_control(size_t daemon_count, size_t endpoints_each,
 			    size_t customers, control_cost_t *cost)
 {
-	double before = usage_of(getpid()).resident_bytes;
+	double before = own_bytes();
 	cluster_t cluster;
 	daemons_params_t params = { .cluster = &cluster,
 				    .count = daemon_count,
@@ -167,8 +175,7 @@
 	daemons = daemons_start(&params);
 	if (!daemons_wait(daemons, daemon_count * endpoints_each, 1, SETTLE_MS))
 		die("the daemons do not learn the directory");
-	cost->daemon_bytes = (usage_of(getpid()).resident_bytes - before) /
-			     (double)daemon_count;
+	cost->daemon_bytes = (own_bytes() - before) / (double)daemon_count;
 	measure_window(&cluster, daemon_count, cost);
 	daemons_stop(daemons);
 	stop(&cluster);
--- a/test/functional/path_test.c
+++ b/test/functional/path_test.c
@@ -16,6 +16,7 @@
 
 #define STREAMS 200
 #define RUN_MS 60000
+#define SLOW_LINK_MS 20
 
 static harness_t harness;
 static unsigned int failures_before;
@@ -207,6 +208,75 @@
 	end();
 }
 
+/* Kills all endpoints and the entry of the first failure domain at once. */
+static void lose_domain(cluster_t *cluster)
+{
+	for (size_t range = 0; range < cluster->params.ranges; range++) {
+		const cluster_endpoint_t *endpoint =
+			endpoint_of(cluster, range, 0);
+
+		harness_signal(endpoint->agent, SIGKILL);
+		harness_signal(endpoint->engine, SIGKILL);
+	}
+	harness_kill(cluster->entries[0].process);
+}
+
+static void test_domain_lost(void)
+{
+	static const cluster_params_t params = { .entries = 3,
+						 .endpoints_per_range = 3,
+						 .step_us = 4000 };
+	cluster_t cluster;
+	journal_t journal;
+	load_t load;
+
+	begin("domain", &cluster, &params);
+	cluster_write(&cluster);
+	CU_ASSERT_FATAL(cluster_start(&cluster));
+	load_init(&load, &cluster);
+	for (size_t i = 0; i < STREAMS / 2; i++)
+		load_send(&load, 1 + i % 2);
+	CU_ASSERT(load_wait_events(&load, 500, RUN_MS));
+	lose_domain(&cluster);
+	for (size_t i = 0; i < STREAMS / 2; i++)
+		load_send(&load, 1 + i % 2);
+	CU_ASSERT(http_client_run(&load.client, RUN_MS));
+	journal_init(&journal, cluster.params.layers);
+	load_check(&load, &journal);
+	CU_ASSERT_EQUAL(load.whole, STREAMS);
+	check_journal(&cluster, &journal);
+	load_finish(&load);
+	end();
+}
+
+static void test_link_degrades(void)
+{
+	static const cluster_params_t params = { .step_us = 2000 };
+	cluster_t cluster;
+	journal_t journal;
+	relay_t *relay;
+	load_t load;
+
+	begin("link", &cluster, &params);
+	relay = relay_new(&harness, endpoint_of(&cluster, 1, 0)->listen);
+	endpoint_of(&cluster, 1, 0)->advertise = relay_address(relay);
+	cluster_write(&cluster);
+	CU_ASSERT_FATAL(cluster_start(&cluster));
+	load_init(&load, &cluster);
+	for (size_t i = 0; i < STREAMS / 4; i++)
+		load_send(&load, 0);
+	CU_ASSERT(load_wait_events(&load, 300, RUN_MS));
+	relay_set_delay(relay, SLOW_LINK_MS);
+	CU_ASSERT(http_client_run(&load.client, RUN_MS));
+	journal_init(&journal, cluster.params.layers);
+	load_check(&load, &journal);
+	CU_ASSERT_EQUAL(load.whole, STREAMS / 4);
+	check_journal(&cluster, &journal);
+	load_finish(&load);
+	relay_free(relay);
+	end();
+}
+
 /* Stops one process by SIGTERM while streams run; none is cut or refused. */
 static void stop_under_load(load_t *load, harness_process_t *process,
 			    const char *metrics)
@@ -258,6 +328,8 @@
 	{ "bad requests get clear errors", test_bad_requests },
 	{ "streams survive a killed stage and a silent connection",
 	  test_streams_survive },
+	{ "streams survive the loss of a failure domain", test_domain_lost },
+	{ "streams survive a link that degrades", test_link_degrades },
 	{ "planned stops cut and refuse nothing", test_planned_stops },
 };
 
