--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -45,6 +45,13 @@
 		TIMEOUT 240 RUN_SERIAL ON)
 endforeach()
 
+if(NOT WISTERIA_SANITIZE AND NOT WISTERIA_FUZZ)
+	add_test(NAME functional/newcomer
+		COMMAND sh ${CMAKE_SOURCE_DIR}/scripts/newcomer.sh)
+	set_tests_properties(functional/newcomer PROPERTIES
+		TIMEOUT 600 RUN_SERIAL ON)
+endif()
+
 file(GLOB BENCH_COMMON_SOURCES CONFIGURE_DEPENDS bench/*.c)
 list(FILTER BENCH_COMMON_SOURCES EXCLUDE REGEX "_bench\\.c$")
 if(BENCH_COMMON_SOURCES AND TARGET harness)
