Admission: count a backlog's pace from when it began

The pace at which a customer's queue moves was taken from its last start, and for a customer that had not started anything from time 0, which on a real machine is its boot. The first start out of a queue then gave a pace of the machine's uptime, nearly every later request that had to wait was refused as too late, and told to come back after a minute. The pace now counts from the last start or from when something began to wait. The unit test at a late clock fails without and passes with.

--- a/src/wisteria/limits/admission.c
+++ b/src/wisteria/limits/admission.c
@@ -252,7 +252,8 @@
 }
 
 static waiting_t *enqueue(admission_t *admission, flow_queue_t *flow,
-			  handle_t request, clock_ms_t expires_ms)
+			  handle_t request, clock_ms_t expires_ms,
+			  clock_ms_t now)
 {
 	waiting_t *waiting = g_new0(waiting_t, 1);
 
@@ -263,7 +264,8 @@
 	waiting->flow = flow;
 	waiting->expires_ms = expires_ms;
 	waiting->serial = admission->next_serial++;
-	flow->customer->queued++;
+	if (flow->customer->queued++ == 0)
+		flow->customer->backlog_ms = now;
 	admission->queued++;
 	g_tree_insert(admission->by_expiry, waiting, waiting);
 	g_hash_table_insert(admission->requests, &waiting->request, waiting);
@@ -345,7 +347,7 @@
 		return refuse(customer, ADMISSION_REASON_QUEUE_FULL, now);
 	if (comes_too_late(admission, customer, expires_ms, now))
 		return refuse(customer, ADMISSION_REASON_TOO_LATE, now);
-	waiting = enqueue(admission, flow, offer->request, expires_ms);
+	waiting = enqueue(admission, flow, offer->request, expires_ms, now);
 	g_queue_push_tail_link(&flow->waiting, &waiting->link);
 	return (admission_answer_t){ .result = ADMISSION_QUEUED };
 }
@@ -401,7 +403,7 @@
 	if (admission->queued >= admission->queue_length)
 		return refuse(customer, ADMISSION_REASON_QUEUE_FULL, now);
 	flow = customer_flow(customer, lane);
-	waiting = enqueue(admission, flow, offer->request, expires_ms);
+	waiting = enqueue(admission, flow, offer->request, expires_ms, now);
 	g_queue_push_head_link(&flow->waiting, &waiting->link);
 	return (admission_answer_t){ .result = ADMISSION_QUEUED };
 }
--- a/src/wisteria/limits/customer.c
+++ b/src/wisteria/limits/customer.c
@@ -146,10 +146,19 @@
 	       (uint64_t)other->running * MAX(customer->deserved, 1);
 }
 
+/* Time since the last start, or since something waits if that is less. */
+static double pace_ms(const customer_t *customer, clock_ms_t now)
+{
+	const clock_ms_t since_ms =
+		MAX(customer->last_start_ms, customer->backlog_ms);
+
+	return (double)(now - since_ms);
+}
+
 /* A session starts; "waited" says that it comes out of the queue. */
 void customer_started(customer_t *customer, bool waited, clock_ms_t now)
 {
-	const double interval_ms = (double)(now - customer->last_start_ms);
+	const double interval_ms = pace_ms(customer, now);
 
 	customer->running++;
 	customer->interval_before_ms = customer->interval_ms;
@@ -191,9 +200,8 @@
 double customer_wait_ms(const customer_t *customer, uint32_t behind,
 			clock_ms_t now)
 {
-	const double since_ms = (double)(now - customer->last_start_ms);
-
 	if (customer->interval_ms == 0)
 		return 0;
-	return MAX(customer->interval_ms, since_ms) * (behind + 1);
+	return MAX(customer->interval_ms, pace_ms(customer, now)) *
+	       (behind + 1);
 }
--- a/src/wisteria/limits/customer_defs.h
+++ b/src/wisteria/limits/customer_defs.h
@@ -52,6 +52,7 @@
 	uint32_t queued;
 	double interval_ms; /* smoothed, between starts out of the queue */
 	clock_ms_t last_start_ms;
+	clock_ms_t backlog_ms;	   /* when the queue last began to fill */
 	double interval_before_ms; /* both before the last start */
 	clock_ms_t start_before_ms;
 	GPtrArray *flows; /* of flow_queue_t *, by lane; some NULL */
--- a/test/unit/admission_test.c
+++ b/test/unit/admission_test.c
@@ -165,6 +165,24 @@
 	admission_free(admission);
 }
 
+static void test_idle_time_is_no_backlog(void)
+{
+	static const msg_share_t one = { .customer = "pequeno", .sessions = 1 };
+	const clock_ms_t now = 3000000;
+	admission_t *admission = admission_new();
+	handle_t request;
+
+	admission_set_contracts(admission, &preset, NULL, 0, now);
+	CU_ASSERT_EQUAL(offer(admission, "pequeno", 1, now).result,
+			ADMISSION_QUEUED);
+	admission_set_contracts(admission, &preset, &one, 1, now + 10);
+	CU_ASSERT_TRUE(admission_next(admission, now + 10, &request));
+	for (uint32_t i = 2; i < 6; i++)
+		CU_ASSERT_EQUAL(offer(admission, "pequeno", i, now + 11).result,
+				ADMISSION_QUEUED);
+	admission_free(admission);
+}
+
 static void test_retries_are_a_fraction(void)
 {
 	retry_budget_t budget;
@@ -195,6 +213,7 @@
 	{ "lost contract ends waiting", test_lost_contract_ends_waiting },
 	{ "shrunk contract cuts old parts",
 	  test_shrunk_contract_cuts_old_parts },
+	{ "idle time is no backlog", test_idle_time_is_no_backlog },
 	{ "retries are a fraction", test_retries_are_a_fraction },
 };
 
