Harness: give each set-up data folders of its own

load_bench starts several set-ups in one harness, and their control instances are called the same, so a later set-up took over the state, and with it the preset in force, of an earlier one: customers 1 and 2 of the fairness part had no contract. Their folders now carry the port.

--- a/test/functional/harness/cluster.c
+++ b/test/functional/harness/cluster.c
@@ -42,7 +42,9 @@
 	entry->control = harness_address(harness);
 	entry->admin = harness_address(harness);
 	entry->metrics = harness_address(harness);
-	data_name = harness_string(harness, "data-%s", entry->name);
+	/* The port tells the folders of one harness's set-ups apart. */
+	data_name = harness_string(harness, "data-%s-%s", entry->name,
+				   strrchr(entry->control, ':') + 1);
 	entry->data_dir = harness_path(harness, data_name);
 	g_mkdir_with_parents(entry->data_dir, 0755);
 }
