--- a/bench/routed.h
+++ b/bench/routed.h
@@ -21,6 +21,8 @@
 	uint64_t cut;	  /* neither whole nor refused */
 	uint64_t tokens;  /* of whole answers */
 	double seconds;	  /* until the last came back */
+	int64_t end_us;	  /* of the offers */
+	/* Of answers that were whole before the offers ended. */
 	uint64_t customer_tokens[ROUTED_CUSTOMERS_MAX];
 } routed_outcome_t;
 
