--- a/src/wisteria/entry/entry_call.c
+++ b/src/wisteria/entry/entry_call.c
@@ -183,7 +183,8 @@
 {
 	router_failed(call->entry->router, call->hop.endpoint, now_of(call));
 	explain_lost(&call->explain, call->hop.endpoint, reason, now_of(call));
-	if (call->agent_incarnation == 0 || call->idempotent) {
+	if (call->agent_incarnation == 0 ||
+	    (call->idempotent && retry_budget_take(&call->entry->retries))) {
 		dispatch_elsewhere(call, reason);
 		return;
 	}
@@ -389,6 +390,7 @@
 	g_hash_table_insert(entry->calls, &call->id, call);
 	start_record(call, contract);
 	counter_add(COUNTER_CALLS, 1);
+	retry_budget_fresh(&entry->retries);
 	service = preset_service(entry->view->preset, call->service);
 	if (service == NULL) {
 		refuse_call(call, ERR_NOT_FOUND, "route",
@@ -403,10 +405,26 @@
 		try_dispatch(call, clock_now(entry->net->clock));
 }
 
+/*
+ * A reserved call that was dispatched goes on without its caller: the result
+ * is recorded, and a resend with the same key gets it.
+ */
+static bool must_go_on(const call_t *call)
+{
+	return call->state == CALL_RECORDING ||
+	       (call->reserved && call->state == CALL_DISPATCHED);
+}
+
 static void cancel_call(call_t *call)
 {
 	const msg_call_cancel_t cancel = { .call = call->id };
 
+	if (must_go_on(call))
+		return;
+	/* The grant of a reservation may still be on its way. */
+	if (call->state == CALL_RESERVING)
+		call->reserved = true;
+	call_ledger_release(call);
 	if (call->link != NULL)
 		link_send(call->link, MSG_CALL_CANCEL, &cancel);
 	explain_cancelled(&call->explain, now_of(call));
--- a/src/wisteria/limits/retry_budget.c
+++ b/src/wisteria/limits/retry_budget.c
@@ -22,12 +22,15 @@
 	};
 }
 
-/* Changes the fraction; what has been saved up stays. */
+/*
+ * Changes the fraction; what has been saved up stays, but for a budget that
+ * allowed nothing before, which begins anew.
+ */
 void retry_budget_set_percent(retry_budget_t *budget, uint32_t percent)
 {
+	if (percent == 0 || budget->percent == 0)
+		retry_budget_init(budget, percent);
 	budget->percent = percent;
-	if (percent == 0)
-		budget->balance = 0;
 }
 
 /* A fresh request came in. */
