Decide in the directory when it may replace another one

Cause: the functional test of restarts passed also without the guard for a half-rebuilt directory (trial): agents reconnect before daemons renew, so it proves the whole, not the guard. Change: the guard moves from the renewals into the directory, which has no clock; test/unit/directory_test.c shows it.

--- a/src/wisteria/control/control.c
+++ b/src/wisteria/control/control.c
@@ -348,7 +348,8 @@
 	control->machine = machine_functions;
 	control->net = net;
 	control->reads = g_array_new(FALSE, FALSE, sizeof(control_read_t));
-	control->directory = directory_new(net->incarnation);
+	control->directory = directory_new(
+		net->incarnation, now_of(control) + DIRECTORY_WARM_UP_MS);
 	control_state_init(&control->state);
 	requests_init(&control->requests, &control->replica);
 	if (!start(control, settings, err)) {
--- a/src/wisteria/control/directory.c
+++ b/src/wisteria/control/directory.c
@@ -29,6 +29,7 @@
 
 struct directory_t {
 	uint64_t epoch;
+	clock_ms_t whole_at_ms; /* all agents had time to announce */
 	uint64_t version;
 	uint64_t forgotten_version; /* newest dropped tombstone */
 	size_t tombstones;
@@ -92,12 +93,16 @@
 	       strcmp(a->region, b->region) == 0;
 }
 
-/* Makes an empty directory; "epoch" tells it from all others. */
-directory_t *directory_new(uint64_t epoch)
+/*
+ * Makes an empty directory; "epoch" tells it from all others.  Before
+ * "whole_at_ms" it may lack endpoints that are alive.
+ */
+directory_t *directory_new(uint64_t epoch, clock_ms_t whole_at_ms)
 {
 	directory_t *directory = g_new0(directory_t, 1);
 
 	directory->epoch = epoch;
+	directory->whole_at_ms = whole_at_ms;
 	directory->entries = g_hash_table_new_full(g_str_hash, g_str_equal,
 						   NULL, free_entry);
 	directory->agents = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
@@ -265,10 +270,11 @@
 
 /*
  * Says what a daemon that knows "version" of "epoch" lacks: a delta, or
- * everything where it knows another epoch or lags too far.
+ * everything where it knows another epoch or lags too far.  A directory that
+ * may not be whole yet replaces none from elsewhere: the daemon keeps that.
  */
 void directory_delta(directory_t *directory, uint64_t epoch, uint64_t version,
-		     directory_delta_t *delta)
+		     clock_ms_t now, directory_delta_t *delta)
 {
 	GHashTableIter iter;
 	gpointer value;
@@ -276,6 +282,12 @@
 	memset(delta, 0, sizeof(*delta));
 	delta->epoch = directory->epoch;
 	delta->version = directory->version;
+	if (now < directory->whole_at_ms && epoch != 0 &&
+	    epoch != directory->epoch) {
+		delta->epoch = epoch;
+		delta->version = version;
+		return;
+	}
 	delta->full = epoch != directory->epoch ||
 		      version < directory->forgotten_version ||
 		      version > directory->version;
--- a/src/wisteria/control/directory.h
+++ b/src/wisteria/control/directory.h
@@ -24,7 +24,8 @@
 	size_t removed_count;
 } directory_delta_t;
 
-directory_t *directory_new(uint64_t epoch) ATTR_WARN_UNUSED;
+directory_t *directory_new(uint64_t epoch,
+			   clock_ms_t whole_at_ms) ATTR_WARN_UNUSED;
 void directory_free(directory_t *directory);
 void directory_announce(directory_t *directory, const msg_announce_t *announce,
 			clock_ms_t now) ATTR_NONNULL_ALL;
@@ -34,7 +35,7 @@
 void directory_expire(directory_t *directory, clock_ms_t now,
 		      clock_ms_t silence_ms) ATTR_NONNULL_ALL;
 void directory_delta(directory_t *directory, uint64_t epoch, uint64_t version,
-		     directory_delta_t *delta) ATTR_NONNULL_ALL;
+		     clock_ms_t now, directory_delta_t *delta) ATTR_NONNULL_ALL;
 bool directory_running(const directory_t *directory, const char *endpoint,
 		       uint32_t *running) ATTR_NONNULL_ALL;
 void directory_note_running(directory_t *directory,
--- a/src/wisteria/control/renewals.c
+++ b/src/wisteria/control/renewals.c
@@ -54,7 +54,6 @@
 	renewals->replica = replica;
 	renewals->store = store;
 	renewals->directory = directory;
-	renewals->started_ms = now_of(renewals);
 	renewals->waiting = g_ptr_array_new_with_free_func(free_renewal);
 	parts_init(&renewals->parts, replica, store);
 }
@@ -137,25 +136,13 @@
 	return false;
 }
 
-/*
- * Fills in the directory.  An instance that has just started may not know
- * every endpoint yet: to a daemon that has a directory from elsewhere it says
- * nothing until all agents have had the time to announce.
- */
 static void fill_directory(const renewals_t *renewals, const msg_renew_t *renew,
 			   msg_renew_reply_t *reply)
 {
-	bool warming =
-		now_of(renewals) - renewals->started_ms < DIRECTORY_WARM_UP_MS;
 	directory_delta_t delta;
 
 	directory_delta(renewals->directory, renew->directory_epoch,
-			renew->directory_version, &delta);
-	if (warming && delta.full && renew->directory_epoch != 0) {
-		reply->directory_epoch = renew->directory_epoch;
-		reply->directory_version = renew->directory_version;
-		return;
-	}
+			renew->directory_version, now_of(renewals), &delta);
 	reply->directory_full = delta.full;
 	reply->directory_epoch = delta.epoch;
 	reply->directory_version = delta.version;
--- a/src/wisteria/control/renewals.h
+++ b/src/wisteria/control/renewals.h
@@ -18,7 +18,6 @@
 	const store_t *store;
 	directory_t *directory;
 	parts_t parts;
-	clock_ms_t started_ms;
 	GPtrArray *waiting; /* of renewal_t */
 } renewals_t;
 
--- a/src/wisteria/daemon/operators.c
+++ b/src/wisteria/daemon/operators.c
@@ -60,7 +60,7 @@
 {
 	directory_delta_t all;
 
-	directory_delta(directory, 0, 0, &all);
+	directory_delta(directory, 0, 0, 0, &all);
 	for (size_t i = 0; i < all.endpoint_count; i++) {
 		admin_endpoint_t endpoint = { .endpoint = &all.endpoints[i] };
 
--- /dev/null
+++ b/test/unit/directory_test.c
@@ -0,0 +1,117 @@
+/* Unit tests of the directory of endpoints, with times as plain numbers. */
+#include "unit.h"
+
+#include "wisteria/control/directory.h"
+
+#define EPOCH 7
+#define OLDER_EPOCH 5
+#define WHOLE_AT_MS 2500
+#define SILENCE_MS 4000
+
+static void announce(directory_t *directory, const char *instance,
+		     const char *endpoint, uint64_t incarnation, clock_ms_t now)
+{
+	const msg_endpoint_t endpoints[] = { {
+		.name = endpoint,
+		.instance = instance,
+		.incarnation = incarnation,
+		.address = "127.0.0.1:1",
+		.target = "modelo",
+		.accelerator = "a",
+		.failure_domain = "recife",
+		.region = "nordeste",
+	} };
+	const msg_announce_t body = {
+		.instance = instance,
+		.incarnation = incarnation,
+		.endpoints = endpoints,
+		.endpoint_count = ARRAY_SIZE(endpoints),
+	};
+
+	directory_announce(directory, &body, now);
+}
+
+static void test_half_rebuilt_replaces_nothing(void)
+{
+	directory_t *directory = directory_new(EPOCH, WHOLE_AT_MS);
+	directory_delta_t delta;
+
+	announce(directory, "agent-1", "range-0-0", 1, 100);
+	directory_delta(directory, OLDER_EPOCH, 42, WHOLE_AT_MS - 1, &delta);
+	CU_ASSERT_FALSE(delta.full);
+	CU_ASSERT_EQUAL(delta.epoch, OLDER_EPOCH);
+	CU_ASSERT_EQUAL(delta.version, 42);
+	CU_ASSERT_EQUAL(delta.endpoint_count, 0);
+	CU_ASSERT_EQUAL(delta.removed_count, 0);
+	directory_delta(directory, OLDER_EPOCH, 42, WHOLE_AT_MS, &delta);
+	CU_ASSERT_TRUE(delta.full);
+	CU_ASSERT_EQUAL(delta.epoch, EPOCH);
+	CU_ASSERT_EQUAL(delta.endpoint_count, 1);
+	directory_free(directory);
+}
+
+static void test_newcomer_is_given_what_there_is(void)
+{
+	directory_t *directory = directory_new(EPOCH, WHOLE_AT_MS);
+	directory_delta_t delta;
+
+	announce(directory, "agent-1", "range-0-0", 1, 100);
+	directory_delta(directory, 0, 0, 200, &delta);
+	CU_ASSERT_TRUE(delta.full);
+	CU_ASSERT_EQUAL(delta.endpoint_count, 1);
+	announce(directory, "agent-2", "range-0-1", 1, 300);
+	directory_delta(directory, EPOCH, delta.version, 400, &delta);
+	CU_ASSERT_FALSE(delta.full);
+	CU_ASSERT_EQUAL(delta.endpoint_count, 1);
+	CU_ASSERT_STRING_EQUAL(delta.endpoints[0].name, "range-0-1");
+	directory_free(directory);
+}
+
+static void test_silent_agent_is_removed(void)
+{
+	directory_t *directory = directory_new(EPOCH, 0);
+	directory_delta_t delta;
+	uint64_t version;
+
+	announce(directory, "agent-1", "range-0-0", 1, 0);
+	announce(directory, "agent-2", "range-0-1", 1, 0);
+	directory_delta(directory, 0, 0, 0, &delta);
+	version = delta.version;
+	CU_ASSERT_TRUE(directory_touch(directory, "agent-1", 1, 1000));
+	directory_expire(directory, SILENCE_MS, SILENCE_MS);
+	directory_delta(directory, EPOCH, version, SILENCE_MS, &delta);
+	CU_ASSERT_FALSE(delta.full);
+	CU_ASSERT_EQUAL(delta.endpoint_count, 0);
+	CU_ASSERT_EQUAL_FATAL(delta.removed_count, 1);
+	CU_ASSERT_STRING_EQUAL(delta.removed[0].text, "range-0-1");
+	CU_ASSERT_EQUAL(directory_count(directory), 1);
+	directory_free(directory);
+}
+
+static void test_earlier_incarnation_is_ignored(void)
+{
+	directory_t *directory = directory_new(EPOCH, 0);
+	directory_delta_t delta;
+
+	announce(directory, "agent-1", "range-0-0", 2, 0);
+	announce(directory, "agent-1", "range-9-9", 1, 10);
+	CU_ASSERT_FALSE(directory_touch(directory, "agent-1", 1, 20));
+	directory_delta(directory, 0, 0, 20, &delta);
+	CU_ASSERT_EQUAL_FATAL(delta.endpoint_count, 1);
+	CU_ASSERT_STRING_EQUAL(delta.endpoints[0].name, "range-0-0");
+	directory_free(directory);
+}
+
+static const unit_test_t tests[] = {
+	{ "half rebuilt replaces nothing", test_half_rebuilt_replaces_nothing },
+	{ "newcomer is given what there is",
+	  test_newcomer_is_given_what_there_is },
+	{ "silent agent is removed", test_silent_agent_is_removed },
+	{ "earlier incarnation is ignored",
+	  test_earlier_incarnation_is_ignored },
+};
+
+int main(void)
+{
+	return unit_run("directory", tests, ARRAY_SIZE(tests));
+}
