Split calls by what they do; never say not run of a call that was sent

Change: call.c is one call, call_ledger.c its reservation, entry_call.c what happens to all; a call remembers that a dispatch may have run.

--- /dev/null
+++ b/src/wisteria/entry/call.c
@@ -0,0 +1,231 @@
+/*
+ * A call to a plain service at the entry: dispatch, the outcomes of a
+ * dispatch, and what the caller is sent.
+ */
+#include "wisteria/entry/call.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "wisteria/base/clock.h"
+#include "wisteria/base/err.h"
+#include "wisteria/codec/codec.h"
+#include "wisteria/codec/msg.h"
+#include "wisteria/entry/call_ledger.h"
+#include "wisteria/entry/refusal.h"
+#include "wisteria/entry/request.h"
+#include "wisteria/net/link.h"
+#include "wisteria/trace/explain.h"
+
+#define CALL_DISPATCHES_MAX 3
+#define CALL_RETRY_AFTER_MS 1000
+
+/* Headers that concern one connection only, and our own. */
+static const char *const dropped_headers[] = {
+	"Connection",	 "Keep-Alive",	     "Transfer-Encoding",
+	"Upgrade",	 "Proxy-Connection", "TE",
+	"Trailer",	 "Content-Length",   "Host",
+	"Authorization", "Expect",
+};
+
+static bool is_dropped(const char *name)
+{
+	for (size_t i = 0; i < ARRAY_SIZE(dropped_headers); i++)
+		if (g_ascii_strcasecmp(name, dropped_headers[i]) == 0)
+			return true;
+	return false;
+}
+
+/* Returns the time of the entry of "call". */
+clock_ms_t call_now(const call_t *call)
+{
+	return clock_now(call->entry->net->clock);
+}
+
+/* Gives back the link and the slot of a dispatched call. */
+void call_release_agent(call_t *call)
+{
+	if (call->link == NULL)
+		return;
+	link_release(call->link);
+	call->link = NULL;
+	router_finished(call->entry->router, call->hop.endpoint);
+}
+
+/* Ends a call; it is freed at the end of the turn. */
+void call_end(call_t *call)
+{
+	call_release_agent(call);
+	call->question = 0;
+	call->state = CALL_ENDED;
+	span_end(&call->span, call->entry->tracer);
+	explain_log_add(&call->entry->explanations, &call->explain);
+	g_ptr_array_add(call->entry->ended_calls, call);
+}
+
+/* Ends a call with a refusal that says whether it was run. */
+void call_refuse(call_t *call, err_code_t code, const char *step,
+		 const char *reason, bool not_run)
+{
+	entry_refusal_t refusal = {
+		.not_run = not_run,
+		.retry_after_ms = not_run ? CALL_RETRY_AFTER_MS : 0,
+	};
+
+	if (not_run)
+		call_ledger_release(call);
+	else
+		call_ledger_record_unknown(call, reason);
+	err_set(&refusal.err, code, step, call->hop.endpoint, "%s", reason);
+	explain_refused(&call->explain, &refusal.err, not_run,
+			refusal.retry_after_ms, call_now(call));
+	call->span.is_error = true;
+	refusal_send(call->request, &refusal, call->entry->view);
+	call_end(call);
+}
+
+static void send_call(call_t *call)
+{
+	const request_t *request = call->request;
+	GArray *headers = g_array_new(FALSE, FALSE, sizeof(msg_header_t));
+	msg_call_t body = {
+		.call = call->id,
+		.revision = call->entry->revision,
+		.endpoint = call->hop.endpoint,
+		.request_id = request->id,
+		.customer = call->customer,
+		.method = request->method,
+		.path = call->path,
+		.body = { request->body->data, request->body->len },
+		.remaining_ms =
+			call->deadline_ms - clock_now(call->entry->net->clock),
+		.traceparent = call->traceparent,
+	};
+
+	for (guint i = 0; i < request->headers->len; i++) {
+		const request_header_t *line =
+			&g_array_index(request->headers, request_header_t, i);
+		const msg_header_t copy = { line->name, line->value };
+
+		if (!is_dropped(line->name))
+			g_array_append_val(headers, copy);
+	}
+	body.headers = (msg_header_t *)headers->data;
+	body.header_count = headers->len;
+	link_send(call->link, MSG_CALL, &body);
+	g_array_free(headers, TRUE);
+}
+
+/* Sends the call if the link is open; otherwise it leaves when it opens. */
+void call_send_when_open(call_t *call)
+{
+	if (!link_is_open(call->link))
+		return;
+	call->agent_incarnation = call->link->conn->peer_incarnation;
+	send_call(call);
+}
+
+/* Dispatches a queued call; returns false if no endpoint has room. */
+bool call_dispatch(call_t *call, clock_ms_t now)
+{
+	entry_t *entry = call->entry;
+	route_request_t request = {
+		.target = call->service,
+		.avoid_count = call->avoid_count,
+	};
+	route_choice_t choice;
+
+	memcpy(request.avoid, call->avoid, sizeof(request.avoid));
+	if (router_choose(entry->router, &request, now, &choice) != ROUTE_FOUND)
+		return false;
+	call->hop = choice.hops[0];
+	call->link = agent_links_get(&entry->links, call->hop.address);
+	call->agent_incarnation = 0;
+	call->lost_ms = link_is_open(call->link) ? 0 : now;
+	call->dispatches++;
+	call->state = CALL_DISPATCHED;
+	link_hold(call->link);
+	router_started(entry->router, call->hop.endpoint);
+	explain_call(&call->explain, call->hop.endpoint, call->idempotent, now);
+	call_send_when_open(call);
+	return true;
+}
+
+static void avoid_endpoint(call_t *call)
+{
+	size_t slot = call->avoid_count % ARRAY_SIZE(call->avoid);
+
+	snprintf(call->avoid_names[slot], ROUTER_NAME_BYTES, "%s",
+		 call->hop.endpoint);
+	call->avoid[slot] = call->avoid_names[slot];
+	if (call->avoid_count < ARRAY_SIZE(call->avoid))
+		call->avoid_count++;
+}
+
+/*
+ * Queues the call for another endpoint, or gives it up: as not run, unless an
+ * earlier dispatch may have run.
+ */
+void call_dispatch_elsewhere(call_t *call, const char *reason)
+{
+	avoid_endpoint(call);
+	call_release_agent(call);
+	if (call->dispatches >= CALL_DISPATCHES_MAX) {
+		call_refuse(call, ERR_UNAVAILABLE, "call", reason,
+			    !call->may_have_run);
+		return;
+	}
+	call->state = CALL_QUEUED;
+}
+
+/* The agent is gone with the call: repeats it or says that it is unknown. */
+void call_lose(call_t *call, const char *reason)
+{
+	router_failed(call->entry->router, call->hop.endpoint, call_now(call));
+	explain_lost(&call->explain, call->hop.endpoint, reason,
+		     call_now(call));
+	if (call->agent_incarnation != 0)
+		call->may_have_run = true;
+	if (!call->may_have_run ||
+	    (call->idempotent && retry_budget_take(&call->entry->retries))) {
+		call_dispatch_elsewhere(call, reason);
+		return;
+	}
+	call_refuse(call, ERR_CLOSED, "call", reason, false);
+}
+
+/* Answers the caller with what the service said. */
+void call_answer(call_t *call, const msg_call_reply_t *reply)
+{
+	GArray *headers = request_headers_new();
+
+	for (size_t i = 0; i < reply->header_count; i++)
+		if (!is_dropped(reply->headers[i].name))
+			request_headers_add(headers, reply->headers[i].name,
+					    reply->headers[i].value);
+	request_headers_add(headers, "X-Request-Id", call->request->id);
+	request_head(call->request, reply->status, headers);
+	request_write(call->request, reply->body.data, reply->body.len);
+	request_end(call->request);
+	explain_answered(&call->explain, 0, call_now(call));
+	span_set_number(&call->span, "status", reply->status);
+	call_end(call);
+}
+
+/* Answers from what the ledger or the call itself kept of a run. */
+void call_answer_stored(call_t *call, bytes_t stored)
+{
+	msg_call_reply_t reply;
+	msgpack_zone zone;
+	err_t err = ERR_INIT;
+
+	msgpack_zone_init(&zone, MSGPACK_ZONE_CHUNK_SIZE);
+	if (!codec_decode(&msg_call_reply_desc, stored.data, stored.len, &zone,
+			  &reply, &err))
+		call_refuse(call, ERR_CORRUPT, "ledger", err.text, false);
+	else if (reply.outcome != CALL_DONE)
+		call_refuse(call, ERR_CLOSED, "ledger", reply.reason, false);
+	else
+		call_answer(call, &reply);
+	msgpack_zone_destroy(&zone);
+}
--- a/src/wisteria/entry/call_ledger.c
+++ b/src/wisteria/entry/call_ledger.c
@@ -12,7 +12,11 @@
 #include "wisteria/base/clock.h"
 #include "wisteria/codec/codec.h"
 #include "wisteria/codec/msg.h"
+#include "wisteria/entry/call.h"
+#include "wisteria/trace/explain.h"
 
+/* How often a key that another call holds is asked for again. */
+#define CALL_PENDING_RETRY_MS 200
 /* How long an answer waits for its result to be recorded. */
 #define CALL_RECORD_MS 3000
 /* How long the ledger is asked to take what nobody waits for. */
@@ -111,3 +115,101 @@
 	call->reserved = false;
 	ask_in_background(call, &question);
 }
+
+static void on_granted(call_t *call, const msg_ledger_reply_t *reply)
+{
+	(void)reply;
+	call->reserved = true;
+	call->state = CALL_QUEUED;
+	explain_reserved(&call->explain, call_now(call));
+	call_dispatch(call, clock_now(call->entry->net->clock));
+}
+
+static void on_pending(call_t *call, const msg_ledger_reply_t *reply)
+{
+	(void)reply;
+	call->reserve_at_ms =
+		clock_now(call->entry->net->clock) + CALL_PENDING_RETRY_MS;
+}
+
+static void on_stored(call_t *call, const msg_ledger_reply_t *reply)
+{
+	explain_stored(&call->explain, call_now(call));
+	call_answer_stored(call, reply->result);
+}
+
+static void on_unknown(call_t *call, const msg_ledger_reply_t *reply)
+{
+	(void)reply;
+	call_refuse(call, ERR_CLOSED, "ledger",
+		    "an earlier call with this key may have run", false);
+}
+
+static void on_full(call_t *call, const msg_ledger_reply_t *reply)
+{
+	(void)reply;
+	call_refuse(call, ERR_OVERLOAD, "ledger", "the ledger is full", true);
+}
+
+/* The key may have been reserved for this call, which was not dispatched. */
+static void on_unavailable(call_t *call, const msg_ledger_reply_t *reply)
+{
+	(void)reply;
+	call->reserved = true;
+	call_refuse(call, ERR_UNAVAILABLE, "ledger",
+		    "no quorum of control instances in time", true);
+}
+
+static void on_mismatch(call_t *call, const msg_ledger_reply_t *reply)
+{
+	(void)reply;
+	call_refuse(call, ERR_CONFLICT, "ledger",
+		    "this key was used for another request", true);
+}
+
+typedef void (*ledger_answer_t)(call_t *call, const msg_ledger_reply_t *reply);
+
+static const ledger_answer_t reserve_answers[] = {
+	[LEDGER_GRANTED] = on_granted,
+	[LEDGER_PENDING] = on_pending,
+	[LEDGER_STORED] = on_stored,
+	[LEDGER_UNKNOWN] = on_unknown,
+	[LEDGER_OK] = on_unknown,
+	[LEDGER_FULL] = on_full,
+	[LEDGER_UNAVAILABLE] = on_unavailable,
+	[LEDGER_MISMATCH] = on_mismatch,
+};
+
+static call_t *call_of_question(const entry_t *entry, uint64_t sequence)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, entry->calls);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		call_t *call = value;
+
+		if (call->question == sequence)
+			return call;
+	}
+	return NULL;
+}
+
+/*
+ * Takes an answer of the ledger.  A result that could not be recorded is
+ * given to the caller all the same: it is true, and a resend gets "unknown".
+ */
+void call_ledger_answered(entry_t *entry, const msg_ledger_reply_t *reply)
+{
+	call_t *call = call_of_question(entry, reply->sequence);
+
+	if (call == NULL)
+		return;
+	call->question = 0;
+	if (call->state == CALL_RECORDING)
+		call_answer_stored(
+			call, (bytes_t){ (const uint8_t *)call->result.data,
+					 call->result.size });
+	else if (reply->state < ARRAY_SIZE(reserve_answers))
+		reserve_answers[reply->state](call, reply);
+}
--- a/src/wisteria/entry/entry.c
+++ b/src/wisteria/entry/entry.c
@@ -15,6 +15,7 @@
 #include "wisteria/base/table.h"
 #include "wisteria/control/control_defs.h"
 #include "wisteria/control/view.h"
+#include "wisteria/entry/call_ledger.h"
 #include "wisteria/entry/entry_call.h"
 #include "wisteria/entry/entry_defs.h"
 #include "wisteria/entry/entry_explain.h"
@@ -116,7 +117,7 @@
 	entry_t *entry = CONTAINER_OF(owner, entry_t, ledger_owner);
 
 	begin_turn(entry);
-	entry_call_ledger(entry, reply);
+	call_ledger_answered(entry, reply);
 	end_turn(entry);
 }
 
--- a/src/wisteria/entry/entry_call.h
+++ b/src/wisteria/entry/entry_call.h
@@ -13,8 +13,6 @@
 void entry_call_agent_down(entry_t *entry, const conn_t *conn) ATTR_NONNULL_ALL;
 void entry_call_reply(entry_t *entry,
 		      const msg_call_reply_t *reply) ATTR_NONNULL_ALL;
-void entry_call_ledger(entry_t *entry,
-		       const msg_ledger_reply_t *reply) ATTR_NONNULL_ALL;
 void entry_call_tick(entry_t *entry, clock_ms_t now) ATTR_NONNULL_ALL;
 void entry_call_reap(entry_t *entry) ATTR_NONNULL_ALL;
 
--- a/src/wisteria/entry/entry_defs.h
+++ b/src/wisteria/entry/entry_defs.h
@@ -65,6 +65,7 @@
 	link_t *link; /* held while dispatched */
 	uint64_t agent_incarnation;
 	uint32_t dispatches;
+	bool may_have_run; /* an earlier dispatch was lost after it was sent */
 	const char *avoid[4];
 	char avoid_names[4][ROUTER_NAME_BYTES];
 	size_t avoid_count;
