Answer a resent membership order as before

Cause: a promotion sent again after a lost answer was refused, because the instance already voted. Change: an order that the store remembers is only answered again.

--- a/src/wisteria/control/control.c
+++ b/src/wisteria/control/control.c
@@ -351,7 +351,8 @@
 	control->directory = directory_new(
 		net->incarnation, now_of(control) + DIRECTORY_WARM_UP_MS);
 	control_state_init(&control->state);
-	requests_init(&control->requests, &control->replica);
+	requests_init(&control->requests, &control->replica,
+		      &control->state.store);
 	if (!start(control, settings, err)) {
 		free_parts(control);
 		return NULL;
--- a/src/wisteria/control/requests.c
+++ b/src/wisteria/control/requests.c
@@ -16,6 +16,7 @@
 #include "wisteria/control/command.h"
 #include "wisteria/control/replica.h"
 #include "wisteria/net/conn.h"
+#include "wisteria/store/store.h"
 
 typedef enum {
 	REQUEST_QUEUED,
@@ -52,11 +53,13 @@
 	g_free(request);
 }
 
-/* Prepares an empty set of requests. */
-void requests_init(requests_t *requests, replica_t *replica)
+/* Prepares an empty set of requests; what it is given must outlive it. */
+void requests_init(requests_t *requests, replica_t *replica,
+		   const store_t *store)
 {
 	memset(requests, 0, sizeof(*requests));
 	requests->replica = replica;
+	requests->store = store;
 	g_queue_init(&requests->waiting);
 }
 
@@ -188,7 +191,10 @@
 		request->order.kind == ORDER_MEMBER_REMOVE);
 }
 
-/* Changes the membership before the order is recorded; false: refused. */
+/*
+ * Changes the membership before the order is recorded; false: refused.  An
+ * order that was sent again only gets its answer again.
+ */
 static bool change_member(requests_t *requests, request_t *request)
 {
 	raft_member_change_t change =
@@ -199,8 +205,11 @@
 		.id = request->order.id,
 		.outcome = ORDER_REFUSED,
 	};
+	msg_order_reply_t earlier;
 	err_t err = ERR_INIT;
 
+	if (store_find_order(requests->store, request->order.id, &earlier))
+		return true;
 	if (replica_change_member(requests->replica, change,
 				  request->order.name, &err))
 		return true;
--- a/src/wisteria/control/requests.h
+++ b/src/wisteria/control/requests.h
@@ -4,7 +4,8 @@
 #include "wisteria/base/macros_defs.h"
 #include "wisteria/control/requests_defs.h"
 
-void requests_init(requests_t *requests, replica_t *replica) ATTR_NONNULL_ALL;
+void requests_init(requests_t *requests, replica_t *replica,
+		   const store_t *store) ATTR_NONNULL_ALL;
 void requests_finish(requests_t *requests) ATTR_NONNULL_ALL;
 void requests_take_order(requests_t *requests, conn_t *conn,
 			 const msg_order_t *order) ATTR_NONNULL_ALL;
--- a/src/wisteria/control/requests_defs.h
+++ b/src/wisteria/control/requests_defs.h
@@ -4,6 +4,7 @@
 #include <glib.h>
 
 #include "wisteria/control/replica_defs.h"
+#include "wisteria/store/store_defs.h"
 
 /* Without a commit for this long the outcome is said to be unknown. */
 #define REQUESTS_ANSWER_MS 2500
@@ -14,6 +15,7 @@
 /* Orders and ledger questions that wait for their commit. */
 typedef struct {
 	replica_t *replica;
+	const store_t *store;
 	GQueue waiting; /* of request_t, oldest first */
 	uint64_t sequence;
 	bool open; /* the leader knows its state and takes commands */
--- a/test/functional/control_test.c
+++ b/test/functional/control_test.c
@@ -198,6 +198,35 @@
 	control_rig_finish(&rig);
 }
 
+static void test_operator_promotes_a_learner(void)
+{
+	control_rig_t rig;
+	msg_order_t order = {
+		.id = "promote-1",
+		.kind = ORDER_MEMBER_PROMOTE,
+		.text = "",
+		.operator_name = "rui",
+	};
+	rig_answer_t first;
+	rig_answer_t again;
+
+	control_rig_init(&rig, &harness, 4, 3, false);
+	CU_ASSERT_FATAL(control_rig_start_all(&rig));
+	CU_ASSERT_FATAL(comes_in_force(
+		&rig, control_rig_add_daemon(&rig, "at-learner", 3, 1),
+		RIG_FIRST_REVISION + rig.orders));
+	order.name = rig.controls[3].name;
+	first = control_rig_order(&rig, 0, &order);
+	CU_ASSERT_EQUAL(first.outcome, ORDER_APPLIED);
+	again = control_rig_order(&rig, 1, &order);
+	CU_ASSERT_EQUAL(again.outcome, ORDER_APPLIED);
+	CU_ASSERT_EQUAL(again.revision, first.revision);
+	order.id = "promote-2";
+	CU_ASSERT_EQUAL(control_rig_order(&rig, 2, &order).outcome,
+			ORDER_REFUSED);
+	control_rig_finish(&rig);
+}
+
 static void test_planned_stop_hands_over(void)
 {
 	control_rig_t rig;
@@ -308,6 +337,7 @@
 	{ "lost disk, then lost instance", test_lost_disk_then_lost_instance },
 	{ "restarts drop no endpoint", test_restarts_drop_no_endpoint },
 	{ "learner serves daemons", test_learner_serves_daemons },
+	{ "operator promotes a learner", test_operator_promotes_a_learner },
 	{ "planned stop hands over", test_planned_stop_hands_over },
 	{ "racing orders have one winner", test_racing_orders_have_one_winner },
 };
