Take the endpoints of a stopped daemon out of the directory at once

Cause: the demo's endpoint list still showed first-a, seconds after its planned stop, until the directory had not heard it for 4 s. Change: a daemon that is about to end withdraws its endpoints. Before and after: first-a stood in the list after its stop; now it does not. Conclusion: an operator sees what is true.

--- a/src/wisteria/control/announcer.c
+++ b/src/wisteria/control/announcer.c
@@ -193,12 +193,24 @@
 	}
 }
 
+static void announce_list(announcer_t *announcer)
+{
+	for (unsigned i = 0; i < announcer->peer_count; i++)
+		announcer->peers[i].announced = false;
+	announce_all(announcer);
+}
+
 /* Says at once that this daemon stops and its endpoints leave. */
 void announcer_leave(announcer_t *announcer)
 {
 	for (size_t i = 0; i < announcer->endpoint_count; i++)
 		announcer->endpoints[i].leaving = true;
-	for (unsigned i = 0; i < announcer->peer_count; i++)
-		announcer->peers[i].announced = false;
-	announce_all(announcer);
+	announce_list(announcer);
+}
+
+/* Says at once that the endpoints, which are empty, are gone. */
+void announcer_withdraw(announcer_t *announcer)
+{
+	announcer->endpoint_count = 0;
+	announce_list(announcer);
 }
--- a/src/wisteria/control/announcer.h
+++ b/src/wisteria/control/announcer.h
@@ -17,5 +17,6 @@
 void announcer_set_running(announcer_t *announcer, const msg_running_t *running,
 			   size_t count) ATTR_NONNULL(1);
 void announcer_leave(announcer_t *announcer) ATTR_NONNULL_ALL;
+void announcer_withdraw(announcer_t *announcer) ATTR_NONNULL_ALL;
 
 #endif
--- a/src/wisteria/daemon/daemon.c
+++ b/src/wisteria/daemon/daemon.c
@@ -58,6 +58,7 @@
 	uv_signal_t sigint;
 	uv_timer_t drain;
 	clock_ms_t drain_since_ms; /* 0: not draining */
+	bool withdrawn;		   /* idle, and the endpoints were told gone */
 } daemon_t;
 
 /* Ready: not told to stop, and the lease is valid or a leader is known. */
@@ -91,8 +92,13 @@
 		return;
 	if (daemon->front != NULL)
 		http_front_close(daemon->front);
-	if (daemon->traffic == NULL || traffic_is_idle(daemon->traffic))
+	if (daemon->traffic != NULL && !traffic_is_idle(daemon->traffic))
+		return;
+	if (daemon->withdrawn)
 		uv_stop(&daemon->loop);
+	daemon->withdrawn = true;
+	if (daemon->announcer != NULL)
+		announcer_withdraw(daemon->announcer);
 }
 
 static void on_signal(uv_signal_t *handle, int signal_number)
