Count the bytes of control apart

Cause: the counters of control bytes were never counted. Change: the connections of the control thread count as control too.

--- a/src/wisteria/daemon/daemon.c
+++ b/src/wisteria/daemon/daemon.c
@@ -209,6 +209,7 @@
 	net_init(&daemon->net, &daemon->loop, &clock_monotonic,
 		 settings->instance, settings->failure_domain,
 		 (uint64_t)g_get_real_time(), daemon->key);
+	daemon->net.is_control = true;
 	mailbox_init(&daemon->mailbox, &daemon->loop);
 	view_board_init(&daemon->board);
 	uv_timer_init(&daemon->loop, &daemon->drain);
--- a/src/wisteria/net/conn.c
+++ b/src/wisteria/net/conn.c
@@ -125,6 +125,14 @@
 			     "the peer does not read what it is sent");
 }
 
+static void count_bytes(const net_t *net, counter_t all, counter_t control,
+			uint64_t bytes)
+{
+	counter_add(all, bytes);
+	if (net->is_control)
+		counter_add(control, bytes);
+}
+
 static void append_frame(conn_t *conn, msg_type_t type, const void *body)
 {
 	static const char header[FRAME_HEADER_BYTES];
@@ -140,7 +148,8 @@
 		LIST_INSERT_HEAD(&conn->net->unflushed, conn, unflushed_entry);
 	conn->is_unflushed = true;
 	counter_add(COUNTER_FRAMES_OUT, 1);
-	counter_add(COUNTER_BYTES_OUT, len + FRAME_HEADER_BYTES);
+	count_bytes(conn->net, COUNTER_BYTES_OUT, COUNTER_CONTROL_BYTES_OUT,
+		    len + FRAME_HEADER_BYTES);
 }
 
 /*
@@ -332,7 +341,8 @@
 	}
 	conn->heard_ms = clock_now(conn->net->clock);
 	conn->in_used += (size_t)count;
-	counter_add(COUNTER_BYTES_IN, (uint64_t)count);
+	count_bytes(conn->net, COUNTER_BYTES_IN, COUNTER_CONTROL_BYTES_IN,
+		    (uint64_t)count);
 	read_frames(conn);
 }
 
--- a/src/wisteria/net/net_defs.h
+++ b/src/wisteria/net/net_defs.h
@@ -68,6 +68,7 @@
 	clock_ms_t ticked_ms;
 	uv_prepare_t flush;
 	bool closing;
+	bool is_control; /* its bytes count as control */
 } net_t;
 
 typedef enum {
