Let a caller that lost its connection pick its stream up again

Cause: a stream could be picked up only where its entry had died: an entry whose caller went away closed the session at once. Change: a stream that has begun waits 10 s for its caller, undriven, and goes on through the same entry or another; an agent tells the entry that had a session when another takes it over, so that the two do not contend. Conclusion: Last-Event-ID works through any entry.

--- a/src/wisteria/agent/agent_session.c
+++ b/src/wisteria/agent/agent_session.c
@@ -188,6 +188,21 @@
 	agent_session_take_peers(session);
 }
 
+/* Tells the entry that had the session so far that it has lost it. */
+static void tell_old_entry(const agent_session_t *session, const conn_t *conn)
+{
+	const msg_session_failed_t moved = {
+		.session = session->key.session,
+		.attempt = hop_session_attempt(session->hop),
+		.step = MSG_STEP_TAKEOVER,
+		.peer = conn->peer_instance,
+		.reason = "the caller asked another entry for the stream",
+	};
+
+	if (session->entry != NULL && session->entry != conn)
+		conn_send(session->entry, MSG_SESSION_FAILED, &moved);
+}
+
 /*
  * Gives a session to another entry of the same customer's request.  What the
  * old one still asks of this hop is ignored.
@@ -216,6 +231,7 @@
 			session->expires_ms - AGENT_SESSION_EXPIRY_MS - now;
 		g_strlcpy(session->owner, conn->peer_instance,
 			  sizeof(session->owner));
+		tell_old_entry(session, conn);
 		agent_session_bind(session, conn);
 		LOG_INFO("session_taken_over",
 			 "session=%" G_GUINT64_FORMAT " entry=%s",
--- a/src/wisteria/codec/msg_defs.h
+++ b/src/wisteria/codec/msg_defs.h
@@ -174,6 +174,9 @@
 	uint32_t hop;
 } msg_close_t;
 
+/* The step of a failure that says: another entry took the session over. */
+#define MSG_STEP_TAKEOVER "takeover"
+
 /* An attempt that can't go on; "hop" is the hop found at fault. */
 typedef struct {
 	uint64_t session;
--- a/src/wisteria/entry/entry_defs.h
+++ b/src/wisteria/entry/entry_defs.h
@@ -32,6 +32,8 @@
 	bool taking_over; /* its session is asked for */
 	uint32_t takeover_next;
 	clock_ms_t takeover_ms;
+	bool detached; /* the caller has gone and may come back */
+	clock_ms_t detached_ms;
 	bool ended;
 	span_t span;	  /* the whole request */
 	span_t wait_span; /* until a chain is chosen */
--- a/src/wisteria/entry/entry_model.c
+++ b/src/wisteria/entry/entry_model.c
@@ -5,6 +5,7 @@
 #include "wisteria/entry/entry_model.h"
 
 #include <stdio.h>
+#include <string.h>
 
 #include "wisteria/base/clock.h"
 #include "wisteria/base/err.h"
@@ -16,6 +17,9 @@
 #include "wisteria/settings/preset.h"
 #include "wisteria/trace/explain.h"
 
+/* How long a stream waits for a caller that has gone. */
+#define JOB_DETACHED_MS 10000
+
 typedef void (*model_message_t)(entry_t *entry, const msg_t *msg);
 
 static void refuse_waiting(job_t *job, err_code_t code, const char *step,
@@ -150,7 +154,27 @@
 	act_on(job, answer, now);
 }
 
-/* Ends the job of a request whose caller has gone. */
+/* Ends a job for good, and its session at the agents. */
+static void cancel_job(job_t *job)
+{
+	if (job->session != NULL)
+		entry_session_on_cancel(job->session, "the caller has gone");
+	explain_cancelled(&job->explain, clock_now(job->entry->net->clock));
+	job_end(job);
+}
+
+/* A stream that has begun waits for its caller to pick it up again. */
+static void lose_caller(job_t *job)
+{
+	if (!job->request->stream || !job->answering || job->session == NULL) {
+		cancel_job(job);
+		return;
+	}
+	job->detached = true;
+	job->detached_ms = clock_now(job->entry->net->clock);
+}
+
+/* The caller of a request has gone. */
 void entry_model_cancel(entry_t *entry, const request_t *request)
 {
 	GHashTableIter iter;
@@ -160,13 +184,9 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		job_t *job = value;
 
-		if (job->request != request || job->ended)
+		if (job->request != request || job->ended || job->detached)
 			continue;
-		if (job->session != NULL)
-			entry_session_on_cancel(job->session,
-						"the caller has gone");
-		explain_cancelled(&job->explain, clock_now(entry->net->clock));
-		job_end(job);
+		lose_caller(job);
 		return;
 	}
 }
@@ -185,7 +205,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const job_t *job = value;
 
-		if (job->session != NULL && !job->ended)
+		if (job_is_driven(job))
 			event(job->session, address, now);
 	}
 }
@@ -234,7 +254,7 @@
 	clock_ms_t now = clock_now(entry->net->clock);
 
 	router_load(entry->router, &reply->load, now);
-	if (job != NULL && job->session != NULL && !job->ended)
+	if (job != NULL && job_is_driven(job))
 		entry_session_on_open_reply(job->session, reply, now);
 }
 
@@ -245,7 +265,7 @@
 	clock_ms_t now = clock_now(entry->net->clock);
 
 	router_load(entry->router, &tokens->load, now);
-	if (job != NULL && job->session != NULL && !job->ended)
+	if (job != NULL && job_is_driven(job))
 		entry_session_on_tokens(job->session, tokens, now);
 }
 
@@ -256,6 +276,12 @@
 
 	if (job == NULL || job->session == NULL || job->ended)
 		return;
+	if (strcmp(failed->step, MSG_STEP_TAKEOVER) == 0) {
+		job_forget(job);
+		return;
+	}
+	if (job->detached)
+		return;
 	snprintf(job->fail_reason, sizeof(job->fail_reason), "%s",
 		 failed->reason);
 	entry_session_on_failed(job->session, failed,
@@ -283,18 +309,23 @@
 	return true;
 }
 
-static void tick_sessions(entry_t *entry, clock_ms_t now)
+static void tick_job(job_t *job, clock_ms_t now)
+{
+	if (job_is_driven(job))
+		entry_session_tick(job->session, now);
+	else if (job->detached && !job->ended &&
+		 now - job->detached_ms >= JOB_DETACHED_MS)
+		cancel_job(job);
+}
+
+static void tick_jobs(entry_t *entry, clock_ms_t now)
 {
 	GHashTableIter iter;
 	gpointer value;
 
 	g_hash_table_iter_init(&iter, entry->jobs);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const job_t *job = value;
-
-		if (job->session != NULL && !job->ended)
-			entry_session_tick(job->session, now);
-	}
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		tick_job(value, now);
 }
 
 /* Starts and expires waiting requests and drives the sessions' deadlines. */
@@ -302,7 +333,7 @@
 {
 	if (entry->view != NULL && entry->view->preset != NULL)
 		drain_queue(entry, now);
-	tick_sessions(entry, now);
+	tick_jobs(entry, now);
 	job_takeover_tick(entry, now);
 }
 
--- a/src/wisteria/entry/job.c
+++ b/src/wisteria/entry/job.c
@@ -123,6 +123,31 @@
 	return job;
 }
 
+/*
+ * Returns whether the session of "job" is told of events.  A detached one is
+ * not: its agents keep what they make until an entry asks for it.
+ */
+bool job_is_driven(const job_t *job)
+{
+	return job->session != NULL && !job->ended && !job->detached;
+}
+
+/*
+ * Ends a job whose session goes on under another job or entry; the agents are
+ * told nothing, and the session's number is free again at once.
+ */
+void job_forget(job_t *job)
+{
+	GHashTable *jobs = job->entry->jobs;
+
+	if (!job->detached)
+		request_end(job->request);
+	job_end(job);
+	g_hash_table_remove(jobs, &job->id);
+	randombytes_buf(&job->id, sizeof(job->id));
+	g_hash_table_insert(jobs, &job->id, job);
+}
+
 /* Frees a job that has ended. */
 void job_free(job_t *job)
 {
--- a/src/wisteria/entry/job_takeover.c
+++ b/src/wisteria/entry/job_takeover.c
@@ -99,6 +99,7 @@
 	entry_t *entry = job->entry;
 	char name[ROUTER_NAME_BYTES];
 	const msg_endpoint_t *endpoint;
+	job_t *holder;
 	uint64_t session;
 	uint32_t index;
 
@@ -112,10 +113,13 @@
 		refuse(job, "the endpoint of the stream is gone");
 		return;
 	}
-	if (job_find(entry, session) != NULL) {
-		refuse(job, "the stream is still being sent");
+	holder = job_find(entry, session);
+	if (holder != NULL && strcmp(holder->customer, job->customer) != 0) {
+		refuse(job, "the stream is another customer's");
 		return;
 	}
+	if (holder != NULL)
+		job_forget(holder);
 	g_hash_table_remove(entry->jobs, &job->id);
 	job->id = session;
 	g_hash_table_insert(entry->jobs, &job->id, job);
--- a/test/functional/takeover_test.c
+++ b/test/functional/takeover_test.c
@@ -83,6 +83,31 @@
 	g_free(prompt);
 }
 
+/* Resumes each stream through one of "count" entries from "first" on. */
+static void resume_streams(size_t first, size_t count)
+{
+	for (size_t i = 0; i < STREAMS; i++)
+		resumed[i] = resume(first + i % count, begun[i]->last_event_id);
+	CU_ASSERT(http_client_run(&client, HARNESS_WAIT_MS));
+}
+
+/* Callers lose their connections; the same entry or another goes on. */
+static void test_callers_come_back(void)
+{
+	start();
+	begin_streams();
+	for (size_t i = 0; i < STREAMS; i++)
+		http_cancel(&client, (http_request_t *)begun[i]);
+	resume_streams(0, cluster.entry_count);
+	for (size_t i = 0; i < STREAMS; i++)
+		check_answer(i);
+	http_client_finish(&client);
+	for (size_t i = 0; i < cluster.entry_count; i++)
+		harness_kill(cluster.entries[i].process);
+	for (size_t i = 0; i < cluster.endpoint_count; i++)
+		cluster_kill_endpoint(&cluster.endpoints[i]);
+}
+
 static void test_streams_go_on(void)
 {
 	journal_t journal;
@@ -91,9 +116,7 @@
 	begin_streams();
 	harness_kill(cluster.entries[0].process);
 	CU_ASSERT(http_client_run(&client, HARNESS_WAIT_MS));
-	for (size_t i = 0; i < STREAMS; i++)
-		resumed[i] = resume(1 + i % 2, begun[i]->last_event_id);
-	CU_ASSERT(http_client_run(&client, HARNESS_WAIT_MS));
+	resume_streams(1, 2);
 	journal_init(&journal, LAYERS);
 	for (size_t i = 0; i < STREAMS; i++) {
 		check_answer(i);
@@ -119,6 +142,8 @@
 }
 
 static const unit_test_t tests[] = {
+	{ "callers that lost their connection come back",
+	  test_callers_come_back },
 	{ "streams go on through another entry", test_streams_go_on },
 	{ "an unknown stream is refused", test_unknown_stream },
 };
