Carry operators' orders to engines, at most once

Cause: orders to engines were numbered and recorded, and nothing carried them to an engine; they had been taken back for that. Change: store_engine.c keeps them; confirmed renewals carry the oldest open one of each endpoint; engine_orders.c claims it in the log under the agent's incarnation, has the engine given it after the claim has committed, and reports; engine_relay.c carries it between the two threads. Proof: operate_test kills the agent with -9 between claim and result, with engines that check fencing numbers and engines that ignore them: the order is then unknown, runs at most once, and the next one is done. A first failure of the fuzz target was its oracle: an order refused for a revision to come has no effect, and the oracle gave it one.

--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -41,6 +41,7 @@
 	"  endpoint return NAME       take it back\n"
 	"  config history             accepted changes\n"
 	"  order show ID              what became of an order\n"
+	"  order engine NAME JSON     an order to the engine of an endpoint\n"
 	"  explain REQUEST-ID         why a request went as it did; --server\n"
 	"                             is the entry that took it\n"
 	"  trace TRACE-ID FILE...     draw a trace from the processes' files\n"
@@ -100,6 +101,13 @@
 	  cli_endpoint_return },
 	{ { "config", "history" }, 0, 0, "", false, true, cli_config_history },
 	{ { "order", "show" }, 1, 1, "ID", false, true, cli_order_show },
+	{ { "order", "engine" },
+	  2,
+	  2,
+	  "NAME JSON",
+	  true,
+	  true,
+	  cli_order_engine },
 	{ { "explain", NULL }, 1, 1, "REQUEST-ID", false, true, cli_explain },
 	{ { "trace", NULL },
 	  2,
--- a/src/cli/orders.c
+++ b/src/cli/orders.c
@@ -88,3 +88,15 @@
 	(void)arg_count;
 	return order_path(options, "endpoints", args[0], "return");
 }
+
+/* Gives an order, a JSON object, to the engine of an endpoint. */
+CLI_COMMAND(cli_order_engine)
+{
+	char *path = g_strdup_printf("/v1/endpoints/%s/engine", args[0]);
+	cli_exit_t code = client_order(options, "POST", path,
+				       json_pack("{s:s}", "text", args[1]));
+
+	(void)arg_count;
+	g_free(path);
+	return code;
+}
--- a/src/cli/output.c
+++ b/src/cli/output.c
@@ -138,12 +138,16 @@
 		{ "reason", "reason" },
 	};
 	const json_t *winner = json_object_get(answer, "winner");
+	const char *engine =
+		json_string_value(json_object_get(answer, "engine"));
 	const char *reason =
 		json_string_value(json_object_get(answer, "reason"));
 	bool has_reason = reason != NULL && reason[0] != '\0';
 
 	output_pairs(answer, columns,
 		     ARRAY_SIZE(columns) - (has_reason ? 0 : 1));
+	if (engine != NULL)
+		printf("%-14s %s\n", "at the engine", engine);
 	if (winner != NULL)
 		print_winner(winner);
 }
--- a/src/wisteria/admin/admin_render.c
+++ b/src/wisteria/admin/admin_render.c
@@ -8,6 +8,7 @@
 
 #include "wisteria/base/err.h"
 #include "wisteria/store/store.h"
+#include "wisteria/store/store_engine.h"
 
 static const char *const kind_names[ORDER_KIND_COUNT] = {
 	[ORDER_PRESET_CREATE] = "preset_create",
@@ -19,6 +20,8 @@
 	[ORDER_MEMBER_PROMOTE] = "member_promote",
 	[ORDER_MEMBER_REMOVE] = "member_remove",
 	[ORDER_PRESET_DELETE] = "preset_delete",
+	[ORDER_ENGINE_CLAIM] = "engine_claim",
+	[ORDER_ENGINE_RESULT] = "engine_result",
 };
 
 static const char *const outcome_names[] = {
@@ -78,8 +81,7 @@
 	return object;
 }
 
-/* Returns the answer to an order; the caller frees it with free(). */
-char *admin_render_order(const msg_order_reply_t *reply)
+static json_t *describe_reply(const msg_order_reply_t *reply)
 {
 	json_t *object = json_object();
 
@@ -95,7 +97,13 @@
 		set_text(object, "ask_again",
 			 "send the same order with the same id; it applies at "
 			 "most once");
-	return dump(object);
+	return object;
+}
+
+/* Returns the answer to an order; the caller frees it with free(). */
+char *admin_render_order(const msg_order_reply_t *reply)
+{
+	return dump(describe_reply(reply));
 }
 
 /* Returns the body of a failed request; the caller frees it with free(). */
@@ -289,6 +297,24 @@
 	[ADMIN_ENDPOINTS] = render_endpoints,
 };
 
+static const char *const engine_state_names[] = {
+	[ENGINE_ORDER_PENDING] = "pending", [ENGINE_ORDER_CLAIMED] = "given",
+	[ENGINE_ORDER_DONE] = "done",	    [ENGINE_ORDER_REFUSED] = "refused",
+	[ENGINE_ORDER_UNKNOWN] = "unknown",
+};
+
+/* What became of an order at the engine that it was for. */
+static void add_engine_order(json_t *object, const store_t *store,
+			     const char *id)
+{
+	const msg_engine_order_t *order = store_engine_find(store, id);
+
+	if (order == NULL)
+		return;
+	set_text(object, "engine", engine_state_names[order->state]);
+	set_number(object, "fence", order->fence);
+}
+
 static char *render_found_order(const admin_job_t *job,
 				const admin_state_t *state,
 				unsigned *http_status)
@@ -296,8 +322,12 @@
 	msg_order_reply_t reply;
 	err_t err = ERR_INIT;
 
-	if (store_find_order(state->store, job->name, &reply))
-		return admin_render_order(&reply);
+	if (store_find_order(state->store, job->name, &reply)) {
+		json_t *object = describe_reply(&reply);
+
+		add_engine_order(object, state->store, job->name);
+		return dump(object);
+	}
 	*http_status = 404;
 	err_set(&err, ERR_NOT_FOUND, "find_order", state->instance,
 		"no order with id %s is remembered", job->name);
--- a/src/wisteria/admin/admin_route.c
+++ b/src/wisteria/admin/admin_route.c
@@ -33,6 +33,8 @@
 	  ORDER_ENDPOINT_LEAVE },
 	{ "POST", "/v1/endpoints/", "/return", true, ADMIN_ORDER,
 	  ORDER_ENDPOINT_RETURN },
+	{ "POST", "/v1/endpoints/", "/engine", true, ADMIN_ORDER,
+	  ORDER_ENGINE },
 	{ "GET", "/v1/config/history", "", false, ADMIN_HISTORY, 0 },
 	{ "GET", "/v1/orders/", "", true, ADMIN_FIND_ORDER, 0 },
 };
--- a/src/wisteria/agent/agent.c
+++ b/src/wisteria/agent/agent.c
@@ -4,6 +4,8 @@
  */
 #include "wisteria/agent/agent.h"
 
+#include <string.h>
+
 #include "wisteria/agent/agent_call.h"
 #include "wisteria/agent/agent_defs.h"
 #include "wisteria/agent/agent_dispatch.h"
@@ -216,6 +218,31 @@
 	agent->tracer = tracer;
 }
 
+static agent_endpoint_t *find_endpoint(agent_t *agent, const char *name)
+{
+	for (size_t i = 0; i < agent->endpoint_count; i++)
+		if (strcmp(agent->endpoints[i].settings->name, name) == 0)
+			return &agent->endpoints[i];
+	return NULL;
+}
+
+/*
+ * Gives an order to the engine of "endpoint".  Returns false, and does not
+ * call "done", where there is no such engine or the fencing number is not
+ * higher than every one given before.
+ */
+bool agent_give_order(agent_t *agent, const char *endpoint, const char *text,
+		      uint64_t fence, engine_order_done_t *done)
+{
+	agent_endpoint_t *found = find_endpoint(agent, endpoint);
+
+	if (found == NULL || found->engine == NULL || fence <= found->fence)
+		return false;
+	found->fence = fence;
+	found->engine->order(found->engine, text, fence, done);
+	return true;
+}
+
 /* Returns whether nothing runs on any endpoint. */
 bool agent_is_idle(const agent_t *agent)
 {
--- a/src/wisteria/agent/agent_defs.h
+++ b/src/wisteria/agent/agent_defs.h
@@ -20,6 +20,7 @@
 	const settings_endpoint_t *settings;
 	engine_ops_t *engine; /* NULL for a plain service */
 	uint32_t in_flight;   /* sessions or calls */
+	uint64_t fence;	      /* highest fencing number given */
 } agent_endpoint_t;
 
 /* The connection to another agent, by its address. */
--- a/src/wisteria/codec/msg.c
+++ b/src/wisteria/codec/msg.c
@@ -330,6 +330,17 @@
 static const record_desc_t msg_shares_reply_desc =
 	RECORD_DESC(msg_shares_reply_t, shares_reply_fields);
 
+static const field_desc_t engine_order_fields[] = {
+	FIELD(FIELD_STR, msg_engine_order_t, id),
+	FIELD(FIELD_STR, msg_engine_order_t, endpoint),
+	FIELD(FIELD_STR, msg_engine_order_t, text),
+	FIELD(FIELD_U64, msg_engine_order_t, fence),
+	FIELD(FIELD_U32, msg_engine_order_t, state),
+	FIELD(FIELD_U64, msg_engine_order_t, incarnation),
+};
+const record_desc_t msg_engine_order_desc =
+	RECORD_DESC(msg_engine_order_t, engine_order_fields);
+
 static const field_desc_t renew_reply_fields[] = {
 	FIELD(FIELD_U64, msg_renew_reply_t, sequence),
 	FIELD(FIELD_BOOL, msg_renew_reply_t, granted),
@@ -347,6 +358,8 @@
 		      &msg_name_desc),
 	FIELD_LIST_OF(msg_renew_reply_t, shares, share_count, &msg_share_desc),
 	FIELD(FIELD_U64, msg_renew_reply_t, fence),
+	FIELD_LIST_OF(msg_renew_reply_t, orders, order_count,
+		      &msg_engine_order_desc),
 };
 static const record_desc_t msg_renew_reply_desc =
 	RECORD_DESC(msg_renew_reply_t, renew_reply_fields);
@@ -361,6 +374,9 @@
 	FIELD(FIELD_STR, msg_order_t, operator_name),
 	FIELD(FIELD_I64, msg_order_t, wall_ms),
 	FIELD(FIELD_BOOL, msg_order_t, forwarded),
+	FIELD(FIELD_U64, msg_order_t, fence),
+	FIELD(FIELD_U64, msg_order_t, incarnation),
+	FIELD(FIELD_U32, msg_order_t, engine_state),
 };
 const record_desc_t msg_order_desc = RECORD_DESC(msg_order_t, order_fields);
 
--- a/src/wisteria/codec/msg.h
+++ b/src/wisteria/codec/msg.h
@@ -18,6 +18,7 @@
 extern const record_desc_t msg_preset_desc;
 extern const record_desc_t msg_config_desc;
 extern const record_desc_t msg_order_desc;
+extern const record_desc_t msg_engine_order_desc;
 extern const record_desc_t msg_order_reply_desc;
 extern const record_desc_t msg_ledger_desc;
 extern const record_desc_t msg_ledger_reply_desc;
--- a/src/wisteria/codec/msg_defs.h
+++ b/src/wisteria/codec/msg_defs.h
@@ -401,6 +401,24 @@
 	size_t leaving_count;
 } msg_config_t;
 
+typedef enum {
+	ENGINE_ORDER_PENDING,
+	ENGINE_ORDER_CLAIMED, /* by the process that gives it */
+	ENGINE_ORDER_DONE,
+	ENGINE_ORDER_REFUSED, /* by the engine, for its fencing number */
+	ENGINE_ORDER_UNKNOWN  /* it may have run */
+} engine_order_state_t;
+
+/* An order to an engine (load a model, change role). */
+typedef struct {
+	const char *id; /* of the operator's order */
+	const char *endpoint;
+	const char *text; /* a JSON object, for the engine */
+	uint64_t fence;
+	uint32_t state;	      /* an engine_order_state_t */
+	uint64_t incarnation; /* of the process that claimed it */
+} msg_engine_order_t;
+
 typedef struct {
 	uint64_t sequence;
 	bool granted;
@@ -418,7 +436,9 @@
 	size_t removed_count;
 	const msg_share_t *shares;
 	size_t share_count;
-	uint64_t fence; /* highest fencing number given out */
+	uint64_t fence;			  /* highest fencing number given out */
+	const msg_engine_order_t *orders; /* open, for its endpoints */
+	size_t order_count;
 } msg_renew_reply_t;
 
 /* A control instance asks the leader for the contract parts of an entry. */
@@ -447,6 +467,8 @@
 	ORDER_MEMBER_PROMOTE,
 	ORDER_MEMBER_REMOVE,
 	ORDER_PRESET_DELETE,
+	ORDER_ENGINE_CLAIM,  /* by the agent, before it gives one */
+	ORDER_ENGINE_RESULT, /* by the agent, after it gave one */
 	ORDER_KIND_COUNT
 } order_kind_t;
 
@@ -459,8 +481,11 @@
 	const char *name; /* preset, endpoint or instance */
 	const char *text; /* preset text, engine order, address */
 	const char *operator_name;
-	int64_t wall_ms; /* UTC, for people only */
-	bool forwarded;	 /* by a control instance, to the leader */
+	int64_t wall_ms;       /* UTC, for people only */
+	bool forwarded;	       /* by a control instance, to the leader */
+	uint64_t fence;	       /* of an engine order, by its agent */
+	uint64_t incarnation;  /* of that agent */
+	uint32_t engine_state; /* an engine_order_state_t, a result */
 } msg_order_t;
 
 typedef enum {
--- a/src/wisteria/control/control_state.c
+++ b/src/wisteria/control/control_state.c
@@ -51,6 +51,7 @@
 	if (!codec_decode(&msg_order_desc, command->payload.data,
 			  command->payload.len, zone, &order, err))
 		return false;
+	state->store.time_ms = command->time_ms;
 	result->changed =
 		store_apply(&state->store, &order, index, &result->order);
 	return true;
--- a/src/wisteria/control/directory.c
+++ b/src/wisteria/control/directory.c
@@ -335,6 +335,23 @@
 	return true;
 }
 
+/* Calls "visit" for each endpoint that "instance" has announced. */
+void directory_visit(const directory_t *directory, const char *instance,
+		     directory_visit_t visit, void *user)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, directory->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const directory_entry_t *entry = value;
+
+		if (!entry->removed &&
+		    strcmp(entry->endpoint.instance, instance) == 0)
+			visit(user, &entry->endpoint);
+	}
+}
+
 /* Returns the number of endpoints now announced. */
 size_t directory_count(const directory_t *directory)
 {
--- a/src/wisteria/control/directory.h
+++ b/src/wisteria/control/directory.h
@@ -39,6 +39,9 @@
 		       uint32_t *running) ATTR_NONNULL_ALL;
 void directory_note_running(directory_t *directory,
 			    const msg_announce_t *announce) ATTR_NONNULL_ALL;
+typedef void (*directory_visit_t)(void *user, const msg_endpoint_t *endpoint);
+void directory_visit(const directory_t *directory, const char *instance,
+		     directory_visit_t visit, void *user) ATTR_NONNULL(1, 2, 3);
 size_t directory_count(const directory_t *directory) ATTR_NONNULL_ALL;
 
 #endif
--- a/src/wisteria/control/lease_client.c
+++ b/src/wisteria/control/lease_client.c
@@ -34,7 +34,8 @@
 	clock_ms_t asked_ms; /* 0: no question is open */
 	clock_ms_t next_ms;
 	clock_ms_t lease_until_ms;
-	GArray *demand; /* msg_share_t; names are owned */
+	GArray *demand;		 /* msg_share_t; names are owned */
+	engine_orders_t *orders; /* NULL without the agent role */
 };
 
 static lease_client_t *client_of(conn_handler_t *handler)
@@ -112,6 +113,10 @@
 	client->lease_until_ms = client->asked_ms + reply->lease_ms;
 	client->asked_ms = 0;
 	counter_add(COUNTER_RENEWALS, 1);
+	if (client->orders != NULL)
+		engine_orders_learn(client->orders, reply->orders,
+				    reply->order_count,
+				    clock_now(client->net->clock));
 	view_publish(client->board, view_builder_make(client->builder,
 						      client->lease_until_ms));
 	if (view_builder_revision(client->builder) == revision)
@@ -125,9 +130,13 @@
 
 static void on_message(conn_handler_t *handler, conn_t *conn, const msg_t *msg)
 {
+	lease_client_t *client = client_of(handler);
+
 	(void)conn;
 	if (msg->type == MSG_RENEW_REPLY)
-		take_reply(client_of(handler), msg->body);
+		take_reply(client, msg->body);
+	else if (msg->type == MSG_ORDER_REPLY && client->orders != NULL)
+		engine_orders_on_reply(client->orders, msg->body);
 }
 
 static void on_tick(uv_timer_t *timer)
@@ -135,6 +144,8 @@
 	lease_client_t *client = timer->data;
 	clock_ms_t now = clock_now(client->net->clock);
 
+	if (client->orders != NULL)
+		engine_orders_tick(client->orders, now);
 	if (client->asked_ms != 0 && now - client->asked_ms > LEASE_ANSWER_MS)
 		use_next_instance(client);
 	if (client->asked_ms != 0 || now < client->next_ms)
@@ -193,6 +204,18 @@
 	g_free(client);
 }
 
+/* Has "orders" learn of the open orders to this agent's engines. */
+void lease_client_set_orders(lease_client_t *client, engine_orders_t *orders)
+{
+	client->orders = orders;
+}
+
+/* Sends an order of the agent's own; its answer goes to the orders. */
+void lease_client_send_order(lease_client_t *client, const msg_order_t *order)
+{
+	link_send(&client->link, MSG_ORDER, order);
+}
+
 /* Sets the sessions that this entry wants for each customer. */
 void lease_client_set_demand(lease_client_t *client, const msg_share_t *demand,
 			     size_t count)
--- a/src/wisteria/control/renewals.c
+++ b/src/wisteria/control/renewals.c
@@ -17,6 +17,7 @@
 #include "wisteria/control/replica.h"
 #include "wisteria/net/conn.h"
 #include "wisteria/store/store.h"
+#include "wisteria/store/store_engine.h"
 
 typedef struct {
 	conn_t *conn;
@@ -202,11 +203,43 @@
 	(void)renewals;
 }
 
+/* What is open for the endpoints of one daemon. */
+typedef struct {
+	const store_t *store;
+	GArray *orders; /* of msg_engine_order_t */
+} open_orders_t;
+
+static void add_open_order(void *user, const msg_endpoint_t *endpoint)
+{
+	open_orders_t *open = user;
+	const msg_engine_order_t *order =
+		store_engine_next(open->store, endpoint->name);
+
+	if (order != NULL)
+		g_array_append_val(open->orders, *order);
+}
+
+/* Collects the open engine orders; freed by the caller. */
+static GArray *collect_orders(const renewals_t *renewals,
+			      const msg_renew_t *renew)
+{
+	open_orders_t open = {
+		.store = renewals->store,
+		.orders = g_array_new(FALSE, FALSE, sizeof(msg_engine_order_t)),
+	};
+
+	if (store_engine_any_open(renewals->store))
+		directory_visit(renewals->directory, renew->instance,
+				add_open_order, &open);
+	return open.orders;
+}
+
 /* Answers a renewal if all that it needs is there. */
 static bool try_answer(renewals_t *renewals, renewal_t *renewal)
 {
 	const msg_renew_t *renew = &renewal->renew;
 	const msg_preset_t *preset;
+	GArray *orders;
 	msg_renew_reply_t reply = {
 		.sequence = renew->sequence,
 		.granted = true,
@@ -224,8 +257,12 @@
 	fill_directory(renewals, renew, &reply);
 	reply.shares = (msg_share_t *)renewal->parts->data;
 	reply.share_count = renewal->parts->len;
+	orders = collect_orders(renewals, renew);
+	reply.orders = (msg_engine_order_t *)orders->data;
+	reply.order_count = orders->len;
 	counter_add(COUNTER_RENEWALS, 1);
 	conn_send(renewal->conn, MSG_RENEW_REPLY, &reply);
+	g_array_free(orders, TRUE);
 	return true;
 }
 
--- a/src/wisteria/daemon/daemon.c
+++ b/src/wisteria/daemon/daemon.c
@@ -22,6 +22,7 @@
 #include "wisteria/control/control.h"
 #include "wisteria/control/lease_client.h"
 #include "wisteria/control/view.h"
+#include "wisteria/daemon/engine_relay.h"
 #include "wisteria/daemon/operators.h"
 #include "wisteria/daemon/traffic.h"
 #include "wisteria/entry/http_front.h"
@@ -48,6 +49,8 @@
 	lease_client_t *lease;
 	announcer_t *announcer; /* NULL without the agent role */
 	traffic_t *traffic;
+	engine_relay_t engines;
+	bool relays; /* orders to engines; agents only */
 	http_front_t *front;
 	operators_t operators;
 	admin_t *admin;
@@ -188,6 +191,11 @@
 	daemon->traffic = traffic_start(&params, err);
 	if (daemon->traffic == NULL)
 		return false;
+	daemon->relays = settings_has_role(settings, "agent");
+	if (daemon->relays)
+		engine_relay_init(&daemon->engines, daemon->lease,
+				  &daemon->mailbox, daemon->traffic,
+				  daemon->net.incarnation);
 	if (!settings_has_role(settings, "entry"))
 		return true;
 	daemon->front = http_front_new(settings->entry->http_listen,
@@ -239,6 +247,8 @@
 	uv_walk(&daemon->loop, close_handle, NULL);
 	uv_run(&daemon->loop, UV_RUN_DEFAULT);
 	lease_client_free(daemon->lease);
+	if (daemon->relays)
+		engine_relay_finish(&daemon->engines);
 	announcer_free(daemon->announcer);
 	control_free(daemon->control);
 	view_board_finish(&daemon->board);
--- a/src/wisteria/daemon/traffic.c
+++ b/src/wisteria/daemon/traffic.c
@@ -224,6 +224,18 @@
 	return traffic->entry;
 }
 
+/* Returns the agent role, which belongs to the thread, or NULL. */
+agent_t *traffic_agent(const traffic_t *traffic)
+{
+	return traffic->agent;
+}
+
+/* Leaves "task" for the thread. */
+void traffic_post(traffic_t *traffic, task_t *task)
+{
+	mailbox_post(&traffic->mailbox, task);
+}
+
 /* Refuses new work from now on; what runs goes on. */
 void traffic_drain(traffic_t *traffic)
 {
--- a/src/wisteria/daemon/traffic.h
+++ b/src/wisteria/daemon/traffic.h
@@ -1,6 +1,7 @@
 #ifndef WISTERIA_DAEMON_TRAFFIC_H
 #define WISTERIA_DAEMON_TRAFFIC_H
 
+#include "wisteria/agent/agent.h"
 #include "wisteria/base/macros_defs.h"
 #include "wisteria/base/mailbox_defs.h"
 #include "wisteria/control/announcer.h"
@@ -28,6 +29,8 @@
 			 err_t *err) ATTR_WARN_UNUSED;
 entry_t *traffic_entry(const traffic_t *traffic) ATTR_NONNULL_ALL;
 void traffic_drain(traffic_t *traffic) ATTR_NONNULL_ALL;
+agent_t *traffic_agent(const traffic_t *traffic) ATTR_NONNULL_ALL;
+void traffic_post(traffic_t *traffic, task_t *task) ATTR_NONNULL_ALL;
 bool traffic_is_idle(traffic_t *traffic) ATTR_NONNULL_ALL;
 void traffic_stop(traffic_t *traffic);
 
--- a/src/wisteria/store/store.c
+++ b/src/wisteria/store/store.c
@@ -12,6 +12,7 @@
 
 #include "wisteria/base/err.h"
 #include "wisteria/settings/preset.h"
+#include "wisteria/store/store_engine.h"
 #include "wisteria/store/store_order.h"
 
 /* What a handler makes of an order. */
@@ -52,6 +53,7 @@
 	store->presets = g_array_new(FALSE, TRUE, sizeof(msg_preset_t));
 	store->leaving = g_array_new(FALSE, TRUE, sizeof(msg_name_t));
 	store->retired = g_array_new(FALSE, TRUE, sizeof(msg_name_t));
+	store->engines = g_array_new(FALSE, TRUE, sizeof(msg_engine_order_t));
 	g_queue_init(&store->changes);
 	g_queue_init(&store->results);
 	store->results_by_id = g_hash_table_new(g_str_hash, g_str_equal);
@@ -77,6 +79,7 @@
 	g_array_free(store->presets, TRUE);
 	free_names(store->leaving);
 	free_names(store->retired);
+	store_engine_free(store->engines);
 	g_hash_table_destroy(store->results_by_id);
 	g_queue_clear_full(&store->changes, store_change_free);
 	g_queue_clear_full(&store->results, store_result_free);
@@ -290,12 +293,35 @@
 static void order_engine(store_t *store, const msg_order_t *order,
 			 verdict_t *verdict)
 {
-	(void)order;
-	store->fence++;
+	const char *fault = store_engine_add(store, order);
+
+	if (fault != NULL) {
+		refuse(verdict, "%s", fault);
+		return;
+	}
 	verdict->fence = store->fence;
 	verdict->changed = true;
 }
 
+/* Agents' own orders are no changes of the configuration. */
+static void claim_engine(store_t *store, const msg_order_t *order,
+			 verdict_t *verdict)
+{
+	const char *fault = store_engine_claim(store, order);
+
+	if (fault != NULL)
+		refuse(verdict, "%s", fault);
+}
+
+static void finish_engine(store_t *store, const msg_order_t *order,
+			  verdict_t *verdict)
+{
+	const char *fault = store_engine_finish(store, order);
+
+	if (fault != NULL)
+		refuse(verdict, "%s", fault);
+}
+
 /* The group of voters is kept by the log itself; the order is recorded. */
 static void record_member(store_t *store, const msg_order_t *order,
 			  verdict_t *verdict)
@@ -323,6 +349,8 @@
 	[ORDER_MEMBER_PROMOTE] = record_member,
 	[ORDER_MEMBER_REMOVE] = record_member,
 	[ORDER_PRESET_DELETE] = delete_preset,
+	[ORDER_ENGINE_CLAIM] = claim_engine,
+	[ORDER_ENGINE_RESULT] = finish_engine,
 };
 
 /*
--- a/src/wisteria/store/store_defs.h
+++ b/src/wisteria/store/store_defs.h
@@ -15,6 +15,7 @@
 #define STORE_PRESET_BYTES_MAX (48u << 20) /* of all texts together */
 #define STORE_LEAVING_MAX 10000
 #define STORE_RETIRED_MAX 100000 /* names of deleted presets */
+#define STORE_ENGINES_MAX 1000	 /* orders to engines, ended ones included */
 #define STORE_ID_LEN_MAX 128
 #define STORE_OPERATOR_LEN_MAX 64
 #define STORE_TEXT_LEN_MAX 4096 /* of an order that is no preset */
@@ -56,6 +57,9 @@
 	GArray *presets;	   /* of msg_preset_t, by creation */
 	GArray *retired;	   /* of msg_name_t, by name: deleted presets */
 	GArray *leaving;	   /* of msg_name_t, by name */
+	GArray *engines;	   /* of msg_engine_order_t, by fence */
+	int64_t time_ms;	   /* of the log; set before each order */
+	int64_t weight_free_ms;	   /* when the weight store is free */
 	GQueue changes;		   /* of store_change_t, oldest first */
 	GQueue results;		   /* of store_result_t, oldest first */
 	GHashTable *results_by_id; /* id to store_result_t */
--- a/src/wisteria/store/store_order.c
+++ b/src/wisteria/store/store_order.c
@@ -65,6 +65,9 @@
 	hash_u64(&state, order->kind);
 	hash_u64(&state, order->has_expected);
 	hash_u64(&state, order->has_expected ? order->expected_revision : 0);
+	hash_u64(&state, order->fence);
+	hash_u64(&state, order->incarnation);
+	hash_u64(&state, order->engine_state);
 	hash_text(&state, order->name);
 	hash_text(&state, order->text);
 	hash_text(&state, order->operator_name);
--- a/src/wisteria/store/store_snapshot.c
+++ b/src/wisteria/store/store_snapshot.c
@@ -6,6 +6,7 @@
 #include "wisteria/codec/msg.h"
 #include "wisteria/settings/preset.h"
 #include "wisteria/store/store.h"
+#include "wisteria/store/store_engine.h"
 #include "wisteria/store/store_order.h"
 
 #define STORE_SNAPSHOT_VERSION 1
@@ -26,6 +27,9 @@
 	size_t result_count;
 	const msg_name_t *retired;
 	size_t retired_count;
+	const msg_engine_order_t *engines;
+	size_t engine_count;
+	int64_t weight_free_ms;
 } store_snapshot_t;
 
 static const field_desc_t change_fields[] = {
@@ -63,6 +67,9 @@
 	FIELD_LIST_OF(store_snapshot_t, changes, change_count, &change_desc),
 	FIELD_LIST_OF(store_snapshot_t, results, result_count, &result_desc),
 	FIELD_LIST_OF(store_snapshot_t, retired, retired_count, &msg_name_desc),
+	FIELD_LIST_OF(store_snapshot_t, engines, engine_count,
+		      &msg_engine_order_desc),
+	FIELD(FIELD_I64, store_snapshot_t, weight_free_ms),
 };
 
 static const record_desc_t snapshot_desc =
@@ -111,6 +118,9 @@
 		.result_count = store->results.length,
 		.retired = (const msg_name_t *)store->retired->data,
 		.retired_count = store->retired->len,
+		.engines = (const msg_engine_order_t *)store->engines->data,
+		.engine_count = store->engines->len,
+		.weight_free_ms = store->weight_free_ms,
 	};
 
 	codec_encode(&snapshot_desc, &snapshot, out);
@@ -216,6 +226,9 @@
 	take_presets(store, snapshot);
 	take_names(store->leaving, snapshot->leaving, snapshot->leaving_count);
 	take_names(store->retired, snapshot->retired, snapshot->retired_count);
+	for (size_t i = 0; i < snapshot->engine_count; i++)
+		store_engine_take(store->engines, &snapshot->engines[i]);
+	store->weight_free_ms = snapshot->weight_free_ms;
 	take_changes(store, snapshot);
 	for (size_t i = 0; i < snapshot->result_count; i++)
 		take_result(store, &snapshot->results[i]);
--- a/test/functional/operate_test.c
+++ b/test/functional/operate_test.c
@@ -4,6 +4,7 @@
  */
 #include "../unit/unit.h"
 
+#include <signal.h>
 #include <string.h>
 #include <sys/wait.h>
 
@@ -323,6 +324,93 @@
 	stop_all();
 }
 
+#define LOAD "{\"load\":\"modelo\",\"version\":2}"
+
+/* What became of order "once"; "user" is the state that is waited for. */
+static bool is_at_engine(void *user)
+{
+	return ask(cluster.entries[0].admin, "order show once") == 0 &&
+	       strstr(output, harness_string(&harness, "at the engine  %s\n",
+					     (const char *)user)) != NULL;
+}
+
+/* Returns how many orders the engine of "endpoint" has run. */
+static size_t orders_run(const cluster_endpoint_t *endpoint)
+{
+	char *journal = harness_read(endpoint->journal);
+	size_t count = 0;
+
+	for (const char *at = strstr(journal, "order "); at != NULL;
+	     at = strstr(at + 1, "order "))
+		count++;
+	g_free(journal);
+	return count;
+}
+
+static void order_engine(const cluster_endpoint_t *endpoint, const char *id)
+{
+	expect(0,
+	       harness_string(&harness,
+			      "order engine %s " LOAD " --order-id %s",
+			      endpoint->name, id),
+	       0, "applied");
+}
+
+static void test_engine_order(void)
+{
+	static const cluster_params_t params = { .entries = 1 };
+	cluster_endpoint_t *endpoint = &cluster.endpoints[0];
+
+	start("operate-engine", &params);
+	expect(0,
+	       harness_string(&harness, "order engine %s load", endpoint->name),
+	       1, "a JSON object");
+	order_engine(endpoint, "once");
+	CU_ASSERT(harness_until(is_at_engine, (void *)"done", HARNESS_WAIT_MS));
+	order_engine(endpoint, "once");
+	order_engine(endpoint, "other");
+	CU_ASSERT(harness_until(is_at_engine, (void *)"done", HARNESS_WAIT_MS));
+	stop_all();
+}
+
+/*
+ * The agent is killed after it gave the order, and before the engine answers.
+ * Whether or not the engine checks fencing numbers, the order runs at most
+ * once, and its outcome is said to be unknown.
+ */
+static void lose_agent(const char *name, const cluster_params_t *params)
+{
+	cluster_endpoint_t *endpoint = &cluster.endpoints[0];
+
+	start(name, params);
+	harness_signal(endpoint->engine, SIGSTOP);
+	order_engine(endpoint, "once");
+	CU_ASSERT(
+		harness_until(is_at_engine, (void *)"given", HARNESS_WAIT_MS));
+	harness_kill(endpoint->agent);
+	harness_signal(endpoint->engine, SIGCONT);
+	harness_restart(endpoint->agent);
+	CU_ASSERT(harness_until(is_at_engine, (void *)"unknown",
+				HARNESS_WAIT_MS));
+	order_engine(endpoint, "next");
+	CU_ASSERT(harness_wait_log(endpoint->agent,
+				   "event=engine_order endpoint",
+				   HARNESS_WAIT_MS));
+	CU_ASSERT(orders_run(endpoint) <= 2);
+	expect(0, "order show next", 0, "at the engine  done");
+	stop_all();
+}
+
+static void test_engine_order_agent_lost(void)
+{
+	static const cluster_params_t checks = { .entries = 1 };
+	static const cluster_params_t ignores = { .entries = 1,
+						  .ignores_fencing = true };
+
+	lose_agent("operate-fenced", &checks);
+	lose_agent("operate-unfenced", &ignores);
+}
+
 #define TRACE_ID "4bf92f3577b34da6a3ce929d0e0e4736"
 
 /* Adds a file of spans to the settings file "path" of process "name". */
@@ -417,6 +505,8 @@
 	{ "presets everywhere", test_presets_everywhere },
 	{ "racing operators", test_racing_operators },
 	{ "leaving endpoint", test_leaving_endpoint },
+	{ "engine order", test_engine_order },
+	{ "engine order, agent lost", test_engine_order_agent_lost },
 	{ "trace", test_trace },
 };
 
--- a/test/fuzz/store_fuzz.c
+++ b/test/fuzz/store_fuzz.c
@@ -43,6 +43,13 @@
 	char winner_id[16];
 } sent_t;
 
+/* What the oracle knows of an order to an engine. */
+typedef struct {
+	const char *name;
+	engine_order_state_t state;
+	uint64_t incarnation; /* that claimed it */
+} engine_t;
+
 typedef struct {
 	store_t store;
 	store_t replica;
@@ -54,6 +61,8 @@
 	const sent_t *accepted[ORDERS_MAX]; /* the oracle */
 	size_t accepted_count;
 	size_t snapshot_count;
+	engine_t engines[ORDERS_MAX]; /* by fencing number, from 1 */
+	size_t engine_count;
 } world_t;
 
 static const char *const names[NAMES] = { "p0", "p1", "p2", "p3", "p4", "p5" };
@@ -153,6 +162,76 @@
 		sent->changed = true;
 }
 
+static const engine_t *find_engine(const world_t *world, const sent_t *sent)
+{
+	uint64_t fence = sent->order.fence;
+
+	return fence == 0 || fence > world->engine_count
+		       ? NULL
+		       : &world->engines[fence - 1];
+}
+
+static void expect_claim(const world_t *world, sent_t *sent)
+{
+	const engine_t *engine = find_engine(world, sent);
+
+	if (engine == NULL || engine->state != ENGINE_ORDER_PENDING)
+		sent->outcome = ORDER_REFUSED;
+}
+
+static void expect_result(const world_t *world, sent_t *sent)
+{
+	const engine_t *engine = find_engine(world, sent);
+
+	if (engine == NULL || engine->state != ENGINE_ORDER_CLAIMED ||
+	    engine->incarnation != sent->order.incarnation ||
+	    sent->order.engine_state < ENGINE_ORDER_DONE ||
+	    sent->order.engine_state > ENGINE_ORDER_UNKNOWN)
+		sent->outcome = ORDER_REFUSED;
+}
+
+static bool expectation_held(const world_t *world, const msg_order_t *order)
+{
+	return !order->has_expected ||
+	       order->expected_revision == world->accepted_count;
+}
+
+/* Keeps what an order did to the orders to engines. */
+static void note_engine(world_t *world, const sent_t *sent)
+{
+	engine_t *engine = (engine_t *)find_engine(world, sent);
+	const msg_order_t *order = &sent->order;
+	bool applied = sent->outcome == ORDER_APPLIED;
+
+	if (order->kind == ORDER_ENGINE && applied) {
+		world->engines[world->engine_count++].name = order->name;
+	} else if (order->kind == ORDER_ENGINE_CLAIM && applied) {
+		engine->state = ENGINE_ORDER_CLAIMED;
+		engine->incarnation = order->incarnation;
+	} else if (order->kind == ORDER_ENGINE_CLAIM && engine != NULL &&
+		   expectation_held(world, order) &&
+		   engine->state == ENGINE_ORDER_CLAIMED &&
+		   engine->incarnation != order->incarnation) {
+		engine->state = ENGINE_ORDER_UNKNOWN;
+	} else if (order->kind == ORDER_ENGINE_RESULT && applied) {
+		engine->state = order->engine_state;
+	}
+}
+
+static void check_engines(const world_t *world)
+{
+	CHECK(world->store.fence == world->engine_count);
+	CHECK(world->store.engines->len == world->engine_count);
+	for (size_t i = 0; i < world->engine_count; i++) {
+		const msg_engine_order_t *order = &g_array_index(
+			world->store.engines, msg_engine_order_t, i);
+
+		CHECK(order->fence == i + 1);
+		CHECK(order->state == world->engines[i].state);
+		CHECK(strcmp(order->endpoint, world->engines[i].name) == 0);
+	}
+}
+
 static void expect_by_kind(const world_t *world, sent_t *sent)
 {
 	const msg_order_t *order = &sent->order;
@@ -176,6 +255,17 @@
 	case ORDER_MEMBER_ADD:
 		sent->outcome = ORDER_REFUSED;
 		break;
+	case ORDER_ENGINE:
+		sent->changed = sent->text[0] == '{';
+		if (!sent->changed)
+			sent->outcome = ORDER_REFUSED;
+		break;
+	case ORDER_ENGINE_CLAIM:
+		expect_claim(world, sent);
+		break;
+	case ORDER_ENGINE_RESULT:
+		expect_result(world, sent);
+		break;
 	default:
 		sent->changed = true;
 	}
@@ -259,6 +349,20 @@
 			  reply) == changed);
 }
 
+/* Agents of two incarnations speak of the orders that there are. */
+static void choose_agent_order(const world_t *world, input_t *input,
+			       sent_t *sent)
+{
+	const engine_t *engine;
+
+	sent->order.fence = take(input) % (world->engine_count + 1) + 1;
+	sent->order.incarnation = 1 + take(input) % 2;
+	sent->order.engine_state = take(input) % 6;
+	engine = find_engine(world, sent);
+	if (engine != NULL)
+		sent->order.name = engine->name;
+}
+
 static void choose_order(const world_t *world, input_t *input, sent_t *sent)
 {
 	uint8_t choice = take(input);
@@ -281,6 +385,11 @@
 		snprintf(sent->text, sizeof(sent->text),
 			 "name: %s\nmodels:\n  - {name: m, layers: %u}\n",
 			 names[name], (unsigned)take(input) % TEXTS);
+	if (sent->order.kind == ORDER_ENGINE)
+		strcpy(sent->text, take(input) % 8 == 0 ? "x" : "{}");
+	if (sent->order.kind == ORDER_ENGINE_CLAIM ||
+	    sent->order.kind == ORDER_ENGINE_RESULT)
+		choose_agent_order(world, input, sent);
 	sent->order.text = sent->text;
 }
 
@@ -296,6 +405,7 @@
 	expect(world, sent);
 	submit(world, sent, &reply, sent->changed);
 	check_reply(sent, &reply);
+	note_engine(world, sent);
 	if (sent->changed)
 		world->accepted[world->accepted_count++] = sent;
 }
@@ -434,6 +544,7 @@
 	while (input.left > 0 && world->log_count < 2 * ORDERS_MAX) {
 		step(world, &input);
 		check_state(world);
+		check_engines(world);
 	}
 	check_history(world);
 	check_replica(world);
--- a/test/unit/admin_test.c
+++ b/test/unit/admin_test.c
@@ -243,8 +243,6 @@
 		{ "DELETE", "/v1/presets", NULL, 405, "method" },
 		{ "POST", "/v1/members/c2/remove", "{\"id\":\"1\"}", 404,
 		  "no such path" },
-		{ "POST", "/v1/endpoints/e1/engine", "{\"id\":\"1\"}", 404,
-		  "no such path" },
 		{ "POST", "/v1/presets", "{", 400, "not JSON" },
 		{ "POST", "/v1/presets", "[]", 400, "expected an object" },
 		{ "POST", "/v1/presets", "{\"name\":\"x\"}", 400,
--- a/test/unit/store_test.c
+++ b/test/unit/store_test.c
@@ -5,6 +5,7 @@
 
 #include "wisteria/base/err.h"
 #include "wisteria/store/store.h"
+#include "wisteria/store/store_engine.h"
 
 #define TEXT(name) "name: " name "\nmodels:\n  - {name: m, layers: 4}\n"
 
@@ -170,14 +171,99 @@
 	store_finish(&store);
 }
 
+static msg_order_reply_t agent_order(store_t *store, const char *id,
+				     order_kind_t kind, uint64_t fence,
+				     uint64_t incarnation,
+				     engine_order_state_t state)
+{
+	const msg_order_t order = {
+		.id = id,
+		.kind = kind,
+		.name = "e1",
+		.fence = fence,
+		.incarnation = incarnation,
+		.engine_state = state,
+	};
+	msg_order_reply_t reply;
+
+	CU_ASSERT_FALSE(store_apply(store, &order, next_index++, &reply));
+	return reply;
+}
+
+/* Only the process that claimed an order may report on it. */
+static void test_engine_orders(void)
+{
+	const msg_engine_order_t *order;
+	store_t store;
+
+	store_init(&store);
+	CU_ASSERT_EQUAL(apply(&store, "1", ORDER_ENGINE, "e1", "x").outcome,
+			ORDER_REFUSED);
+	apply(&store, "2", ORDER_ENGINE, "e1", "{}");
+	apply(&store, "3", ORDER_ENGINE, "e1", "{}");
+	order = store_engine_next(&store, "e1");
+	CU_ASSERT_EQUAL(order->fence, 1);
+	CU_ASSERT_EQUAL(
+		agent_order(&store, "c1", ORDER_ENGINE_CLAIM, 1, 7, 0).outcome,
+		ORDER_APPLIED);
+	CU_ASSERT_EQUAL(agent_order(&store, "r1", ORDER_ENGINE_RESULT, 1, 8,
+				    ENGINE_ORDER_DONE)
+				.outcome,
+			ORDER_REFUSED);
+	CU_ASSERT_EQUAL(order->state, ENGINE_ORDER_CLAIMED);
+	CU_ASSERT_EQUAL(
+		agent_order(&store, "c2", ORDER_ENGINE_CLAIM, 1, 8, 0).outcome,
+		ORDER_REFUSED);
+	CU_ASSERT_EQUAL(order->state, ENGINE_ORDER_UNKNOWN);
+	CU_ASSERT_EQUAL(agent_order(&store, "r2", ORDER_ENGINE_RESULT, 1, 7,
+				    ENGINE_ORDER_DONE)
+				.outcome,
+			ORDER_REFUSED);
+	order = store_engine_next(&store, "e1");
+	CU_ASSERT_EQUAL(order->fence, 2);
+	agent_order(&store, "c3", ORDER_ENGINE_CLAIM, 2, 8, 0);
+	agent_order(&store, "r3", ORDER_ENGINE_RESULT, 2, 8, ENGINE_ORDER_DONE);
+	CU_ASSERT_PTR_NULL(store_engine_next(&store, "e1"));
+	CU_ASSERT_EQUAL(store_engine_find(&store, "3")->state,
+			ENGINE_ORDER_DONE);
+	CU_ASSERT_EQUAL(store.revision, 2);
+	store_finish(&store);
+}
+
+/* 1,000 bytes at 500 bytes a second keep the weight store for 2 s. */
+static void test_weight_store_rate(void)
+{
+	store_t store;
+
+	store_init(&store);
+	apply(&store, "1", ORDER_PRESET_CREATE, "day",
+	      TEXT("day") "limits: {weight_bytes_per_s: 500}\n");
+	apply(&store, "2", ORDER_PRESET_USE, "day", NULL);
+	apply(&store, "3", ORDER_ENGINE, "e1", "{\"bytes\":1000}");
+	apply(&store, "4", ORDER_ENGINE, "e1", "{\"bytes\":1}");
+	store.time_ms = 100;
+	CU_ASSERT_EQUAL(
+		agent_order(&store, "c1", ORDER_ENGINE_CLAIM, 1, 7, 0).outcome,
+		ORDER_APPLIED);
+	store.time_ms = 2099;
+	CU_ASSERT_EQUAL(
+		agent_order(&store, "c2", ORDER_ENGINE_CLAIM, 2, 7, 0).outcome,
+		ORDER_REFUSED);
+	store.time_ms = 2100;
+	CU_ASSERT_EQUAL(
+		agent_order(&store, "c3", ORDER_ENGINE_CLAIM, 2, 7, 0).outcome,
+		ORDER_APPLIED);
+	store_finish(&store);
+}
+
 static void test_fencing_numbers_grow(void)
 {
 	store_t store;
 
 	store_init(&store);
-	apply(&store, "1", ORDER_ENGINE, "e1", "load modelo 2");
-	apply(&store, "2", ORDER_ENGINE, "e1", "load modelo 3");
-	apply(&store, "1", ORDER_ENGINE, "e1", "load modelo 2");
+	apply(&store, "1", ORDER_ENGINE, "e1", "{\"load\":2}");
+	apply(&store, "2", ORDER_ENGINE, "e1", "{\"load\":3}");
+	apply(&store, "1", ORDER_ENGINE, "e1", "{\"load\":2}");
 	CU_ASSERT_EQUAL(store_order_fence(&store, "1"), 1);
 	CU_ASSERT_EQUAL(store_order_fence(&store, "2"), 2);
 	CU_ASSERT_EQUAL(store.fence, 2);
@@ -261,7 +347,7 @@
 	apply(&store, "1", ORDER_PRESET_CREATE, "day", TEXT("day"));
 	apply(&store, "2", ORDER_PRESET_USE, "day", NULL);
 	apply(&store, "3", ORDER_ENDPOINT_LEAVE, "e1", NULL);
-	apply(&store, "4", ORDER_ENGINE, "e1", "load");
+	apply(&store, "4", ORDER_ENGINE, "e1", "{}");
 	store_snapshot(&store, &bytes);
 	CU_ASSERT(store_restore(&other, (const uint8_t *)bytes.data, bytes.size,
 				&err));
@@ -284,6 +370,8 @@
 	{ "delete", test_delete },
 	{ "resent order applies once", test_resent_order_applies_once },
 	{ "race names the winner", test_race_names_the_winner },
+	{ "engine orders", test_engine_orders },
+	{ "weight store rate", test_weight_store_rate },
 	{ "fencing numbers grow", test_fencing_numbers_grow },
 	{ "bad orders are refused", test_bad_orders_are_refused },
 	{ "retention is bounded", test_retention_is_bounded },
