--- a/src/wisteria/entry/entry_defs.h
+++ b/src/wisteria/entry/entry_defs.h
@@ -27,8 +27,11 @@
 	uint32_t recoveries;
 	bool stopped; /* the model ended the answer */
 	clock_ms_t deadline_ms;
-	bool admitted;	/* counted against the customer's contract */
-	bool answering; /* the head of the response was sent */
+	bool admitted;	  /* counted against the customer's contract */
+	bool answering;	  /* the head of the response was sent */
+	bool taking_over; /* its session is asked for */
+	uint32_t takeover_next;
+	clock_ms_t takeover_ms;
 	bool ended;
 	span_t span;	  /* the whole request */
 	span_t wait_span; /* until a chain is chosen */
@@ -62,6 +65,7 @@
 	link_t *link; /* held while dispatched */
 	uint64_t agent_incarnation;
 	uint32_t dispatches;
+	bool may_have_run; /* an earlier dispatch was lost after it was sent */
 	const char *avoid[4];
 	char avoid_names[4][ROUTER_NAME_BYTES];
 	size_t avoid_count;
--- a/src/wisteria/limits/admission.c
+++ b/src/wisteria/limits/admission.c
@@ -263,9 +263,9 @@
 	waiting->request = request;
 	waiting->flow = flow;
 	waiting->expires_ms = expires_ms;
-	waiting->queued_ms = now;
 	waiting->serial = admission->next_serial++;
-	flow->customer->queued++;
+	if (flow->customer->queued++ == 0)
+		flow->customer->backlog_ms = now;
 	admission->queued++;
 	g_tree_insert(admission->by_expiry, waiting, waiting);
 	g_hash_table_insert(admission->requests, &waiting->request, waiting);
--- a/test/functional/control_test.c
+++ b/test/functional/control_test.c
@@ -118,6 +118,35 @@
 	control_rig_finish(&rig);
 }
 
+/* The others no longer reach the leader; it still reaches them. */
+static void test_leader_cut_off_in_one_direction(void)
+{
+	control_rig_t rig;
+	rig_daemon_t *daemon;
+	size_t leader;
+
+	control_rig_init(&rig, &harness, 3, 3, true);
+	CU_ASSERT_FATAL(control_rig_start_all(&rig));
+	leader = control_rig_leader(&rig);
+	daemon = control_rig_add_daemon(&rig, "beside-old-leader", leader, 1);
+	CU_ASSERT_FATAL(
+		comes_in_force(&rig, daemon, RIG_FIRST_REVISION + rig.orders));
+	relay_silence(rig.controls[leader].relay, true);
+	for (size_t i = 0; i < 5; i++)
+		CU_ASSERT_EQUAL(
+			control_rig_change(&rig, (leader + 1) % 3).outcome,
+			ORDER_APPLIED);
+	CU_ASSERT_NOT_EQUAL(control_rig_leader(&rig), leader);
+	CU_ASSERT(control_rig_until(&rig, lease_ran_out, daemon,
+				    HARNESS_WAIT_MS));
+	relay_silence(rig.controls[leader].relay, false);
+	relay_cut(rig.controls[leader].relay);
+	CU_ASSERT(
+		comes_in_force(&rig, daemon, RIG_FIRST_REVISION + rig.orders));
+	expect_last_in_force(&rig, "after-cut");
+	control_rig_finish(&rig);
+}
+
 static bool promoted(void *user)
 {
 	control_rig_t *rig = user;
@@ -169,6 +198,35 @@
 	control_rig_finish(&rig);
 }
 
+static void test_operator_promotes_a_learner(void)
+{
+	control_rig_t rig;
+	msg_order_t order = {
+		.id = "promote-1",
+		.kind = ORDER_MEMBER_PROMOTE,
+		.text = "",
+		.operator_name = "rui",
+	};
+	rig_answer_t first;
+	rig_answer_t again;
+
+	control_rig_init(&rig, &harness, 4, 3, false);
+	CU_ASSERT_FATAL(control_rig_start_all(&rig));
+	CU_ASSERT_FATAL(comes_in_force(
+		&rig, control_rig_add_daemon(&rig, "at-learner", 3, 1),
+		RIG_FIRST_REVISION + rig.orders));
+	order.name = rig.controls[3].name;
+	first = control_rig_order(&rig, 0, &order);
+	CU_ASSERT_EQUAL(first.outcome, ORDER_APPLIED);
+	again = control_rig_order(&rig, 1, &order);
+	CU_ASSERT_EQUAL(again.outcome, ORDER_APPLIED);
+	CU_ASSERT_EQUAL(again.revision, first.revision);
+	order.id = "promote-2";
+	CU_ASSERT_EQUAL(control_rig_order(&rig, 2, &order).outcome,
+			ORDER_REFUSED);
+	control_rig_finish(&rig);
+}
+
 static void test_planned_stop_hands_over(void)
 {
 	control_rig_t rig;
@@ -225,13 +283,61 @@
 	control_rig_finish(&rig);
 }
 
+typedef struct {
+	rig_daemon_t *entry;
+	uint64_t revision;
+	size_t fewest;
+} directory_watch_t;
+
+/* Also notes the fewest endpoints that the entry ever knew. */
+static bool renewed_with_all(void *user)
+{
+	directory_watch_t *watch = user;
+	const view_t *view = control_rig_view(watch->entry);
+	size_t count = view == NULL ? 0 : view->endpoint_count;
+
+	watch->fewest = MIN(watch->fewest, count);
+	return count == RIG_ENDPOINTS &&
+	       control_rig_revision(watch->entry) >= watch->revision;
+}
+
+static void test_restarts_drop_no_endpoint(void)
+{
+	control_rig_t rig;
+	directory_watch_t watch = { .fewest = 0 };
+
+	control_rig_init(&rig, &harness, 3, 3, false);
+	CU_ASSERT_FATAL(control_rig_start_all(&rig));
+	control_rig_announce(&rig, control_rig_add_daemon(&rig, "agent", 0, 3));
+	watch.entry = control_rig_add_daemon(&rig, "entry", 0, 3);
+	watch.revision = RIG_FIRST_REVISION + rig.orders;
+	CU_ASSERT_FATAL(control_rig_until(&rig, renewed_with_all, &watch,
+					  HARNESS_WAIT_MS));
+	watch.fewest = SIZE_MAX;
+	for (size_t i = 0; i < 6; i++) {
+		harness_kill(rig.controls[i % 3].process);
+		control_rig_start(&rig, i % 3);
+		CU_ASSERT_EQUAL(control_rig_change(&rig, i % 3).outcome,
+				ORDER_APPLIED);
+		watch.revision = RIG_FIRST_REVISION + rig.orders;
+		CU_ASSERT(control_rig_until(&rig, renewed_with_all, &watch,
+					    HARNESS_WAIT_MS));
+	}
+	CU_ASSERT_EQUAL(watch.fewest, RIG_ENDPOINTS);
+	control_rig_finish(&rig);
+}
+
 static const unit_test_t tests[] = {
 	{ "killed leader loses nothing", test_killed_leader_loses_nothing },
 	{ "paused leader grants nothing old",
 	  test_paused_leader_grants_nothing_old },
 	{ "silent connections are left", test_silent_connections_are_left },
+	{ "leader cut off in one direction",
+	  test_leader_cut_off_in_one_direction },
 	{ "lost disk, then lost instance", test_lost_disk_then_lost_instance },
+	{ "restarts drop no endpoint", test_restarts_drop_no_endpoint },
 	{ "learner serves daemons", test_learner_serves_daemons },
+	{ "operator promotes a learner", test_operator_promotes_a_learner },
 	{ "planned stop hands over", test_planned_stop_hands_over },
 	{ "racing orders have one winner", test_racing_orders_have_one_winner },
 };
