--- a/bench/routed.c
+++ b/bench/routed.c
@@ -98,8 +98,9 @@
 	if (is_whole(request)) {
 		outcome->whole++;
 		outcome->tokens += request->events;
-		outcome->customer_tokens[GPOINTER_TO_SIZE(request->user)] +=
-			request->events;
+		if (request->ended_us <= outcome->end_us)
+			outcome->customer_tokens[GPOINTER_TO_SIZE(
+				request->user)] += request->events;
 	} else if (request->result == CURLE_OK && request->status >= 400) {
 		outcome->refused++;
 	} else {
@@ -148,7 +149,7 @@
 	int64_t now_us = began_us;
 	http_client_t client;
 
-	*outcome = (routed_outcome_t){ .offered = 0 };
+	*outcome = (routed_outcome_t){ .end_us = end_us };
 	http_client_init(&client);
 	while (now_us < end_us || client.open > 0) {
 		while (due_us <= (double)now_us && due_us < (double)end_us) {
--- a/bench/routed.h
+++ b/bench/routed.h
@@ -21,6 +21,8 @@
 	uint64_t cut;	  /* neither whole nor refused */
 	uint64_t tokens;  /* of whole answers */
 	double seconds;	  /* until the last came back */
+	int64_t end_us;	  /* when the last request was offered */
+	/* Of answers that were whole by then. */
 	uint64_t customer_tokens[ROUTED_CUSTOMERS_MAX];
 } routed_outcome_t;
 
