--- a/bench/load_bench.c
+++ b/bench/load_bench.c
@@ -249,6 +249,7 @@
 				 .weights = { 10, 1, 1 } };
 	routed_outcome_t outcome;
 	cluster_t cluster;
+	double tokens = 0;
 	double per_s;
 	double sum = 0;
 
@@ -262,6 +263,7 @@
 	offer.per_s = 4 * per_s;
 	routed_offer(&cluster, &offer, &outcome);
 	for (size_t i = 0; i < offer.customers; i++)
+<<<<<<< HEAD
 		sum += (double)outcome.customer_tokens[i];
 	printf("fairness, offered 4x, demands 10:1:1, equal contracts, seed "
 	       "%u\n  share of its third, while offered:",
@@ -269,6 +271,14 @@
 	for (size_t i = 0; i < offer.customers; i++)
 		printf(" %.2f", 3 * (double)outcome.customer_tokens[i] / sum);
 	printf("\n");
+=======
+		tokens += (double)outcome.customer_tokens[i];
+	printf("fairness, offered 4x, demands 10:1:1, equal contracts, seed "
+	       "%u\n  share of its third while offered: %.2f %.2f %.2f\n",
+	       options->seed, 3.0 * (double)outcome.customer_tokens[0] / tokens,
+	       3.0 * (double)outcome.customer_tokens[1] / tokens,
+	       3.0 * (double)outcome.customer_tokens[2] / tokens);
+>>>>>>> main
 	stop(&cluster);
 }
 
