--- a/bench/load_bench.c
+++ b/bench/load_bench.c
@@ -251,7 +251,6 @@
 	cluster_t cluster;
 	double tokens = 0;
 	double per_s;
-	double sum = 0;
 
 	params.slots = 16;
 	params.customers = 3;
@@ -263,22 +262,12 @@
 	offer.per_s = 4 * per_s;
 	routed_offer(&cluster, &offer, &outcome);
 	for (size_t i = 0; i < offer.customers; i++)
-<<<<<<< HEAD
-		sum += (double)outcome.customer_tokens[i];
-	printf("fairness, offered 4x, demands 10:1:1, equal contracts, seed "
-	       "%u\n  share of its third, while offered:",
-	       options->seed);
-	for (size_t i = 0; i < offer.customers; i++)
-		printf(" %.2f", 3 * (double)outcome.customer_tokens[i] / sum);
-	printf("\n");
-=======
 		tokens += (double)outcome.customer_tokens[i];
 	printf("fairness, offered 4x, demands 10:1:1, equal contracts, seed "
 	       "%u\n  share of its third while offered: %.2f %.2f %.2f\n",
 	       options->seed, 3.0 * (double)outcome.customer_tokens[0] / tokens,
 	       3.0 * (double)outcome.customer_tokens[1] / tokens,
 	       3.0 * (double)outcome.customer_tokens[2] / tokens);
->>>>>>> main
 	stop(&cluster);
 }
 
--- a/bench/routed.c
+++ b/bench/routed.c
@@ -98,11 +98,7 @@
 	if (is_whole(request)) {
 		outcome->whole++;
 		outcome->tokens += request->events;
-<<<<<<< HEAD
-		if (request->ended_us <= outcome->end_us)
-=======
 		if (g_get_monotonic_time() < outcome->end_us)
->>>>>>> main
 			outcome->customer_tokens[GPOINTER_TO_SIZE(
 				request->user)] += request->events;
 	} else if (request->result == CURLE_OK && request->status >= 400) {
--- a/bench/routed.h
+++ b/bench/routed.h
@@ -21,13 +21,8 @@
 	uint64_t cut;	  /* neither whole nor refused */
 	uint64_t tokens;  /* of whole answers */
 	double seconds;	  /* until the last came back */
-<<<<<<< HEAD
-	int64_t end_us;	  /* when the last request was offered */
-	/* Of answers that were whole by then. */
-=======
 	int64_t end_us;	  /* of the offers */
 	/* Of answers that were whole before the offers ended. */
->>>>>>> main
 	uint64_t customer_tokens[ROUTED_CUSTOMERS_MAX];
 } routed_outcome_t;
 
