Make the test of callers that come back able to fail

Change: the entry counts callers that left (callers_gone_total), and the test waits until it has noticed all of them.

--- a/src/wisteria/base/counters.c
+++ b/src/wisteria/base/counters.c
@@ -16,6 +16,8 @@
 			       "Model requests taken from callers." },
 	[COUNTER_REQUESTS_REFUSED] = { "requests_refused_total", "counter",
 				       "Requests answered with a refusal." },
+	[COUNTER_CALLERS_GONE] = { "callers_gone_total", "counter",
+				   "Callers that left before the end." },
 	[COUNTER_TOKENS_DELIVERED] = { "tokens_delivered_total", "counter",
 				       "Tokens handed to callers." },
 	[COUNTER_ATTEMPTS] = { "attempts_total", "counter",
--- a/src/wisteria/entry/entry_model.c
+++ b/src/wisteria/entry/entry_model.c
@@ -8,6 +8,7 @@
 #include <string.h>
 
 #include "wisteria/base/clock.h"
+#include "wisteria/base/counters.h"
 #include "wisteria/base/err.h"
 #include "wisteria/base/table.h"
 #include "wisteria/entry/job.h"
@@ -186,6 +187,7 @@
 
 		if (job->request != request || job->ended || job->detached)
 			continue;
+		counter_add(COUNTER_CALLERS_GONE, 1);
 		lose_caller(job);
 		return;
 	}
--- a/test/functional/takeover_test.c
+++ b/test/functional/takeover_test.c
@@ -91,6 +91,13 @@
 	CU_ASSERT(http_client_run(&client, HARNESS_WAIT_MS));
 }
 
+static bool all_callers_are_gone(void *user)
+{
+	(void)user;
+	return cluster_metric(cluster.entries[0].metrics,
+			      "wisteria_callers_gone_total") >= STREAMS;
+}
+
 /* Callers lose their connections; the same entry or another goes on. */
 static void test_callers_come_back(void)
 {
@@ -98,6 +105,7 @@
 	begin_streams();
 	for (size_t i = 0; i < STREAMS; i++)
 		http_cancel(&client, (http_request_t *)begun[i]);
+	CU_ASSERT(harness_until(all_callers_are_gone, NULL, HARNESS_WAIT_MS));
 	resume_streams(0, cluster.entry_count);
 	for (size_t i = 0; i < STREAMS; i++)
 		check_answer(i);
