--- a/test/fuzz/admission_fuzz.c
+++ b/test/fuzz/admission_fuzz.c
@@ -11,6 +11,7 @@
 
 #include <glib.h>
 
+#include "fuzz_input.h"
 #include "wisteria/limits/admission.h"
 
 #define CUSTOMERS 3
@@ -18,15 +19,6 @@
 #define REQUESTS_MAX 512
 #define METERED 2 /* the customer with a bound on tokens */
 
-#define CHECK(condition) \
-	do { \
-		if (!(condition)) { \
-			fprintf(stderr, "%s:%d: %s\n", __FILE__, __LINE__, \
-				#condition); \
-			abort(); \
-		} \
-	} while (0)
-
 typedef enum {
 	REQUEST_QUEUED,
 	REQUEST_RUNNING,
@@ -42,8 +34,7 @@
 } request_t;
 
 typedef struct {
-	const uint8_t *data;
-	size_t size;
+	fuzz_input_t input;
 	clock_ms_t now_ms;
 	admission_t *admission;
 	preset_contract_t contracts[CUSTOMERS];
@@ -64,14 +55,6 @@
 static char *const customers[CUSTOMERS] = { "grande", "pequeno", "medido" };
 static const char *const targets[TARGETS] = { "modelo", "redactor" };
 
-static uint8_t next_byte(fuzz_t *fuzz)
-{
-	if (fuzz->size == 0)
-		return 0;
-	fuzz->size--;
-	return *fuzz->data++;
-}
-
 static handle_t handle_of(uint32_t number)
 {
 	return (handle_t){ number, 1 };
@@ -142,7 +125,7 @@
 
 static void offer(fuzz_t *fuzz)
 {
-	const uint8_t choice = next_byte(fuzz);
+	const uint8_t choice = fuzz_byte(&fuzz->input);
 	const uint32_t number = fuzz->request_count;
 	admission_offer_t offered;
 
@@ -242,7 +225,7 @@
 
 static void finish(fuzz_t *fuzz)
 {
-	const uint8_t choice = next_byte(fuzz);
+	const uint8_t choice = fuzz_byte(&fuzz->input);
 
 	for (uint32_t i = 0; i < fuzz->request_count; i++) {
 		request_t *request =
@@ -268,7 +251,7 @@
 
 	if (fuzz->request_count == 0)
 		return;
-	number = next_byte(fuzz) % fuzz->request_count;
+	number = fuzz_byte(&fuzz->input) % fuzz->request_count;
 	request = &fuzz->requests[number];
 	CHECK(admission_cancel(fuzz->admission, handle_of(number)) ==
 	      (request->state == REQUEST_QUEUED));
@@ -280,21 +263,21 @@
 
 static void pass_time(fuzz_t *fuzz)
 {
-	fuzz->now_ms += next_byte(fuzz) * 2;
+	fuzz->now_ms += fuzz_byte(&fuzz->input) * 2;
 	drain(fuzz);
 }
 
 /* New parts and, at times, a customer without a contract. */
 static void change_parts(fuzz_t *fuzz)
 {
-	const uint8_t choice = next_byte(fuzz);
+	const uint8_t choice = fuzz_byte(&fuzz->input);
 
 	fuzz->preset.contracts_count =
 		choice >= 230 ? CUSTOMERS - 1 : CUSTOMERS;
 	for (uint32_t i = 0; i < CUSTOMERS; i++) {
 		const preset_contract_t *contract = &fuzz->contracts[i];
-		const uint32_t sessions =
-			next_byte(fuzz) % (contract->capability_sessions + 1);
+		const uint32_t sessions = fuzz_byte(&fuzz->input) %
+					  (contract->capability_sessions + 1);
 
 		fuzz->listed[i] = i < fuzz->preset.contracts_count;
 		fuzz->limit[i] = fuzz->listed[i] ? sessions : 0;
@@ -316,11 +299,11 @@
 static void begin(fuzz_t *fuzz)
 {
 	for (uint32_t i = 0; i < CUSTOMERS; i++) {
-		const uint32_t capability = next_byte(fuzz) % 8 + 1;
+		const uint32_t capability = fuzz_byte(&fuzz->input) % 8 + 1;
 
 		fuzz->contracts[i] = (preset_contract_t){
 			.customer = customers[i],
-			.priority = next_byte(fuzz) % 3,
+			.priority = fuzz_byte(&fuzz->input) % 3,
 			.guarantee_sessions = capability / 4,
 			.deserved_sessions = capability / 2,
 			.capability_sessions = capability,
@@ -328,16 +311,14 @@
 		};
 	}
 	fuzz->preset.contracts = fuzz->contracts;
-	fuzz->preset.limits.queue_length = next_byte(fuzz) % 12;
+	fuzz->preset.limits.queue_length = fuzz_byte(&fuzz->input) % 12;
 	fuzz->preset.limits.queue_ms = 1000;
-	fuzz->slots[0] = next_byte(fuzz) % 8 + 1;
-	fuzz->slots[1] = next_byte(fuzz) % 8 + 1;
+	fuzz->slots[0] = fuzz_byte(&fuzz->input) % 8 + 1;
+	fuzz->slots[1] = fuzz_byte(&fuzz->input) % 8 + 1;
 	fuzz->admission = admission_new();
 	change_parts(fuzz);
 }
 
-int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
-
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
 	static void (*const steps[])(fuzz_t * fuzz) = {
@@ -345,12 +326,12 @@
 		finish, finish, cancel,	   pass_time, pass_time,    finish,
 		offer,	offer,	pass_time, offer,     change_parts, offer,
 	};
-	fuzz_t fuzz = { .data = data, .size = size, .now_ms = 10000 };
+	fuzz_t fuzz = { .input = { data, size }, .now_ms = 10000 };
 
 	begin(&fuzz);
-	while (fuzz.size > 0)
-		steps[next_byte(&fuzz) % (sizeof(steps) / sizeof(steps[0]))](
-			&fuzz);
+	while (fuzz.input.size > 0)
+		steps[fuzz_byte(&fuzz.input) %
+		      (sizeof(steps) / sizeof(steps[0]))](&fuzz);
 	fuzz.now_ms += 120000;
 	expire(&fuzz);
 	CHECK(fuzz.queued == 0);
--- a/test/fuzz/ledger_fuzz.c
+++ b/test/fuzz/ledger_fuzz.c
@@ -9,6 +9,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "fuzz_input.h"
 #include "wisteria/base/err.h"
 #include "wisteria/ledger/ledger.h"
 
@@ -18,15 +19,6 @@
 #define ROOMY_BYTES 1000000
 #define TIGHT_BYTES 900
 
-#define CHECK(condition) \
-	do { \
-		if (!(condition)) { \
-			fprintf(stderr, "%s:%d: %s\n", __FILE__, __LINE__, \
-				#condition); \
-			abort(); \
-		} \
-	} while (0)
-
 typedef enum {
 	OWNER_ASKING,
 	OWNER_GRANTED,
@@ -56,8 +48,7 @@
 } oracle_key_t;
 
 typedef struct {
-	const uint8_t *data;
-	size_t size;
+	fuzz_input_t input;
 	ledger_t *ledger;
 	size_t bytes_max;
 	int64_t now_ms;
@@ -66,18 +57,11 @@
 	oracle_key_t keys[KEYS];
 } fuzz_t;
 
-static uint8_t next_byte(fuzz_t *fuzz)
-{
-	if (fuzz->size == 0)
-		return 0;
-	fuzz->size--;
-	return *fuzz->data++;
-}
-
 static uint64_t pick_owner(fuzz_t *fuzz)
 {
-	return fuzz->owner_count == 0 ? 0
-				      : next_byte(fuzz) % fuzz->owner_count + 1;
+	return fuzz->owner_count == 0
+		       ? 0
+		       : fuzz_byte(&fuzz->input) % fuzz->owner_count + 1;
 }
 
 static msg_ledger_reply_t apply(fuzz_t *fuzz, ledger_op_t op, uint32_t key,
@@ -183,7 +167,7 @@
 
 static void ask_anew(fuzz_t *fuzz)
 {
-	const uint8_t choice = next_byte(fuzz);
+	const uint8_t choice = fuzz_byte(&fuzz->input);
 
 	if (fuzz->owner_count == OWNERS)
 		return;
@@ -199,7 +183,7 @@
 	const uint64_t owner = pick_owner(fuzz);
 
 	if (owner != 0)
-		ask(fuzz, owner, next_byte(fuzz) % 2 == 0);
+		ask(fuzz, owner, fuzz_byte(&fuzz->input) % 2 == 0);
 }
 
 static void dispatch(fuzz_t *fuzz)
@@ -216,8 +200,8 @@
 static void record(fuzz_t *fuzz)
 {
 	const uint64_t owner = pick_owner(fuzz);
-	const bool known = next_byte(fuzz) % 4 != 0;
-	const bool lost = next_byte(fuzz) % 2 == 0;
+	const bool known = fuzz_byte(&fuzz->input) % 4 != 0;
+	const bool lost = fuzz_byte(&fuzz->input) % 2 == 0;
 	msg_ledger_reply_t reply;
 	oracle_key_t *key;
 	owner_t *writer;
@@ -255,7 +239,7 @@
 static void give_back(fuzz_t *fuzz)
 {
 	const uint64_t owner = pick_owner(fuzz);
-	const bool again = next_byte(fuzz) % 2 == 0;
+	const bool again = fuzz_byte(&fuzz->input) % 2 == 0;
 	msg_ledger_reply_t reply;
 	owner_t *giver;
 	oracle_key_t *key;
@@ -294,7 +278,7 @@
 /* Somebody who isn't the holder tries to end the reservation. */
 static void meddle(fuzz_t *fuzz)
 {
-	const uint8_t choice = next_byte(fuzz);
+	const uint8_t choice = fuzz_byte(&fuzz->input);
 	const uint32_t key = choice % KEYS;
 	const ledger_op_t op = choice & 64 ? LEDGER_RECORD : LEDGER_RELEASE;
 	const uint64_t owner = choice & 128 ? pick_owner(fuzz) : 5000;
@@ -341,7 +325,7 @@
 		-5000
 	};
 
-	fuzz->now_ms += spans_ms[next_byte(fuzz) %
+	fuzz->now_ms += spans_ms[fuzz_byte(&fuzz->input) %
 				 (sizeof(spans_ms) / sizeof(int64_t))];
 }
 
@@ -394,8 +378,6 @@
 	ledger_free(ledger);
 }
 
-int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
-
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
 	static void (*const steps[])(fuzz_t * fuzz) = {
@@ -403,18 +385,18 @@
 		dispatch, record,    give_back, meddle,
 		die,	  ask_again, restore,	pass_time_and_expire,
 	};
-	fuzz_t fuzz = { .data = data, .size = size };
-	const uint8_t mode = next_byte(&fuzz);
+	fuzz_t fuzz = { .input = { data, size } };
+	const uint8_t mode = fuzz_byte(&fuzz.input);
 
 	if (mode == 255) {
-		restore_garbage(fuzz.data, fuzz.size);
+		restore_garbage(fuzz.input.data, fuzz.input.size);
 		return 0;
 	}
 	fuzz.bytes_max = mode % 4 == 0 ? TIGHT_BYTES : ROOMY_BYTES;
 	fuzz.ledger = ledger_new(fuzz.bytes_max);
-	while (fuzz.size > 0)
-		steps[next_byte(&fuzz) % (sizeof(steps) / sizeof(steps[0]))](
-			&fuzz);
+	while (fuzz.input.size > 0)
+		steps[fuzz_byte(&fuzz.input) %
+		      (sizeof(steps) / sizeof(steps[0]))](&fuzz);
 	ledger_free(fuzz.ledger);
 	return 0;
 }
--- a/test/fuzz/router_fuzz.c
+++ b/test/fuzz/router_fuzz.c
@@ -11,6 +11,7 @@
 
 #include <glib.h>
 
+#include "fuzz_input.h"
 #include "wisteria/route/router.h"
 
 #define LAYERS 6
@@ -20,15 +21,6 @@
 /* Reports fade; until then they may count an endpoint as full. */
 #define REPORT_FORGOTTEN_MS 60000
 
-#define CHECK(condition) \
-	do { \
-		if (!(condition)) { \
-			fprintf(stderr, "%s:%d: %s\n", __FILE__, __LINE__, \
-				#condition); \
-			abort(); \
-		} \
-	} while (0)
-
 typedef struct {
 	char name[NAMES_MAX];
 	uint64_t incarnation;
@@ -45,25 +37,16 @@
 } oracle_endpoint_t;
 
 typedef struct {
-	const uint8_t *data;
-	size_t size;
+	fuzz_input_t input;
 	clock_ms_t now_ms;
 	router_t *router;
 	oracle_endpoint_t endpoints[ENDPOINTS];
 	route_choice_t last;
 } fuzz_t;
 
-static uint8_t next_byte(fuzz_t *fuzz)
-{
-	if (fuzz->size == 0)
-		return 0;
-	fuzz->size--;
-	return *fuzz->data++;
-}
-
 static oracle_endpoint_t *pick(fuzz_t *fuzz)
 {
-	return &fuzz->endpoints[next_byte(fuzz) % ENDPOINTS];
+	return &fuzz->endpoints[fuzz_byte(&fuzz->input) % ENDPOINTS];
 }
 
 static oracle_endpoint_t *find(fuzz_t *fuzz, const char *name)
@@ -114,8 +97,8 @@
 					       { 3, 6 }, { 0, 6 }, { 2, 6 },
 					       { 3, 3 }, { 3, 7 } };
 	oracle_endpoint_t *endpoint = pick(fuzz);
-	const uint8_t layers = next_byte(fuzz);
-	const uint8_t rest = next_byte(fuzz);
+	const uint8_t layers = fuzz_byte(&fuzz->input);
+	const uint8_t rest = fuzz_byte(&fuzz->input);
 
 	if (endpoint->listed)
 		return;
@@ -159,7 +142,7 @@
 {
 	static const double steps_ms[] = { 0, 1, 50, -3, 1e300, 0.0 / 1.0 };
 	oracle_endpoint_t *endpoint = pick(fuzz);
-	const uint8_t load = next_byte(fuzz);
+	const uint8_t load = fuzz_byte(&fuzz->input);
 	const msg_load_t report = {
 		.endpoint = endpoint->name,
 		.in_flight = load % 4,
@@ -180,7 +163,7 @@
 	const oracle_endpoint_t *to = pick(fuzz);
 
 	router_link_time(fuzz->router, from->name, to->name,
-			 (double)next_byte(fuzz) - 5);
+			 (double)fuzz_byte(&fuzz->input) - 5);
 }
 
 /* Whether the endpoint must not be chosen, whatever the reports say. */
@@ -257,7 +240,7 @@
 static route_request_t make_request(fuzz_t *fuzz)
 {
 	route_request_t request = { .target = "modelo", .layers = LAYERS };
-	const uint8_t avoided = next_byte(fuzz);
+	const uint8_t avoided = fuzz_byte(&fuzz->input);
 
 	request.avoid_count = avoided % 8 < 5 ? 0 : avoided % 8 - 4;
 	for (size_t i = 0; i < request.avoid_count; i++)
@@ -288,7 +271,7 @@
 static void replace(fuzz_t *fuzz)
 {
 	const route_request_t request = make_request(fuzz);
-	const uint8_t at = next_byte(fuzz);
+	const uint8_t at = fuzz_byte(&fuzz->input);
 	const route_hop_t *lost;
 	route_hop_t hop;
 
@@ -326,7 +309,7 @@
 
 static void pass_time(fuzz_t *fuzz)
 {
-	const uint8_t choice = next_byte(fuzz);
+	const uint8_t choice = fuzz_byte(&fuzz->input);
 
 	if (choice < 200) {
 		fuzz->now_ms += choice * 10;
@@ -337,8 +320,6 @@
 		fuzz->endpoints[i].reported = 0;
 }
 
-int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
-
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
 	static void (*const steps[])(fuzz_t * fuzz) = {
@@ -346,14 +327,14 @@
 		fail,	report,	 choose, choose, link_time, choose,
 		choose, replace, finish, finish, finish,    pass_time,
 	};
-	fuzz_t fuzz = { .data = data, .size = size, .now_ms = 1000 };
+	fuzz_t fuzz = { .input = { data, size }, .now_ms = 1000 };
 
 	for (uint32_t i = 0; i < ENDPOINTS; i++)
 		g_snprintf(fuzz.endpoints[i].name, NAMES_MAX, "e%u", i);
-	fuzz.router = router_new("r0", "d0", next_byte(&fuzz));
-	while (fuzz.size > 0)
-		steps[next_byte(&fuzz) % (sizeof(steps) / sizeof(steps[0]))](
-			&fuzz);
+	fuzz.router = router_new("r0", "d0", fuzz_byte(&fuzz.input));
+	while (fuzz.input.size > 0)
+		steps[fuzz_byte(&fuzz.input) %
+		      (sizeof(steps) / sizeof(steps[0]))](&fuzz);
 	router_free(fuzz.router);
 	return 0;
 }
--- a/test/fuzz/shares_fuzz.c
+++ b/test/fuzz/shares_fuzz.c
@@ -8,21 +8,13 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "fuzz_input.h"
 #include "wisteria/limits/shares.h"
 
 #define ENTRIES 3
 #define CONTRACTS 2
 #define LEASE_MS 2500
 
-#define CHECK(condition) \
-	do { \
-		if (!(condition)) { \
-			fprintf(stderr, "%s:%d: %s\n", __FILE__, __LINE__, \
-				#condition); \
-			abort(); \
-		} \
-	} while (0)
-
 static char *const names[CONTRACTS] = { "deposito", "oficina" };
 static const char *const entry_names[ENTRIES] = { "e0", "e1", "e2" };
 
@@ -38,8 +30,7 @@
 } fuzz_entry_t;
 
 typedef struct {
-	const uint8_t *data;
-	size_t size;
+	fuzz_input_t input;
 	clock_ms_t now_ms;
 	shares_t *shares;
 	preset_contract_t contracts[CONTRACTS];
@@ -47,17 +38,9 @@
 	fuzz_entry_t entries[ENTRIES];
 } fuzz_t;
 
-static uint8_t next_byte(fuzz_t *fuzz)
-{
-	if (fuzz->size == 0)
-		return 0;
-	fuzz->size--;
-	return *fuzz->data++;
-}
-
 static fuzz_entry_t *pick_entry(fuzz_t *fuzz)
 {
-	return &fuzz->entries[next_byte(fuzz) % ENTRIES];
+	return &fuzz->entries[fuzz_byte(&fuzz->input) % ENTRIES];
 }
 
 static void check(const fuzz_t *fuzz)
@@ -92,7 +75,8 @@
 	for (int i = 0; i < CONTRACTS; i++)
 		entry->question[i] = (msg_share_t){
 			.customer = names[i],
-			.sessions = entry->running[i] + next_byte(fuzz) % 8,
+			.sessions =
+				entry->running[i] + fuzz_byte(&fuzz->input) % 8,
 			.running = entry->running[i],
 			.held = fuzz->now_ms < entry->lease_until_ms
 					? entry->part[i]
@@ -140,7 +124,7 @@
 static void start(fuzz_t *fuzz)
 {
 	fuzz_entry_t *entry = pick_entry(fuzz);
-	const int contract = next_byte(fuzz) % CONTRACTS;
+	const int contract = fuzz_byte(&fuzz->input) % CONTRACTS;
 
 	if (fuzz->now_ms < entry->lease_until_ms &&
 	    entry->running[contract] < entry->part[contract])
@@ -160,7 +144,7 @@
 static void end(fuzz_t *fuzz)
 {
 	fuzz_entry_t *entry = pick_entry(fuzz);
-	const uint8_t choice = next_byte(fuzz);
+	const uint8_t choice = fuzz_byte(&fuzz->input);
 	const int contract = choice % CONTRACTS;
 	const uint32_t count = choice / CONTRACTS % 8 + 1;
 
@@ -175,7 +159,7 @@
 
 static void pass_time(fuzz_t *fuzz)
 {
-	fuzz->now_ms += next_byte(fuzz) * 4;
+	fuzz->now_ms += fuzz_byte(&fuzz->input) * 4;
 	for (int i = 0; i < ENTRIES; i++)
 		if (fuzz->now_ms >= fuzz->entries[i].lease_until_ms)
 			memset(fuzz->entries[i].running, 0,
@@ -184,20 +168,17 @@
 
 static void renew_all(fuzz_t *fuzz)
 {
-	const uint8_t *data = fuzz->data;
-	const size_t size = fuzz->size;
+	const fuzz_input_t input = fuzz->input;
 
 	for (uint8_t i = 0; i < ENTRIES; i++) {
 		const uint8_t script[] = { i, 3, 3, i, i };
 
-		fuzz->data = script;
-		fuzz->size = sizeof(script);
+		fuzz->input = (fuzz_input_t){ script, sizeof(script) };
 		ask(fuzz);
 		answer(fuzz);
 		take_answer(fuzz);
 	}
-	fuzz->data = data;
-	fuzz->size = size;
+	fuzz->input = input;
 	pass_time(fuzz);
 }
 
@@ -208,8 +189,6 @@
 	shares_set_contracts(fuzz->shares, &fuzz->preset);
 }
 
-int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
-
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
 	static void (*const steps[])(fuzz_t * fuzz) = {
@@ -217,20 +196,20 @@
 		take_answer, start,	start,	   start_all, end,
 		pass_time,   pass_time, renew_all, die,	      change_leader,
 	};
-	fuzz_t fuzz = { .data = data, .size = size, .now_ms = 100000 };
+	fuzz_t fuzz = { .input = { data, size }, .now_ms = 100000 };
 
 	for (int i = 0; i < CONTRACTS; i++)
 		fuzz.contracts[i] = (preset_contract_t){
 			.customer = names[i],
-			.capability_sessions = next_byte(&fuzz) % 12 + 1,
+			.capability_sessions = fuzz_byte(&fuzz.input) % 12 + 1,
 		};
 	fuzz.preset.contracts = fuzz.contracts;
 	fuzz.preset.contracts_count = CONTRACTS;
 	fuzz.shares = shares_new(LEASE_MS, 0);
 	shares_set_contracts(fuzz.shares, &fuzz.preset);
-	while (fuzz.size > 0) {
-		steps[next_byte(&fuzz) % (sizeof(steps) / sizeof(steps[0]))](
-			&fuzz);
+	while (fuzz.input.size > 0) {
+		steps[fuzz_byte(&fuzz.input) %
+		      (sizeof(steps) / sizeof(steps[0]))](&fuzz);
 		check(&fuzz);
 	}
 	shares_free(fuzz.shares);
--- a/test/fuzz/store_fuzz.c
+++ b/test/fuzz/store_fuzz.c
@@ -9,6 +9,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "fuzz_input.h"
 #include "wisteria/base/err.h"
 #include "wisteria/store/store.h"
 
@@ -17,21 +18,6 @@
 #define NAMES 6
 #define TEXTS 3
 
-int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
-
-#define CHECK(condition) \
-	do { \
-		if (!(condition)) { \
-			fprintf(stderr, "failed: %s\n", #condition); \
-			abort(); \
-		} \
-	} while (0)
-
-typedef struct {
-	const uint8_t *data;
-	size_t left;
-} input_t;
-
 /* An order as sent, and what was answered the first time. */
 typedef struct {
 	char id[16];
@@ -67,14 +53,6 @@
 
 static const char *const names[NAMES] = { "p0", "p1", "p2", "p3", "p4", "p5" };
 
-static uint8_t take(input_t *input)
-{
-	if (input->left == 0)
-		return 0;
-	input->left--;
-	return *input->data++;
-}
-
 static const sent_t *find_created(const world_t *world, const char *name)
 {
 	for (size_t i = 0; i < world->accepted_count; i++) {
@@ -350,24 +328,25 @@
 }
 
 /* Agents of two incarnations speak of the orders that there are. */
-static void choose_agent_order(const world_t *world, input_t *input,
+static void choose_agent_order(const world_t *world, fuzz_input_t *input,
 			       sent_t *sent)
 {
 	const engine_t *engine;
 
-	sent->order.fence = take(input) % (world->engine_count + 1) + 1;
-	sent->order.incarnation = 1 + take(input) % 2;
-	sent->order.engine_state = take(input) % 6;
+	sent->order.fence = fuzz_byte(input) % (world->engine_count + 1) + 1;
+	sent->order.incarnation = 1 + fuzz_byte(input) % 2;
+	sent->order.engine_state = fuzz_byte(input) % 6;
 	engine = find_engine(world, sent);
 	if (engine != NULL)
 		sent->order.name = engine->name;
 }
 
-static void choose_order(const world_t *world, input_t *input, sent_t *sent)
+static void choose_order(const world_t *world, fuzz_input_t *input,
+			 sent_t *sent)
 {
-	uint8_t choice = take(input);
-	uint8_t name = take(input) % NAMES;
-	uint8_t expected = take(input);
+	uint8_t choice = fuzz_byte(input);
+	uint8_t name = fuzz_byte(input) % NAMES;
+	uint8_t expected = fuzz_byte(input);
 
 	snprintf(sent->id, sizeof(sent->id), "o%zu", world->sent_count);
 	sent->order.id = sent->id;
@@ -384,16 +363,16 @@
 	if (sent->order.kind == ORDER_PRESET_CREATE)
 		snprintf(sent->text, sizeof(sent->text),
 			 "name: %s\nmodels:\n  - {name: m, layers: %u}\n",
-			 names[name], (unsigned)take(input) % TEXTS);
+			 names[name], (unsigned)fuzz_byte(input) % TEXTS);
 	if (sent->order.kind == ORDER_ENGINE)
-		strcpy(sent->text, take(input) % 8 == 0 ? "x" : "{}");
+		strcpy(sent->text, fuzz_byte(input) % 8 == 0 ? "x" : "{}");
 	if (sent->order.kind == ORDER_ENGINE_CLAIM ||
 	    sent->order.kind == ORDER_ENGINE_RESULT)
 		choose_agent_order(world, input, sent);
 	sent->order.text = sent->text;
 }
 
-static void send_new(world_t *world, input_t *input)
+static void send_new(world_t *world, fuzz_input_t *input)
 {
 	sent_t *sent = &world->sent[world->sent_count];
 	msg_order_reply_t reply;
@@ -411,26 +390,26 @@
 }
 
 /* A resent order carries a new time and gets the first answer. */
-static void resend(world_t *world, input_t *input)
+static void resend(world_t *world, fuzz_input_t *input)
 {
 	msg_order_reply_t reply;
 	sent_t *sent;
 
 	if (world->sent_count == 0 || world->log_count == 2 * ORDERS_MAX)
 		return;
-	sent = &world->sent[take(input) % world->sent_count];
+	sent = &world->sent[fuzz_byte(input) % world->sent_count];
 	submit(world, sent, &reply, false);
 	check_reply(sent, &reply);
 }
 
-static void reuse_id(world_t *world, input_t *input)
+static void reuse_id(world_t *world, fuzz_input_t *input)
 {
 	msg_order_reply_t reply;
 	msg_order_t other;
 
 	if (world->sent_count == 0)
 		return;
-	other = world->sent[take(input) % world->sent_count].order;
+	other = world->sent[fuzz_byte(input) % world->sent_count].order;
 	other.kind = (other.kind + 1) % ORDER_KIND_COUNT;
 	CHECK(!store_apply(&world->store, &other, world->log_count, &reply));
 	CHECK(reply.outcome == ORDER_REFUSED);
@@ -471,7 +450,7 @@
 }
 
 /* A damaged snapshot is refused or read, and never half taken. */
-static void damage(const world_t *world, input_t *input)
+static void damage(const world_t *world, fuzz_input_t *input)
 {
 	msgpack_sbuffer bytes;
 	err_t err = ERR_INIT;
@@ -480,8 +459,8 @@
 
 	msgpack_sbuffer_init(&bytes);
 	store_snapshot(&world->store, &bytes);
-	place = (take(input) * 256u + take(input)) % bytes.size;
-	bytes.data[place] = (char)take(input);
+	place = (fuzz_byte(input) * 256u + fuzz_byte(input)) % bytes.size;
+	bytes.data[place] = (char)fuzz_byte(input);
 	store_init(&scratch);
 	if (!store_restore(&scratch, (const uint8_t *)bytes.data, bytes.size,
 			   &err))
@@ -506,7 +485,7 @@
 	msgpack_sbuffer_destroy(&other);
 }
 
-static void step_snapshot(world_t *world, input_t *input, uint8_t choice)
+static void step_snapshot(world_t *world, fuzz_input_t *input, uint8_t choice)
 {
 	if (world->snapshot_count++ == SNAPSHOTS_MAX)
 		world->snapshot_count--;
@@ -518,9 +497,9 @@
 		damage(world, input);
 }
 
-static void step(world_t *world, input_t *input)
+static void step(world_t *world, fuzz_input_t *input)
 {
-	uint8_t choice = take(input);
+	uint8_t choice = fuzz_byte(input);
 
 	if (choice < 0x90)
 		send_new(world, input);
@@ -536,12 +515,12 @@
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
-	input_t input = { .data = data, .left = size };
+	fuzz_input_t input = { .data = data, .size = size };
 	world_t *world = calloc(1, sizeof(*world));
 
 	store_init(&world->store);
 	store_init(&world->replica);
-	while (input.left > 0 && world->log_count < 2 * ORDERS_MAX) {
+	while (input.size > 0 && world->log_count < 2 * ORDERS_MAX) {
 		step(world, &input);
 		check_state(world);
 		check_engines(world);
