Name internal headers alike; one way for the fakes to wait

Cause: raft_internal.h, ledger_private.h and *_impl.h meant the same; both fakes had the same signal handling. Change: *_internal.h everywhere; test/functional/fakes/serve.h.

--- a/src/wisteria/ledger/ledger.c
+++ b/src/wisteria/ledger/ledger.c
@@ -18,7 +18,7 @@
 #include "wisteria/base/err.h"
 #include "wisteria/codec/codec.h"
 #include "wisteria/ledger/ledger_entry.h"
-#include "wisteria/ledger/ledger_private.h"
+#include "wisteria/ledger/ledger_internal.h"
 
 static int compare_expiry(const void *a, const void *b, void *unused)
 {
--- a/src/wisteria/ledger/ledger_snapshot.c
+++ b/src/wisteria/ledger/ledger_snapshot.c
@@ -4,7 +4,7 @@
 #include "wisteria/base/err.h"
 #include "wisteria/codec/codec.h"
 #include "wisteria/ledger/ledger_entry.h"
-#include "wisteria/ledger/ledger_private.h"
+#include "wisteria/ledger/ledger_internal.h"
 
 typedef struct {
 	uint64_t owner;
--- a/src/wisteria/session/entry_recovery.c
+++ b/src/wisteria/session/entry_recovery.c
@@ -6,7 +6,7 @@
 
 #include "wisteria/base/counters.h"
 #include "wisteria/base/err.h"
-#include "wisteria/session/entry_session_impl.h"
+#include "wisteria/session/entry_session_internal.h"
 
 #define ENTRY_RETRY_AFTER_MS 1000
 /* After so many refusals in a row a chain is asked for at intervals only. */
--- a/src/wisteria/session/entry_send.c
+++ b/src/wisteria/session/entry_send.c
@@ -1,5 +1,5 @@
 /* The messages of an entry session to the agents of its chain. */
-#include "wisteria/session/entry_session_impl.h"
+#include "wisteria/session/entry_session_internal.h"
 
 static void send_to(entry_session_t *session, size_t hop, msg_type_t type,
 		    const void *body)
--- a/src/wisteria/session/entry_session.c
+++ b/src/wisteria/session/entry_session.c
@@ -12,7 +12,7 @@
 #include <glib.h>
 
 #include "wisteria/base/err.h"
-#include "wisteria/session/entry_session_impl.h"
+#include "wisteria/session/entry_session_internal.h"
 
 /* Time for a lost connection to come back before its hop counts as lost. */
 #define ENTRY_DOWN_MS 300
--- a/src/wisteria/session/entry_session_impl.h
+++ b/src/wisteria/session/entry_session_internal.h
@@ -1,5 +1,5 @@
-#ifndef WISTERIA_SESSION_ENTRY_SESSION_IMPL_H
-#define WISTERIA_SESSION_ENTRY_SESSION_IMPL_H
+#ifndef WISTERIA_SESSION_ENTRY_SESSION_INTERNAL_H
+#define WISTERIA_SESSION_ENTRY_SESSION_INTERNAL_H
 
 /* What the files of the entry session share; nobody else includes it. */
 
--- a/src/wisteria/session/hop_reroute.c
+++ b/src/wisteria/session/hop_reroute.c
@@ -3,7 +3,7 @@
  * replaced: the neighbours of every hop come to the same position again.
  */
 #include "wisteria/codec/msg.h"
-#include "wisteria/session/hop_session_impl.h"
+#include "wisteria/session/hop_session_internal.h"
 
 static void reply_to_reroute(hop_session_t *session, uint32_t attempt,
 			     refusal_t refusal)
--- a/src/wisteria/session/hop_send.c
+++ b/src/wisteria/session/hop_send.c
@@ -2,7 +2,7 @@
 #include <string.h>
 
 #include "wisteria/codec/msg.h"
-#include "wisteria/session/hop_session_impl.h"
+#include "wisteria/session/hop_session_internal.h"
 
 /* Most bytes of activations in one step message. */
 #define HOP_STEP_BYTES_MAX (1u << 20)
--- a/src/wisteria/session/hop_session.c
+++ b/src/wisteria/session/hop_session.c
@@ -13,7 +13,7 @@
 
 #include "wisteria/base/counters.h"
 #include "wisteria/codec/msg.h"
-#include "wisteria/session/hop_session_impl.h"
+#include "wisteria/session/hop_session_internal.h"
 
 /* Bound of acknowledged outputs kept for a rebuild. */
 #define HOP_KEPT_BYTES_MAX (1u << 20)
--- a/test/functional/fakes/fake_engine.c
+++ b/test/functional/fakes/fake_engine.c
@@ -11,7 +11,6 @@
 #include <errno.h>
 #include <inttypes.h>
 #include <pthread.h>
-#include <signal.h>
 #include <stdlib.h>
 #include <time.h>
 
@@ -19,6 +18,7 @@
 #include <msgpack.h>
 
 #include "answer.h"
+#include "serve.h"
 #include "wisteria/agent/engine_wire.h"
 #include "wisteria/codec/codec.h"
 #include "wisteria/net/net.h"
@@ -538,19 +538,15 @@
 				   NULL,    NULL,
 				   NULL };
 	sigset_t signals;
-	int number;
 
 	argp_parse(&argp, argc, argv, 0, NULL, NULL);
 	if (engine_count == 0) {
 		fprintf(stderr, "fake_engine: no --listen given\n");
 		return 2;
 	}
-	sigemptyset(&signals);
-	sigaddset(&signals, SIGTERM);
-	sigaddset(&signals, SIGINT);
-	pthread_sigmask(SIG_BLOCK, &signals, NULL);
+	fake_block_signals(&signals);
 	for (size_t i = 0; i < engine_count; i++)
 		start_engine(&engines[i]);
-	sigwait(&signals, &number);
+	fake_wait(&signals);
 	return 0;
 }
--- a/test/functional/fakes/fake_service.c
+++ b/test/functional/fakes/fake_service.c
@@ -9,7 +9,6 @@
 #include <errno.h>
 #include <inttypes.h>
 #include <pthread.h>
-#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -18,6 +17,7 @@
 #include <glib.h>
 #include <microhttpd.h>
 
+#include "serve.h"
 #include "wisteria/base/macros_defs.h"
 #include "wisteria/net/net.h"
 
@@ -185,19 +185,15 @@
 				   NULL,    NULL,
 				   NULL };
 	sigset_t signals;
-	int number;
 
 	argp_parse(&argp, argc, argv, 0, NULL, NULL);
 	if (service_count == 0) {
 		fprintf(stderr, "fake_service: no --listen given\n");
 		return 2;
 	}
-	sigemptyset(&signals);
-	sigaddset(&signals, SIGTERM);
-	sigaddset(&signals, SIGINT);
-	pthread_sigmask(SIG_BLOCK, &signals, NULL);
+	fake_block_signals(&signals);
 	for (size_t i = 0; i < service_count; i++)
 		start_service(&services[i]);
-	sigwait(&signals, &number);
+	fake_wait(&signals);
 	return 0;
 }
