Prove that a minority refuses truthfully and comes back

Cause: PROOF.md had 'a region loses the others: not proved'. Change: path_test stops the other control instances with SIGSTOP while 20 streams run at one entry: the streams end whole, a new request is refused with 503, not_run and Retry-After, and after SIGCONT work is taken again. Conclusion: shown for one entry instance alone; parted regions with entries on both sides of a real network are not.

--- a/test/functional/path_test.c
+++ b/test/functional/path_test.c
@@ -323,6 +323,55 @@
 	end();
 }
 
+static void signal_majority(const cluster_t *cluster, int number)
+{
+	for (size_t i = 1; i < cluster->entry_count; i++)
+		harness_signal(cluster->entries[i].process, number);
+}
+
+/*
+ * What the minority side of a partition sees: no other control instance
+ * answers.  Running streams end whole, new requests are refused as not run,
+ * and work is taken again after the repair.
+ */
+static void test_minority_refuses_truthfully(void)
+{
+	static const cluster_params_t params = { .entries = 3,
+						 .step_us = 20000 };
+	cluster_t cluster;
+	journal_t journal;
+	load_t load;
+	const http_request_t *refused;
+	const char *metrics;
+
+	begin("minority", &cluster, &params);
+	cluster_write(&cluster);
+	CU_ASSERT_FATAL(cluster_start(&cluster));
+	metrics = cluster.entries[0].metrics;
+	load_init(&load, &cluster);
+	for (size_t i = 0; i < STREAMS / 10; i++)
+		load_send(&load, 0);
+	CU_ASSERT(load_wait_events(&load, STREAMS / 10, RUN_MS));
+	signal_majority(&cluster, SIGSTOP);
+	CU_ASSERT(harness_wait_http(metrics, "/readyz", 503, RUN_MS));
+	refused = cluster_ask(&cluster, &load.client, 0, "alone", 0, true);
+	CU_ASSERT(http_client_run(&load.client, RUN_MS));
+	CU_ASSERT_EQUAL(refused->status, 503);
+	CU_ASSERT_PTR_NOT_NULL(strstr(refused->body->str, "\"not_run\""));
+	CU_ASSERT_PTR_NOT_NULL(strstr(refused->headers->str, "Retry-After"));
+	http_forget(&load.client, (http_request_t *)refused);
+	signal_majority(&cluster, SIGCONT);
+	CU_ASSERT(harness_wait_http(metrics, "/readyz", 200, RUN_MS));
+	load_send(&load, 0);
+	CU_ASSERT(http_client_run(&load.client, RUN_MS));
+	journal_init(&journal, cluster.params.layers);
+	load_check(&load, &journal);
+	CU_ASSERT_EQUAL(load.whole, STREAMS / 10 + 1);
+	check_journal(&cluster, &journal);
+	load_finish(&load);
+	end();
+}
+
 static const unit_test_t tests[] = {
 	{ "answers are whole", test_answers },
 	{ "bad requests get clear errors", test_bad_requests },
@@ -331,6 +380,7 @@
 	{ "streams survive the loss of a failure domain", test_domain_lost },
 	{ "streams survive a link that degrades", test_link_degrades },
 	{ "planned stops cut and refuse nothing", test_planned_stops },
+	{ "a minority refuses truthfully", test_minority_refuses_truthfully },
 };
 
 int main(void)
