Recover by replay unless the preset says otherwise

Cause: both ways are built; the issue asks to keep the better one. Change: replay is the default of a preset's recovery.

--- a/src/wisteria/settings/preset_defs.h
+++ b/src/wisteria/settings/preset_defs.h
@@ -39,9 +39,10 @@
 	uint32_t ledger_retention_ms;
 } preset_limits_t;
 
+/* How a stream goes on after a lost stage; the first is the default. */
 typedef enum {
-	PRESET_RESTART,
-	PRESET_REPLAY
+	PRESET_REPLAY,
+	PRESET_RESTART
 } preset_recovery_t;
 
 /* A preset: everything that operators choose between. */
--- a/test/unit/preset_test.c
+++ b/test/unit/preset_test.c
@@ -49,7 +49,7 @@
 		"  - {customer: obra, api_key_hash: " HASH_A
 		", deserved_sessions: 2, capability_sessions: 2}\n"
 		"limits: {retry_percent: 0, queue_ms: 5}\n"
-		"recovery: replay\n";
+		"recovery: restart\n";
 	preset_t *preset = parse_valid(text);
 
 	CU_ASSERT_STRING_EQUAL(preset->name, "peak");
@@ -61,7 +61,7 @@
 	CU_ASSERT_EQUAL(preset->limits.retry_percent, 0);
 	CU_ASSERT_EQUAL(preset->limits.queue_ms, 5);
 	CU_ASSERT_EQUAL(preset->limits.queue_length, 256);
-	CU_ASSERT_EQUAL(preset->recovery, PRESET_REPLAY);
+	CU_ASSERT_EQUAL(preset->recovery, PRESET_RESTART);
 	preset_free(preset);
 }
 
@@ -76,6 +76,7 @@
 	CU_ASSERT_TRUE(preset_is_idempotent(service, "PUT"));
 	CU_ASSERT_FALSE(preset_is_idempotent(service, "POST"));
 	CU_ASSERT_FALSE(preset_is_idempotent(service, "get"));
+	CU_ASSERT_EQUAL(preset->recovery, PRESET_REPLAY);
 	preset_free(preset);
 }
 
