--- a/src/wisteria/settings/preset.c
+++ b/src/wisteria/settings/preset.c
@@ -320,6 +320,20 @@
 			     (guint64)rule->min, (guint64)rule->max);
 }
 
+/*
+ * A call may wait for as long as a request lasts between the grant of its key
+ * and its dispatch; the ledger must not forget the key meanwhile.
+ */
+static bool check_retention(const yaml_doc_t *doc,
+			    const preset_limits_t *limits, err_t *err)
+{
+	if (limits->ledger_retention_ms / 2 >= limits->request_ms)
+		return true;
+	return yaml_doc_fail(doc, "ledger_retention_ms", NULL, err,
+			     "expected at least twice request_ms, %u",
+			     limits->request_ms);
+}
+
 static bool read_limits(const yaml_doc_t *doc, preset_text_t *text, err_t *err)
 {
 	uint64_t values[ARRAY_SIZE(limit_rules)];
@@ -336,7 +350,7 @@
 		.weight_bytes_per_s = values[4],
 		.ledger_retention_ms = (uint32_t)values[5],
 	};
-	return true;
+	return check_retention(doc, &text->preset.limits, err);
 }
 
 /*
--- a/test/unit/net_test.c
+++ b/test/unit/net_test.c
@@ -176,6 +176,56 @@
 	pair_finish(&pair);
 }
 
+static void on_raw_connected(uv_connect_t *request, int status)
+{
+	*(int *)request->data = status == 0 ? 1 : -1;
+}
+
+/* Sends bytes as a stranger would; the listener must refuse and live on. */
+static void expect_refused(const void *bytes, size_t len)
+{
+	uint64_t refused = counter_get(COUNTER_CONNECTIONS_REFUSED);
+	uv_buf_t buf = uv_buf_init((char *)bytes, (unsigned int)len);
+	struct sockaddr_storage address;
+	int connected = 0;
+	uv_connect_t request = { .data = &connected };
+	uv_tcp_t raw;
+	pair_t pair;
+
+	pair_init(&pair, 1);
+	CU_ASSERT_FATAL(net_parse_address(pair.address, &address, NULL));
+	uv_tcp_init(&pair.loop, &raw);
+	uv_tcp_connect(&request, &raw, (struct sockaddr *)&address,
+		       on_raw_connected);
+	turn_until(&pair, &connected, 1);
+	CU_ASSERT_EQUAL(uv_try_write((uv_stream_t *)&raw, &buf, 1), (int)len);
+	for (int i = 0; i < TURNS_MAX &&
+			counter_get(COUNTER_CONNECTIONS_REFUSED) == refused;
+	     i++)
+		uv_run(&pair.loop, UV_RUN_ONCE);
+	CU_ASSERT_EQUAL(counter_get(COUNTER_CONNECTIONS_REFUSED), refused + 1);
+	connect_pair(&pair);
+	uv_close((uv_handle_t *)&raw, NULL);
+	pair_finish(&pair);
+}
+
+static void test_bad_frames_are_refused(void)
+{
+	/* A length beyond the bound. */
+	static const uint8_t overlong[] = { 0xff, 0xff, 0xff, 0xff };
+	/* Not msgpack of a message. */
+	static const uint8_t garbage[] = { 0, 0, 0, 2, 0xc1, 0xc1 };
+	/* A message of a type that no table has. */
+	static const uint8_t unknown[] = { 0, 0, 0, 3, 0x92, 95, 0x90 };
+	/* A message of work before the hello. */
+	static const uint8_t early[] = { 0, 0, 0, 3, 0x92, MSG_START, 0x90 };
+
+	expect_refused(overlong, sizeof(overlong));
+	expect_refused(garbage, sizeof(garbage));
+	expect_refused(unknown, sizeof(unknown));
+	expect_refused(early, sizeof(early));
+}
+
 /* Stops "conn" from reading, as a path that swallows bytes would. */
 static void make_silent(conn_t *conn)
 {
@@ -254,6 +304,7 @@
 static const unit_test_t tests[] = {
 	{ "opens and carries messages", test_opens_and_carries_messages },
 	{ "wrong key is refused", test_wrong_key_is_refused },
+	{ "bad frames are refused", test_bad_frames_are_refused },
 	{ "silence under work is noticed", test_silence_under_work_is_noticed },
 	{ "silence without work is borne", test_silence_without_work_is_borne },
 	{ "own pause is not silence", test_own_pause_is_not_silence },
--- a/test/unit/preset_test.c
+++ b/test/unit/preset_test.c
@@ -145,6 +145,9 @@
 	{ "name: a\nlimits: {retry_percent: 101}\n" MODEL,
 	  "line 2, key retry_percent: expected 0 to 100" },
 	{ "name: a\nlimits: {queue_ms: 4294967296}\n" MODEL, "key queue_ms" },
+	{ "name: a\nlimits: {request_ms: 60000, ledger_retention_ms: "
+	  "119999}\n" MODEL,
+	  "key ledger_retention_ms: expected at least twice" },
 	{ "name: &a x\nmodels:\n  - {name: *a, layers: 2}\n", "alias" },
 	{ "name: a\n" MODEL "---\nname: b\n", "line 4: more than one" },
 	{ "name: [a\n", "line 1, key name" },
