--- a/src/wisteria/store/store.c
+++ b/src/wisteria/store/store.c
@@ -10,27 +10,19 @@
 
 #include <string.h>
 
-#include "wisteria/base/err.h"
-#include "wisteria/settings/preset.h"
 #include "wisteria/store/store_engine.h"
+#include "wisteria/store/store_internal.h"
 #include "wisteria/store/store_order.h"
 
-/* What a handler makes of an order. */
-typedef struct {
-	order_outcome_t outcome;
-	bool changed;
-	uint64_t revision; /* of an earlier, equal change; 0: the present */
-	uint64_t fence;
-	char *reason; /* owned; NULL: none */
-} verdict_t;
-
 typedef void (*order_handler_t)(store_t *store, const msg_order_t *order,
-				verdict_t *verdict);
+				store_verdict_t *verdict);
 
-static void refuse(verdict_t *verdict, const char *format, ...)
+/* Makes "verdict" a refusal with a reason. */
+void store_refuse(store_verdict_t *verdict, const char *format, ...)
 	ATTR_PRINTF(2, 3);
 
-static void refuse(verdict_t *verdict, const char *format, ...)
+/* Makes "verdict" a refusal with a reason. */
+void store_refuse(store_verdict_t *verdict, const char *format, ...)
 {
 	va_list args;
 
@@ -40,55 +32,8 @@
 	va_end(args);
 }
 
-static const char *or_empty(const char *text)
-{
-	return text == NULL ? "" : text;
-}
-
-/* Makes an empty store at revision 0. */
-void store_init(store_t *store)
-{
-	memset(store, 0, sizeof(*store));
-	store->in_force = g_strdup("");
-	store->presets = g_array_new(FALSE, TRUE, sizeof(msg_preset_t));
-	store->leaving = g_array_new(FALSE, TRUE, sizeof(msg_name_t));
-	store->retired = g_array_new(FALSE, TRUE, sizeof(msg_name_t));
-	store->engines = g_array_new(FALSE, TRUE, sizeof(msg_engine_order_t));
-	g_queue_init(&store->changes);
-	g_queue_init(&store->results);
-	store->results_by_id = g_hash_table_new(g_str_hash, g_str_equal);
-}
-
-static void free_names(GArray *names)
-{
-	for (guint i = 0; i < names->len; i++)
-		g_free((char *)g_array_index(names, msg_name_t, i).text);
-	g_array_free(names, TRUE);
-}
-
-/* Frees what the store holds. */
-void store_finish(store_t *store)
-{
-	for (guint i = 0; i < store->presets->len; i++) {
-		msg_preset_t *preset =
-			&g_array_index(store->presets, msg_preset_t, i);
-
-		g_free((char *)preset->name);
-		g_free((char *)preset->text);
-	}
-	g_array_free(store->presets, TRUE);
-	free_names(store->leaving);
-	free_names(store->retired);
-	store_engine_free(store->engines);
-	g_hash_table_destroy(store->results_by_id);
-	g_queue_clear_full(&store->changes, store_change_free);
-	g_queue_clear_full(&store->results, store_result_free);
-	g_free((char *)store->in_force);
-	memset(store, 0, sizeof(*store));
-}
-
 /* Returns where "name" stands in the sorted "names", or would be inserted. */
-static guint name_place(const GArray *names, const char *name, bool *found)
+guint store_name_place(const GArray *names, const char *name, bool *found)
 {
 	guint low = 0;
 	guint high = names->len;
@@ -111,177 +56,92 @@
 	return low;
 }
 
-static bool has_name(const GArray *names, const char *name)
+/* Returns whether "name" is among the sorted "names". */
+bool store_has_name(const GArray *names, const char *name)
 {
 	bool found;
 
-	name_place(names, name, &found);
+	store_name_place(names, name, &found);
 	return found;
 }
 
 /* Inserts "name"; it must not be there. */
-static void add_name(GArray *names, const char *name)
+void store_add_name(GArray *names, const char *name)
 {
 	const msg_name_t copy = { .text = g_strdup(name) };
 	bool found;
 
-	g_array_insert_val(names, name_place(names, name, &found), copy);
-}
-
-static bool preset_text_is_valid(const msg_order_t *order, verdict_t *verdict)
-{
-	err_t err = ERR_INIT;
-	const char *text = or_empty(order->text);
-	preset_t *preset = preset_parse(text, strlen(text), &err);
-	bool same;
-
-	if (preset == NULL) {
-		refuse(verdict, "%s", err.text);
-		return false;
-	}
-	same = strcmp(preset->name, order->name) == 0;
-	if (!same)
-		refuse(verdict, "the text is of preset %s, not %s",
-		       preset->name, order->name);
-	preset_free(preset);
-	return same;
-}
-
-static bool preset_fits(const store_t *store, size_t text_len,
-			verdict_t *verdict)
-{
-	if (store->presets->len >= STORE_PRESETS_MAX) {
-		refuse(verdict, "%d presets are kept and no more",
-		       STORE_PRESETS_MAX);
-		return false;
-	}
-	if (store->preset_bytes + text_len > STORE_PRESET_BYTES_MAX) {
-		refuse(verdict, "the presets would take more than %u bytes",
-		       STORE_PRESET_BYTES_MAX);
-		return false;
-	}
-	return true;
+	g_array_insert_val(names, store_name_place(names, name, &found), copy);
 }
 
-static void add_preset(store_t *store, const char *name, const char *text,
-		       uint64_t revision)
+static const char *or_empty(const char *text)
 {
-	const msg_preset_t preset = {
-		.name = g_strdup(name),
-		.revision = revision,
-		.text = g_strdup(text),
-	};
-
-	store->preset_bytes += strlen(text);
-	g_array_append_val(store->presets, preset);
+	return text == NULL ? "" : text;
 }
 
-/* A preset never changes: the same text again is the same result. */
-static void create_preset(store_t *store, const msg_order_t *order,
-			  verdict_t *verdict)
+/* Makes an empty store at revision 0. */
+void store_init(store_t *store)
 {
-	const msg_preset_t *present = store_preset(store, order->name);
-	const char *text = or_empty(order->text);
-
-	if (present != NULL && strcmp(present->text, text) == 0) {
-		verdict->revision = present->revision;
-		return;
-	}
-	if (present != NULL) {
-		refuse(verdict,
-		       "preset %s exists since revision %" G_GUINT64_FORMAT
-		       " with another text; take a new name",
-		       order->name, (guint64)present->revision);
-		return;
-	}
-	if (has_name(store->retired, order->name)) {
-		refuse(verdict, "a preset %s was deleted; take a new name",
-		       order->name);
-		return;
-	}
-	if (!preset_text_is_valid(order, verdict) ||
-	    !preset_fits(store, strlen(text), verdict))
-		return;
-	add_preset(store, order->name, text, store->revision + 1);
-	verdict->changed = true;
+	memset(store, 0, sizeof(*store));
+	store->in_force = g_strdup("");
+	store->presets = g_array_new(FALSE, TRUE, sizeof(msg_preset_t));
+	store->leaving = g_array_new(FALSE, TRUE, sizeof(msg_name_t));
+	store->retired = g_array_new(FALSE, TRUE, sizeof(msg_name_t));
+	store->engines = g_array_new(FALSE, TRUE, sizeof(msg_engine_order_t));
+	g_queue_init(&store->changes);
+	g_queue_init(&store->results);
+	store->results_by_id = g_hash_table_new(g_str_hash, g_str_equal);
 }
 
-static bool may_delete(const store_t *store, const char *name,
-		       verdict_t *verdict)
+static void free_names(GArray *names)
 {
-	if (store_preset(store, name) == NULL) {
-		refuse(verdict, "there is no preset %s", name);
-		return false;
-	}
-	if (strcmp(store->in_force, name) == 0) {
-		refuse(verdict, "preset %s is in force", name);
-		return false;
-	}
-	if (store->retired->len >= STORE_RETIRED_MAX) {
-		refuse(verdict, "%d presets were deleted and no more may be",
-		       STORE_RETIRED_MAX);
-		return false;
-	}
-	return true;
+	for (guint i = 0; i < names->len; i++)
+		g_free((char *)g_array_index(names, msg_name_t, i).text);
+	g_array_free(names, TRUE);
 }
 
-/*
- * A deleted preset's name is never taken again: daemons keep presets by name,
- * and the history must stay true.
- */
-static void delete_preset(store_t *store, const msg_order_t *order,
-			  verdict_t *verdict)
+/* Frees what the store holds. */
+void store_finish(store_t *store)
 {
-	msg_preset_t *preset;
-
-	if (has_name(store->retired, order->name) ||
-	    !may_delete(store, order->name, verdict))
-		return;
-	preset = (msg_preset_t *)store_preset(store, order->name);
-	store->preset_bytes -= strlen(preset->text);
-	g_free((char *)preset->name);
-	g_free((char *)preset->text);
-	g_array_remove_index(
-		store->presets,
-		(guint)(preset - (msg_preset_t *)store->presets->data));
-	add_name(store->retired, order->name);
-	verdict->changed = true;
-}
+	for (guint i = 0; i < store->presets->len; i++) {
+		msg_preset_t *preset =
+			&g_array_index(store->presets, msg_preset_t, i);
 
-static void use_preset(store_t *store, const msg_order_t *order,
-		       verdict_t *verdict)
-{
-	if (store_preset(store, order->name) == NULL) {
-		refuse(verdict, "there is no preset %s", order->name);
-		return;
+		g_free((char *)preset->name);
+		g_free((char *)preset->text);
 	}
-	if (strcmp(store->in_force, order->name) == 0)
-		return;
+	g_array_free(store->presets, TRUE);
+	free_names(store->leaving);
+	free_names(store->retired);
+	store_engine_free(store->engines);
+	g_hash_table_destroy(store->results_by_id);
+	g_queue_clear_full(&store->changes, store_change_free);
+	g_queue_clear_full(&store->results, store_result_free);
 	g_free((char *)store->in_force);
-	store->in_force = g_strdup(order->name);
-	verdict->changed = true;
+	memset(store, 0, sizeof(*store));
 }
 
 /* An endpoint may be told to leave before it has announced itself. */
 static void leave_endpoint(store_t *store, const msg_order_t *order,
-			   verdict_t *verdict)
+			   store_verdict_t *verdict)
 {
-	if (has_name(store->leaving, order->name))
+	if (store_has_name(store->leaving, order->name))
 		return;
 	if (store->leaving->len >= STORE_LEAVING_MAX) {
-		refuse(verdict, "%d endpoints are leaving and no more may",
-		       STORE_LEAVING_MAX);
+		store_refuse(verdict,
+			     "%d endpoints are leaving and no more may",
+			     STORE_LEAVING_MAX);
 		return;
 	}
-	add_name(store->leaving, order->name);
+	store_add_name(store->leaving, order->name);
 	verdict->changed = true;
 }
 
 static void return_endpoint(store_t *store, const msg_order_t *order,
-			    verdict_t *verdict)
+			    store_verdict_t *verdict)
 {
 	bool found;
-	guint place = name_place(store->leaving, order->name, &found);
+	guint place = store_name_place(store->leaving, order->name, &found);
 
 	if (!found)
 		return;
@@ -291,12 +151,12 @@
 }
 
 static void order_engine(store_t *store, const msg_order_t *order,
-			 verdict_t *verdict)
+			 store_verdict_t *verdict)
 {
 	const char *fault = store_engine_add(store, order);
 
 	if (fault != NULL) {
-		refuse(verdict, "%s", fault);
+		store_refuse(verdict, "%s", fault);
 		return;
 	}
 	verdict->fence = store->fence;
@@ -305,26 +165,26 @@
 
 /* Agents' own orders are no changes of the configuration. */
 static void claim_engine(store_t *store, const msg_order_t *order,
-			 verdict_t *verdict)
+			 store_verdict_t *verdict)
 {
 	const char *fault = store_engine_claim(store, order);
 
 	if (fault != NULL)
-		refuse(verdict, "%s", fault);
+		store_refuse(verdict, "%s", fault);
 }
 
 static void finish_engine(store_t *store, const msg_order_t *order,
-			  verdict_t *verdict)
+			  store_verdict_t *verdict)
 {
 	const char *fault = store_engine_finish(store, order);
 
 	if (fault != NULL)
-		refuse(verdict, "%s", fault);
+		store_refuse(verdict, "%s", fault);
 }
 
 /* The group of voters is kept by the log itself; the order is recorded. */
 static void record_member(store_t *store, const msg_order_t *order,
-			  verdict_t *verdict)
+			  store_verdict_t *verdict)
 {
 	(void)store;
 	(void)order;
@@ -332,23 +192,23 @@
 }
 
 static void refuse_member(store_t *store, const msg_order_t *order,
-			  verdict_t *verdict)
+			  store_verdict_t *verdict)
 {
 	(void)store;
 	(void)order;
-	refuse(verdict, "control instances join by themselves");
+	store_refuse(verdict, "control instances join by themselves");
 }
 
 static const order_handler_t handlers[ORDER_KIND_COUNT] = {
-	[ORDER_PRESET_CREATE] = create_preset,
-	[ORDER_PRESET_USE] = use_preset,
+	[ORDER_PRESET_CREATE] = store_create_preset,
+	[ORDER_PRESET_USE] = store_use_preset,
 	[ORDER_ENDPOINT_LEAVE] = leave_endpoint,
 	[ORDER_ENDPOINT_RETURN] = return_endpoint,
 	[ORDER_ENGINE] = order_engine,
 	[ORDER_MEMBER_ADD] = refuse_member,
 	[ORDER_MEMBER_PROMOTE] = record_member,
 	[ORDER_MEMBER_REMOVE] = record_member,
-	[ORDER_PRESET_DELETE] = delete_preset,
+	[ORDER_PRESET_DELETE] = store_delete_preset,
 	[ORDER_ENGINE_CLAIM] = claim_engine,
 	[ORDER_ENGINE_RESULT] = finish_engine,
 };
@@ -371,15 +231,15 @@
 }
 
 static bool expectation_holds(const store_t *store, const msg_order_t *order,
-			      verdict_t *verdict)
+			      store_verdict_t *verdict)
 {
 	if (!order->has_expected || order->expected_revision == store->revision)
 		return true;
 	if (order->expected_revision > store->revision) {
-		refuse(verdict,
-		       "the revision is %" G_GUINT64_FORMAT
-		       ", which is before the expected one",
-		       (guint64)store->revision);
+		store_refuse(verdict,
+			     "the revision is %" G_GUINT64_FORMAT
+			     ", which is before the expected one",
+			     (guint64)store->revision);
 		return false;
 	}
 	verdict->outcome = ORDER_CONFLICT;
@@ -387,13 +247,14 @@
 	return false;
 }
 
-static void judge(store_t *store, const msg_order_t *order, verdict_t *verdict)
+static void judge(store_t *store, const msg_order_t *order,
+		  store_verdict_t *verdict)
 {
 	const char *fault = store_order_fault(order);
 
 	verdict->outcome = ORDER_APPLIED;
 	if (fault != NULL)
-		refuse(verdict, "%s", fault);
+		store_refuse(verdict, "%s", fault);
 	else if (expectation_holds(store, order, verdict))
 		handlers[order->kind](store, order, verdict);
 }
@@ -417,7 +278,7 @@
 }
 
 static store_result_t *record_result(store_t *store, const msg_order_t *order,
-				     const verdict_t *verdict)
+				     const store_verdict_t *verdict)
 {
 	store_result_t *result = g_new0(store_result_t, 1);
 	uint8_t *fingerprint = g_malloc(STORE_FINGERPRINT_BYTES);
@@ -490,7 +351,7 @@
 {
 	const char *id = or_empty(order->id);
 	const store_result_t *earlier;
-	verdict_t verdict = { .outcome = ORDER_REFUSED };
+	store_verdict_t verdict = { .outcome = ORDER_REFUSED };
 
 	if (log_index > store->log_index)
 		store->log_index = log_index;
