Judge a preset before it is logged, never after

Cause: found in the read-through: the store parsed a preset's text whenever it applied the order, also when a log was read again after a restart. A new version with another rule (as the one on the ledger's retention) would refuse on replay what had been accepted, and an accepted change would revert. Change: the leader checks the text once and logs the order as checked; the store takes a checked order as it is.

--- a/src/wisteria/codec/msg.c
+++ b/src/wisteria/codec/msg.c
@@ -377,6 +377,7 @@
 	FIELD(FIELD_U64, msg_order_t, fence),
 	FIELD(FIELD_U64, msg_order_t, incarnation),
 	FIELD(FIELD_U32, msg_order_t, engine_state),
+	FIELD(FIELD_BOOL, msg_order_t, checked),
 };
 const record_desc_t msg_order_desc = RECORD_DESC(msg_order_t, order_fields);
 
--- a/src/wisteria/codec/msg_defs.h
+++ b/src/wisteria/codec/msg_defs.h
@@ -489,6 +489,7 @@
 	uint64_t fence;	       /* of an engine order, by its agent */
 	uint64_t incarnation;  /* of that agent */
 	uint32_t engine_state; /* an engine_order_state_t, a result */
+	bool checked; /* the text, by the leader before it was logged */
 } msg_order_t;
 
 typedef enum {
--- a/src/wisteria/control/requests.c
+++ b/src/wisteria/control/requests.c
@@ -223,6 +223,31 @@
 	return false;
 }
 
+static bool creates_preset(const request_t *request)
+{
+	return request->type == MSG_ORDER &&
+	       request->order.kind == ORDER_PRESET_CREATE;
+}
+
+/* Checks the text of a preset before the order is logged; false: refused. */
+static bool check_preset(requests_t *requests, request_t *request)
+{
+	msg_order_reply_t reply = {
+		.id = request->order.id,
+		.outcome = ORDER_REFUSED,
+		.revision = requests->store->revision,
+	};
+	err_t err = ERR_INIT;
+
+	request->order.checked = store_check_preset(&request->order, &err);
+	if (request->order.checked)
+		return true;
+	reply.reason = err.text;
+	answer_order(requests, request, &reply);
+	drop(requests, request);
+	return false;
+}
+
 static void push(requests_t *requests, request_t *request)
 {
 	replica_t *replica = requests->replica;
@@ -235,6 +260,8 @@
 		if (is_member_order(request) &&
 		    !change_member(requests, request))
 			return;
+		if (creates_preset(request) && !check_preset(requests, request))
+			return;
 		if (propose(requests, request))
 			request->state = REQUEST_PROPOSED;
 		return;
--- a/src/wisteria/store/store.h
+++ b/src/wisteria/store/store.h
@@ -11,6 +11,8 @@
 
 void store_init(store_t *store) ATTR_NONNULL_ALL;
 void store_finish(store_t *store) ATTR_NONNULL_ALL;
+bool store_check_preset(const msg_order_t *order, err_t *err)
+	ATTR_NONNULL(1) ATTR_WARN_UNUSED;
 bool store_apply(store_t *store, const msg_order_t *order, uint64_t log_index,
 		 msg_order_reply_t *reply) ATTR_NONNULL_ALL;
 bool store_find_order(const store_t *store, const char *id,
--- a/src/wisteria/store/store_preset.c
+++ b/src/wisteria/store/store_preset.c
@@ -7,26 +7,39 @@
 #include "wisteria/settings/preset.h"
 #include "wisteria/store/store.h"
 
-static bool preset_text_is_valid(const msg_order_t *order,
-				 store_verdict_t *verdict)
+/*
+ * Checks the text of an order that creates a preset.  The leader does it once,
+ * before the order is logged: what a log holds must not be judged again, by
+ * another version of the program with other rules.
+ */
+bool store_check_preset(const msg_order_t *order, err_t *err)
 {
-	err_t err = ERR_INIT;
 	const char *text = order->text == NULL ? "" : order->text;
-	preset_t *preset = preset_parse(text, strlen(text), &err);
+	preset_t *preset = preset_parse(text, strlen(text), err);
 	bool same;
 
-	if (preset == NULL) {
-		store_refuse(verdict, "%s", err.text);
+	if (preset == NULL)
 		return false;
-	}
 	same = strcmp(preset->name, order->name) == 0;
 	if (!same)
-		store_refuse(verdict, "the text is of preset %s, not %s",
-			     preset->name, order->name);
+		err_set(err, ERR_INVALID, "check_preset", order->name,
+			"the text is of preset %s, not %s", preset->name,
+			order->name);
 	preset_free(preset);
 	return same;
 }
 
+static bool preset_text_is_valid(const msg_order_t *order,
+				 store_verdict_t *verdict)
+{
+	err_t err = ERR_INIT;
+
+	if (order->checked || store_check_preset(order, &err))
+		return true;
+	store_refuse(verdict, "%s", err.text);
+	return false;
+}
+
 static bool preset_fits(const store_t *store, size_t text_len,
 			store_verdict_t *verdict)
 {
--- a/test/unit/store_test.c
+++ b/test/unit/store_test.c
@@ -97,6 +97,28 @@
 	store_finish(&store);
 }
 
+/* Another version of the program may have had other rules for a preset. */
+static void test_logged_presets_are_not_judged_again(void)
+{
+	const msg_order_t order = {
+		.id = "1",
+		.kind = ORDER_PRESET_CREATE,
+		.name = "old",
+		.text = "name: old\nrule_of_another_version: 1\n",
+		.checked = true,
+	};
+	msg_order_reply_t reply;
+	store_t store;
+	err_t err = ERR_INIT;
+
+	store_init(&store);
+	CU_ASSERT_FALSE(store_check_preset(&order, &err));
+	store_apply(&store, &order, next_index++, &reply);
+	CU_ASSERT_EQUAL(reply.outcome, ORDER_APPLIED);
+	CU_ASSERT_PTR_NOT_NULL(store_preset(&store, "old"));
+	store_finish(&store);
+}
+
 static void test_delete(void)
 {
 	msg_order_reply_t reply;
@@ -367,6 +389,8 @@
 static const unit_test_t tests[] = {
 	{ "create and use", test_create_and_use },
 	{ "presets never change", test_presets_never_change },
+	{ "logged presets are not judged again",
+	  test_logged_presets_are_not_judged_again },
 	{ "delete", test_delete },
 	{ "resent order applies once", test_resent_order_applies_once },
 	{ "race names the winner", test_race_names_the_winner },
