Make the demo stop and kill the endpoints that serve its streams

Cause: in a run of the demo the killed endpoint was not on the stream's chain, so that nothing had to be survived: which one serves is the router's choice. Change: the demo waits until an endpoint of the range is busy, and stops or kills that one; it shows the chain that served each answer, and fails if the kill was not noticed. Conclusion: the demo can now fail for what it is meant to show.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -176,6 +176,26 @@
 	sed -n 's/^data: {"id":"\([^"]*\)".*/\1/p' "$1" | head -n 1
 }
 
+# Prints the endpoint of range $1 that runs something.
+busy_of () {
+	ctl $((port + 5)) endpoint list |
+		awk -v range="^$1-" '$1 ~ range && $7 > 0 { print $1; exit }'
+}
+
+range_is_idle () {
+	test -z "$(busy_of "$1")"
+}
+
+range_is_busy () {
+	test -n "$(busy_of "$1")"
+}
+
+# Prints which chain served request $2, as entry $1 explains it.
+show_chain () {
+	ctl $((port + 40 + $1)) explain "$2" | grep 'was chosen' ||
+		fail "no explanation of $2"
+}
+
 ctl () {
 	server=$1
 	shift
@@ -226,8 +246,10 @@
 done
 
 echo "== a whole answer"
-ask 1 "Quote for 200 M8 bolts" 12 false
+ask 1 "Quote for 200 M8 bolts" 12 false >"$dir/whole.json"
+cat "$dir/whole.json"
 echo
+show_chain 1 "$(sed -n 's/^{"id":"\([^"]*\)".*/\1/p' "$dir/whole.json")"
 echo "== a call to the plain service, twice with one Idempotency-Key"
 for n in 1 2
 do
@@ -242,25 +264,36 @@
 test -n "$expected" || fail "no streamed answer"
 grep -q '^data: \[DONE\]' "$dir/expected.sse" || fail "the stream did not end"
 
-echo "== a planned stop of first-a while a stream runs"
-ask 2 "Summarise the counter order" 60 true >"$dir/planned.sse" &
-stream=$!
-sleep 0.5
-kill "$(pid_of agent-first-a)"
-wait $stream
-test "$(text_of "$dir/planned.sse")" = "$expected" ||
-	fail "the planned stop cut an answer"
-echo "the answer is whole: $(text_of "$dir/planned.sse" | cut -c1-60)..."
-
-echo "== middle-a is killed while a stream runs"
-ask 3 "Summarise the counter order" 60 true >"$dir/killed.sse" &
-stream=$!
-sleep 0.5
-kill -9 "$(pid_of agent-middle-a)" "$(pid_of engine-middle-a)"
-wait $stream
-test "$(text_of "$dir/killed.sse")" = "$expected" ||
-	fail "the killed stage cut an answer"
-echo "the answer is whole: $(text_of "$dir/killed.sse" | cut -c1-60)..."
+# Starts a stream through entry $1 into file $2 and sets $served to the
+# endpoint of range $3 that serves it, and $stream to its process.
+stream_through () {
+	wait_for "range $3 does not fall idle" range_is_idle "$3"
+	ask "$1" "Summarise the counter order" 60 true >"$2" &
+	stream=$!
+	wait_for "no endpoint of range $3 is busy" range_is_busy "$3"
+	served=$(busy_of "$3")
+	test -n "$served" || fail "the stream ended too early"
+}
+
+check_stream () {
+	wait "$stream"
+	test "$(text_of "$1")" = "$expected" || fail "an answer was cut"
+	echo "the answer is whole: $(text_of "$1" | cut -c1-60)..."
+}
+
+stream_through 2 "$dir/planned.sse" first
+echo "== a planned stop of $served while it serves a stream"
+kill "$(pid_of "agent-$served")"
+check_stream "$dir/planned.sse"
+show_chain 2 "$(id_of "$dir/planned.sse")"
+
+stream_through 3 "$dir/killed.sse" middle
+echo "== $served is killed while it serves a stream"
+kill -9 "$(pid_of "agent-$served")" "$(pid_of "engine-$served")"
+check_stream "$dir/killed.sse"
+ctl $((port + 43)) explain "$(id_of "$dir/killed.sse")" |
+	grep -q "$served was lost" || fail "the kill went unnoticed"
+
 echo "== why the killed one went as it did, in words"
 ctl $((port + 43)) explain "$(id_of "$dir/killed.sse")"
 
