List a red check: contract parts leased above the capability

Cause: the first whole run of shares_fuzz with -len_control=0 over its committed corpus ended in its check on leased parts: shares_leased() above capability_sessions after renew_all. Not understood yet; the oracle's own check on what entries use did not fail. Conclusion: open, under the issue on limits.

--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Runs every fuzz target over its committed corpus and then for a bounded
+# Runs every fuzz target, or the one named, over its committed corpus and then for a bounded
 # number of runs from a fixed seed.  FUZZ_RUNS and FUZZ_SEED override both.
 set -eu
 cd "$(dirname "$0")/.."
@@ -14,7 +14,7 @@
 
 seed=${FUZZ_SEED:-1}
 status=0
-for target in build/fuzz/*_fuzz
+for target in build/fuzz/${1:-*_fuzz}
 do
 	test -x "$target" || continue
 	name=$(basename "$target")
--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -55,7 +55,11 @@
 check sanitize make --no-print-directory sanitize
 ctest_each build/sanitize sanitize/
 check fuzz-build make --no-print-directory fuzz-build
-check fuzz sh scripts/fuzz.sh
+for source in test/fuzz/*_fuzz.c
+do
+	target=$(basename "$source" .c)
+	check "fuzz/$target" sh scripts/fuzz.sh "$target"
+done
 
 test "$known_red" -eq 0 || echo "known red, failing: $known_red"
 echo "$passed passed, $failed failed"
