Drop a parameter that renewals do not use

Cause: read-through: fill_config() took the renewals only to ignore them. Change: the parameter is gone.

--- a/src/wisteria/control/renewals.c
+++ b/src/wisteria/control/renewals.c
@@ -175,8 +175,8 @@
 	return false;
 }
 
-static void fill_config(const renewals_t *renewals, const msg_renew_t *renew,
-			const msg_preset_t *preset, msg_renew_reply_t *reply)
+static void fill_config(const msg_renew_t *renew, const msg_preset_t *preset,
+			msg_renew_reply_t *reply)
 {
 	reply->has_config = renew->revision < reply->config.revision;
 	if (!reply->has_config) {
@@ -187,7 +187,6 @@
 		return;
 	reply->presets = preset;
 	reply->preset_count = 1;
-	(void)renewals;
 }
 
 /* What is open for the endpoints of one daemon. */
@@ -240,7 +239,7 @@
 	    renew->revision > reply.config.revision ||
 	    !has_parts(renewals, renewal))
 		return false;
-	fill_config(renewals, renew, preset, &reply);
+	fill_config(renew, preset, &reply);
 	fill_directory(renewals, renew, &reply);
 	reply.shares = (msg_share_t *)renewal->parts->data;
 	reply.share_count = renewal->parts->len;
