--- /dev/null
+++ b/cmake/tests.cmake
@@ -0,0 +1,56 @@
+# Unit tests: one runner a module.  Fakes: stand-ins for outside systems,
+# shared by the functional tests, the demo and the benchmarks.
+enable_testing()
+
+file(GLOB UNIT_SOURCES CONFIGURE_DEPENDS test/unit/*_test.c)
+foreach(source ${UNIT_SOURCES})
+	get_filename_component(name ${source} NAME_WE)
+	add_executable(${name} ${source})
+	target_link_libraries(${name} wisteria PkgConfig::CUNIT)
+	add_test(NAME unit/${name} COMMAND ${name})
+endforeach()
+
+file(GLOB FAKE_SOURCES CONFIGURE_DEPENDS test/functional/fakes/fake_*.c)
+foreach(source ${FAKE_SOURCES})
+	get_filename_component(name ${source} NAME_WE)
+	add_executable(${name} ${source})
+	target_link_libraries(${name} wisteria)
+endforeach()
+
+file(GLOB HARNESS_SOURCES CONFIGURE_DEPENDS test/functional/harness/*.c)
+if(HARNESS_SOURCES)
+	add_library(harness STATIC ${HARNESS_SOURCES})
+	target_link_libraries(harness PUBLIC wisteria PkgConfig::CUNIT)
+	target_include_directories(harness PUBLIC test/functional)
+endif()
+
+file(GLOB FUNCTIONAL_SOURCES CONFIGURE_DEPENDS test/functional/*_test.c)
+foreach(source ${FUNCTIONAL_SOURCES})
+	get_filename_component(name ${source} NAME_WE)
+	add_executable(${name} ${source})
+	target_link_libraries(${name} harness)
+	add_test(NAME functional/${name} COMMAND ${name}
+		WORKING_DIRECTORY ${CMAKE_BINARY_DIR})
+	set_tests_properties(functional/${name} PROPERTIES
+		TIMEOUT 240 RUN_SERIAL ON)
+endforeach()
+
+file(GLOB BENCH_SOURCES CONFIGURE_DEPENDS bench/*_bench.c)
+foreach(source ${BENCH_SOURCES})
+	get_filename_component(name ${source} NAME_WE)
+	add_executable(${name} ${source})
+	target_link_libraries(${name} wisteria PkgConfig::GSL)
+	if(TARGET harness)
+		target_link_libraries(${name} harness)
+	endif()
+endforeach()
+
+if(WISTERIA_FUZZ)
+	file(GLOB FUZZ_SOURCES CONFIGURE_DEPENDS test/fuzz/*_fuzz.c)
+	foreach(source ${FUZZ_SOURCES})
+		get_filename_component(name ${source} NAME_WE)
+		add_executable(${name} ${source})
+		target_link_libraries(${name} wisteria)
+		target_link_options(${name} PRIVATE -fsanitize=fuzzer)
+	endforeach()
+endif()
--- /dev/null
+++ b/scripts/fuzz.sh
@@ -0,0 +1,32 @@
+#!/bin/sh
+# Runs every fuzz target over its committed corpus and then for a bounded
+# number of runs from a fixed seed.  FUZZ_RUNS and FUZZ_SEED override both.
+set -eu
+cd "$(dirname "$0")/.."
+
+runs=${FUZZ_RUNS:-20000}
+seed=${FUZZ_SEED:-1}
+status=0
+for target in build/fuzz/*_fuzz
+do
+	test -x "$target" || continue
+	name=$(basename "$target")
+	corpus=test/fuzz/corpus/$name
+	scratch=build/fuzz/scratch/$name
+	rm -rf "$scratch"
+	mkdir -p "$scratch"
+	test -d "$corpus" || corpus=
+	echo "fuzz: $name seed=$seed runs=$runs"
+	# shellcheck disable=SC2086
+	if "./$target" -seed="$seed" -runs="$runs" -max_len=2048 -timeout=25 \
+		-artifact_prefix="$scratch/" "$scratch" $corpus \
+		>"$scratch.log" 2>&1
+	then
+		tail -n 1 "$scratch.log"
+	else
+		echo "fuzz: $name failed"
+		tail -n 60 "$scratch.log"
+		status=1
+	fi
+done
+exit $status
--- /dev/null
+++ b/src/wisteria/base/clock.c
@@ -0,0 +1,24 @@
+/*
+ * Monotonic time in milliseconds.  Wall-clock time is never used for
+ * decisions.
+ */
+#include "wisteria/base/clock.h"
+
+#include <time.h>
+
+static clock_ms_t read_monotonic(const clock_source_t *self)
+{
+	struct timespec now;
+
+	(void)self;
+	clock_gettime(CLOCK_MONOTONIC, &now);
+	return (clock_ms_t)now.tv_sec * 1000 + now.tv_nsec / 1000000;
+}
+
+const clock_source_t clock_monotonic = { .now = read_monotonic };
+
+/* Returns the time of "clock" in milliseconds since an arbitrary start. */
+clock_ms_t clock_now(const clock_source_t *clock)
+{
+	return clock->now(clock);
+}
--- /dev/null
+++ b/src/wisteria/base/counters.c
@@ -0,0 +1,95 @@
+/* Counters and gauges of the process, updated without locks by any thread. */
+#include "wisteria/base/counters.h"
+
+#include <inttypes.h>
+
+#include <ck_pr.h>
+
+typedef struct {
+	const char *name;
+	const char *type;
+	const char *help;
+} counter_info_t;
+
+static const counter_info_t counter_info[COUNTER_COUNT] = {
+	[COUNTER_REQUESTS] = { "requests_total", "counter",
+			       "Model requests taken from callers." },
+	[COUNTER_REQUESTS_REFUSED] = { "requests_refused_total", "counter",
+				       "Requests answered with a refusal." },
+	[COUNTER_TOKENS_DELIVERED] = { "tokens_delivered_total", "counter",
+				       "Tokens handed to callers." },
+	[COUNTER_ATTEMPTS] = { "attempts_total", "counter",
+			       "Attempts started for model requests." },
+	[COUNTER_RECOVERIES] = { "recoveries_total", "counter",
+				 "Attempts that replaced a failed one." },
+	[COUNTER_CALLS] = { "calls_total", "counter", "Plain service calls." },
+	[COUNTER_STEPS_RUN] = { "steps_run_total", "counter",
+				"Steps run by engines." },
+	[COUNTER_STEPS_REPEATED] = { "steps_repeated_total", "counter",
+				     "Repeated steps answered from store." },
+	[COUNTER_STEPS_REFUSED] = { "steps_refused_total", "counter",
+				    "Steps refused: old attempt or order." },
+	[COUNTER_FRAMES_IN] = { "frames_in_total", "counter",
+				"Frames received." },
+	[COUNTER_FRAMES_OUT] = { "frames_out_total", "counter",
+				 "Frames sent." },
+	[COUNTER_BYTES_IN] = { "bytes_in_total", "counter",
+			       "Bytes received in frames." },
+	[COUNTER_BYTES_OUT] = { "bytes_out_total", "counter",
+				"Bytes sent in frames." },
+	[COUNTER_CONNECTIONS_SILENT] = { "connections_silent_total", "counter",
+					 "Connections left as silent." },
+	[COUNTER_CONNECTIONS_REFUSED] = { "connections_refused_total",
+					  "counter",
+					  "Connections closed for bad "
+					  "frames or keys." },
+	[COUNTER_RENEWALS] = { "renewals_total", "counter",
+			       "Lease renewals granted or received." },
+	[COUNTER_CONTROL_BYTES_IN] = { "control_bytes_in_total", "counter",
+				       "Bytes received for control." },
+	[COUNTER_CONTROL_BYTES_OUT] = { "control_bytes_out_total", "counter",
+					"Bytes sent for control." },
+	[COUNTER_ORDERS] = { "orders_total", "counter",
+			     "Operators' orders answered." },
+	[COUNTER_LOG_APPENDS] = { "log_appends_total", "counter",
+				  "Entries appended to the log." },
+	[COUNTER_LOG_SYNCS] = { "log_syncs_total", "counter",
+				"Syncs of the log file." },
+	[GAUGE_SESSIONS] = { "sessions", "gauge", "Open sessions." },
+	[GAUGE_QUEUED] = { "queued", "gauge", "Requests waiting at entry." },
+	[GAUGE_REVISION] = { "revision", "gauge",
+			     "Configuration revision in force." },
+};
+
+static uint64_t counter_values[COUNTER_COUNT];
+
+/* Adds "amount" to a counter. */
+void counter_add(counter_t counter, uint64_t amount)
+{
+	ck_pr_add_64(&counter_values[counter], amount);
+}
+
+/* Sets a gauge. */
+void counter_set(counter_t counter, uint64_t value)
+{
+	ck_pr_store_64(&counter_values[counter], value);
+}
+
+/* Returns the current value of a counter or gauge. */
+uint64_t counter_get(counter_t counter)
+{
+	return ck_pr_load_64(&counter_values[counter]);
+}
+
+/* Writes all counters to "out" in the Prometheus text format. */
+void counter_print(FILE *out)
+{
+	for (size_t i = 0; i < COUNTER_COUNT; i++) {
+		const counter_info_t *info = &counter_info[i];
+
+		fprintf(out, "# HELP wisteria_%s %s\n", info->name, info->help);
+		fprintf(out, "# TYPE wisteria_%s %s\n", info->name, info->type);
+		fprintf(out, "wisteria_%s %" PRIu64 "\n", info->name,
+			counter_get((counter_t)i));
+	}
+}
--- /dev/null
+++ b/src/wisteria/codec/msg_defs.h
@@ -0,0 +1,474 @@
+#ifndef WISTERIA_CODEC_MSG_DEFS_H
+#define WISTERIA_CODEC_MSG_DEFS_H
+
+#include <msgpack.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "wisteria/codec/codec_defs.h"
+
+/* The version of the message table, exchanged in the hello. */
+#define MSG_VERSION 1
+
+/* The types of frames between the system's own processes. */
+typedef enum {
+	/* Every connection. */
+	MSG_HELLO = 1,
+	MSG_AUTH = 2,
+	MSG_PING = 3,
+	MSG_PONG = 4,
+
+	/* Between entry and agents, for model requests. */
+	MSG_OPEN = 16,
+	MSG_OPEN_REPLY = 17,
+	MSG_START = 18,
+	MSG_TOKENS = 19,
+	MSG_TOKENS_ACK = 20,
+	MSG_RESUME = 21,
+	MSG_CLOSE = 22,
+	MSG_SESSION_FAILED = 23,
+	MSG_REROUTE = 24,
+
+	/* Between agents. */
+	MSG_STEP = 32,
+	MSG_STEP_ACK = 33,
+	MSG_STEP_RESULT = 34,
+
+	/* Between entry and agents, for plain services. */
+	MSG_CALL = 48,
+	MSG_CALL_REPLY = 49,
+	MSG_CALL_CANCEL = 50,
+
+	/* Between daemons and control instances. */
+	MSG_RENEW = 64,
+	MSG_RENEW_REPLY = 65,
+	MSG_ORDER = 66,
+	MSG_ORDER_REPLY = 67,
+	MSG_LEDGER = 68,
+	MSG_LEDGER_REPLY = 69,
+
+	/* Between control instances. */
+	MSG_RAFT = 80,
+
+	MSG_TYPE_COUNT = 96
+} msg_type_t;
+
+typedef struct {
+	uint32_t version;
+	const char *instance;
+	uint64_t incarnation;
+	const char *failure_domain;
+	bytes_t nonce;
+} msg_hello_t;
+
+typedef struct {
+	bytes_t mac;
+} msg_auth_t;
+
+typedef struct {
+	uint64_t sequence;
+} msg_ping_t;
+
+/* One range of layers [first_layer, end_layer) and the endpoint serving it. */
+typedef struct {
+	const char *endpoint;
+	const char *address; /* IP:PORT of the agent */
+	uint64_t incarnation;
+	uint32_t first_layer;
+	uint32_t end_layer;
+} msg_hop_t;
+
+/* One generated token; "index" counts from 0 over the whole answer. */
+typedef struct {
+	uint32_t index;
+	const char *text;
+	bool last;
+} msg_token_t;
+
+/*
+ * Reserves a slot for an attempt on one hop of its chain.  Nothing runs
+ * before MSG_START.  "tokens" are those already delivered to the caller by
+ * earlier attempts; the first hop continues after them.
+ */
+typedef struct {
+	uint64_t session;
+	uint32_t attempt;
+	uint64_t revision;
+	const char *request_id;
+	const char *customer;
+	const char *model;
+	uint32_t priority;
+	int64_t remaining_ms; /* until the caller's deadline */
+	uint32_t max_tokens;
+	uint32_t hop;
+	const msg_hop_t *hops;
+	size_t hop_count;
+	const char *prompt;
+	const msg_token_t *tokens;
+	size_t token_count;
+	const char *traceparent;
+} msg_open_t;
+
+/* What an endpoint says of its load; queue and in_flight count sessions. */
+typedef struct {
+	const char *endpoint;
+	uint32_t in_flight;
+	uint32_t queued;
+	uint32_t slots;
+	double step_ms; /* smoothed time of one step */
+} msg_load_t;
+
+typedef enum {
+	REFUSAL_NONE,
+	REFUSAL_BUSY,
+	REFUSAL_LEAVING,
+	REFUSAL_OLD_REVISION,
+	REFUSAL_OLD_ATTEMPT,
+	REFUSAL_WRONG_LAYERS,
+	REFUSAL_NO_LEASE,
+	REFUSAL_UNKNOWN_ENDPOINT,
+	REFUSAL_NO_SESSION
+} refusal_t;
+
+typedef struct {
+	uint64_t session;
+	uint32_t attempt;
+	uint32_t hop;
+	uint32_t refusal; /* a refusal_t; REFUSAL_NONE: reserved */
+	msg_load_t load;
+} msg_open_reply_t;
+
+typedef struct {
+	uint64_t session;
+	uint32_t attempt;
+} msg_session_t;
+
+/* Tokens from the first hop to the entry, in order of index. */
+typedef struct {
+	uint64_t session;
+	uint32_t attempt;
+	const msg_token_t *tokens;
+	size_t token_count;
+	msg_load_t load;
+} msg_tokens_t;
+
+/* "next" is the index of the first token that the sender lacks. */
+typedef struct {
+	uint64_t session;
+	uint32_t attempt;
+	uint32_t next;
+} msg_tokens_ack_t;
+
+typedef struct {
+	uint64_t session;
+	uint32_t attempt;
+	const char *reason;
+} msg_close_t;
+
+/* An attempt that can't go on; "hop" is the hop found at fault. */
+typedef struct {
+	uint64_t session;
+	uint32_t attempt;
+	uint32_t hop;
+	const char *step;
+	const char *peer;
+	const char *reason;
+} msg_session_failed_t;
+
+/*
+ * Replaces one hop of a running attempt.  Survivors keep their state for the
+ * session and take up the new attempt number; the hop before the new one
+ * sends it the kept activations from position 0.
+ */
+typedef struct {
+	uint64_t session;
+	uint32_t attempt;
+	uint32_t hop;
+	const msg_hop_t *hops;
+	size_t hop_count;
+	uint32_t replaced;
+} msg_reroute_t;
+
+/* The activations of one position of the sequence. */
+typedef struct {
+	bytes_t activations;
+} msg_position_t;
+
+/*
+ * Work for the next hop: positions [first_position, first_position + count).
+ * Position 0 is the prompt, position n the token of index n - 1.
+ */
+typedef struct {
+	uint64_t session;
+	uint32_t attempt;
+	uint32_t hop; /* the receiver's */
+	uint32_t first_position;
+	const msg_position_t *positions;
+	size_t position_count;
+} msg_step_t;
+
+/* The receiver has positions below "next"; the sender may drop them. */
+typedef struct {
+	uint64_t session;
+	uint32_t attempt;
+	uint32_t hop; /* the receiver's of the steps */
+	uint32_t next;
+} msg_step_ack_t;
+
+/* The token that the last hop made, on its way to the first hop. */
+typedef struct {
+	uint64_t session;
+	uint32_t attempt;
+	msg_token_t token;
+} msg_step_result_t;
+
+typedef struct {
+	const char *name;
+	const char *value;
+} msg_header_t;
+
+/* A call to a plain service. */
+typedef struct {
+	uint64_t call;
+	uint64_t revision;
+	const char *endpoint;
+	const char *request_id;
+	const char *customer;
+	const char *method;
+	const char *path;
+	const msg_header_t *headers;
+	size_t header_count;
+	bytes_t body;
+	int64_t remaining_ms;
+	const char *traceparent;
+} msg_call_t;
+
+typedef enum {
+	CALL_DONE,    /* the service answered */
+	CALL_NOT_RUN, /* no byte of the call reached the service */
+	CALL_UNKNOWN  /* it may have run */
+} call_outcome_t;
+
+typedef struct {
+	uint64_t call;
+	uint32_t outcome; /* a call_outcome_t */
+	uint32_t refusal; /* a refusal_t, where not run */
+	uint32_t status;
+	const msg_header_t *headers;
+	size_t header_count;
+	bytes_t body;
+	const char *reason;
+	msg_load_t load;
+} msg_call_reply_t;
+
+typedef struct {
+	uint64_t call;
+} msg_call_cancel_t;
+
+typedef enum {
+	ENDPOINT_MODEL,
+	ENDPOINT_SERVICE
+} endpoint_kind_t;
+
+/* What an agent announces of an endpoint, and what the directory keeps. */
+typedef struct {
+	const char *name;
+	const char *instance;
+	uint64_t incarnation;
+	const char *address; /* IP:PORT of the agent */
+	uint32_t kind;	     /* an endpoint_kind_t */
+	const char *target;  /* the model or service */
+	uint32_t first_layer;
+	uint32_t end_layer;
+	const char *accelerator;
+	uint32_t slots;
+	const char *failure_domain;
+	const char *region;
+	bool checks_fencing;
+} msg_endpoint_t;
+
+typedef struct {
+	const char *text;
+} msg_name_t;
+
+/* Sessions that an entry wants, or may have, for one customer. */
+typedef struct {
+	const char *customer;
+	uint32_t sessions;
+} msg_share_t;
+
+/* How much work an endpoint still runs; lets an operator see it empty. */
+typedef struct {
+	const char *endpoint;
+	uint32_t running;
+} msg_running_t;
+
+/*
+ * A daemon asks a control instance to renew its configuration lease.  The
+ * lease counts from when the question was sent.
+ */
+typedef struct {
+	uint64_t sequence;
+	const char *instance;
+	uint64_t incarnation;
+	uint64_t revision; /* newest that the daemon holds; 0: none */
+	uint64_t directory_epoch;
+	uint64_t directory_version;
+	const msg_endpoint_t *endpoints; /* all, when they changed */
+	size_t endpoint_count;
+	bool endpoints_unchanged;
+	const msg_running_t *running;
+	size_t running_count;
+	const msg_share_t *demand;
+	size_t demand_count;
+	const msg_name_t *presets; /* names of the presets it holds */
+	size_t preset_count;
+	bool leaving; /* a planned stop of the daemon */
+} msg_renew_t;
+
+/* One preset as accepted; "text" is its YAML. */
+typedef struct {
+	const char *name;
+	uint64_t revision; /* of its creation */
+	const char *text;
+} msg_preset_t;
+
+/* The configuration in force. */
+typedef struct {
+	uint64_t revision;
+	const char *preset;
+	const msg_name_t *leaving;
+	size_t leaving_count;
+} msg_config_t;
+
+typedef struct {
+	uint64_t sequence;
+	bool granted;
+	int64_t lease_ms;
+	bool has_config;
+	msg_config_t config;
+	const msg_preset_t *presets; /* those that the daemon lacks */
+	size_t preset_count;
+	uint64_t directory_epoch;
+	uint64_t directory_version;
+	bool directory_full; /* replaces all that the daemon knows */
+	const msg_endpoint_t *endpoints;
+	size_t endpoint_count;
+	const msg_name_t *removed;
+	size_t removed_count;
+	const msg_share_t *shares;
+	size_t share_count;
+	bool announce_again; /* send the endpoints with the next renewal */
+	uint64_t fence;	     /* highest fencing number given out */
+} msg_renew_reply_t;
+
+typedef enum {
+	ORDER_PRESET_CREATE,
+	ORDER_PRESET_USE,
+	ORDER_ENDPOINT_LEAVE,
+	ORDER_ENDPOINT_RETURN,
+	ORDER_ENGINE,
+	ORDER_MEMBER_ADD,
+	ORDER_MEMBER_PROMOTE,
+	ORDER_MEMBER_REMOVE,
+	ORDER_KIND_COUNT
+} order_kind_t;
+
+/* An operator's order; sent again with the same id it applies once. */
+typedef struct {
+	const char *id;
+	uint32_t kind; /* an order_kind_t */
+	bool has_expected;
+	uint64_t expected_revision;
+	const char *name; /* preset, endpoint or instance */
+	const char *text; /* preset text, engine order, address */
+	const char *operator_name;
+	int64_t wall_ms; /* UTC, for people only */
+} msg_order_t;
+
+typedef enum {
+	ORDER_APPLIED,
+	ORDER_REFUSED,	/* invalid, not found */
+	ORDER_CONFLICT, /* another order won the revision */
+	ORDER_UNKNOWN	/* no quorum in time; ask again with the same id */
+} order_outcome_t;
+
+typedef struct {
+	const char *id;
+	uint32_t outcome; /* an order_outcome_t */
+	uint64_t revision;
+	const char *reason;
+	msg_order_t winner; /* on conflict */
+} msg_order_reply_t;
+
+typedef enum {
+	LEDGER_RESERVE,
+	LEDGER_RECORD, /* the result of a call that ran */
+	LEDGER_RELEASE /* the call provably did not run */
+} ledger_op_t;
+
+typedef enum {
+	LEDGER_GRANTED,	    /* reserved for this caller: dispatch it */
+	LEDGER_PENDING,	    /* reserved by another, no result yet */
+	LEDGER_STORED,	    /* it ran; "result" holds the answer */
+	LEDGER_UNKNOWN,	    /* it may have run; no answer was recorded */
+	LEDGER_OK,	    /* recorded or released */
+	LEDGER_FULL,	    /* no room; nothing was reserved */
+	LEDGER_UNAVAILABLE, /* no quorum in time: nothing can be said */
+	LEDGER_MISMATCH	    /* same key, another request */
+} ledger_state_t;
+
+/* A question to the replicated ledger of non-idempotent calls. */
+typedef struct {
+	uint64_t sequence;
+	uint32_t op; /* a ledger_op_t */
+	const char *customer;
+	const char *service;
+	const char *key;
+	uint64_t owner;	      /* the dispatching call */
+	uint64_t fingerprint; /* of method, path and body */
+	bytes_t result;	      /* an encoded msg_call_reply_t */
+	int64_t retention_ms;
+} msg_ledger_t;
+
+typedef struct {
+	uint64_t sequence;
+	uint32_t state; /* a ledger_state_t */
+	bytes_t result;
+} msg_ledger_reply_t;
+
+typedef struct {
+	uint64_t index;
+	uint64_t term;
+	uint32_t kind;
+	bytes_t data;
+} msg_raft_entry_t;
+
+/* Every message of the replicated log; see raft_defs.h for "kind". */
+typedef struct {
+	uint32_t kind;
+	uint64_t from;
+	uint64_t to;
+	uint64_t term;
+	uint64_t log_index;
+	uint64_t log_term;
+	uint64_t commit;
+	uint64_t context;
+	bool reject;
+	uint64_t hint;
+	const msg_raft_entry_t *entries;
+	size_t entry_count;
+	bytes_t snapshot;
+	uint64_t snapshot_offset;
+	bool snapshot_done;
+	bytes_t members;
+} msg_raft_t;
+
+/* A received message; "body" is the struct of its type, owned by "zone". */
+typedef struct {
+	msg_type_t type;
+	const void *body;
+	msgpack_zone zone;
+} msg_t;
+
+#endif
--- /dev/null
+++ b/src/wisteria/control/lease_client.h
@@ -0,0 +1,21 @@
+#ifndef WISTERIA_CONTROL_LEASE_CLIENT_H
+#define WISTERIA_CONTROL_LEASE_CLIENT_H
+
+#include "wisteria/base/macros_defs.h"
+#include "wisteria/control/view_defs.h"
+#include "wisteria/net/net_defs.h"
+#include "wisteria/settings/settings_defs.h"
+
+typedef struct lease_client_t lease_client_t;
+
+lease_client_t *lease_client_new(net_t *net, const settings_t *settings,
+				 view_board_t *board) ATTR_NONNULL_ALL;
+void lease_client_free(lease_client_t *client);
+void lease_client_set_demand(lease_client_t *client, const msg_share_t *demand,
+			     size_t count) ATTR_NONNULL(1);
+void lease_client_set_running(lease_client_t *client,
+			      const msg_running_t *running, size_t count)
+	ATTR_NONNULL(1);
+void lease_client_leave(lease_client_t *client) ATTR_NONNULL_ALL;
+
+#endif
--- /dev/null
+++ b/src/wisteria/control/view.c
@@ -0,0 +1,96 @@
+/*
+ * Publishes immutable views from the control thread to traffic threads by
+ * epoch-based reclamation (Fraser, "Practical lock-freedom", 2004): readers
+ * take no lock, and a replaced view is freed once no reader can hold it.
+ */
+#include "wisteria/control/view.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <ck_pr.h>
+#include <glib.h>
+
+CK_EPOCH_CONTAINER(view_t, reclaim, view_of_entry)
+
+static void free_view(ck_epoch_entry_t *entry)
+{
+	view_t *view = view_of_entry(entry);
+
+	view->release(view);
+}
+
+/* Makes a board with no view. */
+void view_board_init(view_board_t *board)
+{
+	memset(board, 0, sizeof(*board));
+	ck_epoch_init(&board->epoch);
+	ck_epoch_register(&board->epoch, &board->writer, NULL);
+}
+
+/* Frees the last view; no reader may be left. */
+void view_board_finish(view_board_t *board)
+{
+	ck_epoch_barrier(&board->writer);
+	if (board->current != NULL)
+		board->current->release(board->current);
+	board->current = NULL;
+}
+
+/*
+ * Replaces the current view; called by the control thread only.  The board
+ * takes over "view" and ends it with its release function.
+ */
+void view_publish(view_board_t *board, view_t *view)
+{
+	view_t *old = board->current;
+
+	ck_pr_fence_store();
+	ck_pr_store_ptr(&board->current, view);
+	if (old != NULL)
+		ck_epoch_call(&board->writer, &old->reclaim, free_view);
+	ck_epoch_poll(&board->writer);
+}
+
+/* Registers the calling thread as a reader. */
+void view_reader_init(view_reader_t *reader, view_board_t *board)
+{
+	reader->board = board;
+	reader->record =
+		g_aligned_alloc0(1, sizeof(ck_epoch_record_t), CK_MD_CACHELINE);
+	ck_epoch_register(&board->epoch, reader->record, NULL);
+}
+
+/*
+ * Ends a reader.  Its record stays with the board, as ck_epoch requires, and
+ * is freed when the process ends.
+ */
+void view_reader_finish(view_reader_t *reader)
+{
+	ck_epoch_unregister(reader->record);
+}
+
+/*
+ * Returns the current view, or NULL before the first.  It stays valid until
+ * view_exit(), which must follow in the same turn of the loop.
+ */
+const view_t *view_enter(view_reader_t *reader)
+{
+	ck_epoch_begin(reader->record, NULL);
+	return ck_pr_load_ptr(&reader->board->current);
+}
+
+/* Ends the use of what view_enter() returned. */
+void view_exit(view_reader_t *reader)
+{
+	ck_epoch_end(reader->record, NULL);
+}
+
+/* Returns whether an operator has said that "endpoint" leaves. */
+bool view_is_leaving(const view_t *view, const char *endpoint)
+{
+	for (size_t i = 0; i < view->leaving_count; i++)
+		if (strcmp(view->leaving[i].text, endpoint) == 0)
+			return true;
+	return false;
+}
--- /dev/null
+++ b/src/wisteria/net/conn.c
@@ -0,0 +1,393 @@
+/*
+ * One TCP connection: length-prefixed frames, an authenticated hello, and
+ * heartbeats by which a silent connection is noticed and left.
+ */
+#include "wisteria/net/conn.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include <glib.h>
+#include <sodium.h>
+
+#include "wisteria/base/clock.h"
+#include "wisteria/base/counters.h"
+#include "wisteria/base/err.h"
+#include "wisteria/base/log.h"
+#include "wisteria/codec/msg.h"
+#include "wisteria/net/auth.h"
+#include "wisteria/net/link.h"
+
+#define CONN_READ_BYTES 65536
+#define FRAME_HEADER_BYTES 4
+
+typedef void (*conn_message_t)(conn_t *conn, const msg_t *msg);
+
+typedef struct {
+	uv_write_t write;
+	conn_t *conn;
+	char *data;
+	size_t len;
+} conn_write_t;
+
+static bool is_ended(const conn_t *conn)
+{
+	return conn->state == CONN_CLOSED;
+}
+
+static void on_tcp_closed(uv_handle_t *handle)
+{
+	conn_t *conn = handle->data;
+
+	msgpack_sbuffer_destroy(&conn->out);
+	g_free(conn->in);
+	g_free(conn);
+}
+
+/*
+ * Closes "conn" because of "why" and tells its owner.  The memory lives until
+ * the loop has closed the socket.
+ */
+void conn_abandon(conn_t *conn, const err_t *why)
+{
+	bool was_open = conn->state == CONN_OPEN;
+
+	if (is_ended(conn))
+		return;
+	conn->state = CONN_CLOSED;
+	LIST_REMOVE(conn, entry);
+	if (!conn->net->closing && was_open)
+		LOG_INFO("connection_closed", "peer=%s address=%s code=%s",
+			 conn->peer_instance, conn->peer_address,
+			 err_code_name(why->code));
+	if (conn->link != NULL)
+		link_conn_ended(conn->link, conn);
+	if (was_open && !conn->net->closing)
+		conn->handler->closed(conn->handler, conn, why);
+	uv_close((uv_handle_t *)&conn->tcp, on_tcp_closed);
+}
+
+static void abandon_with(conn_t *conn, err_code_t code, const char *step,
+			 const char *reason)
+{
+	err_t why = ERR_INIT;
+
+	err_set(&why, code, step,
+		conn->peer_instance[0] != '\0' ? conn->peer_instance
+					       : conn->peer_address,
+		"%s", reason);
+	if (code == ERR_PROTOCOL || code == ERR_AUTH) {
+		counter_add(COUNTER_CONNECTIONS_REFUSED, 1);
+		log_err(G_LOG_LEVEL_WARNING, "connection_refused", &why);
+	}
+	conn_abandon(conn, &why);
+}
+
+static void on_written(uv_write_t *request, int status)
+{
+	conn_write_t *write = CONTAINER_OF(request, conn_write_t, write);
+	conn_t *conn = write->conn;
+
+	conn->in_flight_bytes -= write->len;
+	free(write->data);
+	g_free(write);
+	if (status < 0 && !is_ended(conn))
+		abandon_with(conn, ERR_CLOSED, "write", uv_strerror(status));
+}
+
+/* Hands what was sent since the last flush to the socket. */
+void conn_flush(conn_t *conn)
+{
+	conn_write_t *write;
+	uv_buf_t buf;
+
+	if (conn->out.size == 0 || conn->state < CONN_HELLO || is_ended(conn))
+		return;
+	write = g_new0(conn_write_t, 1);
+	write->conn = conn;
+	write->len = conn->out.size;
+	write->data = msgpack_sbuffer_release(&conn->out);
+	conn->in_flight_bytes += write->len;
+	buf = uv_buf_init(write->data, (unsigned int)write->len);
+	uv_write(&write->write, (uv_stream_t *)&conn->tcp, &buf, 1, on_written);
+	if (conn->in_flight_bytes > NET_BACKLOG_BYTES_MAX)
+		abandon_with(conn, ERR_OVERLOAD, "write",
+			     "the peer does not read what it is sent");
+}
+
+static void append_frame(conn_t *conn, msg_type_t type, const void *body)
+{
+	static const char header[FRAME_HEADER_BYTES];
+	size_t start = conn->out.size;
+	uint32_t len;
+
+	msgpack_sbuffer_write(&conn->out, header, sizeof(header));
+	msg_encode(type, body, &conn->out);
+	len = (uint32_t)(conn->out.size - start - FRAME_HEADER_BYTES);
+	for (size_t i = 0; i < FRAME_HEADER_BYTES; i++)
+		conn->out.data[start + i] = (char)(len >> (24 - 8 * i));
+	counter_add(COUNTER_FRAMES_OUT, 1);
+	counter_add(COUNTER_BYTES_OUT, len + FRAME_HEADER_BYTES);
+}
+
+/*
+ * Queues a message; it leaves at the end of the loop's turn.  On a connection
+ * that has ended it is dropped: the owner hears of the end by closed().
+ */
+void conn_send(conn_t *conn, msg_type_t type, const void *body)
+{
+	if (is_ended(conn))
+		return;
+	append_frame(conn, type, body);
+}
+
+/*
+ * Says that a piece of work depends on "conn": its peer's silence is then
+ * noticed within NET_BUSY_SILENCE_MS.  Ended by conn_release().
+ */
+void conn_hold(conn_t *conn)
+{
+	if (conn->holds++ == 0)
+		conn->busy_since_ms = clock_now(conn->net->clock);
+}
+
+/* Ends what one conn_hold() began. */
+void conn_release(conn_t *conn)
+{
+	if (conn->holds > 0)
+		conn->holds--;
+}
+
+static void send_hello(conn_t *conn)
+{
+	const net_t *net = conn->net;
+	const msg_hello_t hello = {
+		.version = MSG_VERSION,
+		.instance = net->instance,
+		.incarnation = net->incarnation,
+		.failure_domain = net->failure_domain,
+		.nonce = { conn->own_nonce, NET_NONCE_BYTES },
+	};
+
+	append_frame(conn, MSG_HELLO, &hello);
+}
+
+static void on_hello(conn_t *conn, const msg_t *msg)
+{
+	const msg_hello_t *hello = msg->body;
+	uint8_t mac[AUTH_MAC_BYTES];
+	const msg_auth_t auth = { .mac = { mac, sizeof(mac) } };
+
+	if (conn->state != CONN_HELLO || hello->nonce.len != NET_NONCE_BYTES) {
+		abandon_with(conn, ERR_PROTOCOL, "hello", "unexpected hello");
+		return;
+	}
+	if (hello->version != MSG_VERSION) {
+		abandon_with(conn, ERR_PROTOCOL, "hello", "other version");
+		return;
+	}
+	snprintf(conn->peer_instance, sizeof(conn->peer_instance), "%s",
+		 hello->instance);
+	snprintf(conn->peer_failure_domain, sizeof(conn->peer_failure_domain),
+		 "%s", hello->failure_domain);
+	conn->peer_incarnation = hello->incarnation;
+	memcpy(conn->peer_nonce, hello->nonce.data, NET_NONCE_BYTES);
+	conn->state = CONN_AUTH;
+	auth_make(conn, mac);
+	append_frame(conn, MSG_AUTH, &auth);
+}
+
+static void on_auth(conn_t *conn, const msg_t *msg)
+{
+	const msg_auth_t *auth = msg->body;
+
+	if (conn->state != CONN_AUTH) {
+		abandon_with(conn, ERR_PROTOCOL, "auth", "unexpected auth");
+		return;
+	}
+	if (!auth_check(conn, auth->mac)) {
+		abandon_with(conn, ERR_AUTH, "auth", "wrong cluster key");
+		return;
+	}
+	conn->state = CONN_OPEN;
+	LOG_DEBUG("connection_opened", "peer=%s address=%s",
+		  conn->peer_instance, conn->peer_address);
+	if (conn->link != NULL)
+		link_conn_opened(conn->link);
+	conn->handler->opened(conn->handler, conn);
+}
+
+static void on_ping(conn_t *conn, const msg_t *msg)
+{
+	conn_send(conn, MSG_PONG, msg->body);
+}
+
+static void on_pong(conn_t *conn, const msg_t *msg)
+{
+	(void)conn;
+	(void)msg;
+}
+
+static const conn_message_t own_messages[MSG_TYPE_COUNT] = {
+	[MSG_HELLO] = on_hello,
+	[MSG_AUTH] = on_auth,
+	[MSG_PING] = on_ping,
+	[MSG_PONG] = on_pong,
+};
+
+static void dispatch(conn_t *conn, const msg_t *msg)
+{
+	conn_message_t own = own_messages[msg->type];
+
+	if (own != NULL) {
+		own(conn, msg);
+		return;
+	}
+	if (conn->state != CONN_OPEN) {
+		abandon_with(conn, ERR_AUTH, msg_type_name(msg->type),
+			     "message before authentication");
+		return;
+	}
+	conn->handler->message(conn->handler, conn, msg);
+}
+
+static void read_frame(conn_t *conn, const uint8_t *data, size_t len)
+{
+	err_t err = ERR_INIT;
+	msg_t msg;
+
+	counter_add(COUNTER_FRAMES_IN, 1);
+	if (!msg_decode(&msg, data, len, &err)) {
+		abandon_with(conn, ERR_PROTOCOL, "decode", err.text);
+		return;
+	}
+	dispatch(conn, &msg);
+	msg_finish(&msg);
+}
+
+static uint32_t frame_len(const uint8_t *header)
+{
+	return (uint32_t)header[0] << 24 | (uint32_t)header[1] << 16 |
+	       (uint32_t)header[2] << 8 | (uint32_t)header[3];
+}
+
+static void read_frames(conn_t *conn)
+{
+	size_t done = 0;
+
+	while (!is_ended(conn) && conn->in_used - done >= FRAME_HEADER_BYTES) {
+		uint32_t len = frame_len(conn->in + done);
+
+		if (len > NET_FRAME_BYTES_MAX) {
+			abandon_with(conn, ERR_PROTOCOL, "frame",
+				     "frame too long");
+			return;
+		}
+		if (conn->in_used - done - FRAME_HEADER_BYTES < len)
+			break;
+		read_frame(conn, conn->in + done + FRAME_HEADER_BYTES, len);
+		done += FRAME_HEADER_BYTES + len;
+	}
+	if (done > 0)
+		memmove(conn->in, conn->in + done, conn->in_used - done);
+	conn->in_used -= done;
+}
+
+static void on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
+{
+	conn_t *conn = handle->data;
+
+	(void)suggested;
+	if (conn->in_size - conn->in_used < CONN_READ_BYTES / 4) {
+		conn->in_size = conn->in_used + CONN_READ_BYTES;
+		conn->in = g_realloc(conn->in, conn->in_size);
+	}
+	*buf = uv_buf_init((char *)conn->in + conn->in_used,
+			   (unsigned int)(conn->in_size - conn->in_used));
+}
+
+static void on_read(uv_stream_t *stream, ssize_t count, const uv_buf_t *buf)
+{
+	conn_t *conn = stream->data;
+
+	(void)buf;
+	if (is_ended(conn) || count == 0)
+		return;
+	if (count < 0) {
+		abandon_with(conn, ERR_CLOSED, "read", uv_strerror((int)count));
+		return;
+	}
+	conn->heard_ms = clock_now(conn->net->clock);
+	conn->in_used += (size_t)count;
+	counter_add(COUNTER_BYTES_IN, (uint64_t)count);
+	read_frames(conn);
+}
+
+/*
+ * Allocates a connection of "net" with an unconnected socket.  It frees
+ * itself after conn_abandon().
+ */
+conn_t *conn_new(net_t *net, conn_handler_t *handler)
+{
+	conn_t *conn = g_new0(conn_t, 1);
+
+	conn->net = net;
+	conn->handler = handler;
+	conn->state = CONN_CONNECTING;
+	conn->created_ms = clock_now(net->clock);
+	conn->heard_ms = conn->created_ms;
+	msgpack_sbuffer_init(&conn->out);
+	randombytes_buf(conn->own_nonce, sizeof(conn->own_nonce));
+	uv_tcp_init(net->loop, &conn->tcp);
+	conn->tcp.data = conn;
+	LIST_INSERT_HEAD(&net->conns, conn, entry);
+	return conn;
+}
+
+/* Begins the hello on a connected socket. */
+void conn_start(conn_t *conn)
+{
+	conn->state = CONN_HELLO;
+	uv_tcp_nodelay(&conn->tcp, 1);
+	send_hello(conn);
+	if (uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read) != 0)
+		abandon_with(conn, ERR_IO, "read", "cannot read");
+}
+
+static void ping(conn_t *conn, clock_ms_t now)
+{
+	const msg_ping_t body = { .sequence = ++conn->ping_sequence };
+
+	conn->pinged_ms = now;
+	conn_send(conn, MSG_PING, &body);
+}
+
+static clock_ms_t silent_since(const conn_t *conn)
+{
+	if (conn->holds > 0 && conn->busy_since_ms > conn->heard_ms)
+		return conn->busy_since_ms;
+	return conn->heard_ms;
+}
+
+/* Sends heartbeats that are due and leaves a connection that is silent. */
+void conn_tick(conn_t *conn, clock_ms_t now)
+{
+	bool busy = conn->holds > 0;
+	clock_ms_t interval = busy ? NET_BUSY_PING_MS : NET_IDLE_PING_MS;
+	clock_ms_t allowed = busy ? NET_BUSY_SILENCE_MS : NET_IDLE_SILENCE_MS;
+
+	if (conn->state != CONN_OPEN) {
+		if (now - conn->created_ms >= NET_HELLO_MS)
+			abandon_with(conn, ERR_TIMEOUT, "hello",
+				     "no hello in time");
+		return;
+	}
+	if (now - silent_since(conn) >= allowed) {
+		counter_add(COUNTER_CONNECTIONS_SILENT, 1);
+		abandon_with(conn, ERR_TIMEOUT, "heartbeat",
+			     "the peer fell silent");
+		return;
+	}
+	if (now - conn->pinged_ms >= interval)
+		ping(conn, now);
+}
--- /dev/null
+++ b/src/wisteria/net/link.c
@@ -0,0 +1,158 @@
+/*
+ * An outgoing connection that is made again, with growing pauses, whenever it
+ * is lost.  What was sent on a lost connection may or may not have arrived;
+ * whoever uses the link sends it again when the link opens.
+ */
+#include "wisteria/net/link.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "wisteria/base/clock.h"
+#include "wisteria/base/err.h"
+#include "wisteria/base/log.h"
+#include "wisteria/net/conn.h"
+#include "wisteria/net/net.h"
+
+static void ignore_event(conn_handler_t *self, conn_t *conn, const err_t *why)
+{
+	(void)self;
+	(void)conn;
+	(void)why;
+}
+
+/* Stands in for the handler of a link that has been finished. */
+static conn_handler_t no_handler = { .closed = ignore_event };
+
+static void on_connected(uv_connect_t *request, int status)
+{
+	conn_t *conn = CONTAINER_OF(request, conn_t, connect);
+	err_t why = ERR_INIT;
+
+	if (conn->state == CONN_CLOSED)
+		return;
+	if (status == 0) {
+		conn_start(conn);
+		return;
+	}
+	err_set(&why, ERR_CLOSED, "connect", conn->peer_address, "%s",
+		uv_strerror(status));
+	LOG_DEBUG("connect_failed", "address=%s", conn->peer_address);
+	conn_abandon(conn, &why);
+}
+
+static void connect_now(link_t *link)
+{
+	struct sockaddr_storage address;
+	err_t err = ERR_INIT;
+	conn_t *conn;
+	int status;
+
+	if (!net_parse_address(link->address, &address, &err)) {
+		link->retry_at_ms = CLOCK_NEVER_MS;
+		log_err(G_LOG_LEVEL_WARNING, "bad_address", &err);
+		return;
+	}
+	conn = conn_new(link->net, link->handler);
+	conn->link = link;
+	conn->user = link->user;
+	conn->holds = link->holds;
+	conn->busy_since_ms = conn->created_ms;
+	snprintf(conn->peer_address, sizeof(conn->peer_address), "%s",
+		 link->address);
+	link->conn = conn;
+	status =
+		uv_tcp_connect(&conn->connect, &conn->tcp,
+			       (const struct sockaddr *)&address, on_connected);
+	if (status != 0) {
+		err_set(&err, ERR_CLOSED, "connect", link->address, "%s",
+			uv_strerror(status));
+		conn_abandon(conn, &err);
+	}
+}
+
+/* Begins to connect to "address"; "handler" must outlive the link. */
+void link_init(link_t *link, net_t *net, const char *address,
+	       conn_handler_t *handler)
+{
+	memset(link, 0, sizeof(*link));
+	link->net = net;
+	link->handler = handler;
+	link->retry_wait_ms = NET_RECONNECT_MIN_MS;
+	snprintf(link->address, sizeof(link->address), "%s", address);
+	LIST_INSERT_HEAD(&net->links, link, entry);
+	connect_now(link);
+}
+
+/* Ends the link and its connection; the handler is not told. */
+void link_finish(link_t *link)
+{
+	const err_t why = { .code = ERR_CLOSED };
+	conn_t *conn = link->conn;
+
+	LIST_REMOVE(link, entry);
+	if (conn == NULL)
+		return;
+	link->conn = NULL;
+	conn->handler = &no_handler;
+	conn_abandon(conn, &why);
+}
+
+/* Returns whether messages can be sent now. */
+bool link_is_open(const link_t *link)
+{
+	return link->conn != NULL && link->conn->state == CONN_OPEN;
+}
+
+/* Sends a message; returns false, and sends nothing, between connections. */
+bool link_send(link_t *link, msg_type_t type, const void *body)
+{
+	if (!link_is_open(link))
+		return false;
+	conn_send(link->conn, type, body);
+	return true;
+}
+
+/* Like conn_hold(), over all connections that the link makes. */
+void link_hold(link_t *link)
+{
+	link->holds++;
+	if (link->conn != NULL)
+		conn_hold(link->conn);
+}
+
+/* Ends what one link_hold() began. */
+void link_release(link_t *link)
+{
+	if (link->holds > 0)
+		link->holds--;
+	if (link->conn != NULL)
+		conn_release(link->conn);
+}
+
+/* Connects again when the pause is over. */
+void link_tick(link_t *link, clock_ms_t now)
+{
+	if (link->conn == NULL && now >= link->retry_at_ms)
+		connect_now(link);
+}
+
+/* Told by the connection that it has ended. */
+void link_conn_ended(link_t *link, const conn_t *conn)
+{
+	clock_ms_t wait = link->retry_wait_ms;
+
+	if (link->conn != conn)
+		return;
+	link->conn = NULL;
+	link->retry_at_ms = clock_now(link->net->clock) + wait;
+	link->retry_wait_ms = wait * 2 > NET_RECONNECT_MAX_MS
+				      ? NET_RECONNECT_MAX_MS
+				      : wait * 2;
+}
+
+/* Told by the connection that it is open. */
+void link_conn_opened(link_t *link)
+{
+	link->retry_wait_ms = NET_RECONNECT_MIN_MS;
+}
--- /dev/null
+++ b/src/wisteria/route/router_defs.h
@@ -0,0 +1,53 @@
+#ifndef WISTERIA_ROUTE_ROUTER_DEFS_H
+#define WISTERIA_ROUTE_ROUTER_DEFS_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "wisteria/base/clock_defs.h"
+#include "wisteria/base/err_defs.h"
+#include "wisteria/base/table_defs.h"
+#include "wisteria/codec/msg_defs.h"
+
+/* Most layer ranges that one chain may have. */
+#define ROUTER_HOPS_MAX 32
+#define ROUTER_NAME_BYTES 64
+
+/* What is asked of the router. */
+typedef struct {
+	const char *target; /* model or service */
+	uint32_t layers;    /* of the model; 0 for a service */
+	uint32_t expected_tokens;
+	uint64_t prefix_hash; /* of the prompt's beginning; 0: none */
+	const char *avoid[4]; /* endpoints that just failed this request */
+	size_t avoid_count;
+} route_request_t;
+
+/* One endpoint of a chosen chain. */
+typedef struct {
+	char endpoint[ROUTER_NAME_BYTES];
+	char instance[ROUTER_NAME_BYTES];
+	char address[ROUTER_NAME_BYTES];
+	uint64_t incarnation;
+	uint32_t first_layer;
+	uint32_t end_layer;
+	double expected_wait_ms;
+} route_hop_t;
+
+/* A chosen chain: its hops cover the layers exactly, each once, in order. */
+typedef struct {
+	route_hop_t hops[ROUTER_HOPS_MAX];
+	size_t hop_count;
+	double expected_ms;    /* of one token, over the whole chain */
+	uint32_t alternatives; /* endpoints that were possible */
+	uint32_t full;	       /* of those, without a free slot */
+} route_choice_t;
+
+typedef enum {
+	ROUTE_FOUND,
+	ROUTE_FULL,    /* chains exist, but none has free slots */
+	ROUTE_NO_CHAIN /* the layers can't be covered */
+} route_result_t;
+
+#endif
--- /dev/null
+++ b/src/wisteria/session/hop_session.h
@@ -0,0 +1,98 @@
+#ifndef WISTERIA_SESSION_HOP_SESSION_H
+#define WISTERIA_SESSION_HOP_SESSION_H
+
+#include <stdbool.h>
+
+#include "wisteria/base/clock_defs.h"
+#include "wisteria/base/macros_defs.h"
+#include "wisteria/codec/msg_defs.h"
+
+struct hop_session_t;
+
+/* Positions for the engine to run, in order. */
+typedef struct {
+	uint64_t session;
+	uint32_t attempt;
+	uint32_t first_layer;
+	uint32_t end_layer;
+	uint32_t first_position;
+	const msg_position_t *positions;
+	size_t position_count;
+	bool first_range; /* inputs are texts */
+	bool last_range;  /* the output of the last position is a token */
+	uint32_t priority;
+} hop_work_t;
+
+/* What the engine made of a hop_work_t. */
+typedef struct {
+	const msg_position_t *positions; /* for a range that is not last */
+	size_t position_count;
+	const char *text; /* for the last range */
+	bool last;	  /* the model ended the answer */
+} hop_result_t;
+
+/*
+ * What a session on an agent asks of the world.  It stands first in the
+ * owner's struct.
+ */
+typedef struct hop_session_ops_t {
+	void (*run)(struct hop_session_ops_t *self,
+		    struct hop_session_t *session, const hop_work_t *work);
+	/* Drops the engine's state of the session. */
+	void (*forget)(struct hop_session_ops_t *self,
+		       struct hop_session_t *session);
+	/* Sends to the agent of hop "hop" of the session's chain. */
+	void (*send_hop)(struct hop_session_ops_t *self,
+			 struct hop_session_t *session, uint32_t hop,
+			 msg_type_t type, const void *body);
+	void (*send_entry)(struct hop_session_ops_t *self,
+			   struct hop_session_t *session, msg_type_t type,
+			   const void *body);
+} hop_session_ops_t;
+
+/*
+ * An agent's side of one attempt on one endpoint.  It accepts the step
+ * (session, attempt, position) only if it is the next one; a repeat gets the
+ * stored result, an older attempt is refused.  No clock, no I/O.
+ */
+typedef struct hop_session_t hop_session_t;
+
+hop_session_t *hop_session_new(const msg_open_t *open,
+			       hop_session_ops_t *ops) ATTR_NONNULL_ALL;
+void hop_session_free(hop_session_t *session);
+const msg_open_t *
+hop_session_open(const hop_session_t *session) ATTR_NONNULL_ALL;
+uint32_t hop_session_attempt(const hop_session_t *session) ATTR_NONNULL_ALL;
+bool hop_session_has_started(const hop_session_t *session) ATTR_NONNULL_ALL;
+bool hop_session_is_done(const hop_session_t *session) ATTR_NONNULL_ALL;
+void hop_session_on_start(hop_session_t *session,
+			  clock_ms_t now) ATTR_NONNULL_ALL;
+void hop_session_on_step(hop_session_t *session, const msg_step_t *step,
+			 clock_ms_t now) ATTR_NONNULL_ALL;
+void hop_session_on_step_ack(hop_session_t *session, const msg_step_ack_t *ack,
+			     clock_ms_t now) ATTR_NONNULL_ALL;
+void hop_session_on_step_result(hop_session_t *session,
+				const msg_step_result_t *result,
+				clock_ms_t now) ATTR_NONNULL_ALL;
+void hop_session_on_engine_done(hop_session_t *session, uint32_t attempt,
+				const hop_result_t *result,
+				clock_ms_t now) ATTR_NONNULL_ALL;
+void hop_session_on_engine_failed(hop_session_t *session, uint32_t attempt,
+				  const char *reason,
+				  clock_ms_t now) ATTR_NONNULL_ALL;
+void hop_session_on_tokens_ack(hop_session_t *session,
+			       const msg_tokens_ack_t *ack,
+			       clock_ms_t now) ATTR_NONNULL_ALL;
+void hop_session_on_resume(hop_session_t *session,
+			   const msg_tokens_ack_t *resume,
+			   clock_ms_t now) ATTR_NONNULL_ALL;
+void hop_session_on_reroute(hop_session_t *session,
+			    const msg_reroute_t *reroute,
+			    clock_ms_t now) ATTR_NONNULL_ALL;
+void hop_session_on_hop_up(hop_session_t *session, uint32_t hop,
+			   clock_ms_t now) ATTR_NONNULL_ALL;
+void hop_session_on_hop_down(hop_session_t *session, uint32_t hop,
+			     clock_ms_t now) ATTR_NONNULL_ALL;
+void hop_session_tick(hop_session_t *session, clock_ms_t now) ATTR_NONNULL_ALL;
+
+#endif
