--- /dev/null
+++ b/test/functional/harness/cluster.c
@@ -0,0 +1,456 @@
+/* Lays out, writes and starts a whole set-up over fakes. */
+#include "harness/cluster.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <glib/gstdio.h>
+
+#include "wisteria/settings/preset.h"
+
+#define CLUSTER_KEY \
+	"000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f\n"
+
+static void take_defaults(cluster_params_t *params)
+{
+	if (params->entries == 0)
+		params->entries = 1;
+	if (params->ranges == 0)
+		params->ranges = 3;
+	if (params->endpoints_per_range == 0)
+		params->endpoints_per_range = 2;
+	if (params->layers == 0)
+		params->layers = 12;
+	if (params->slots == 0)
+		params->slots = 256;
+	if (params->step_us == 0)
+		params->step_us = 1000;
+	if (params->sessions == 0)
+		params->sessions = 1000;
+	if (params->recovery == NULL)
+		params->recovery = "restart";
+}
+
+static void lay_out_entry(cluster_t *cluster, size_t index)
+{
+	harness_t *harness = cluster->harness;
+	cluster_entry_t *entry = &cluster->entries[index];
+	const char *data_name;
+
+	snprintf(entry->name, sizeof(entry->name), "entry-%zu", index + 1);
+	entry->http = harness_address(harness);
+	entry->control = harness_address(harness);
+	entry->admin = harness_address(harness);
+	entry->metrics = harness_address(harness);
+	data_name = harness_string(harness, "data-%s", entry->name);
+	entry->data_dir = harness_path(harness, data_name);
+	g_mkdir_with_parents(entry->data_dir, 0755);
+}
+
+static cluster_endpoint_t *add_endpoint(cluster_t *cluster)
+{
+	harness_t *harness = cluster->harness;
+	cluster_endpoint_t *endpoint;
+
+	if (cluster->endpoint_count == CLUSTER_ENDPOINTS_MAX)
+		g_error("more than %d endpoints", CLUSTER_ENDPOINTS_MAX);
+	endpoint = &cluster->endpoints[cluster->endpoint_count++];
+	endpoint->listen = harness_address(harness);
+	endpoint->metrics = harness_address(harness);
+	endpoint->url_address = harness_address(harness);
+	return endpoint;
+}
+
+static void lay_out_range(cluster_t *cluster, size_t range)
+{
+	const cluster_params_t *params = &cluster->params;
+
+	for (size_t i = 0; i < params->endpoints_per_range; i++) {
+		cluster_endpoint_t *endpoint = add_endpoint(cluster);
+
+		endpoint->first_layer =
+			(uint32_t)(params->layers * range / params->ranges);
+		endpoint->end_layer = (uint32_t)(params->layers * (range + 1) /
+						 params->ranges);
+		snprintf(endpoint->name, sizeof(endpoint->name),
+			 "range-%zu-%zu", range, i);
+	}
+}
+
+static void name_journals(cluster_t *cluster)
+{
+	for (size_t i = 0; i < cluster->endpoint_count; i++) {
+		cluster_endpoint_t *endpoint = &cluster->endpoints[i];
+		const char *name = harness_string(cluster->harness,
+						  "%s.journal", endpoint->name);
+
+		endpoint->journal = harness_path(cluster->harness, name);
+	}
+}
+
+/*
+ * Lays out the addresses and names of a set-up.  Ranges split the layers
+ * evenly; the endpoints of a range follow each other in "endpoints", those of
+ * the plain service come last.
+ */
+void cluster_init(cluster_t *cluster, harness_t *harness,
+		  const cluster_params_t *params)
+{
+	memset(cluster, 0, sizeof(*cluster));
+	cluster->harness = harness;
+	cluster->params = *params;
+	take_defaults(&cluster->params);
+	cluster->entry_count = cluster->params.entries;
+	for (size_t i = 0; i < cluster->entry_count; i++)
+		lay_out_entry(cluster, i);
+	for (size_t range = 0; range < cluster->params.ranges; range++)
+		lay_out_range(cluster, range);
+	for (size_t i = 0; i < cluster->params.services; i++)
+		snprintf(add_endpoint(cluster)->name, HARNESS_NAME_BYTES,
+			 "service-%zu", i);
+	name_journals(cluster);
+}
+
+static void write_preset(cluster_t *cluster)
+{
+	const cluster_params_t *params = &cluster->params;
+	char hash[2 * PRESET_KEY_HASH_BYTES + 1];
+	GString *text = g_string_new("name: everyday\n");
+
+	preset_hash_key(CLUSTER_API_KEY, hash);
+	g_string_append_printf(text,
+			       "models:\n"
+			       "  - name: " CLUSTER_MODEL "\n"
+			       "    layers: %u\n"
+			       "    max_tokens: 4096\n",
+			       params->layers);
+	if (params->services > 0)
+		g_string_append(text, "services:\n"
+				      "  - name: " CLUSTER_SERVICE "\n"
+				      "    idempotent_methods: []\n");
+	g_string_append_printf(text,
+			       "contracts:\n"
+			       "  - customer: recife\n"
+			       "    api_key_hash: %s\n"
+			       "    priority: 1\n"
+			       "    guarantee_sessions: %u\n"
+			       "    deserved_sessions: %u\n"
+			       "    capability_sessions: %u\n"
+			       "    tokens_per_s: 0\n",
+			       hash, params->sessions, params->sessions,
+			       params->sessions);
+	g_string_append_printf(text,
+			       "limits:\n"
+			       "  queue_length: 1000\n"
+			       "  queue_ms: 10000\n"
+			       "  request_ms: 60000\n"
+			       "  retry_percent: 20\n"
+			       "  weight_bytes_per_s: 1000000\n"
+			       "  ledger_retention_ms: 600000\n"
+			       "recovery: %s\n",
+			       params->recovery);
+	cluster->preset_file =
+		harness_write(cluster->harness, "everyday.yaml", text->str);
+	g_string_free(text, TRUE);
+}
+
+static void append_control_instances(const cluster_t *cluster, GString *text,
+				     const char *key, const char *indent)
+{
+	g_string_append_printf(text, "%s%s:\n", indent, key);
+	for (size_t i = 0; i < cluster->entry_count; i++)
+		g_string_append_printf(text,
+				       "%s  - instance: %s\n"
+				       "%s    address: %s\n",
+				       indent, cluster->entries[i].name, indent,
+				       cluster->entries[i].control);
+}
+
+static void append_common(const cluster_t *cluster, GString *text,
+			  const char *name, size_t index, const char *metrics)
+{
+	static const char *const domains[] = { "recife", "jaboatao", "olinda" };
+
+	g_string_append_printf(text,
+			       "instance: %s\n"
+			       "failure_domain: %s\n"
+			       "region: nordeste\n"
+			       "cluster_key_file: %s\n"
+			       "log_level: info\n"
+			       "metrics_listen: %s\n",
+			       name, domains[index % ARRAY_SIZE(domains)],
+			       cluster->key_file, metrics);
+	append_control_instances(cluster, text, "control_instances", "");
+}
+
+static const char *write_settings(cluster_t *cluster, const char *name,
+				  const GString *text)
+{
+	return harness_write(cluster->harness,
+			     harness_string(cluster->harness, "%s.yaml", name),
+			     text->str);
+}
+
+static void write_entry(cluster_t *cluster, size_t index)
+{
+	cluster_entry_t *entry = &cluster->entries[index];
+	GString *text = g_string_new(NULL);
+
+	append_common(cluster, text, entry->name, index, entry->metrics);
+	g_string_append_printf(text,
+			       "roles: [entry, control]\n"
+			       "entry:\n"
+			       "  http_listen: %s\n"
+			       "  http_threads: 2\n"
+			       "control:\n"
+			       "  listen: %s\n"
+			       "  admin_listen: %s\n"
+			       "  admin_token_file: %s\n"
+			       "  data_dir: %s\n"
+			       "  bootstrap_preset_file: %s\n",
+			       entry->http, entry->control, entry->admin,
+			       cluster->token_file, entry->data_dir,
+			       cluster->preset_file);
+	append_control_instances(cluster, text, "voters", "  ");
+	entry->settings = write_settings(cluster, entry->name, text);
+	g_string_free(text, TRUE);
+}
+
+static void append_endpoint(const cluster_t *cluster, GString *text,
+			    const cluster_endpoint_t *endpoint)
+{
+	bool is_model = endpoint->end_layer > 0;
+
+	g_string_append_printf(text,
+			       "    - name: %s\n"
+			       "      kind: %s\n"
+			       "      target: %s\n",
+			       endpoint->name, is_model ? "model" : "service",
+			       is_model ? CLUSTER_MODEL : CLUSTER_SERVICE);
+	if (is_model)
+		g_string_append_printf(text,
+				       "      first_layer: %u\n"
+				       "      end_layer: %u\n",
+				       endpoint->first_layer,
+				       endpoint->end_layer);
+	g_string_append_printf(text,
+			       "      accelerator: even\n"
+			       "      url: http://%s\n"
+			       "      slots: %u\n"
+			       "      checks_fencing: %s\n",
+			       endpoint->url_address, cluster->params.slots,
+			       cluster->params.ignores_fencing ? "false"
+							       : "true");
+}
+
+static void write_endpoint(cluster_t *cluster, size_t index)
+{
+	cluster_endpoint_t *endpoint = &cluster->endpoints[index];
+	const char *name =
+		harness_string(cluster->harness, "agent-%s", endpoint->name);
+	GString *text = g_string_new(NULL);
+
+	append_common(cluster, text, name, index, endpoint->metrics);
+	g_string_append_printf(text,
+			       "roles: [agent]\n"
+			       "agent:\n"
+			       "  listen: %s\n",
+			       endpoint->listen);
+	if (endpoint->advertise != NULL)
+		g_string_append_printf(text, "  advertise: %s\n",
+				       endpoint->advertise);
+	g_string_append(text, "  endpoints:\n");
+	append_endpoint(cluster, text, endpoint);
+	endpoint->settings = write_settings(cluster, name, text);
+	g_string_free(text, TRUE);
+}
+
+/* Writes the key, the preset and the settings of every process. */
+void cluster_write(cluster_t *cluster)
+{
+	harness_t *harness = cluster->harness;
+
+	cluster->key_file = harness_write(harness, "cluster.key", CLUSTER_KEY);
+	cluster->token_file =
+		harness_write(harness, "admin.token", CLUSTER_ADMIN_TOKEN "\n");
+	g_chmod(cluster->key_file, 0600);
+	g_chmod(cluster->token_file, 0600);
+	write_preset(cluster);
+	for (size_t i = 0; i < cluster->entry_count; i++)
+		write_entry(cluster, i);
+	for (size_t i = 0; i < cluster->endpoint_count; i++)
+		write_endpoint(cluster, i);
+}
+
+static harness_process_t *start_daemon(cluster_t *cluster, const char *name,
+				       const char *settings)
+{
+	const char *const argv[] = { harness_program(cluster->harness,
+						     "wisteriad"),
+				     "--config", settings, NULL };
+
+	return harness_start(cluster->harness, name, argv);
+}
+
+/* Starts, or starts again, an instance with the roles entry and control. */
+void cluster_start_entry(cluster_t *cluster, cluster_entry_t *entry)
+{
+	if (entry->process != NULL)
+		harness_restart(entry->process);
+	else
+		entry->process =
+			start_daemon(cluster, entry->name, entry->settings);
+}
+
+static void start_engine(cluster_t *cluster, cluster_endpoint_t *endpoint)
+{
+	harness_t *harness = cluster->harness;
+	bool is_model = endpoint->end_layer > 0;
+	const char *const argv[] = {
+		harness_program(harness,
+				is_model ? "fake_engine" : "fake_service"),
+		"--listen",
+		endpoint->url_address,
+		"--journal",
+		endpoint->journal,
+		is_model ? "--step-us" : NULL,
+		harness_string(harness, "%u", cluster->params.step_us),
+		cluster->params.ignores_fencing ? "--ignore-fencing" : NULL,
+		NULL
+	};
+
+	endpoint->engine = harness_start(
+		harness, harness_string(harness, "engine-%s", endpoint->name),
+		argv);
+}
+
+/* Starts, or starts again, an engine or service and then its agent. */
+void cluster_start_endpoint(cluster_t *cluster, cluster_endpoint_t *endpoint)
+{
+	if (endpoint->engine != NULL)
+		harness_restart(endpoint->engine);
+	else
+		start_engine(cluster, endpoint);
+	if (endpoint->agent != NULL)
+		harness_restart(endpoint->agent);
+	else
+		endpoint->agent =
+			start_daemon(cluster,
+				     harness_string(cluster->harness,
+						    "agent-%s", endpoint->name),
+				     endpoint->settings);
+}
+
+/* Starts everything; returns whether all became ready. */
+bool cluster_start(cluster_t *cluster)
+{
+	for (size_t i = 0; i < cluster->entry_count; i++)
+		cluster_start_entry(cluster, &cluster->entries[i]);
+	for (size_t i = 0; i < cluster->endpoint_count; i++)
+		cluster_start_endpoint(cluster, &cluster->endpoints[i]);
+	return cluster_wait_ready(cluster);
+}
+
+typedef struct {
+	cluster_t *cluster;
+	http_client_t client;
+	size_t entry;
+} answer_wait_t;
+
+static bool entry_answers(void *user)
+{
+	answer_wait_t *wait = user;
+	http_request_t *request = cluster_ask(wait->cluster, &wait->client,
+					      wait->entry, "ready", 1, false);
+	bool answers = http_wait(&wait->client, request, HARNESS_WAIT_MS) &&
+		       request->status == 200;
+
+	http_forget(&wait->client, request);
+	return answers;
+}
+
+static bool wait_answers(cluster_t *cluster, size_t entry)
+{
+	answer_wait_t wait = { .cluster = cluster, .entry = entry };
+	bool answers;
+
+	http_client_init(&wait.client);
+	answers = harness_until(entry_answers, &wait, HARNESS_WAIT_MS);
+	http_client_finish(&wait.client);
+	return answers;
+}
+
+/*
+ * Waits until every agent says that it is ready and every entry has answered
+ * one short request, which shows that it knows a whole chain.
+ */
+bool cluster_wait_ready(cluster_t *cluster)
+{
+	for (size_t i = 0; i < cluster->endpoint_count; i++)
+		if (!harness_wait_http(cluster->endpoints[i].metrics, "/readyz",
+				       200, HARNESS_WAIT_MS))
+			return false;
+	for (size_t i = 0; i < cluster->entry_count; i++)
+		if (!wait_answers(cluster, i))
+			return false;
+	return true;
+}
+
+/* Kills an agent and its engine, as when their instance dies. */
+void cluster_kill_endpoint(cluster_endpoint_t *endpoint)
+{
+	harness_signal(endpoint->agent, SIGKILL);
+	harness_signal(endpoint->engine, SIGKILL);
+	harness_kill(endpoint->agent);
+	harness_kill(endpoint->engine);
+}
+
+/* Sends a completion request to one entry. */
+http_request_t *cluster_ask(cluster_t *cluster, http_client_t *client,
+			    size_t entry, const char *prompt,
+			    uint32_t max_tokens, bool stream)
+{
+	char *url = g_strdup_printf("http://%s/v1/completions",
+				    cluster->entries[entry].http);
+	char *body =
+		g_strdup_printf("{\"model\":\"" CLUSTER_MODEL "\","
+				"\"prompt\":\"%s\",\"max_tokens\":%u,"
+				"\"stream\":%s}",
+				prompt, max_tokens, stream ? "true" : "false");
+	const http_params_t params = {
+		.url = url,
+		.api_key = CLUSTER_API_KEY,
+		.body = body,
+	};
+	http_request_t *request = http_send(client, &params);
+
+	g_free(url);
+	g_free(body);
+	return request;
+}
+
+/* Returns a counter of a process, by its full name; 0 if it has none. */
+uint64_t cluster_metric(const char *metrics_address, const char *name)
+{
+	char *url = g_strdup_printf("http://%s/metrics", metrics_address);
+	const http_params_t params = { .url = url };
+	http_client_t client;
+	const http_request_t *request;
+	const char *at;
+	char *key;
+	uint64_t value = 0;
+
+	http_client_init(&client);
+	request = http_send(&client, &params);
+	key = g_strdup_printf("\n%s ", name);
+	if (http_wait(&client, request, HARNESS_WAIT_MS)) {
+		at = strstr(request->body->str, key);
+		if (at != NULL)
+			value = g_ascii_strtoull(at + strlen(key), NULL, 10);
+	}
+	http_client_finish(&client);
+	g_free(key);
+	g_free(url);
+	return value;
+}
--- a/test/functional/harness/cluster.h
+++ b/test/functional/harness/cluster.h
@@ -41,8 +41,9 @@
 typedef struct {
 	char name[HARNESS_NAME_BYTES];
 	uint32_t first_layer;
-	uint32_t end_layer; /* 0 for a service */
-	const char *listen; /* of the agent */
+	uint32_t end_layer;    /* 0 for a service */
+	const char *listen;    /* of the agent */
+	const char *advertise; /* NULL: listen */
 	const char *metrics;
 	const char *url_address; /* of the engine or service */
 	const char *journal;	 /* written by the engine or service */
--- /dev/null
+++ b/test/functional/harness/harness.c
@@ -0,0 +1,388 @@
+/*
+ * Starts, signals and stops the programs under test, and keeps their files in
+ * a scratch folder that is removed when the test passed.
+ */
+#include "harness/harness.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <arpa/inet.h>
+#include <curl/curl.h>
+#include <glib/gstdio.h>
+#include <sys/prctl.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+
+#include "wisteria/base/clock.h"
+
+#define POLL_US 5000
+#define STOP_MS 5000
+#define LOG_TAIL_BYTES 3000
+#define OPEN_FILES 16384
+#define PORT_TRIES 100
+
+static void find_bin_dir(harness_t *harness)
+{
+	char path[HARNESS_PATH_BYTES];
+	ssize_t len = readlink("/proc/self/exe", path, sizeof(path) - 1);
+	char *dir;
+
+	path[len > 0 ? len : 0] = '\0';
+	dir = g_path_get_dirname(path);
+	g_strlcpy(harness->bin_dir, dir, sizeof(harness->bin_dir));
+	g_free(dir);
+}
+
+static void raise_open_files(void)
+{
+	struct rlimit limit;
+
+	if (getrlimit(RLIMIT_NOFILE, &limit) != 0)
+		return;
+	limit.rlim_cur = MIN(limit.rlim_max, (rlim_t)OPEN_FILES);
+	setrlimit(RLIMIT_NOFILE, &limit);
+}
+
+/*
+ * Makes an empty scratch folder beside the programs.  Every test process has
+ * one of its own.
+ */
+void harness_init(harness_t *harness, const char *test_name)
+{
+	const char *ip = g_getenv("WISTERIA_TEST_IP");
+	char *dir;
+
+	memset(harness, 0, sizeof(*harness));
+	signal(SIGPIPE, SIG_IGN);
+	raise_open_files();
+	g_strlcpy(harness->ip, ip != NULL ? ip : "127.0.0.1",
+		  sizeof(harness->ip));
+	find_bin_dir(harness);
+	dir = g_strdup_printf("%s/scratch/%s-%d", harness->bin_dir, test_name,
+			      (int)getpid());
+	if (g_mkdir_with_parents(dir, 0755) != 0)
+		g_error("cannot make %s: %s", dir, g_strerror(errno));
+	g_strlcpy(harness->dir, dir, sizeof(harness->dir));
+	g_free(dir);
+	harness->strings = g_string_chunk_new(4096);
+	harness->processes = g_new0(harness_process_t, HARNESS_PROCESSES_MAX);
+}
+
+static void show_log(const harness_process_t *process)
+{
+	char *text = harness_read(process->log_path);
+	size_t len = strlen(text);
+	const char *tail = text;
+
+	if (len > LOG_TAIL_BYTES)
+		tail = text + len - LOG_TAIL_BYTES;
+	printf("---- log of %s (exit status %d)\n%s\n", process->name,
+	       process->exit_status, tail);
+	g_free(text);
+}
+
+static void remove_tree(const char *path)
+{
+	GDir *dir = g_dir_open(path, 0, NULL);
+	const char *name;
+
+	while (dir != NULL && (name = g_dir_read_name(dir)) != NULL) {
+		char *child = g_build_filename(path, name, NULL);
+
+		remove_tree(child);
+		g_free(child);
+	}
+	if (dir != NULL)
+		g_dir_close(dir);
+	g_remove(path);
+}
+
+/*
+ * Ends every process that still runs.  Where the test did not pass, shows the
+ * ends of their logs and keeps the scratch folder.
+ */
+void harness_finish(harness_t *harness, bool passed)
+{
+	for (size_t i = 0; i < harness->process_count; i++)
+		harness_kill(&harness->processes[i]);
+	for (size_t i = 0; !passed && i < harness->process_count; i++)
+		show_log(&harness->processes[i]);
+	if (passed)
+		remove_tree(harness->dir);
+	else
+		printf("kept: %s\n", harness->dir);
+	fflush(stdout);
+	for (size_t i = 0; i < harness->process_count; i++)
+		for (char **arg = harness->processes[i].argv; *arg; arg++)
+			g_free(*arg);
+	g_free(harness->processes);
+	g_string_chunk_free(harness->strings);
+}
+
+/* Formats a string that lives as long as "harness". */
+const char *harness_string(harness_t *harness, const char *format, ...)
+{
+	va_list args;
+	const char *kept;
+	char *text;
+
+	va_start(args, format);
+	text = g_strdup_vprintf(format, args);
+	va_end(args);
+	kept = g_string_chunk_insert(harness->strings, text);
+	g_free(text);
+	return kept;
+}
+
+/* Returns the path of a file in the scratch folder. */
+const char *harness_path(harness_t *harness, const char *name)
+{
+	return harness_string(harness, "%s/%s", harness->dir, name);
+}
+
+/* Returns the path of a program of this build. */
+const char *harness_program(harness_t *harness, const char *name)
+{
+	return harness_string(harness, "%s/%s", harness->bin_dir, name);
+}
+
+/* Writes a file into the scratch folder and returns its path. */
+const char *harness_write(harness_t *harness, const char *name,
+			  const char *text)
+{
+	const char *path = harness_path(harness, name);
+
+	if (!g_file_set_contents(path, text, -1, NULL))
+		g_error("cannot write %s", path);
+	return path;
+}
+
+static unsigned free_port(const char *ip)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET };
+	socklen_t len = sizeof(address);
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	if (inet_pton(AF_INET, ip, &address.sin_addr) != 1)
+		g_error("WISTERIA_TEST_IP is not an IP number: %s", ip);
+	if (fd < 0 || bind(fd, (struct sockaddr *)&address, len) != 0 ||
+	    getsockname(fd, (struct sockaddr *)&address, &len) != 0)
+		g_error("no free port on %s: %s", ip, g_strerror(errno));
+	close(fd);
+	return ntohs(address.sin_port);
+}
+
+/* Returns an IP:PORT that nobody listens on and that was not given before. */
+const char *harness_address(harness_t *harness)
+{
+	static GHashTable *given;
+
+	if (given == NULL)
+		given = g_hash_table_new(NULL, NULL);
+	for (int i = 0; i < PORT_TRIES; i++) {
+		unsigned port = free_port(harness->ip);
+
+		if (g_hash_table_add(given, GUINT_TO_POINTER(port)))
+			return harness_string(harness, "%s:%u", harness->ip,
+					      port);
+	}
+	g_error("no free port on %s", harness->ip);
+}
+
+/* Runs in the child: only calls that are safe after fork(). */
+static void run_program(const harness_process_t *process, int log, pid_t parent)
+{
+	prctl(PR_SET_PDEATHSIG, SIGKILL);
+	if (getppid() != parent)
+		_exit(127);
+	dup2(log, STDOUT_FILENO);
+	dup2(log, STDERR_FILENO);
+	signal(SIGPIPE, SIG_DFL);
+	execv(process->argv[0], process->argv);
+	_exit(127);
+}
+
+static void spawn(harness_process_t *process)
+{
+	int log = open(process->log_path,
+		       O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+	pid_t parent = getpid();
+	pid_t pid;
+
+	if (log < 0)
+		g_error("cannot open %s", process->log_path);
+	fflush(stdout);
+	pid = fork();
+	if (pid < 0)
+		g_error("cannot fork: %s", g_strerror(errno));
+	if (pid == 0)
+		run_program(process, log, parent);
+	close(log);
+	process->pid = pid;
+	process->exit_status = -1;
+}
+
+/*
+ * Starts a program; argv[0] is its path and NULL ends argv.  Its output goes
+ * to NAME.log in the scratch folder.  It is killed if the test dies.
+ */
+harness_process_t *harness_start(harness_t *harness, const char *name,
+				 const char *const argv[])
+{
+	harness_process_t *process;
+
+	if (harness->process_count == HARNESS_PROCESSES_MAX)
+		g_error("more than %d processes", HARNESS_PROCESSES_MAX);
+	process = &harness->processes[harness->process_count++];
+	g_strlcpy(process->name, name, sizeof(process->name));
+	g_snprintf(process->log_path, sizeof(process->log_path), "%s/%s.log",
+		   harness->dir, name);
+	for (size_t i = 0; argv[i] != NULL && i < HARNESS_ARGS_MAX; i++)
+		process->argv[i] = g_strdup(argv[i]);
+	spawn(process);
+	return process;
+}
+
+/* Starts a program that has ended again, with the same arguments. */
+void harness_restart(harness_process_t *process)
+{
+	harness_kill(process);
+	spawn(process);
+}
+
+/* Sends a signal, by process id, to a program that runs. */
+void harness_signal(const harness_process_t *process, int signal)
+{
+	if (process->pid > 0)
+		kill(process->pid, signal);
+}
+
+/* Returns whether the program still runs; takes its exit status if not. */
+bool harness_is_running(harness_process_t *process)
+{
+	int status;
+
+	if (process->pid <= 0)
+		return false;
+	if (waitpid(process->pid, &status, WNOHANG) != process->pid)
+		return true;
+	process->exit_status = status;
+	process->pid = 0;
+	return false;
+}
+
+static bool has_ended(void *user)
+{
+	return !harness_is_running(user);
+}
+
+/* Waits until a program ended by itself; returns false if it did not. */
+bool harness_wait_exit(harness_process_t *process, clock_ms_t limit_ms)
+{
+	return harness_until(has_ended, process, limit_ms);
+}
+
+/* Kills a program at once and waits until it is gone. */
+void harness_kill(harness_process_t *process)
+{
+	if (!harness_is_running(process))
+		return;
+	kill(process->pid, SIGKILL);
+	if (!harness_until(has_ended, process, STOP_MS))
+		g_warning("%s cannot be killed", process->name);
+}
+
+/* Asks "holds" again and again until it returns true or the time is up. */
+bool harness_until(bool (*holds)(void *user), void *user, clock_ms_t limit_ms)
+{
+	clock_ms_t limit = clock_now(&clock_monotonic) + limit_ms;
+
+	while (!holds(user)) {
+		if (clock_now(&clock_monotonic) >= limit)
+			return false;
+		g_usleep(POLL_US);
+	}
+	return true;
+}
+
+/* Returns a file's text, to be freed with g_free(); "" if there is none. */
+char *harness_read(const char *path)
+{
+	char *text = NULL;
+
+	if (!g_file_get_contents(path, &text, NULL, NULL))
+		return g_strdup("");
+	return text;
+}
+
+typedef struct {
+	const char *path;
+	const char *text;
+} log_wait_t;
+
+static bool log_has(void *user)
+{
+	const log_wait_t *wait = user;
+	char *log = harness_read(wait->path);
+	bool found = strstr(log, wait->text) != NULL;
+
+	g_free(log);
+	return found;
+}
+
+/* Waits until the program's log holds "text". */
+bool harness_wait_log(const harness_process_t *process, const char *text,
+		      clock_ms_t limit_ms)
+{
+	log_wait_t wait = { .path = process->log_path, .text = text };
+
+	return harness_until(log_has, &wait, limit_ms);
+}
+
+typedef struct {
+	const char *url;
+	long status;
+} http_wait_t;
+
+static size_t discard(char *data, size_t size, size_t count, void *user)
+{
+	(void)data;
+	(void)user;
+	return size * count;
+}
+
+static bool http_says(void *user)
+{
+	const http_wait_t *wait = user;
+	CURL *easy = curl_easy_init();
+	long status = 0;
+
+	curl_easy_setopt(easy, CURLOPT_URL, wait->url);
+	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(easy, CURLOPT_PROXY, "");
+	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, 1000L);
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, discard);
+	if (curl_easy_perform(easy) == CURLE_OK)
+		curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+	curl_easy_cleanup(easy);
+	return status == wait->status;
+}
+
+/* Waits until a GET of "path" at IP:PORT answers with "status". */
+bool harness_wait_http(const char *address, const char *path, long status,
+		       clock_ms_t limit_ms)
+{
+	char *url = g_strdup_printf("http://%s%s", address, path);
+	http_wait_t wait = { .url = url, .status = status };
+	bool said = harness_until(http_says, &wait, limit_ms);
+
+	g_free(url);
+	return said;
+}
