--- a/src/wisteria/control/requests.c
+++ b/src/wisteria/control/requests.c
@@ -193,7 +193,8 @@
 
 /*
  * Changes the membership before the order is recorded; false: refused.  An
- * order that was sent again only gets its answer again.
+ * order that was sent again only gets its answer again, and one that expects
+ * another revision is left to the store to refuse.
  */
 static bool change_member(requests_t *requests, request_t *request)
 {
@@ -210,6 +211,9 @@
 
 	if (store_find_order(requests->store, request->order.id, &earlier))
 		return true;
+	if (request->order.has_expected &&
+	    request->order.expected_revision != requests->store->revision)
+		return true;
 	if (replica_change_member(requests->replica, change,
 				  request->order.name, &err))
 		return true;
--- a/src/wisteria/entry/call_ledger.c
+++ b/src/wisteria/entry/call_ledger.c
@@ -105,12 +105,15 @@
 	ask_in_background(call, &question);
 }
 
-/* Gives the key back because "call" provably did not run. */
+/*
+ * Gives the key back because "call" provably did not run; also where it asked
+ * for the key and has not seen the answer.
+ */
 void call_ledger_release(call_t *call)
 {
 	const msg_ledger_t question = question_of(call, LEDGER_RELEASE);
 
-	if (!call->reserved)
+	if (!call->reserved && call->state != CALL_RESERVING)
 		return;
 	call->reserved = false;
 	ask_in_background(call, &question);
@@ -145,17 +148,23 @@
 		    "an earlier call with this key may have run", false);
 }
 
+/* The ledger answered that it holds nothing for this call. */
+static void refuse_unreserved(call_t *call, err_code_t code, const char *reason)
+{
+	call->state = CALL_QUEUED;
+	call_refuse(call, code, "ledger", reason, true);
+}
+
 static void on_full(call_t *call, const msg_ledger_reply_t *reply)
 {
 	(void)reply;
-	call_refuse(call, ERR_OVERLOAD, "ledger", "the ledger is full", true);
+	refuse_unreserved(call, ERR_OVERLOAD, "the ledger is full");
 }
 
 /* The key may have been reserved for this call, which was not dispatched. */
 static void on_unavailable(call_t *call, const msg_ledger_reply_t *reply)
 {
 	(void)reply;
-	call->reserved = true;
 	call_refuse(call, ERR_UNAVAILABLE, "ledger",
 		    "no quorum of control instances in time", true);
 }
@@ -163,8 +172,8 @@
 static void on_mismatch(call_t *call, const msg_ledger_reply_t *reply)
 {
 	(void)reply;
-	call_refuse(call, ERR_CONFLICT, "ledger",
-		    "this key was used for another request", true);
+	refuse_unreserved(call, ERR_CONFLICT,
+			  "this key was used for another request");
 }
 
 typedef void (*ledger_answer_t)(call_t *call, const msg_ledger_reply_t *reply);
--- a/src/wisteria/entry/entry_call.c
+++ b/src/wisteria/entry/entry_call.c
@@ -122,9 +122,6 @@
 
 	if (must_go_on(call))
 		return;
-	/* The grant of a reservation may still be on its way. */
-	if (call->state == CALL_RESERVING)
-		call->reserved = true;
 	call_ledger_release(call);
 	if (call->link != NULL)
 		link_send(call->link, MSG_CALL_CANCEL, &cancel);
--- a/src/wisteria/entry/entry_defs.h
+++ b/src/wisteria/entry/entry_defs.h
@@ -26,6 +26,7 @@
 	uint32_t delivered;
 	uint32_t recoveries;
 	bool stopped; /* the model ended the answer */
+	clock_ms_t accepted_ms;
 	clock_ms_t deadline_ms;
 	bool admitted;	  /* counted against the customer's contract */
 	bool answering;	  /* the head of the response was sent */
--- a/src/wisteria/entry/entry_model.c
+++ b/src/wisteria/entry/entry_model.c
@@ -77,6 +77,7 @@
 		.target = job->request->model,
 		.request = job->handle,
 		.deadline_ms = job->deadline_ms,
+		.offered_ms = job->accepted_ms,
 	};
 }
 
--- a/src/wisteria/entry/job.c
+++ b/src/wisteria/entry/job.c
@@ -111,6 +111,7 @@
 	job->request = request_take(request);
 	job->customer = g_strdup(contract->customer);
 	job->text = g_string_new(NULL);
+	job->accepted_ms = now;
 	job->deadline_ms = now + span_ms;
 	job->handle = table_add(&entry->job_handles);
 	*(job_t **)table_get(&entry->job_handles, job->handle) = job;
