--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -2,6 +2,9 @@
 # shared by the functional tests, the demo and the benchmarks.
 enable_testing()
 
+pkg_check_modules(CUNIT REQUIRED IMPORTED_TARGET cunit)
+pkg_check_modules(GSL REQUIRED IMPORTED_TARGET gsl)
+
 # Worlds and oracles that fuzz targets and unit tests share.
 file(GLOB WORLD_SOURCES CONFIGURE_DEPENDS test/fuzz/session_*.c)
 list(FILTER WORLD_SOURCES EXCLUDE REGEX "_fuzz\\.c$")
--- a/src/wisteria/base/clock.h
+++ b/src/wisteria/base/clock.h
@@ -4,6 +4,7 @@
 #include "wisteria/base/clock_defs.h"
 
 extern const clock_source_t clock_monotonic;
+extern const clock_source_t clock_boottime;
 
 clock_ms_t clock_now(const clock_source_t *clock);
 
--- a/src/wisteria/codec/msg.c
+++ b/src/wisteria/codec/msg.c
@@ -441,6 +441,76 @@
 };
 const record_desc_t msg_raft_desc = RECORD_DESC(msg_raft_t, raft_fields);
 
+static const field_desc_t fleet_subscribe_fields[] = {
+	FIELD(FIELD_BOOL, msg_fleet_subscribe_t, is_entry),
+};
+static const record_desc_t msg_fleet_subscribe_desc =
+	RECORD_DESC(msg_fleet_subscribe_t, fleet_subscribe_fields);
+
+static const field_desc_t fleet_renew_fields[] = {
+	FIELD(FIELD_I64, msg_fleet_renew_t, asked_ms),
+	FIELD(FIELD_U64, msg_fleet_renew_t, revision),
+};
+static const record_desc_t msg_fleet_renew_desc =
+	RECORD_DESC(msg_fleet_renew_t, fleet_renew_fields);
+
+static const field_desc_t fleet_control_fields[] = {
+	FIELD(FIELD_STR, msg_fleet_control_t, address),
+};
+static const record_desc_t msg_fleet_control_desc =
+	RECORD_DESC(msg_fleet_control_t, fleet_control_fields);
+
+static const field_desc_t fleet_renew_reply_fields[] = {
+	FIELD(FIELD_I64, msg_fleet_renew_reply_t, asked_ms),
+	FIELD(FIELD_U64, msg_fleet_renew_reply_t, revision),
+	FIELD(FIELD_BYTES, msg_fleet_renew_reply_t, document),
+	FIELD_LIST_OF(msg_fleet_renew_reply_t, controls, control_count,
+		      &msg_fleet_control_desc),
+	FIELD(FIELD_U32, msg_fleet_renew_reply_t, subscribers),
+};
+static const record_desc_t msg_fleet_renew_reply_desc =
+	RECORD_DESC(msg_fleet_renew_reply_t, fleet_renew_reply_fields);
+
+static const field_desc_t fleet_endpoint_fields[] = {
+	FIELD(FIELD_STR, msg_fleet_endpoint_t, id),
+	FIELD(FIELD_STR, msg_fleet_endpoint_t, address),
+	FIELD(FIELD_STR, msg_fleet_endpoint_t, service),
+	FIELD(FIELD_STR, msg_fleet_endpoint_t, failure_domain),
+	FIELD(FIELD_STR, msg_fleet_endpoint_t, accelerator),
+	FIELD(FIELD_U64, msg_fleet_endpoint_t, incarnation),
+	FIELD(FIELD_U64, msg_fleet_endpoint_t, sequence),
+	FIELD(FIELD_U32, msg_fleet_endpoint_t, slots),
+	FIELD(FIELD_U32, msg_fleet_endpoint_t, first_layer),
+	FIELD(FIELD_U32, msg_fleet_endpoint_t, end_layer),
+	FIELD(FIELD_BOOL, msg_fleet_endpoint_t, draining),
+	FIELD(FIELD_BOOL, msg_fleet_endpoint_t, gone),
+	FIELD(FIELD_I64, msg_fleet_endpoint_t, age_ms),
+};
+static const record_desc_t msg_fleet_endpoint_desc =
+	RECORD_DESC(msg_fleet_endpoint_t, fleet_endpoint_fields);
+
+static const field_desc_t fleet_endpoints_fields[] = {
+	FIELD_LIST_OF(msg_fleet_endpoints_t, endpoints, endpoint_count,
+		      &msg_fleet_endpoint_desc),
+};
+static const record_desc_t msg_fleet_endpoints_desc =
+	RECORD_DESC(msg_fleet_endpoints_t, fleet_endpoints_fields);
+
+static const field_desc_t fleet_use_fields[] = {
+	FIELD(FIELD_STR, msg_fleet_use_t, id),
+	FIELD(FIELD_F64, msg_fleet_use_t, tokens),
+};
+static const record_desc_t msg_fleet_use_desc =
+	RECORD_DESC(msg_fleet_use_t, fleet_use_fields);
+
+static const field_desc_t fleet_load_fields[] = {
+	FIELD(FIELD_STR, msg_fleet_load_t, entry),
+	FIELD(FIELD_U64, msg_fleet_load_t, sequence),
+	FIELD_LIST_OF(msg_fleet_load_t, uses, use_count, &msg_fleet_use_desc),
+};
+static const record_desc_t msg_fleet_load_desc =
+	RECORD_DESC(msg_fleet_load_t, fleet_load_fields);
+
 typedef struct {
 	const char *name;
 	const record_desc_t *desc;
@@ -479,6 +549,14 @@
 	[MSG_SHARES] = { "shares", &msg_shares_desc },
 	[MSG_SHARES_REPLY] = { "shares_reply", &msg_shares_reply_desc },
 	[MSG_RAFT] = { "raft", &msg_raft_desc },
+	[MSG_FLEET_SUBSCRIBE] = { "fleet_subscribe",
+				  &msg_fleet_subscribe_desc },
+	[MSG_FLEET_RENEW] = { "fleet_renew", &msg_fleet_renew_desc },
+	[MSG_FLEET_RENEW_REPLY] = { "fleet_renew_reply",
+				    &msg_fleet_renew_reply_desc },
+	[MSG_FLEET_ENDPOINTS] = { "fleet_endpoints",
+				  &msg_fleet_endpoints_desc },
+	[MSG_FLEET_LOAD] = { "fleet_load", &msg_fleet_load_desc },
 };
 
 /* Returns how the body of "type" is written, or NULL for an unknown type. */
--- a/src/wisteria/codec/msg_defs.h
+++ b/src/wisteria/codec/msg_defs.h
@@ -56,6 +56,13 @@
 	/* Between control instances. */
 	MSG_RAFT = 80,
 
+	/* Between the control instances of a fleet and their subscribers. */
+	MSG_FLEET_SUBSCRIBE = 84,
+	MSG_FLEET_RENEW = 85,
+	MSG_FLEET_RENEW_REPLY = 86,
+	MSG_FLEET_ENDPOINTS = 87,
+	MSG_FLEET_LOAD = 88,
+
 	MSG_TYPE_COUNT = 96
 } msg_type_t;
 
@@ -578,4 +585,68 @@
 	msgpack_zone zone;
 } msg_t;
 
+/* Asks to be sent what endpoints say and what entries use. */
+typedef struct {
+	bool is_entry;
+} msg_fleet_subscribe_t;
+
+/* Asks for a lease on the newest revision. */
+typedef struct {
+	int64_t asked_ms;  /* the asker's clock; comes back in the reply */
+	uint64_t revision; /* held by the asker; 0: none */
+} msg_fleet_renew_t;
+
+typedef struct {
+	const char *address; /* IP:PORT for frames */
+} msg_fleet_control_t;
+
+/*
+ * Confirmed by a quorum after it was asked for.  "document" is empty where
+ * the asker holds "revision" already.
+ */
+typedef struct {
+	int64_t asked_ms;
+	uint64_t revision;
+	bytes_t document;
+	const msg_fleet_control_t *controls; /* members of the group */
+	size_t control_count;
+	uint32_t subscribers; /* entries that renew here */
+} msg_fleet_renew_reply_t;
+
+/* What an endpoint said of itself; "age_ms" is how long ago. */
+typedef struct {
+	const char *id;
+	const char *address;
+	const char *service;
+	const char *failure_domain;
+	const char *accelerator;
+	uint64_t incarnation;
+	uint64_t sequence;
+	uint32_t slots;
+	uint32_t first_layer;
+	uint32_t end_layer;
+	bool draining;
+	bool gone;
+	int64_t age_ms;
+} msg_fleet_endpoint_t;
+
+typedef struct {
+	const msg_fleet_endpoint_t *endpoints;
+	size_t endpoint_count;
+} msg_fleet_endpoints_t;
+
+/* Tokens of the requests that one entry has under way at an endpoint. */
+typedef struct {
+	const char *id;
+	double tokens;
+} msg_fleet_use_t;
+
+/* What one entry uses of the endpoints; all it does not name it leaves. */
+typedef struct {
+	const char *entry;
+	uint64_t sequence;
+	const msg_fleet_use_t *uses;
+	size_t use_count;
+} msg_fleet_load_t;
+
 #endif
--- a/src/wisteria/control/replica_group.c
+++ b/src/wisteria/control/replica_group.c
@@ -165,7 +165,8 @@
 	for (unsigned i = 0; i < control->voters_count; i++)
 		if (strcmp(control->voters[i].instance, first) < 0)
 			first = control->voters[i].instance;
-	return own_voter(replica) != NULL && is_self(replica, first);
+	return !control->join_only && own_voter(replica) != NULL &&
+	       is_self(replica, first);
 }
 
 static bool all_are_blank(const replica_t *replica)
--- /dev/null
+++ b/src/wisteria/daemon/fleet_daemon.c
@@ -0,0 +1,171 @@
+/* One process of a fleet: one event loop, the roles, and the graceful stop. */
+#include "wisteria/daemon/fleet_daemon.h"
+
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <glib.h>
+#include <sodium.h>
+
+#include "wisteria/base/clock.h"
+#include "wisteria/base/log.h"
+#include "wisteria/fleet/fleet_control.h"
+#include "wisteria/gateway/gateway.h"
+#include "wisteria/net/net.h"
+#include "wisteria/settings/settings.h"
+
+#define STOP_TICK_MS 50
+/* Kept of the time to stop for closing files and connections. */
+#define STOP_RESERVE_MS 500
+
+typedef struct {
+	const settings_t *settings;
+	uv_loop_t loop;
+	net_t net;
+	gateway_t gateway;
+	fleet_control_t control;
+	bool has_gateway;
+	bool has_control;
+	uv_signal_t sigterm;
+	uv_signal_t sigint;
+	uv_timer_t stop_tick;
+	clock_ms_t stop_since_ms; /* 0: not stopping */
+} fleet_daemon_t;
+
+static bool is_idle(const fleet_daemon_t *daemon)
+{
+	return (!daemon->has_gateway || gateway_is_idle(&daemon->gateway)) &&
+	       (!daemon->has_control ||
+		fleet_control_is_idle(&daemon->control));
+}
+
+static void on_stop_tick(uv_timer_t *timer)
+{
+	fleet_daemon_t *daemon = timer->data;
+	clock_ms_t age = clock_now(&clock_boottime) - daemon->stop_since_ms;
+	clock_ms_t limit =
+		(clock_ms_t)(daemon->settings->fleet->stop_s * 1000) -
+		STOP_RESERVE_MS;
+
+	if (is_idle(daemon) || age >= limit)
+		uv_stop(&daemon->loop);
+}
+
+static void on_signal(uv_signal_t *handle, int signal_number)
+{
+	fleet_daemon_t *daemon = handle->data;
+
+	if (daemon->stop_since_ms != 0)
+		return;
+	LOG_INFO("stop_begun", "signal=%d", signal_number);
+	daemon->stop_since_ms = clock_now(&clock_boottime);
+	if (daemon->has_control)
+		fleet_control_leave(&daemon->control);
+	if (daemon->has_gateway)
+		gateway_drain(&daemon->gateway);
+	uv_timer_start(&daemon->stop_tick, on_stop_tick, STOP_TICK_MS,
+		       STOP_TICK_MS);
+}
+
+static void watch_signal(fleet_daemon_t *daemon, uv_signal_t *handle,
+			 int number)
+{
+	uv_signal_init(&daemon->loop, handle);
+	handle->data = daemon;
+	uv_signal_start(handle, on_signal, number);
+}
+
+/*
+ * Without a key file the fleet's network is trusted, and the key only keeps
+ * processes of other programs and releases apart.
+ */
+static bool load_key(const settings_t *settings, uint8_t key[NET_KEY_BYTES],
+		     err_t *err)
+{
+	static const char text[] = "wisteriadrift fleet without a key file";
+
+	if (settings->cluster_key_file != NULL)
+		return net_load_key(settings->cluster_key_file, key, err);
+	crypto_generichash(key, NET_KEY_BYTES, (const uint8_t *)text,
+			   sizeof(text) - 1, NULL, 0);
+	return true;
+}
+
+static bool start(fleet_daemon_t *daemon, const fleet_dialect_t *dialect,
+		  err_t *err)
+{
+	const settings_t *settings = daemon->settings;
+	bool is_control = settings_has_role(settings, "fleet_control");
+	uint8_t key[NET_KEY_BYTES];
+
+	if (!load_key(settings, key, err))
+		return false;
+	net_init(&daemon->net, &daemon->loop, &clock_monotonic,
+		 is_control ? settings->fleet->peer_listen : settings->instance,
+		 settings->failure_domain, (uint64_t)g_get_real_time(), key);
+	uv_timer_init(&daemon->loop, &daemon->stop_tick);
+	daemon->stop_tick.data = daemon;
+	watch_signal(daemon, &daemon->sigterm, SIGTERM);
+	watch_signal(daemon, &daemon->sigint, SIGINT);
+	if (is_control) {
+		if (!fleet_control_init(&daemon->control, &daemon->net,
+					settings, dialect, err))
+			return false;
+		daemon->has_control = true;
+	}
+	if (settings_has_role(settings, "fleet_entry")) {
+		if (!gateway_init(&daemon->gateway, &daemon->net, settings,
+				  dialect, err))
+			return false;
+		daemon->has_gateway = true;
+	}
+	return true;
+}
+
+static void close_handle(uv_handle_t *handle, void *data)
+{
+	(void)data;
+	if (!uv_is_closing(handle))
+		uv_close(handle, NULL);
+}
+
+static void stop(fleet_daemon_t *daemon)
+{
+	if (daemon->has_gateway)
+		gateway_close(&daemon->gateway);
+	if (daemon->has_control)
+		fleet_control_close(&daemon->control);
+	net_close(&daemon->net);
+	uv_walk(&daemon->loop, close_handle, NULL);
+	uv_run(&daemon->loop, UV_RUN_DEFAULT);
+	if (daemon->has_gateway)
+		gateway_finish(&daemon->gateway);
+	if (daemon->has_control)
+		fleet_control_finish(&daemon->control);
+	uv_loop_close(&daemon->loop);
+}
+
+/*
+ * Runs the fleet roles of "settings" until the process is told to stop by
+ * SIGTERM and its work has ended.  Returns false if it could not start; the
+ * process ends then, and with it all that was opened.
+ */
+bool fleet_daemon_run(const settings_t *settings,
+		      const fleet_dialect_t *dialect, err_t *err)
+{
+	fleet_daemon_t *daemon = g_new0(fleet_daemon_t, 1);
+
+	daemon->settings = settings;
+	uv_loop_init(&daemon->loop);
+	if (!start(daemon, dialect, err))
+		return false;
+	LOG_INFO("started", "roles=%u incarnation=%" G_GUINT64_FORMAT,
+		 settings->roles_count, daemon->net.incarnation);
+	uv_run(&daemon->loop, UV_RUN_DEFAULT);
+	stop(daemon);
+	LOG_INFO("stopped", "code=0");
+	g_free(daemon);
+	return true;
+}
--- /dev/null
+++ b/src/wisteria/fleet/dialect.h
@@ -0,0 +1,90 @@
+#ifndef WISTERIA_FLEET_DIALECT_H
+#define WISTERIA_FLEET_DIALECT_H
+
+#include "wisteria/base/err_defs.h"
+#include "wisteria/fleet/registry_defs.h"
+#include "wisteria/fleet/routes_defs.h"
+#include "wisteria/http/http_message_defs.h"
+
+/* What a call to a control instance asks for. */
+typedef enum {
+	CONTROL_CALL_UNKNOWN,
+	CONTROL_CALL_HEARTBEAT,
+	CONTROL_CALL_LEAVE,
+	CONTROL_CALL_PUT_CONFIGURATION,
+	CONTROL_CALL_GET_CONFIGURATION
+} control_call_t;
+
+/* What a caller says of its request; strings point into the message. */
+typedef struct {
+	const char *id;	     /* NULL: none */
+	const char *api_key; /* NULL: none */
+	bool has_time_limit;
+	clock_ms_t time_limit_ms;
+	uint32_t prompt_tokens;
+	uint32_t answer_tokens_max;
+	uint32_t answer_tokens_hint; /* 0: none */
+	int64_t last_event_id;	     /* -1: a request from the start */
+} caller_request_t;
+
+/* One part of a pipeline as the first endpoint is told of it. */
+typedef struct {
+	const char *address;
+	uint32_t first_layer;
+	uint32_t end_layer;
+} forward_hop_t;
+
+/* How a caller's request is passed on to an endpoint. */
+typedef struct {
+	const char *endpoint_id; /* no other endpoint may run it */
+	const char *customer;	 /* NULL: anonymous */
+	clock_ms_t time_limit_ms;
+	int64_t last_event_id; /* -1: as the caller sent it */
+	const forward_hop_t *hops;
+	uint32_t hop_count; /* 0: a plain service */
+} forward_t;
+
+/* What an endpoint says of its answer; strings point into the message. */
+typedef struct {
+	const char *request_id;	    /* NULL: none */
+	const char *faulty_address; /* of the part at fault; NULL: none */
+	bool stamped;		    /* the body is the endpoint's own */
+	bool not_run;		    /* the request has not run there */
+} endpoint_answer_t;
+
+/* An order to an endpoint to hold these layers. */
+typedef struct {
+	const char *address;
+	uint64_t fencing_token;
+	uint32_t first_layer;
+	uint32_t end_layer;
+} place_order_t;
+
+/*
+ * How callers, operators and endpoints speak: names and formats only.  The
+ * functions have no clock, keep no state and decide nothing.
+ */
+typedef struct fleet_dialect_t {
+	route_table_t *(*read_configuration)(const void *document, size_t len,
+					     err_t *err);
+	control_call_t (*read_control_call)(const http_message_t *request);
+	bool (*read_heartbeat)(const http_message_t *request,
+			       endpoint_t *endpoint, err_t *err);
+	bool (*read_leave)(const http_message_t *request,
+			   char id[ENDPOINT_ID_BYTES]);
+	void (*write_place_order)(const place_order_t *order, GString *request);
+	bool (*read_caller)(const http_message_t *request,
+			    caller_request_t *caller, err_t *err);
+	void (*write_forward)(const http_message_t *request,
+			      const forward_t *forward, GString *out);
+	void (*read_answer)(const http_message_t *answer,
+			    endpoint_answer_t *read);
+	/* Header lines of an answer that is passed on. */
+	void (*write_answer_headers)(const http_message_t *answer,
+				     GString *out);
+	/* Header lines of an answer of our own. */
+	void (*write_own_headers)(const caller_request_t *caller,
+				  clock_ms_t retry_after_ms, GString *out);
+} fleet_dialect_t;
+
+#endif
--- /dev/null
+++ b/src/wisteria/fleet/fleet_control.c
@@ -0,0 +1,485 @@
+/*
+ * The control role of a fleet: the replicated revision, the registry of
+ * endpoints, leases for entries, and the placement of layers.
+ */
+#include "wisteria/fleet/fleet_control.h"
+
+#include <string.h>
+
+#include "wisteria/base/clock.h"
+#include "wisteria/base/err.h"
+#include "wisteria/base/log.h"
+#include "wisteria/control/replica.h"
+#include "wisteria/fleet/fleet_api.h"
+#include "wisteria/fleet/fleet_news.h"
+#include "wisteria/fleet/placer.h"
+#include "wisteria/fleet/registry.h"
+#include "wisteria/fleet/routes.h"
+#include "wisteria/fleet/subscription.h"
+#include "wisteria/net/conn.h"
+#include "wisteria/net/listener.h"
+#include "wisteria/settings/settings.h"
+
+#define CONTROL_TICK_MS FLEET_NEWS_MS
+#define CONTROL_HEADER_BYTES (16u << 10)
+#define CONTROL_BODY_BYTES (8u << 20)
+#define CONTROL_HEADER_MS 5000
+#define CONTROL_IDLE_MS 60000
+
+static fleet_control_t *of_conn(conn_handler_t *handler)
+{
+	return CONTAINER_OF(handler, fleet_control_t, conn_handler);
+}
+
+static fleet_control_t *of_machine(replica_machine_t *machine)
+{
+	return CONTAINER_OF(machine, fleet_control_t, machine);
+}
+
+static fleet_control_t *of_subscription(subscription_handler_t *handler)
+{
+	return CONTAINER_OF(handler, fleet_control_t, subscription_handler);
+}
+
+static clock_ms_t now_of(const fleet_control_t *control)
+{
+	return clock_now(control->net->clock);
+}
+
+/* Connections of subscribers and of other control instances. */
+
+static void on_opened(conn_handler_t *handler, conn_t *conn)
+{
+	(void)handler;
+	(void)conn;
+}
+
+static void on_closed(conn_handler_t *handler, conn_t *conn, const err_t *why)
+{
+	fleet_control_t *control = of_conn(handler);
+
+	(void)why;
+	g_ptr_array_remove_fast(control->subscribers, conn);
+	for (guint i = control->reads->len; i-- > 0;)
+		if (g_array_index(control->reads, fleet_read_t, i).conn == conn)
+			g_array_remove_index(control->reads, i);
+}
+
+static void take_subscriber(fleet_control_t *control, conn_t *conn,
+			    const void *body)
+{
+	const msg_fleet_subscribe_t *subscribe = body;
+	GPtrArray *all = fleet_news_of(&control->registry, NULL);
+
+	conn->user = subscribe->is_entry ? control : NULL;
+	g_ptr_array_add(control->subscribers, conn);
+	fleet_news_send(conn, all, now_of(control));
+	g_ptr_array_unref(all);
+}
+
+static void take_renewal(fleet_control_t *control, conn_t *conn,
+			 const void *body)
+{
+	const msg_fleet_renew_t *renew = body;
+	fleet_read_t read = {
+		.ticket = replica_read(&control->replica),
+		.deadline_ms = now_of(control) + FLEET_QUORUM_MS,
+		.conn = conn,
+		.asked_ms = renew->asked_ms,
+		.held = renew->revision,
+	};
+
+	if (read.ticket != 0)
+		g_array_append_val(control->reads, read);
+}
+
+static void take_load(fleet_control_t *control, conn_t *conn, const void *body)
+{
+	for (guint i = 0; i < control->subscribers->len; i++) {
+		conn_t *other = g_ptr_array_index(control->subscribers, i);
+
+		if (other != conn)
+			conn_send(other, MSG_FLEET_LOAD, body);
+	}
+}
+
+static void take_raft(fleet_control_t *control, conn_t *conn, const void *body)
+{
+	replica_on_message(&control->replica, conn, body);
+}
+
+typedef void (*message_handler_t)(fleet_control_t *control, conn_t *conn,
+				  const void *body);
+
+static void on_message(conn_handler_t *handler, conn_t *conn, const msg_t *msg)
+{
+	static const message_handler_t handlers[MSG_TYPE_COUNT] = {
+		[MSG_FLEET_SUBSCRIBE] = take_subscriber,
+		[MSG_FLEET_RENEW] = take_renewal,
+		[MSG_FLEET_LOAD] = take_load,
+		[MSG_RAFT] = take_raft,
+	};
+	fleet_control_t *control = of_conn(handler);
+
+	if (handlers[msg->type] != NULL && !control->closed)
+		handlers[msg->type](control, conn, msg->body);
+}
+
+/* The replicated log. */
+
+static void follow_revision(fleet_control_t *control)
+{
+	err_t err = ERR_INIT;
+	gsize len = 0;
+	const void *document =
+		g_bytes_get_data(control->revisions.document, &len);
+	route_table_t *table =
+		control->dialect->read_configuration(document, len, &err);
+
+	if (table == NULL) {
+		log_err(G_LOG_LEVEL_CRITICAL, "revision_unreadable", &err);
+		return;
+	}
+	route_table_unref(control->table);
+	control->table = table;
+	LOG_INFO("revision_in_force",
+		 "revision=%" G_GUINT64_FORMAT " routes=%u customers=%u",
+		 table->revision, table->routes->len, table->customers->len);
+}
+
+static void machine_apply(replica_machine_t *machine, uint64_t index,
+			  uint64_t term, const uint8_t *data, size_t len)
+{
+	fleet_control_t *control = of_machine(machine);
+	err_t err = ERR_INIT;
+	bool changed;
+
+	if (!revisions_apply(&control->revisions, data, len, &changed, &err))
+		log_err(G_LOG_LEVEL_CRITICAL, "entry_unreadable", &err);
+	if (changed)
+		follow_revision(control);
+	fleet_api_applied(control, index, term);
+}
+
+static void machine_snapshot(replica_machine_t *machine, msgpack_sbuffer *out)
+{
+	const revisions_t *revisions = &of_machine(machine)->revisions;
+	gsize len = 0;
+	const void *document = g_bytes_get_data(revisions->document, &len);
+
+	revisions_encode(revisions->number, document, len, out);
+}
+
+static bool machine_restore(replica_machine_t *machine, const uint8_t *data,
+			    size_t len, err_t *err)
+{
+	fleet_control_t *control = of_machine(machine);
+	bool changed;
+
+	if (!revisions_apply(&control->revisions, data, len, &changed, err))
+		return false;
+	if (changed)
+		follow_revision(control);
+	return true;
+}
+
+static uint32_t count_entries(const fleet_control_t *control)
+{
+	uint32_t count = 0;
+
+	for (guint i = 0; i < control->subscribers->len; i++) {
+		const conn_t *conn = g_ptr_array_index(control->subscribers, i);
+
+		count += conn->user != NULL;
+	}
+	return count;
+}
+
+static void send_renewal(const fleet_control_t *control,
+			 const fleet_read_t *read)
+{
+	const raft_members_t *members = &control->replica.raft.members;
+	const revisions_t *revisions = &control->revisions;
+	msg_fleet_control_t controls[RAFT_MEMBERS_MAX];
+	msg_fleet_renew_reply_t reply = {
+		.asked_ms = read->asked_ms,
+		.revision = revisions->number,
+		.controls = controls,
+		.control_count = members->count,
+		.subscribers = count_entries(control),
+	};
+
+	for (uint32_t i = 0; i < members->count; i++)
+		controls[i].address = members->items[i].address;
+	if (read->held != revisions->number)
+		reply.document.data = g_bytes_get_data(revisions->document,
+						       &reply.document.len);
+	conn_send(read->conn, MSG_FLEET_RENEW_REPLY, &reply);
+}
+
+static void machine_confirmed(replica_machine_t *machine, uint64_t ticket)
+{
+	fleet_control_t *control = of_machine(machine);
+	guint i = 0;
+
+	while (i < control->reads->len) {
+		fleet_read_t read =
+			g_array_index(control->reads, fleet_read_t, i);
+
+		if (read.ticket > ticket) {
+			i++;
+			continue;
+		}
+		g_array_remove_index(control->reads, i);
+		if (read.conn != NULL)
+			send_renewal(control, &read);
+		else
+			fleet_api_confirmed(control, &read);
+	}
+}
+
+static void machine_leader_changed(replica_machine_t *machine)
+{
+	fleet_control_t *control = of_machine(machine);
+
+	if (!replica_leads(&control->replica))
+		fleet_api_expire(control, now_of(control), true);
+}
+
+/* Answers to what is sent over the replica's own links: there are none. */
+static void machine_message(replica_machine_t *machine, conn_t *conn,
+			    const msg_t *msg)
+{
+	(void)machine;
+	(void)conn;
+	(void)msg;
+}
+
+/* What the other control instances pass on. */
+
+static void on_endpoints(subscription_handler_t *handler,
+			 const msg_fleet_endpoints_t *news)
+{
+	fleet_control_t *control = of_subscription(handler);
+	clock_ms_t now = now_of(control);
+
+	for (size_t i = 0; i < news->endpoint_count; i++) {
+		endpoint_t endpoint;
+
+		fleet_news_read(&news->endpoints[i], now, &endpoint);
+		registry_take(&control->registry, &endpoint, endpoint.heard_ms);
+	}
+}
+
+static void on_renewed(subscription_handler_t *handler,
+		       const msg_fleet_renew_reply_t *reply)
+{
+	(void)handler;
+	(void)reply;
+}
+
+static void on_load(subscription_handler_t *handler,
+		    const msg_fleet_load_t *load)
+{
+	(void)handler;
+	(void)load;
+}
+
+static uint64_t on_held(subscription_handler_t *handler)
+{
+	return of_subscription(handler)->revisions.number;
+}
+
+/* The HTTP interface. */
+
+static void on_request(http_server_handler_t *handler, http_conn_t *conn)
+{
+	fleet_api_take(CONTAINER_OF(handler, fleet_control_t, http_handler),
+		       conn);
+}
+
+static void on_gone(http_server_handler_t *handler, http_conn_t *conn)
+{
+	fleet_api_gone(CONTAINER_OF(handler, fleet_control_t, http_handler),
+		       conn);
+}
+
+static void send_news(fleet_control_t *control)
+{
+	GPtrArray *fresh;
+
+	if (g_hash_table_size(control->fresh) == 0)
+		return;
+	fresh = fleet_news_of(&control->registry, control->fresh);
+	for (guint i = 0; i < control->subscribers->len; i++)
+		fleet_news_send(g_ptr_array_index(control->subscribers, i),
+				fresh, now_of(control));
+	g_ptr_array_unref(fresh);
+	g_hash_table_remove_all(control->fresh);
+}
+
+static void follow_members(fleet_control_t *control)
+{
+	const raft_members_t *members = &control->replica.raft.members;
+	const char *addresses[RAFT_MEMBERS_MAX];
+
+	for (uint32_t i = 0; i < members->count; i++)
+		addresses[i] = members->items[i].address;
+	subscription_follow(&control->subscription, addresses, members->count);
+}
+
+static void on_tick(uv_timer_t *timer)
+{
+	fleet_control_t *control = timer->data;
+	clock_ms_t now = now_of(control);
+
+	send_news(control);
+	fleet_api_expire(control, now, false);
+	follow_members(control);
+	registry_forget_old(&control->registry, now);
+	if (replica_is_settled(&control->replica) && control->table != NULL &&
+	    !control->draining)
+		placer_act(&control->placer, control->table,
+			   control->replica.raft.term);
+	else
+		placer_rest(&control->placer);
+}
+
+/* Describes the group's founders and the data folder to the replica. */
+static void describe_group(fleet_control_t *control)
+{
+	const settings_fleet_t *fleet = control->settings->fleet;
+	settings_control_t *group = &control->group;
+
+	group->listen = fleet->peer_listen;
+	group->data_dir = fleet->data_dir;
+	group->join_only = !fleet->bootstrap;
+	group->voters = g_new0(settings_peer_t, fleet->seeds_count + 1);
+	for (unsigned i = 0; i < fleet->seeds_count; i++) {
+		group->voters[i].address =
+			settings_fleet_peer_address(fleet, fleet->seeds[i]);
+		group->voters[i].instance = g_strdup(group->voters[i].address);
+	}
+	group->voters_count = fleet->seeds_count;
+	control->replica_settings = *control->settings;
+	control->replica_settings.control = group;
+}
+
+static void set_handlers(fleet_control_t *control)
+{
+	control->http_handler.request = on_request;
+	control->http_handler.gone = on_gone;
+	control->conn_handler.opened = on_opened;
+	control->conn_handler.closed = on_closed;
+	control->conn_handler.message = on_message;
+	control->machine.apply = machine_apply;
+	control->machine.snapshot = machine_snapshot;
+	control->machine.restore = machine_restore;
+	control->machine.confirmed = machine_confirmed;
+	control->machine.leader_changed = machine_leader_changed;
+	control->machine.message = machine_message;
+	control->subscription_handler.endpoints = on_endpoints;
+	control->subscription_handler.renewed = on_renewed;
+	control->subscription_handler.load = on_load;
+	control->subscription_handler.held = on_held;
+}
+
+static bool listen_on_all(fleet_control_t *control, err_t *err)
+{
+	static const http_limits_t limits = {
+		.header_bytes = CONTROL_HEADER_BYTES,
+		.body_bytes = CONTROL_BODY_BYTES,
+		.header_ms = CONTROL_HEADER_MS,
+		.idle_ms = CONTROL_IDLE_MS,
+	};
+	const settings_fleet_t *fleet = control->settings->fleet;
+
+	return listener_init(&control->listener, control->net,
+			     fleet->peer_listen, &control->conn_handler, err) &&
+	       http_server_init(&control->http, control->net->loop,
+				fleet->control_listen, control->net->clock,
+				&limits, &control->http_handler, err);
+}
+
+/*
+ * Opens the data folder, listens and takes part in the group.  Returns false
+ * with "err" set where a folder or an address cannot be used.
+ */
+bool fleet_control_init(fleet_control_t *control, net_t *net,
+			const settings_t *settings,
+			const fleet_dialect_t *dialect, err_t *err)
+{
+	memset(control, 0, sizeof(*control));
+	set_handlers(control);
+	control->net = net;
+	control->settings = settings;
+	control->dialect = dialect;
+	describe_group(control);
+	revisions_init(&control->revisions);
+	registry_init(&control->registry);
+	control->fresh =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	control->subscribers = g_ptr_array_new();
+	control->reads = g_array_new(FALSE, FALSE, sizeof(fleet_read_t));
+	control->writes = g_array_new(FALSE, FALSE, sizeof(fleet_write_t));
+	placer_init(&control->placer, net->loop, dialect, &control->registry,
+		    net->clock);
+	if (!replica_init(&control->replica, net, &control->replica_settings,
+			  &control->machine, err) ||
+	    !listen_on_all(control, err))
+		return false;
+	subscription_init(&control->subscription, net, net->clock, false,
+			  settings->fleet->peer_listen,
+			  &control->subscription_handler);
+	uv_timer_init(net->loop, &control->tick);
+	control->tick.data = control;
+	uv_timer_start(&control->tick, on_tick, CONTROL_TICK_MS,
+		       CONTROL_TICK_MS);
+	return true;
+}
+
+/* Hands the office over and takes no new connections, before a stop. */
+void fleet_control_leave(fleet_control_t *control)
+{
+	control->draining = true;
+	replica_leave(&control->replica);
+	http_server_drain(&control->http);
+}
+
+/* Whether no call waits for its answer. */
+bool fleet_control_is_idle(const fleet_control_t *control)
+{
+	return control->reads->len == 0 && control->writes->len == 0;
+}
+
+/* Stops taking part; what was handed to the disk is synced. */
+void fleet_control_close(fleet_control_t *control)
+{
+	control->closed = true;
+	uv_close((uv_handle_t *)&control->tick, NULL);
+	http_server_close(&control->http);
+	listener_close(&control->listener);
+	subscription_close(&control->subscription);
+	placer_rest(&control->placer);
+	replica_close(&control->replica);
+}
+
+/* Frees a control role that is closed; the loop has run to its end. */
+void fleet_control_finish(fleet_control_t *control)
+{
+	subscription_finish(&control->subscription);
+	placer_finish(&control->placer);
+	replica_finish(&control->replica);
+	registry_finish(&control->registry);
+	revisions_finish(&control->revisions);
+	route_table_unref(control->table);
+	g_hash_table_destroy(control->fresh);
+	g_ptr_array_unref(control->subscribers);
+	g_array_unref(control->reads);
+	g_array_unref(control->writes);
+	for (unsigned i = 0; i < control->group.voters_count; i++) {
+		g_free(control->group.voters[i].address);
+		g_free(control->group.voters[i].instance);
+	}
+	g_free(control->group.voters);
+}
--- /dev/null
+++ b/src/wisteria/fleet/fleet_news.c
@@ -0,0 +1,83 @@
+/* What endpoints said, as it passes between processes of the system. */
+#include "wisteria/fleet/fleet_news.h"
+
+#include "wisteria/net/conn.h"
+
+static msg_fleet_endpoint_t message_of(const endpoint_t *endpoint,
+				       clock_ms_t now)
+{
+	return (msg_fleet_endpoint_t){
+		.id = endpoint->id,
+		.address = endpoint->address,
+		.service = endpoint->service,
+		.failure_domain = endpoint->failure_domain,
+		.accelerator = endpoint->accelerator,
+		.incarnation = endpoint->incarnation,
+		.sequence = endpoint->sequence,
+		.slots = endpoint->slots,
+		.first_layer = endpoint->first_layer,
+		.end_layer = endpoint->end_layer,
+		.draining = endpoint->draining,
+		.gone = endpoint->gone,
+		.age_ms = now - endpoint->heard_ms,
+	};
+}
+
+/* Sends what is known of "endpoints", of const endpoint_t. */
+void fleet_news_send(conn_t *conn, const GPtrArray *endpoints, clock_ms_t now)
+{
+	msg_fleet_endpoint_t *list =
+		g_new(msg_fleet_endpoint_t, endpoints->len + 1);
+	const msg_fleet_endpoints_t news = {
+		.endpoints = list,
+		.endpoint_count = endpoints->len,
+	};
+
+	for (guint i = 0; i < endpoints->len; i++)
+		list[i] = message_of(g_ptr_array_index(endpoints, i), now);
+	conn_send(conn, MSG_FLEET_ENDPOINTS, &news);
+	g_free(list);
+}
+
+/*
+ * Returns the endpoints whose ids are in "ids", or all where it is NULL; the
+ * caller frees the array, not the endpoints.
+ */
+GPtrArray *fleet_news_of(const registry_t *registry, GHashTable *ids)
+{
+	GPtrArray *endpoints = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer key;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, registry->by_id);
+	while (g_hash_table_iter_next(&iter, &key, &value))
+		if (ids == NULL || g_hash_table_contains(ids, key))
+			g_ptr_array_add(endpoints, value);
+	return endpoints;
+}
+
+/* Reads what another process passed on. */
+void fleet_news_read(const msg_fleet_endpoint_t *message, clock_ms_t now,
+		     endpoint_t *endpoint)
+{
+	*endpoint = (endpoint_t){
+		.incarnation = message->incarnation,
+		.sequence = message->sequence,
+		.slots = message->slots,
+		.first_layer = message->first_layer,
+		.end_layer = message->end_layer,
+		.draining = message->draining,
+		.gone = message->gone,
+		.heard_ms = now - message->age_ms,
+	};
+	g_strlcpy(endpoint->id, message->id, sizeof(endpoint->id));
+	g_strlcpy(endpoint->address, message->address,
+		  sizeof(endpoint->address));
+	g_strlcpy(endpoint->service, message->service,
+		  sizeof(endpoint->service));
+	g_strlcpy(endpoint->failure_domain, message->failure_domain,
+		  sizeof(endpoint->failure_domain));
+	g_strlcpy(endpoint->accelerator, message->accelerator,
+		  sizeof(endpoint->accelerator));
+}
--- /dev/null
+++ b/src/wisteria/fleet/placement.h
@@ -0,0 +1,16 @@
+#ifndef WISTERIA_FLEET_PLACEMENT_H
+#define WISTERIA_FLEET_PLACEMENT_H
+
+#include "wisteria/base/macros_defs.h"
+#include "wisteria/fleet/placement_defs.h"
+
+void placement_plan(const engine_model_t *engine, const placement_node_t *nodes,
+		    uint32_t count, placement_range_t *ranges) ATTR_NONNULL_ALL;
+bool placement_fill_gaps(const engine_model_t *engine,
+			 const placement_node_t *nodes, uint32_t count,
+			 placement_range_t *ranges)
+	ATTR_NONNULL_ALL ATTR_WARN_UNUSED;
+uint32_t placement_layers_that_fit(const engine_model_t *engine, double size_mb,
+				   double tokens) ATTR_NONNULL_ALL;
+
+#endif
--- /dev/null
+++ b/src/wisteria/fleet/placer.c
@@ -0,0 +1,311 @@
+/*
+ * Carries out the placement of layers while this instance leads.  It keeps no
+ * plan: what endpoints report, and the orders that are under way, are all it
+ * knows, so that a new leader goes on where the old one stopped.
+ */
+#include "wisteria/fleet/placer.h"
+
+#include <string.h>
+
+#include "wisteria/base/clock.h"
+#include "wisteria/base/log.h"
+#include "wisteria/fleet/placement.h"
+#include "wisteria/fleet/registry.h"
+#include "wisteria/fleet/routes.h"
+
+/* The endpoints of one service as the planning sees them. */
+typedef struct {
+	GArray *nodes;	      /* of placement_node_t */
+	GPtrArray *endpoints; /* of const endpoint_t */
+	GPtrArray *domains;   /* their names */
+} picture_t;
+
+static void free_order(gpointer data)
+{
+	placer_order_t *order = data;
+
+	if (order->call != NULL)
+		http_call_cancel(order->call);
+	g_free(order);
+}
+
+/* Makes a placer that rests. */
+void placer_init(placer_t *placer, uv_loop_t *loop,
+		 const fleet_dialect_t *dialect, const registry_t *registry,
+		 const clock_source_t *clock)
+{
+	memset(placer, 0, sizeof(*placer));
+	placer->loop = loop;
+	placer->dialect = dialect;
+	placer->registry = registry;
+	placer->clock = clock;
+	placer->orders = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					       free_order);
+}
+
+/* Frees a placer; calls under way are cancelled. */
+void placer_finish(placer_t *placer)
+{
+	g_hash_table_destroy(placer->orders);
+}
+
+/* This instance does not lead: forgets what it was doing. */
+void placer_rest(placer_t *placer)
+{
+	placer->first_ms = 0;
+	placer->incomplete_ms = 0;
+	g_hash_table_remove_all(placer->orders);
+}
+
+static placer_order_t *order_of(http_call_handler_t *handler)
+{
+	return CONTAINER_OF(handler, placer_order_t, handler);
+}
+
+static void on_headers(http_call_handler_t *handler,
+		       const http_message_t *answer)
+{
+	(void)handler;
+	(void)answer;
+}
+
+static void on_body(http_call_handler_t *handler, GByteArray *body)
+{
+	(void)handler;
+	(void)body;
+}
+
+static void on_complete(http_call_handler_t *handler,
+			const http_message_t *answer)
+{
+	placer_order_t *order = order_of(handler);
+	bool accepted = answer->status == 200 || answer->status == 202;
+
+	order->call = NULL;
+	LOG_INFO("order_answered", "endpoint=%s status=%u layers=%u-%u",
+		 order->id, answer->status, order->range.first_layer,
+		 order->range.end_layer);
+	if (!accepted)
+		g_hash_table_remove(order->placer->orders, order->id);
+}
+
+/* The endpoint may have taken the order; it is given again later. */
+static void on_failed(http_call_handler_t *handler, http_call_stage_t stage,
+		      const char *reason)
+{
+	placer_order_t *order = order_of(handler);
+
+	order->call = NULL;
+	LOG_WARN("order_unanswered", "endpoint=%s stage=%d reason=%s",
+		 order->id, (int)stage, reason);
+	if (stage == HTTP_CALL_UNSENT)
+		g_hash_table_remove(order->placer->orders, order->id);
+}
+
+static void give(placer_t *placer, const endpoint_t *endpoint,
+		 const placement_range_t *range, uint64_t fencing_token)
+{
+	placer_order_t *order = g_new0(placer_order_t, 1);
+	const place_order_t place = {
+		.address = endpoint->address,
+		.fencing_token = fencing_token,
+		.first_layer = range->first_layer,
+		.end_layer = range->end_layer,
+	};
+	GString *request = g_string_new(NULL);
+
+	placer->dialect->write_place_order(&place, request);
+	order->handler.headers = on_headers;
+	order->handler.body = on_body;
+	order->handler.complete = on_complete;
+	order->handler.failed = on_failed;
+	order->placer = placer;
+	order->range = *range;
+	order->incarnation = endpoint->incarnation;
+	order->given_ms = clock_now(placer->clock);
+	g_strlcpy(order->id, endpoint->id, sizeof(order->id));
+	g_hash_table_replace(placer->orders, order->id, order);
+	order->call = http_call_new(placer->loop, endpoint->address, request,
+				    PLACER_CONNECT_MS, &order->handler);
+	g_string_free(request, TRUE);
+	LOG_INFO("order_given",
+		 "endpoint=%s held=%u-%u layers=%u-%u fence=%" G_GUINT64_FORMAT,
+		 endpoint->id, endpoint->first_layer, endpoint->end_layer,
+		 range->first_layer, range->end_layer, fencing_token);
+}
+
+static bool holds(const endpoint_t *endpoint, const placement_range_t *range)
+{
+	return endpoint->first_layer == range->first_layer &&
+	       endpoint->end_layer == range->end_layer;
+}
+
+/* Whether an order is over: carried out, given up or its endpoint ended. */
+static gboolean is_over(gpointer key, gpointer value, gpointer data)
+{
+	const placer_order_t *order = value;
+	const placer_t *placer = data;
+	const endpoint_t *endpoint = registry_find(placer->registry, key);
+
+	return endpoint == NULL || endpoint->gone ||
+	       endpoint->incarnation != order->incarnation ||
+	       holds(endpoint, &order->range) ||
+	       clock_now(placer->clock) - order->given_ms >= PLACER_ORDER_MS;
+}
+
+static uint32_t domain_number(picture_t *picture, const char *name)
+{
+	for (guint i = 0; i < picture->domains->len; i++)
+		if (strcmp(g_ptr_array_index(picture->domains, i), name) == 0)
+			return i;
+	g_ptr_array_add(picture->domains, (gpointer)(uintptr_t)name);
+	return picture->domains->len - 1;
+}
+
+static void add_node(const placer_t *placer, const service_t *service,
+		     const endpoint_t *endpoint, picture_t *picture)
+{
+	const accelerator_t *accelerator =
+		engine_accelerator(&service->engine, endpoint->accelerator);
+	const placer_order_t *order =
+		g_hash_table_lookup(placer->orders, endpoint->id);
+	placement_node_t node = {
+		.domain = domain_number(picture, endpoint->failure_domain),
+		.first_layer = endpoint->first_layer,
+		.end_layer = endpoint->end_layer,
+		.available = true,
+	};
+
+	if (accelerator == NULL)
+		return;
+	node.size_mb = accelerator->size_mb;
+	node.pace = accelerator->pace;
+	if (order != NULL) {
+		node.first_layer = order->range.first_layer;
+		node.end_layer = order->range.end_layer;
+	}
+	g_array_append_val(picture->nodes, node);
+	g_ptr_array_add(picture->endpoints, (gpointer)endpoint);
+}
+
+static int compare_ids(gconstpointer a, gconstpointer b)
+{
+	const endpoint_t *left = *(const endpoint_t *const *)a;
+	const endpoint_t *right = *(const endpoint_t *const *)b;
+
+	return strcmp(left->id, right->id);
+}
+
+static void look(const placer_t *placer, const service_t *service,
+		 picture_t *picture)
+{
+	GPtrArray *sorted = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, placer->registry->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const endpoint_t *endpoint = value;
+
+		if (strcmp(endpoint->service, service->name) == 0 &&
+		    registry_is_usable(placer->registry, endpoint))
+			g_ptr_array_add(sorted, value);
+	}
+	g_ptr_array_sort(sorted, compare_ids);
+	for (guint i = 0; i < sorted->len; i++)
+		add_node(placer, service, g_ptr_array_index(sorted, i),
+			 picture);
+	g_ptr_array_unref(sorted);
+}
+
+static bool is_new_fleet(const picture_t *picture)
+{
+	for (guint i = 0; i < picture->nodes->len; i++) {
+		const placement_node_t *node =
+			&g_array_index(picture->nodes, placement_node_t, i);
+
+		if (node->first_layer < node->end_layer)
+			return false;
+	}
+	return true;
+}
+
+static void give_orders(placer_t *placer, const picture_t *picture,
+			const placement_range_t *ranges, uint64_t fencing_token)
+{
+	for (guint i = 0; i < picture->nodes->len; i++) {
+		const placement_node_t *node =
+			&g_array_index(picture->nodes, placement_node_t, i);
+		const endpoint_t *endpoint =
+			g_ptr_array_index(picture->endpoints, i);
+
+		if (ranges[i].first_layer == ranges[i].end_layer ||
+		    (ranges[i].first_layer == node->first_layer &&
+		     ranges[i].end_layer == node->end_layer) ||
+		    g_hash_table_contains(placer->orders, endpoint->id))
+			continue;
+		give(placer, endpoint, &ranges[i], fencing_token);
+	}
+}
+
+static void place(placer_t *placer, const service_t *service,
+		  const picture_t *picture, uint64_t fencing_token)
+{
+	const placement_node_t *nodes =
+		(const placement_node_t *)(void *)picture->nodes->data;
+	uint32_t count = picture->nodes->len;
+	placement_range_t *ranges = g_new0(placement_range_t, count + 1);
+	clock_ms_t now = clock_now(placer->clock);
+
+	if (is_new_fleet(picture)) {
+		placement_plan(&service->engine, nodes, count, ranges);
+	} else if (placement_fill_gaps(&service->engine, nodes, count,
+				       ranges)) {
+		placer->incomplete_ms = 0;
+	} else if (placer->incomplete_ms == 0) {
+		placer->incomplete_ms = now;
+		LOG_WARN("layers_lacking", "service=%s endpoints=%u",
+			 service->name, count);
+	} else if (now - placer->incomplete_ms >= PLACER_REPLAN_MS &&
+		   g_hash_table_size(placer->orders) == 0) {
+		LOG_INFO("placement_renewed", "service=%s endpoints=%u",
+			 service->name, count);
+		placement_plan(&service->engine, nodes, count, ranges);
+		placer->incomplete_ms = now;
+	}
+	give_orders(placer, picture, ranges, fencing_token);
+	g_free(ranges);
+}
+
+/*
+ * Gives the orders that are due, as the leader whose term is the fencing
+ * token.  Called often while this instance leads.
+ */
+void placer_act(placer_t *placer, const route_table_t *table,
+		uint64_t fencing_token)
+{
+	clock_ms_t now = clock_now(placer->clock);
+
+	if (placer->first_ms == 0)
+		placer->first_ms = now;
+	if (now - placer->first_ms < PLACER_SETTLE_MS)
+		return;
+	g_hash_table_foreach_remove(placer->orders, is_over, placer);
+	for (guint i = 0; i < table->services->len; i++) {
+		const service_t *service =
+			g_ptr_array_index(table->services, i);
+		picture_t picture;
+
+		if (!service->has_engine)
+			continue;
+		picture.nodes =
+			g_array_new(FALSE, FALSE, sizeof(placement_node_t));
+		picture.endpoints = g_ptr_array_new();
+		picture.domains = g_ptr_array_new();
+		look(placer, service, &picture);
+		place(placer, service, &picture, fencing_token);
+		g_array_unref(picture.nodes);
+		g_ptr_array_unref(picture.endpoints);
+		g_ptr_array_unref(picture.domains);
+	}
+}
--- /dev/null
+++ b/src/wisteria/fleet/placer_defs.h
@@ -0,0 +1,42 @@
+#ifndef WISTERIA_FLEET_PLACER_DEFS_H
+#define WISTERIA_FLEET_PLACER_DEFS_H
+
+#include <uv.h>
+
+#include "wisteria/fleet/dialect.h"
+#include "wisteria/fleet/placement_defs.h"
+#include "wisteria/fleet/registry_defs.h"
+#include "wisteria/http/http_call.h"
+
+/* The endpoints of a new fleet have announced themselves by then. */
+#define PLACER_SETTLE_MS 2600
+#define PLACER_TICK_MS 400
+/* An order whose layers are not reported by then is given again. */
+#define PLACER_ORDER_MS 6000
+/* An endpoint that ended may come back at its place for this long. */
+#define PLACER_REPLAN_MS 6000
+#define PLACER_CONNECT_MS 1000
+
+/* An order that has been given, until the endpoint reports its layers. */
+typedef struct placer_order_t {
+	http_call_handler_t handler;
+	struct placer_t *placer;
+	http_call_t *call; /* NULL: answered */
+	char id[ENDPOINT_ID_BYTES];
+	uint64_t incarnation;
+	placement_range_t range;
+	clock_ms_t given_ms;
+} placer_order_t;
+
+/* Gives the orders by which the endpoints of each model hold its layers. */
+typedef struct placer_t {
+	uv_loop_t *loop;
+	const fleet_dialect_t *dialect;
+	const registry_t *registry;
+	const clock_source_t *clock;
+	GHashTable *orders;	  /* endpoint id -> placer_order_t */
+	clock_ms_t first_ms;	  /* of acting as leader; 0: not acting */
+	clock_ms_t incomplete_ms; /* since when layers lack; 0: none do */
+} placer_t;
+
+#endif
--- /dev/null
+++ b/src/wisteria/fleet/registry.h
@@ -0,0 +1,29 @@
+#ifndef WISTERIA_FLEET_REGISTRY_H
+#define WISTERIA_FLEET_REGISTRY_H
+
+#include "wisteria/base/macros_defs.h"
+#include "wisteria/fleet/registry_defs.h"
+
+/*
+ * An endpoint unheard for this long, while others are heard, is not used:
+ * three heartbeats of 1.2 s.
+ */
+#define REGISTRY_SILENCE_MS 3600
+/* An endpoint unheard for this long is forgotten. */
+#define REGISTRY_FORGET_MS 60000
+
+void registry_init(registry_t *registry) ATTR_NONNULL_ALL;
+void registry_finish(registry_t *registry) ATTR_NONNULL_ALL;
+registry_news_t registry_take(registry_t *registry, const endpoint_t *news,
+			      clock_ms_t heard_ms) ATTR_NONNULL_ALL;
+const endpoint_t *registry_leave(registry_t *registry, const char *id,
+				 clock_ms_t now) ATTR_NONNULL_ALL;
+const endpoint_t *registry_find(const registry_t *registry,
+				const char *id) ATTR_NONNULL_ALL;
+bool registry_is_silent(const registry_t *registry,
+			const endpoint_t *endpoint) ATTR_NONNULL_ALL;
+bool registry_is_usable(const registry_t *registry,
+			const endpoint_t *endpoint) ATTR_NONNULL_ALL;
+void registry_forget_old(registry_t *registry, clock_ms_t now) ATTR_NONNULL_ALL;
+
+#endif
--- /dev/null
+++ b/src/wisteria/fleet/revisions.h
@@ -0,0 +1,26 @@
+#ifndef WISTERIA_FLEET_REVISIONS_H
+#define WISTERIA_FLEET_REVISIONS_H
+
+#include <glib.h>
+#include <msgpack.h>
+
+#include "wisteria/base/err_defs.h"
+#include "wisteria/base/macros_defs.h"
+
+/*
+ * The revision of the configuration that is in force: its number and its
+ * document as the operator sent it.  The state machine of the fleet's log.
+ */
+typedef struct {
+	uint64_t number;  /* 0: none yet */
+	GBytes *document; /* never NULL */
+} revisions_t;
+
+void revisions_init(revisions_t *revisions) ATTR_NONNULL_ALL;
+void revisions_finish(revisions_t *revisions) ATTR_NONNULL_ALL;
+void revisions_encode(uint64_t number, const void *document, size_t len,
+		      msgpack_sbuffer *out) ATTR_NONNULL_ALL;
+bool revisions_apply(revisions_t *revisions, const uint8_t *data, size_t len,
+		     bool *changed, err_t *err) ATTR_WARN_UNUSED;
+
+#endif
--- /dev/null
+++ b/src/wisteria/fleet/routes.c
@@ -0,0 +1,309 @@
+/*
+ * Routes: which service runs a request, chosen by host and the longest
+ * prefix of the path, and which customer an API key belongs to.
+ */
+#include "wisteria/fleet/routes.h"
+
+#include <string.h>
+#include <strings.h>
+
+#include "wisteria/base/err.h"
+
+static void free_target(gpointer data)
+{
+	g_free(((route_target_t *)data)->service);
+}
+
+static void free_route(gpointer data)
+{
+	route_t *route = data;
+
+	g_free(route->name);
+	g_free(route->host);
+	g_free(route->prefix);
+	g_array_unref(route->targets);
+	g_free(route);
+}
+
+static void free_service(gpointer data)
+{
+	service_t *service = data;
+
+	g_free(service->name);
+	g_array_unref(service->engine.accelerators);
+	g_free(service);
+}
+
+static void free_customer(gpointer data)
+{
+	g_free(((customer_entry_t *)data)->name);
+	g_free(data);
+}
+
+/* Makes an empty table, to be filled and then sealed. */
+route_table_t *route_table_new(uint64_t revision)
+{
+	route_table_t *table = g_new0(route_table_t, 1);
+
+	table->references = 1;
+	table->revision = revision;
+	table->routes = g_ptr_array_new_with_free_func(free_route);
+	table->services = g_ptr_array_new_with_free_func(free_service);
+	table->customers = g_ptr_array_new_with_free_func(free_customer);
+	table->customers_by_key =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	return table;
+}
+
+/* Counts one more user of a table. */
+route_table_t *route_table_ref(route_table_t *table)
+{
+	table->references++;
+	return table;
+}
+
+/* Gives a table back; the last user frees it. */
+void route_table_unref(route_table_t *table)
+{
+	if (table == NULL || --table->references > 0)
+		return;
+	g_ptr_array_unref(table->routes);
+	g_ptr_array_unref(table->services);
+	g_hash_table_destroy(table->customers_by_key);
+	g_ptr_array_unref(table->customers);
+	g_free(table);
+}
+
+/* Adds an empty route. */
+route_t *route_table_add(route_table_t *table)
+{
+	route_t *route = g_new0(route_t, 1);
+
+	route->targets = g_array_new(FALSE, FALSE, sizeof(route_target_t));
+	g_array_set_clear_func(route->targets, free_target);
+	g_ptr_array_add(table->routes, route);
+	return route;
+}
+
+/* Adds a service without an engine. */
+service_t *route_table_add_service(route_table_t *table, const char *name)
+{
+	service_t *service = g_new0(service_t, 1);
+
+	service->name = g_strdup(name);
+	service->engine.accelerators =
+		g_array_new(FALSE, FALSE, sizeof(accelerator_t));
+	g_ptr_array_add(table->services, service);
+	return service;
+}
+
+/* Adds a customer without keys. */
+customer_entry_t *route_table_add_customer(route_table_t *table,
+					   const char *name)
+{
+	customer_entry_t *customer = g_new0(customer_entry_t, 1);
+
+	customer->name = g_strdup(name);
+	customer->priority = -1;
+	g_ptr_array_add(table->customers, customer);
+	table->has_customers = true;
+	return customer;
+}
+
+/* Gives "customer" an API key; two customers cannot share one. */
+bool route_table_add_key(route_table_t *table, const char *key,
+			 customer_entry_t *customer, err_t *err)
+{
+	const customer_entry_t *holder =
+		g_hash_table_lookup(table->customers_by_key, key);
+
+	if (holder != NULL && holder != customer) {
+		err_set(err, ERR_INVALID, "configuration", customer->name,
+			"shares an API key with customer %s", holder->name);
+		return false;
+	}
+	g_hash_table_insert(table->customers_by_key, g_strdup(key), customer);
+	return true;
+}
+
+/* Lets a route send a share of its requests to "service". */
+void route_add_target(route_t *route, const char *service, uint32_t weight)
+{
+	route_target_t target = { .service = g_strdup(service),
+				  .weight = weight };
+
+	g_array_append_val(route->targets, target);
+	route->weight_sum += weight;
+}
+
+static int compare_routes(gconstpointer a, gconstpointer b)
+{
+	const route_t *left = *(const route_t *const *)a;
+	const route_t *right = *(const route_t *const *)b;
+
+	if (left->prefix_len != right->prefix_len)
+		return left->prefix_len > right->prefix_len ? -1 : 1;
+	return strcmp(left->prefix, right->prefix);
+}
+
+static bool check_route(const route_table_t *table, const route_t *route,
+			err_t *err)
+{
+	if (route->host == NULL || route->host[0] == '\0' ||
+	    route->prefix == NULL || route->prefix[0] != '/' ||
+	    route->prefix[route->prefix_len - 1] != '/') {
+		err_set(err, ERR_INVALID, "configuration", route->name,
+			"the prefix must begin and end with a slash");
+		return false;
+	}
+	if (route->timeout_ms <= 0) {
+		err_set(err, ERR_INVALID, "configuration", route->name,
+			"the timeout must be positive");
+		return false;
+	}
+	if (route->weight_sum == 0) {
+		err_set(err, ERR_INVALID, "configuration", route->name,
+			"the weights add up to 0");
+		return false;
+	}
+	for (guint i = 0; i < route->targets->len; i++) {
+		const char *service =
+			g_array_index(route->targets, route_target_t, i)
+				.service;
+
+		if (route_table_service(table, service) == NULL) {
+			err_set(err, ERR_INVALID, "configuration", route->name,
+				"unknown service %s", service);
+			return false;
+		}
+	}
+	return true;
+}
+
+static bool check_places(const route_table_t *table, err_t *err)
+{
+	GHashTable *places =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	bool ok = true;
+
+	for (guint i = 0; ok && i < table->routes->len; i++) {
+		const route_t *route = g_ptr_array_index(table->routes, i);
+		char *host = g_ascii_strdown(route->host, -1);
+
+		ok = g_hash_table_add(places,
+				      g_strconcat(host, route->prefix, NULL));
+		if (!ok)
+			err_set(err, ERR_INVALID, "configuration", route->name,
+				"another route has host %s and prefix %s",
+				route->host, route->prefix);
+		g_free(host);
+	}
+	g_hash_table_destroy(places);
+	return ok;
+}
+
+/*
+ * Checks a filled table and makes it ready for lookups.  Returns false with
+ * "err" naming the route or customer at fault.
+ */
+bool route_table_seal(route_table_t *table, err_t *err)
+{
+	for (guint i = 0; i < table->routes->len; i++)
+		if (!check_route(table, g_ptr_array_index(table->routes, i),
+				 err))
+			return false;
+	if (!check_places(table, err))
+		return false;
+	g_ptr_array_sort(table->routes, compare_routes);
+	return true;
+}
+
+static bool host_matches(const char *route_host, const char *host)
+{
+	size_t len = strlen(route_host);
+
+	return strncasecmp(route_host, host, len) == 0 &&
+	       (host[len] == '\0' || host[len] == ':');
+}
+
+/* Returns the route of a request, or NULL.  "host" may carry a port. */
+const route_t *route_table_find(const route_table_t *table, const char *host,
+				const char *target)
+{
+	for (guint i = 0; i < table->routes->len; i++) {
+		const route_t *route = g_ptr_array_index(table->routes, i);
+
+		if (strncmp(target, route->prefix, route->prefix_len) == 0 &&
+		    host_matches(route->host, host))
+			return route;
+	}
+	return NULL;
+}
+
+/* Returns the customer that holds "key", or NULL. */
+const customer_entry_t *route_table_customer(const route_table_t *table,
+					     const char *key)
+{
+	return g_hash_table_lookup(table->customers_by_key, key);
+}
+
+/* Returns the service "name", or NULL. */
+const service_t *route_table_service(const route_table_t *table,
+				     const char *name)
+{
+	for (guint i = 0; i < table->services->len; i++) {
+		const service_t *service =
+			g_ptr_array_index(table->services, i);
+
+		if (strcmp(service->name, name) == 0)
+			return service;
+	}
+	return NULL;
+}
+
+/* Returns the service that the random number "draw" picks by weight. */
+const char *route_pick_service(const route_t *route, uint32_t draw)
+{
+	uint32_t at = draw % route->weight_sum;
+	guint i = 0;
+
+	for (; i + 1 < route->targets->len; i++) {
+		uint32_t weight =
+			g_array_index(route->targets, route_target_t, i).weight;
+
+		if (at < weight)
+			break;
+		at -= weight;
+	}
+	return g_array_index(route->targets, route_target_t, i).service;
+}
+
+/* Returns the accelerator kind "name", or NULL. */
+const accelerator_t *engine_accelerator(const engine_model_t *engine,
+					const char *name)
+{
+	for (guint i = 0; i < engine->accelerators->len; i++) {
+		const accelerator_t *accelerator =
+			&g_array_index(engine->accelerators, accelerator_t, i);
+
+		if (strcmp(accelerator->name, name) == 0)
+			return accelerator;
+	}
+	return NULL;
+}
+
+/*
+ * Returns how many tokens of requests fit beside "layers" layers on an
+ * accelerator; 0 where the layers themselves do not fit.
+ */
+double engine_token_capacity(const engine_model_t *engine,
+			     const accelerator_t *accelerator, uint32_t layers)
+{
+	double free_mb = accelerator->size_mb - layers * engine->layer_mb;
+	double token_mb =
+		engine->kv_token_bytes / engine->layers * layers / 1e6;
+
+	if (layers == 0 || free_mb <= 0 || token_mb <= 0)
+		return 0;
+	return free_mb / token_mb;
+}
--- /dev/null
+++ b/src/wisteria/fleet/subscription.c
@@ -0,0 +1,315 @@
+/*
+ * A process's connections to the control instances: it hears from each what
+ * endpoints told that instance, and asks one at a time for a lease on the
+ * newest revision.  A lease is counted from when it was asked for, by a clock
+ * that goes on while the machine is suspended.
+ */
+#include "wisteria/fleet/subscription.h"
+
+#include <string.h>
+
+#include "wisteria/base/clock.h"
+#include "wisteria/base/log.h"
+#include "wisteria/net/conn.h"
+#include "wisteria/net/link.h"
+
+#define SUBSCRIPTION_TICK_MS 50
+
+static subscription_t *subscription_of(conn_handler_t *handler)
+{
+	return CONTAINER_OF(handler, subscription_t, conn_handler);
+}
+
+static clock_ms_t now_of(const subscription_t *subscription)
+{
+	return clock_now(subscription->lease_clock);
+}
+
+static void on_opened(conn_handler_t *handler, conn_t *conn)
+{
+	subscription_t *subscription = subscription_of(handler);
+	const msg_fleet_subscribe_t subscribe = {
+		.is_entry = subscription->renews,
+	};
+
+	LOG_INFO("control_regained", "peer=%s address=%s", conn->peer_instance,
+		 conn->peer_address);
+	conn_send(conn, MSG_FLEET_SUBSCRIBE, &subscribe);
+}
+
+static void on_closed(conn_handler_t *handler, conn_t *conn, const err_t *why)
+{
+	subscription_t *subscription = subscription_of(handler);
+
+	subscription->asking = false;
+	log_err(G_LOG_LEVEL_WARNING, "control_lost", why);
+	(void)conn;
+}
+
+static void follow_later(subscription_t *subscription,
+			 const msg_fleet_renew_reply_t *reply)
+{
+	const char **addresses = g_new(const char *, reply->control_count + 1);
+
+	for (size_t i = 0; i < reply->control_count; i++)
+		addresses[i] = reply->controls[i].address;
+	subscription_follow(subscription, addresses, reply->control_count);
+	g_free(addresses);
+}
+
+static void on_renewed(subscription_t *subscription,
+		       const msg_fleet_renew_reply_t *reply)
+{
+	clock_ms_t until = reply->asked_ms + SUBSCRIPTION_LEASE_MS;
+
+	if (reply->asked_ms == subscription->asked_ms)
+		subscription->asking = false;
+	follow_later(subscription, reply);
+	subscription->handler->renewed(subscription->handler, reply);
+	if (until > subscription->lease_until_ms)
+		subscription->lease_until_ms = until;
+}
+
+static void on_message(conn_handler_t *handler, conn_t *conn, const msg_t *msg)
+{
+	subscription_t *subscription = subscription_of(handler);
+
+	(void)conn;
+	if (subscription->closed)
+		return;
+	if (msg->type == MSG_FLEET_RENEW_REPLY)
+		on_renewed(subscription, msg->body);
+	else if (msg->type == MSG_FLEET_ENDPOINTS)
+		subscription->handler->endpoints(subscription->handler,
+						 msg->body);
+	else if (msg->type == MSG_FLEET_LOAD)
+		subscription->handler->load(subscription->handler, msg->body);
+}
+
+static subscription_control_t *find(const subscription_t *subscription,
+				    const char *address)
+{
+	for (guint i = 0; i < subscription->controls->len; i++) {
+		subscription_control_t *control =
+			g_ptr_array_index(subscription->controls, i);
+
+		if (strcmp(control->address, address) == 0)
+			return control;
+	}
+	return NULL;
+}
+
+static void add(subscription_t *subscription, const char *address)
+{
+	subscription_control_t *control;
+
+	if (find(subscription, address) != NULL ||
+	    g_strcmp0(address, subscription->own_address) == 0)
+		return;
+	control = g_new0(subscription_control_t, 1);
+	g_strlcpy(control->address, address, sizeof(control->address));
+	link_init(&control->link, subscription->net, address,
+		  &subscription->conn_handler);
+	link_hold(&control->link);
+	g_ptr_array_add(subscription->controls, control);
+}
+
+static bool is_wanted(const subscription_t *subscription, const char *address)
+{
+	for (guint i = 0; i < subscription->wanted->len; i++)
+		if (strcmp(g_ptr_array_index(subscription->wanted, i),
+			   address) == 0)
+			return true;
+	return false;
+}
+
+static void drop_unwanted(subscription_t *subscription)
+{
+	guint i = 0;
+
+	while (i < subscription->controls->len) {
+		subscription_control_t *control =
+			g_ptr_array_index(subscription->controls, i);
+
+		if (is_wanted(subscription, control->address)) {
+			i++;
+			continue;
+		}
+		LOG_INFO("control_dropped", "address=%s", control->address);
+		link_finish(&control->link);
+		g_ptr_array_remove_index(subscription->controls, i);
+	}
+}
+
+static void apply_wanted(subscription_t *subscription)
+{
+	if (subscription->wanted == NULL)
+		return;
+	for (guint i = 0; i < subscription->wanted->len; i++)
+		add(subscription, g_ptr_array_index(subscription->wanted, i));
+	drop_unwanted(subscription);
+	g_ptr_array_unref(subscription->wanted);
+	subscription->wanted = NULL;
+}
+
+/*
+ * Subscribes to the control instance at "address", IP:PORT for frames, and
+ * comes back to it whenever no lease is to be had from the others.
+ */
+void subscription_add_seed(subscription_t *subscription, const char *address)
+{
+	g_ptr_array_add(subscription->seeds, g_strdup(address));
+	add(subscription, address);
+}
+
+static void return_to_seeds(subscription_t *subscription)
+{
+	for (guint i = 0; i < subscription->seeds->len; i++)
+		add(subscription, g_ptr_array_index(subscription->seeds, i));
+}
+
+/*
+ * Subscribes to exactly these control instances, at the next tick.  An empty
+ * list changes nothing.
+ */
+void subscription_follow(subscription_t *subscription,
+			 const char *const *addresses, size_t count)
+{
+	if (count == 0)
+		return;
+	if (subscription->wanted != NULL)
+		g_ptr_array_unref(subscription->wanted);
+	subscription->wanted = g_ptr_array_new_with_free_func(g_free);
+	for (size_t i = 0; i < count; i++)
+		g_ptr_array_add(subscription->wanted, g_strdup(addresses[i]));
+}
+
+/* Returns the next control instance that can be asked, or NULL. */
+static subscription_control_t *next_control(subscription_t *subscription)
+{
+	const GPtrArray *controls = subscription->controls;
+
+	for (guint i = 0; i < controls->len; i++) {
+		subscription_control_t *control = g_ptr_array_index(
+			controls, (subscription->turn + i) % controls->len);
+
+		if (!link_is_open(&control->link))
+			continue;
+		subscription->turn = (subscription->turn + i) % controls->len;
+		return control;
+	}
+	return NULL;
+}
+
+static void ask(subscription_t *subscription, clock_ms_t now)
+{
+	subscription_control_t *control;
+	msg_fleet_renew_t renew = {
+		.asked_ms = now,
+		.revision = subscription->handler->held(subscription->handler),
+	};
+
+	if (subscription->asking)
+		subscription->turn++; /* the last one asked is too slow */
+	control = next_control(subscription);
+	subscription->asking = control != NULL;
+	subscription->asked_ms = now;
+	if (control != NULL)
+		link_send(&control->link, MSG_FLEET_RENEW, &renew);
+}
+
+static void note_lease(subscription_t *subscription)
+{
+	bool has_lease = subscription_has_lease(subscription);
+
+	if (has_lease == subscription->had_lease)
+		return;
+	subscription->had_lease = has_lease;
+	LOG_INFO(has_lease ? "lease_gained" : "lease_lost",
+		 "revision=%" G_GUINT64_FORMAT " until_ms=%" G_GINT64_FORMAT,
+		 subscription->handler->held(subscription->handler),
+		 subscription->lease_until_ms);
+}
+
+static void on_tick(uv_timer_t *timer)
+{
+	subscription_t *subscription = timer->data;
+	clock_ms_t now = now_of(subscription);
+	clock_ms_t wait = subscription->asking ? SUBSCRIPTION_ANSWER_MS
+					       : SUBSCRIPTION_RENEW_MS;
+
+	apply_wanted(subscription);
+	if (!subscription->renews)
+		return;
+	note_lease(subscription);
+	if (!subscription_has_lease(subscription))
+		return_to_seeds(subscription);
+	if (now - subscription->asked_ms >= wait)
+		ask(subscription, now);
+}
+
+/*
+ * Makes a subscription without control instances.  Only one that "renews"
+ * asks for leases; "own_address" is left out where it is listed.
+ */
+void subscription_init(subscription_t *subscription, net_t *net,
+		       const clock_source_t *lease_clock, bool renews,
+		       const char *own_address, subscription_handler_t *handler)
+{
+	memset(subscription, 0, sizeof(*subscription));
+	subscription->conn_handler.opened = on_opened;
+	subscription->conn_handler.closed = on_closed;
+	subscription->conn_handler.message = on_message;
+	subscription->handler = handler;
+	subscription->net = net;
+	subscription->lease_clock = lease_clock;
+	subscription->renews = renews;
+	subscription->own_address = g_strdup(own_address);
+	subscription->controls = g_ptr_array_new_with_free_func(g_free);
+	subscription->seeds = g_ptr_array_new_with_free_func(g_free);
+	subscription->asked_ms = now_of(subscription) - SUBSCRIPTION_RENEW_MS;
+	subscription->turn = (guint)net->incarnation;
+	uv_timer_init(net->loop, &subscription->tick);
+	subscription->tick.data = subscription;
+	uv_timer_start(&subscription->tick, on_tick, SUBSCRIPTION_TICK_MS,
+		       SUBSCRIPTION_TICK_MS);
+}
+
+/* Ends all connections. */
+void subscription_close(subscription_t *subscription)
+{
+	subscription->closed = true;
+	for (guint i = 0; i < subscription->controls->len; i++) {
+		subscription_control_t *control =
+			g_ptr_array_index(subscription->controls, i);
+
+		link_finish(&control->link);
+	}
+	uv_close((uv_handle_t *)&subscription->tick, NULL);
+}
+
+/* Frees a subscription that is closed; the loop has run to its end. */
+void subscription_finish(subscription_t *subscription)
+{
+	g_ptr_array_unref(subscription->controls);
+	g_ptr_array_unref(subscription->seeds);
+	if (subscription->wanted != NULL)
+		g_ptr_array_unref(subscription->wanted);
+	g_free(subscription->own_address);
+}
+
+/* Whether the revision held is confirmed for now. */
+bool subscription_has_lease(const subscription_t *subscription)
+{
+	return subscription->lease_until_ms > now_of(subscription);
+}
+
+/* Tells the other entries, through one control instance, what this one uses. */
+void subscription_send_load(subscription_t *subscription,
+			    const msg_fleet_load_t *load)
+{
+	subscription_control_t *control = next_control(subscription);
+
+	if (control != NULL)
+		link_send(&control->link, MSG_FLEET_LOAD, load);
+}
--- /dev/null
+++ b/src/wisteria/fleet/subscription.h
@@ -0,0 +1,23 @@
+#ifndef WISTERIA_FLEET_SUBSCRIPTION_H
+#define WISTERIA_FLEET_SUBSCRIPTION_H
+
+#include "wisteria/base/macros_defs.h"
+#include "wisteria/fleet/subscription_defs.h"
+
+void subscription_init(subscription_t *subscription, net_t *net,
+		       const clock_source_t *lease_clock, bool renews,
+		       const char *own_address, subscription_handler_t *handler)
+	ATTR_NONNULL(1, 2, 3, 6);
+void subscription_add_seed(subscription_t *subscription,
+			   const char *address) ATTR_NONNULL_ALL;
+void subscription_follow(subscription_t *subscription,
+			 const char *const *addresses,
+			 size_t count) ATTR_NONNULL_ALL;
+void subscription_close(subscription_t *subscription) ATTR_NONNULL_ALL;
+void subscription_finish(subscription_t *subscription) ATTR_NONNULL_ALL;
+bool subscription_has_lease(const subscription_t *subscription)
+	ATTR_NONNULL_ALL;
+void subscription_send_load(subscription_t *subscription,
+			    const msg_fleet_load_t *load) ATTR_NONNULL_ALL;
+
+#endif
--- /dev/null
+++ b/src/wisteria/gateway/event_stream.h
@@ -0,0 +1,22 @@
+#ifndef WISTERIA_GATEWAY_EVENT_STREAM_H
+#define WISTERIA_GATEWAY_EVENT_STREAM_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <glib.h>
+
+#include "wisteria/base/macros_defs.h"
+
+/* What was passed on of a stream of server-sent events. */
+typedef struct {
+	int64_t last_id; /* of the last whole event; -1: none had one */
+	uint64_t events;
+} event_stream_t;
+
+void event_stream_init(event_stream_t *stream,
+		       int64_t last_id) ATTR_NONNULL_ALL;
+size_t event_stream_take(event_stream_t *stream, const uint8_t *data,
+			 size_t len) ATTR_NONNULL_ALL ATTR_WARN_UNUSED;
+
+#endif
--- /dev/null
+++ b/src/wisteria/gateway/exchange.c
@@ -0,0 +1,564 @@
+/*
+ * One request: admitted, sent to an endpoint, tried again where that is safe,
+ * and answered once.
+ */
+#include "wisteria/gateway/exchange.h"
+
+#include <string.h>
+
+#include "wisteria/base/clock.h"
+#include "wisteria/base/err.h"
+#include "wisteria/base/log.h"
+#include "wisteria/fleet/routes.h"
+#include "wisteria/fleet/subscription.h"
+#include "wisteria/gateway/gateway.h"
+#include "wisteria/gateway/target.h"
+#include "wisteria/http/http_message.h"
+
+/* When to come back: a lease is renewed every 400 ms. */
+#define RETRY_AFTER_LEASE_MS 500
+/* When to come back: endpoints report every 1.2 s. */
+#define RETRY_AFTER_ENDPOINT_MS 1000
+/* When to come back: a few requests end in this time. */
+#define RETRY_AFTER_FULL_MS 500
+
+static clock_ms_t now_of(const exchange_t *exchange)
+{
+	return clock_now(exchange->gateway->clock);
+}
+
+static const char *id_of(const exchange_t *exchange)
+{
+	return exchange->caller.id;
+}
+
+/* Answers of our own. */
+
+static void answer_own(http_conn_t *conn, const fleet_dialect_t *dialect,
+		       const caller_request_t *caller, unsigned status,
+		       clock_ms_t retry_after_ms, const char *reason)
+{
+	GString *headers = g_string_new(NULL);
+
+	dialect->write_own_headers(caller, retry_after_ms, headers);
+	http_conn_reply(conn, status, headers->str, reason, strlen(reason));
+	g_string_free(headers, TRUE);
+}
+
+static void end_attempt(exchange_t *exchange)
+{
+	const target_t *target = &exchange->target;
+
+	if (exchange->call != NULL)
+		http_call_cancel(exchange->call);
+	exchange->call = NULL;
+	for (uint32_t i = 0; i < target->count; i++)
+		usage_end(&exchange->gateway->usage, target->ids[i],
+			  target->tokens);
+	exchange->target.count = 0;
+}
+
+/* Ends an exchange without a word to its caller. */
+void exchange_discard(exchange_t *exchange)
+{
+	end_attempt(exchange);
+	if (exchange->conn != NULL)
+		exchange->conn->user = NULL;
+	LIST_REMOVE(exchange, entry);
+	g_ptr_array_unref(exchange->failed);
+	route_table_unref(exchange->table);
+	g_free(exchange);
+}
+
+/* Answers with a status of our own, or breaks off an answer that has begun. */
+static void give_up(exchange_t *exchange, unsigned status,
+		    clock_ms_t retry_after_ms, const char *reason)
+{
+	http_conn_t *conn = exchange->conn;
+
+	LOG_INFO("request_given_up",
+		 "request=%s status=%u reason=%s begun=%d sends=%u runs=%u "
+		 "after_ms=%" G_GINT64_FORMAT,
+		 id_of(exchange), exchange->head_sent ? 0 : status, reason,
+		 exchange->head_sent, exchange->sends, exchange->runs,
+		 now_of(exchange) - exchange->started_ms);
+	if (exchange->head_sent)
+		http_conn_abort(conn);
+	else
+		answer_own(conn, exchange->gateway->dialect, &exchange->caller,
+			   status, retry_after_ms, reason);
+	exchange->conn = NULL;
+	exchange_discard(exchange);
+}
+
+static void refuse(exchange_t *exchange, clock_ms_t retry_after_ms,
+		   const char *reason)
+{
+	if (exchange->runs > 0)
+		give_up(exchange, 502, 0, reason);
+	else
+		give_up(exchange, 503, retry_after_ms, reason);
+}
+
+/* Attempts. */
+
+static void send_attempt(exchange_t *exchange, const target_t *target)
+{
+	gateway_t *gateway = exchange->gateway;
+	forward_hop_t hops[PIPELINE_HOPS_MAX];
+	clock_ms_t now = now_of(exchange);
+	const forward_t forward = {
+		.endpoint_id = target->ids[0],
+		.customer = exchange->customer,
+		.time_limit_ms = exchange->deadline_ms - now,
+		.last_event_id =
+			exchange->head_sent ? exchange->events.last_id : -1,
+		.hops = hops,
+		.hop_count = target->is_pipeline ? target->count : 0,
+	};
+	GString *request = g_string_sized_new(2048);
+
+	for (uint32_t i = 0; i < target->count; i++) {
+		hops[i].address = target->addresses[i];
+		hops[i].first_layer = target->first_layers[i];
+		hops[i].end_layer = target->end_layers[i];
+		usage_begin(&gateway->usage, target->ids[i], target->tokens);
+	}
+	exchange->target = *target;
+	exchange->streams = false;
+	exchange->sends++;
+	exchange->progress_ms = now;
+	gateway->dialect->write_forward(&exchange->conn->reader.message,
+					&forward, request);
+	exchange->call =
+		http_call_new(gateway->net->loop, target->addresses[0], request,
+			      GATEWAY_CONNECT_MS, &exchange->call_handler);
+	g_string_free(request, TRUE);
+	LOG_INFO("request_sent",
+		 "request=%s send=%u endpoint=%s hops=%u cost_ms=%.1f "
+		 "left_ms=%" G_GINT64_FORMAT " behind_event=%" G_GINT64_FORMAT
+		 " registry=%" G_GUINT64_FORMAT,
+		 id_of(exchange), exchange->sends, target->ids[0],
+		 target->count, target->cost_ms, forward.time_limit_ms,
+		 forward.last_event_id, gateway->registry.version);
+}
+
+static void send_first(exchange_t *exchange)
+{
+	target_t target;
+
+	switch (target_choose(exchange, &target)) {
+	case TARGET_FOUND:
+		retry_budget_fresh(gateway_budget(exchange->gateway,
+						  exchange->service->name));
+		send_attempt(exchange, &target);
+		return;
+	case TARGET_FULL:
+		refuse(exchange, RETRY_AFTER_FULL_MS, "endpoints_full");
+		return;
+	case TARGET_NONE:
+		refuse(exchange, RETRY_AFTER_ENDPOINT_MS, "no_endpoint");
+		return;
+	}
+}
+
+static bool is_repeatable(const exchange_t *exchange)
+{
+	return exchange->route->kind == ROUTE_IDEMPOTENT ||
+	       (exchange->route->kind == ROUTE_STREAM &&
+		exchange->route->resumable);
+}
+
+/* Endpoints that the next attempt leaves out. */
+static void note_failed(exchange_t *exchange, attempt_end_t end,
+			const char *faulty_address)
+{
+	const target_t *target = &exchange->target;
+	uint32_t at = 0;
+
+	for (uint32_t i = 0; faulty_address != NULL && i < target->count; i++)
+		if (strcmp(target->addresses[i], faulty_address) == 0)
+			at = i;
+	if (target->count == 0)
+		return;
+	g_ptr_array_add(exchange->failed, g_strdup(target->ids[at]));
+	if (end == ATTEMPT_UNSENT || faulty_address != NULL)
+		gateway_suspect(exchange->gateway, target->ids[at]);
+}
+
+static bool try_again(exchange_t *exchange)
+{
+	gateway_t *gateway = exchange->gateway;
+	target_t target;
+
+	if (!subscription_has_lease(&gateway->subscription))
+		return false;
+	if (target_choose(exchange, &target) != TARGET_FOUND)
+		return false;
+	if (!retry_budget_take(
+		    gateway_budget(gateway, exchange->service->name)))
+		return false;
+	send_attempt(exchange, &target);
+	return true;
+}
+
+static void pass_on(exchange_t *exchange, const http_message_t *answer);
+
+/*
+ * An attempt has ended without a good answer.  "answer" is the endpoint's own
+ * failure, or NULL.
+ */
+static void attempt_failed(exchange_t *exchange, attempt_end_t end,
+			   const char *faulty_address, const char *reason,
+			   const http_message_t *answer)
+{
+	bool ran = end != ATTEMPT_UNSENT && end != ATTEMPT_NOT_RUN;
+	outcome_case_t given = {
+		.end = end,
+		.repeatable = is_repeatable(exchange),
+		.answer_begun = exchange->head_sent,
+		.resumable = exchange->route->resumable,
+		.caller_waits = now_of(exchange) < exchange->deadline_ms,
+		.max_runs = MAX(exchange->route->max_attempts, 1),
+	};
+	outcome_t outcome;
+
+	exchange->runs += ran;
+	given.runs = exchange->runs;
+	given.may_have_run = exchange->runs > 0;
+	note_failed(exchange, end, faulty_address);
+	LOG_INFO("attempt_failed",
+		 "request=%s send=%u endpoint=%s end=%s reason=%s at=%s "
+		 "runs=%u of=%u events=%" G_GUINT64_FORMAT
+		 " waited_ms=%" G_GINT64_FORMAT,
+		 id_of(exchange), exchange->sends, exchange->target.ids[0],
+		 attempt_end_name(end), reason,
+		 faulty_address == NULL ? "-" : faulty_address, exchange->runs,
+		 given.max_runs, exchange->events.events,
+		 now_of(exchange) - exchange->progress_ms);
+	outcome = outcome_decide(&given);
+	end_attempt(exchange);
+	if (outcome == OUTCOME_AGAIN) {
+		if (try_again(exchange))
+			return;
+		outcome = outcome_without_retry(&given);
+	}
+	if (outcome == OUTCOME_PASS && answer != NULL)
+		pass_on(exchange, answer);
+	else
+		refuse(exchange, RETRY_AFTER_ENDPOINT_MS, reason);
+}
+
+/* Answers of endpoints. */
+
+static exchange_t *exchange_of(http_call_handler_t *handler)
+{
+	return CONTAINER_OF(handler, exchange_t, call_handler);
+}
+
+static bool is_own_answer(const exchange_t *exchange,
+			  const endpoint_answer_t *read)
+{
+	return read->request_id == NULL ||
+	       strcmp(read->request_id, id_of(exchange)) == 0;
+}
+
+static void log_answered(const exchange_t *exchange, unsigned status)
+{
+	clock_ms_t now = now_of(exchange);
+
+	LOG_INFO("request_answered",
+		 "request=%s status=%u route=%s customer=%s sends=%u "
+		 "events=%" G_GUINT64_FORMAT " first_ms=%" G_GINT64_FORMAT
+		 " all_ms=%" G_GINT64_FORMAT,
+		 id_of(exchange), status, exchange->route->name,
+		 exchange->customer == NULL ? "-" : exchange->customer,
+		 exchange->sends, exchange->events.events,
+		 exchange->first_event_ms == 0
+			 ? (clock_ms_t)-1
+			 : exchange->first_event_ms - exchange->started_ms,
+		 now - exchange->started_ms);
+}
+
+/* Passes a whole answer on as it is. */
+static void pass_on(exchange_t *exchange, const http_message_t *answer)
+{
+	GString *headers = g_string_sized_new(256);
+
+	log_answered(exchange, answer->status);
+	exchange->gateway->dialect->write_answer_headers(answer, headers);
+	http_conn_reply(exchange->conn, answer->status, headers->str,
+			answer->body->data, answer->body->len);
+	g_string_free(headers, TRUE);
+	exchange->conn = NULL;
+	exchange_discard(exchange);
+}
+
+static void on_headers(http_call_handler_t *handler,
+		       const http_message_t *answer)
+{
+	exchange_t *exchange = exchange_of(handler);
+	endpoint_answer_t read;
+
+	exchange->progress_ms = now_of(exchange);
+	exchange->gateway->dialect->read_answer(answer, &read);
+	exchange->streams = exchange->route->kind == ROUTE_STREAM &&
+			    answer->status / 100 == 2 && read.stamped &&
+			    is_own_answer(exchange, &read);
+}
+
+static void begin_stream(exchange_t *exchange, const http_message_t *answer)
+{
+	GString *headers;
+
+	if (exchange->head_sent)
+		return;
+	headers = g_string_sized_new(256);
+	exchange->gateway->dialect->write_answer_headers(answer, headers);
+	exchange->head_sent = true;
+	http_conn_begin(exchange->conn, answer->status, headers->str, -1);
+	g_string_free(headers, TRUE);
+}
+
+static void on_body(http_call_handler_t *handler, GByteArray *body)
+{
+	exchange_t *exchange = exchange_of(handler);
+	size_t whole;
+
+	if (!exchange->streams)
+		return;
+	whole = event_stream_take(&exchange->events, body->data, body->len);
+	if (whole == 0)
+		return;
+	exchange->progress_ms = now_of(exchange);
+	if (exchange->first_event_ms == 0)
+		exchange->first_event_ms = exchange->progress_ms;
+	begin_stream(exchange, http_call_answer(exchange->call));
+	http_conn_send(exchange->conn, body->data, whole);
+	g_byte_array_remove_range(body, 0, (guint)whole);
+}
+
+static void finish_stream(exchange_t *exchange, const http_message_t *answer)
+{
+	begin_stream(exchange, answer);
+	if (answer->body->len > 0)
+		http_conn_send(exchange->conn, answer->body->data,
+			       answer->body->len);
+	log_answered(exchange, answer->status);
+	http_conn_end(exchange->conn);
+	exchange->conn = NULL;
+	exchange_discard(exchange);
+}
+
+static void on_complete(http_call_handler_t *handler,
+			const http_message_t *answer)
+{
+	exchange_t *exchange = exchange_of(handler);
+	endpoint_answer_t read;
+	char reason[32];
+
+	exchange->call = NULL;
+	if (exchange->streams) {
+		finish_stream(exchange, answer);
+		return;
+	}
+	exchange->gateway->dialect->read_answer(answer, &read);
+	g_snprintf(reason, sizeof(reason), "status_%u", answer->status);
+	if (!is_own_answer(exchange, &read))
+		attempt_failed(exchange, ATTEMPT_UNKNOWN, NULL,
+			       "answer_of_another_request", NULL);
+	else if (read.not_run)
+		attempt_failed(exchange, ATTEMPT_NOT_RUN, read.faulty_address,
+			       reason, NULL);
+	else if (!read.stamped)
+		attempt_failed(exchange, ATTEMPT_UNKNOWN, read.faulty_address,
+			       reason, NULL);
+	else if (answer->status >= 500 || exchange->head_sent)
+		attempt_failed(exchange, ATTEMPT_ERROR, read.faulty_address,
+			       reason, answer);
+	else
+		pass_on(exchange, answer);
+}
+
+static void on_failed(http_call_handler_t *handler, http_call_stage_t stage,
+		      const char *reason)
+{
+	static const attempt_end_t ends[] = {
+		[HTTP_CALL_UNSENT] = ATTEMPT_UNSENT,
+		[HTTP_CALL_SENT] = ATTEMPT_UNKNOWN,
+		[HTTP_CALL_CUT] = ATTEMPT_CUT,
+	};
+	exchange_t *exchange = exchange_of(handler);
+
+	exchange->call = NULL;
+	attempt_failed(exchange, ends[stage], NULL, reason, NULL);
+}
+
+/* Admission. */
+
+/* Why a request is not taken; status 0: it is. */
+typedef struct {
+	unsigned status;
+	clock_ms_t retry_after_ms;
+	const char *reason;
+} verdict_t;
+
+static verdict_t check_state(const gateway_t *gateway)
+{
+	if (gateway->table == NULL)
+		return (verdict_t){ 503, RETRY_AFTER_LEASE_MS,
+				    "no_configuration" };
+	if (!subscription_has_lease(&gateway->subscription))
+		return (verdict_t){ 503, RETRY_AFTER_LEASE_MS, "no_lease" };
+	return (verdict_t){ 0 };
+}
+
+static verdict_t check_caller(const gateway_t *gateway, const route_t *route,
+			      const caller_request_t *caller,
+			      const customer_entry_t **customer)
+{
+	*customer =
+		caller->api_key == NULL
+			? NULL
+			: route_table_customer(gateway->table, caller->api_key);
+	if (caller->id == NULL)
+		return (verdict_t){ 400, 0, "no_request_id" };
+	if (caller->has_time_limit && caller->time_limit_ms <= 0)
+		return (verdict_t){ 400, 0, "bad_time_limit" };
+	if (gateway->table->has_customers && !route->allow_anonymous &&
+	    *customer == NULL)
+		return (verdict_t){ 401, 0, "unknown_api_key" };
+	return (verdict_t){ 0 };
+}
+
+static void turn_away(gateway_t *gateway, http_conn_t *conn,
+		      const caller_request_t *caller, const verdict_t *verdict)
+{
+	LOG_INFO("request_refused",
+		 "request=%s status=%u reason=%s target=%s "
+		 "revision=%" G_GUINT64_FORMAT,
+		 caller->id == NULL ? "-" : caller->id, verdict->status,
+		 verdict->reason, http_message_target(&conn->reader.message),
+		 gateway->table == NULL ? 0 : gateway->table->revision);
+	answer_own(conn, gateway->dialect, caller, verdict->status,
+		   verdict->retry_after_ms, verdict->reason);
+}
+
+static exchange_t *exchange_new(gateway_t *gateway, http_conn_t *conn,
+				const caller_request_t *caller,
+				const route_t *route)
+{
+	exchange_t *exchange = g_new0(exchange_t, 1);
+	const char *service =
+		route_pick_service(route, g_rand_int(gateway->random));
+	clock_ms_t limit = route->timeout_ms;
+
+	exchange->call_handler.headers = on_headers;
+	exchange->call_handler.body = on_body;
+	exchange->call_handler.complete = on_complete;
+	exchange->call_handler.failed = on_failed;
+	exchange->gateway = gateway;
+	exchange->conn = conn;
+	exchange->table = route_table_ref(gateway->table);
+	exchange->route = route;
+	exchange->service = route_table_service(gateway->table, service);
+	exchange->caller = *caller;
+	exchange->started_ms = clock_now(gateway->clock);
+	if (caller->has_time_limit)
+		limit = MIN(limit, caller->time_limit_ms);
+	exchange->deadline_ms = exchange->started_ms + limit;
+	exchange->failed = g_ptr_array_new_with_free_func(g_free);
+	event_stream_init(&exchange->events, caller->last_event_id);
+	LIST_INSERT_HEAD(&gateway->exchanges, exchange, entry);
+	conn->user = exchange;
+	return exchange;
+}
+
+/* Takes a request that was read whole. */
+void exchange_begin(gateway_t *gateway, http_conn_t *conn)
+{
+	const http_message_t *message = &conn->reader.message;
+	const char *host = http_message_get(message, "host");
+	const customer_entry_t *customer = NULL;
+	const route_t *route = NULL;
+	caller_request_t caller;
+	err_t err = ERR_INIT;
+	exchange_t *exchange;
+	verdict_t verdict;
+
+	verdict = check_state(gateway);
+	if (!gateway->dialect->read_caller(message, &caller, &err))
+		verdict = (verdict_t){ 400, 0, err.text };
+	if (verdict.status == 0) {
+		if (host != NULL)
+			route = route_table_find(gateway->table, host,
+						 http_message_target(message));
+		if (route == NULL)
+			verdict = (verdict_t){ 404, 0, "no_route" };
+		else
+			verdict = check_caller(gateway, route, &caller,
+					       &customer);
+	}
+	if (verdict.status != 0) {
+		turn_away(gateway, conn, &caller, &verdict);
+		return;
+	}
+	exchange = exchange_new(gateway, conn, &caller, route);
+	exchange->customer = customer == NULL ? NULL : customer->name;
+	send_first(exchange);
+}
+
+/* The caller has closed its connection: the endpoints stop at once. */
+void exchange_caller_left(exchange_t *exchange)
+{
+	LOG_INFO("caller_left",
+		 "request=%s sends=%u events=%" G_GUINT64_FORMAT
+		 " after_ms=%" G_GINT64_FORMAT,
+		 id_of(exchange), exchange->sends, exchange->events.events,
+		 now_of(exchange) - exchange->started_ms);
+	exchange->conn = NULL;
+	exchange_discard(exchange);
+}
+
+/* A silent stream is taken up elsewhere, if another place can be had. */
+static void check_stall(exchange_t *exchange, clock_ms_t now)
+{
+	const target_t *target = &exchange->target;
+	target_t other;
+	guint failed_before = exchange->failed->len;
+
+	if (exchange->route->kind != ROUTE_STREAM ||
+	    !exchange->route->resumable || exchange->call == NULL ||
+	    now - exchange->progress_ms < GATEWAY_STALL_MS ||
+	    exchange->sends > exchange->route->max_attempts)
+		return;
+	for (uint32_t i = 0; i < target->count; i++)
+		g_ptr_array_add(exchange->failed, g_strdup(target->ids[i]));
+	if (target_choose(exchange, &other) == TARGET_FOUND &&
+	    retry_budget_take(gateway_budget(exchange->gateway,
+					     exchange->service->name))) {
+		LOG_INFO("stream_stalled",
+			 "request=%s endpoint=%s silent_ms=%" G_GINT64_FORMAT
+			 " events=%" G_GUINT64_FORMAT,
+			 id_of(exchange), target->ids[0],
+			 now - exchange->progress_ms, exchange->events.events);
+		exchange->runs++;
+		end_attempt(exchange);
+		send_attempt(exchange, &other);
+		return;
+	}
+	g_ptr_array_set_size(exchange->failed, (gint)failed_before);
+}
+
+/* Ends an exchange whose time is up and watches over silent streams. */
+void exchange_tick(exchange_t *exchange, clock_ms_t now)
+{
+	if (now < exchange->deadline_ms) {
+		check_stall(exchange, now);
+		return;
+	}
+	if (exchange->sends == 0)
+		refuse(exchange, RETRY_AFTER_ENDPOINT_MS, "deadline");
+	else
+		give_up(exchange, 504, 0, "deadline");
+}
--- /dev/null
+++ b/src/wisteria/gateway/gateway.c
@@ -0,0 +1,334 @@
+/*
+ * The role that faces callers: takes requests, keeps what is known of the
+ * fleet, and decides when it is ready for callers.
+ */
+#include "wisteria/gateway/gateway.h"
+
+#include <string.h>
+
+#include "wisteria/base/clock.h"
+#include "wisteria/base/err.h"
+#include "wisteria/base/log.h"
+#include "wisteria/fleet/fleet_news.h"
+#include "wisteria/fleet/registry.h"
+#include "wisteria/fleet/routes.h"
+#include "wisteria/fleet/subscription.h"
+#include "wisteria/gateway/exchange.h"
+#include "wisteria/settings/settings.h"
+
+/* Until the first configuration says what callers may send. */
+static const http_limits_t first_limits = {
+	.header_bytes = 16u << 10,
+	.body_bytes = 4u << 20,
+	.header_ms = 3000,
+	.idle_ms = 15000,
+};
+
+/* The balancer's question. */
+static const http_limits_t ready_limits = {
+	.header_bytes = 8u << 10,
+	.body_bytes = 1u << 10,
+	.header_ms = 3000,
+	.idle_ms = 60000,
+};
+
+/* The balancer has taken us out of its list by then: it asks every second. */
+#define DRAIN_IDLE_MS 2600
+/* The balance of retries is kept below the bound that all entries share. */
+#define RETRY_SAFETY 0.8
+
+static gateway_t *of_subscription(subscription_handler_t *handler)
+{
+	return CONTAINER_OF(handler, gateway_t, subscription_handler);
+}
+
+static void on_endpoints(subscription_handler_t *handler,
+			 const msg_fleet_endpoints_t *news)
+{
+	gateway_t *gateway = of_subscription(handler);
+	clock_ms_t now = clock_now(gateway->clock);
+
+	for (size_t i = 0; i < news->endpoint_count; i++) {
+		endpoint_t endpoint;
+
+		fleet_news_read(&news->endpoints[i], now, &endpoint);
+		if (registry_take(&gateway->registry, &endpoint,
+				  endpoint.heard_ms) != REGISTRY_CHANGED)
+			continue;
+		LOG_INFO("endpoint_changed",
+			 "endpoint=%s address=%s layers=%u-%u draining=%d "
+			 "gone=%d age_ms=%" G_GINT64_FORMAT
+			 " registry=%" G_GUINT64_FORMAT,
+			 endpoint.id, endpoint.address, endpoint.first_layer,
+			 endpoint.end_layer, endpoint.draining, endpoint.gone,
+			 now - endpoint.heard_ms, gateway->registry.version);
+	}
+}
+
+static void use_table(gateway_t *gateway, route_table_t *table)
+{
+	const route_limits_t *limits = &table->limits;
+
+	route_table_unref(gateway->table);
+	gateway->table = table;
+	gateway->http.limits = (http_limits_t){
+		.header_bytes = limits->header_bytes,
+		.body_bytes = limits->body_bytes,
+		.header_ms = limits->header_ms,
+		.idle_ms = limits->idle_ms,
+	};
+	LOG_INFO("revision_in_force",
+		 "revision=%" G_GUINT64_FORMAT " routes=%u customers=%u",
+		 table->revision, table->routes->len, table->customers->len);
+}
+
+static void on_renewed(subscription_handler_t *handler,
+		       const msg_fleet_renew_reply_t *reply)
+{
+	gateway_t *gateway = of_subscription(handler);
+	uint64_t held = gateway->table == NULL ? 0 : gateway->table->revision;
+	err_t err = ERR_INIT;
+	route_table_t *table;
+
+	gateway->entries = reply->subscribers;
+	if (reply->revision <= held || reply->document.len == 0)
+		return;
+	table = gateway->dialect->read_configuration(reply->document.data,
+						     reply->document.len, &err);
+	if (table == NULL)
+		log_err(G_LOG_LEVEL_CRITICAL, "revision_unreadable", &err);
+	else
+		use_table(gateway, table);
+}
+
+static void on_load(subscription_handler_t *handler,
+		    const msg_fleet_load_t *load)
+{
+	gateway_t *gateway = of_subscription(handler);
+
+	usage_take(&gateway->usage, load, clock_now(gateway->clock));
+}
+
+static uint64_t on_held(subscription_handler_t *handler)
+{
+	const gateway_t *gateway = of_subscription(handler);
+
+	return gateway->table == NULL ? 0 : gateway->table->revision;
+}
+
+/* Returns the retry budget of "service". */
+retry_budget_t *gateway_budget(gateway_t *gateway, const char *service)
+{
+	const settings_fleet_t *fleet = gateway->settings->fleet;
+	retry_budget_t *budget = g_hash_table_lookup(gateway->budgets, service);
+	uint32_t entries = MAX(gateway->entries, 1);
+
+	if (budget == NULL) {
+		budget = g_new(retry_budget_t, 1);
+		retry_budget_init(budget, (uint32_t)(fleet->retry_ratio * 100 *
+						     RETRY_SAFETY));
+		g_hash_table_insert(gateway->budgets, g_strdup(service),
+				    budget);
+	}
+	retry_budget_set_saved_max(
+		budget,
+		(uint32_t)(fleet->retry_slack * RETRY_SAFETY) / entries);
+	return budget;
+}
+
+/* Whether endpoint "id" has failed a moment ago. */
+bool gateway_is_suspect(const gateway_t *gateway, const char *id)
+{
+	const clock_ms_t *until = g_hash_table_lookup(gateway->suspects, id);
+
+	return until != NULL && clock_now(gateway->clock) < *until;
+}
+
+/* Passes over endpoint "id" for a while. */
+void gateway_suspect(gateway_t *gateway, const char *id)
+{
+	clock_ms_t *until = g_new(clock_ms_t, 1);
+
+	*until = clock_now(gateway->clock) + GATEWAY_SUSPECT_MS;
+	g_hash_table_replace(gateway->suspects, g_strdup(id), until);
+	LOG_INFO("endpoint_suspected", "endpoint=%s for_ms=%d", id,
+		 GATEWAY_SUSPECT_MS);
+}
+
+static gboolean suspicion_is_over(gpointer key, gpointer value, gpointer data)
+{
+	(void)key;
+	return *(const clock_ms_t *)value <= *(const clock_ms_t *)data;
+}
+
+static void report_load(gateway_t *gateway, clock_ms_t now)
+{
+	msg_fleet_load_t load = {
+		.entry = gateway->net->instance,
+		.sequence = ++gateway->reports,
+	};
+	msg_fleet_use_t *uses;
+
+	gateway->reported_ms = now;
+	uses = usage_list(&gateway->usage, &load.use_count);
+	load.uses = uses;
+	subscription_send_load(&gateway->subscription, &load);
+	g_free(uses);
+}
+
+static void on_tick(uv_timer_t *timer)
+{
+	gateway_t *gateway = timer->data;
+	clock_ms_t now = clock_now(gateway->clock);
+	exchange_t *exchange = LIST_FIRST(&gateway->exchanges);
+
+	while (exchange != NULL) {
+		exchange_t *next = LIST_NEXT(exchange, entry);
+
+		exchange_tick(exchange, now);
+		exchange = next;
+	}
+	g_hash_table_foreach_remove(gateway->suspects, suspicion_is_over, &now);
+	registry_forget_old(&gateway->registry, now);
+	if (now - gateway->reported_ms >= GATEWAY_REPORT_MS)
+		report_load(gateway, now);
+	if (gateway->drain_since_ms != 0 &&
+	    now - gateway->drain_since_ms >= DRAIN_IDLE_MS)
+		http_server_close_idle(&gateway->http);
+}
+
+static void on_request(http_server_handler_t *handler, http_conn_t *conn)
+{
+	exchange_begin(CONTAINER_OF(handler, gateway_t, http_handler), conn);
+}
+
+static void on_gone(http_server_handler_t *handler, http_conn_t *conn)
+{
+	(void)handler;
+	exchange_caller_left(conn->user);
+}
+
+/* Ready: may serve callers now, and is not about to stop. */
+static bool is_ready(const gateway_t *gateway)
+{
+	return gateway->drain_since_ms == 0 && gateway->table != NULL &&
+	       subscription_has_lease(&gateway->subscription);
+}
+
+static void on_ready_request(http_server_handler_t *handler, http_conn_t *conn)
+{
+	const gateway_t *gateway =
+		CONTAINER_OF(handler, gateway_t, ready_handler);
+
+	http_conn_reply(conn, is_ready(gateway) ? 200 : 503, "", "", 0);
+}
+
+static void on_ready_gone(http_server_handler_t *handler, http_conn_t *conn)
+{
+	(void)handler;
+	(void)conn;
+}
+
+static void set_handlers(gateway_t *gateway)
+{
+	gateway->http_handler.request = on_request;
+	gateway->http_handler.gone = on_gone;
+	gateway->ready_handler.request = on_ready_request;
+	gateway->ready_handler.gone = on_ready_gone;
+	gateway->subscription_handler.endpoints = on_endpoints;
+	gateway->subscription_handler.renewed = on_renewed;
+	gateway->subscription_handler.load = on_load;
+	gateway->subscription_handler.held = on_held;
+}
+
+static void subscribe(gateway_t *gateway)
+{
+	const settings_fleet_t *fleet = gateway->settings->fleet;
+
+	subscription_init(&gateway->subscription, gateway->net, gateway->clock,
+			  true, NULL, &gateway->subscription_handler);
+	for (unsigned i = 0; i < fleet->seeds_count; i++) {
+		char *address =
+			settings_fleet_peer_address(fleet, fleet->seeds[i]);
+
+		subscription_add_seed(&gateway->subscription, address);
+		g_free(address);
+	}
+}
+
+/*
+ * Listens for callers and the balancer and subscribes to the control
+ * instances.  Returns false with "err" set where an address cannot be bound.
+ */
+bool gateway_init(gateway_t *gateway, net_t *net, const settings_t *settings,
+		  const fleet_dialect_t *dialect, err_t *err)
+{
+	const settings_fleet_t *fleet = settings->fleet;
+
+	memset(gateway, 0, sizeof(*gateway));
+	set_handlers(gateway);
+	gateway->net = net;
+	gateway->settings = settings;
+	gateway->dialect = dialect;
+	gateway->clock = &clock_boottime;
+	gateway->random = g_rand_new();
+	gateway->entries = 1;
+	LIST_INIT(&gateway->exchanges);
+	registry_init(&gateway->registry);
+	usage_init(&gateway->usage);
+	gateway->budgets =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	gateway->suspects =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	if (!http_server_init(&gateway->http, net->loop, fleet->front_listen,
+			      gateway->clock, &first_limits,
+			      &gateway->http_handler, err) ||
+	    !http_server_init(&gateway->ready, net->loop, fleet->ready_listen,
+			      gateway->clock, &ready_limits,
+			      &gateway->ready_handler, err))
+		return false;
+	subscribe(gateway);
+	uv_timer_init(net->loop, &gateway->tick);
+	gateway->tick.data = gateway;
+	uv_timer_start(&gateway->tick, on_tick, GATEWAY_TICK_MS,
+		       GATEWAY_TICK_MS);
+	return true;
+}
+
+/* A stop is planned: not ready any more; what is open goes on to its end. */
+void gateway_drain(gateway_t *gateway)
+{
+	gateway->drain_since_ms = clock_now(gateway->clock);
+	http_server_drain(&gateway->http);
+}
+
+/* Whether a draining gateway has nothing left to do. */
+bool gateway_is_idle(const gateway_t *gateway)
+{
+	return clock_now(gateway->clock) - gateway->drain_since_ms >=
+		       DRAIN_IDLE_MS + GATEWAY_TICK_MS &&
+	       LIST_EMPTY(&gateway->exchanges) && gateway->http.conn_count == 0;
+}
+
+/* Ends everything at once. */
+void gateway_close(gateway_t *gateway)
+{
+	while (!LIST_EMPTY(&gateway->exchanges))
+		exchange_discard(LIST_FIRST(&gateway->exchanges));
+	uv_close((uv_handle_t *)&gateway->tick, NULL);
+	http_server_close(&gateway->http);
+	http_server_close(&gateway->ready);
+	subscription_close(&gateway->subscription);
+}
+
+/* Frees a gateway that is closed; the loop has run to its end. */
+void gateway_finish(gateway_t *gateway)
+{
+	subscription_finish(&gateway->subscription);
+	registry_finish(&gateway->registry);
+	usage_finish(&gateway->usage);
+	route_table_unref(gateway->table);
+	g_hash_table_destroy(gateway->budgets);
+	g_hash_table_destroy(gateway->suspects);
+	g_rand_free(gateway->random);
+}
--- /dev/null
+++ b/src/wisteria/gateway/gateway.h
@@ -0,0 +1,21 @@
+#ifndef WISTERIA_GATEWAY_GATEWAY_H
+#define WISTERIA_GATEWAY_GATEWAY_H
+
+#include "wisteria/base/err_defs.h"
+#include "wisteria/base/macros_defs.h"
+#include "wisteria/gateway/gateway_defs.h"
+
+bool gateway_init(gateway_t *gateway, net_t *net, const settings_t *settings,
+		  const fleet_dialect_t *dialect, err_t *err) ATTR_WARN_UNUSED;
+void gateway_drain(gateway_t *gateway) ATTR_NONNULL_ALL;
+bool gateway_is_idle(const gateway_t *gateway) ATTR_NONNULL_ALL;
+void gateway_close(gateway_t *gateway) ATTR_NONNULL_ALL;
+void gateway_finish(gateway_t *gateway) ATTR_NONNULL_ALL;
+
+retry_budget_t *gateway_budget(gateway_t *gateway,
+			       const char *service) ATTR_NONNULL_ALL;
+bool gateway_is_suspect(const gateway_t *gateway,
+			const char *id) ATTR_NONNULL_ALL;
+void gateway_suspect(gateway_t *gateway, const char *id) ATTR_NONNULL_ALL;
+
+#endif
--- /dev/null
+++ b/src/wisteria/gateway/gateway_defs.h
@@ -0,0 +1,99 @@
+#ifndef WISTERIA_GATEWAY_GATEWAY_DEFS_H
+#define WISTERIA_GATEWAY_GATEWAY_DEFS_H
+
+#include <sys/queue.h>
+
+#include "wisteria/fleet/dialect.h"
+#include "wisteria/fleet/pipeline_defs.h"
+#include "wisteria/fleet/registry_defs.h"
+#include "wisteria/fleet/subscription_defs.h"
+#include "wisteria/gateway/event_stream.h"
+#include "wisteria/gateway/outcome.h"
+#include "wisteria/gateway/usage.h"
+#include "wisteria/http/http_call.h"
+#include "wisteria/http/http_server.h"
+#include "wisteria/limits/retry_budget.h"
+#include "wisteria/settings/settings_defs.h"
+
+#define GATEWAY_TICK_MS 50
+/* Two reports are lost before USAGE_FRESH_MS is over. */
+#define GATEWAY_REPORT_MS 500
+/* A connection within a region stands in a few ms; a dead host never answers. */
+#define GATEWAY_CONNECT_MS 400
+/* An endpoint that failed is passed over for about two heartbeats. */
+#define GATEWAY_SUSPECT_MS 2500
+/*
+ * A stream silent for this long is taken up elsewhere: less than the 2 s after
+ * which its caller leaves, by the time that a new prompt is read.
+ */
+#define GATEWAY_STALL_MS 900
+
+/* Endpoints that one attempt uses: one, or a whole pipeline. */
+typedef struct {
+	char ids[PIPELINE_HOPS_MAX][ENDPOINT_ID_BYTES];
+	char addresses[PIPELINE_HOPS_MAX][ENDPOINT_ADDRESS_BYTES];
+	uint32_t first_layers[PIPELINE_HOPS_MAX];
+	uint32_t end_layers[PIPELINE_HOPS_MAX];
+	uint32_t count;
+	bool is_pipeline;
+	double tokens;
+	double cost_ms; /* as estimated when it was chosen */
+} target_t;
+
+struct gateway_t;
+
+/* One request of a caller, from when it was read to its whole answer. */
+typedef struct exchange_t {
+	http_call_handler_t call_handler;
+	LIST_ENTRY(exchange_t) entry;
+	struct gateway_t *gateway;
+	http_conn_t *conn; /* NULL: the caller has left */
+	route_table_t *table;
+	const route_t *route;
+	const service_t *service;
+	caller_request_t caller;
+	const char *customer;
+	clock_ms_t started_ms;
+	clock_ms_t deadline_ms;
+	http_call_t *call;	/* of the attempt under way, or NULL */
+	target_t target;	/* of that attempt */
+	clock_ms_t progress_ms; /* when it was sent or last said something */
+	GPtrArray *failed;	/* ids of endpoints not to be tried again */
+	unsigned sends;
+	unsigned runs; /* attempts that may have run */
+	bool streams;  /* the attempt's answer is passed on as it comes */
+	bool head_sent;
+	int64_t content_length; /* of a stream's answer; -1: none */
+	event_stream_t events;
+	clock_ms_t first_event_ms; /* 0: none yet */
+} exchange_t;
+
+typedef LIST_HEAD(exchange_list_t, exchange_t) exchange_list_t;
+
+/* The role that faces callers of a fleet. */
+typedef struct gateway_t {
+	http_server_handler_t http_handler;
+	http_server_handler_t ready_handler;
+	subscription_handler_t subscription_handler;
+	net_t *net;
+	const settings_t *settings;
+	const fleet_dialect_t *dialect;
+	const clock_source_t *clock; /* goes on in a suspended machine */
+	http_server_t http;
+	http_server_t ready;
+	subscription_t subscription;
+	registry_t registry;
+	route_table_t *table; /* NULL: none is known yet */
+	uint32_t entries;     /* of the fleet, as last told */
+	GHashTable *budgets;  /* service -> retry_budget_t */
+	GHashTable *suspects; /* endpoint id -> clock_ms_t, until when */
+	usage_t usage;
+	uint64_t reports;
+	clock_ms_t reported_ms;
+	exchange_list_t exchanges;
+	GRand *random;
+	uv_timer_t tick;
+	clock_ms_t drain_since_ms; /* 0: not draining */
+} gateway_t;
+
+#endif
--- /dev/null
+++ b/src/wisteria/gateway/outcome.c
@@ -0,0 +1,44 @@
+/*
+ * What follows when an attempt has failed.  A request that must not run twice
+ * is tried again only where no attempt can have run; "not run" is said only
+ * where that is sure.  Pure.
+ */
+#include "wisteria/gateway/outcome.h"
+
+#include <stddef.h>
+
+/* Returns what to do where no other attempt can be made. */
+outcome_t outcome_without_retry(const outcome_case_t *given)
+{
+	if (given->answer_begun)
+		return OUTCOME_BREAK;
+	if (given->end == ATTEMPT_ERROR)
+		return OUTCOME_PASS;
+	return given->may_have_run ? OUTCOME_FAIL : OUTCOME_REFUSE;
+}
+
+/* Returns what to do; OUTCOME_AGAIN still depends on budget and endpoints. */
+outcome_t outcome_decide(const outcome_case_t *given)
+{
+	if (!given->caller_waits)
+		return outcome_without_retry(given);
+	if (given->answer_begun && !given->resumable)
+		return OUTCOME_BREAK;
+	if (given->may_have_run && !given->repeatable)
+		return outcome_without_retry(given);
+	if (given->runs >= given->max_runs)
+		return outcome_without_retry(given);
+	return OUTCOME_AGAIN;
+}
+
+/* Returns the name of "end" for logs. */
+const char *attempt_end_name(attempt_end_t end)
+{
+	static const char *const names[] = {
+		[ATTEMPT_UNSENT] = "unsent",   [ATTEMPT_NOT_RUN] = "not_run",
+		[ATTEMPT_UNKNOWN] = "unknown", [ATTEMPT_CUT] = "cut",
+		[ATTEMPT_ERROR] = "error",
+	};
+
+	return names[end];
+}
--- /dev/null
+++ b/src/wisteria/gateway/target.h
@@ -0,0 +1,16 @@
+#ifndef WISTERIA_GATEWAY_TARGET_H
+#define WISTERIA_GATEWAY_TARGET_H
+
+#include "wisteria/base/macros_defs.h"
+#include "wisteria/gateway/gateway_defs.h"
+
+typedef enum {
+	TARGET_FOUND,
+	TARGET_NONE, /* no usable endpoint holds what is needed */
+	TARGET_FULL  /* the endpoints that do have no room */
+} target_result_t;
+
+target_result_t target_choose(const exchange_t *exchange, target_t *target)
+	ATTR_NONNULL_ALL ATTR_WARN_UNUSED;
+
+#endif
--- /dev/null
+++ b/src/wisteria/http/http_call.c
@@ -0,0 +1,182 @@
+/*
+ * An HTTP/1.1 request over a connection that serves it alone.  A connection
+ * that was used before can be closed by the peer just as the next request is
+ * sent, and then nobody knows whether it ran; a fresh one has no such moment
+ * and can carry no bytes of an earlier answer.
+ */
+#include "wisteria/http/http_call.h"
+
+#include <string.h>
+
+#include "wisteria/base/err.h"
+#include "wisteria/http/http_message.h"
+#include "wisteria/http/http_write.h"
+#include "wisteria/net/net.h"
+
+#define CALL_HEADER_BYTES_MAX (64u << 10)
+/* Most bytes of an answer that its owner leaves unconsumed. */
+#define CALL_BODY_BYTES_MAX (16u << 20)
+#define CALL_READ_BYTES (64u << 10)
+
+struct http_call_t {
+	uv_tcp_t tcp;
+	uv_connect_t connect;
+	uv_timer_t timer; /* until the connection stands */
+	http_call_handler_t *handler;
+	http_reader_t reader;
+	GByteArray *request;
+	http_call_stage_t stage;
+	bool headers_told;
+	bool ended;
+	unsigned open_handles;
+};
+
+static void on_handle_closed(uv_handle_t *handle)
+{
+	http_call_t *call = handle->data;
+
+	if (--call->open_handles > 0)
+		return;
+	http_reader_finish(&call->reader);
+	g_byte_array_unref(call->request);
+	g_free(call);
+}
+
+/* Ends "call" without a word to its owner. */
+void http_call_cancel(http_call_t *call)
+{
+	if (call->ended)
+		return;
+	call->ended = true;
+	uv_close((uv_handle_t *)&call->tcp, on_handle_closed);
+	uv_close((uv_handle_t *)&call->timer, on_handle_closed);
+}
+
+/* Returns what was read of the answer so far. */
+const http_message_t *http_call_answer(const http_call_t *call)
+{
+	return &call->reader.message;
+}
+
+static void fail(http_call_t *call, const char *reason)
+{
+	if (call->ended)
+		return;
+	http_call_cancel(call);
+	call->handler->failed(call->handler, call->stage, reason);
+}
+
+static void on_connect_timeout(uv_timer_t *timer)
+{
+	fail(timer->data, "connect_timeout");
+}
+
+static void report_progress(http_call_t *call)
+{
+	http_message_t *answer = &call->reader.message;
+
+	if (call->reader.state < HTTP_READ_BODY)
+		return;
+	if (!call->headers_told && call->reader.state != HTTP_READ_FAILED) {
+		call->headers_told = true;
+		call->stage = HTTP_CALL_CUT;
+		call->handler->headers(call->handler, answer);
+	}
+	if (!call->ended && call->headers_told && answer->body->len > 0)
+		call->handler->body(call->handler, answer->body);
+	if (call->ended || call->reader.state == HTTP_READ_BODY)
+		return;
+	if (call->reader.state == HTTP_READ_FAILED) {
+		fail(call, "unreadable_answer");
+		return;
+	}
+	http_call_cancel(call);
+	call->handler->complete(call->handler, answer);
+}
+
+static void on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
+{
+	static char shared[CALL_READ_BYTES];
+
+	(void)handle;
+	(void)suggested;
+	*buf = uv_buf_init(shared, sizeof(shared));
+}
+
+static void on_read(uv_stream_t *stream, ssize_t len, const uv_buf_t *buf)
+{
+	http_call_t *call = stream->data;
+
+	if (len == 0)
+		return;
+	if (len < 0 && len != UV_EOF) {
+		fail(call, "reset");
+		return;
+	}
+	if (len == UV_EOF) {
+		if (!call->headers_told) {
+			fail(call, "closed_unanswered");
+			return;
+		}
+		http_reader_eof(&call->reader);
+	} else if (http_reader_feed(&call->reader, buf->base, (size_t)len) ==
+		   0) {
+		call->reader.state = HTTP_READ_FAILED;
+	}
+	report_progress(call);
+}
+
+static void on_connected(uv_connect_t *connect, int status)
+{
+	http_call_t *call = CONTAINER_OF(connect, http_call_t, connect);
+	uv_stream_t *stream = (uv_stream_t *)&call->tcp;
+	uv_buf_t buf;
+
+	if (call->ended)
+		return;
+	if (status < 0) {
+		fail(call, "connect_refused");
+		return;
+	}
+	uv_timer_stop(&call->timer);
+	uv_tcp_nodelay(&call->tcp, 1);
+	call->stage = HTTP_CALL_SENT;
+	buf = uv_buf_init((char *)call->request->data, call->request->len);
+	if (!http_write(stream, &buf, 1) ||
+	    uv_read_start(stream, on_alloc, on_read) != 0)
+		fail(call, "reset");
+}
+
+/*
+ * Sends "request", a whole request in text, to "address".  The connection
+ * must stand within "connect_ms".  The owner is never told from within this
+ * call; an address that cannot be parsed fails like an unreachable one.
+ */
+http_call_t *http_call_new(uv_loop_t *loop, const char *address,
+			   const GString *request, clock_ms_t connect_ms,
+			   http_call_handler_t *handler)
+{
+	http_call_t *call = g_new0(http_call_t, 1);
+	struct sockaddr_storage parsed;
+	err_t err = ERR_INIT;
+	bool started;
+
+	call->handler = handler;
+	call->open_handles = 2;
+	call->request = g_byte_array_sized_new((guint)request->len);
+	g_byte_array_append(call->request, (const guint8 *)request->str,
+			    (guint)request->len);
+	http_reader_init(&call->reader, HTTP_RESPONSE, CALL_HEADER_BYTES_MAX,
+			 CALL_BODY_BYTES_MAX);
+	uv_tcp_init(loop, &call->tcp);
+	call->tcp.data = call;
+	uv_timer_init(loop, &call->timer);
+	call->timer.data = call;
+	started = net_parse_address(address, &parsed, &err) &&
+		  uv_tcp_connect(&call->connect, &call->tcp,
+				 (const struct sockaddr *)&parsed,
+				 on_connected) == 0;
+	uv_timer_start(&call->timer, on_connect_timeout,
+		       started ? (uint64_t)connect_ms : 0, 0);
+	return call;
+}
--- /dev/null
+++ b/src/wisteria/http/http_message.c
@@ -0,0 +1,122 @@
+/* Requests and responses in memory. */
+#include "wisteria/http/http_message.h"
+
+#include <strings.h>
+
+/* Makes an empty message. */
+void http_message_init(http_message_t *message)
+{
+	*message = (http_message_t){
+		.text = g_byte_array_new(),
+		.fields = g_array_new(FALSE, FALSE, sizeof(http_field_t)),
+		.body = g_byte_array_new(),
+		.method = "",
+	};
+	http_message_reset(message);
+}
+
+/* Frees what a message holds. */
+void http_message_finish(http_message_t *message)
+{
+	g_byte_array_unref(message->text);
+	g_array_unref(message->fields);
+	g_byte_array_unref(message->body);
+}
+
+/* Empties a message for the next one on its connection. */
+void http_message_reset(http_message_t *message)
+{
+	static const guint8 nul = 0;
+
+	g_byte_array_set_size(message->text, 0);
+	g_byte_array_append(message->text, &nul, 1);
+	g_array_set_size(message->fields, 0);
+	g_byte_array_set_size(message->body, 0);
+	message->method = "";
+	message->target = 0;
+	message->status = 0;
+	message->keep_alive = false;
+}
+
+/* Returns the target of a request: path and query. */
+const char *http_message_target(const http_message_t *message)
+{
+	return (const char *)message->text->data + message->target;
+}
+
+/* Returns the name of header "index". */
+const char *http_message_name(const http_message_t *message, guint index)
+{
+	return (const char *)message->text->data +
+	       g_array_index(message->fields, http_field_t, index).name;
+}
+
+/* Returns the value of header "index". */
+const char *http_message_value(const http_message_t *message, guint index)
+{
+	return (const char *)message->text->data +
+	       g_array_index(message->fields, http_field_t, index).value;
+}
+
+/* Returns the first value of header "name", or NULL. */
+const char *http_message_get(const http_message_t *message, const char *name)
+{
+	for (guint i = 0; i < message->fields->len; i++)
+		if (strcasecmp(http_message_name(message, i), name) == 0)
+			return http_message_value(message, i);
+	return NULL;
+}
+
+/* Whether header "name" concerns one connection only (RFC 9110, 7.6.1). */
+bool http_is_hop_header(const char *name)
+{
+	static const char *const names[] = {
+		"connection",
+		"keep-alive",
+		"proxy-connection",
+		"te",
+		"trailer",
+		"transfer-encoding",
+		"upgrade",
+		"proxy-authorization",
+		"proxy-authenticate",
+		"expect",
+		"content-length",
+	};
+
+	for (size_t i = 0; i < ARRAY_SIZE(names); i++)
+		if (strcasecmp(names[i], name) == 0)
+			return true;
+	return false;
+}
+
+typedef struct {
+	unsigned status;
+	const char *reason;
+} reason_t;
+
+/* Returns the reason phrase of "status". */
+const char *http_reason(unsigned status)
+{
+	static const reason_t reasons[] = {
+		{ 200, "OK" },
+		{ 307, "Temporary Redirect" },
+		{ 400, "Bad Request" },
+		{ 401, "Unauthorized" },
+		{ 404, "Not Found" },
+		{ 405, "Method Not Allowed" },
+		{ 408, "Request Timeout" },
+		{ 413, "Content Too Large" },
+		{ 429, "Too Many Requests" },
+		{ 431, "Request Header Fields Too Large" },
+		{ 500, "Internal Server Error" },
+		{ 502, "Bad Gateway" },
+		{ 503, "Service Unavailable" },
+		{ 504, "Gateway Timeout" },
+	};
+
+	for (size_t i = 0; i < ARRAY_SIZE(reasons); i++)
+		if (reasons[i].status == status)
+			return reasons[i].reason;
+	return "Status";
+}
--- /dev/null
+++ b/src/wisteria/http/http_message.h
@@ -0,0 +1,20 @@
+#ifndef WISTERIA_HTTP_HTTP_MESSAGE_H
+#define WISTERIA_HTTP_HTTP_MESSAGE_H
+
+#include "wisteria/base/macros_defs.h"
+#include "wisteria/http/http_message_defs.h"
+
+void http_message_init(http_message_t *message) ATTR_NONNULL_ALL;
+void http_message_finish(http_message_t *message) ATTR_NONNULL_ALL;
+void http_message_reset(http_message_t *message) ATTR_NONNULL_ALL;
+const char *http_message_target(const http_message_t *message) ATTR_NONNULL_ALL;
+const char *http_message_name(const http_message_t *message,
+			      guint index) ATTR_NONNULL_ALL;
+const char *http_message_value(const http_message_t *message,
+			       guint index) ATTR_NONNULL_ALL;
+const char *http_message_get(const http_message_t *message,
+			     const char *name) ATTR_NONNULL_ALL;
+bool http_is_hop_header(const char *name) ATTR_NONNULL_ALL;
+const char *http_reason(unsigned status);
+
+#endif
--- /dev/null
+++ b/src/wisteria/http/http_reader.c
@@ -0,0 +1,200 @@
+/* Incremental reading of HTTP/1.1 messages, by the http-parser library. */
+#include "wisteria/http/http_reader.h"
+
+#include <string.h>
+
+#include "wisteria/http/http_message.h"
+
+static const guint8 NUL = 0;
+
+static int fail(http_reader_t *reader, http_read_error_t error)
+{
+	reader->error = error;
+	reader->state = HTTP_READ_FAILED;
+	return -1;
+}
+
+static int count_header(http_reader_t *reader, size_t len)
+{
+	reader->header_bytes += len;
+	if (reader->header_bytes > reader->header_bytes_max)
+		return fail(reader, HTTP_HEADERS_TOO_LARGE);
+	return 0;
+}
+
+static void close_string(http_reader_t *reader)
+{
+	g_byte_array_append(reader->message.text, &NUL, 1);
+}
+
+static void append(http_reader_t *reader, const char *at, size_t len)
+{
+	g_byte_array_append(reader->message.text, (const guint8 *)at,
+			    (guint)len);
+}
+
+static int on_url(http_parser *parser, const char *at, size_t len)
+{
+	http_reader_t *reader = parser->data;
+
+	if (reader->message.target == 0)
+		reader->message.target = reader->message.text->len;
+	append(reader, at, len);
+	return count_header(reader, len);
+}
+
+static int on_header_field(http_parser *parser, const char *at, size_t len)
+{
+	http_reader_t *reader = parser->data;
+	GArray *fields = reader->message.fields;
+	http_field_t field = { 0 };
+
+	if (fields->len == 0 || reader->value_open) {
+		close_string(reader);
+		field.name = reader->message.text->len;
+		g_array_append_val(fields, field);
+		reader->value_open = false;
+	}
+	append(reader, at, len);
+	return count_header(reader, len);
+}
+
+static int on_header_value(http_parser *parser, const char *at, size_t len)
+{
+	http_reader_t *reader = parser->data;
+	GArray *fields = reader->message.fields;
+
+	if (!reader->value_open) {
+		close_string(reader);
+		g_array_index(fields, http_field_t, fields->len - 1).value =
+			reader->message.text->len;
+		reader->value_open = true;
+	}
+	append(reader, at, len);
+	return count_header(reader, len);
+}
+
+static int on_headers_complete(http_parser *parser)
+{
+	http_reader_t *reader = parser->data;
+
+	close_string(reader);
+	if (parser->type == HTTP_REQUEST)
+		reader->message.method =
+			http_method_str((enum http_method)parser->method);
+	reader->message.status = parser->status_code;
+	reader->message.keep_alive = http_should_keep_alive(parser) != 0;
+	reader->interim =
+		parser->type == HTTP_RESPONSE && parser->status_code / 100 == 1;
+	if (!reader->interim)
+		reader->state = HTTP_READ_BODY;
+	if (parser->content_length != ULLONG_MAX &&
+	    parser->content_length > reader->body_bytes_max)
+		return fail(reader, HTTP_BODY_TOO_LARGE);
+	return 0;
+}
+
+static int on_body(http_parser *parser, const char *at, size_t len)
+{
+	http_reader_t *reader = parser->data;
+
+	if (reader->message.body->len + len > reader->body_bytes_max)
+		return fail(reader, HTTP_BODY_TOO_LARGE);
+	g_byte_array_append(reader->message.body, (const guint8 *)at,
+			    (guint)len);
+	return 0;
+}
+
+static int on_message_complete(http_parser *parser)
+{
+	http_reader_t *reader = parser->data;
+
+	if (reader->interim) {
+		http_message_reset(&reader->message);
+		reader->value_open = false;
+		return 0;
+	}
+	reader->state = HTTP_READ_COMPLETE;
+	http_parser_pause(parser, 1);
+	return 0;
+}
+
+static const http_parser_settings callbacks = {
+	.on_url = on_url,
+	.on_header_field = on_header_field,
+	.on_header_value = on_header_value,
+	.on_headers_complete = on_headers_complete,
+	.on_body = on_body,
+	.on_message_complete = on_message_complete,
+};
+
+/*
+ * Makes a reader of requests or responses.  More than "header_bytes_max" of
+ * headers or "body_bytes_max" of body held at a time end it with an error.
+ */
+void http_reader_init(http_reader_t *reader, enum http_parser_type type,
+		      size_t header_bytes_max, size_t body_bytes_max)
+{
+	memset(reader, 0, sizeof(*reader));
+	http_message_init(&reader->message);
+	http_parser_init(&reader->parser, type);
+	reader->parser.data = reader;
+	reader->header_bytes_max = header_bytes_max;
+	reader->body_bytes_max = body_bytes_max;
+}
+
+/* Frees what the reader holds. */
+void http_reader_finish(http_reader_t *reader)
+{
+	http_message_finish(&reader->message);
+}
+
+/* Prepares for the next message on the same connection. */
+void http_reader_next(http_reader_t *reader)
+{
+	http_message_reset(&reader->message);
+	reader->state = HTTP_READ_HEADERS;
+	reader->value_open = false;
+	reader->header_bytes = 0;
+	http_parser_init(&reader->parser, reader->parser.type);
+}
+
+/*
+ * Takes bytes and returns how many were used; it stops behind the end of a
+ * message.  "state" and "error" tell how far it is.
+ */
+size_t http_reader_feed(http_reader_t *reader, const char *data, size_t len)
+{
+	size_t used;
+	enum http_errno error;
+
+	if (reader->state >= HTTP_READ_COMPLETE || len == 0)
+		return 0;
+	used = http_parser_execute(&reader->parser, &callbacks, data, len);
+	error = HTTP_PARSER_ERRNO(&reader->parser);
+	if (reader->state == HTTP_READ_COMPLETE)
+		return MIN(used, len);
+	if (reader->state != HTTP_READ_FAILED &&
+	    (error != HPE_OK || reader->parser.upgrade))
+		fail(reader, error == HPE_HEADER_OVERFLOW
+				     ? HTTP_HEADERS_TOO_LARGE
+				     : HTTP_BAD_SYNTAX);
+	return used;
+}
+
+/* The peer has closed: completes a message that is framed by the close. */
+void http_reader_eof(http_reader_t *reader)
+{
+	if (reader->state >= HTTP_READ_COMPLETE)
+		return;
+	http_parser_execute(&reader->parser, &callbacks, NULL, 0);
+	if (reader->state != HTTP_READ_COMPLETE)
+		fail(reader, HTTP_BAD_SYNTAX);
+}
+
+/* Whether the end of the message is marked by its length or by chunks. */
+bool http_reader_has_framing(const http_reader_t *reader)
+{
+	return (reader->parser.flags & F_CHUNKED) != 0 ||
+	       (reader->parser.flags & F_CONTENTLENGTH) != 0;
+}
--- /dev/null
+++ b/src/wisteria/http/http_reader.h
@@ -0,0 +1,47 @@
+#ifndef WISTERIA_HTTP_HTTP_READER_H
+#define WISTERIA_HTTP_HTTP_READER_H
+
+#include <http_parser.h>
+
+#include "wisteria/base/err_defs.h"
+#include "wisteria/base/macros_defs.h"
+#include "wisteria/http/http_message_defs.h"
+
+typedef enum {
+	HTTP_READ_HEADERS,
+	HTTP_READ_BODY,
+	HTTP_READ_COMPLETE,
+	HTTP_READ_FAILED
+} http_read_state_t;
+
+/* Why reading failed, as the status with which a server refuses it. */
+typedef enum {
+	HTTP_BAD_SYNTAX = 400,
+	HTTP_BODY_TOO_LARGE = 413,
+	HTTP_HEADERS_TOO_LARGE = 431
+} http_read_error_t;
+
+/* Parses one message at a time out of the bytes of a connection. */
+typedef struct {
+	http_parser parser;
+	http_message_t message;
+	http_read_state_t state;
+	http_read_error_t error;
+	bool value_open; /* the last header callback was a value's */
+	bool interim;	 /* the message is a 1xx response */
+	size_t header_bytes;
+	size_t header_bytes_max;
+	size_t body_bytes_max;
+} http_reader_t;
+
+void http_reader_init(http_reader_t *reader, enum http_parser_type type,
+		      size_t header_bytes_max,
+		      size_t body_bytes_max) ATTR_NONNULL_ALL;
+void http_reader_finish(http_reader_t *reader) ATTR_NONNULL_ALL;
+void http_reader_next(http_reader_t *reader) ATTR_NONNULL_ALL;
+size_t http_reader_feed(http_reader_t *reader, const char *data,
+			size_t len) ATTR_NONNULL_ALL ATTR_WARN_UNUSED;
+void http_reader_eof(http_reader_t *reader) ATTR_NONNULL_ALL;
+bool http_reader_has_framing(const http_reader_t *reader) ATTR_NONNULL_ALL;
+
+#endif
--- /dev/null
+++ b/src/wisteria/http/http_write.c
@@ -0,0 +1,67 @@
+/* Writing to a socket without a copy where the kernel takes all at once. */
+#include "wisteria/http/http_write.h"
+
+#include <string.h>
+
+#include <glib.h>
+
+typedef struct {
+	uv_write_t request;
+	char data[];
+} queued_write_t;
+
+static void on_written(uv_write_t *request, int status)
+{
+	(void)status; /* a lost peer is seen by the reading side */
+	g_free(CONTAINER_OF(request, queued_write_t, request));
+}
+
+static size_t total_of(const uv_buf_t *bufs, unsigned count)
+{
+	size_t total = 0;
+
+	for (unsigned i = 0; i < count; i++)
+		total += bufs[i].len;
+	return total;
+}
+
+/*
+ * Writes all of "bufs" in order, at once or when the peer reads.  Returns
+ * false if the connection is broken or the peer has too much waiting.
+ */
+bool http_write(uv_stream_t *stream, const uv_buf_t *bufs, unsigned count)
+{
+	size_t total = total_of(bufs, count);
+	size_t written = 0;
+	queued_write_t *queued;
+	uv_buf_t rest;
+	size_t at = 0;
+
+	if (uv_stream_get_write_queue_size(stream) == 0) {
+		int status = uv_try_write(stream, bufs, count);
+
+		if (status < 0 && status != UV_EAGAIN)
+			return false;
+		written = status < 0 ? 0 : (size_t)status;
+	}
+	if (written == total)
+		return true;
+	if (uv_stream_get_write_queue_size(stream) + total - written >
+	    HTTP_BACKLOG_BYTES_MAX)
+		return false;
+	queued = g_malloc(sizeof(*queued) + total - written);
+	for (unsigned i = 0; i < count; i++) {
+		size_t skip = MIN(written, bufs[i].len);
+
+		memcpy(queued->data + at, bufs[i].base + skip,
+		       bufs[i].len - skip);
+		at += bufs[i].len - skip;
+		written -= skip;
+	}
+	rest = uv_buf_init(queued->data, (unsigned)at);
+	if (uv_write(&queued->request, stream, &rest, 1, on_written) != 0) {
+		g_free(queued);
+		return false;
+	}
+	return true;
+}
--- a/src/wisteria/settings/settings.c
+++ b/src/wisteria/settings/settings.c
@@ -22,6 +22,12 @@
 
 #define SETTINGS_HTTP_THREADS_DEFAULT 2
 #define SETTINGS_SLOTS_DEFAULT 8
+/* Streams of some seconds end by themselves within it. */
+#define SETTINGS_STOP_S_DEFAULT 8.0
+/* A fifth is the usual bound; the slack lets a short outage be retried. */
+#define SETTINGS_RETRY_RATIO_DEFAULT 0.2
+#define SETTINGS_RETRY_SLACK_DEFAULT 100
+#define SETTINGS_RETRY_WINDOW_S_DEFAULT 10.0
 
 #define STRING_FIELD(type, member) \
 	CYAML_FIELD_STRING_PTR(#member, CYAML_FLAG_POINTER, type, member, 1, \
@@ -97,6 +103,31 @@
 	CYAML_FIELD_END,
 };
 
+static const cyaml_schema_value_t seed_schema = {
+	CYAML_VALUE_STRING(CYAML_FLAG_POINTER, char, 1, 64),
+};
+
+static const cyaml_schema_field_t fleet_fields[] = {
+	OPTIONAL_STRING_FIELD(settings_fleet_t, front_listen),
+	OPTIONAL_STRING_FIELD(settings_fleet_t, ready_listen),
+	OPTIONAL_STRING_FIELD(settings_fleet_t, control_listen),
+	STRING_FIELD(settings_fleet_t, peer_listen),
+	OPTIONAL_STRING_FIELD(settings_fleet_t, data_dir),
+	CYAML_FIELD_BOOL("bootstrap", CYAML_FLAG_OPTIONAL, settings_fleet_t,
+			 bootstrap),
+	CYAML_FIELD_SEQUENCE("seeds", CYAML_FLAG_POINTER, settings_fleet_t,
+			     seeds, &seed_schema, 1, SETTINGS_VOTERS_MAX),
+	CYAML_FIELD_FLOAT("stop_s", CYAML_FLAG_OPTIONAL, settings_fleet_t,
+			  stop_s),
+	CYAML_FIELD_FLOAT("retry_ratio", CYAML_FLAG_OPTIONAL, settings_fleet_t,
+			  retry_ratio),
+	CYAML_FIELD_UINT("retry_slack", CYAML_FLAG_OPTIONAL, settings_fleet_t,
+			 retry_slack),
+	CYAML_FIELD_FLOAT("retry_window_s", CYAML_FLAG_OPTIONAL,
+			  settings_fleet_t, retry_window_s),
+	CYAML_FIELD_END,
+};
+
 static const cyaml_schema_value_t role_schema = {
 	CYAML_VALUE_STRING(CYAML_FLAG_POINTER, char, 1, 16),
 };
@@ -105,7 +136,7 @@
 	STRING_FIELD(settings_t, instance),
 	STRING_FIELD(settings_t, failure_domain),
 	OPTIONAL_STRING_FIELD(settings_t, region),
-	STRING_FIELD(settings_t, cluster_key_file),
+	OPTIONAL_STRING_FIELD(settings_t, cluster_key_file),
 	OPTIONAL_STRING_FIELD(settings_t, log_level),
 	OPTIONAL_STRING_FIELD(settings_t, trace_file),
 	OPTIONAL_STRING_FIELD(settings_t, metrics_listen),
@@ -124,6 +155,9 @@
 	CYAML_FIELD_MAPPING_PTR("agent",
 				CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL,
 				settings_t, agent, agent_fields),
+	CYAML_FIELD_MAPPING_PTR("fleet",
+				CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL,
+				settings_t, fleet, fleet_fields),
 	CYAML_FIELD_END,
 };
 
@@ -141,6 +175,8 @@
 	{ "entry", offsetof(settings_t, entry), true },
 	{ "agent", offsetof(settings_t, agent), true },
 	{ "control", offsetof(settings_t, control), false },
+	{ "fleet_entry", offsetof(settings_t, fleet), false },
+	{ "fleet_control", offsetof(settings_t, fleet), false },
 };
 
 /* cyaml frees strings with free(), so defaults are copies. */
@@ -150,12 +186,26 @@
 		*value = strdup(text);
 }
 
+static void set_fleet_defaults(settings_fleet_t *fleet)
+{
+	if (fleet->stop_s <= 0)
+		fleet->stop_s = SETTINGS_STOP_S_DEFAULT;
+	if (fleet->retry_ratio <= 0)
+		fleet->retry_ratio = SETTINGS_RETRY_RATIO_DEFAULT;
+	if (fleet->retry_slack == 0)
+		fleet->retry_slack = SETTINGS_RETRY_SLACK_DEFAULT;
+	if (fleet->retry_window_s <= 0)
+		fleet->retry_window_s = SETTINGS_RETRY_WINDOW_S_DEFAULT;
+}
+
 static void set_defaults(settings_t *settings)
 {
 	set_default(&settings->region, "default");
 	set_default(&settings->log_level, "info");
 	if (settings->entry != NULL && settings->entry->http_threads == 0)
 		settings->entry->http_threads = SETTINGS_HTTP_THREADS_DEFAULT;
+	if (settings->fleet != NULL)
+		set_fleet_defaults(settings->fleet);
 	if (settings->agent == NULL)
 		return;
 	for (unsigned i = 0; i < settings->agent->endpoints_count; i++) {
@@ -212,7 +262,8 @@
 		if (find_role(settings->roles[i]) == NULL)
 			return yaml_doc_fail(doc, "roles", NULL, err,
 					     "\"%s\" is no role; expected "
-					     "entry, agent or control",
+					     "entry, agent, control, "
+					     "fleet_entry or fleet_control",
 					     settings->roles[i]);
 		for (unsigned j = 0; j < i; j++)
 			if (strcmp(settings->roles[i], settings->roles[j]) == 0)
@@ -234,7 +285,7 @@
 		return yaml_doc_fail(doc, "roles", rule->role, err,
 				     "role %s needs a section \"%s\"",
 				     rule->role, rule->role);
-	if (!listed && section != NULL)
+	if (!listed && section != NULL && section != settings->fleet)
 		return yaml_doc_fail(doc, rule->role, ":", err,
 				     "the section stands without the role");
 	if (listed && rule->is_daemon && settings->control_instances_count == 0)
@@ -380,6 +431,56 @@
 	       check_peers(doc, control->voters, control->voters_count, err);
 }
 
+static bool check_fleet_entry(const yaml_doc_t *doc, const settings_t *settings,
+			      err_t *err)
+{
+	const settings_fleet_t *fleet = settings->fleet;
+
+	if (!settings_has_role(settings, "fleet_entry") ||
+	    (fleet->front_listen != NULL && fleet->ready_listen != NULL))
+		return true;
+	return yaml_doc_fail(doc, "fleet", ":", err,
+			     "role fleet_entry needs \"front_listen\" and "
+			     "\"ready_listen\"");
+}
+
+static bool check_fleet_control(const yaml_doc_t *doc,
+				const settings_t *settings, err_t *err)
+{
+	const settings_fleet_t *fleet = settings->fleet;
+
+	if (!settings_has_role(settings, "fleet_control") ||
+	    (fleet->control_listen != NULL && fleet->data_dir != NULL))
+		return true;
+	return yaml_doc_fail(doc, "fleet", ":", err,
+			     "role fleet_control needs \"control_listen\" and "
+			     "\"data_dir\"");
+}
+
+static bool check_fleet(const yaml_doc_t *doc, const settings_t *settings,
+			err_t *err)
+{
+	const settings_fleet_t *fleet = settings->fleet;
+
+	if (settings->cluster_key_file == NULL &&
+	    (settings->entry != NULL || settings->agent != NULL ||
+	     settings->control != NULL))
+		return yaml_doc_fail(doc, "roles", NULL, err,
+				     "\"cluster_key_file\" is missing");
+	if (fleet == NULL)
+		return true;
+	if (!check_address(doc, "front_listen", fleet->front_listen, err) ||
+	    !check_address(doc, "ready_listen", fleet->ready_listen, err) ||
+	    !check_address(doc, "control_listen", fleet->control_listen, err) ||
+	    !check_address(doc, "peer_listen", fleet->peer_listen, err))
+		return false;
+	for (unsigned i = 0; i < fleet->seeds_count; i++)
+		if (!check_address(doc, "seeds", fleet->seeds[i], err))
+			return false;
+	return check_fleet_entry(doc, settings, err) &&
+	       check_fleet_control(doc, settings, err);
+}
+
 static bool check_log_level(const yaml_doc_t *doc, const char *level,
 			    err_t *err)
 {
@@ -409,7 +510,8 @@
 			   settings->control_instances_count, err) &&
 	       check_entry(doc, settings->entry, err) &&
 	       check_control(doc, settings->control, err) &&
-	       check_agent(doc, settings->agent, err);
+	       check_agent(doc, settings->agent, err) &&
+	       check_fleet(doc, settings, err);
 }
 
 static settings_t *parse(const yaml_doc_t *doc, err_t *err)
@@ -462,7 +564,23 @@
 	yaml_doc_free(&settings_schema, settings);
 }
 
-/* Returns whether the process has "role": entry, agent or control. */
+/*
+ * Returns where the control instance with the control address "seed" listens
+ * for frames: all instances use the same port for it.  The caller frees it.
+ */
+char *settings_fleet_peer_address(const settings_fleet_t *fleet,
+				  const char *seed)
+{
+	const char *port = strrchr(fleet->peer_listen, ':');
+	const char *host_end = strrchr(seed, ':');
+	char *host = g_strndup(seed, (gsize)(host_end - seed));
+	char *address = g_strconcat(host, port, NULL);
+
+	g_free(host);
+	return address;
+}
+
+/* Returns whether the process has "role". */
 bool settings_has_role(const settings_t *settings, const char *role)
 {
 	for (unsigned i = 0; i < settings->roles_count; i++)
--- a/src/wisteria/settings/settings.h
+++ b/src/wisteria/settings/settings.h
@@ -7,6 +7,9 @@
 
 settings_t *settings_load(const char *path, err_t *err) ATTR_WARN_UNUSED;
 void settings_free(settings_t *settings);
+char *
+settings_fleet_peer_address(const settings_fleet_t *fleet,
+			    const char *seed) ATTR_NONNULL_ALL ATTR_WARN_UNUSED;
 bool settings_has_role(const settings_t *settings,
 		       const char *role) ATTR_NONNULL_ALL;
 
--- a/src/wisteria/settings/settings_defs.h
+++ b/src/wisteria/settings/settings_defs.h
@@ -26,8 +26,28 @@
 	char *bootstrap_preset_file; /* the first preset of a new group */
 	settings_peer_t *voters;     /* the first members of a new group */
 	unsigned voters_count;
+	bool join_only; /* never founds a group; not in the file */
 } settings_control_t;
 
+/*
+ * The roles of a fleet whose endpoints announce themselves and whose
+ * configuration comes from the platform's operator.
+ */
+typedef struct {
+	char *front_listen;   /* IP:PORT, for callers */
+	char *ready_listen;   /* IP:PORT, for the balancer's question */
+	char *control_listen; /* IP:PORT, for endpoints and operators */
+	char *peer_listen;    /* IP:PORT, for frames between processes */
+	char *data_dir;
+	bool bootstrap; /* the whole fleet starts for the first time */
+	char **seeds;	/* control_listen of some control instances */
+	unsigned seeds_count;
+	double stop_s;	       /* from SIGTERM to the end at the latest */
+	double retry_ratio;    /* retries for each fresh request */
+	uint32_t retry_slack;  /* retries beyond that, of all entries */
+	double retry_window_s; /* over which both are counted */
+} settings_fleet_t;
+
 typedef enum {
 	SETTINGS_MODEL,
 	SETTINGS_SERVICE
@@ -59,7 +79,7 @@
 	char *instance;
 	char *failure_domain;
 	char *region;
-	char *cluster_key_file;
+	char *cluster_key_file; /* NULL: a fleet on a network of its own */
 	char *log_level;
 	char *trace_file;     /* OTLP JSON lines; NULL: no traces */
 	char *metrics_listen; /* IP:PORT for /metrics and /healthz */
@@ -70,6 +90,7 @@
 	settings_entry_t *entry;
 	settings_control_t *control;
 	settings_agent_t *agent;
+	settings_fleet_t *fleet;
 } settings_t;
 
 #endif
--- a/src/wisteriad.c
+++ b/src/wisteriad.c
@@ -6,9 +6,11 @@
 
 #include <sodium.h>
 
+#include "platform/platform.h"
 #include "wisteria/base/err.h"
 #include "wisteria/base/log.h"
 #include "wisteria/daemon/daemon.h"
+#include "wisteria/daemon/fleet_daemon.h"
 #include "wisteria/settings/settings.h"
 
 #define EXIT_SETTINGS 2
@@ -85,7 +87,9 @@
 		fprintf(stderr, "wisteriad: cannot initialise\n");
 		return EXIT_FAILURE;
 	}
-	ok = daemon_run(settings, &err);
+	ok = settings->fleet != NULL
+		     ? fleet_daemon_run(settings, &platform_dialect, &err)
+		     : daemon_run(settings, &err);
 	if (!ok)
 		report(&err);
 	settings_free(settings);
