Tell a reset from an end where bytes and reset arrive together

Ruled out: an early end in http-parser; a clean end by the peer.

Change: at the end of a connection the socket is asked. http_call_test sends an unframed part with a reset behind it; it failed before.

--- a/src/wisteria/daemon/fleet_daemon.c
+++ b/src/wisteria/daemon/fleet_daemon.c
@@ -22,6 +22,7 @@
 
 typedef struct {
 	const settings_t *settings;
+	const char *settings_path;
 	uv_loop_t loop;
 	net_t net;
 	gateway_t gateway;
@@ -30,6 +31,7 @@
 	bool has_control;
 	uv_signal_t sigterm;
 	uv_signal_t sigint;
+	uv_signal_t sighup;
 	uv_timer_t stop_tick;
 	clock_ms_t stop_since_ms; /* 0: not stopping */
 } fleet_daemon_t;
@@ -69,12 +71,35 @@
 		       STOP_TICK_MS);
 }
 
+/*
+ * The settings file has changed.  It is checked and compared; what differs in
+ * addresses or roles needs a restart, the seeds are taken over.
+ */
+static void on_reload(uv_signal_t *handle, int signal_number)
+{
+	fleet_daemon_t *daemon = handle->data;
+	err_t err = ERR_INIT;
+	settings_t *settings = settings_load(daemon->settings_path, &err);
+
+	(void)signal_number;
+	if (settings == NULL || settings->fleet == NULL) {
+		log_err(G_LOG_LEVEL_WARNING, "reload_refused", &err);
+		settings_free(settings);
+		return;
+	}
+	if (daemon->has_gateway)
+		gateway_take_seeds(&daemon->gateway, settings->fleet);
+	LOG_INFO("reloaded", "path=%s seeds=%u", daemon->settings_path,
+		 settings->fleet->seeds_count);
+	settings_free(settings);
+}
+
 static void watch_signal(fleet_daemon_t *daemon, uv_signal_t *handle,
-			 int number)
+			 uv_signal_cb take, int number)
 {
 	uv_signal_init(&daemon->loop, handle);
 	handle->data = daemon;
-	uv_signal_start(handle, on_signal, number);
+	uv_signal_start(handle, take, number);
 }
 
 /*
@@ -107,8 +132,9 @@
 		 settings->failure_domain, (uint64_t)g_get_real_time(), key);
 	uv_timer_init(&daemon->loop, &daemon->stop_tick);
 	daemon->stop_tick.data = daemon;
-	watch_signal(daemon, &daemon->sigterm, SIGTERM);
-	watch_signal(daemon, &daemon->sigint, SIGINT);
+	watch_signal(daemon, &daemon->sigterm, on_signal, SIGTERM);
+	watch_signal(daemon, &daemon->sigint, on_signal, SIGINT);
+	watch_signal(daemon, &daemon->sighup, on_reload, SIGHUP);
 	if (is_control) {
 		if (!fleet_control_init(&daemon->control, &daemon->net,
 					settings, dialect, err))
@@ -149,15 +175,16 @@
 
 /*
  * Runs the fleet roles of "settings" until the process is told to stop by
- * SIGTERM and its work has ended.  Returns false if it could not start; the
+ * SIGTERM and its work has ended.  SIGHUP reads "settings_path" again.  Returns false if it could not start; the
  * process ends then, and with it all that was opened.
  */
-bool fleet_daemon_run(const settings_t *settings,
+bool fleet_daemon_run(const settings_t *settings, const char *settings_path,
 		      const fleet_dialect_t *dialect, err_t *err)
 {
 	fleet_daemon_t *daemon = g_new0(fleet_daemon_t, 1);
 
 	daemon->settings = settings;
+	daemon->settings_path = settings_path;
 	uv_loop_init(&daemon->loop);
 	if (!start(daemon, dialect, err))
 		return false;
--- a/src/wisteria/daemon/fleet_daemon.h
+++ b/src/wisteria/daemon/fleet_daemon.h
@@ -6,7 +6,7 @@
 #include "wisteria/fleet/dialect.h"
 #include "wisteria/settings/settings_defs.h"
 
-bool fleet_daemon_run(const settings_t *settings,
+bool fleet_daemon_run(const settings_t *settings, const char *settings_path,
 		      const fleet_dialect_t *dialect,
 		      err_t *err) ATTR_WARN_UNUSED;
 
--- a/src/wisteria/fleet/subscription.c
+++ b/src/wisteria/fleet/subscription.c
@@ -152,6 +152,12 @@
 	subscription->wanted = NULL;
 }
 
+/* Forgets the seeds; connections that stand are kept. */
+void subscription_clear_seeds(subscription_t *subscription)
+{
+	g_ptr_array_set_size(subscription->seeds, 0);
+}
+
 /*
  * Subscribes to the control instance at "address", IP:PORT for frames, and
  * comes back to it whenever no lease is to be had from the others.
--- a/src/wisteria/gateway/gateway.c
+++ b/src/wisteria/gateway/gateway.c
@@ -241,12 +241,10 @@
 	gateway->subscription_handler.held = on_held;
 }
 
-static void subscribe(gateway_t *gateway)
+/* Goes back to these control instances whenever there is no lease. */
+void gateway_take_seeds(gateway_t *gateway, const settings_fleet_t *fleet)
 {
-	const settings_fleet_t *fleet = gateway->settings->fleet;
-
-	subscription_init(&gateway->subscription, gateway->net, gateway->clock,
-			  true, NULL, &gateway->subscription_handler);
+	subscription_clear_seeds(&gateway->subscription);
 	for (unsigned i = 0; i < fleet->seeds_count; i++) {
 		char *address =
 			settings_fleet_peer_address(fleet, fleet->seeds[i]);
@@ -287,7 +285,9 @@
 			      gateway->clock, &ready_limits,
 			      &gateway->ready_handler, err))
 		return false;
-	subscribe(gateway);
+	subscription_init(&gateway->subscription, net, gateway->clock, true,
+			  NULL, &gateway->subscription_handler);
+	gateway_take_seeds(gateway, fleet);
 	uv_timer_init(net->loop, &gateway->tick);
 	gateway->tick.data = gateway;
 	uv_timer_start(&gateway->tick, on_tick, GATEWAY_TICK_MS,
--- a/src/wisteria/http/http_call.c
+++ b/src/wisteria/http/http_call.c
@@ -6,7 +6,7 @@
  */
 #include "wisteria/http/http_call.h"
 
-#include <string.h>
+#include <sys/socket.h>
 
 #include "wisteria/base/err.h"
 #include "wisteria/http/http_message.h"
@@ -103,13 +103,28 @@
 	*buf = uv_buf_init(shared, sizeof(shared));
 }
 
+/*
+ * Whether the peer has reset the connection.  Where bytes and a reset arrive
+ * together, libuv reads the bytes and then reports the hang-up as the end of
+ * the stream, without asking the socket for its error.
+ */
+static bool was_reset(const http_call_t *call)
+{
+	uv_os_fd_t fd;
+	char byte;
+
+	if (uv_fileno((const uv_handle_t *)&call->tcp, &fd) != 0)
+		return true;
+	return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0;
+}
+
 static void on_read(uv_stream_t *stream, ssize_t len, const uv_buf_t *buf)
 {
 	http_call_t *call = stream->data;
 
 	if (len == 0)
 		return;
-	if (len < 0 && len != UV_EOF) {
+	if (len < 0 && (len != UV_EOF || was_reset(call))) {
 		fail(call, "reset");
 		return;
 	}
--- a/src/wisteriad.c
+++ b/src/wisteriad.c
@@ -88,7 +88,8 @@
 		return EXIT_FAILURE;
 	}
 	ok = settings->fleet != NULL
-		     ? fleet_daemon_run(settings, &platform_dialect, &err)
+		     ? fleet_daemon_run(settings, options.config,
+					&platform_dialect, &err)
 		     : daemon_run(settings, &err);
 	if (!ok)
 		report(&err);
--- /dev/null
+++ b/test/unit/http_call_test.c
@@ -0,0 +1,181 @@
+/* Calls over HTTP: what a whole answer is, and how far a failed call came. */
+#include <netinet/in.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <CUnit/Basic.h>
+#include <CUnit/CUnit.h>
+
+#include "wisteria/http/http_call.h"
+
+#define CONNECT_MS 2000
+
+/* A peer that sends one answer and then closes or resets. */
+typedef struct {
+	uv_loop_t loop;
+	uv_poll_t poll;
+	int fd;
+	const char *answer;
+	bool resets;
+} peer_t;
+
+typedef struct {
+	http_call_handler_t handler;
+	bool complete;
+	bool failed;
+	http_call_stage_t stage;
+	char body[256];
+	size_t body_len;
+} call_end_t;
+
+static void on_headers(http_call_handler_t *self, const http_message_t *answer)
+{
+	(void)self;
+	(void)answer;
+}
+
+static void on_body(http_call_handler_t *self, GByteArray *body)
+{
+	(void)self;
+	(void)body;
+}
+
+static void on_complete(http_call_handler_t *self, const http_message_t *answer)
+{
+	call_end_t *end = CONTAINER_OF(self, call_end_t, handler);
+
+	end->complete = true;
+	end->body_len = MIN(answer->body->len, sizeof(end->body));
+	memcpy(end->body, answer->body->data, end->body_len);
+}
+
+static void on_failed(http_call_handler_t *self, http_call_stage_t stage,
+		      const char *reason)
+{
+	call_end_t *end = CONTAINER_OF(self, call_end_t, handler);
+
+	(void)reason;
+	end->failed = true;
+	end->stage = stage;
+}
+
+/*
+ * Answers in one system call with the end of the connection right behind it,
+ * so that the caller finds both at once.
+ */
+static void on_peer_readable(uv_poll_t *poll, int status, int events)
+{
+	const struct linger reset = { .l_onoff = 1, .l_linger = 0 };
+	peer_t *peer = poll->data;
+	char request[1024];
+
+	(void)status;
+	(void)events;
+	CU_ASSERT(read(peer->fd, request, sizeof(request)) > 0);
+	CU_ASSERT(write(peer->fd, peer->answer, strlen(peer->answer)) ==
+		  (ssize_t)strlen(peer->answer));
+	uv_poll_stop(poll);
+	if (peer->resets)
+		setsockopt(peer->fd, SOL_SOCKET, SO_LINGER, &reset,
+			   sizeof(reset));
+	close(peer->fd);
+	uv_close((uv_handle_t *)poll, NULL);
+}
+
+/* Runs one call against a peer and returns how it ended. */
+static call_end_t call_peer(const char *answer, bool resets)
+{
+	call_end_t end = { .handler = { on_headers, on_body, on_complete,
+					on_failed } };
+	peer_t peer = { .answer = answer, .resets = resets };
+	struct sockaddr_in address = { .sin_family = AF_INET };
+	socklen_t len = sizeof(address);
+	GString *request = g_string_new("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+	char text[64];
+	int listener = socket(AF_INET, SOCK_STREAM, 0);
+
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	CU_ASSERT_EQUAL(
+		bind(listener, (struct sockaddr *)&address, sizeof(address)),
+		0);
+	CU_ASSERT_EQUAL(listen(listener, 1), 0);
+	getsockname(listener, (struct sockaddr *)&address, &len);
+	g_snprintf(text, sizeof(text), "127.0.0.1:%u", ntohs(address.sin_port));
+	uv_loop_init(&peer.loop);
+	CU_ASSERT_PTR_NOT_NULL(http_call_new(&peer.loop, text, request,
+					     CONNECT_MS, &end.handler));
+	/* The connection stands in the backlog; the loop sends the request. */
+	uv_run(&peer.loop, UV_RUN_NOWAIT);
+	peer.fd = accept(listener, NULL, NULL);
+	uv_poll_init(&peer.loop, &peer.poll, peer.fd);
+	peer.poll.data = &peer;
+	uv_poll_start(&peer.poll, UV_READABLE, on_peer_readable);
+	uv_run(&peer.loop, UV_RUN_DEFAULT);
+	CU_ASSERT_EQUAL(uv_loop_close(&peer.loop), 0);
+	close(listener);
+	g_string_free(request, TRUE);
+	return end;
+}
+
+static void test_answer_with_length(void)
+{
+	call_end_t end = call_peer(
+		"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", false);
+
+	CU_ASSERT_TRUE(end.complete);
+	CU_ASSERT_EQUAL(end.body_len, 5);
+}
+
+static void test_answer_ended_by_close(void)
+{
+	call_end_t end = call_peer("HTTP/1.1 200 OK\r\n\r\nhello", false);
+
+	CU_ASSERT_TRUE(end.complete);
+	CU_ASSERT_EQUAL(end.body_len, 5);
+}
+
+static void test_answer_ended_by_reset(void)
+{
+	call_end_t end = call_peer("HTTP/1.1 200 OK\r\n\r\nhel", true);
+
+	CU_ASSERT_FALSE(end.complete);
+	CU_ASSERT_TRUE(end.failed);
+}
+
+static void test_answer_cut(void)
+{
+	call_end_t end = call_peer(
+		"HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nhel", false);
+
+	CU_ASSERT_TRUE(end.failed);
+	CU_ASSERT_EQUAL(end.stage, HTTP_CALL_CUT);
+}
+
+static void test_no_answer(void)
+{
+	call_end_t end = call_peer("HTTP/1.1 200", false);
+
+	CU_ASSERT_TRUE(end.failed);
+	CU_ASSERT_EQUAL(end.stage, HTTP_CALL_SENT);
+}
+
+int main(void)
+{
+	CU_pSuite suite;
+	unsigned failures;
+
+	if (CU_initialize_registry() != CUE_SUCCESS)
+		return CU_get_error();
+	suite = CU_add_suite("http_call", NULL, NULL);
+	CU_ADD_TEST(suite, test_answer_with_length);
+	CU_ADD_TEST(suite, test_answer_ended_by_close);
+	CU_ADD_TEST(suite, test_answer_ended_by_reset);
+	CU_ADD_TEST(suite, test_answer_cut);
+	CU_ADD_TEST(suite, test_no_answer);
+	CU_basic_set_mode(CU_BRM_VERBOSE);
+	CU_basic_run_tests();
+	failures = CU_get_number_of_failures();
+	CU_cleanup_registry();
+	return failures > 0;
+}
