Make fast copies of the model first; hold requests for a lease; bound runs

Change: placement fills the fastest accelerators first, with room for 64 requests, and makes slow copies of what is left; requests wait up to 1 s for a lease; a stall counts as a run; a draining entry stops listening after 2.6 s; a stall names the endpoint that was not heard either.

--- a/src/wisteria/fleet/placement.c
+++ b/src/wisteria/fleet/placement.c
@@ -1,10 +1,12 @@
 /*
- * Which layers each endpoint holds.  Every failure domain that can holds the
- * whole model, so that a request stays within one domain and no activations
- * pass the shared pipes; domains that cannot share a copy.  Within a group the
- * layers are spread so that the endpoint with the least room for requests has
- * as much of it as possible, because the fullest endpoint bounds how many
- * requests the whole pipeline runs.  No clock, no I/O.
+ * Which layers each endpoint holds.  A failure domain that can holds whole
+ * copies of the model, so that a request stays within it and no activations
+ * pass the pipes between domains.  The first copies of a domain take its
+ * fastest accelerators and leave just the room that a good number of requests
+ * needs: few and fast parts make a token quick, and a quick answer frees its
+ * memory sooner.  What is left in a domain makes a last copy with as much room
+ * as possible, and what is left of several domains makes copies together, for
+ * the load that the fast ones cannot take.  No clock, no I/O.
  */
 #include "wisteria/fleet/placement.h"
 
@@ -13,24 +15,49 @@
 
 #include <glib.h>
 
-/* A copy with less room for requests than this many tokens is not made. */
-#define TOKENS_MIN 8000.0
+/* Requests that a copy of fast endpoints holds at once. */
+#define FAST_COPY_REQUESTS 64
+/* A copy with less room than this many requests is not made. */
+#define COPY_REQUESTS_MIN 8
+/* Tokens of a request where the engine does not say what is usual. */
+#define REQUEST_TOKENS_DEFAULT 1000
+/* Passing a token on to the next part and waiting for its pass under way. */
+#define HOP_MS 0.9
 /* Upper end of the search for the room that a group can have, tokens. */
 #define TOKENS_MAX 16e6
 #define SEARCH_STEPS 40
-/*
- * Share of the largest possible room that is kept; the rest is given up to
- * move layers from slow endpoints to fast ones.
- */
-#define ROOM_KEPT 0.75
 
-/* One copy of the model and the endpoints that hold it. */
+/* Endpoints that hold copies of the model together. */
 typedef struct {
 	uint32_t *members; /* numbers of nodes */
 	uint32_t count;
 	uint32_t *layers; /* of each member */
 } group_t;
 
+typedef struct {
+	const engine_model_t *engine;
+	const placement_node_t *nodes;
+	uint32_t count;
+	placement_range_t *ranges;
+} planning_t;
+
+static double request_tokens(const engine_model_t *engine)
+{
+	uint32_t tokens = engine->usual_prompt + engine->usual_answer;
+
+	return tokens > 0 ? tokens : REQUEST_TOKENS_DEFAULT;
+}
+
+static double least_room(const engine_model_t *engine)
+{
+	return COPY_REQUESTS_MIN * request_tokens(engine);
+}
+
+static double fast_room(const engine_model_t *engine)
+{
+	return FAST_COPY_REQUESTS * request_tokens(engine);
+}
+
 /*
  * Returns how many layers an endpoint of "size_mb" can hold beside requests
  * of "tokens" tokens.
@@ -45,31 +72,44 @@
 	return fit >= engine->layers ? engine->layers : (uint32_t)fit;
 }
 
-static uint32_t group_fit(const engine_model_t *engine,
-			  const placement_node_t *nodes, const group_t *group,
+static void group_init(group_t *group, uint32_t capacity)
+{
+	group->members = g_new0(uint32_t, capacity + 1);
+	group->layers = g_new0(uint32_t, capacity + 1);
+	group->count = 0;
+}
+
+static void group_finish(group_t *group)
+{
+	g_free(group->members);
+	g_free(group->layers);
+}
+
+static uint32_t group_fit(const planning_t *planning, const group_t *group,
 			  double tokens)
 {
 	uint32_t sum = 0;
 
 	for (uint32_t i = 0; i < group->count; i++)
 		sum += placement_layers_that_fit(
-			engine, nodes[group->members[i]].size_mb, tokens);
+			planning->engine,
+			planning->nodes[group->members[i]].size_mb, tokens);
 	return sum;
 }
 
 /* Returns the most room, in tokens, at which the group holds all layers. */
-static double group_room(const engine_model_t *engine,
-			 const placement_node_t *nodes, const group_t *group)
+static double group_room(const planning_t *planning, const group_t *group)
 {
+	const engine_model_t *engine = planning->engine;
 	double low = 0;
 	double high = TOKENS_MAX;
 
-	if (group_fit(engine, nodes, group, TOKENS_MIN) < engine->layers)
+	if (group_fit(planning, group, least_room(engine)) < engine->layers)
 		return 0;
 	for (int i = 0; i < SEARCH_STEPS; i++) {
 		double middle = (low + high) / 2;
 
-		if (group_fit(engine, nodes, group, middle) >= engine->layers)
+		if (group_fit(planning, group, middle) >= engine->layers)
 			low = middle;
 		else
 			high = middle;
@@ -78,10 +118,11 @@
 }
 
 /* Takes layers beyond the model's from the slowest members. */
-static void trim(const engine_model_t *engine, const placement_node_t *nodes,
-		 const group_t *group, uint32_t sum)
+static void trim(const planning_t *planning, const group_t *group, uint32_t sum)
 {
-	while (sum > engine->layers) {
+	const placement_node_t *nodes = planning->nodes;
+
+	while (sum > planning->engine->layers) {
 		uint32_t slowest = 0;
 
 		for (uint32_t i = 1; i < group->count; i++) {
@@ -101,46 +142,21 @@
 	}
 }
 
-static const placement_node_t *sorted_nodes;
-
-/* By the layers held now; those that hold none come last. */
-static int compare_members(const void *a, const void *b)
+/* Lays one copy over all members, with "room" tokens beside it. */
+static void lay_copy(planning_t *planning, group_t *group, double room)
 {
-	uint32_t left = *(const uint32_t *)a;
-	uint32_t right = *(const uint32_t *)b;
-	const placement_node_t *first = &sorted_nodes[left];
-	const placement_node_t *second = &sorted_nodes[right];
-	bool first_empty = first->first_layer == first->end_layer;
-	bool second_empty = second->first_layer == second->end_layer;
-
-	if (first_empty != second_empty)
-		return first_empty ? 1 : -1;
-	if (!first_empty && first->first_layer != second->first_layer)
-		return first->first_layer < second->first_layer ? -1 : 1;
-	if (first->pace != second->pace)
-		return first->pace < second->pace ? -1 : 1;
-	return left < right ? -1 : 1;
-}
-
-static void plan_group(const engine_model_t *engine,
-		       const placement_node_t *nodes, group_t *group,
-		       placement_range_t *ranges)
-{
-	double room = group_room(engine, nodes, group) * ROOM_KEPT;
 	uint32_t sum = 0;
 	uint32_t at = 0;
 
-	sorted_nodes = nodes;
-	qsort(group->members, group->count, sizeof(group->members[0]),
-	      compare_members);
 	for (uint32_t i = 0; i < group->count; i++) {
 		group->layers[i] = placement_layers_that_fit(
-			engine, nodes[group->members[i]].size_mb, room);
+			planning->engine,
+			planning->nodes[group->members[i]].size_mb, room);
 		sum += group->layers[i];
 	}
-	trim(engine, nodes, group, sum);
+	trim(planning, group, sum);
 	for (uint32_t i = 0; i < group->count; i++) {
-		placement_range_t *range = &ranges[group->members[i]];
+		placement_range_t *range = &planning->ranges[group->members[i]];
 
 		range->first_layer = at;
 		at += group->layers[i];
@@ -148,63 +164,135 @@
 	}
 }
 
-static void add_domain(const placement_node_t *nodes, uint32_t count,
-		       uint32_t domain, group_t *group)
+/* Moves the first members that hold all layers beside "room" to "copy". */
+static bool take_copy(const planning_t *planning, group_t *group, group_t *copy,
+		      double room)
 {
-	for (uint32_t i = 0; i < count; i++)
-		if (nodes[i].available && nodes[i].domain == domain)
-			group->members[group->count++] = i;
+	const engine_model_t *engine = planning->engine;
+	uint32_t sum = 0;
+
+	if (group_fit(planning, group, room) < engine->layers)
+		return false;
+	copy->count = 0;
+	while (sum < engine->layers) {
+		uint32_t member = group->members[copy->count];
+
+		sum += placement_layers_that_fit(
+			engine, planning->nodes[member].size_mb, room);
+		copy->members[copy->count++] = member;
+	}
+	group->count -= copy->count;
+	memmove(group->members, group->members + copy->count,
+		group->count * sizeof(group->members[0]));
+	return true;
 }
 
-static uint32_t domains_of(const placement_node_t *nodes, uint32_t count)
+/* Lays as many copies as the group can hold; the rest stays in it. */
+static void lay_copies(planning_t *planning, group_t *group)
 {
-	uint32_t domains = 0;
+	double room = fast_room(planning->engine);
+	group_t copy;
+
+	group_init(&copy, group->count);
+	while (take_copy(planning, group, &copy, room))
+		lay_copy(planning, &copy, room);
+	room = group_room(planning, group);
+	if (room > 0) {
+		lay_copy(planning, group, room);
+		group->count = 0;
+	}
+	group_finish(&copy);
+}
+
+typedef struct {
+	uint32_t number;
+	double layer_ms; /* of a token, with its share of the hop */
+} sorted_node_t;
 
+/*
+ * Time that a token takes for each layer: a small accelerator spreads the hop
+ * over few layers.
+ */
+static double layer_ms(const engine_model_t *engine,
+		       const placement_node_t *node)
+{
+	uint32_t fit = placement_layers_that_fit(engine, node->size_mb,
+						 fast_room(engine));
+
+	return engine->step_ms * node->pace / engine->layers +
+	       HOP_MS / MAX(fit, 1);
+}
+
+/* The fastest first. */
+static int compare_nodes(const void *a, const void *b)
+{
+	const sorted_node_t *left = a;
+	const sorted_node_t *right = b;
+
+	if (left->layer_ms != right->layer_ms)
+		return left->layer_ms < right->layer_ms ? -1 : 1;
+	return left->number < right->number ? -1 : 1;
+}
+
+static void add_domain(const planning_t *planning, uint32_t domain,
+		       group_t *group)
+{
+	sorted_node_t *sorted = g_new(sorted_node_t, planning->count + 1);
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < planning->count; i++)
+		if (planning->nodes[i].available &&
+		    planning->nodes[i].domain == domain)
+			sorted[count++] = (sorted_node_t){
+				.number = i,
+				.layer_ms = layer_ms(planning->engine,
+						     &planning->nodes[i]),
+			};
+	qsort(sorted, count, sizeof(sorted[0]), compare_nodes);
 	for (uint32_t i = 0; i < count; i++)
-		domains = MAX(domains, nodes[i].domain + 1);
-	return domains;
+		group->members[group->count++] = sorted[i].number;
+	g_free(sorted);
 }
 
-typedef struct {
-	const engine_model_t *engine;
-	const placement_node_t *nodes;
-	placement_range_t *ranges;
-	bool all_whole;
-} planning_t;
+static uint32_t domains_of(const planning_t *planning)
+{
+	uint32_t domains = 0;
 
-typedef void (*group_visitor_t)(planning_t *planning, group_t *group);
+	for (uint32_t i = 0; i < planning->count; i++)
+		domains = MAX(domains, planning->nodes[i].domain + 1);
+	return domains;
+}
 
-/* Visits each set of endpoints that holds a copy of the model by itself. */
-static void each_group(planning_t *planning, uint32_t count,
-		       group_visitor_t visit)
+static bool is_alike(const placement_node_t *a, const placement_node_t *b)
 {
-	const placement_node_t *nodes = planning->nodes;
-	uint32_t domains = domains_of(nodes, count);
-	group_t own = { .members = g_new(uint32_t, count + 1),
-			.layers = g_new(uint32_t, count + 1) };
-	group_t shared = { .members = g_new(uint32_t, count + 1),
-			   .layers = g_new(uint32_t, count + 1) };
+	return a->domain == b->domain && a->size_mb == b->size_mb &&
+	       a->pace == b->pace && a->available == b->available;
+}
 
-	memset(planning->ranges, 0, count * sizeof(planning->ranges[0]));
-	for (uint32_t domain = 0; domain < domains; domain++) {
-		own.count = 0;
-		add_domain(nodes, count, domain, &own);
-		if (group_room(planning->engine, nodes, &own) > 0)
-			visit(planning, &own);
-		else
-			add_domain(nodes, count, domain, &shared);
-	}
-	if (group_room(planning->engine, nodes, &shared) > 0)
-		visit(planning, &shared);
-	g_free(own.members);
-	g_free(own.layers);
-	g_free(shared.members);
-	g_free(shared.layers);
+static bool holds(const placement_node_t *node, const placement_range_t *range)
+{
+	return node->first_layer == range->first_layer &&
+	       node->end_layer == range->end_layer;
 }
 
-static void plan_one(planning_t *planning, group_t *group)
+/* Exchanges ranges between alike nodes so that more keep what they hold. */
+static void keep_held(planning_t *planning)
 {
-	plan_group(planning->engine, planning->nodes, group, planning->ranges);
+	for (uint32_t i = 0; i < planning->count; i++) {
+		if (holds(&planning->nodes[i], &planning->ranges[i]))
+			continue;
+		for (uint32_t j = 0; j < planning->count; j++) {
+			placement_range_t other = planning->ranges[j];
+
+			if (!holds(&planning->nodes[i], &other) ||
+			    holds(&planning->nodes[j], &other) ||
+			    !is_alike(&planning->nodes[i], &planning->nodes[j]))
+				continue;
+			planning->ranges[j] = planning->ranges[i];
+			planning->ranges[i] = other;
+			break;
+		}
+	}
 }
 
 /*
@@ -216,41 +304,85 @@
 {
 	planning_t planning = { .engine = engine,
 				.nodes = nodes,
+				.count = count,
 				.ranges = ranges };
+	uint32_t domains = domains_of(&planning);
+	group_t own;
+	group_t shared;
 
-	each_group(&planning, count, plan_one);
+	memset(ranges, 0, count * sizeof(ranges[0]));
+	group_init(&own, count);
+	group_init(&shared, count);
+	for (uint32_t domain = 0; domain < domains; domain++) {
+		own.count = 0;
+		add_domain(&planning, domain, &own);
+		lay_copies(&planning, &own);
+		for (uint32_t i = 0; i < own.count; i++)
+			shared.members[shared.count++] = own.members[i];
+	}
+	lay_copies(&planning, &shared);
+	group_finish(&own);
+	group_finish(&shared);
+	keep_held(&planning);
 }
 
-/* Finds the first layers from "at" on that no member holds. */
-static bool next_gap(const planning_t *planning, const group_t *group,
-		     uint32_t at, placement_range_t *gap)
+/*
+ * Returns the number of held ranges that begin at each boundary less those
+ * that end there: in whole copies every end is followed by a beginning.
+ */
+static void count_borders(const planning_t *planning, int *borders)
 {
 	uint32_t layers = planning->engine->layers;
-	bool moved = true;
-
-	while (moved) {
-		moved = false;
-		for (uint32_t i = 0; i < group->count; i++) {
-			const placement_node_t *node =
-				&planning->nodes[group->members[i]];
-
-			if (node->first_layer <= at && node->end_layer > at) {
-				at = node->end_layer;
-				moved = true;
-			}
-		}
+
+	memset(borders, 0, (layers + 1) * sizeof(borders[0]));
+	for (uint32_t i = 0; i < planning->count; i++) {
+		const placement_node_t *node = &planning->nodes[i];
+
+		if (!node->available || node->first_layer >= node->end_layer ||
+		    node->end_layer > layers)
+			continue;
+		borders[node->first_layer]++;
+		borders[node->end_layer]--;
 	}
-	gap->first_layer = at;
-	gap->end_layer = layers;
-	for (uint32_t i = 0; i < group->count; i++) {
-		const placement_node_t *node =
-			&planning->nodes[group->members[i]];
+}
+
+/*
+ * Finds a range that a copy lacks: from an end without a beginning, or from
+ * the first layer, to the next beginning without an end.
+ */
+static bool next_gap(const planning_t *planning, const int *borders,
+		     uint32_t copies, placement_range_t *gap)
+{
+	uint32_t layers = planning->engine->layers;
 
-		if (node->first_layer < node->end_layer &&
-		    node->first_layer > at)
-			gap->end_layer = MIN(gap->end_layer, node->first_layer);
+	for (uint32_t at = 0; at < layers; at++) {
+		int begins = borders[at];
+
+		if (at == 0)
+			begins -= (int)copies;
+		if (begins >= 0)
+			continue;
+		gap->first_layer = at;
+		gap->end_layer = at + 1;
+		while (gap->end_layer < layers && borders[gap->end_layer] <= 0)
+			gap->end_layer++;
+		return true;
+	}
+	return false;
+}
+
+/* Returns how many copies the held ranges were meant to make. */
+static uint32_t copies_of(const planning_t *planning, const int *borders)
+{
+	uint32_t layers = planning->engine->layers;
+	int most = 0;
+	int at = 0;
+
+	for (uint32_t i = 0; i < layers; i++) {
+		at += borders[i];
+		most = MAX(most, at);
 	}
-	return at < layers;
+	return (uint32_t)most;
 }
 
 static bool is_spare(const planning_t *planning, uint32_t number)
@@ -258,65 +390,66 @@
 	const placement_node_t *node = &planning->nodes[number];
 	const placement_range_t *range = &planning->ranges[number];
 
-	return node->first_layer == node->end_layer &&
+	return node->available && node->first_layer == node->end_layer &&
 	       range->first_layer == range->end_layer;
 }
 
 /*
- * Returns the member without layers that fits "wanted" layers with the least
- * to spare, or the largest where none does; -1: there is none.
+ * Whether the neighbours of a gap are in "domain": the copy that lacks it is
+ * that domain's.
  */
-static int32_t find_spare(const planning_t *planning, const group_t *group,
-			  uint32_t wanted, uint32_t *fit)
+static bool borders_on(const planning_t *planning, const placement_range_t *gap,
+		       uint32_t domain)
 {
+	for (uint32_t i = 0; i < planning->count; i++) {
+		const placement_node_t *node = &planning->nodes[i];
+
+		if (node->available && node->domain == domain &&
+		    node->first_layer < node->end_layer &&
+		    (node->end_layer == gap->first_layer ||
+		     node->first_layer == gap->end_layer))
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Returns the node without layers that fits "gap" with the least to spare,
+ * one of the gap's own domain before others, or the largest where none fits;
+ * -1: there is none.
+ */
+static int32_t find_spare(const planning_t *planning,
+			  const placement_range_t *gap, uint32_t *fit)
+{
+	uint32_t wanted = gap->end_layer - gap->first_layer;
 	int32_t best = -1;
-	bool best_enough = false;
-	double best_mb = 0;
+	double best_rank = 0;
 
-	for (uint32_t i = 0; i < group->count; i++) {
-		uint32_t number = group->members[i];
-		double size_mb = planning->nodes[number].size_mb;
+	for (uint32_t i = 0; i < planning->count; i++) {
+		const placement_node_t *node = &planning->nodes[i];
 		uint32_t layers = placement_layers_that_fit(
-			planning->engine, size_mb, TOKENS_MIN);
-		bool enough = layers >= wanted;
+			planning->engine, node->size_mb,
+			least_room(planning->engine));
+		double rank = node->size_mb;
 
-		if (!is_spare(planning, number) || layers == 0 ||
-		    (best_enough && !enough))
+		if (!is_spare(planning, i) || layers == 0)
 			continue;
-		if (best >= 0 && enough == best_enough &&
-		    (enough ? size_mb >= best_mb : size_mb <= best_mb))
+		if (layers >= wanted)
+			rank = 1e9 - node->size_mb;
+		if (borders_on(planning, gap, node->domain))
+			rank += 2e9;
+		if (best >= 0 && rank <= best_rank)
 			continue;
-		best = (int32_t)number;
-		best_enough = enough;
-		best_mb = size_mb;
+		best = (int32_t)i;
+		best_rank = rank;
 		*fit = layers;
 	}
 	return best;
 }
 
-static void fill_group(planning_t *planning, group_t *group)
-{
-	placement_range_t gap = { 0 };
-	uint32_t at = 0;
-
-	while (next_gap(planning, group, at, &gap)) {
-		uint32_t wanted = gap.end_layer - gap.first_layer;
-		uint32_t fit = 0;
-		int32_t spare = find_spare(planning, group, wanted, &fit);
-
-		if (spare < 0) {
-			planning->all_whole = false;
-			return;
-		}
-		at = gap.first_layer + MIN(fit, wanted);
-		planning->ranges[spare].first_layer = gap.first_layer;
-		planning->ranges[spare].end_layer = at;
-	}
-}
-
 /*
- * Gives the layers that a group lacks to members that hold none; no other
- * member is moved.  Returns whether every group is whole then.
+ * Gives the layers that copies lack to nodes that hold none; no other node is
+ * moved.  Returns whether every copy is whole then.
  */
 bool placement_fill_gaps(const engine_model_t *engine,
 			 const placement_node_t *nodes, uint32_t count,
@@ -324,9 +457,29 @@
 {
 	planning_t planning = { .engine = engine,
 				.nodes = nodes,
-				.ranges = ranges,
-				.all_whole = true };
+				.count = count,
+				.ranges = ranges };
+	int *borders = g_new0(int, engine->layers + 1);
+	placement_range_t gap = { 0 };
+	uint32_t copies;
+	bool whole = true;
 
-	each_group(&planning, count, fill_group);
-	return planning.all_whole;
+	memset(ranges, 0, count * sizeof(ranges[0]));
+	count_borders(&planning, borders);
+	copies = copies_of(&planning, borders);
+	while (next_gap(&planning, borders, copies, &gap)) {
+		uint32_t fit = 0;
+		int32_t spare = find_spare(&planning, &gap, &fit);
+
+		whole = spare >= 0;
+		if (!whole)
+			break;
+		gap.end_layer =
+			MIN(gap.end_layer, gap.first_layer + MAX(fit, 1));
+		ranges[spare] = gap;
+		borders[gap.first_layer]++;
+		borders[gap.end_layer]--;
+	}
+	g_free(borders);
+	return whole;
 }
--- a/src/wisteria/fleet/placer_defs.h
+++ b/src/wisteria/fleet/placer_defs.h
@@ -14,7 +14,7 @@
 /* An order whose layers are not reported by then is given again. */
 #define PLACER_ORDER_MS 6000
 /* An endpoint that ended may come back at its place for this long. */
-#define PLACER_REPLAN_MS 6000
+#define PLACER_REPLAN_MS 3000
 #define PLACER_CONNECT_MS 1000
 
 /* An order that has been given, until the endpoint reports its layers. */
--- a/src/wisteria/gateway/exchange.c
+++ b/src/wisteria/gateway/exchange.c
@@ -9,6 +9,7 @@
 #include "wisteria/base/clock.h"
 #include "wisteria/base/err.h"
 #include "wisteria/base/log.h"
+#include "wisteria/fleet/registry.h"
 #include "wisteria/fleet/routes.h"
 #include "wisteria/fleet/subscription.h"
 #include "wisteria/gateway/gateway.h"
@@ -446,7 +447,7 @@
 
 static exchange_t *exchange_new(gateway_t *gateway, http_conn_t *conn,
 				const caller_request_t *caller,
-				const route_t *route)
+				const route_t *route, clock_ms_t arrived_ms)
 {
 	exchange_t *exchange = g_new0(exchange_t, 1);
 	const char *service =
@@ -463,7 +464,7 @@
 	exchange->route = route;
 	exchange->service = route_table_service(gateway->table, service);
 	exchange->caller = *caller;
-	exchange->started_ms = clock_now(gateway->clock);
+	exchange->started_ms = arrived_ms;
 	if (caller->has_time_limit)
 		limit = MIN(limit, caller->time_limit_ms);
 	exchange->deadline_ms = exchange->started_ms + limit;
@@ -474,8 +475,9 @@
 	return exchange;
 }
 
-/* Takes a request that was read whole. */
-void exchange_begin(gateway_t *gateway, http_conn_t *conn)
+/* Takes a request that was read whole at "arrived_ms". */
+void exchange_begin(gateway_t *gateway, http_conn_t *conn,
+		    clock_ms_t arrived_ms)
 {
 	const http_message_t *message = &conn->reader.message;
 	const char *host = http_message_get(message, "host");
@@ -503,7 +505,7 @@
 		turn_away(gateway, conn, &caller, &verdict);
 		return;
 	}
-	exchange = exchange_new(gateway, conn, &caller, route);
+	exchange = exchange_new(gateway, conn, &caller, route, arrived_ms);
 	exchange->customer = customer == NULL ? NULL : customer->name;
 	send_first(exchange);
 }
@@ -520,6 +522,26 @@
 	exchange_discard(exchange);
 }
 
+/*
+ * Passes over the endpoints of a silent pipeline that have not been heard
+ * either.
+ */
+static void suspect_unheard(exchange_t *exchange, clock_ms_t now)
+{
+	gateway_t *gateway = exchange->gateway;
+	const target_t *target = &exchange->target;
+
+	for (uint32_t i = 0; i < target->count; i++) {
+		const endpoint_t *endpoint =
+			registry_find(&gateway->registry, target->ids[i]);
+
+		if (endpoint != NULL &&
+		    now - endpoint->heard_ms >= GATEWAY_STALL_HEARTBEAT_MS &&
+		    !gateway_is_suspect(gateway, endpoint->id))
+			gateway_suspect(gateway, endpoint->id);
+	}
+}
+
 /* A silent stream is taken up elsewhere, if another place can be had. */
 static void check_stall(exchange_t *exchange, clock_ms_t now)
 {
@@ -530,8 +552,9 @@
 	if (exchange->route->kind != ROUTE_STREAM ||
 	    !exchange->route->resumable || exchange->call == NULL ||
 	    now - exchange->progress_ms < GATEWAY_STALL_MS ||
-	    exchange->sends > exchange->route->max_attempts)
+	    exchange->runs + 1 >= exchange->route->max_attempts)
 		return;
+	suspect_unheard(exchange, now);
 	for (uint32_t i = 0; i < target->count; i++)
 		g_ptr_array_add(exchange->failed, g_strdup(target->ids[i]));
 	if (target_choose(exchange, &other) == TARGET_FOUND &&
--- a/src/wisteria/gateway/exchange.h
+++ b/src/wisteria/gateway/exchange.h
@@ -4,7 +4,8 @@
 #include "wisteria/base/macros_defs.h"
 #include "wisteria/gateway/gateway_defs.h"
 
-void exchange_begin(gateway_t *gateway, http_conn_t *conn) ATTR_NONNULL_ALL;
+void exchange_begin(gateway_t *gateway, http_conn_t *conn,
+		    clock_ms_t arrived_ms) ATTR_NONNULL_ALL;
 void exchange_caller_left(exchange_t *exchange) ATTR_NONNULL_ALL;
 void exchange_tick(exchange_t *exchange, clock_ms_t now) ATTR_NONNULL_ALL;
 void exchange_discard(exchange_t *exchange) ATTR_NONNULL_ALL;
--- a/src/wisteria/gateway/gateway.c
+++ b/src/wisteria/gateway/gateway.c
@@ -176,6 +176,64 @@
 	g_free(uses);
 }
 
+static bool has_lease(const gateway_t *gateway)
+{
+	return gateway->table != NULL &&
+	       subscription_has_lease(&gateway->subscription);
+}
+
+static void on_request(http_server_handler_t *handler, http_conn_t *conn)
+{
+	gateway_t *gateway = CONTAINER_OF(handler, gateway_t, http_handler);
+	held_request_t held = {
+		.conn = conn,
+		.since_ms = clock_now(gateway->clock),
+	};
+
+	if (has_lease(gateway)) {
+		exchange_begin(gateway, conn, held.since_ms);
+		return;
+	}
+	conn->user = gateway;
+	g_array_append_val(gateway->held, held);
+}
+
+/* Takes the requests that were held, or that have waited long enough. */
+static void take_held(gateway_t *gateway, clock_ms_t now)
+{
+	while (gateway->held->len > 0) {
+		const held_request_t held =
+			g_array_index(gateway->held, held_request_t, 0);
+
+		if (!has_lease(gateway) &&
+		    now - held.since_ms < GATEWAY_HOLD_MS)
+			return;
+		g_array_remove_index(gateway->held, 0);
+		held.conn->user = NULL;
+		exchange_begin(gateway, held.conn, held.since_ms);
+	}
+}
+
+static void forget_held(gateway_t *gateway, const http_conn_t *conn)
+{
+	for (guint i = 0; i < gateway->held->len; i++)
+		if (g_array_index(gateway->held, held_request_t, i).conn ==
+		    conn) {
+			g_array_remove_index(gateway->held, i);
+			return;
+		}
+}
+
+static void on_gone(http_server_handler_t *handler, http_conn_t *conn)
+{
+	gateway_t *gateway = CONTAINER_OF(handler, gateway_t, http_handler);
+
+	if (conn->user == gateway)
+		forget_held(gateway, conn);
+	else
+		exchange_caller_left(conn->user);
+}
+
 static void on_tick(uv_timer_t *timer)
 {
 	gateway_t *gateway = timer->data;
@@ -188,31 +246,22 @@
 		exchange_tick(exchange, now);
 		exchange = next;
 	}
+	take_held(gateway, now);
 	g_hash_table_foreach_remove(gateway->suspects, suspicion_is_over, &now);
 	registry_forget_old(&gateway->registry, now);
 	if (now - gateway->reported_ms >= GATEWAY_REPORT_MS)
 		report_load(gateway, now);
 	if (gateway->drain_since_ms != 0 &&
-	    now - gateway->drain_since_ms >= DRAIN_IDLE_MS)
+	    now - gateway->drain_since_ms >= DRAIN_IDLE_MS) {
+		http_server_stop_listening(&gateway->http);
 		http_server_close_idle(&gateway->http);
-}
-
-static void on_request(http_server_handler_t *handler, http_conn_t *conn)
-{
-	exchange_begin(CONTAINER_OF(handler, gateway_t, http_handler), conn);
-}
-
-static void on_gone(http_server_handler_t *handler, http_conn_t *conn)
-{
-	(void)handler;
-	exchange_caller_left(conn->user);
+	}
 }
 
 /* Ready: may serve callers now, and is not about to stop. */
 static bool is_ready(const gateway_t *gateway)
 {
-	return gateway->drain_since_ms == 0 && gateway->table != NULL &&
-	       subscription_has_lease(&gateway->subscription);
+	return gateway->drain_since_ms == 0 && has_lease(gateway);
 }
 
 static void on_ready_request(http_server_handler_t *handler, http_conn_t *conn)
@@ -272,6 +321,7 @@
 	gateway->random = g_rand_new();
 	gateway->entries = 1;
 	LIST_INIT(&gateway->exchanges);
+	gateway->held = g_array_new(FALSE, FALSE, sizeof(held_request_t));
 	registry_init(&gateway->registry);
 	usage_init(&gateway->usage);
 	gateway->budgets =
@@ -307,7 +357,8 @@
 {
 	return clock_now(gateway->clock) - gateway->drain_since_ms >=
 		       DRAIN_IDLE_MS + GATEWAY_TICK_MS &&
-	       LIST_EMPTY(&gateway->exchanges) && gateway->http.conn_count == 0;
+	       LIST_EMPTY(&gateway->exchanges) && gateway->held->len == 0 &&
+	       gateway->http.conn_count == 0;
 }
 
 /* Ends everything at once. */
@@ -328,6 +379,7 @@
 	registry_finish(&gateway->registry);
 	usage_finish(&gateway->usage);
 	route_table_unref(gateway->table);
+	g_array_unref(gateway->held);
 	g_hash_table_destroy(gateway->budgets);
 	g_hash_table_destroy(gateway->suspects);
 	g_rand_free(gateway->random);
--- a/src/wisteria/gateway/gateway_defs.h
+++ b/src/wisteria/gateway/gateway_defs.h
@@ -27,6 +27,16 @@
  * which its caller leaves, by the time that a new prompt is read.
  */
 #define GATEWAY_STALL_MS 900
+/*
+ * An endpoint of a silent pipeline whose last heartbeat is this old is taken
+ * to be the one that died: a heartbeat comes every 1.2 s, passed on in 0.2 s.
+ */
+#define GATEWAY_STALL_HEARTBEAT_MS 1500
+/*
+ * A request that comes while a lease is being renewed waits this long for it;
+ * callers leave a stream that is silent for 2 s.
+ */
+#define GATEWAY_HOLD_MS 1000
 
 /* Endpoints that one attempt uses: one, or a whole pipeline. */
 typedef struct {
@@ -42,6 +52,12 @@
 
 struct gateway_t;
 
+/* A request that waits for a lease. */
+typedef struct {
+	http_conn_t *conn;
+	clock_ms_t since_ms;
+} held_request_t;
+
 /* One request of a caller, from when it was read to its whole answer. */
 typedef struct exchange_t {
 	http_call_handler_t call_handler;
@@ -91,6 +107,7 @@
 	uint64_t reports;
 	clock_ms_t reported_ms;
 	exchange_list_t exchanges;
+	GArray *held; /* of held_request_t, oldest first */
 	GRand *random;
 	uv_timer_t tick;
 	clock_ms_t drain_since_ms; /* 0: not draining */
--- a/src/wisteria/gateway/target.c
+++ b/src/wisteria/gateway/target.c
@@ -18,7 +18,7 @@
  * What a token loses by crossing between failure domains: its delay, and its
  * share of the pipe that all requests use.
  */
-#define CROSS_MS 4.0
+#define CROSS_MS 8.0
 /*
  * A pipeline in another domain is taken where it saves this much a token: the
  * answer then crosses once, and the prompt's activations do not cross at all.
--- a/src/wisteria/http/http_server.c
+++ b/src/wisteria/http/http_server.c
@@ -438,6 +438,13 @@
 		conn->close_after = true;
 }
 
+/* Takes no new connections; those that stand go on. */
+void http_server_stop_listening(http_server_t *server)
+{
+	if (!uv_is_closing((uv_handle_t *)&server->tcp))
+		uv_close((uv_handle_t *)&server->tcp, NULL);
+}
+
 /* Closes the connections on which no request has begun. */
 void http_server_close_idle(http_server_t *server)
 {
