Give copies room for 0.8 of the slots; bound the use of pipes; keep spares

Change: room by the engine's slots; left-over endpoints stay spares instead of making a copy across the pipes; entries share 0.6 of a pipe's time; a request counts with half of its answer.

--- a/src/wisteria/fleet/pipeline.c
+++ b/src/wisteria/fleet/pipeline.c
@@ -56,8 +56,10 @@
 {
 	if (domain == stage->domain)
 		return 0;
-	return from == 0 ? search->query->entry_cross_ms
-			 : search->query->cross_ms;
+	if (from == 0)
+		return search->query->entry_cross_ms;
+	return search->query->stays_in_domain ? INFINITY
+					      : search->query->cross_ms;
 }
 
 static void extend(search_t *search, uint32_t from, uint32_t domain,
--- a/src/wisteria/fleet/pipeline_defs.h
+++ b/src/wisteria/fleet/pipeline_defs.h
@@ -28,6 +28,7 @@
 	double hop_ms;	       /* of each part, besides its layers */
 	double cross_ms;       /* each crossing between two parts */
 	double entry_cross_ms; /* the first part is in another domain */
+	bool stays_in_domain;  /* all parts in one domain */
 } pipeline_query_t;
 
 /* Layers [first_layer, end_layer) at stage number "stage". */
--- a/src/wisteria/fleet/placement.c
+++ b/src/wisteria/fleet/placement.c
@@ -5,8 +5,9 @@
  * fastest accelerators and leave just the room that a good number of requests
  * needs: few and fast parts make a token quick, and a quick answer frees its
  * memory sooner.  What is left in a domain makes a last copy with as much room
- * as possible, and what is left of several domains makes copies together, for
- * the load that the fast ones cannot take.  No clock, no I/O.
+ * as possible, or else stays empty and takes the place of endpoints that fail.
+ * Domains that cannot hold a copy alone hold copies together.  No clock, no
+ * I/O.
  */
 #include "wisteria/fleet/placement.h"
 
@@ -15,10 +16,14 @@
 
 #include <glib.h>
 
-/* Requests that a copy of fast endpoints holds at once. */
-#define FAST_COPY_REQUESTS 64
-/* A copy with less room than this many requests is not made. */
-#define COPY_REQUESTS_MIN 8
+/*
+ * Share of an engine's slots that a copy of fast endpoints has room for.  More
+ * room takes more endpoints and makes each token slower; less is full before
+ * the engines are busy.
+ */
+#define FAST_COPY_SLOTS 0.8
+/* A copy with room for a smaller share of the slots is not made. */
+#define LEAST_COPY_SLOTS 0.04
 /* Tokens of a request where the engine does not say what is usual. */
 #define REQUEST_TOKENS_DEFAULT 1000
 /* Passing a token on to the next part and waiting for its pass under way. */
@@ -50,12 +55,12 @@
 
 static double least_room(const engine_model_t *engine)
 {
-	return COPY_REQUESTS_MIN * request_tokens(engine);
+	return LEAST_COPY_SLOTS * engine->slots * request_tokens(engine);
 }
 
 static double fast_room(const engine_model_t *engine)
 {
-	return FAST_COPY_REQUESTS * request_tokens(engine);
+	return FAST_COPY_SLOTS * engine->slots * request_tokens(engine);
 }
 
 /*
@@ -187,21 +192,28 @@
 	return true;
 }
 
-/* Lays as many copies as the group can hold; the rest stays in it. */
-static void lay_copies(planning_t *planning, group_t *group)
+/*
+ * Lays as many copies as the group can hold; returns whether it holds any.
+ * Endpoints that are left are spares, for the copies of their group.
+ */
+static bool lay_copies(planning_t *planning, group_t *group)
 {
 	double room = fast_room(planning->engine);
+	bool any = false;
 	group_t copy;
 
 	group_init(&copy, group->count);
-	while (take_copy(planning, group, &copy, room))
+	while (take_copy(planning, group, &copy, room)) {
 		lay_copy(planning, &copy, room);
+		any = true;
+	}
 	room = group_room(planning, group);
 	if (room > 0) {
 		lay_copy(planning, group, room);
-		group->count = 0;
+		any = true;
 	}
 	group_finish(&copy);
+	return any;
 }
 
 typedef struct {
@@ -316,7 +328,8 @@
 	for (uint32_t domain = 0; domain < domains; domain++) {
 		own.count = 0;
 		add_domain(&planning, domain, &own);
-		lay_copies(&planning, &own);
+		if (lay_copies(&planning, &own))
+			continue;
 		for (uint32_t i = 0; i < own.count; i++)
 			shared.members[shared.count++] = own.members[i];
 	}
--- a/src/wisteria/gateway/exchange.c
+++ b/src/wisteria/gateway/exchange.c
@@ -270,15 +270,17 @@
 
 	LOG_INFO("request_answered",
 		 "request=%s status=%u route=%s customer=%s sends=%u "
-		 "events=%" G_GUINT64_FORMAT " first_ms=%" G_GINT64_FORMAT
+		 "events=%" G_GUINT64_FORMAT " behind_event=%" G_GINT64_FORMAT
+		 " first_ms=%" G_GINT64_FORMAT " gap_ms=%" G_GINT64_FORMAT
 		 " all_ms=%" G_GINT64_FORMAT,
 		 id_of(exchange), status, exchange->route->name,
 		 exchange->customer == NULL ? "-" : exchange->customer,
 		 exchange->sends, exchange->events.events,
+		 exchange->caller.last_event_id,
 		 exchange->first_event_ms == 0
 			 ? (clock_ms_t)-1
 			 : exchange->first_event_ms - exchange->started_ms,
-		 now - exchange->started_ms);
+		 exchange->longest_gap_ms, now - exchange->started_ms);
 }
 
 /* Passes a whole answer on as it is. */
@@ -321,6 +323,19 @@
 	g_string_free(headers, TRUE);
 }
 
+static void note_event(exchange_t *exchange)
+{
+	clock_ms_t now = now_of(exchange);
+
+	exchange->progress_ms = now;
+	if (exchange->first_event_ms == 0)
+		exchange->first_event_ms = now;
+	else
+		exchange->longest_gap_ms = MAX(exchange->longest_gap_ms,
+					       now - exchange->last_event_ms);
+	exchange->last_event_ms = now;
+}
+
 static void on_body(http_call_handler_t *handler, GByteArray *body)
 {
 	exchange_t *exchange = exchange_of(handler);
@@ -331,9 +346,7 @@
 	whole = event_stream_take(&exchange->events, body->data, body->len);
 	if (whole == 0)
 		return;
-	exchange->progress_ms = now_of(exchange);
-	if (exchange->first_event_ms == 0)
-		exchange->first_event_ms = exchange->progress_ms;
+	note_event(exchange);
 	begin_stream(exchange, http_call_answer(exchange->call));
 	http_conn_send(exchange->conn, body->data, whole);
 	g_byte_array_remove_range(body, 0, (guint)whole);
--- a/src/wisteria/gateway/gateway_defs.h
+++ b/src/wisteria/gateway/gateway_defs.h
@@ -82,6 +82,8 @@
 	int64_t content_length; /* of a stream's answer; -1: none */
 	event_stream_t events;
 	clock_ms_t first_event_ms; /* 0: none yet */
+	clock_ms_t last_event_ms;
+	clock_ms_t longest_gap_ms; /* between two events */
 } exchange_t;
 
 typedef LIST_HEAD(exchange_list_t, exchange_t) exchange_list_t;
@@ -106,6 +108,8 @@
 	usage_t usage;
 	uint64_t reports;
 	clock_ms_t reported_ms;
+	double pipe_ms; /* time of the pipes that this entry may use now */
+	clock_ms_t pipe_filled_ms;
 	exchange_list_t exchanges;
 	GArray *held; /* of held_request_t, oldest first */
 	GRand *random;
--- a/src/wisteria/gateway/target.c
+++ b/src/wisteria/gateway/target.c
@@ -11,7 +11,7 @@
 #include "wisteria/gateway/gateway.h"
 
 /* Room left for what other entries have begun since their last report. */
-#define MEMORY_USED_MAX 0.9
+#define MEMORY_USED_MAX 0.95
 /* Passing on within a failure domain and waiting for the pass under way. */
 #define HOP_MS 1.0
 /*
@@ -19,6 +19,14 @@
  * share of the pipe that all requests use.
  */
 #define CROSS_MS 8.0
+/*
+ * Share of the time of one pipe between two domains that all entries together
+ * plan to use: a transfer waits for those before it, and at twice this load
+ * the wait would be longer than a token.
+ */
+#define PIPE_SHARE 0.6
+/* Pipe time that an entry may save up: a few prompts at once. */
+#define PIPE_SAVED_MS 120.0
 /*
  * A pipeline in another domain is taken where it saves this much a token: the
  * answer then crosses once, and the prompt's activations do not cross at all.
@@ -156,7 +164,10 @@
 			add_stage(exchange, value, candidates);
 }
 
-/* Tokens that a request is expected to hold when it ends. */
+/*
+ * Tokens that a request holds on average while it runs: its answer grows from
+ * nothing, and requests under way are at all stages of it.
+ */
 static double request_tokens(const exchange_t *exchange)
 {
 	const caller_request_t *caller = &exchange->caller;
@@ -164,11 +175,72 @@
 
 	if (answer == 0 || answer > caller->answer_tokens_max)
 		answer = caller->answer_tokens_max;
-	return caller->prompt_tokens + answer;
+	return caller->prompt_tokens + answer / 2.0;
+}
+
+/* Returns how long the activations of a request occupy a pipe, in ms. */
+static double pipe_time(const exchange_t *exchange)
+{
+	const engine_model_t *engine = &exchange->service->engine;
+
+	if (engine->pipe_mbps <= 0)
+		return 0;
+	return request_tokens(exchange) * engine->activation_bytes * 8 /
+	       (engine->pipe_mbps * 1000);
+}
+
+/* Lets the entry's share of pipe time grow with the clock. */
+static void fill_pipe_share(gateway_t *gateway)
+{
+	clock_ms_t now = clock_now(gateway->clock);
+	double grown = (double)(now - gateway->pipe_filled_ms) * PIPE_SHARE /
+		       MAX(gateway->entries, 1);
+
+	gateway->pipe_ms = MIN(gateway->pipe_ms + grown, PIPE_SAVED_MS);
+	gateway->pipe_filled_ms = now;
+}
+
+static uint32_t count_crossings(const pipeline_t *pipeline,
+				const pipeline_stage_t *stages)
+{
+	uint32_t crossings = 0;
+
+	for (uint32_t i = 1; i < pipeline->count; i++)
+		crossings += stages[pipeline->hops[i].stage].domain !=
+			     stages[pipeline->hops[i - 1].stage].domain;
+	return crossings;
+}
+
+/*
+ * Chooses a pipeline and pays for the pipes that it crosses; one that is
+ * beyond the entry's share is given up for one that crosses none.
+ */
+static pipeline_result_t choose_within_share(exchange_t *exchange,
+					     const candidates_t *candidates,
+					     pipeline_query_t *query,
+					     pipeline_t *pipeline)
+{
+	gateway_t *gateway = exchange->gateway;
+	const pipeline_stage_t *stages =
+		(const pipeline_stage_t *)(void *)candidates->stages->data;
+	uint32_t count = candidates->stages->len;
+	pipeline_result_t result;
+	double needed;
+
+	fill_pipe_share(gateway);
+	result = pipeline_choose(stages, count, query, pipeline);
+	if (result != PIPELINE_FOUND)
+		return result;
+	needed = count_crossings(pipeline, stages) * pipe_time(exchange);
+	if (needed > 0 && gateway->pipe_ms < needed) {
+		query->stays_in_domain = true;
+		return pipeline_choose(stages, count, query, pipeline);
+	}
+	gateway->pipe_ms -= needed;
+	return PIPELINE_FOUND;
 }
 
-static target_result_t choose_pipeline(const exchange_t *exchange,
-				       target_t *target)
+static target_result_t choose_pipeline(exchange_t *exchange, target_t *target)
 {
 	static const target_result_t results[] = {
 		[PIPELINE_FOUND] = TARGET_FOUND,
@@ -180,7 +252,7 @@
 		.endpoints = g_ptr_array_new(),
 		.domains = g_ptr_array_new(),
 	};
-	const pipeline_query_t query = {
+	pipeline_query_t query = {
 		.layers = exchange->service->engine.layers,
 		.request_tokens = request_tokens(exchange),
 		.entry_domain = 0,
@@ -192,9 +264,7 @@
 	pipeline_result_t result;
 
 	collect(exchange, &candidates);
-	result = pipeline_choose(
-		(const pipeline_stage_t *)(void *)candidates.stages->data,
-		candidates.stages->len, &query, &pipeline);
+	result = choose_within_share(exchange, &candidates, &query, &pipeline);
 	for (uint32_t i = 0; i < pipeline.count; i++)
 		put_hop(target,
 			g_ptr_array_index(candidates.endpoints,
@@ -211,7 +281,7 @@
 }
 
 /* Chooses where the next attempt of "exchange" goes. */
-target_result_t target_choose(const exchange_t *exchange, target_t *target)
+target_result_t target_choose(exchange_t *exchange, target_t *target)
 {
 	memset(target, 0, sizeof(*target));
 	if (exchange->service->has_engine)
--- a/src/wisteria/gateway/target.h
+++ b/src/wisteria/gateway/target.h
@@ -10,7 +10,7 @@
 	TARGET_FULL  /* the endpoints that do have no room */
 } target_result_t;
 
-target_result_t target_choose(const exchange_t *exchange, target_t *target)
+target_result_t target_choose(exchange_t *exchange, target_t *target)
 	ATTR_NONNULL_ALL ATTR_WARN_UNUSED;
 
 #endif
