Repair copies within their failure domain; plan only broken ones anew

Change: gaps are found and filled per domain; a domain without spares is planned anew after 1.5 s, the others stay.

--- a/src/wisteria/fleet/placement.c
+++ b/src/wisteria/fleet/placement.c
@@ -193,27 +193,21 @@
 }
 
 /*
- * Lays as many copies as the group can hold; returns whether it holds any.
- * Endpoints that are left are spares, for the copies of their group.
+ * Lays as many copies as the group can hold.  Members that are left are
+ * spares.
  */
-static bool lay_copies(planning_t *planning, group_t *group)
+static void lay_copies(planning_t *planning, group_t *group)
 {
 	double room = fast_room(planning->engine);
-	bool any = false;
 	group_t copy;
 
 	group_init(&copy, group->count);
-	while (take_copy(planning, group, &copy, room)) {
+	while (take_copy(planning, group, &copy, room))
 		lay_copy(planning, &copy, room);
-		any = true;
-	}
 	room = group_room(planning, group);
-	if (room > 0) {
+	if (room > 0)
 		lay_copy(planning, group, room);
-		any = true;
-	}
 	group_finish(&copy);
-	return any;
 }
 
 typedef struct {
@@ -275,6 +269,36 @@
 	return domains;
 }
 
+typedef bool (*group_visitor_t)(planning_t *planning, group_t *group);
+
+/*
+ * Visits the endpoints of each domain that can hold a copy alone, and those
+ * of all others together.  Returns whether every visit returned true.
+ */
+static bool each_group(planning_t *planning, group_visitor_t visit)
+{
+	uint32_t domains = domains_of(planning);
+	bool all = true;
+	group_t own;
+	group_t shared;
+
+	group_init(&own, planning->count);
+	group_init(&shared, planning->count);
+	for (uint32_t domain = 0; domain < domains; domain++) {
+		own.count = 0;
+		add_domain(planning, domain, &own);
+		if (group_room(planning, &own) > 0)
+			all = visit(planning, &own) && all;
+		else
+			add_domain(planning, domain, &shared);
+	}
+	if (group_room(planning, &shared) > 0)
+		all = visit(planning, &shared) && all;
+	group_finish(&own);
+	group_finish(&shared);
+	return all;
+}
+
 static bool is_alike(const placement_node_t *a, const placement_node_t *b)
 {
 	return a->domain == b->domain && a->size_mb == b->size_mb &&
@@ -307,6 +331,12 @@
 	}
 }
 
+static bool plan_group(planning_t *planning, group_t *group)
+{
+	lay_copies(planning, group);
+	return true;
+}
+
 /*
  * Fills "ranges" with the layers that each of "count" nodes should hold.  A
  * node whose range stays empty is not needed.
@@ -318,40 +348,27 @@
 				.nodes = nodes,
 				.count = count,
 				.ranges = ranges };
-	uint32_t domains = domains_of(&planning);
-	group_t own;
-	group_t shared;
 
 	memset(ranges, 0, count * sizeof(ranges[0]));
-	group_init(&own, count);
-	group_init(&shared, count);
-	for (uint32_t domain = 0; domain < domains; domain++) {
-		own.count = 0;
-		add_domain(&planning, domain, &own);
-		if (lay_copies(&planning, &own))
-			continue;
-		for (uint32_t i = 0; i < own.count; i++)
-			shared.members[shared.count++] = own.members[i];
-	}
-	lay_copies(&planning, &shared);
-	group_finish(&own);
-	group_finish(&shared);
+	each_group(&planning, plan_group);
 	keep_held(&planning);
 }
 
 /*
- * Returns the number of held ranges that begin at each boundary less those
- * that end there: in whole copies every end is followed by a beginning.
+ * Counts the held ranges that begin at each boundary less those that end
+ * there: in whole copies every end is followed by a beginning.
  */
-static void count_borders(const planning_t *planning, int *borders)
+static void count_borders(const planning_t *planning, const group_t *group,
+			  int *borders)
 {
 	uint32_t layers = planning->engine->layers;
 
 	memset(borders, 0, (layers + 1) * sizeof(borders[0]));
-	for (uint32_t i = 0; i < planning->count; i++) {
-		const placement_node_t *node = &planning->nodes[i];
+	for (uint32_t i = 0; i < group->count; i++) {
+		const placement_node_t *node =
+			&planning->nodes[group->members[i]];
 
-		if (!node->available || node->first_layer >= node->end_layer ||
+		if (node->first_layer >= node->end_layer ||
 		    node->end_layer > layers)
 			continue;
 		borders[node->first_layer]++;
@@ -359,6 +376,20 @@
 	}
 }
 
+/* Returns how many copies the held ranges were meant to make, one at least. */
+static uint32_t copies_of(const planning_t *planning, const int *borders)
+{
+	uint32_t layers = planning->engine->layers;
+	int most = 1;
+	int at = 0;
+
+	for (uint32_t i = 0; i < layers; i++) {
+		at += borders[i];
+		most = MAX(most, at);
+	}
+	return (uint32_t)most;
+}
+
 /*
  * Finds a range that a copy lacks: from an end without a beginning, or from
  * the first layer, to the next beginning without an end.
@@ -384,76 +415,38 @@
 	return false;
 }
 
-/* Returns how many copies the held ranges were meant to make. */
-static uint32_t copies_of(const planning_t *planning, const int *borders)
-{
-	uint32_t layers = planning->engine->layers;
-	int most = 0;
-	int at = 0;
-
-	for (uint32_t i = 0; i < layers; i++) {
-		at += borders[i];
-		most = MAX(most, at);
-	}
-	return (uint32_t)most;
-}
-
 static bool is_spare(const planning_t *planning, uint32_t number)
 {
 	const placement_node_t *node = &planning->nodes[number];
 	const placement_range_t *range = &planning->ranges[number];
 
-	return node->available && node->first_layer == node->end_layer &&
+	return node->first_layer == node->end_layer &&
 	       range->first_layer == range->end_layer;
 }
 
 /*
- * Whether the neighbours of a gap are in "domain": the copy that lacks it is
- * that domain's.
+ * Returns the member without layers that fits "wanted" layers with the least
+ * to spare, or the largest where none does; -1: there is none.
  */
-static bool borders_on(const planning_t *planning, const placement_range_t *gap,
-		       uint32_t domain)
+static int32_t find_spare(const planning_t *planning, const group_t *group,
+			  uint32_t wanted, uint32_t *fit)
 {
-	for (uint32_t i = 0; i < planning->count; i++) {
-		const placement_node_t *node = &planning->nodes[i];
-
-		if (node->available && node->domain == domain &&
-		    node->first_layer < node->end_layer &&
-		    (node->end_layer == gap->first_layer ||
-		     node->first_layer == gap->end_layer))
-			return true;
-	}
-	return false;
-}
-
-/*
- * Returns the node without layers that fits "gap" with the least to spare,
- * one of the gap's own domain before others, or the largest where none fits;
- * -1: there is none.
- */
-static int32_t find_spare(const planning_t *planning,
-			  const placement_range_t *gap, uint32_t *fit)
-{
-	uint32_t wanted = gap->end_layer - gap->first_layer;
 	int32_t best = -1;
 	double best_rank = 0;
 
-	for (uint32_t i = 0; i < planning->count; i++) {
-		const placement_node_t *node = &planning->nodes[i];
-		uint32_t layers = placement_layers_that_fit(
-			planning->engine, node->size_mb,
-			least_room(planning->engine));
-		double rank = node->size_mb;
-
-		if (!is_spare(planning, i) || layers == 0)
-			continue;
-		if (layers >= wanted)
-			rank = 1e9 - node->size_mb;
-		if (borders_on(planning, gap, node->domain))
-			rank += 2e9;
-		if (best >= 0 && rank <= best_rank)
+	for (uint32_t i = 0; i < group->count; i++) {
+		uint32_t number = group->members[i];
+		double size_mb = planning->nodes[number].size_mb;
+		uint32_t layers =
+			placement_layers_that_fit(planning->engine, size_mb,
+						  least_room(planning->engine));
+		/* Enough is better than not; then small, or else large. */
+		double rank = layers >= wanted ? 1e9 - size_mb : size_mb;
+
+		if (!is_spare(planning, number) || layers == 0 ||
+		    (best >= 0 && rank <= best_rank))
 			continue;
-		best = (int32_t)i;
+		best = (int32_t)number;
 		best_rank = rank;
 		*fit = layers;
 	}
@@ -461,38 +454,75 @@
 }
 
 /*
- * Gives the layers that copies lack to nodes that hold none; no other node is
- * moved.  Returns whether every copy is whole then.
+ * Gives the layers that the copies of a group lack to members that hold none.
+ * Returns false, and gives nothing, where there are too few of them.
  */
-bool placement_fill_gaps(const engine_model_t *engine,
-			 const placement_node_t *nodes, uint32_t count,
-			 placement_range_t *ranges)
+static bool fill_group(planning_t *planning, group_t *group)
 {
-	planning_t planning = { .engine = engine,
-				.nodes = nodes,
-				.count = count,
-				.ranges = ranges };
-	int *borders = g_new0(int, engine->layers + 1);
+	int *borders = g_new0(int, planning->engine->layers + 1);
 	placement_range_t gap = { 0 };
 	uint32_t copies;
 	bool whole = true;
 
-	memset(ranges, 0, count * sizeof(ranges[0]));
-	count_borders(&planning, borders);
-	copies = copies_of(&planning, borders);
-	while (next_gap(&planning, borders, copies, &gap)) {
+	count_borders(planning, group, borders);
+	copies = copies_of(planning, borders);
+	while (whole && next_gap(planning, borders, copies, &gap)) {
 		uint32_t fit = 0;
-		int32_t spare = find_spare(&planning, &gap, &fit);
+		int32_t spare = find_spare(
+			planning, group, gap.end_layer - gap.first_layer, &fit);
 
 		whole = spare >= 0;
 		if (!whole)
 			break;
-		gap.end_layer =
-			MIN(gap.end_layer, gap.first_layer + MAX(fit, 1));
-		ranges[spare] = gap;
+		gap.end_layer = MIN(gap.end_layer, gap.first_layer + fit);
+		planning->ranges[spare] = gap;
 		borders[gap.first_layer]++;
 		borders[gap.end_layer]--;
 	}
+	for (uint32_t i = 0; !whole && i < group->count; i++)
+		planning->ranges[group->members[i]] = (placement_range_t){ 0 };
 	g_free(borders);
 	return whole;
 }
+
+static bool repair_group(planning_t *planning, group_t *group)
+{
+	if (!fill_group(planning, group))
+		lay_copies(planning, group);
+	return true;
+}
+
+/*
+ * Gives the layers that copies lack to nodes that hold none; no other node is
+ * moved.  Returns whether every copy is whole then.
+ */
+bool placement_fill_gaps(const engine_model_t *engine,
+			 const placement_node_t *nodes, uint32_t count,
+			 placement_range_t *ranges)
+{
+	planning_t planning = { .engine = engine,
+				.nodes = nodes,
+				.count = count,
+				.ranges = ranges };
+
+	memset(ranges, 0, count * sizeof(ranges[0]));
+	return each_group(&planning, fill_group);
+}
+
+/*
+ * Like placement_fill_gaps(), but plans the groups anew whose copies cannot
+ * be made whole without moving nodes.
+ */
+void placement_repair(const engine_model_t *engine,
+		      const placement_node_t *nodes, uint32_t count,
+		      placement_range_t *ranges)
+{
+	planning_t planning = { .engine = engine,
+				.nodes = nodes,
+				.count = count,
+				.ranges = ranges };
+
+	memset(ranges, 0, count * sizeof(ranges[0]));
+	each_group(&planning, repair_group);
+	keep_held(&planning);
+}
--- a/src/wisteria/fleet/placer.c
+++ b/src/wisteria/fleet/placer.c
@@ -270,7 +270,7 @@
 		   g_hash_table_size(placer->orders) == 0) {
 		LOG_INFO("placement_renewed", "service=%s endpoints=%u",
 			 service->name, count);
-		placement_plan(&service->engine, nodes, count, ranges);
+		placement_repair(&service->engine, nodes, count, ranges);
 		placer->incomplete_ms = now;
 	}
 	give_orders(placer, picture, ranges, fencing_token);
--- a/src/wisteria/fleet/placer_defs.h
+++ b/src/wisteria/fleet/placer_defs.h
@@ -13,8 +13,8 @@
 #define PLACER_TICK_MS 400
 /* An order whose layers are not reported by then is given again. */
 #define PLACER_ORDER_MS 6000
-/* An endpoint that ended may come back at its place for this long. */
-#define PLACER_REPLAN_MS 3000
+/* An endpoint that ended may come back at its place: a restart takes seconds. */
+#define PLACER_REPLAN_MS 1500
 #define PLACER_CONNECT_MS 1000
 
 /* An order that has been given, until the endpoint reports its layers. */
