Let requests wait for a place, and for the first heartbeats after a start

Beyond that, 503 endpoints_full came for load that was over within 100 ms. Change: wait_queue (pure): by urgency, then arrival; up to 0.6 of the goal of the first event where endpoints are full, up to 1 s while a started fleet is still being heard.

--- a/src/wisteria/gateway/exchange.c
+++ b/src/wisteria/gateway/exchange.c
@@ -63,6 +63,7 @@
 void exchange_discard(exchange_t *exchange)
 {
 	end_attempt(exchange);
+	wait_queue_remove(&exchange->gateway->waiting, &exchange->wait);
 	if (exchange->conn != NULL)
 		exchange->conn->user = NULL;
 	LIST_REMOVE(exchange, entry);
@@ -144,23 +145,88 @@
 		 forward.last_event_id, gateway->registry.version);
 }
 
-static void send_first(exchange_t *exchange)
+static bool start(exchange_t *exchange)
 {
 	target_t target;
 
-	switch (target_choose(exchange, &target)) {
-	case TARGET_FOUND:
-		retry_budget_fresh(gateway_budget(exchange->gateway,
-						  exchange->service->name));
-		send_attempt(exchange, &target);
-		return;
-	case TARGET_FULL:
+	if (target_choose(exchange, &target) != TARGET_FOUND)
+		return false;
+	retry_budget_fresh(
+		gateway_budget(exchange->gateway, exchange->service->name));
+	send_attempt(exchange, &target);
+	return true;
+}
+
+static bool start_waiting(wait_item_t *item)
+{
+	exchange_t *exchange = CONTAINER_OF(item, exchange_t, wait);
+
+	if (!start(exchange))
+		return false;
+	wait_queue_remove(&exchange->gateway->waiting, item);
+	return true;
+}
+
+/* Starts the requests that wait and for which there are places now. */
+void exchange_serve_waiting(gateway_t *gateway)
+{
+	if (gateway->waiting.count > 0 &&
+	    subscription_has_lease(&gateway->subscription))
+		wait_queue_serve(&gateway->waiting, start_waiting);
+}
+
+/*
+ * How long a request may wait for a place.  Where the endpoints are known and
+ * none serves it, not at all; where they are full, as long as its first event
+ * can still be on time; just after a start, until they have been heard.
+ */
+static clock_ms_t waiting_time(const exchange_t *exchange,
+			       target_result_t result, clock_ms_t now)
+{
+	const gateway_t *gateway = exchange->gateway;
+
+	if (gateway->first_heard_ms == 0 ||
+	    now - gateway->first_heard_ms < GATEWAY_WARM_UP_MS)
+		return GATEWAY_HOLD_MS;
+	if (result == TARGET_FULL)
+		return (clock_ms_t)((double)exchange->route->goal_ms *
+				    GATEWAY_QUEUE_SHARE);
+	return 0;
+}
+
+static void refuse_for_want(exchange_t *exchange, target_result_t result)
+{
+	if (result == TARGET_FULL)
 		refuse(exchange, RETRY_AFTER_FULL_MS, "endpoints_full");
-		return;
-	case TARGET_NONE:
+	else
 		refuse(exchange, RETRY_AFTER_ENDPOINT_MS, "no_endpoint");
+}
+
+static void send_first(exchange_t *exchange)
+{
+	gateway_t *gateway = exchange->gateway;
+	wait_item_t *wait = &exchange->wait;
+	target_result_t result = TARGET_FULL;
+	clock_ms_t time_ms;
+	target_t target;
+
+	wait->pool = exchange->service;
+	wait->priority = exchange->route->priority;
+	if (!wait_queue_has(&gateway->waiting, wait->pool, wait->priority)) {
+		if (start(exchange))
+			return;
+		result = target_choose(exchange, &target);
+	}
+	time_ms = waiting_time(exchange, result, now_of(exchange));
+	if (time_ms <= 0) {
+		refuse_for_want(exchange, result);
 		return;
 	}
+	wait->until_ms = exchange->started_ms + time_ms;
+	wait_queue_push(&gateway->waiting, wait);
+	LOG_INFO("request_queued",
+		 "request=%s waiting=%u for_ms=%" G_GINT64_FORMAT,
+		 id_of(exchange), gateway->waiting.count, time_ms);
 }
 
 static bool is_repeatable(const exchange_t *exchange)
@@ -589,6 +655,12 @@
 /* Ends an exchange whose time is up and watches over silent streams. */
 void exchange_tick(exchange_t *exchange, clock_ms_t now)
 {
+	if (exchange->wait.queued && now >= exchange->wait.until_ms) {
+		target_t target;
+
+		refuse_for_want(exchange, target_choose(exchange, &target));
+		return;
+	}
 	if (now < exchange->deadline_ms) {
 		check_stall(exchange, now);
 		return;
--- a/src/wisteria/gateway/gateway.c
+++ b/src/wisteria/gateway/gateway.c
@@ -48,6 +48,8 @@
 	gateway_t *gateway = of_subscription(handler);
 	clock_ms_t now = clock_now(gateway->clock);
 
+	if (gateway->first_heard_ms == 0 && news->endpoint_count > 0)
+		gateway->first_heard_ms = now;
 	for (size_t i = 0; i < news->endpoint_count; i++) {
 		endpoint_t endpoint;
 
@@ -247,6 +249,7 @@
 		exchange = next;
 	}
 	take_held(gateway, now);
+	exchange_serve_waiting(gateway);
 	g_hash_table_foreach_remove(gateway->suspects, suspicion_is_over, &now);
 	registry_forget_old(&gateway->registry, now);
 	if (now - gateway->reported_ms >= GATEWAY_REPORT_MS)
@@ -321,6 +324,7 @@
 	gateway->random = g_rand_new();
 	gateway->entries = 1;
 	LIST_INIT(&gateway->exchanges);
+	wait_queue_init(&gateway->waiting);
 	gateway->held = g_array_new(FALSE, FALSE, sizeof(held_request_t));
 	registry_init(&gateway->registry);
 	usage_init(&gateway->usage);
--- a/src/wisteria/gateway/gateway_defs.h
+++ b/src/wisteria/gateway/gateway_defs.h
@@ -10,6 +10,7 @@
 #include "wisteria/gateway/event_stream.h"
 #include "wisteria/gateway/outcome.h"
 #include "wisteria/gateway/usage.h"
+#include "wisteria/gateway/wait_queue.h"
 #include "wisteria/http/http_call.h"
 #include "wisteria/http/http_server.h"
 #include "wisteria/limits/retry_budget.h"
@@ -37,6 +38,16 @@
  * callers leave a stream that is silent for 2 s.
  */
 #define GATEWAY_HOLD_MS 1000
+/*
+ * Endpoints of a fleet that is up have been heard by then, counted from the
+ * first one: two heartbeats of 1.2 s.
+ */
+#define GATEWAY_WARM_UP_MS 2600
+/*
+ * Share of the time to its first event that a request may wait for a place;
+ * the rest is for reading its prompt.
+ */
+#define GATEWAY_QUEUE_SHARE 0.6
 
 /* Endpoints that one attempt uses: one, or a whole pipeline. */
 typedef struct {
@@ -62,6 +73,7 @@
 typedef struct exchange_t {
 	http_call_handler_t call_handler;
 	LIST_ENTRY(exchange_t) entry;
+	wait_item_t wait;
 	struct gateway_t *gateway;
 	http_conn_t *conn; /* NULL: the caller has left */
 	route_table_t *table;
@@ -110,6 +122,8 @@
 	clock_ms_t reported_ms;
 	double pipe_ms; /* time of the pipes that this entry may use now */
 	clock_ms_t pipe_filled_ms;
+	clock_ms_t first_heard_ms; /* of any endpoint; 0: none yet */
+	wait_queue_t waiting;	   /* for places at endpoints */
 	exchange_list_t exchanges;
 	GArray *held; /* of held_request_t, oldest first */
 	GRand *random;
