Start elections early after a start; lay copies by place; fill with room

Change: first election after 200 to 400 ms; requests are held 1.5 s of the 2 s that callers wait; a spare must leave half of the room that a new plan would give; members keep their order when a copy is laid anew.

--- a/src/wisteria/fleet/placement.c
+++ b/src/wisteria/fleet/placement.c
@@ -26,6 +26,12 @@
 #define LEAST_COPY_SLOTS 0.04
 /* Tokens of a request where the engine does not say what is usual. */
 #define REQUEST_TOKENS_DEFAULT 1000
+/*
+ * Share of the room which a copy of all members would have that an endpoint
+ * must leave to take the place of another; with less it would be the one that
+ * bounds the copy, and moving the others is better.
+ */
+#define FILLED_ROOM 0.5
 /* Passing a token on to the next part and waiting for its pass under way. */
 #define HOP_MS 0.9
 /* Upper end of the search for the room that a group can have, tokens. */
@@ -147,12 +153,40 @@
 	}
 }
 
+/*
+ * Orders members by the layers they hold, the others behind: a copy that is
+ * laid anew then moves its boundaries by few layers.
+ */
+static void sort_by_place(const planning_t *planning, group_t *group)
+{
+	for (uint32_t i = 1; i < group->count; i++) {
+		uint32_t member = group->members[i];
+		const placement_node_t *node = &planning->nodes[member];
+		uint32_t at = i;
+
+		if (node->first_layer == node->end_layer)
+			continue;
+		for (; at > 0; at--) {
+			const placement_node_t *before =
+				&planning->nodes[group->members[at - 1]];
+
+			if (before->first_layer < before->end_layer &&
+			    before->first_layer <= node->first_layer)
+				break;
+			group->members[at] = group->members[at - 1];
+		}
+		group->members[at] = member;
+	}
+}
+
 /* Lays one copy over all members, with "room" tokens beside it. */
 static void lay_copy(planning_t *planning, group_t *group, double room)
 {
 	uint32_t sum = 0;
 	uint32_t at = 0;
 
+	sort_by_place(planning, group);
+
 	for (uint32_t i = 0; i < group->count; i++) {
 		group->layers[i] = placement_layers_that_fit(
 			planning->engine,
@@ -429,7 +463,7 @@
  * to spare, or the largest where none does; -1: there is none.
  */
 static int32_t find_spare(const planning_t *planning, const group_t *group,
-			  uint32_t wanted, uint32_t *fit)
+			  double room, uint32_t wanted, uint32_t *fit)
 {
 	int32_t best = -1;
 	double best_rank = 0;
@@ -437,9 +471,8 @@
 	for (uint32_t i = 0; i < group->count; i++) {
 		uint32_t number = group->members[i];
 		double size_mb = planning->nodes[number].size_mb;
-		uint32_t layers =
-			placement_layers_that_fit(planning->engine, size_mb,
-						  least_room(planning->engine));
+		uint32_t layers = placement_layers_that_fit(planning->engine,
+							    size_mb, room);
 		/* Enough is better than not; then small, or else large. */
 		double rank = layers >= wanted ? 1e9 - size_mb : size_mb;
 
@@ -460,6 +493,8 @@
 static bool fill_group(planning_t *planning, group_t *group)
 {
 	int *borders = g_new0(int, planning->engine->layers + 1);
+	double room = MIN(group_room(planning, group) * FILLED_ROOM,
+			  fast_room(planning->engine));
 	placement_range_t gap = { 0 };
 	uint32_t copies;
 	bool whole = true;
@@ -468,8 +503,9 @@
 	copies = copies_of(planning, borders);
 	while (whole && next_gap(planning, borders, copies, &gap)) {
 		uint32_t fit = 0;
-		int32_t spare = find_spare(
-			planning, group, gap.end_layer - gap.first_layer, &fit);
+		int32_t spare =
+			find_spare(planning, group, room,
+				   gap.end_layer - gap.first_layer, &fit);
 
 		whole = spare >= 0;
 		if (!whole)
--- a/src/wisteria/gateway/gateway_defs.h
+++ b/src/wisteria/gateway/gateway_defs.h
@@ -37,7 +37,7 @@
  * A request that comes while a lease is being renewed waits this long for it;
  * callers leave a stream that is silent for 2 s.
  */
-#define GATEWAY_HOLD_MS 1000
+#define GATEWAY_HOLD_MS 1500
 /*
  * Endpoints of a fleet that is up have been heard by then, counted from the
  * first one: two heartbeats of 1.2 s.
--- a/src/wisteria/raft/raft.c
+++ b/src/wisteria/raft/raft.c
@@ -201,7 +201,10 @@
 	raft->read_results = g_array_new(FALSE, FALSE, sizeof(raft_read_t));
 	load(raft, stored);
 	raft_find_members(raft);
-	raft_reset_election(raft);
+	/* A leader that lives is heard by then. */
+	raft->election_at_ms =
+		now + RAFT_START_ELECTION_MS +
+		g_rand_int_range(raft->random, 0, RAFT_START_ELECTION_MS);
 }
 
 /* Frees what the replica owns. */
