Order layers in steps that fit beside what is held; find gaps by layer

Orders expired after 6 s while layers still waited for their streams, and each new plan started from the half-moved state. Ranges left over from an older plan counted as a second copy. Change: placement_step orders what fits; orders are repeated until held, for 20 s; a gap is a layer with fewer holders than copies.

--- a/src/wisteria/fleet/placement.c
+++ b/src/wisteria/fleet/placement.c
@@ -388,65 +388,57 @@
 	keep_held(&planning);
 }
 
-/*
- * Counts the held ranges that begin at each boundary less those that end
- * there: in whole copies every end is followed by a beginning.
- */
-static void count_borders(const planning_t *planning, const group_t *group,
-			  int *borders)
+/* Returns how many copies a group can hold. */
+static uint32_t copies_of(const planning_t *planning, const group_t *group)
 {
-	uint32_t layers = planning->engine->layers;
-
-	memset(borders, 0, (layers + 1) * sizeof(borders[0]));
-	for (uint32_t i = 0; i < group->count; i++) {
-		const placement_node_t *node =
-			&planning->nodes[group->members[i]];
+	double room = fast_room(planning->engine);
+	uint32_t copies = 0;
+	group_t rest;
+	group_t copy;
 
-		if (node->first_layer >= node->end_layer ||
-		    node->end_layer > layers)
-			continue;
-		borders[node->first_layer]++;
-		borders[node->end_layer]--;
-	}
+	group_init(&rest, group->count);
+	group_init(&copy, group->count);
+	rest.count = group->count;
+	memcpy(rest.members, group->members,
+	       group->count * sizeof(group->members[0]));
+	while (take_copy(planning, &rest, &copy, room))
+		copies++;
+	if (group_room(planning, &rest) > 0)
+		copies++;
+	group_finish(&rest);
+	group_finish(&copy);
+	return copies;
 }
 
-/* Returns how many copies the held ranges were meant to make, one at least. */
-static uint32_t copies_of(const planning_t *planning, const int *borders)
+/* Counts how many members hold each layer. */
+static void count_holders(const planning_t *planning, const group_t *group,
+			  uint32_t *holders)
 {
-	uint32_t layers = planning->engine->layers;
-	int most = 1;
-	int at = 0;
+	for (uint32_t i = 0; i < group->count; i++) {
+		const placement_node_t *node =
+			&planning->nodes[group->members[i]];
 
-	for (uint32_t i = 0; i < layers; i++) {
-		at += borders[i];
-		most = MAX(most, at);
+		for (uint32_t layer = node->first_layer;
+		     layer < MIN(node->end_layer, planning->engine->layers);
+		     layer++)
+			holders[layer]++;
 	}
-	return (uint32_t)most;
 }
 
-/*
- * Finds a range that a copy lacks: from an end without a beginning, or from
- * the first layer, to the next beginning without an end.
- */
-static bool next_gap(const planning_t *planning, const int *borders,
+/* Finds the first layers that fewer than "copies" members hold. */
+static bool next_gap(const planning_t *planning, const uint32_t *holders,
 		     uint32_t copies, placement_range_t *gap)
 {
 	uint32_t layers = planning->engine->layers;
+	uint32_t at = 0;
 
-	for (uint32_t at = 0; at < layers; at++) {
-		int begins = borders[at];
-
-		if (at == 0)
-			begins -= (int)copies;
-		if (begins >= 0)
-			continue;
-		gap->first_layer = at;
-		gap->end_layer = at + 1;
-		while (gap->end_layer < layers && borders[gap->end_layer] <= 0)
-			gap->end_layer++;
-		return true;
-	}
-	return false;
+	while (at < layers && holders[at] >= copies)
+		at++;
+	gap->first_layer = at;
+	while (at < layers && holders[at] < copies)
+		at++;
+	gap->end_layer = at;
+	return gap->first_layer < layers;
 }
 
 static bool is_spare(const planning_t *planning, uint32_t number)
@@ -492,16 +484,15 @@
  */
 static bool fill_group(planning_t *planning, group_t *group)
 {
-	int *borders = g_new0(int, planning->engine->layers + 1);
+	uint32_t *holders = g_new0(uint32_t, planning->engine->layers);
 	double room = MIN(group_room(planning, group) * FILLED_ROOM,
 			  fast_room(planning->engine));
 	placement_range_t gap = { 0 };
-	uint32_t copies;
+	uint32_t copies = copies_of(planning, group);
 	bool whole = true;
 
-	count_borders(planning, group, borders);
-	copies = copies_of(planning, borders);
-	while (whole && next_gap(planning, borders, copies, &gap)) {
+	count_holders(planning, group, holders);
+	while (whole && next_gap(planning, holders, copies, &gap)) {
 		uint32_t fit = 0;
 		int32_t spare =
 			find_spare(planning, group, room,
@@ -512,12 +503,12 @@
 			break;
 		gap.end_layer = MIN(gap.end_layer, gap.first_layer + fit);
 		planning->ranges[spare] = gap;
-		borders[gap.first_layer]++;
-		borders[gap.end_layer]--;
+		for (uint32_t i = gap.first_layer; i < gap.end_layer; i++)
+			holders[i]++;
 	}
 	for (uint32_t i = 0; !whole && i < group->count; i++)
 		planning->ranges[group->members[i]] = (placement_range_t){ 0 };
-	g_free(borders);
+	g_free(holders);
 	return whole;
 }
 
@@ -562,3 +553,43 @@
 	each_group(&planning, repair_group);
 	keep_held(&planning);
 }
+
+static uint32_t joined_layers(const placement_node_t *node,
+			      const placement_range_t *range)
+{
+	uint32_t sum = node->end_layer - node->first_layer + range->end_layer -
+		       range->first_layer;
+	uint32_t from = MAX(node->first_layer, range->first_layer);
+	uint32_t to = MIN(node->end_layer, range->end_layer);
+
+	return to > from ? sum - (to - from) : sum;
+}
+
+/*
+ * Returns the part of "wanted" that a node can be ordered to hold now.  While
+ * it moves it holds both ranges, and more than its memory ends it: what does
+ * not fit beside the layers held has to wait until those are given up.
+ */
+placement_range_t placement_step(const engine_model_t *engine,
+				 const placement_node_t *node,
+				 const placement_range_t *wanted)
+{
+	uint32_t most = placement_layers_that_fit(engine, node->size_mb, 0);
+	uint32_t held = node->end_layer - node->first_layer;
+	placement_range_t step = *wanted;
+
+	if (joined_layers(node, &step) <= most)
+		return step;
+	if (held >= most || (step.first_layer < node->end_layer &&
+			     node->first_layer < step.end_layer)) {
+		/* Gives up what is not wanted before it takes the rest. */
+		step.first_layer = MAX(wanted->first_layer, node->first_layer);
+		step.end_layer = MIN(wanted->end_layer, node->end_layer);
+		if (step.first_layer < step.end_layer)
+			return step;
+		return (placement_range_t){ node->first_layer,
+					    node->first_layer + 1 };
+	}
+	step.end_layer = step.first_layer + (most - held);
+	return step;
+}
--- a/src/wisteria/fleet/placement.h
+++ b/src/wisteria/fleet/placement.h
@@ -13,6 +13,9 @@
 void placement_repair(const engine_model_t *engine,
 		      const placement_node_t *nodes, uint32_t count,
 		      placement_range_t *ranges) ATTR_NONNULL_ALL;
+placement_range_t placement_step(
+	const engine_model_t *engine, const placement_node_t *node,
+	const placement_range_t *wanted) ATTR_NONNULL_ALL ATTR_WARN_UNUSED;
 uint32_t placement_layers_that_fit(const engine_model_t *engine, double size_mb,
 				   double tokens) ATTR_NONNULL_ALL;
 
--- a/src/wisteria/fleet/placer.c
+++ b/src/wisteria/fleet/placer.c
@@ -15,7 +15,8 @@
 
 /* The endpoints of one service as the planning sees them. */
 typedef struct {
-	GArray *nodes;	      /* of placement_node_t */
+	GArray *nodes;	      /* of placement_node_t, as if orders were done */
+	GArray *held;	      /* the same with the layers held now */
 	GPtrArray *endpoints; /* of const endpoint_t */
 	GPtrArray *domains;   /* their names */
 } picture_t;
@@ -86,7 +87,7 @@
 		 order->id, answer->status, order->range.first_layer,
 		 order->range.end_layer);
 	if (!accepted)
-		g_hash_table_remove(order->placer->orders, order->id);
+		order->given_ms = 0; /* refused: again at the next tick */
 }
 
 /* The endpoint may have taken the order; it is given again later. */
@@ -99,39 +100,59 @@
 	LOG_WARN("order_unanswered", "endpoint=%s stage=%d reason=%s",
 		 order->id, (int)stage, reason);
 	if (stage == HTTP_CALL_UNSENT)
-		g_hash_table_remove(order->placer->orders, order->id);
+		order->given_ms = 0;
 }
 
-static void give(placer_t *placer, const endpoint_t *endpoint,
-		 const placement_range_t *range, uint64_t fencing_token)
+/* Sends the next step of an order; answers to earlier ones are ignored. */
+static void send_order(placer_t *placer, const endpoint_t *endpoint,
+		       const placement_node_t *node,
+		       const engine_model_t *engine, placer_order_t *order,
+		       uint64_t fencing_token)
 {
-	placer_order_t *order = g_new0(placer_order_t, 1);
-	const place_order_t place = {
+	GString *request = g_string_new(NULL);
+	place_order_t place = {
 		.address = endpoint->address,
 		.fencing_token = fencing_token,
-		.first_layer = range->first_layer,
-		.end_layer = range->end_layer,
 	};
-	GString *request = g_string_new(NULL);
 
+	order->range = placement_step(engine, node, &order->wanted);
+	place.first_layer = order->range.first_layer;
+	place.end_layer = order->range.end_layer;
 	placer->dialect->write_place_order(&place, request);
+	if (order->call != NULL)
+		http_call_cancel(order->call);
+	order->given_ms = clock_now(placer->clock);
+	order->call = http_call_new(placer->loop, endpoint->address, request,
+				    PLACER_CONNECT_MS, &order->handler);
+	g_string_free(request, TRUE);
+	LOG_INFO("order_given",
+		 "endpoint=%s held=%u-%u layers=%u-%u wanted=%u-%u "
+		 "fence=%" G_GUINT64_FORMAT,
+		 endpoint->id, endpoint->first_layer, endpoint->end_layer,
+		 order->range.first_layer, order->range.end_layer,
+		 order->wanted.first_layer, order->wanted.end_layer,
+		 fencing_token);
+}
+
+static void begin_order(placer_t *placer, const endpoint_t *endpoint,
+			const placement_node_t *node,
+			const engine_model_t *engine,
+			const placement_range_t *wanted, uint64_t fencing_token)
+{
+	placer_order_t *order = g_new0(placer_order_t, 1);
+
 	order->handler.headers = on_headers;
 	order->handler.body = on_body;
 	order->handler.complete = on_complete;
 	order->handler.failed = on_failed;
 	order->placer = placer;
-	order->range = *range;
+
+	order->wanted = *wanted;
 	order->incarnation = endpoint->incarnation;
-	order->given_ms = clock_now(placer->clock);
+	order->first_ms = clock_now(placer->clock);
 	g_strlcpy(order->id, endpoint->id, sizeof(order->id));
 	g_hash_table_replace(placer->orders, order->id, order);
-	order->call = http_call_new(placer->loop, endpoint->address, request,
-				    PLACER_CONNECT_MS, &order->handler);
-	g_string_free(request, TRUE);
-	LOG_INFO("order_given",
-		 "endpoint=%s held=%u-%u layers=%u-%u fence=%" G_GUINT64_FORMAT,
-		 endpoint->id, endpoint->first_layer, endpoint->end_layer,
-		 range->first_layer, range->end_layer, fencing_token);
+	send_order(placer, endpoint, node, engine, order, fencing_token);
 }
 
 static bool holds(const endpoint_t *endpoint, const placement_range_t *range)
@@ -149,8 +170,8 @@
 
 	return endpoint == NULL || endpoint->gone ||
 	       endpoint->incarnation != order->incarnation ||
-	       holds(endpoint, &order->range) ||
-	       clock_now(placer->clock) - order->given_ms >= PLACER_ORDER_MS;
+	       holds(endpoint, &order->wanted) ||
+	       clock_now(placer->clock) - order->first_ms >= PLACER_ORDER_MS;
 }
 
 static uint32_t domain_number(picture_t *picture, const char *name)
@@ -180,9 +201,10 @@
 		return;
 	node.size_mb = accelerator->size_mb;
 	node.pace = accelerator->pace;
+	g_array_append_val(picture->held, node);
 	if (order != NULL) {
-		node.first_layer = order->range.first_layer;
-		node.end_layer = order->range.end_layer;
+		node.first_layer = order->wanted.first_layer;
+		node.end_layer = order->wanted.end_layer;
 	}
 	g_array_append_val(picture->nodes, node);
 	g_ptr_array_add(picture->endpoints, (gpointer)endpoint);
@@ -230,9 +252,37 @@
 	return true;
 }
 
-static void give_orders(placer_t *placer, const picture_t *picture,
-			const placement_range_t *ranges, uint64_t fencing_token)
+/* Goes on with the orders that are under way. */
+static void continue_orders(placer_t *placer, const picture_t *picture,
+			    const engine_model_t *engine,
+			    uint64_t fencing_token)
 {
+	clock_ms_t now = clock_now(placer->clock);
+
+	for (guint i = 0; i < picture->held->len; i++) {
+		const placement_node_t *node =
+			&g_array_index(picture->held, placement_node_t, i);
+		const endpoint_t *endpoint =
+			g_ptr_array_index(picture->endpoints, i);
+		placer_order_t *order =
+			g_hash_table_lookup(placer->orders, endpoint->id);
+
+		if (order != NULL &&
+		    (now - order->given_ms >= PLACER_AGAIN_MS ||
+		     holds(endpoint, &order->range)))
+			send_order(placer, endpoint, node, engine, order,
+				   fencing_token);
+	}
+}
+
+/* Orders what the plan changes; returns how many orders were given. */
+static unsigned give_orders(placer_t *placer, const picture_t *picture,
+			    const engine_model_t *engine,
+			    const placement_range_t *ranges,
+			    uint64_t fencing_token)
+{
+	unsigned given = 0;
+
 	for (guint i = 0; i < picture->nodes->len; i++) {
 		const placement_node_t *node =
 			&g_array_index(picture->nodes, placement_node_t, i);
@@ -241,39 +291,45 @@
 
 		if (ranges[i].first_layer == ranges[i].end_layer ||
 		    (ranges[i].first_layer == node->first_layer &&
-		     ranges[i].end_layer == node->end_layer) ||
-		    g_hash_table_contains(placer->orders, endpoint->id))
+		     ranges[i].end_layer == node->end_layer))
 			continue;
-		give(placer, endpoint, &ranges[i], fencing_token);
+		begin_order(placer, endpoint,
+			    &g_array_index(picture->held, placement_node_t, i),
+			    engine, &ranges[i], fencing_token);
+		given++;
 	}
+	return given;
 }
 
 static void place(placer_t *placer, const service_t *service,
 		  const picture_t *picture, uint64_t fencing_token)
 {
+	const engine_model_t *engine = &service->engine;
 	const placement_node_t *nodes =
 		(const placement_node_t *)(void *)picture->nodes->data;
 	uint32_t count = picture->nodes->len;
 	placement_range_t *ranges = g_new0(placement_range_t, count + 1);
 	clock_ms_t now = clock_now(placer->clock);
+	bool whole = true;
 
-	if (is_new_fleet(picture)) {
-		placement_plan(&service->engine, nodes, count, ranges);
-	} else if (placement_fill_gaps(&service->engine, nodes, count,
-				       ranges)) {
+	if (is_new_fleet(picture))
+		placement_plan(engine, nodes, count, ranges);
+	else
+		whole = placement_fill_gaps(engine, nodes, count, ranges);
+	if (whole) {
 		placer->incomplete_ms = 0;
 	} else if (placer->incomplete_ms == 0) {
 		placer->incomplete_ms = now;
 		LOG_WARN("layers_lacking", "service=%s endpoints=%u",
 			 service->name, count);
-	} else if (now - placer->incomplete_ms >= PLACER_REPLAN_MS &&
-		   g_hash_table_size(placer->orders) == 0) {
-		LOG_INFO("placement_renewed", "service=%s endpoints=%u",
-			 service->name, count);
-		placement_repair(&service->engine, nodes, count, ranges);
+	} else if (now - placer->incomplete_ms >= PLACER_REPLAN_MS) {
+		placement_repair(engine, nodes, count, ranges);
 		placer->incomplete_ms = now;
 	}
-	give_orders(placer, picture, ranges, fencing_token);
+	if (give_orders(placer, picture, engine, ranges, fencing_token) > 0)
+		LOG_INFO("placement_changed",
+			 "service=%s endpoints=%u whole=%d", service->name,
+			 count, whole);
 	g_free(ranges);
 }
 
@@ -300,11 +356,16 @@
 			continue;
 		picture.nodes =
 			g_array_new(FALSE, FALSE, sizeof(placement_node_t));
+		picture.held =
+			g_array_new(FALSE, FALSE, sizeof(placement_node_t));
 		picture.endpoints = g_ptr_array_new();
 		picture.domains = g_ptr_array_new();
 		look(placer, service, &picture);
+		continue_orders(placer, &picture, &service->engine,
+				fencing_token);
 		place(placer, service, &picture, fencing_token);
 		g_array_unref(picture.nodes);
+		g_array_unref(picture.held);
 		g_ptr_array_unref(picture.endpoints);
 		g_ptr_array_unref(picture.domains);
 	}
--- a/src/wisteria/fleet/placer_defs.h
+++ b/src/wisteria/fleet/placer_defs.h
@@ -12,7 +12,9 @@
 #define PLACER_SETTLE_MS 2600
 #define PLACER_TICK_MS 400
 /* An order whose layers are not reported by then is given again. */
-#define PLACER_ORDER_MS 6000
+#define PLACER_AGAIN_MS 3000
+/* Layers that are given up wait for the longest streams that pass them. */
+#define PLACER_ORDER_MS 20000
 /* An endpoint that ended may come back at its place: a restart takes seconds. */
 #define PLACER_REPLAN_MS 1500
 #define PLACER_CONNECT_MS 1000
@@ -24,7 +26,10 @@
 	http_call_t *call; /* NULL: answered */
 	char id[ENDPOINT_ID_BYTES];
 	uint64_t incarnation;
-	placement_range_t range;
+
+	placement_range_t wanted;
+	placement_range_t range; /* the step towards it that was ordered */
+	clock_ms_t first_ms;	 /* of the first order for "wanted" */
 	clock_ms_t given_ms;
 } placer_order_t;
 
