Probe the pace of engines; avoid and replace slow ones

Change: the leader asks each engine for its report every 1.5 s and names the slow ones to the entries, whose pipelines count their pace; engines 2.5 times slower give their layers up where others can take them.

--- a/src/wisteria/codec/msg.c
+++ b/src/wisteria/codec/msg.c
@@ -511,6 +511,20 @@
 static const record_desc_t msg_fleet_load_desc =
 	RECORD_DESC(msg_fleet_load_t, fleet_load_fields);
 
+static const field_desc_t fleet_pace_fields[] = {
+	FIELD(FIELD_STR, msg_fleet_pace_t, id),
+	FIELD(FIELD_F64, msg_fleet_pace_t, pace),
+};
+static const record_desc_t msg_fleet_pace_desc =
+	RECORD_DESC(msg_fleet_pace_t, fleet_pace_fields);
+
+static const field_desc_t fleet_paces_fields[] = {
+	FIELD_LIST_OF(msg_fleet_paces_t, paces, pace_count,
+		      &msg_fleet_pace_desc),
+};
+static const record_desc_t msg_fleet_paces_desc =
+	RECORD_DESC(msg_fleet_paces_t, fleet_paces_fields);
+
 typedef struct {
 	const char *name;
 	const record_desc_t *desc;
@@ -557,6 +571,7 @@
 	[MSG_FLEET_ENDPOINTS] = { "fleet_endpoints",
 				  &msg_fleet_endpoints_desc },
 	[MSG_FLEET_LOAD] = { "fleet_load", &msg_fleet_load_desc },
+	[MSG_FLEET_PACES] = { "fleet_paces", &msg_fleet_paces_desc },
 };
 
 /* Returns how the body of "type" is written, or NULL for an unknown type. */
--- a/src/wisteria/codec/msg_defs.h
+++ b/src/wisteria/codec/msg_defs.h
@@ -62,6 +62,7 @@
 	MSG_FLEET_RENEW_REPLY = 86,
 	MSG_FLEET_ENDPOINTS = 87,
 	MSG_FLEET_LOAD = 88,
+	MSG_FLEET_PACES = 89,
 
 	MSG_TYPE_COUNT = 96
 } msg_type_t;
@@ -649,4 +650,16 @@
 	size_t use_count;
 } msg_fleet_load_t;
 
+/* How much slower than usual an engine runs; 1: not at all. */
+typedef struct {
+	const char *id;
+	double pace;
+} msg_fleet_pace_t;
+
+/* What the leader has probed; engines that it does not name are not slow. */
+typedef struct {
+	const msg_fleet_pace_t *paces;
+	size_t pace_count;
+} msg_fleet_paces_t;
+
 #endif
--- a/src/wisteria/fleet/dialect.h
+++ b/src/wisteria/fleet/dialect.h
@@ -60,6 +60,11 @@
 	uint32_t end_layer;
 } place_order_t;
 
+/* What an engine reports of itself. */
+typedef struct {
+	double pace; /* over 1: slower than usual */
+} engine_report_t;
+
 /*
  * How callers, operators and endpoints speak: names and formats only.  The
  * functions have no clock, keep no state and decide nothing.
@@ -73,6 +78,9 @@
 	bool (*read_leave)(const http_message_t *request,
 			   char id[ENDPOINT_ID_BYTES]);
 	void (*write_place_order)(const place_order_t *order, GString *request);
+	void (*write_probe)(const char *address, GString *request);
+	bool (*read_probe)(const http_message_t *answer,
+			   engine_report_t *report);
 	bool (*read_caller)(const http_message_t *request,
 			    caller_request_t *caller, err_t *err);
 	void (*write_forward)(const http_message_t *request,
--- a/src/wisteria/fleet/fleet_control.c
+++ b/src/wisteria/fleet/fleet_control.c
@@ -13,6 +13,7 @@
 #include "wisteria/fleet/fleet_api.h"
 #include "wisteria/fleet/fleet_news.h"
 #include "wisteria/fleet/placer.h"
+#include "wisteria/fleet/prober.h"
 #include "wisteria/fleet/registry.h"
 #include "wisteria/fleet/routes.h"
 #include "wisteria/fleet/subscription.h"
@@ -285,6 +286,13 @@
 	(void)load;
 }
 
+static void on_paces(subscription_handler_t *handler,
+		     const msg_fleet_paces_t *paces)
+{
+	(void)handler;
+	(void)paces;
+}
+
 static uint64_t on_held(subscription_handler_t *handler)
 {
 	return of_subscription(handler)->revisions.number;
@@ -318,6 +326,26 @@
 	g_hash_table_remove_all(control->fresh);
 }
 
+/* Names the slow engines to the entries, also when there are none any more. */
+static void send_paces(fleet_control_t *control, clock_ms_t now)
+{
+	msg_fleet_paces_t paces = { 0 };
+	msg_fleet_pace_t *list;
+
+	if (now - control->paces_told_ms < FLEET_PACES_MS)
+		return;
+	list = prober_list(&control->prober, &paces.pace_count);
+	paces.paces = list;
+	for (guint i = 0; (paces.pace_count > 0 || control->paces_told > 0) &&
+			  i < control->subscribers->len;
+	     i++)
+		conn_send(g_ptr_array_index(control->subscribers, i),
+			  MSG_FLEET_PACES, &paces);
+	control->paces_told = paces.pace_count;
+	control->paces_told_ms = now;
+	g_free(list);
+}
+
 static void follow_members(fleet_control_t *control)
 {
 	const raft_members_t *members = &control->replica.raft.members;
@@ -338,11 +366,15 @@
 	follow_members(control);
 	registry_forget_old(&control->registry, now);
 	if (replica_is_settled(&control->replica) && control->table != NULL &&
-	    !control->draining)
+	    !control->draining) {
+		prober_act(&control->prober, control->table);
+		send_paces(control, now);
 		placer_act(&control->placer, control->table,
 			   control->replica.raft.term);
-	else
+	} else {
+		prober_rest(&control->prober);
 		placer_rest(&control->placer);
+	}
 }
 
 /* Describes the group's founders and the data folder to the replica. */
@@ -381,6 +413,7 @@
 	control->subscription_handler.endpoints = on_endpoints;
 	control->subscription_handler.renewed = on_renewed;
 	control->subscription_handler.load = on_load;
+	control->subscription_handler.paces = on_paces;
 	control->subscription_handler.held = on_held;
 }
 
@@ -422,8 +455,10 @@
 	control->subscribers = g_ptr_array_new();
 	control->reads = g_array_new(FALSE, FALSE, sizeof(fleet_read_t));
 	control->writes = g_array_new(FALSE, FALSE, sizeof(fleet_write_t));
-	placer_init(&control->placer, net->loop, dialect, &control->registry,
+	prober_init(&control->prober, net->loop, dialect, &control->registry,
 		    net->clock);
+	placer_init(&control->placer, net->loop, dialect, &control->registry,
+		    &control->prober, net->clock);
 	if (!replica_init(&control->replica, net, &control->replica_settings,
 			  &control->machine, err) ||
 	    !listen_on_all(control, err))
@@ -461,6 +496,7 @@
 	listener_close(&control->listener);
 	subscription_close(&control->subscription);
 	placer_rest(&control->placer);
+	prober_rest(&control->prober);
 	replica_close(&control->replica);
 }
 
@@ -469,6 +505,7 @@
 {
 	subscription_finish(&control->subscription);
 	placer_finish(&control->placer);
+	prober_finish(&control->prober);
 	replica_finish(&control->replica);
 	registry_finish(&control->registry);
 	revisions_finish(&control->revisions);
--- a/src/wisteria/fleet/fleet_control_defs.h
+++ b/src/wisteria/fleet/fleet_control_defs.h
@@ -6,6 +6,7 @@
 #include "wisteria/control/replica_defs.h"
 #include "wisteria/fleet/dialect.h"
 #include "wisteria/fleet/placer_defs.h"
+#include "wisteria/fleet/prober.h"
 #include "wisteria/fleet/registry_defs.h"
 #include "wisteria/fleet/revisions.h"
 #include "wisteria/fleet/subscription_defs.h"
@@ -15,6 +16,8 @@
 
 /* Heartbeats are passed on to subscribers together, this often. */
 #define FLEET_NEWS_MS 200
+/* Slow engines are named again this often, for entries that came since. */
+#define FLEET_PACES_MS 1000
 /*
  * An answer that waits for a quorum for longer is given up: half of the 4 s
  * within which an operator expects an acknowledgement.
@@ -67,6 +70,9 @@
 	http_server_t http;
 	subscription_t subscription; /* to the other control instances */
 	placer_t placer;
+	prober_t prober;
+	size_t paces_told; /* engines named as slow last time */
+	clock_ms_t paces_told_ms;
 	uv_timer_t tick;
 	uint64_t calls_open; /* answers that are owed */
 	bool draining;
--- a/src/wisteria/fleet/pipeline.c
+++ b/src/wisteria/fleet/pipeline.c
@@ -48,7 +48,7 @@
 			      : 1;
 
 	return (layers * stage->layer_ms + search->query->hop_ms) *
-	       (1 + FILL_WEIGHT * fill * fill);
+	       stage->pace * (1 + FILL_WEIGHT * fill * fill);
 }
 
 static double crossing_cost(const search_t *search, uint32_t from,
--- a/src/wisteria/fleet/pipeline_defs.h
+++ b/src/wisteria/fleet/pipeline_defs.h
@@ -15,6 +15,7 @@
 	uint32_t end_layer;
 	uint32_t domain;    /* number of its failure domain */
 	double layer_ms;    /* time of one layer for one token */
+	double pace;	    /* how much slower than usual it runs; 1: not */
 	double used_tokens; /* of requests, as far as known */
 	double token_capacity;
 	bool excluded; /* at fault, or the request has failed there */
--- a/src/wisteria/fleet/placer.c
+++ b/src/wisteria/fleet/placer.c
@@ -33,12 +33,13 @@
 /* Makes a placer that rests. */
 void placer_init(placer_t *placer, uv_loop_t *loop,
 		 const fleet_dialect_t *dialect, const registry_t *registry,
-		 const clock_source_t *clock)
+		 const prober_t *prober, const clock_source_t *clock)
 {
 	memset(placer, 0, sizeof(*placer));
 	placer->loop = loop;
 	placer->dialect = dialect;
 	placer->registry = registry;
+	placer->prober = prober;
 	placer->clock = clock;
 	placer->orders = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					       free_order);
@@ -194,7 +195,8 @@
 		.domain = domain_number(picture, endpoint->failure_domain),
 		.first_layer = endpoint->first_layer,
 		.end_layer = endpoint->end_layer,
-		.available = true,
+		.available = prober_pace(placer->prober, endpoint->id) <
+			     PLACER_SLOW_PACE,
 	};
 
 	if (accelerator == NULL)
--- a/src/wisteria/fleet/placer.h
+++ b/src/wisteria/fleet/placer.h
@@ -6,6 +6,7 @@
 
 void placer_init(placer_t *placer, uv_loop_t *loop,
 		 const fleet_dialect_t *dialect, const registry_t *registry,
+		 const prober_t *prober,
 		 const clock_source_t *clock) ATTR_NONNULL_ALL;
 void placer_finish(placer_t *placer) ATTR_NONNULL_ALL;
 void placer_rest(placer_t *placer) ATTR_NONNULL_ALL;
--- a/src/wisteria/fleet/placer_defs.h
+++ b/src/wisteria/fleet/placer_defs.h
@@ -5,6 +5,7 @@
 
 #include "wisteria/fleet/dialect.h"
 #include "wisteria/fleet/placement_defs.h"
+#include "wisteria/fleet/prober.h"
 #include "wisteria/fleet/registry_defs.h"
 #include "wisteria/http/http_call.h"
 
@@ -18,6 +19,8 @@
 /* An endpoint that ended may come back at its place: a restart takes seconds. */
 #define PLACER_REPLAN_MS 1500
 #define PLACER_CONNECT_MS 1000
+/* An engine that is this much slower than usual holds no layers, if others can. */
+#define PLACER_SLOW_PACE 2.5
 
 /* An order that has been given, until the endpoint reports its layers. */
 typedef struct placer_order_t {
@@ -38,6 +41,7 @@
 	uv_loop_t *loop;
 	const fleet_dialect_t *dialect;
 	const registry_t *registry;
+	const prober_t *prober;
 	const clock_source_t *clock;
 	GHashTable *orders;	  /* endpoint id -> placer_order_t */
 	clock_ms_t first_ms;	  /* of acting as leader; 0: not acting */
--- /dev/null
+++ b/src/wisteria/fleet/prober.c
@@ -0,0 +1,190 @@
+/*
+ * Asks engines for their pace.  A heartbeat says that an engine lives, not
+ * that it is fast; one that has turned slow makes every token of a pipeline
+ * slow.  Only the leader asks, and tells the others.
+ */
+#include "wisteria/fleet/prober.h"
+
+#include <string.h>
+
+#include "wisteria/base/clock.h"
+#include "wisteria/base/log.h"
+#include "wisteria/fleet/registry.h"
+#include "wisteria/fleet/routes.h"
+
+/* Slower than this is told and logged; below it are measuring errors. */
+#define PACE_TOLD 1.2
+
+static void free_probe(gpointer data)
+{
+	probe_t *probe = data;
+
+	if (probe->call != NULL)
+		http_call_cancel(probe->call);
+	g_free(probe);
+}
+
+/* Makes a prober that rests. */
+void prober_init(prober_t *prober, uv_loop_t *loop,
+		 const fleet_dialect_t *dialect, const registry_t *registry,
+		 const clock_source_t *clock)
+{
+	prober->loop = loop;
+	prober->dialect = dialect;
+	prober->registry = registry;
+	prober->clock = clock;
+	prober->probes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					       free_probe);
+}
+
+/* Frees a prober; calls under way are cancelled. */
+void prober_finish(prober_t *prober)
+{
+	g_hash_table_destroy(prober->probes);
+}
+
+/* This instance does not lead: forgets what it knows. */
+void prober_rest(prober_t *prober)
+{
+	g_hash_table_remove_all(prober->probes);
+}
+
+static probe_t *probe_of(http_call_handler_t *handler)
+{
+	return CONTAINER_OF(handler, probe_t, handler);
+}
+
+static void on_headers(http_call_handler_t *handler,
+		       const http_message_t *answer)
+{
+	(void)handler;
+	(void)answer;
+}
+
+static void on_body(http_call_handler_t *handler, GByteArray *body)
+{
+	(void)handler;
+	(void)body;
+}
+
+static void on_complete(http_call_handler_t *handler,
+			const http_message_t *answer)
+{
+	probe_t *probe = probe_of(handler);
+	engine_report_t report;
+
+	probe->call = NULL;
+	if (!probe->prober->dialect->read_probe(answer, &report)) {
+		LOG_WARN("probe_unreadable", "endpoint=%s status=%u", probe->id,
+			 answer->status);
+		return;
+	}
+	if ((report.pace > PACE_TOLD) != (probe->pace > PACE_TOLD))
+		LOG_INFO("pace_changed", "endpoint=%s pace=%.2f before=%.2f",
+			 probe->id, report.pace, probe->pace);
+	probe->pace = report.pace;
+}
+
+/* Whether the engine lives is for its heartbeats to say. */
+static void on_failed(http_call_handler_t *handler, http_call_stage_t stage,
+		      const char *reason)
+{
+	probe_t *probe = probe_of(handler);
+
+	probe->call = NULL;
+	LOG_DEBUG("probe_failed", "endpoint=%s stage=%d reason=%s", probe->id,
+		  (int)stage, reason);
+}
+
+static probe_t *probe_new(prober_t *prober, const endpoint_t *endpoint,
+			  clock_ms_t now)
+{
+	probe_t *probe = g_new0(probe_t, 1);
+
+	probe->handler.headers = on_headers;
+	probe->handler.body = on_body;
+	probe->handler.complete = on_complete;
+	probe->handler.failed = on_failed;
+	probe->prober = prober;
+	probe->pace = 1;
+	g_strlcpy(probe->id, endpoint->id, sizeof(probe->id));
+	/* Spreads the questions over the interval. */
+	probe->asked_ms = now - g_str_hash(probe->id) % PROBER_INTERVAL_MS;
+	g_hash_table_insert(prober->probes, probe->id, probe);
+	return probe;
+}
+
+static void ask(prober_t *prober, const endpoint_t *endpoint, clock_ms_t now)
+{
+	probe_t *probe = g_hash_table_lookup(prober->probes, endpoint->id);
+	GString *request;
+
+	if (probe == NULL)
+		probe = probe_new(prober, endpoint, now);
+	if (probe->incarnation != endpoint->incarnation) {
+		probe->incarnation = endpoint->incarnation;
+		probe->pace = 1;
+	}
+	if (probe->call != NULL && now - probe->asked_ms >= PROBER_ANSWER_MS) {
+		http_call_cancel(probe->call);
+		probe->call = NULL;
+	}
+	if (probe->call != NULL || now - probe->asked_ms < PROBER_INTERVAL_MS)
+		return;
+	request = g_string_new(NULL);
+	prober->dialect->write_probe(endpoint->address, request);
+	probe->asked_ms = now;
+	probe->call = http_call_new(prober->loop, endpoint->address, request,
+				    PROBER_CONNECT_MS, &probe->handler);
+	g_string_free(request, TRUE);
+}
+
+/* Asks the engines whose turn it is.  Called often while leading. */
+void prober_act(prober_t *prober, const route_table_t *table)
+{
+	clock_ms_t now = clock_now(prober->clock);
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, prober->registry->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const endpoint_t *endpoint = value;
+		const service_t *service =
+			route_table_service(table, endpoint->service);
+
+		if (service != NULL && service->has_engine &&
+		    endpoint->first_layer < endpoint->end_layer &&
+		    registry_is_usable(prober->registry, endpoint))
+			ask(prober, endpoint, now);
+	}
+}
+
+/* Returns how much slower than usual engine "id" runs; 1: not at all. */
+double prober_pace(const prober_t *prober, const char *id)
+{
+	const probe_t *probe = g_hash_table_lookup(prober->probes, id);
+
+	return probe == NULL ? 1 : probe->pace;
+}
+
+/* Returns the engines that are slow; the caller frees the list. */
+msg_fleet_pace_t *prober_list(const prober_t *prober, size_t *count)
+{
+	msg_fleet_pace_t *list =
+		g_new(msg_fleet_pace_t, g_hash_table_size(prober->probes) + 1);
+	GHashTableIter iter;
+	gpointer value;
+
+	*count = 0;
+	g_hash_table_iter_init(&iter, prober->probes);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const probe_t *probe = value;
+
+		if (probe->pace > PACE_TOLD)
+			list[(*count)++] = (msg_fleet_pace_t){
+				.id = probe->id,
+				.pace = probe->pace,
+			};
+	}
+	return list;
+}
--- a/src/wisteria/fleet/subscription.c
+++ b/src/wisteria/fleet/subscription.c
@@ -84,6 +84,8 @@
 						 msg->body);
 	else if (msg->type == MSG_FLEET_LOAD)
 		subscription->handler->load(subscription->handler, msg->body);
+	else if (msg->type == MSG_FLEET_PACES)
+		subscription->handler->paces(subscription->handler, msg->body);
 }
 
 static subscription_control_t *find(const subscription_t *subscription,
--- a/src/wisteria/fleet/subscription_defs.h
+++ b/src/wisteria/fleet/subscription_defs.h
@@ -23,6 +23,8 @@
 			const msg_fleet_renew_reply_t *reply);
 	void (*load)(struct subscription_handler_t *self,
 		     const msg_fleet_load_t *load);
+	void (*paces)(struct subscription_handler_t *self,
+		      const msg_fleet_paces_t *paces);
 	/* Returns the number of the revision held; 0: none. */
 	uint64_t (*held)(struct subscription_handler_t *self);
 } subscription_handler_t;
--- a/src/wisteria/gateway/gateway.c
+++ b/src/wisteria/gateway/gateway.c
@@ -111,6 +111,23 @@
 	usage_take(&gateway->usage, load, clock_now(gateway->clock));
 }
 
+static void on_paces(subscription_handler_t *handler,
+		     const msg_fleet_paces_t *paces)
+{
+	gateway_t *gateway = of_subscription(handler);
+
+	gateway->paces_ms = clock_now(gateway->clock);
+	g_hash_table_remove_all(gateway->paces);
+	for (size_t i = 0; i < paces->pace_count; i++) {
+		double *pace = g_new(double, 1);
+
+		*pace = paces->paces[i].pace;
+		g_hash_table_insert(gateway->paces,
+				    g_strdup(paces->paces[i].id), pace);
+	}
+	LOG_INFO("paces_told", "slow=%" G_GSIZE_FORMAT, paces->pace_count);
+}
+
 static uint64_t on_held(subscription_handler_t *handler)
 {
 	const gateway_t *gateway = of_subscription(handler);
@@ -146,6 +163,17 @@
 	return until != NULL && clock_now(gateway->clock) < *until;
 }
 
+/* Returns how much slower than usual engine "id" runs; 1: not at all. */
+double gateway_pace(const gateway_t *gateway, const char *id)
+{
+	const double *pace = g_hash_table_lookup(gateway->paces, id);
+
+	if (pace == NULL ||
+	    clock_now(gateway->clock) - gateway->paces_ms >= GATEWAY_PACES_MS)
+		return 1;
+	return MAX(*pace, 1);
+}
+
 /* Passes over endpoint "id" for a while. */
 void gateway_suspect(gateway_t *gateway, const char *id)
 {
@@ -290,6 +318,7 @@
 	gateway->subscription_handler.endpoints = on_endpoints;
 	gateway->subscription_handler.renewed = on_renewed;
 	gateway->subscription_handler.load = on_load;
+	gateway->subscription_handler.paces = on_paces;
 	gateway->subscription_handler.held = on_held;
 }
 
@@ -330,6 +359,8 @@
 	usage_init(&gateway->usage);
 	gateway->budgets =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	gateway->paces =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	gateway->suspects =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	if (!http_server_init(&gateway->http, net->loop, fleet->front_listen,
@@ -386,5 +417,6 @@
 	g_array_unref(gateway->held);
 	g_hash_table_destroy(gateway->budgets);
 	g_hash_table_destroy(gateway->suspects);
+	g_hash_table_destroy(gateway->paces);
 	g_rand_free(gateway->random);
 }
--- a/src/wisteria/gateway/gateway.h
+++ b/src/wisteria/gateway/gateway.h
@@ -18,6 +18,7 @@
 			       const char *service) ATTR_NONNULL_ALL;
 bool gateway_is_suspect(const gateway_t *gateway,
 			const char *id) ATTR_NONNULL_ALL;
+double gateway_pace(const gateway_t *gateway, const char *id) ATTR_NONNULL_ALL;
 void gateway_suspect(gateway_t *gateway, const char *id) ATTR_NONNULL_ALL;
 
 #endif
--- a/src/wisteria/gateway/gateway_defs.h
+++ b/src/wisteria/gateway/gateway_defs.h
@@ -33,6 +33,8 @@
  * to be the one that died: a heartbeat comes every 1.2 s, passed on in 0.2 s.
  */
 #define GATEWAY_STALL_HEARTBEAT_MS 1500
+/* Word of slow engines counts for this long; it comes every second. */
+#define GATEWAY_PACES_MS 4000
 /*
  * A request that comes while a lease is being renewed waits this long for it;
  * callers leave a stream that is silent for 2 s.
@@ -117,6 +119,8 @@
 	uint32_t entries;     /* of the fleet, as last told */
 	GHashTable *budgets;  /* service -> retry_budget_t */
 	GHashTable *suspects; /* endpoint id -> clock_ms_t, until when */
+	GHashTable *paces;    /* endpoint id -> double *, of slow engines */
+	clock_ms_t paces_ms;  /* when they were told */
 	usage_t usage;
 	uint64_t reports;
 	clock_ms_t reported_ms;
--- a/src/wisteria/gateway/target.c
+++ b/src/wisteria/gateway/target.c
@@ -146,6 +146,7 @@
 		MEMORY_USED_MAX;
 	stage.used_tokens = usage_tokens(&gateway->usage, endpoint->id,
 					 clock_now(gateway->clock));
+	stage.pace = gateway_pace(gateway, endpoint->id);
 	stage.excluded = gateway_is_suspect(gateway, endpoint->id);
 	g_array_append_val(candidates->stages, stage);
 	g_ptr_array_add(candidates->endpoints, (gpointer)endpoint);
