Probe engines only while streams pause

Change: entries count events after pauses over half the goal; their reports say when these are 5 in 100, and the leader probes for 3 s from then on.

--- a/src/wisteria/codec/msg.c
+++ b/src/wisteria/codec/msg.c
@@ -507,6 +507,7 @@
 	FIELD(FIELD_STR, msg_fleet_load_t, entry),
 	FIELD(FIELD_U64, msg_fleet_load_t, sequence),
 	FIELD_LIST_OF(msg_fleet_load_t, uses, use_count, &msg_fleet_use_desc),
+	FIELD(FIELD_BOOL, msg_fleet_load_t, slow),
 };
 static const record_desc_t msg_fleet_load_desc =
 	RECORD_DESC(msg_fleet_load_t, fleet_load_fields);
--- a/src/wisteria/codec/msg_defs.h
+++ b/src/wisteria/codec/msg_defs.h
@@ -648,6 +648,7 @@
 	uint64_t sequence;
 	const msg_fleet_use_t *uses;
 	size_t use_count;
+	bool slow; /* streams pause longer than they should */
 } msg_fleet_load_t;
 
 /* How much slower than usual an engine runs; 1: not at all. */
--- a/src/wisteria/fleet/fleet_control.c
+++ b/src/wisteria/fleet/fleet_control.c
@@ -94,8 +94,15 @@
 		g_array_append_val(control->reads, read);
 }
 
+static void note_slow(fleet_control_t *control, const msg_fleet_load_t *load)
+{
+	if (load->slow)
+		control->slow_ms = now_of(control);
+}
+
 static void take_load(fleet_control_t *control, conn_t *conn, const void *body)
 {
+	note_slow(control, body);
 	for (guint i = 0; i < control->subscribers->len; i++) {
 		conn_t *other = g_ptr_array_index(control->subscribers, i);
 
@@ -282,8 +289,7 @@
 static void on_load(subscription_handler_t *handler,
 		    const msg_fleet_load_t *load)
 {
-	(void)handler;
-	(void)load;
+	note_slow(of_subscription(handler), load);
 }
 
 static void on_paces(subscription_handler_t *handler,
@@ -367,7 +373,9 @@
 	registry_forget_old(&control->registry, now);
 	if (replica_is_settled(&control->replica) && control->table != NULL &&
 	    !control->draining) {
-		prober_act(&control->prober, control->table);
+		if (now - control->slow_ms < FLEET_SLOW_MS ||
+		    control->paces_told > 0)
+			prober_act(&control->prober, control->table);
 		send_paces(control, now);
 		placer_act(&control->placer, control->table,
 			   control->replica.raft.term);
@@ -445,6 +453,7 @@
 	memset(control, 0, sizeof(*control));
 	set_handlers(control);
 	control->net = net;
+	control->slow_ms = -FLEET_SLOW_MS;
 	control->settings = settings;
 	control->dialect = dialect;
 	describe_group(control);
--- a/src/wisteria/fleet/fleet_control_defs.h
+++ b/src/wisteria/fleet/fleet_control_defs.h
@@ -16,6 +16,8 @@
 
 /* Heartbeats are passed on to subscribers together, this often. */
 #define FLEET_NEWS_MS 200
+/* Engines are probed for this long after an entry found streams slow. */
+#define FLEET_SLOW_MS 3000
 /* Slow engines are named again this often, for entries that came since. */
 #define FLEET_PACES_MS 1000
 /*
@@ -71,7 +73,8 @@
 	subscription_t subscription; /* to the other control instances */
 	placer_t placer;
 	prober_t prober;
-	size_t paces_told; /* engines named as slow last time */
+	clock_ms_t slow_ms; /* when an entry last found streams slow */
+	size_t paces_told;  /* engines named as slow last time */
 	clock_ms_t paces_told_ms;
 	uv_timer_t tick;
 	uint64_t calls_open; /* answers that are owed */
--- a/src/wisteria/fleet/prober.c
+++ b/src/wisteria/fleet/prober.c
@@ -1,7 +1,8 @@
 /*
  * Asks engines for their pace.  A heartbeat says that an engine lives, not
  * that it is fast; one that has turned slow makes every token of a pipeline
- * slow.  Only the leader asks, and tells the others.
+ * slow.  Only the leader asks, once entries see streams pause, and tells the
+ * others.
  */
 #include "wisteria/fleet/prober.h"
 
--- a/src/wisteria/fleet/prober.h
+++ b/src/wisteria/fleet/prober.h
@@ -9,7 +9,7 @@
 #include "wisteria/http/http_call.h"
 
 /* How often each engine is asked; a slow spell lasts several seconds. */
-#define PROBER_INTERVAL_MS 1500
+#define PROBER_INTERVAL_MS 1200
 #define PROBER_CONNECT_MS 500
 /* An answer later than this tells nothing of the present. */
 #define PROBER_ANSWER_MS 1000
--- a/src/wisteria/gateway/exchange.c
+++ b/src/wisteria/gateway/exchange.c
@@ -391,9 +391,16 @@
 
 static void note_event(exchange_t *exchange)
 {
+	gateway_t *gateway = exchange->gateway;
 	clock_ms_t now = now_of(exchange);
+	double pause_ms = (double)(now - exchange->last_event_ms);
 
 	exchange->progress_ms = now;
+	gateway->events++;
+	if (exchange->first_event_ms != 0 && exchange->route->gap_goal_ms > 0 &&
+	    pause_ms >
+		    (double)exchange->route->gap_goal_ms * GATEWAY_PAUSE_SHARE)
+		gateway->long_pauses++;
 	if (exchange->first_event_ms == 0)
 		exchange->first_event_ms = now;
 	else
--- a/src/wisteria/gateway/gateway.c
+++ b/src/wisteria/gateway/gateway.c
@@ -202,6 +202,11 @@
 	gateway->reported_ms = now;
 	uses = usage_list(&gateway->usage, &load.use_count);
 	load.uses = uses;
+	load.slow =
+		gateway->long_pauses >= GATEWAY_SLOW_EVENTS &&
+		gateway->long_pauses >= gateway->events * GATEWAY_SLOW_SHARE;
+	gateway->events = 0;
+	gateway->long_pauses = 0;
 	subscription_send_load(&gateway->subscription, &load);
 	g_free(uses);
 }
--- a/src/wisteria/gateway/gateway_defs.h
+++ b/src/wisteria/gateway/gateway_defs.h
@@ -33,6 +33,11 @@
  * to be the one that died: a heartbeat comes every 1.2 s, passed on in 0.2 s.
  */
 #define GATEWAY_STALL_HEARTBEAT_MS 1500
+/* A pause over this share of a stream's goal for pauses is too long. */
+#define GATEWAY_PAUSE_SHARE 0.5
+/* Streams are slow where this share of events, and this many, come late. */
+#define GATEWAY_SLOW_SHARE 0.05
+#define GATEWAY_SLOW_EVENTS 5
 /* Word of slow engines counts for this long; it comes every second. */
 #define GATEWAY_PACES_MS 4000
 /*
@@ -124,6 +129,8 @@
 	usage_t usage;
 	uint64_t reports;
 	clock_ms_t reported_ms;
+	unsigned events;      /* of all streams, since the last report */
+	unsigned long_pauses; /* of those, after a pause that is too long */
 	double pipe_ms; /* time of the pipes that this entry may use now */
 	clock_ms_t pipe_filled_ms;
 	clock_ms_t first_heard_ms; /* of any endpoint; 0: none yet */
