--- a/src/wisteria/fleet/registry.c
+++ b/src/wisteria/fleet/registry.c
@@ -31,9 +31,9 @@
 {
 	if (news->incarnation != known->incarnation)
 		return news->incarnation > known->incarnation;
-	if (news->sequence != known->sequence)
-		return news->sequence > known->sequence;
-	return news->gone && !known->gone;
+	if (news->gone != known->gone)
+		return news->gone; /* an end holds, whatever was heard since */
+	return news->sequence > known->sequence;
 }
 
 static bool looks_alike(const endpoint_t *a, const endpoint_t *b)
@@ -82,7 +82,8 @@
 
 /*
  * Takes what an endpoint said of itself, heard at "heard_ms".  A word that
- * is older than one already known changes nothing.
+ * is older than one already known, or of a process that has ended, changes
+ * nothing.
  */
 registry_news_t registry_take(registry_t *registry, const endpoint_t *news,
 			      clock_ms_t heard_ms)
@@ -92,7 +93,9 @@
 
 	if (known != NULL && !is_newer(news, known))
 		return REGISTRY_STALE;
-	if (known == NULL && is_replaced(registry, news))
+	if (is_replaced(registry, news) ||
+	    (known != NULL && known->gone &&
+	     known->incarnation == news->incarnation))
 		return REGISTRY_STALE;
 	alike = known != NULL && looks_alike(known, news);
 	if (known == NULL) {
@@ -100,11 +103,7 @@
 		*known = *news;
 		g_hash_table_insert(registry->by_id, known->id, known);
 	} else {
-		bool was_gone =
-			known->gone && known->incarnation == news->incarnation;
-
 		*known = *news;
-		known->gone = known->gone || was_gone;
 	}
 	known->heard_ms = heard_ms;
 	registry->newest_ms = MAX(registry->newest_ms, heard_ms);
--- a/src/wisteria/gateway/target.c
+++ b/src/wisteria/gateway/target.c
@@ -15,10 +15,11 @@
 /* Passing on within a failure domain and waiting for the pass under way. */
 #define HOP_MS 1.0
 /*
- * What a token loses by crossing between failure domains: its delay, and its
- * share of the pipe that all requests use.
+ * What a token loses by crossing between failure domains: its delay, and above
+ * all its share of the pipe that all requests use.  More than the whole
+ * pipeline loses by being in another domain.
  */
-#define CROSS_MS 8.0
+#define CROSS_MS 20.0
 /*
  * Share of the time of one pipe between two domains that all entries together
  * plan to use: a transfer waits for those before it, and at twice this load
--- /dev/null
+++ b/test/unit/placement_test.c
@@ -0,0 +1,226 @@
+/* Unit tests of where layers are placed. */
+#include "unit.h"
+
+#include "fleet_model.h"
+
+#define NODES_MAX 64
+
+static engine_model_t engine;
+
+static void assert_whole(const placement_node_t *nodes, uint32_t count,
+			 uint32_t domain)
+{
+	for (uint32_t layer = 0; layer < engine.layers; layer++)
+		CU_ASSERT(fleet_holders(nodes, count, domain, layer) >= 1);
+}
+
+static void assert_fits(const placement_node_t *node,
+			const placement_range_t *range)
+{
+	CU_ASSERT(range->end_layer >= range->first_layer);
+	CU_ASSERT((range->end_layer - range->first_layer) * engine.layer_mb <=
+		  node->size_mb);
+}
+
+static void test_each_domain_holds_a_copy(void)
+{
+	placement_node_t nodes[NODES_MAX];
+	placement_range_t ranges[NODES_MAX];
+	uint32_t count = fleet_of_three(nodes);
+
+	placement_plan(&engine, nodes, count, ranges);
+	for (uint32_t i = 0; i < count; i++)
+		assert_fits(&nodes[i], &ranges[i]);
+	fleet_hold(nodes, count, ranges);
+	for (uint32_t domain = 0; domain < 3; domain++)
+		assert_whole(nodes, count, domain);
+}
+
+/* Every holder leaves room for a good share of the engine's slots. */
+static void test_room_for_requests(void)
+{
+	placement_node_t nodes[NODES_MAX];
+	placement_range_t ranges[NODES_MAX];
+	uint32_t count = fleet_of_three(nodes);
+
+	placement_plan(&engine, nodes, count, ranges);
+	for (uint32_t i = 0; i < count; i++) {
+		const accelerator_t kind = { .size_mb = nodes[i].size_mb };
+		uint32_t layers = ranges[i].end_layer - ranges[i].first_layer;
+
+		if (layers > 0)
+			CU_ASSERT(
+				engine_token_capacity(&engine, &kind, layers) >=
+				0.5 * engine.slots *
+					(engine.usual_prompt +
+					 engine.usual_answer));
+	}
+}
+
+static void test_domains_that_cannot_share_a_copy(void)
+{
+	placement_node_t nodes[NODES_MAX];
+	placement_range_t ranges[NODES_MAX];
+	uint32_t count = fleet_add(nodes, 0, 0, LARGE_SLOW, 5);
+	uint32_t held[80] = { 0 };
+
+	count = fleet_add(nodes, count, 1, LARGE_SLOW, 6);
+	placement_plan(&engine, nodes, count, ranges);
+	for (uint32_t i = 0; i < count; i++)
+		for (uint32_t layer = ranges[i].first_layer;
+		     layer < ranges[i].end_layer; layer++)
+			held[layer]++;
+	for (uint32_t layer = 0; layer < engine.layers; layer++)
+		CU_ASSERT_EQUAL(held[layer], 1);
+}
+
+static void test_too_few_nodes_hold_nothing(void)
+{
+	placement_node_t nodes[NODES_MAX];
+	placement_range_t ranges[NODES_MAX];
+	uint32_t count = fleet_add(nodes, 0, 0, SMALL_SLOW, 4);
+
+	placement_plan(&engine, nodes, count, ranges);
+	for (uint32_t i = 0; i < count; i++)
+		CU_ASSERT_EQUAL(ranges[i].first_layer, ranges[i].end_layer);
+}
+
+/* A restarted node, which holds nothing, gets the layers back. */
+static void test_a_restarted_node_takes_its_place(void)
+{
+	placement_node_t nodes[NODES_MAX];
+	placement_range_t ranges[NODES_MAX];
+	uint32_t count = fleet_of_three(nodes);
+	placement_range_t lost;
+
+	placement_plan(&engine, nodes, count, ranges);
+	fleet_hold(nodes, count, ranges);
+	lost = ranges[1];
+	nodes[1].first_layer = 0;
+	nodes[1].end_layer = 0;
+	CU_ASSERT_TRUE(placement_fill_gaps(&engine, nodes, count, ranges));
+	CU_ASSERT_EQUAL(ranges[1].first_layer, lost.first_layer);
+	CU_ASSERT_EQUAL(ranges[1].end_layer, lost.end_layer);
+	for (uint32_t i = 0; i < count; i++)
+		if (i != 1)
+			CU_ASSERT_EQUAL(ranges[i].first_layer,
+					ranges[i].end_layer);
+}
+
+/* The spares of another domain are left alone: their parts would cross. */
+static void test_gaps_are_mended_within_the_domain(void)
+{
+	placement_node_t nodes[NODES_MAX];
+	placement_range_t ranges[NODES_MAX];
+	uint32_t count = fleet_of_three(nodes);
+	uint32_t spares = count;
+
+	placement_plan(&engine, nodes, count, ranges);
+	fleet_hold(nodes, count, ranges);
+	count = fleet_add(nodes, count, 1, LARGE_SLOW, 2);
+	for (uint32_t i = 0; i < spares; i++)
+		if (nodes[i].domain == 0 && nodes[i].first_layer == 0) {
+			nodes[i].available = false;
+			break;
+		}
+	placement_repair(&engine, nodes, count, ranges);
+	for (uint32_t i = 0; i < count; i++)
+		if (nodes[i].domain != 0)
+			CU_ASSERT_EQUAL(ranges[i].first_layer,
+					ranges[i].end_layer);
+	fleet_hold(nodes, count, ranges);
+	assert_whole(nodes, count, 0);
+}
+
+/* A plan of a plan that is carried out moves nothing. */
+static void test_a_whole_fleet_is_left_alone(void)
+{
+	placement_node_t nodes[NODES_MAX];
+	placement_range_t ranges[NODES_MAX];
+	uint32_t count = fleet_of_three(nodes);
+
+	placement_plan(&engine, nodes, count, ranges);
+	fleet_hold(nodes, count, ranges);
+	CU_ASSERT_TRUE(placement_fill_gaps(&engine, nodes, count, ranges));
+	for (uint32_t i = 0; i < count; i++)
+		CU_ASSERT_EQUAL(ranges[i].first_layer, ranges[i].end_layer);
+}
+
+/* Layers left over from an older plan are no second copy to be completed. */
+static void test_left_over_layers_are_no_copy(void)
+{
+	placement_node_t nodes[NODES_MAX];
+	placement_range_t ranges[NODES_MAX];
+	uint32_t count = fleet_of_three(nodes);
+
+	placement_plan(&engine, nodes, count, ranges);
+	fleet_hold(nodes, count, ranges);
+	count = fleet_add(nodes, count, 0, LARGE_SLOW, 1);
+	nodes[count - 1].first_layer = 54;
+	nodes[count - 1].end_layer = 60;
+	count = fleet_add(nodes, count, 0, SMALL_SLOW, 1);
+	CU_ASSERT_TRUE(placement_fill_gaps(&engine, nodes, count, ranges));
+	CU_ASSERT_EQUAL(ranges[count - 1].first_layer,
+			ranges[count - 1].end_layer);
+}
+
+/* While a node moves it holds both ranges; together they must fit. */
+static void test_steps_fit_beside_what_is_held(void)
+{
+	for (uint32_t held = 0; held + 6 <= 80; held += 3)
+		for (uint32_t to = 0; to + 8 <= 80; to += 2) {
+			placement_node_t node = {
+				.size_mb = fleet_kinds[LARGE_SLOW].size_mb,
+				.first_layer = held,
+				.end_layer = held + 6,
+			};
+			const placement_range_t wanted = { to, to + 8 };
+			int steps = 0;
+
+			while (node.first_layer != wanted.first_layer ||
+			       node.end_layer != wanted.end_layer) {
+				placement_range_t step =
+					placement_step(&engine, &node, &wanted);
+				uint32_t from =
+					MIN(node.first_layer, step.first_layer);
+				uint32_t end =
+					MAX(node.end_layer, step.end_layer);
+				uint32_t sum =
+					node.end_layer - node.first_layer +
+					step.end_layer - step.first_layer;
+
+				CU_ASSERT(step.first_layer < step.end_layer);
+				CU_ASSERT(MIN(end - from, sum) <= 12);
+				node.first_layer = step.first_layer;
+				node.end_layer = step.end_layer;
+				if (++steps > 4)
+					break;
+			}
+			CU_ASSERT(steps <= 4);
+		}
+}
+
+static const unit_test_t tests[] = {
+	{ "each domain holds a copy", test_each_domain_holds_a_copy },
+	{ "room for requests", test_room_for_requests },
+	{ "domains that cannot share a copy",
+	  test_domains_that_cannot_share_a_copy },
+	{ "too few nodes hold nothing", test_too_few_nodes_hold_nothing },
+	{ "a restarted node takes its place",
+	  test_a_restarted_node_takes_its_place },
+	{ "gaps are mended within the domain",
+	  test_gaps_are_mended_within_the_domain },
+	{ "a whole fleet is left alone", test_a_whole_fleet_is_left_alone },
+	{ "left over layers are no copy", test_left_over_layers_are_no_copy },
+	{ "steps fit beside what is held", test_steps_fit_beside_what_is_held },
+};
+
+int main(void)
+{
+	int status;
+
+	fleet_engine_init(&engine);
+	status = unit_run("placement", tests, ARRAY_SIZE(tests));
+	fleet_engine_finish(&engine);
+	return status;
+}
