Let the fleet's control group mend itself

Cause: a control instance that replaces a lost one joined as a learner and stayed one, because only founders voted: after replace_core the next loss left no quorum. Change: group_policy (pure, tested): who has caught up votes, who is lost leaves when three others are heard; one that comes back joins again.

--- a/src/wisteria/control/replica.c
+++ b/src/wisteria/control/replica.c
@@ -315,6 +315,8 @@
 	replica->confirmed = g_array_new(FALSE, FALSE, sizeof(raft_read_t));
 	raft_init(&replica->raft, replica->storage.replica_id,
 		  randombytes_random(), &stored, now_of(replica));
+	if (settings->control->open_group)
+		raft_hasten_election(&replica->raft);
 	LOG_INFO("log_opened",
 		 "replica=%" G_GINT64_MODIFIER "x term=%" G_GUINT64_FORMAT
 		 " snapshot=%" G_GUINT64_FORMAT " last=%" G_GUINT64_FORMAT,
--- a/src/wisteria/control/replica_group.c
+++ b/src/wisteria/control/replica_group.c
@@ -15,6 +15,7 @@
 #include "wisteria/base/clock.h"
 #include "wisteria/base/err.h"
 #include "wisteria/base/log.h"
+#include "wisteria/control/group_policy.h"
 #include "wisteria/net/conn.h"
 #include "wisteria/net/link.h"
 #include "wisteria/raft/raft.h"
@@ -221,6 +222,19 @@
 	raft_bootstrap(&replica->raft, &members);
 }
 
+/*
+ * Whether an open group may have gone on without this replica: no leader is
+ * heard.  The leader ignores a wish to join of one that is still a member.
+ */
+static bool may_be_removed(const replica_t *replica)
+{
+	const raft_t *raft = &replica->raft;
+
+	return replica->settings->control->open_group &&
+	       raft->role != RAFT_LEADER &&
+	       raft->now_ms - raft->leader_heard_ms >= REPLICA_FRESH_MS;
+}
+
 /* Looks for a group while this replica belongs to none. */
 void replica_search(replica_t *replica)
 {
@@ -228,7 +242,8 @@
 	clock_ms_t now = now_of(replica);
 
 	if (now < replica->search_at_ms ||
-	    raft_members_find(&raft->members, raft->id) != NULL)
+	    (raft_members_find(&raft->members, raft->id) != NULL &&
+	     !may_be_removed(replica)))
 		return;
 	replica->search_at_ms = now + REPLICA_SEARCH_MS;
 	if (raft_is_blank(raft) && is_founder(replica) &&
@@ -362,6 +377,37 @@
 		       "member_promoted");
 }
 
+static void change_open_group(replica_t *replica)
+{
+	static const char *const events[] = {
+		[RAFT_MEMBER_ADD] = "member_added",
+		[RAFT_MEMBER_PROMOTE] = "member_promoted",
+		[RAFT_MEMBER_REMOVE] = "member_removed",
+	};
+	const raft_t *raft = &replica->raft;
+	group_sight_t sights[RAFT_MEMBERS_MAX];
+	group_change_t next;
+
+	for (uint32_t i = 0; i < raft->members.count; i++) {
+		const raft_progress_t *progress =
+			progress_of(replica, raft->members.items[i].id);
+		bool is_leader = raft->members.items[i].id == raft->id;
+
+		sights[i] = (group_sight_t){
+			.silent_ms =
+				is_leader || progress == NULL
+					? 0
+					: raft->now_ms - progress->heard_ms,
+			.caught_up =
+				is_leader || (progress != NULL &&
+					      progress->match >= raft->commit),
+		};
+	}
+	if (group_policy_next(&raft->members, sights, &next))
+		change(replica, next.change, &raft->members.items[next.member],
+		       events[next.change]);
+}
+
 /* The leader takes in those who asked to join, one change at a time. */
 void replica_take_joiners(replica_t *replica)
 {
@@ -379,6 +425,10 @@
 			change(replica, RAFT_MEMBER_ADD, &joiner->member,
 			       "member_added");
 	}
+	if (replica->settings->control->open_group) {
+		change_open_group(replica);
+		return;
+	}
 	for (uint32_t i = 0; i < members->count; i++)
 		if (!members->items[i].voter) {
 			settle_learner(replica, &members->items[i]);
--- a/src/wisteria/fleet/fleet_control.c
+++ b/src/wisteria/fleet/fleet_control.c
@@ -394,6 +394,7 @@
 	group->listen = fleet->peer_listen;
 	group->data_dir = fleet->data_dir;
 	group->join_only = !fleet->bootstrap;
+	group->open_group = true;
 	group->voters = g_new0(settings_peer_t, fleet->seeds_count + 1);
 	for (unsigned i = 0; i < fleet->seeds_count; i++) {
 		group->voters[i].address =
--- a/src/wisteria/raft/raft.c
+++ b/src/wisteria/raft/raft.c
@@ -201,9 +201,18 @@
 	raft->read_results = g_array_new(FALSE, FALSE, sizeof(raft_read_t));
 	load(raft, stored);
 	raft_find_members(raft);
-	/* A leader that lives is heard by then. */
+	raft_reset_election(raft);
+}
+
+/*
+ * Lets a replica that has just started call its first election early: a leader
+ * that lives is heard by then, and where the whole group has restarted every
+ * wait is an outage.
+ */
+void raft_hasten_election(raft_t *raft)
+{
 	raft->election_at_ms =
-		now + RAFT_START_ELECTION_MS +
+		raft->now_ms + RAFT_START_ELECTION_MS +
 		g_rand_int_range(raft->random, 0, RAFT_START_ELECTION_MS);
 }
 
--- a/src/wisteria/raft/raft_defs.h
+++ b/src/wisteria/raft/raft_defs.h
@@ -16,7 +16,7 @@
 #define RAFT_HEARTBEAT_MS 100
 /* Election timeouts are drawn from [RAFT_ELECTION_MS, 2 * that). */
 #define RAFT_ELECTION_MS 500
-/* The first one after a start is drawn from [this, 2 * this). */
+/* The first one after a start, if hastened, is drawn from [this, 2 * this). */
 #define RAFT_START_ELECTION_MS 200
 
 /* Most of one append message, and most entries sent without an answer. */
--- a/src/wisteria/settings/settings_defs.h
+++ b/src/wisteria/settings/settings_defs.h
@@ -26,7 +26,9 @@
 	char *bootstrap_preset_file; /* the first preset of a new group */
 	settings_peer_t *voters;     /* the first members of a new group */
 	unsigned voters_count;
-	bool join_only; /* never founds a group; not in the file */
+	/* Not in the file: */
+	bool join_only;	 /* never founds a group */
+	bool open_group; /* all who join vote, who is lost leaves */
 } settings_control_t;
 
 /*
