Found the control group by all instances with disks; serve without a vote

Change: instances of a new fleet meet through the seeds for 1.6 s and those with disks found the group; without a disk an instance hears endpoints, sends what it hears up, and redirects operators; whoever has no lease asks the instances with disks that others have told of.

--- a/src/wisteria/codec/msg.c
+++ b/src/wisteria/codec/msg.c
@@ -456,10 +456,18 @@
 
 static const field_desc_t fleet_control_fields[] = {
 	FIELD(FIELD_STR, msg_fleet_control_t, address),
+	FIELD(FIELD_BOOL, msg_fleet_control_t, has_disk),
 };
 static const record_desc_t msg_fleet_control_desc =
 	RECORD_DESC(msg_fleet_control_t, fleet_control_fields);
 
+static const field_desc_t fleet_meet_fields[] = {
+	FIELD_LIST_OF(msg_fleet_meet_t, controls, control_count,
+		      &msg_fleet_control_desc),
+};
+static const record_desc_t msg_fleet_meet_desc =
+	RECORD_DESC(msg_fleet_meet_t, fleet_meet_fields);
+
 static const field_desc_t fleet_renew_reply_fields[] = {
 	FIELD(FIELD_I64, msg_fleet_renew_reply_t, asked_ms),
 	FIELD(FIELD_U64, msg_fleet_renew_reply_t, revision),
@@ -467,6 +475,7 @@
 	FIELD_LIST_OF(msg_fleet_renew_reply_t, controls, control_count,
 		      &msg_fleet_control_desc),
 	FIELD(FIELD_U32, msg_fleet_renew_reply_t, subscribers),
+	FIELD(FIELD_STR, msg_fleet_renew_reply_t, leader),
 };
 static const record_desc_t msg_fleet_renew_reply_desc =
 	RECORD_DESC(msg_fleet_renew_reply_t, fleet_renew_reply_fields);
@@ -573,6 +582,7 @@
 				  &msg_fleet_endpoints_desc },
 	[MSG_FLEET_LOAD] = { "fleet_load", &msg_fleet_load_desc },
 	[MSG_FLEET_PACES] = { "fleet_paces", &msg_fleet_paces_desc },
+	[MSG_FLEET_MEET] = { "fleet_meet", &msg_fleet_meet_desc },
 };
 
 /* Returns how the body of "type" is written, or NULL for an unknown type. */
--- a/src/wisteria/codec/msg_defs.h
+++ b/src/wisteria/codec/msg_defs.h
@@ -63,6 +63,7 @@
 	MSG_FLEET_ENDPOINTS = 87,
 	MSG_FLEET_LOAD = 88,
 	MSG_FLEET_PACES = 89,
+	MSG_FLEET_MEET = 90,
 
 	MSG_TYPE_COUNT = 96
 } msg_type_t;
@@ -599,8 +600,15 @@
 
 typedef struct {
 	const char *address; /* IP:PORT for frames */
+	bool has_disk;
 } msg_fleet_control_t;
 
+/* The control instances that the sender knows of, itself among them. */
+typedef struct {
+	const msg_fleet_control_t *controls;
+	size_t control_count;
+} msg_fleet_meet_t;
+
 /*
  * Confirmed by a quorum after it was asked for.  "document" is empty where
  * the asker holds "revision" already.
@@ -612,6 +620,7 @@
 	const msg_fleet_control_t *controls; /* members of the group */
 	size_t control_count;
 	uint32_t subscribers; /* entries that renew here */
+	const char *leader;   /* IP:PORT for frames; empty: not known */
 } msg_fleet_renew_reply_t;
 
 /* What an endpoint said of itself; "age_ms" is how long ago. */
--- a/src/wisteria/fleet/fleet_api.c
+++ b/src/wisteria/fleet/fleet_api.c
@@ -76,30 +76,39 @@
 	acknowledge(conn);
 }
 
-/* Sends an operator's call on to the instance that leads. */
+/* Returns where the instance that leads listens for frames, or NULL. */
+static const char *leader_address(const fleet_control_t *control)
+{
+	const raft_members_t *members = &control->replica.raft.members;
+
+	if (!control->replicates)
+		return control->leader;
+	for (uint32_t i = 0; i < members->count; i++)
+		if (members->items[i].id == control->replica.raft.leader)
+			return members->items[i].address;
+	return NULL;
+}
+
+/*
+ * Sends an operator's call on to the instance that leads; all instances use
+ * the same port for calls.
+ */
 static void redirect(const fleet_control_t *control, http_conn_t *conn)
 {
-	const replica_t *replica = &control->replica;
-	const raft_member_t *leader = NULL;
 	const char *port =
 		strrchr(control->settings->fleet->control_listen, ':');
-	const char *host_end;
+	const char *leader = leader_address(control);
+	const char *host_end = leader == NULL ? NULL : strrchr(leader, ':');
 	GString *headers;
 
-	for (uint32_t i = 0; i < replica->raft.members.count; i++)
-		if (replica->raft.members.items[i].id == replica->raft.leader)
-			leader = &replica->raft.members.items[i];
-	if (leader == NULL || port == NULL) {
+	if (host_end == NULL) {
 		refuse(conn, 503, "no instance leads");
 		return;
 	}
-	host_end = strrchr(leader->address, ':');
 	headers = g_string_new(NULL);
-	g_string_append_printf(
-		headers, "Location: http://%.*s%s%s\r\n",
-		host_end != NULL ? (int)(host_end - leader->address) : 0,
-		leader->address, port,
-		http_message_target(&conn->reader.message));
+	g_string_append_printf(headers, "Location: http://%.*s%s%s\r\n",
+			       (int)(host_end - leader), leader, port,
+			       http_message_target(&conn->reader.message));
 	http_conn_reply(conn, 307, headers->str, "", 0);
 	g_string_free(headers, TRUE);
 }
@@ -163,7 +172,7 @@
 	}
 	number = table->revision;
 	route_table_unref(table);
-	if (!replica_leads(&control->replica))
+	if (!control->replicates || !replica_leads(&control->replica))
 		redirect(control, conn);
 	else if (number <= control->revisions.number)
 		read_later(control, conn, true);
@@ -173,7 +182,10 @@
 
 static void get_configuration(fleet_control_t *control, http_conn_t *conn)
 {
-	read_later(control, conn, false);
+	if (control->replicates)
+		read_later(control, conn, false);
+	else
+		redirect(control, conn);
 }
 
 static void take_unknown(fleet_control_t *control, http_conn_t *conn)
--- a/src/wisteria/fleet/fleet_control.c
+++ b/src/wisteria/fleet/fleet_control.c
@@ -4,6 +4,7 @@
  */
 #include "wisteria/fleet/fleet_control.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 #include "wisteria/base/clock.h"
@@ -66,6 +67,26 @@
 			g_array_remove_index(control->reads, i);
 }
 
+/* Tells which control instances are known. */
+static void send_met(const fleet_control_t *control, conn_t *conn)
+{
+	msg_fleet_control_t *list =
+		g_new(msg_fleet_control_t, g_hash_table_size(control->met) + 1);
+	msg_fleet_meet_t meet = { .controls = list };
+	GHashTableIter iter;
+	gpointer key;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, control->met);
+	while (g_hash_table_iter_next(&iter, &key, &value))
+		list[meet.control_count++] = (msg_fleet_control_t){
+			.address = key,
+			.has_disk = value != NULL,
+		};
+	conn_send(conn, MSG_FLEET_MEET, &meet);
+	g_free(list);
+}
+
 static void take_subscriber(fleet_control_t *control, conn_t *conn,
 			    const void *body)
 {
@@ -74,6 +95,7 @@
 
 	conn->user = subscribe->is_entry ? control : NULL;
 	g_ptr_array_add(control->subscribers, conn);
+	send_met(control, conn);
 	fleet_news_send(conn, all, now_of(control));
 	g_ptr_array_unref(all);
 }
@@ -83,7 +105,8 @@
 {
 	const msg_fleet_renew_t *renew = body;
 	fleet_read_t read = {
-		.ticket = replica_read(&control->replica),
+		.ticket = control->replicates ? replica_read(&control->replica)
+					      : 0,
 		.deadline_ms = now_of(control) + FLEET_QUORUM_MS,
 		.conn = conn,
 		.asked_ms = renew->asked_ms,
@@ -113,7 +136,67 @@
 
 static void take_raft(fleet_control_t *control, conn_t *conn, const void *body)
 {
-	replica_on_message(&control->replica, conn, body);
+	if (control->replicates)
+		replica_on_message(&control->replica, conn, body);
+}
+
+/* How the control instances of a new fleet find each other. */
+
+/* Notes a control instance; returns whether it was not known. */
+static bool meet(fleet_control_t *control, const char *address, bool has_disk)
+{
+	return g_hash_table_replace(control->met, g_strdup(address),
+				    has_disk ? control : NULL);
+}
+
+static void take_meeting(fleet_control_t *control, conn_t *conn,
+			 const void *body)
+{
+	const msg_fleet_meet_t *meeting = body;
+	bool is_new = false;
+
+	(void)conn;
+	for (size_t i = 0; i < meeting->control_count; i++) {
+		subscription_hear_of(&control->subscription,
+				     &meeting->controls[i]);
+		is_new |= meet(control, meeting->controls[i].address,
+			       meeting->controls[i].has_disk);
+	}
+	for (guint i = 0; is_new && i < control->subscribers->len; i++)
+		send_met(control, g_ptr_array_index(control->subscribers, i));
+}
+
+static void on_control_opened(subscription_handler_t *handler, conn_t *conn)
+{
+	send_met(of_subscription(handler), conn);
+}
+
+static void on_meeting(subscription_handler_t *handler,
+		       const msg_fleet_meet_t *meeting)
+{
+	fleet_control_t *control = of_subscription(handler);
+
+	for (size_t i = 0; i < meeting->control_count; i++)
+		meet(control, meeting->controls[i].address,
+		     meeting->controls[i].has_disk);
+}
+
+/* What an instance without a replica has heard from endpoints. */
+static void take_endpoints(fleet_control_t *control, conn_t *conn,
+			   const void *body)
+{
+	const msg_fleet_endpoints_t *news = body;
+	clock_ms_t now = now_of(control);
+
+	(void)conn;
+	for (size_t i = 0; i < news->endpoint_count; i++) {
+		endpoint_t endpoint;
+
+		fleet_news_read(&news->endpoints[i], now, &endpoint);
+		if (registry_take(&control->registry, &endpoint,
+				  endpoint.heard_ms) != REGISTRY_STALE)
+			g_hash_table_add(control->fresh, g_strdup(endpoint.id));
+	}
 }
 
 typedef void (*message_handler_t)(fleet_control_t *control, conn_t *conn,
@@ -125,6 +208,8 @@
 		[MSG_FLEET_SUBSCRIBE] = take_subscriber,
 		[MSG_FLEET_RENEW] = take_renewal,
 		[MSG_FLEET_LOAD] = take_load,
+		[MSG_FLEET_MEET] = take_meeting,
+		[MSG_FLEET_ENDPOINTS] = take_endpoints,
 		[MSG_RAFT] = take_raft,
 	};
 	fleet_control_t *control = of_conn(handler);
@@ -215,10 +300,15 @@
 		.controls = controls,
 		.control_count = members->count,
 		.subscribers = count_entries(control),
+		.leader = "",
 	};
 
-	for (uint32_t i = 0; i < members->count; i++)
+	for (uint32_t i = 0; i < members->count; i++) {
 		controls[i].address = members->items[i].address;
+		controls[i].has_disk = true;
+		if (members->items[i].id == control->replica.raft.leader)
+			reply.leader = members->items[i].address;
+	}
 	if (read->held != revisions->number)
 		reply.document.data = g_bytes_get_data(revisions->document,
 						       &reply.document.len);
@@ -279,11 +369,15 @@
 	}
 }
 
+/* Only an instance without a replica asks. */
 static void on_renewed(subscription_handler_t *handler,
 		       const msg_fleet_renew_reply_t *reply)
 {
-	(void)handler;
-	(void)reply;
+	fleet_control_t *control = of_subscription(handler);
+
+	g_free(control->leader);
+	control->leader = g_strdup(reply->leader);
+	control->revisions.number = reply->revision;
 }
 
 static void on_load(subscription_handler_t *handler,
@@ -325,6 +419,9 @@
 	if (g_hash_table_size(control->fresh) == 0)
 		return;
 	fresh = fleet_news_of(&control->registry, control->fresh);
+	if (control->settings->fleet->data_dir == NULL)
+		fleet_news_send_up(&control->subscription, fresh,
+				   now_of(control));
 	for (guint i = 0; i < control->subscribers->len; i++)
 		fleet_news_send(g_ptr_array_index(control->subscribers, i),
 				fresh, now_of(control));
@@ -355,11 +452,104 @@
 static void follow_members(fleet_control_t *control)
 {
 	const raft_members_t *members = &control->replica.raft.members;
-	const char *addresses[RAFT_MEMBERS_MAX];
+	const GPtrArray *seeds = control->subscription.seeds;
+	const char *addresses[RAFT_MEMBERS_MAX + SETTINGS_SEEDS_MAX];
+	size_t count = 0;
 
-	for (uint32_t i = 0; i < members->count; i++)
-		addresses[i] = members->items[i].address;
-	subscription_follow(&control->subscription, addresses, members->count);
+	if (!control->replicates)
+		return;
+	for (uint32_t i = 0; i < members->count; i++) {
+		addresses[count++] = members->items[i].address;
+		meet(control, members->items[i].address, true);
+	}
+	/* The seeds may be all that others know: they hear of us there. */
+	for (guint i = 0; i < MIN(seeds->len, SETTINGS_SEEDS_MAX); i++)
+		addresses[count++] = g_ptr_array_index(seeds, i);
+	subscription_follow(&control->subscription, addresses, count);
+}
+
+static void add_founder(fleet_control_t *control, const char *address)
+{
+	settings_control_t *group = &control->group;
+	settings_peer_t *founder = &group->voters[group->voters_count++];
+
+	founder->address = g_strdup(address);
+	founder->instance = g_strdup(address);
+}
+
+static int compare_addresses(gconstpointer a, gconstpointer b)
+{
+	return strcmp(a, b);
+}
+
+/* A new fleet is founded by all instances with disks that have met. */
+static void add_founders_met(fleet_control_t *control)
+{
+	GList *addresses = g_hash_table_get_keys(control->met);
+
+	addresses = g_list_sort(addresses, compare_addresses);
+	for (GList *at = addresses; at != NULL; at = at->next)
+		if (g_hash_table_lookup(control->met, at->data) != NULL &&
+		    control->group.voters_count < FLEET_FOUNDERS_MAX)
+			add_founder(control, at->data);
+	g_list_free(addresses);
+}
+
+/* An instance that joins asks the seeds. */
+static void add_seeds(fleet_control_t *control)
+{
+	const settings_fleet_t *fleet = control->settings->fleet;
+
+	for (unsigned i = 0; i < fleet->seeds_count; i++) {
+		char *address =
+			settings_fleet_peer_address(fleet, fleet->seeds[i]);
+
+		add_founder(control, address);
+		g_free(address);
+	}
+}
+
+/* Describes the group's founders and the data folder to the replica. */
+static void describe_group(fleet_control_t *control)
+{
+	const settings_fleet_t *fleet = control->settings->fleet;
+	settings_control_t *group = &control->group;
+
+	group->listen = fleet->peer_listen;
+	group->data_dir = fleet->data_dir;
+	group->join_only = !fleet->bootstrap;
+	group->open_group = true;
+	group->voters = g_new0(settings_peer_t,
+			       FLEET_FOUNDERS_MAX + fleet->seeds_count);
+	if (fleet->bootstrap)
+		add_founders_met(control);
+	else
+		add_seeds(control);
+	control->replica_settings = *control->settings;
+	control->replica_settings.control = group;
+}
+
+/*
+ * Starts the replica: at once, or in a new fleet when the control instances
+ * have met.  A data folder that cannot be used ends the process: it would
+ * look like a member that is well.
+ */
+static void begin_replica(fleet_control_t *control, clock_ms_t now)
+{
+	const settings_fleet_t *fleet = control->settings->fleet;
+	err_t err = ERR_INIT;
+
+	if (control->replicates || fleet->data_dir == NULL ||
+	    (fleet->bootstrap && now - control->started_ms < FLEET_MEET_MS))
+		return;
+	describe_group(control);
+	if (!replica_init(&control->replica, control->net,
+			  &control->replica_settings, &control->machine,
+			  &err)) {
+		log_err(G_LOG_LEVEL_CRITICAL, "data_folder_unusable", &err);
+		exit(EXIT_FAILURE);
+	}
+	control->replicates = true;
 }
 
 static void on_tick(uv_timer_t *timer)
@@ -367,12 +557,13 @@
 	fleet_control_t *control = timer->data;
 	clock_ms_t now = now_of(control);
 
+	begin_replica(control, now);
 	send_news(control);
 	fleet_api_expire(control, now, false);
 	follow_members(control);
 	registry_forget_old(&control->registry, now);
-	if (replica_is_settled(&control->replica) && control->table != NULL &&
-	    !control->draining) {
+	if (control->replicates && replica_is_settled(&control->replica) &&
+	    control->table != NULL && !control->draining) {
 		if (now - control->slow_ms < FLEET_SLOW_MS ||
 		    control->paces_told > 0)
 			prober_act(&control->prober, control->table);
@@ -385,27 +576,6 @@
 	}
 }
 
-/* Describes the group's founders and the data folder to the replica. */
-static void describe_group(fleet_control_t *control)
-{
-	const settings_fleet_t *fleet = control->settings->fleet;
-	settings_control_t *group = &control->group;
-
-	group->listen = fleet->peer_listen;
-	group->data_dir = fleet->data_dir;
-	group->join_only = !fleet->bootstrap;
-	group->open_group = true;
-	group->voters = g_new0(settings_peer_t, fleet->seeds_count + 1);
-	for (unsigned i = 0; i < fleet->seeds_count; i++) {
-		group->voters[i].address =
-			settings_fleet_peer_address(fleet, fleet->seeds[i]);
-		group->voters[i].instance = g_strdup(group->voters[i].address);
-	}
-	group->voters_count = fleet->seeds_count;
-	control->replica_settings = *control->settings;
-	control->replica_settings.control = group;
-}
-
 static void set_handlers(fleet_control_t *control)
 {
 	control->http_handler.request = on_request;
@@ -424,6 +594,8 @@
 	control->subscription_handler.load = on_load;
 	control->subscription_handler.paces = on_paces;
 	control->subscription_handler.held = on_held;
+	control->subscription_handler.opened = on_control_opened;
+	control->subscription_handler.meeting = on_meeting;
 }
 
 static bool listen_on_all(fleet_control_t *control, err_t *err)
@@ -443,9 +615,23 @@
 				&limits, &control->http_handler, err);
 }
 
+static void subscribe_to_seeds(fleet_control_t *control)
+{
+	const settings_fleet_t *fleet = control->settings->fleet;
+
+	for (unsigned i = 0; i < fleet->seeds_count; i++) {
+		char *address =
+			settings_fleet_peer_address(fleet, fleet->seeds[i]);
+
+		subscription_add_seed(&control->subscription, address);
+		g_free(address);
+	}
+}
+
 /*
- * Opens the data folder, listens and takes part in the group.  Returns false
- * with "err" set where a folder or an address cannot be used.
+ * Listens and takes part in the group; without a data folder only hears
+ * endpoints and sends operators on.  Returns false with "err" set where an
+ * address cannot be used.
  */
 bool fleet_control_init(fleet_control_t *control, net_t *net,
 			const settings_t *settings,
@@ -457,7 +643,11 @@
 	control->slow_ms = -FLEET_SLOW_MS;
 	control->settings = settings;
 	control->dialect = dialect;
-	describe_group(control);
+	control->started_ms = clock_now(net->clock);
+	control->met =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	meet(control, settings->fleet->peer_listen,
+	     settings->fleet->data_dir != NULL);
 	revisions_init(&control->revisions);
 	registry_init(&control->registry);
 	control->fresh =
@@ -469,13 +659,14 @@
 		    net->clock);
 	placer_init(&control->placer, net->loop, dialect, &control->registry,
 		    &control->prober, net->clock);
-	if (!replica_init(&control->replica, net, &control->replica_settings,
-			  &control->machine, err) ||
-	    !listen_on_all(control, err))
+	if (!listen_on_all(control, err))
 		return false;
-	subscription_init(&control->subscription, net, net->clock, false,
+	subscription_init(&control->subscription, net, net->clock,
+			  settings->fleet->data_dir == NULL,
 			  settings->fleet->peer_listen,
 			  &control->subscription_handler);
+	subscribe_to_seeds(control);
+	begin_replica(control, control->started_ms);
 	uv_timer_init(net->loop, &control->tick);
 	control->tick.data = control;
 	uv_timer_start(&control->tick, on_tick, CONTROL_TICK_MS,
@@ -487,7 +678,8 @@
 void fleet_control_leave(fleet_control_t *control)
 {
 	control->draining = true;
-	replica_leave(&control->replica);
+	if (control->replicates)
+		replica_leave(&control->replica);
 	http_server_drain(&control->http);
 }
 
@@ -507,7 +699,8 @@
 	subscription_close(&control->subscription);
 	placer_rest(&control->placer);
 	prober_rest(&control->prober);
-	replica_close(&control->replica);
+	if (control->replicates)
+		replica_close(&control->replica);
 }
 
 /* Frees a control role that is closed; the loop has run to its end. */
@@ -516,7 +709,10 @@
 	subscription_finish(&control->subscription);
 	placer_finish(&control->placer);
 	prober_finish(&control->prober);
-	replica_finish(&control->replica);
+	if (control->replicates)
+		replica_finish(&control->replica);
+	g_hash_table_destroy(control->met);
+	g_free(control->leader);
 	registry_finish(&control->registry);
 	revisions_finish(&control->revisions);
 	route_table_unref(control->table);
--- a/src/wisteria/fleet/fleet_control_defs.h
+++ b/src/wisteria/fleet/fleet_control_defs.h
@@ -26,6 +26,11 @@
  */
 #define FLEET_QUORUM_MS 2000
 
+/* A new fleet's control instances have met by then; they start together. */
+#define FLEET_MEET_MS 1600
+/* Most instances that found a group; five losses can be borne. */
+#define FLEET_FOUNDERS_MAX 11
+
 /* A read that waits for a quorum: a lease or the configuration itself. */
 typedef struct {
 	uint64_t ticket;
@@ -61,6 +66,10 @@
 	settings_t replica_settings; /* what the replica reads of it */
 	settings_control_t group;    /* founders and data folder */
 	replica_t replica;
+	bool replicates; /* the replica runs; never without a disk */
+	GHashTable *met; /* control instances: address -> has a disk */
+	clock_ms_t started_ms;
+	char *leader; /* without a replica: its address, as last told */
 	revisions_t revisions;
 	route_table_t *table; /* of the revision in force; NULL: none */
 	registry_t registry;
--- a/src/wisteria/fleet/fleet_news.c
+++ b/src/wisteria/fleet/fleet_news.c
@@ -1,6 +1,7 @@
 /* What endpoints said, as it passes between processes of the system. */
 #include "wisteria/fleet/fleet_news.h"
 
+#include "wisteria/fleet/subscription.h"
 #include "wisteria/net/conn.h"
 
 static msg_fleet_endpoint_t message_of(const endpoint_t *endpoint,
@@ -23,20 +24,42 @@
 	};
 }
 
-/* Sends what is known of "endpoints", of const endpoint_t. */
-void fleet_news_send(conn_t *conn, const GPtrArray *endpoints, clock_ms_t now)
+/* Makes a message of "endpoints"; the caller frees its list. */
+static msg_fleet_endpoints_t news_of(const GPtrArray *endpoints, clock_ms_t now)
 {
 	msg_fleet_endpoint_t *list =
 		g_new(msg_fleet_endpoint_t, endpoints->len + 1);
-	const msg_fleet_endpoints_t news = {
+
+	for (guint i = 0; i < endpoints->len; i++)
+		list[i] = message_of(g_ptr_array_index(endpoints, i), now);
+	return (msg_fleet_endpoints_t){
 		.endpoints = list,
 		.endpoint_count = endpoints->len,
 	};
+}
+
+static void free_news(const msg_fleet_endpoints_t *news)
+{
+	g_free((gpointer)(uintptr_t)news->endpoints);
+}
+
+/* Sends what is known of "endpoints", of const endpoint_t. */
+void fleet_news_send(conn_t *conn, const GPtrArray *endpoints, clock_ms_t now)
+{
+	msg_fleet_endpoints_t news = news_of(endpoints, now);
 
-	for (guint i = 0; i < endpoints->len; i++)
-		list[i] = message_of(g_ptr_array_index(endpoints, i), now);
 	conn_send(conn, MSG_FLEET_ENDPOINTS, &news);
-	g_free(list);
+	free_news(&news);
+}
+
+/* Sends the same to every control instance subscribed to. */
+void fleet_news_send_up(subscription_t *subscription,
+			const GPtrArray *endpoints, clock_ms_t now)
+{
+	msg_fleet_endpoints_t news = news_of(endpoints, now);
+
+	subscription_send_all(subscription, MSG_FLEET_ENDPOINTS, &news);
+	free_news(&news);
 }
 
 /*
--- a/src/wisteria/fleet/subscription.c
+++ b/src/wisteria/fleet/subscription.c
@@ -29,12 +29,14 @@
 {
 	subscription_t *subscription = subscription_of(handler);
 	const msg_fleet_subscribe_t subscribe = {
-		.is_entry = subscription->renews,
+		.is_entry = subscription->is_entry,
 	};
 
 	LOG_INFO("control_regained", "peer=%s address=%s", conn->peer_instance,
 		 conn->peer_address);
 	conn_send(conn, MSG_FLEET_SUBSCRIBE, &subscribe);
+	if (subscription->handler->opened != NULL)
+		subscription->handler->opened(subscription->handler, conn);
 }
 
 static void on_closed(conn_handler_t *handler, conn_t *conn, const err_t *why)
@@ -70,6 +72,15 @@
 		subscription->lease_until_ms = until;
 }
 
+static void on_meeting(subscription_t *subscription,
+		       const msg_fleet_meet_t *meeting)
+{
+	for (size_t i = 0; i < meeting->control_count; i++)
+		subscription_hear_of(subscription, &meeting->controls[i]);
+	if (subscription->handler->meeting != NULL)
+		subscription->handler->meeting(subscription->handler, meeting);
+}
+
 static void on_message(conn_handler_t *handler, conn_t *conn, const msg_t *msg)
 {
 	subscription_t *subscription = subscription_of(handler);
@@ -84,6 +95,8 @@
 						 msg->body);
 	else if (msg->type == MSG_FLEET_LOAD)
 		subscription->handler->load(subscription->handler, msg->body);
+	else if (msg->type == MSG_FLEET_MEET)
+		on_meeting(subscription, msg->body);
 	else if (msg->type == MSG_FLEET_PACES)
 		subscription->handler->paces(subscription->handler, msg->body);
 }
@@ -170,10 +183,28 @@
 	add(subscription, address);
 }
 
+/*
+ * Notes a control instance that another one knows: where no lease is to be
+ * had, because the seeds have no disks, it is asked too.
+ */
+void subscription_hear_of(subscription_t *subscription,
+			  const msg_fleet_control_t *control)
+{
+	if (!control->has_disk || g_ptr_array_find_with_equal_func(
+					  subscription->heard_of,
+					  control->address, g_str_equal, NULL))
+		return;
+	if (subscription->heard_of->len == SUBSCRIPTION_HEARD_OF_MAX)
+		g_ptr_array_remove_index(subscription->heard_of, 0);
+	g_ptr_array_add(subscription->heard_of, g_strdup(control->address));
+}
+
 static void return_to_seeds(subscription_t *subscription)
 {
 	for (guint i = 0; i < subscription->seeds->len; i++)
 		add(subscription, g_ptr_array_index(subscription->seeds, i));
+	for (guint i = 0; i < subscription->heard_of->len; i++)
+		add(subscription, g_ptr_array_index(subscription->heard_of, i));
 }
 
 /*
@@ -275,6 +306,7 @@
 	subscription->own_address = g_strdup(own_address);
 	subscription->controls = g_ptr_array_new_with_free_func(g_free);
 	subscription->seeds = g_ptr_array_new_with_free_func(g_free);
+	subscription->heard_of = g_ptr_array_new_with_free_func(g_free);
 	subscription->asked_ms = now_of(subscription) - SUBSCRIPTION_RENEW_MS;
 	subscription->turn = (guint)net->incarnation;
 	uv_timer_init(net->loop, &subscription->tick);
@@ -301,6 +333,7 @@
 {
 	g_ptr_array_unref(subscription->controls);
 	g_ptr_array_unref(subscription->seeds);
+	g_ptr_array_unref(subscription->heard_of);
 	if (subscription->wanted != NULL)
 		g_ptr_array_unref(subscription->wanted);
 	g_free(subscription->own_address);
@@ -312,12 +345,24 @@
 	return subscription->lease_until_ms > now_of(subscription);
 }
 
-/* Tells the other entries, through one control instance, what this one uses. */
-void subscription_send_load(subscription_t *subscription,
-			    const msg_fleet_load_t *load)
+/* Sends a message to one control instance, the one that is asked next. */
+void subscription_send(subscription_t *subscription, msg_type_t type,
+		       const void *body)
 {
 	subscription_control_t *control = next_control(subscription);
 
 	if (control != NULL)
-		link_send(&control->link, MSG_FLEET_LOAD, load);
+		link_send(&control->link, type, body);
+}
+
+/* Sends a message to every control instance that can be reached. */
+void subscription_send_all(subscription_t *subscription, msg_type_t type,
+			   const void *body)
+{
+	for (guint i = 0; i < subscription->controls->len; i++) {
+		subscription_control_t *control =
+			g_ptr_array_index(subscription->controls, i);
+
+		link_send(&control->link, type, body);
+	}
 }
--- a/src/wisteria/fleet/subscription.h
+++ b/src/wisteria/fleet/subscription.h
@@ -11,6 +11,8 @@
 void subscription_clear_seeds(subscription_t *subscription) ATTR_NONNULL_ALL;
 void subscription_add_seed(subscription_t *subscription,
 			   const char *address) ATTR_NONNULL_ALL;
+void subscription_hear_of(subscription_t *subscription,
+			  const msg_fleet_control_t *control) ATTR_NONNULL_ALL;
 void subscription_follow(subscription_t *subscription,
 			 const char *const *addresses,
 			 size_t count) ATTR_NONNULL_ALL;
@@ -18,7 +20,9 @@
 void subscription_finish(subscription_t *subscription) ATTR_NONNULL_ALL;
 bool subscription_has_lease(const subscription_t *subscription)
 	ATTR_NONNULL_ALL;
-void subscription_send_load(subscription_t *subscription,
-			    const msg_fleet_load_t *load) ATTR_NONNULL_ALL;
+void subscription_send(subscription_t *subscription, msg_type_t type,
+		       const void *body) ATTR_NONNULL_ALL;
+void subscription_send_all(subscription_t *subscription, msg_type_t type,
+			   const void *body) ATTR_NONNULL_ALL;
 
 #endif
--- a/src/wisteria/fleet/subscription_defs.h
+++ b/src/wisteria/fleet/subscription_defs.h
@@ -15,6 +15,9 @@
 /* An instance that has not answered by then is passed over. */
 #define SUBSCRIPTION_ANSWER_MS 300
 
+/* Instances with disks that are remembered; the oldest are forgotten. */
+#define SUBSCRIPTION_HEARD_OF_MAX 16
+
 /* What the owner is told; first in the owner's struct. */
 typedef struct subscription_handler_t {
 	void (*endpoints)(struct subscription_handler_t *self,
@@ -25,6 +28,11 @@
 		     const msg_fleet_load_t *load);
 	void (*paces)(struct subscription_handler_t *self,
 		      const msg_fleet_paces_t *paces);
+	/* Which control instances another one knows; may be NULL. */
+	void (*meeting)(struct subscription_handler_t *self,
+			const msg_fleet_meet_t *meeting);
+	/* A connection to a control instance stands; may be NULL. */
+	void (*opened)(struct subscription_handler_t *self, conn_t *conn);
 	/* Returns the number of the revision held; 0: none. */
 	uint64_t (*held)(struct subscription_handler_t *self);
 } subscription_handler_t;
@@ -43,6 +51,7 @@
 	const clock_source_t *lease_clock;
 	GPtrArray *controls; /* of subscription_control_t */
 	GPtrArray *seeds;    /* addresses to go back to without a lease */
+	GPtrArray *heard_of; /* addresses of instances with disks */
 	GPtrArray *wanted;   /* addresses to follow next; NULL: unchanged */
 	char *own_address;   /* never subscribed to; may be NULL */
 	uv_timer_t tick;
@@ -52,6 +61,7 @@
 	clock_ms_t lease_until_ms; /* by lease_clock */
 	bool had_lease;
 	bool renews;
+	bool is_entry;
 	bool closed;
 } subscription_t;
 
--- a/src/wisteria/gateway/gateway.c
+++ b/src/wisteria/gateway/gateway.c
@@ -207,7 +207,7 @@
 		gateway->long_pauses >= gateway->events * GATEWAY_SLOW_SHARE;
 	gateway->events = 0;
 	gateway->long_pauses = 0;
-	subscription_send_load(&gateway->subscription, &load);
+	subscription_send(&gateway->subscription, MSG_FLEET_LOAD, &load);
 	g_free(uses);
 }
 
@@ -377,6 +377,7 @@
 		return false;
 	subscription_init(&gateway->subscription, net, gateway->clock, true,
 			  NULL, &gateway->subscription_handler);
+	gateway->subscription.is_entry = true;
 	gateway_take_seeds(gateway, fleet);
 	uv_timer_init(net->loop, &gateway->tick);
 	gateway->tick.data = gateway;
--- a/src/wisteria/settings/settings.c
+++ b/src/wisteria/settings/settings.c
@@ -116,7 +116,7 @@
 	CYAML_FIELD_BOOL("bootstrap", CYAML_FLAG_OPTIONAL, settings_fleet_t,
 			 bootstrap),
 	CYAML_FIELD_SEQUENCE("seeds", CYAML_FLAG_POINTER, settings_fleet_t,
-			     seeds, &seed_schema, 1, SETTINGS_VOTERS_MAX),
+			     seeds, &seed_schema, 1, SETTINGS_SEEDS_MAX),
 	CYAML_FIELD_FLOAT("stop_s", CYAML_FLAG_OPTIONAL, settings_fleet_t,
 			  stop_s),
 	CYAML_FIELD_FLOAT("retry_ratio", CYAML_FLAG_OPTIONAL, settings_fleet_t,
@@ -450,11 +450,10 @@
 	const settings_fleet_t *fleet = settings->fleet;
 
 	if (!settings_has_role(settings, "fleet_control") ||
-	    (fleet->control_listen != NULL && fleet->data_dir != NULL))
+	    fleet->control_listen != NULL)
 		return true;
 	return yaml_doc_fail(doc, "fleet", ":", err,
-			     "role fleet_control needs \"control_listen\" and "
-			     "\"data_dir\"");
+			     "role fleet_control needs \"control_listen\"");
 }
 
 static bool check_fleet(const yaml_doc_t *doc, const settings_t *settings,
--- a/src/wisteria/settings/settings_defs.h
+++ b/src/wisteria/settings/settings_defs.h
@@ -4,6 +4,9 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/* Most seeds of a fleet. */
+#define SETTINGS_SEEDS_MAX 11
+
 /* Another instance of the system and where it listens. */
 typedef struct {
 	char *instance;
@@ -40,9 +43,9 @@
 	char *ready_listen;   /* IP:PORT, for the balancer's question */
 	char *control_listen; /* IP:PORT, for endpoints and operators */
 	char *peer_listen;    /* IP:PORT, for frames between processes */
-	char *data_dir;
-	bool bootstrap; /* the whole fleet starts for the first time */
-	char **seeds;	/* control_listen of some control instances */
+	char *data_dir;	      /* NULL: control without a vote */
+	bool bootstrap;	      /* the whole fleet starts for the first time */
+	char **seeds;	      /* control_listen of some control instances */
 	unsigned seeds_count;
 	double stop_s;	       /* from SIGTERM to the end at the latest */
 	double retry_ratio;    /* retries for each fresh request */
