Pass on what instances without disks heard, also if it is known already

Change: the copy sent up is passed on unless something newer is known. The control role parses a revision once per tick instead of once per log entry.

--- a/src/wisteria/fleet/fleet_control.c
+++ b/src/wisteria/fleet/fleet_control.c
@@ -181,7 +181,20 @@
 		     meeting->controls[i].has_disk);
 }
 
-/* What an instance without a replica has heard from endpoints. */
+/* Whether nothing newer is known than what "news" says. */
+static bool is_newest(const fleet_control_t *control, const endpoint_t *news)
+{
+	const endpoint_t *known = registry_find(&control->registry, news->id);
+
+	return known != NULL && known->incarnation == news->incarnation &&
+	       known->sequence == news->sequence;
+}
+
+/*
+ * What an instance without a replica has heard from endpoints.  It is passed
+ * on also where it has come another way already: the subscribers here may
+ * have no other.
+ */
 static void take_endpoints(fleet_control_t *control, conn_t *conn,
 			   const void *body)
 {
@@ -193,8 +206,8 @@
 		endpoint_t endpoint;
 
 		fleet_news_read(&news->endpoints[i], now, &endpoint);
-		if (registry_take(&control->registry, &endpoint,
-				  endpoint.heard_ms) != REGISTRY_STALE)
+		registry_take(&control->registry, &endpoint, endpoint.heard_ms);
+		if (is_newest(control, &endpoint))
 			g_hash_table_add(control->fresh, g_strdup(endpoint.id));
 	}
 }
@@ -235,6 +248,7 @@
 	}
 	route_table_unref(control->table);
 	control->table = table;
+	control->table_is_old = false;
 	LOG_INFO("revision_in_force",
 		 "revision=%" G_GUINT64_FORMAT " routes=%u customers=%u",
 		 table->revision, table->routes->len, table->customers->len);
@@ -249,8 +263,7 @@
 
 	if (!revisions_apply(&control->revisions, data, len, &changed, &err))
 		log_err(G_LOG_LEVEL_CRITICAL, "entry_unreadable", &err);
-	if (changed)
-		follow_revision(control);
+	control->table_is_old |= changed;
 	fleet_api_applied(control, index, term);
 }
 
@@ -271,8 +284,7 @@
 
 	if (!revisions_apply(&control->revisions, data, len, &changed, err))
 		return false;
-	if (changed)
-		follow_revision(control);
+	control->table_is_old |= changed;
 	return true;
 }
 
@@ -558,6 +570,8 @@
 	clock_ms_t now = now_of(control);
 
 	begin_replica(control, now);
+	if (control->table_is_old)
+		follow_revision(control);
 	send_news(control);
 	fleet_api_expire(control, now, false);
 	follow_members(control);
--- a/src/wisteria/fleet/fleet_control_defs.h
+++ b/src/wisteria/fleet/fleet_control_defs.h
@@ -72,6 +72,7 @@
 	char *leader; /* without a replica: its address, as last told */
 	revisions_t revisions;
 	route_table_t *table; /* of the revision in force; NULL: none */
+	bool table_is_old;    /* a newer revision was applied since */
 	registry_t registry;
 	GHashTable *fresh; /* ids of endpoints heard here, to be passed on */
 	GPtrArray *subscribers; /* of conn_t */
