Recall endpoints after a power loss

Change: control instances keep a synced copy of the registry, written by a worker half a second after a change; it is a first guess that heartbeats correct. A lost or torn copy is ignored.

--- a/src/wisteria/fleet/fleet_control.c
+++ b/src/wisteria/fleet/fleet_control.c
@@ -562,6 +562,11 @@
 		exit(EXIT_FAILURE);
 	}
 	control->replicates = true;
+	registry_file_init(&control->registry_file, control->net->loop,
+			   fleet->data_dir);
+	LOG_INFO("endpoints_recalled", "endpoints=%u",
+		 registry_file_load(&control->registry_file, &control->registry,
+				    now));
 }
 
 static void on_tick(uv_timer_t *timer)
@@ -573,6 +578,9 @@
 	if (control->table_is_old)
 		follow_revision(control);
 	send_news(control);
+	if (control->replicates)
+		registry_file_follow(&control->registry_file,
+				     &control->registry, now);
 	fleet_api_expire(control, now, false);
 	follow_members(control);
 	registry_forget_old(&control->registry, now);
@@ -723,8 +731,10 @@
 	subscription_finish(&control->subscription);
 	placer_finish(&control->placer);
 	prober_finish(&control->prober);
-	if (control->replicates)
+	if (control->replicates) {
 		replica_finish(&control->replica);
+		registry_file_finish(&control->registry_file);
+	}
 	g_hash_table_destroy(control->met);
 	g_free(control->leader);
 	registry_finish(&control->registry);
--- a/src/wisteria/fleet/fleet_control_defs.h
+++ b/src/wisteria/fleet/fleet_control_defs.h
@@ -8,6 +8,7 @@
 #include "wisteria/fleet/placer_defs.h"
 #include "wisteria/fleet/prober.h"
 #include "wisteria/fleet/registry_defs.h"
+#include "wisteria/fleet/registry_file.h"
 #include "wisteria/fleet/revisions.h"
 #include "wisteria/fleet/subscription_defs.h"
 #include "wisteria/http/http_server.h"
@@ -74,6 +75,7 @@
 	route_table_t *table; /* of the revision in force; NULL: none */
 	bool table_is_old;    /* a newer revision was applied since */
 	registry_t registry;
+	registry_file_t registry_file; /* used with a data folder only */
 	GHashTable *fresh; /* ids of endpoints heard here, to be passed on */
 	GPtrArray *subscribers; /* of conn_t */
 	GArray *reads;		/* of fleet_read_t */
--- a/src/wisteria/fleet/fleet_news.c
+++ b/src/wisteria/fleet/fleet_news.c
@@ -1,6 +1,7 @@
 /* What endpoints said, as it passes between processes of the system. */
 #include "wisteria/fleet/fleet_news.h"
 
+#include "wisteria/codec/msg.h"
 #include "wisteria/fleet/subscription.h"
 #include "wisteria/net/conn.h"
 
@@ -80,6 +81,18 @@
 	return endpoints;
 }
 
+/* Appends all that is known, as the message to a subscriber. */
+void fleet_news_encode(const registry_t *registry, clock_ms_t now,
+		       msgpack_sbuffer *out)
+{
+	GPtrArray *all = fleet_news_of(registry, NULL);
+	msg_fleet_endpoints_t news = news_of(all, now);
+
+	msg_encode(MSG_FLEET_ENDPOINTS, &news, out);
+	free_news(&news);
+	g_ptr_array_unref(all);
+}
+
 /* Reads what another process passed on. */
 void fleet_news_read(const msg_fleet_endpoint_t *message, clock_ms_t now,
 		     endpoint_t *endpoint)
--- /dev/null
+++ b/src/wisteria/fleet/registry_file.c
@@ -0,0 +1,189 @@
+/*
+ * Keeps a copy of the registry on disk.  After a power loss of all instances
+ * endpoints need seconds until all of them have announced themselves again;
+ * until then what was known last is a better guess than nothing.  It is only
+ * a guess: a copy that is lost or torn is ignored, and whoever does not
+ * announce itself falls silent as usual.
+ */
+#include "wisteria/fleet/registry_file.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "wisteria/base/err.h"
+#include "wisteria/base/log.h"
+#include "wisteria/codec/msg.h"
+#include "wisteria/fleet/fleet_news.h"
+#include "wisteria/fleet/registry.h"
+
+#define FILE_NAME "endpoints"
+#define TEMPORARY_NAME "endpoints.new"
+#define FILE_BYTES_MAX (4u << 20)
+
+typedef struct {
+	uv_work_t work;
+	registry_file_t *file;
+	char *folder;
+	msgpack_sbuffer data;
+	bool ok;
+	err_t err;
+} write_job_t;
+
+/* Prepares to keep a copy in "folder". */
+void registry_file_init(registry_file_t *file, uv_loop_t *loop,
+			const char *folder)
+{
+	memset(file, 0, sizeof(*file));
+	file->loop = loop;
+	file->folder = g_strdup(folder);
+}
+
+/* Frees what is held; a write under way must have ended. */
+void registry_file_finish(registry_file_t *file)
+{
+	g_free(file->folder);
+}
+
+static bool write_all(int fd, const char *data, size_t len)
+{
+	while (len > 0) {
+		ssize_t written = write(fd, data, len);
+
+		if (written <= 0)
+			return false;
+		data += written;
+		len -= (size_t)written;
+	}
+	return true;
+}
+
+static bool write_synced(int folder, const char *name, const void *data,
+			 size_t len)
+{
+	int fd = openat(folder, name, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC,
+			0644);
+	bool ok;
+
+	if (fd < 0)
+		return false;
+	ok = write_all(fd, data, len) && fdatasync(fd) == 0;
+	return close(fd) == 0 && ok;
+}
+
+/*
+ * Replaces the copy in "folder"; the old one stays until the new one is
+ * synced.
+ */
+bool registry_file_write(const char *folder, const void *data, size_t len,
+			 err_t *err)
+{
+	int fd = open(folder, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+	bool ok = fd >= 0 && write_synced(fd, TEMPORARY_NAME, data, len) &&
+		  renameat(fd, TEMPORARY_NAME, fd, FILE_NAME) == 0 &&
+		  fsync(fd) == 0;
+
+	if (!ok)
+		err_set(err, ERR_IO, "write_endpoints", folder, "%s",
+			g_strerror(errno));
+	if (fd >= 0)
+		close(fd);
+	return ok;
+}
+
+static void on_work(uv_work_t *work)
+{
+	write_job_t *job = CONTAINER_OF(work, write_job_t, work);
+
+	job->ok = registry_file_write(job->folder, job->data.data,
+				      job->data.size, &job->err);
+}
+
+static void on_work_done(uv_work_t *work, int status)
+{
+	write_job_t *job = CONTAINER_OF(work, write_job_t, work);
+	registry_file_t *file = job->file;
+
+	(void)status;
+	if (!job->ok && !file->failing)
+		log_err(G_LOG_LEVEL_WARNING, "endpoints_not_kept", &job->err);
+	if (job->ok && file->failing)
+		LOG_INFO("endpoints_kept_again", "bytes=%" G_GSIZE_FORMAT,
+			 job->data.size);
+	file->failing = !job->ok;
+	file->writing = false;
+	msgpack_sbuffer_destroy(&job->data);
+	g_free(job->folder);
+	g_free(job);
+}
+
+static void begin_write(registry_file_t *file, const registry_t *registry,
+			clock_ms_t now)
+{
+	write_job_t *job = g_new0(write_job_t, 1);
+
+	job->file = file;
+	job->folder = g_strdup(file->folder);
+	msgpack_sbuffer_init(&job->data);
+	fleet_news_encode(registry, now, &job->data);
+	if (uv_queue_work(file->loop, &job->work, on_work, on_work_done) != 0) {
+		msgpack_sbuffer_destroy(&job->data);
+		g_free(job->folder);
+		g_free(job);
+		return;
+	}
+	file->writing = true;
+	file->written_version = registry->version;
+	file->changed_ms = 0;
+}
+
+/* Writes the copy when the registry has changed.  Called often. */
+void registry_file_follow(registry_file_t *file, const registry_t *registry,
+			  clock_ms_t now)
+{
+	if (file->writing || registry->version == file->written_version)
+		return;
+	if (file->changed_ms == 0)
+		file->changed_ms = now;
+	if (now - file->changed_ms >= REGISTRY_FILE_DELAY_MS)
+		begin_write(file, registry, now);
+}
+
+/* Takes the copy into an empty registry; returns how many endpoints it had. */
+unsigned registry_file_load(const registry_file_t *file, registry_t *registry,
+			    clock_ms_t now)
+{
+	char *path = g_build_filename(file->folder, FILE_NAME, NULL);
+	const msg_fleet_endpoints_t *news;
+	err_t err = ERR_INIT;
+	gchar *data = NULL;
+	gsize len = 0;
+	unsigned count = 0;
+	msg_t msg;
+
+	if (!g_file_get_contents(path, &data, &len, NULL)) {
+		g_free(path);
+		return 0;
+	}
+	if (len > FILE_BYTES_MAX ||
+	    !msg_decode(&msg, (const uint8_t *)data, len, &err)) {
+		log_err(G_LOG_LEVEL_WARNING, "endpoints_unreadable", &err);
+	} else {
+		news = msg.body;
+		for (size_t i = 0; msg.type == MSG_FLEET_ENDPOINTS &&
+				   i < news->endpoint_count;
+		     i++) {
+			endpoint_t endpoint;
+
+			fleet_news_read(&news->endpoints[i], now, &endpoint);
+			registry_take(registry, &endpoint, now);
+			count++;
+		}
+		msg_finish(&msg);
+	}
+	g_free(data);
+	g_free(path);
+	return count;
+}
--- /dev/null
+++ b/src/wisteria/fleet/registry_file.h
@@ -0,0 +1,34 @@
+#ifndef WISTERIA_FLEET_REGISTRY_FILE_H
+#define WISTERIA_FLEET_REGISTRY_FILE_H
+
+#include <uv.h>
+
+#include "wisteria/base/err_defs.h"
+#include "wisteria/base/macros_defs.h"
+#include "wisteria/fleet/registry_defs.h"
+
+/* Changes are written together, this long after the first of them. */
+#define REGISTRY_FILE_DELAY_MS 500
+
+/* A copy of the registry on disk, to start from after a power loss. */
+typedef struct {
+	uv_loop_t *loop;
+	char *folder;
+	uint64_t written_version; /* of the registry; 0: none */
+	clock_ms_t changed_ms;	  /* since when the file is old; 0: it is not */
+	bool writing;
+	bool failing;
+} registry_file_t;
+
+void registry_file_init(registry_file_t *file, uv_loop_t *loop,
+			const char *folder) ATTR_NONNULL_ALL;
+void registry_file_finish(registry_file_t *file) ATTR_NONNULL_ALL;
+unsigned registry_file_load(const registry_file_t *file, registry_t *registry,
+			    clock_ms_t now) ATTR_NONNULL_ALL;
+void registry_file_follow(registry_file_t *file, const registry_t *registry,
+			  clock_ms_t now) ATTR_NONNULL_ALL;
+
+bool registry_file_write(const char *folder, const void *data, size_t len,
+			 err_t *err) ATTR_WARN_UNUSED;
+
+#endif
--- /dev/null
+++ b/test/unit/registry_file_test.c
@@ -0,0 +1,149 @@
+/* Unit tests of the copy of the registry on disk. */
+#include "unit.h"
+
+#include <string.h>
+#include <unistd.h>
+
+#include <glib.h>
+#include <glib/gstdio.h>
+
+#include "wisteria/base/clock_defs.h"
+#include "wisteria/fleet/fleet_news.h"
+#include "wisteria/fleet/registry.h"
+#include "wisteria/fleet/registry_file.h"
+
+static char *folder;
+
+static registry_t filled(void)
+{
+	endpoint_t endpoint = { .incarnation = 7,
+				.sequence = 3,
+				.first_layer = 20,
+				.end_layer = 31 };
+	registry_t registry;
+
+	registry_init(&registry);
+	g_strlcpy(endpoint.id, "i-1", sizeof(endpoint.id));
+	g_strlcpy(endpoint.address, "10.0.0.1:80", sizeof(endpoint.address));
+	CU_ASSERT_EQUAL(registry_take(&registry, &endpoint, 100),
+			REGISTRY_CHANGED);
+	return registry;
+}
+
+static unsigned load_count(clock_ms_t now, endpoint_t *first)
+{
+	registry_file_t file;
+	registry_t registry;
+	const endpoint_t *found;
+	unsigned count;
+
+	registry_init(&registry);
+	registry_file_init(&file, uv_default_loop(), folder);
+	count = registry_file_load(&file, &registry, now);
+	found = registry_find(&registry, "i-1");
+	if (found != NULL)
+		*first = *found;
+	registry_file_finish(&file);
+	registry_finish(&registry);
+	return count;
+}
+
+static void write_text(const void *data, size_t len)
+{
+	char *path = g_build_filename(folder, "endpoints", NULL);
+
+	CU_ASSERT_TRUE(g_file_set_contents(path, data, (gssize)len, NULL));
+	g_free(path);
+}
+
+static void test_comes_back(void)
+{
+	registry_t registry = filled();
+	endpoint_t first = { 0 };
+	msgpack_sbuffer data;
+	err_t err = { 0 };
+
+	msgpack_sbuffer_init(&data);
+	fleet_news_encode(&registry, 100, &data);
+	CU_ASSERT_TRUE(registry_file_write(folder, data.data, data.size, &err));
+	CU_ASSERT_EQUAL(load_count(5000, &first), 1);
+	CU_ASSERT_EQUAL(first.sequence, 3);
+	CU_ASSERT_EQUAL(first.end_layer, 31);
+	CU_ASSERT_EQUAL(first.heard_ms, 5000);
+	msgpack_sbuffer_destroy(&data);
+	registry_finish(&registry);
+}
+
+/* A copy cut off anywhere, or of other bytes, names no endpoint. */
+static void test_damaged_copies_are_ignored(void)
+{
+	registry_t registry = filled();
+	endpoint_t first = { 0 };
+	msgpack_sbuffer data;
+
+	msgpack_sbuffer_init(&data);
+	fleet_news_encode(&registry, 100, &data);
+	for (size_t len = 0; len < data.size; len++) {
+		write_text(data.data, len);
+		CU_ASSERT_EQUAL(load_count(0, &first), 0);
+	}
+	write_text("no copy", 7);
+	CU_ASSERT_EQUAL(load_count(0, &first), 0);
+	msgpack_sbuffer_destroy(&data);
+	registry_finish(&registry);
+}
+
+static void test_a_folder_that_cannot_be_written(void)
+{
+	err_t err = { 0 };
+
+	CU_ASSERT_FALSE(registry_file_write("/nonexistent", "x", 1, &err));
+	CU_ASSERT_EQUAL(err.code, ERR_IO);
+}
+
+/* Written by the loop's workers once the registry has changed. */
+static void test_follows_the_registry(void)
+{
+	registry_t registry = filled();
+	endpoint_t first = { 0 };
+	registry_file_t file;
+
+	write_text("", 0);
+	registry_file_init(&file, uv_default_loop(), folder);
+	registry_file_follow(&file, &registry, 1000);
+	CU_ASSERT_FALSE(file.writing);
+	registry_file_follow(&file, &registry, 1000 + REGISTRY_FILE_DELAY_MS);
+	CU_ASSERT_TRUE(file.writing);
+	uv_run(uv_default_loop(), UV_RUN_DEFAULT);
+	CU_ASSERT_FALSE(file.writing);
+	CU_ASSERT_EQUAL(load_count(0, &first), 1);
+	registry_file_follow(&file, &registry, 9000);
+	CU_ASSERT_FALSE(file.writing);
+	registry_file_finish(&file);
+	registry_finish(&registry);
+}
+
+static const unit_test_t tests[] = {
+	{ "comes back", test_comes_back },
+	{ "damaged copies are ignored", test_damaged_copies_are_ignored },
+	{ "a folder that cannot be written",
+	  test_a_folder_that_cannot_be_written },
+	{ "follows the registry", test_follows_the_registry },
+};
+
+int main(void)
+{
+	char name[] = "/tmp/registry-file-XXXXXX";
+	char *path;
+	int status;
+
+	folder = g_mkdtemp(name);
+	if (folder == NULL)
+		return EXIT_FAILURE;
+	status = unit_run("registry_file", tests, ARRAY_SIZE(tests));
+	path = g_build_filename(folder, "endpoints", NULL);
+	g_unlink(path);
+	g_free(path);
+	g_rmdir(folder);
+	return status;
+}
