--- /dev/null
+++ b/test/unit/http_reader_test.c
@@ -0,0 +1,134 @@
+/* Unit tests of incremental HTTP reading. */
+#include "unit.h"
+
+#include <string.h>
+
+#include "wisteria/http/http_message.h"
+#include "wisteria/http/http_reader.h"
+
+static http_reader_t reader;
+
+static size_t feed(const char *text)
+{
+	return http_reader_feed(&reader, text, strlen(text));
+}
+
+static void begin(enum http_parser_type type)
+{
+	http_reader_init(&reader, type, 200, 20);
+}
+
+/* Whatever the cut, the request is the same and what follows is left. */
+static void test_every_cut(void)
+{
+	static const char text[] = "POST /a/b?c HTTP/1.1\r\nHost: x\r\n"
+				   "X-Empty:\r\nTransfer-Encoding: chunked\r\n"
+				   "\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+
+	for (size_t cut = 0; cut <= strlen(text); cut++) {
+		begin(HTTP_REQUEST);
+		CU_ASSERT_EQUAL(http_reader_feed(&reader, text, cut), cut);
+		CU_ASSERT_EQUAL(feed(text + cut), strlen(text) - cut);
+		CU_ASSERT_EQUAL(reader.state, HTTP_READ_COMPLETE);
+		CU_ASSERT_STRING_EQUAL(reader.message.method, "POST");
+		CU_ASSERT_STRING_EQUAL(http_message_target(&reader.message),
+				       "/a/b?c");
+		CU_ASSERT_STRING_EQUAL(
+			http_message_get(&reader.message, "host"), "x");
+		CU_ASSERT_STRING_EQUAL(
+			http_message_get(&reader.message, "x-empty"), "");
+		CU_ASSERT_EQUAL(reader.message.body->len, 5);
+		CU_ASSERT_EQUAL(memcmp(reader.message.body->data, "abcde", 5),
+				0);
+		http_reader_finish(&reader);
+	}
+}
+
+static void test_two_requests_at_once(void)
+{
+	static const char first[] = "GET /1 HTTP/1.1\r\nHost: x\r\n\r\n";
+
+	begin(HTTP_REQUEST);
+	CU_ASSERT_EQUAL(feed("GET /1 HTTP/1.1\r\nHost: x\r\n\r\nGET /2"),
+			strlen(first));
+	CU_ASSERT_EQUAL(reader.state, HTTP_READ_COMPLETE);
+	CU_ASSERT_TRUE(reader.message.keep_alive);
+	CU_ASSERT_EQUAL(feed("GET /2"), 0);
+	http_reader_next(&reader);
+	CU_ASSERT_EQUAL(reader.state, HTTP_READ_HEADERS);
+	CU_ASSERT_EQUAL(feed("GET /2 HTTP/1.0\r\n\r\n"), 19);
+	CU_ASSERT_STRING_EQUAL(http_message_target(&reader.message), "/2");
+	CU_ASSERT_FALSE(reader.message.keep_alive);
+	http_reader_finish(&reader);
+}
+
+typedef struct {
+	const char *text;
+	http_read_error_t error;
+} refused_t;
+
+static void test_refused_requests(void)
+{
+	static const refused_t refused[] = {
+		{ "GARBAGE\r\n\r\n", HTTP_BAD_SYNTAX },
+		{ "POST / HTTP/1.1\r\nContent-Length: 90000000\r\n\r\n",
+		  HTTP_BODY_TOO_LARGE },
+		{ "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+		  "15\r\n123456789012345678901\r\n",
+		  HTTP_BODY_TOO_LARGE },
+		{ "GET /01234567890123456789012345678901234567890123456789"
+		  "01234567890123456789012345678901234567890123456789"
+		  "01234567890123456789012345678901234567890123456789"
+		  "01234567890123456789012345678901234567890123456789"
+		  " HTTP/1.1\r\n\r\n",
+		  HTTP_HEADERS_TOO_LARGE },
+		{ "POST / HTTP/1.1\r\nContent-Length: 3\r\n"
+		  "Transfer-Encoding: chunked\r\n\r\n",
+		  HTTP_BAD_SYNTAX },
+	};
+
+	for (size_t i = 0; i < ARRAY_SIZE(refused); i++) {
+		begin(HTTP_REQUEST);
+		(void)!feed(refused[i].text);
+		CU_ASSERT_EQUAL(reader.state, HTTP_READ_FAILED);
+		CU_ASSERT_EQUAL(reader.error, refused[i].error);
+		http_reader_finish(&reader);
+	}
+}
+
+static void test_answers(void)
+{
+	begin(HTTP_RESPONSE);
+	(void)!feed("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n"
+		    "Content-Length: 2\r\n\r\nok");
+	CU_ASSERT_EQUAL(reader.state, HTTP_READ_COMPLETE);
+	CU_ASSERT_EQUAL(reader.message.status, 200);
+	CU_ASSERT_TRUE(http_reader_has_framing(&reader));
+	http_reader_finish(&reader);
+
+	begin(HTTP_RESPONSE);
+	(void)!feed("HTTP/1.1 200 OK\r\n\r\nok");
+	CU_ASSERT_EQUAL(reader.state, HTTP_READ_BODY);
+	CU_ASSERT_FALSE(http_reader_has_framing(&reader));
+	http_reader_eof(&reader);
+	CU_ASSERT_EQUAL(reader.state, HTTP_READ_COMPLETE);
+	http_reader_finish(&reader);
+
+	begin(HTTP_RESPONSE);
+	(void)!feed("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nok");
+	http_reader_eof(&reader);
+	CU_ASSERT_EQUAL(reader.state, HTTP_READ_FAILED);
+	http_reader_finish(&reader);
+}
+
+static const unit_test_t tests[] = {
+	{ "every cut", test_every_cut },
+	{ "two requests at once", test_two_requests_at_once },
+	{ "refused requests", test_refused_requests },
+	{ "answers", test_answers },
+};
+
+int main(void)
+{
+	return unit_run("http_reader", tests, ARRAY_SIZE(tests));
+}
--- /dev/null
+++ b/test/unit/platform_test.c
@@ -0,0 +1,410 @@
+/* The adapter to the users' platform, by byte examples of our own. */
+#include "unit.h"
+
+#include <string.h>
+
+#include "platform/platform.h"
+#include "wisteria/base/err.h"
+#include "wisteria/fleet/routes.h"
+#include "wisteria/http/http_message.h"
+#include "wisteria/http/http_reader.h"
+
+#define ENGINE \
+	"\"engine\":{\"slots\":192,\"kvTokenBytes\":590000,\"stride\":2," \
+	"\"models\":[{\"name\":\"m\",\"loadS\":14.0}],\"step_ms\":0.85," \
+	"\"layers\":80,\"layerMb\":1750.0,\"usual\":{\"prompt\":772," \
+	"\"answer\":172},\"kinds\":[{\"name\":\"h100\",\"sizeMb\":72000.0," \
+	"\"pace\":1.4,\"readFactor\":1.0}]}"
+#define SERVICES \
+	"\"services\":[{\"name\":\"llm\",\"maxConns\":998," ENGINE "}," \
+	"{\"name\":\"stock\",\"maxConns\":55}]"
+#define ROUTE(more) \
+	"{\"name\":\"r1\",\"host\":\"h.example\",\"pathPrefix\":\"/a/\"," \
+	"\"kind\":\"stream\",\"timeoutMs\":20000,\"goalMs\":500," \
+	"\"gapGoalMs\":200,\"streamResume\":true,\"maxAttempts\":2" more "}"
+#define TENANTS \
+	"\"tenants\":[{\"name\":\"t1\",\"apiKeys\":[\"k1\",\"k2\"]," \
+	"\"priority\":1}]"
+
+static route_table_t *read_table(const char *text, err_t *err)
+{
+	return platform_dialect.read_configuration(text, strlen(text), err);
+}
+
+static void test_configuration(void)
+{
+	err_t err = ERR_INIT;
+	route_table_t
+		*table = read_table("{\"version\":7,\"routes\":[" ROUTE(
+					    ",\"backends\":[{\"service\":"
+					    "\"llm\",\"weight\":90},"
+					    "{\"service\":\"stock\",\"weight\":"
+					    "10}]") "]," SERVICES "," TENANTS
+						    ",\"limits\":{"
+						    "\"maxHeaderBytes\":100,"
+						    "\"idleTimeoutMs\":9000},"
+						    "\"unknown\":[]}",
+				    &err);
+	const route_t *route;
+	const service_t *service;
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(table);
+	CU_ASSERT_EQUAL(table->revision, 7);
+	CU_ASSERT_EQUAL(table->limits.header_bytes, 100);
+	CU_ASSERT_EQUAL(table->limits.idle_ms, 9000);
+	route = route_table_find(table, "h.example", "/a/x");
+	CU_ASSERT_PTR_NOT_NULL_FATAL(route);
+	CU_ASSERT_EQUAL(route->kind, ROUTE_STREAM);
+	CU_ASSERT_TRUE(route->resumable);
+	CU_ASSERT_EQUAL(route->weight_sum, 100);
+	CU_ASSERT_EQUAL(route->gap_goal_ms, 200);
+	CU_ASSERT_EQUAL(route->max_attempts, 2);
+	service = route_table_service(table, "llm");
+	CU_ASSERT_TRUE(service->has_engine);
+	CU_ASSERT_EQUAL(service->engine.layers, 80);
+	CU_ASSERT_EQUAL(service->engine.usual_answer, 172);
+	CU_ASSERT_DOUBLE_EQUAL(
+		engine_accelerator(&service->engine, "h100")->size_mb, 72000,
+		1);
+	CU_ASSERT_FALSE(route_table_service(table, "stock")->has_engine);
+	CU_ASSERT_STRING_EQUAL(route_table_customer(table, "k2")->name, "t1");
+	route_table_unref(table);
+}
+
+static void test_refused_configurations(void)
+{
+	static const char
+		*const refused[] = {
+			"",
+			"[]",
+			"{\"version\":7",
+			"{\"routes\":[]," SERVICES "}",
+			"{\"version\":\"7\",\"routes\":[]," SERVICES "}",
+			"{\"version\":0,\"routes\":[]," SERVICES "}",
+			"{\"version\":7," SERVICES "}",
+			"{\"version\":7,\"routes\":[]}",
+			"{\"version\":7,\"routes\":[3]," SERVICES "}",
+			"{\"version\":7,\"routes\":[" ROUTE("") "]," SERVICES
+								"}",
+			"{\"version\":7,\"routes\":[" ROUTE(
+				",\"service\":\"nobody\"") "]," SERVICES "}",
+			"{\"version\":7,\"routes\":[" ROUTE(",\"service\":"
+							    "\"llm\"") "," ROUTE(
+				",\"service\":\"stock\"") "]," SERVICES "}",
+			"{\"version\":7,\"routes\":[" ROUTE(
+				",\"backends\":[{\"service\":\"llm\","
+				"\"weight\":0}]") "]," SERVICES "}",
+			"{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":"
+			"\"h\","
+			"\"pathPrefix\":\"/a/"
+			"\",\"kind\":\"stream\",\"timeoutMs\":0,"
+			"\"service\":\"llm\"}]," SERVICES "}",
+			"{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":"
+			"\"h\","
+			"\"pathPrefix\":\"/a/"
+			"\",\"kind\":\"odd\",\"timeoutMs\":9,"
+			"\"service\":\"llm\"}]," SERVICES "}",
+			"{\"version\":7,\"routes\":[]," SERVICES
+			",\"tenants\":["
+			"{\"name\":\"a\",\"apiKeys\":[\"k\"]},"
+			"{\"name\":\"b\",\"apiKeys\":[\"k\"]}]}",
+		};
+
+	for (size_t i = 0; i < ARRAY_SIZE(refused); i++) {
+		err_t err = ERR_INIT;
+
+		CU_ASSERT_PTR_NULL(read_table(refused[i], &err));
+		CU_ASSERT_EQUAL(err.code, ERR_INVALID);
+		if (!err_is_set(&err))
+			printf("\n  %s\n", refused[i]);
+	}
+}
+
+static http_reader_t reader;
+
+/* Reads "text" as a request or an answer; the caller ends the reader. */
+static const http_message_t *message(enum http_parser_type type,
+				     const char *text)
+{
+	http_reader_init(&reader, type, 10000, 100000);
+	CU_ASSERT_EQUAL(http_reader_feed(&reader, text, strlen(text)),
+			strlen(text));
+	CU_ASSERT_EQUAL(reader.state, HTTP_READ_COMPLETE);
+	return &reader.message;
+}
+
+static bool read_heartbeat(const char *body, endpoint_t *endpoint)
+{
+	char *text = g_strdup_printf(
+		"POST /wisteriadrift/instances/i-7f/heartbeat HTTP/1.1\r\n"
+		"Host: x\r\nContent-Length: %zu\r\n\r\n%s",
+		strlen(body), body);
+	err_t err = ERR_INIT;
+	bool ok = platform_dialect.read_heartbeat(message(HTTP_REQUEST, text),
+						  endpoint, &err);
+
+	CU_ASSERT_EQUAL(ok, !err_is_set(&err));
+	http_reader_finish(&reader);
+	g_free(text);
+	return ok;
+}
+
+#define BEAT(more) \
+	"{\"service\":\"llm\",\"address\":\"10.0.0.9:80\",\"zone\":\"z1\"," \
+	"\"slots\":192,\"seq\":4" more "}"
+
+static void test_heartbeats(void)
+{
+	endpoint_t endpoint;
+
+	CU_ASSERT_TRUE(read_heartbeat(
+		BEAT(",\"state\":\"ready\",\"born\":1700000000123,"
+		     "\"kind\":\"h100\",\"layers\":{\"from\":20,\"to\":31,"
+		     "\"version\":1},\"new\":1"),
+		&endpoint));
+	CU_ASSERT_STRING_EQUAL(endpoint.id, "i-7f");
+	CU_ASSERT_EQUAL(endpoint.incarnation, 1700000000123);
+	CU_ASSERT_EQUAL(endpoint.sequence, 4);
+	CU_ASSERT_EQUAL(endpoint.first_layer, 20);
+	CU_ASSERT_EQUAL(endpoint.end_layer, 31);
+	CU_ASSERT_STRING_EQUAL(endpoint.accelerator, "h100");
+	CU_ASSERT_FALSE(endpoint.draining);
+	CU_ASSERT_TRUE(
+		read_heartbeat(BEAT(",\"state\":\"draining\""), &endpoint));
+	CU_ASSERT_TRUE(endpoint.draining);
+	CU_ASSERT_EQUAL(endpoint.end_layer, 0);
+	CU_ASSERT_TRUE(read_heartbeat(
+		BEAT(",\"state\":\"ready\",\"layers\":null"), &endpoint));
+}
+
+/* Another writer's heartbeats name no endpoint to use. */
+static void test_heartbeats_of_other_writers(void)
+{
+	static const char *const refused[] = {
+		"",
+		"{",
+		"[]",
+		BEAT(""),
+		BEAT(",\"state\":\"resting\""),
+		BEAT(",\"state\":3"),
+		BEAT(",\"state\":\"ready\",\"born\":\"x\""),
+		BEAT(",\"state\":\"ready\",\"born\":1.5"),
+		BEAT(",\"state\":\"ready\",\"kind\":7"),
+		BEAT(",\"state\":\"ready\",\"layers\":{\"from\":9,\"to\":3}"),
+		BEAT(",\"state\":\"ready\",\"layers\":{\"from\":-1,\"to\":3}"),
+		"{\"service\":\"llm\",\"address\":\"10.0.0.9:80\","
+		"\"zone\":\"z1\",\"slots\":\"many\",\"seq\":4,"
+		"\"state\":\"ready\"}",
+		"{\"service\":\"\",\"address\":\"10.0.0.9:80\",\"zone\":\"z1\","
+		"\"slots\":1,\"seq\":4,\"state\":\"ready\"}",
+	};
+	endpoint_t endpoint;
+
+	for (size_t i = 0; i < ARRAY_SIZE(refused); i++)
+		CU_ASSERT_FALSE(read_heartbeat(refused[i], &endpoint));
+}
+
+typedef struct {
+	const char *line;
+	control_call_t call;
+} call_row_t;
+
+static void test_control_calls(void)
+{
+	static const call_row_t rows[] = {
+		{ "POST /wisteriadrift/config/replace",
+		  CONTROL_CALL_PUT_CONFIGURATION },
+		{ "GET /wisteriadrift/config/get",
+		  CONTROL_CALL_GET_CONFIGURATION },
+		{ "POST /wisteriadrift/instances/i-1/heartbeat",
+		  CONTROL_CALL_HEARTBEAT },
+		{ "POST /wisteriadrift/instances/i-1/deregister",
+		  CONTROL_CALL_LEAVE },
+		{ "POST /wisteriadrift/instances//heartbeat",
+		  CONTROL_CALL_UNKNOWN },
+		{ "POST /wisteriadrift/instances/a/b/heartbeat",
+		  CONTROL_CALL_UNKNOWN },
+		{ "GET /wisteriadrift/instances/i-1/heartbeat",
+		  CONTROL_CALL_UNKNOWN },
+		{ "GET /", CONTROL_CALL_UNKNOWN },
+	};
+
+	for (size_t i = 0; i < ARRAY_SIZE(rows); i++) {
+		char *text = g_strdup_printf("%s HTTP/1.1\r\nHost: x\r\n\r\n",
+					     rows[i].line);
+
+		CU_ASSERT_EQUAL(platform_dialect.read_control_call(
+					message(HTTP_REQUEST, text)),
+				rows[i].call);
+		http_reader_finish(&reader);
+		g_free(text);
+	}
+}
+
+static void test_callers(void)
+{
+	caller_request_t caller;
+	err_t err = ERR_INIT;
+
+	CU_ASSERT_TRUE(platform_dialect.read_caller(
+		message(HTTP_REQUEST, "GET /a/ HTTP/1.1\r\nHost: h\r\n"
+				      "X-Wisteriadrift-Request-Id: 9c\r\n"
+				      "X-Wisteriadrift-Token-Count: 1460,80\r\n"
+				      "X-Wisteriadrift-Length-Hint: 50\r\n"
+				      "X-Wisteriadrift-Deadline-Ms: 2500\r\n"
+				      "Last-Event-Id: 12\r\n"
+				      "Authorization: bearer  k1\r\n\r\n"),
+		&caller, &err));
+	CU_ASSERT_STRING_EQUAL(caller.id, "9c");
+	CU_ASSERT_STRING_EQUAL(caller.api_key, "k1");
+	CU_ASSERT_EQUAL(caller.prompt_tokens, 1460);
+	CU_ASSERT_EQUAL(caller.answer_tokens_max, 80);
+	CU_ASSERT_EQUAL(caller.answer_tokens_hint, 50);
+	CU_ASSERT_EQUAL(caller.time_limit_ms, 2500);
+	CU_ASSERT_EQUAL(caller.last_event_id, 12);
+	http_reader_finish(&reader);
+	CU_ASSERT_FALSE(platform_dialect.read_caller(
+		message(HTTP_REQUEST, "GET /a/ HTTP/1.1\r\nHost: h\r\n"
+				      "X-Wisteriadrift-Deadline-Ms: soon\r\n"
+				      "\r\n"),
+		&caller, &err));
+	http_reader_finish(&reader);
+}
+
+/* What an endpoint gets: no key, our own headers once, the body whole. */
+static void test_forward(void)
+{
+	static const forward_hop_t hops[] = { { "10.0.0.1:80", 0, 20 },
+					      { "10.0.0.2:80", 20, 80 } };
+	const forward_t forward = { .endpoint_id = "i-1",
+				    .customer = "t1",
+				    .time_limit_ms = 900,
+				    .last_event_id = 4,
+				    .hops = hops,
+				    .hop_count = 2 };
+	GString *out = g_string_new(NULL);
+
+	platform_dialect.write_forward(
+		message(HTTP_REQUEST,
+			"POST /a/b?c HTTP/1.1\r\nHost: h\r\n"
+			"Authorization: Bearer k1\r\nX-Mine: 1\r\n"
+			"X-Hop: 2\r\nConnection: keep-alive, x-hop\r\n"
+			"X-Wisteriadrift-Tenant: forged\r\n"
+			"X-Wisteriadrift-Hop-Count: forged\r\n"
+			"X-Wisteriadrift-Expect-Instance: forged\r\n"
+			"X-Wisteriadrift-Deadline-Ms: 5000\r\n"
+			"Last-Event-Id: 1\r\n"
+			"Content-Length: 3\r\n\r\nabc"),
+		&forward, out);
+	http_reader_finish(&reader);
+	CU_ASSERT_STRING_EQUAL(
+		out->str, "POST /a/b?c HTTP/1.1\r\nHost: h\r\nX-Mine: 1\r\n"
+			  "X-Wisteriadrift-Deadline-Ms: 900\r\n"
+			  "X-Wisteriadrift-Expect-Instance: i-1\r\n"
+			  "X-Wisteriadrift-Tenant: t1\r\nLast-Event-Id: 4\r\n"
+			  "X-Wisteriadrift-Hop-Count: 10.0.0.1:80=0-20,"
+			  "10.0.0.2:80=20-80\r\n"
+			  "Content-Length: 3\r\nConnection: close\r\n\r\nabc");
+	g_string_free(out, TRUE);
+}
+
+static void test_answers(void)
+{
+	endpoint_answer_t read;
+	GString *out = g_string_new(NULL);
+	const http_message_t *answer;
+
+	answer = message(HTTP_RESPONSE,
+			 "HTTP/1.1 200 OK\r\n"
+			 "X-Wisteriadrift-Request-Id: 9c\r\n"
+			 "X-Wisteriadrift-Response-Stamp: 3e.1\r\n"
+			 "Connection: close\r\nKeep-Alive: timeout=5\r\n"
+			 "Content-Length: 0\r\n\r\n");
+	platform_dialect.read_answer(answer, &read);
+	CU_ASSERT_STRING_EQUAL(read.request_id, "9c");
+	CU_ASSERT_TRUE(read.stamped);
+	CU_ASSERT_FALSE(read.not_run);
+	platform_dialect.write_answer_headers(answer, out);
+	CU_ASSERT_STRING_EQUAL(out->str,
+			       "X-Wisteriadrift-Request-Id: 9c\r\n"
+			       "X-Wisteriadrift-Response-Stamp: 3e.1\r\n");
+	http_reader_finish(&reader);
+	platform_dialect.read_answer(
+		message(HTTP_RESPONSE,
+			"HTTP/1.1 503 No\r\nX-Wisteriadrift-Not-Executed: 1\r\n"
+			"At-Server: 10.0.0.2:80\r\nContent-Length: 0\r\n\r\n"),
+		&read);
+	CU_ASSERT_TRUE(read.not_run);
+	CU_ASSERT_STRING_EQUAL(read.faulty_address, "10.0.0.2:80");
+	http_reader_finish(&reader);
+	platform_dialect.read_answer(message(HTTP_RESPONSE,
+					     "HTTP/1.1 421 No\r\n"
+					     "Content-Length: 0\r\n\r\n"),
+				     &read);
+	CU_ASSERT_TRUE(read.not_run);
+	http_reader_finish(&reader);
+	platform_dialect.read_answer(message(HTTP_RESPONSE,
+					     "HTTP/1.1 503 No\r\n"
+					     "Content-Length: 0\r\n\r\n"),
+				     &read);
+	CU_ASSERT_FALSE(read.not_run);
+	http_reader_finish(&reader);
+	g_string_free(out, TRUE);
+}
+
+static void test_own_headers_and_orders(void)
+{
+	const caller_request_t caller = { .id = "9c" };
+	const place_order_t order = { .address = "10.0.0.9:80",
+				      .fencing_token = 5,
+				      .first_layer = 20,
+				      .end_layer = 31 };
+	GString *out = g_string_new(NULL);
+
+	platform_dialect.write_own_headers(&caller, 500, out);
+	CU_ASSERT_STRING_EQUAL(out->str, "Content-Type: text/plain\r\n"
+					 "X-Wisteriadrift-Request-Id: 9c\r\n"
+					 "Retry-After: 0.50\r\n");
+	g_string_truncate(out, 0);
+	platform_dialect.write_place_order(&order, out);
+	CU_ASSERT_PTR_NOT_NULL(strstr(out->str,
+				      "{\"op\":\"place\",\"from\":20,\"to\":31,"
+				      "\"method\":\"queue\",\"fence\":5}"));
+	g_string_free(out, TRUE);
+}
+
+static void test_reports(void)
+{
+	engine_report_t report;
+
+	CU_ASSERT_TRUE(platform_dialect.read_probe(
+		message(HTTP_RESPONSE,
+			"HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\n"
+			"{\"pace\": 12.5}"),
+		&report));
+	CU_ASSERT_DOUBLE_EQUAL(report.pace, 12.5, 0.01);
+	http_reader_finish(&reader);
+	CU_ASSERT_FALSE(platform_dialect.read_probe(
+		message(HTTP_RESPONSE,
+			"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nnone"),
+		&report));
+	http_reader_finish(&reader);
+}
+
+static const unit_test_t tests[] = {
+	{ "configuration", test_configuration },
+	{ "refused configurations", test_refused_configurations },
+	{ "heartbeats", test_heartbeats },
+	{ "heartbeats of other writers", test_heartbeats_of_other_writers },
+	{ "control calls", test_control_calls },
+	{ "callers", test_callers },
+	{ "forward", test_forward },
+	{ "answers", test_answers },
+	{ "own headers and orders", test_own_headers_and_orders },
+	{ "reports", test_reports },
+};
+
+int main(void)
+{
+	return unit_run("platform", tests, ARRAY_SIZE(tests));
+}
--- /dev/null
+++ b/test/unit/usage_test.c
@@ -0,0 +1,69 @@
+/* Unit tests of how much of each endpoint is in use. */
+#include "unit.h"
+
+#include "wisteria/gateway/usage.h"
+
+static void test_own_requests(void)
+{
+	usage_t usage;
+
+	usage_init(&usage);
+	usage_begin(&usage, "i-1", 900);
+	usage_begin(&usage, "i-1", 100);
+	CU_ASSERT_EQUAL(usage_requests(&usage, "i-1"), 2);
+	CU_ASSERT_DOUBLE_EQUAL(usage_tokens(&usage, "i-1", 0), 1000, 0.1);
+	usage_end(&usage, "i-1", 900);
+	usage_end(&usage, "i-1", 100);
+	usage_end(&usage, "i-1", 100);
+	CU_ASSERT_EQUAL(usage_requests(&usage, "i-1"), 0);
+	CU_ASSERT_DOUBLE_EQUAL(usage_tokens(&usage, "i-1", 0), 0, 0.1);
+	usage_finish(&usage);
+}
+
+/* A report replaces the one before; an old one does not count. */
+static void test_reports_of_others(void)
+{
+	const msg_fleet_use_t uses[] = { { .id = "i-1", .tokens = 500 },
+					 { .id = "i-2", .tokens = 300 } };
+	msg_fleet_load_t load = { .entry = "e2", .uses = uses, .use_count = 2 };
+	usage_t usage;
+
+	usage_init(&usage);
+	usage_begin(&usage, "i-1", 100);
+	usage_take(&usage, &load, 1000);
+	CU_ASSERT_DOUBLE_EQUAL(usage_tokens(&usage, "i-1", 1000), 600, 0.1);
+	load.use_count = 1;
+	usage_take(&usage, &load, 1500);
+	CU_ASSERT_DOUBLE_EQUAL(usage_tokens(&usage, "i-1", 1500), 600, 0.1);
+	CU_ASSERT_DOUBLE_EQUAL(usage_tokens(&usage, "i-2", 1500), 0, 0.1);
+	CU_ASSERT_DOUBLE_EQUAL(
+		usage_tokens(&usage, "i-1", 1500 + USAGE_FRESH_MS), 100, 0.1);
+	usage_finish(&usage);
+}
+
+static void test_own_report(void)
+{
+	msg_fleet_use_t *list;
+	usage_t usage;
+	size_t count;
+
+	usage_init(&usage);
+	usage_begin(&usage, "i-1", 700);
+	list = usage_list(&usage, &count);
+	CU_ASSERT_EQUAL(count, 1);
+	CU_ASSERT_STRING_EQUAL(list[0].id, "i-1");
+	CU_ASSERT_DOUBLE_EQUAL(list[0].tokens, 700, 0.1);
+	g_free(list);
+	usage_finish(&usage);
+}
+
+static const unit_test_t tests[] = {
+	{ "own requests", test_own_requests },
+	{ "reports of others", test_reports_of_others },
+	{ "own report", test_own_report },
+};
+
+int main(void)
+{
+	return unit_run("usage", tests, ARRAY_SIZE(tests));
+}
