Say less between processes: sums of load, signs of life, packed documents

Change: entries report to the leader, which tells the sum; an endpoint that says the same as before is only said to live, and described in full every 10 s; documents are packed with zlib, in the log and on the wire.

--- a/scripts/install-deps.sh
+++ b/scripts/install-deps.sh
@@ -6,7 +6,8 @@
 packages="build-essential cmake pkg-config clang clang-format clang-tidy
 	cppcheck libclang-rt-14-dev libck-dev libmsgpack-dev libuv1-dev
 	libmicrohttpd-dev libcurl4-openssl-dev libglib2.0-dev libcunit1-dev
-	libcyaml-dev libhttp-parser-dev libjansson-dev libxxhash-dev libsodium-dev libgsl-dev curl"
+	libcyaml-dev libhttp-parser-dev libjansson-dev libxxhash-dev libsodium-dev libgsl-dev
+	zlib1g-dev curl"
 
 missing=
 for package in $packages
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -8,12 +8,12 @@
 clang-format --dry-run --Werror $sources
 
 cppcheck --quiet --error-exitcode=1 --enable=warning,portability \
-	--inline-suppr --std=c11 -j "$(nproc)" -I src \
+	--inline-suppr --std=c11 -j "$(nproc)" -I src -I . \
 	--library=scripts/cppcheck-macros.cfg \
 	--suppress=missingInclude --suppress=checkersReport \
-	src bench test
+	src platform bench test
 
-git ls-files -co --exclude-standard 'src/*.c' 'bench/*.c' 'test/*.c' |
+git ls-files -co --exclude-standard 'src/*.c' 'platform/*.c' 'bench/*.c' 'test/*.c' |
 	grep -v '_fuzz\.c$' |
 	xargs -P "$(nproc)" -n 4 clang-tidy --quiet -p build/release \
 		2>/dev/null
--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -1,65 +1,85 @@
 #!/bin/sh
-# Everything that CI runs: build, formatter and linters, unit and functional
-# tests, the same tests under ASan and UBSan, and the fuzz targets.  A check
-# named in KNOWN-RED.txt may fail; it is printed, and any other failure fails
-# the run.
+# Everything that CI runs: builds, formatter and linters, unit and functional
+# tests, the same tests under ASan and UBSan, and the fuzz targets, several
+# checks side by side (TEST_JOBS).  A check named in KNOWN-RED.txt may fail; it
+# is printed, and any other failure fails the run.
 set -u
 cd "$(dirname "$0")/.."
 
+jobs=${TEST_JOBS:-4}
 passed=0
 failed=0
 known_red=0
+number=0
+rm -rf build/results
+mkdir -p build/results
 
-check () {
-	name=$1
-	shift
-	echo "== $name"
-	if "$@"
+# Adds a check to the list of the present phase.
+add () {
+	number=$((number + 1))
+	echo "$1 $number $2" >>build/results/list
+}
+
+# Runs the list, longest checks first as they stand in it.
+run_list () {
+	xargs -P "$1" -L 1 sh scripts/run-check.sh <build/results/list
+	cat build/results/list >>build/results/all
+	rm build/results/list
+}
+
+add_tests () {
+	for test_name in $(ctest --test-dir "$1" -N |
+		sed -n 's/^ *Test *#[0-9]*: //p' | grep "^$3")
+	do
+		add "$2$test_name" \
+			"ctest --test-dir $1 -R ^$test_name\$ --output-on-failure"
+	done
+}
+
+# Counts one check and prints the output of one that failed.
+count () {
+	base=build/results/$(echo "$1" | tr / +)
+	status=$(cat "$base.status" 2>/dev/null || echo "not run")
+	if test "$status" = 0
 	then
 		passed=$((passed + 1))
-		if grep -q "^test: $name\$" KNOWN-RED.txt
+		if grep -q "^test: $1\$" KNOWN-RED.txt
 		then
-			echo "known red, but passed: $name"
+			echo "known red, but passed: $1"
 		fi
-	elif grep -q "^test: $name\$" KNOWN-RED.txt
+	elif grep -q "^test: $1\$" KNOWN-RED.txt
 	then
 		known_red=$((known_red + 1))
-		echo "known red: $name"
+		echo "known red: $1"
 	else
 		failed=$((failed + 1))
-		echo "FAILED: $name"
+		echo "== $1"
+		tail -n 100 "$base.log"
+		echo "FAILED: $1"
 	fi
 }
 
-# Runs one test; prints its output only if it fails.
-run_one () {
-	ctest --test-dir "$1" -R "^$2\$" --output-on-failure \
-		>build/test.log 2>&1 && return 0
-	cat build/test.log
-	return 1
-}
+add build "make --no-print-directory build"
+add sanitize "make --no-print-directory sanitize"
+add fuzz-build "make --no-print-directory fuzz-build"
+run_list 3
 
-ctest_each () {
-	directory=$1
-	label=$2
-	for test_name in $(ctest --test-dir "$directory" -N |
-		sed -n 's/^ *Test *#[0-9]*: //p')
-	do
-		check "$label$test_name" run_one "$directory" "$test_name"
-	done
-}
-
-check build make --no-print-directory build
-check lint sh scripts/lint.sh
-ctest_each build/release ''
-check sanitize make --no-print-directory sanitize
-ctest_each build/sanitize sanitize/
-check fuzz-build make --no-print-directory fuzz-build
+add_tests build/sanitize sanitize/ functional/
+add_tests build/release '' functional/
+add lint "sh scripts/lint.sh"
 for source in test/fuzz/*_fuzz.c
 do
 	target=$(basename "$source" .c)
-	check "fuzz/$target" sh scripts/fuzz.sh "$target"
+	add "fuzz/$target" "sh scripts/fuzz.sh $target"
 done
+add_tests build/sanitize sanitize/ unit/
+add_tests build/release '' unit/
+run_list "$jobs"
+
+while read -r name rest
+do
+	count "$name"
+done <build/results/all
 
 test "$known_red" -eq 0 || echo "known red, failing: $known_red"
 echo "$passed passed, $failed failed"
--- a/src/wisteria/codec/msg.c
+++ b/src/wisteria/codec/msg.c
@@ -471,7 +471,7 @@
 static const field_desc_t fleet_renew_reply_fields[] = {
 	FIELD(FIELD_I64, msg_fleet_renew_reply_t, asked_ms),
 	FIELD(FIELD_U64, msg_fleet_renew_reply_t, revision),
-	FIELD(FIELD_BYTES, msg_fleet_renew_reply_t, document),
+	FIELD(FIELD_BYTES, msg_fleet_renew_reply_t, packed_document),
 	FIELD_LIST_OF(msg_fleet_renew_reply_t, controls, control_count,
 		      &msg_fleet_control_desc),
 	FIELD(FIELD_U32, msg_fleet_renew_reply_t, subscribers),
@@ -498,9 +498,20 @@
 static const record_desc_t msg_fleet_endpoint_desc =
 	RECORD_DESC(msg_fleet_endpoint_t, fleet_endpoint_fields);
 
+static const field_desc_t fleet_alive_fields[] = {
+	FIELD(FIELD_STR, msg_fleet_alive_t, id),
+	FIELD(FIELD_U64, msg_fleet_alive_t, incarnation),
+	FIELD(FIELD_U64, msg_fleet_alive_t, sequence),
+	FIELD(FIELD_I64, msg_fleet_alive_t, age_ms),
+};
+static const record_desc_t msg_fleet_alive_desc =
+	RECORD_DESC(msg_fleet_alive_t, fleet_alive_fields);
+
 static const field_desc_t fleet_endpoints_fields[] = {
 	FIELD_LIST_OF(msg_fleet_endpoints_t, endpoints, endpoint_count,
 		      &msg_fleet_endpoint_desc),
+	FIELD_LIST_OF(msg_fleet_endpoints_t, alive, alive_count,
+		      &msg_fleet_alive_desc),
 };
 static const record_desc_t msg_fleet_endpoints_desc =
 	RECORD_DESC(msg_fleet_endpoints_t, fleet_endpoints_fields);
--- a/src/wisteria/codec/msg_defs.h
+++ b/src/wisteria/codec/msg_defs.h
@@ -610,13 +610,13 @@
 } msg_fleet_meet_t;
 
 /*
- * Confirmed by a quorum after it was asked for.  "document" is empty where
+ * Confirmed by a quorum after it was asked for.  The document is empty where
  * the asker holds "revision" already.
  */
 typedef struct {
 	int64_t asked_ms;
 	uint64_t revision;
-	bytes_t document;
+	bytes_t packed_document;
 	const msg_fleet_control_t *controls; /* members of the group */
 	size_t control_count;
 	uint32_t subscribers; /* entries that renew here */
@@ -640,9 +640,19 @@
 	int64_t age_ms;
 } msg_fleet_endpoint_t;
 
+/* An endpoint that says the same as before; only that it lives. */
+typedef struct {
+	const char *id;
+	uint64_t incarnation;
+	uint64_t sequence;
+	int64_t age_ms;
+} msg_fleet_alive_t;
+
 typedef struct {
 	const msg_fleet_endpoint_t *endpoints;
 	size_t endpoint_count;
+	const msg_fleet_alive_t *alive;
+	size_t alive_count;
 } msg_fleet_endpoints_t;
 
 /* Tokens of the requests that one entry has under way at an endpoint. */
@@ -651,7 +661,10 @@
 	double tokens;
 } msg_fleet_use_t;
 
-/* What one entry uses of the endpoints; all it does not name it leaves. */
+/*
+ * What one entry uses of the endpoints, to the leader, or what all of them
+ * use, from the leader ("entry" is empty); what is not named is not used.
+ */
 typedef struct {
 	const char *entry;
 	uint64_t sequence;
--- a/src/wisteria/fleet/fleet_api.c
+++ b/src/wisteria/fleet/fleet_api.c
@@ -262,13 +262,27 @@
 	}
 }
 
-/* A quorum has confirmed what is held: answers an operator's call. */
-void fleet_api_confirmed(fleet_control_t *control, fleet_read_t *read)
+static void show_configuration(const fleet_control_t *control,
+			       http_conn_t *conn)
 {
+	err_t err = ERR_INIT;
+	GBytes *document = revisions_document(&control->revisions, &err);
+	const void *data;
 	gsize len = 0;
-	const void *document =
-		g_bytes_get_data(control->revisions.document, &len);
 
+	if (document == NULL) {
+		log_err(G_LOG_LEVEL_CRITICAL, "revision_unreadable", &err);
+		refuse(conn, 500, "the configuration held is damaged");
+		return;
+	}
+	data = g_bytes_get_data(document, &len);
+	http_conn_reply(conn, 200, JSON_HEADER, data, len);
+	g_bytes_unref(document);
+}
+
+/* A quorum has confirmed what is held: answers an operator's call. */
+void fleet_api_confirmed(fleet_control_t *control, fleet_read_t *read)
+{
 	if (read->http == NULL)
 		return;
 	if (read->is_write) {
@@ -279,7 +293,7 @@
 	} else if (control->revisions.number == 0) {
 		refuse(read->http, 503, "there is no configuration yet");
 	} else {
-		http_conn_reply(read->http, 200, JSON_HEADER, document, len);
+		show_configuration(control, read->http);
 	}
 }
 
--- a/src/wisteria/fleet/fleet_control.c
+++ b/src/wisteria/fleet/fleet_control.c
@@ -88,17 +88,28 @@
 	g_free(list);
 }
 
+static void send_all_endpoints(const fleet_control_t *control, conn_t *conn)
+{
+	GPtrArray *all = fleet_news_of(&control->registry, NULL);
+	msg_fleet_endpoints_t message;
+	fleet_news_t news;
+
+	fleet_news_init(&news, all, NULL, now_of(control));
+	message = fleet_news_message(&news);
+	conn_send(conn, MSG_FLEET_ENDPOINTS, &message);
+	fleet_news_finish(&news);
+	g_ptr_array_unref(all);
+}
+
 static void take_subscriber(fleet_control_t *control, conn_t *conn,
 			    const void *body)
 {
 	const msg_fleet_subscribe_t *subscribe = body;
-	GPtrArray *all = fleet_news_of(&control->registry, NULL);
 
 	conn->user = subscribe->is_entry ? control : NULL;
 	g_ptr_array_add(control->subscribers, conn);
 	send_met(control, conn);
-	fleet_news_send(conn, all, now_of(control));
-	g_ptr_array_unref(all);
+	send_all_endpoints(control, conn);
 }
 
 static void take_renewal(fleet_control_t *control, conn_t *conn,
@@ -126,13 +137,9 @@
 
 static void take_load(fleet_control_t *control, conn_t *conn, const void *body)
 {
+	(void)conn;
 	note_slow(control, body);
-	for (guint i = 0; i < control->subscribers->len; i++) {
-		conn_t *other = g_ptr_array_index(control->subscribers, i);
-
-		if (other != conn)
-			conn_send(other, MSG_FLEET_LOAD, body);
-	}
+	load_sum_take(&control->load, body, now_of(control));
 }
 
 static void take_raft(fleet_control_t *control, conn_t *conn, const void *body)
@@ -167,9 +174,14 @@
 		send_met(control, g_ptr_array_index(control->subscribers, i));
 }
 
+/* An instance without a replica has to tell all that it heard. */
 static void on_control_opened(subscription_handler_t *handler, conn_t *conn)
 {
-	send_met(of_subscription(handler), conn);
+	fleet_control_t *control = of_subscription(handler);
+
+	send_met(control, conn);
+	if (control->settings->fleet->data_dir == NULL)
+		send_all_endpoints(control, conn);
 }
 
 static void on_meeting(subscription_handler_t *handler,
@@ -191,6 +203,13 @@
 	       known->sequence == news->sequence;
 }
 
+static bool touch(fleet_control_t *control, const msg_fleet_alive_t *alive,
+		  clock_ms_t now)
+{
+	return registry_touch(&control->registry, alive->id, alive->incarnation,
+			      alive->sequence, now - alive->age_ms);
+}
+
 /*
  * What an instance without a replica has heard from endpoints.  It is passed
  * on also where it has come another way already: the subscribers here may
@@ -211,6 +230,10 @@
 		if (is_newest(control, &endpoint))
 			g_hash_table_add(control->fresh, g_strdup(endpoint.id));
 	}
+	for (size_t i = 0; i < news->alive_count; i++)
+		if (touch(control, &news->alive[i], now))
+			g_hash_table_add(control->fresh,
+					 g_strdup(news->alive[i].id));
 }
 
 typedef void (*message_handler_t)(fleet_control_t *control, conn_t *conn,
@@ -237,19 +260,23 @@
 static void follow_revision(fleet_control_t *control)
 {
 	err_t err = ERR_INIT;
+	GBytes *document = revisions_document(&control->revisions, &err);
+	route_table_t *table = NULL;
+	const void *data;
 	gsize len = 0;
-	const void *document =
-		g_bytes_get_data(control->revisions.document, &len);
-	route_table_t *table =
-		control->dialect->read_configuration(document, len, &err);
 
+	control->table_is_old = false;
+	if (document != NULL) {
+		data = g_bytes_get_data(document, &len);
+		table = control->dialect->read_configuration(data, len, &err);
+		g_bytes_unref(document);
+	}
 	if (table == NULL) {
 		log_err(G_LOG_LEVEL_CRITICAL, "revision_unreadable", &err);
 		return;
 	}
 	route_table_unref(control->table);
 	control->table = table;
-	control->table_is_old = false;
 	LOG_INFO("revision_in_force",
 		 "revision=%" G_GUINT64_FORMAT " routes=%u customers=%u",
 		 table->revision, table->routes->len, table->customers->len);
@@ -270,11 +297,7 @@
 
 static void machine_snapshot(replica_machine_t *machine, msgpack_sbuffer *out)
 {
-	const revisions_t *revisions = &of_machine(machine)->revisions;
-	gsize len = 0;
-	const void *document = g_bytes_get_data(revisions->document, &len);
-
-	revisions_encode(revisions->number, document, len, out);
+	revisions_snapshot(&of_machine(machine)->revisions, out);
 }
 
 static bool machine_restore(replica_machine_t *machine, const uint8_t *data,
@@ -323,8 +346,8 @@
 			reply.leader = members->items[i].address;
 	}
 	if (read->held != revisions->number)
-		reply.document.data = g_bytes_get_data(revisions->document,
-						       &reply.document.len);
+		reply.packed_document.data = g_bytes_get_data(
+			revisions->packed, &reply.packed_document.len);
 	conn_send(read->conn, MSG_FLEET_RENEW_REPLY, &reply);
 }
 
@@ -380,6 +403,8 @@
 		fleet_news_read(&news->endpoints[i], now, &endpoint);
 		registry_take(&control->registry, &endpoint, endpoint.heard_ms);
 	}
+	for (size_t i = 0; i < news->alive_count; i++)
+		touch(control, &news->alive[i], now);
 }
 
 /* Only an instance without a replica asks. */
@@ -396,7 +421,8 @@
 static void on_load(subscription_handler_t *handler,
 		    const msg_fleet_load_t *load)
 {
-	note_slow(of_subscription(handler), load);
+	(void)handler;
+	(void)load;
 }
 
 static void on_paces(subscription_handler_t *handler,
@@ -427,21 +453,58 @@
 
 static void send_news(fleet_control_t *control)
 {
+	msg_fleet_endpoints_t message;
+	fleet_news_t news;
 	GPtrArray *fresh;
 
 	if (g_hash_table_size(control->fresh) == 0)
 		return;
 	fresh = fleet_news_of(&control->registry, control->fresh);
+	fleet_news_init(&news, fresh, &control->told, now_of(control));
+	message = fleet_news_message(&news);
 	if (control->settings->fleet->data_dir == NULL)
-		fleet_news_send_up(&control->subscription, fresh,
-				   now_of(control));
+		subscription_send_all(&control->subscription,
+				      MSG_FLEET_ENDPOINTS, &message);
 	for (guint i = 0; i < control->subscribers->len; i++)
-		fleet_news_send(g_ptr_array_index(control->subscribers, i),
-				fresh, now_of(control));
+		conn_send(g_ptr_array_index(control->subscribers, i),
+			  MSG_FLEET_ENDPOINTS, &message);
+	fleet_news_finish(&news);
 	g_ptr_array_unref(fresh);
 	g_hash_table_remove_all(control->fresh);
 }
 
+/* Tells the entries what all of them use. */
+static void send_load(fleet_control_t *control, clock_ms_t now)
+{
+	msg_fleet_load_t load = { .entry = "" };
+	msg_fleet_use_t *uses;
+	GHashTableIter iter;
+	GHashTable *total;
+	gpointer id;
+	gpointer tokens;
+
+	if (now - control->load_told_ms < FLEET_LOAD_MS)
+		return;
+	control->load_told_ms = now;
+	total = load_sum_total(&control->load, now);
+	uses = g_new(msg_fleet_use_t, g_hash_table_size(total) + 1);
+	load.uses = uses;
+	g_hash_table_iter_init(&iter, total);
+	while (g_hash_table_iter_next(&iter, &id, &tokens))
+		uses[load.use_count++] = (msg_fleet_use_t){
+			.id = id,
+			.tokens = *(double *)tokens,
+		};
+	for (guint i = 0; i < control->subscribers->len; i++) {
+		conn_t *conn = g_ptr_array_index(control->subscribers, i);
+
+		if (conn->user != NULL)
+			conn_send(conn, MSG_FLEET_LOAD, &load);
+	}
+	g_free(uses);
+	g_hash_table_destroy(total);
+}
+
 /* Names the slow engines to the entries, also when there are none any more. */
 static void send_paces(fleet_control_t *control, clock_ms_t now)
 {
@@ -592,6 +655,7 @@
 		    control->paces_told > 0)
 			prober_act(&control->prober, control->table);
 		send_paces(control, now);
+		send_load(control, now);
 		placer_act(&control->placer, control->table,
 			   control->replica.raft.term);
 	} else {
@@ -674,11 +738,13 @@
 	     settings->fleet->data_dir != NULL);
 	revisions_init(&control->revisions);
 	registry_init(&control->registry);
+	fleet_told_init(&control->told);
 	control->fresh =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	control->subscribers = g_ptr_array_new();
 	control->reads = g_array_new(FALSE, FALSE, sizeof(fleet_read_t));
 	control->writes = g_array_new(FALSE, FALSE, sizeof(fleet_write_t));
+	load_sum_init(&control->load);
 	prober_init(&control->prober, net->loop, dialect, &control->registry,
 		    net->clock);
 	placer_init(&control->placer, net->loop, dialect, &control->registry,
@@ -733,6 +799,7 @@
 	subscription_finish(&control->subscription);
 	placer_finish(&control->placer);
 	prober_finish(&control->prober);
+	load_sum_finish(&control->load);
 	if (control->replicates) {
 		replica_finish(&control->replica);
 		registry_file_finish(&control->registry_file);
@@ -742,6 +809,7 @@
 	registry_finish(&control->registry);
 	revisions_finish(&control->revisions);
 	route_table_unref(control->table);
+	fleet_told_finish(&control->told);
 	g_hash_table_destroy(control->fresh);
 	g_ptr_array_unref(control->subscribers);
 	g_array_unref(control->reads);
--- a/src/wisteria/fleet/fleet_control_defs.h
+++ b/src/wisteria/fleet/fleet_control_defs.h
@@ -5,6 +5,8 @@
 
 #include "wisteria/control/replica_defs.h"
 #include "wisteria/fleet/dialect.h"
+#include "wisteria/fleet/fleet_news.h"
+#include "wisteria/fleet/load_sum.h"
 #include "wisteria/fleet/placer_defs.h"
 #include "wisteria/fleet/prober.h"
 #include "wisteria/fleet/registry_defs.h"
@@ -17,6 +19,8 @@
 
 /* Heartbeats are passed on to subscribers together, this often. */
 #define FLEET_NEWS_MS 200
+/* The sum of what entries use is told this often, as they report it. */
+#define FLEET_LOAD_MS 500
 /* Engines are probed for this long after an entry found streams slow. */
 #define FLEET_SLOW_MS 3000
 /* Slow engines are named again this often, for entries that came since. */
@@ -76,6 +80,7 @@
 	bool table_is_old;    /* a newer revision was applied since */
 	registry_t registry;
 	registry_file_t registry_file; /* used with a data folder only */
+	fleet_told_t told;	       /* to all subscribers */
 	GHashTable *fresh; /* ids of endpoints heard here, to be passed on */
 	GPtrArray *subscribers; /* of conn_t */
 	GArray *reads;		/* of fleet_read_t */
@@ -84,6 +89,8 @@
 	http_server_t http;
 	subscription_t subscription; /* to the other control instances */
 	placer_t placer;
+	load_sum_t load;
+	clock_ms_t load_told_ms;
 	prober_t prober;
 	clock_ms_t slow_ms; /* when an entry last found streams slow */
 	size_t paces_told;  /* engines named as slow last time */
--- a/src/wisteria/fleet/fleet_news.c
+++ b/src/wisteria/fleet/fleet_news.c
@@ -2,8 +2,7 @@
 #include "wisteria/fleet/fleet_news.h"
 
 #include "wisteria/codec/msg.h"
-#include "wisteria/fleet/subscription.h"
-#include "wisteria/net/conn.h"
+#include "wisteria/fleet/registry.h"
 
 static msg_fleet_endpoint_t message_of(const endpoint_t *endpoint,
 				       clock_ms_t now)
@@ -25,42 +24,86 @@
 	};
 }
 
-/* Makes a message of "endpoints"; the caller frees its list. */
-static msg_fleet_endpoints_t news_of(const GPtrArray *endpoints, clock_ms_t now)
+typedef struct {
+	endpoint_t endpoint;
+	clock_ms_t told_ms;
+} told_endpoint_t;
+
+/* Nothing has been told yet. */
+void fleet_told_init(fleet_told_t *told)
 {
-	msg_fleet_endpoint_t *list =
-		g_new(msg_fleet_endpoint_t, endpoints->len + 1);
+	told->by_id =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+}
 
-	for (guint i = 0; i < endpoints->len; i++)
-		list[i] = message_of(g_ptr_array_index(endpoints, i), now);
-	return (msg_fleet_endpoints_t){
-		.endpoints = list,
-		.endpoint_count = endpoints->len,
-	};
+/* Frees what is held. */
+void fleet_told_finish(fleet_told_t *told)
+{
+	g_hash_table_destroy(told->by_id);
 }
 
-static void free_news(const msg_fleet_endpoints_t *news)
+/* Whether it is enough to say that "endpoint" lives. */
+static bool is_told(fleet_told_t *told, const endpoint_t *endpoint,
+		    clock_ms_t now)
 {
-	g_free((gpointer)(uintptr_t)news->endpoints);
+	told_endpoint_t *known;
+
+	if (told == NULL)
+		return false;
+	known = g_hash_table_lookup(told->by_id, endpoint->id);
+	if (known != NULL && now - known->told_ms < FLEET_NEWS_FULL_MS &&
+	    endpoint_says_the_same(&known->endpoint, endpoint))
+		return true;
+	known = g_new(told_endpoint_t, 1);
+	known->endpoint = *endpoint;
+	known->told_ms = now;
+	g_hash_table_replace(told->by_id, g_strdup(endpoint->id), known);
+	return false;
 }
 
-/* Sends what is known of "endpoints", of const endpoint_t. */
-void fleet_news_send(conn_t *conn, const GPtrArray *endpoints, clock_ms_t now)
+/*
+ * Makes news of "endpoints", of const endpoint_t.  What "told" knows to be the
+ * same as before is only said to live; NULL describes everything in full.
+ */
+void fleet_news_init(fleet_news_t *news, const GPtrArray *endpoints,
+		     fleet_told_t *told, clock_ms_t now)
 {
-	msg_fleet_endpoints_t news = news_of(endpoints, now);
+	news->full = g_array_new(FALSE, FALSE, sizeof(msg_fleet_endpoint_t));
+	news->alive = g_array_new(FALSE, FALSE, sizeof(msg_fleet_alive_t));
+	for (guint i = 0; i < endpoints->len; i++) {
+		const endpoint_t *endpoint = g_ptr_array_index(endpoints, i);
+		msg_fleet_endpoint_t full = message_of(endpoint, now);
+		msg_fleet_alive_t alive = {
+			.id = endpoint->id,
+			.incarnation = endpoint->incarnation,
+			.sequence = endpoint->sequence,
+			.age_ms = full.age_ms,
+		};
 
-	conn_send(conn, MSG_FLEET_ENDPOINTS, &news);
-	free_news(&news);
+		if (is_told(told, endpoint, now))
+			g_array_append_val(news->alive, alive);
+		else
+			g_array_append_val(news->full, full);
+	}
 }
 
-/* Sends the same to every control instance subscribed to. */
-void fleet_news_send_up(subscription_t *subscription,
-			const GPtrArray *endpoints, clock_ms_t now)
+/* Frees what the news hold. */
+void fleet_news_finish(fleet_news_t *news)
 {
-	msg_fleet_endpoints_t news = news_of(endpoints, now);
+	g_array_unref(news->full);
+	g_array_unref(news->alive);
+}
 
-	subscription_send_all(subscription, MSG_FLEET_ENDPOINTS, &news);
-	free_news(&news);
+/* Returns the message; it is good while the news are. */
+msg_fleet_endpoints_t fleet_news_message(const fleet_news_t *news)
+{
+	return (msg_fleet_endpoints_t){
+		.endpoints =
+			(const msg_fleet_endpoint_t *)(void *)news->full->data,
+		.endpoint_count = news->full->len,
+		.alive = (const msg_fleet_alive_t *)(void *)news->alive->data,
+		.alive_count = news->alive->len,
+	};
 }
 
 /*
@@ -86,10 +129,13 @@
 		       msgpack_sbuffer *out)
 {
 	GPtrArray *all = fleet_news_of(registry, NULL);
-	msg_fleet_endpoints_t news = news_of(all, now);
+	msg_fleet_endpoints_t message;
+	fleet_news_t news;
 
-	msg_encode(MSG_FLEET_ENDPOINTS, &news, out);
-	free_news(&news);
+	fleet_news_init(&news, all, NULL, now);
+	message = fleet_news_message(&news);
+	msg_encode(MSG_FLEET_ENDPOINTS, &message, out);
+	fleet_news_finish(&news);
 	g_ptr_array_unref(all);
 }
 
--- a/src/wisteria/fleet/fleet_news.h
+++ b/src/wisteria/fleet/fleet_news.h
@@ -2,15 +2,30 @@
 #define WISTERIA_FLEET_FLEET_NEWS_H
 
 #include "wisteria/base/macros_defs.h"
+#include "wisteria/codec/msg_defs.h"
 #include "wisteria/fleet/registry_defs.h"
-#include "wisteria/fleet/subscription_defs.h"
-#include "wisteria/net/net_defs.h"
 
-void fleet_news_send(conn_t *conn, const GPtrArray *endpoints,
-		     clock_ms_t now) ATTR_NONNULL_ALL;
-void fleet_news_send_up(subscription_t *subscription,
-			const GPtrArray *endpoints,
-			clock_ms_t now) ATTR_NONNULL_ALL;
+/* An endpoint is described in full again this often, for whoever missed it. */
+#define FLEET_NEWS_FULL_MS 10000
+
+/* What subscribers have been told in full. */
+typedef struct {
+	GHashTable *by_id; /* endpoint id -> told_endpoint_t */
+} fleet_told_t;
+
+/* News for several subscribers; the strings are those of the registry. */
+typedef struct {
+	GArray *full;  /* of msg_fleet_endpoint_t */
+	GArray *alive; /* of msg_fleet_alive_t */
+} fleet_news_t;
+
+void fleet_told_init(fleet_told_t *told) ATTR_NONNULL_ALL;
+void fleet_told_finish(fleet_told_t *told) ATTR_NONNULL_ALL;
+void fleet_news_init(fleet_news_t *news, const GPtrArray *endpoints,
+		     fleet_told_t *told, clock_ms_t now) ATTR_NONNULL(1, 2);
+void fleet_news_finish(fleet_news_t *news) ATTR_NONNULL_ALL;
+msg_fleet_endpoints_t
+fleet_news_message(const fleet_news_t *news) ATTR_NONNULL_ALL;
 GPtrArray *fleet_news_of(const registry_t *registry, GHashTable *ids)
 	ATTR_NONNULL(1) ATTR_WARN_UNUSED;
 void fleet_news_encode(const registry_t *registry, clock_ms_t now,
--- /dev/null
+++ b/src/wisteria/fleet/load_sum.h
@@ -0,0 +1,25 @@
+#ifndef WISTERIA_FLEET_LOAD_SUM_H
+#define WISTERIA_FLEET_LOAD_SUM_H
+
+#include <glib.h>
+
+#include "wisteria/base/clock_defs.h"
+#include "wisteria/base/macros_defs.h"
+#include "wisteria/codec/msg_defs.h"
+
+/* A report counts for this long; four report intervals. */
+#define LOAD_SUM_FRESH_MS 2000
+
+/* What the entries use of the endpoints, as they report it to the leader. */
+typedef struct {
+	GHashTable *reports; /* entry -> load_report_t */
+} load_sum_t;
+
+void load_sum_init(load_sum_t *sum) ATTR_NONNULL_ALL;
+void load_sum_finish(load_sum_t *sum) ATTR_NONNULL_ALL;
+void load_sum_take(load_sum_t *sum, const msg_fleet_load_t *load,
+		   clock_ms_t now) ATTR_NONNULL_ALL;
+GHashTable *load_sum_total(load_sum_t *sum,
+			   clock_ms_t now) ATTR_NONNULL_ALL ATTR_WARN_UNUSED;
+
+#endif
--- a/src/wisteria/fleet/registry.c
+++ b/src/wisteria/fleet/registry.c
@@ -36,7 +36,8 @@
 	return news->sequence > known->sequence;
 }
 
-static bool looks_alike(const endpoint_t *a, const endpoint_t *b)
+/* Whether nothing but the signs of life differs. */
+bool endpoint_says_the_same(const endpoint_t *a, const endpoint_t *b)
 {
 	return a->incarnation == b->incarnation &&
 	       strcmp(a->address, b->address) == 0 &&
@@ -97,7 +98,7 @@
 	    (known != NULL && known->gone &&
 	     known->incarnation == news->incarnation))
 		return REGISTRY_STALE;
-	alike = known != NULL && looks_alike(known, news);
+	alike = known != NULL && endpoint_says_the_same(known, news);
 	if (known == NULL) {
 		known = g_new0(endpoint_t, 1);
 		*known = *news;
@@ -114,6 +115,25 @@
 	return REGISTRY_CHANGED;
 }
 
+/*
+ * An endpoint lives and says the same as before.  Returns whether it is known
+ * in this incarnation; if not, what it says has to be heard in full.
+ */
+bool registry_touch(registry_t *registry, const char *id, uint64_t incarnation,
+		    uint64_t sequence, clock_ms_t heard_ms)
+{
+	endpoint_t *known = g_hash_table_lookup(registry->by_id, id);
+
+	if (known == NULL || known->incarnation != incarnation)
+		return false;
+	if (known->gone || sequence <= known->sequence)
+		return true;
+	known->sequence = sequence;
+	known->heard_ms = heard_ms;
+	registry->newest_ms = MAX(registry->newest_ms, heard_ms);
+	return true;
+}
+
 /*
  * The endpoint "id" ends; returns it, or NULL where it is not known.  Later
  * heartbeats of the same process do not bring it back.
--- a/src/wisteria/fleet/revisions.c
+++ b/src/wisteria/fleet/revisions.c
@@ -5,31 +5,60 @@
 #include "wisteria/fleet/revisions.h"
 
 #include "wisteria/base/err.h"
+#include "wisteria/codec/pack.h"
 
 /* Makes a state without a revision. */
 void revisions_init(revisions_t *revisions)
 {
 	revisions->number = 0;
-	revisions->document = g_bytes_new(NULL, 0);
+	revisions->packed = pack_bytes("", 0);
 }
 
 /* Frees what is held. */
 void revisions_finish(revisions_t *revisions)
 {
-	g_bytes_unref(revisions->document);
+	g_bytes_unref(revisions->packed);
 }
 
-/* Appends a revision as an entry of the log, which is a snapshot as well. */
-void revisions_encode(uint64_t number, const void *document, size_t len,
-		      msgpack_sbuffer *out)
+static void encode(uint64_t number, GBytes *document, msgpack_sbuffer *out)
 {
 	msgpack_packer packer;
+	gsize len = 0;
+	const void *data = g_bytes_get_data(document, &len);
 
 	msgpack_packer_init(&packer, out, msgpack_sbuffer_write);
 	msgpack_pack_array(&packer, 2);
 	msgpack_pack_uint64(&packer, number);
 	msgpack_pack_bin(&packer, len);
-	msgpack_pack_bin_body(&packer, document, len);
+	msgpack_pack_bin_body(&packer, data, len);
+}
+
+/* Appends a revision as an entry of the log. */
+void revisions_encode(uint64_t number, const void *document, size_t len,
+		      msgpack_sbuffer *out)
+{
+	GBytes *packed = pack_bytes(document, len);
+
+	encode(number, packed, out);
+	g_bytes_unref(packed);
+}
+
+/* Appends the state, in the form of an entry. */
+void revisions_snapshot(const revisions_t *revisions, msgpack_sbuffer *out)
+{
+	encode(revisions->number, revisions->packed, out);
+}
+
+/*
+ * Returns the document as the operator sent it; the caller frees it.  NULL:
+ * what is held is damaged.
+ */
+GBytes *revisions_document(const revisions_t *revisions, err_t *err)
+{
+	gsize len = 0;
+	const void *packed = g_bytes_get_data(revisions->packed, &len);
+
+	return unpack_bytes(packed, len, err);
 }
 
 /*
@@ -56,10 +85,10 @@
 		err_set(err, ERR_CORRUPT, "apply_revision", "",
 			"the entry is no revision");
 	} else if (parts[0].via.u64 > revisions->number) {
-		g_bytes_unref(revisions->document);
+		g_bytes_unref(revisions->packed);
 		revisions->number = parts[0].via.u64;
-		revisions->document = g_bytes_new(parts[1].via.bin.ptr,
-						  parts[1].via.bin.size);
+		revisions->packed = g_bytes_new(parts[1].via.bin.ptr,
+						parts[1].via.bin.size);
 		*changed = true;
 	}
 	msgpack_unpacked_destroy(&unpacked);
--- a/src/wisteria/fleet/revisions.h
+++ b/src/wisteria/fleet/revisions.h
@@ -12,14 +12,18 @@
  * document as the operator sent it.  The state machine of the fleet's log.
  */
 typedef struct {
-	uint64_t number;  /* 0: none yet */
-	GBytes *document; /* never NULL */
+	uint64_t number; /* 0: none yet */
+	GBytes *packed;	 /* the document; never NULL */
 } revisions_t;
 
 void revisions_init(revisions_t *revisions) ATTR_NONNULL_ALL;
 void revisions_finish(revisions_t *revisions) ATTR_NONNULL_ALL;
 void revisions_encode(uint64_t number, const void *document, size_t len,
 		      msgpack_sbuffer *out) ATTR_NONNULL_ALL;
+void revisions_snapshot(const revisions_t *revisions,
+			msgpack_sbuffer *out) ATTR_NONNULL_ALL;
+GBytes *revisions_document(const revisions_t *revisions,
+			   err_t *err) ATTR_WARN_UNUSED;
 bool revisions_apply(revisions_t *revisions, const uint8_t *data, size_t len,
 		     bool *changed, err_t *err) ATTR_WARN_UNUSED;
 
--- a/src/wisteria/fleet/subscription.c
+++ b/src/wisteria/fleet/subscription.c
@@ -71,6 +71,9 @@
 
 	if (reply->asked_ms == subscription->asked_ms)
 		subscription->asking = false;
+	g_free(subscription->leader);
+	subscription->leader =
+		reply->leader[0] == '\0' ? NULL : g_strdup(reply->leader);
 	follow_later(subscription, reply);
 	subscription->handler->renewed(subscription->handler, reply);
 	if (until > subscription->lease_until_ms)
@@ -342,6 +345,7 @@
 	if (subscription->wanted != NULL)
 		g_ptr_array_unref(subscription->wanted);
 	g_free(subscription->own_address);
+	g_free(subscription->leader);
 }
 
 /* Whether the revision held is confirmed for now. */
@@ -360,6 +364,19 @@
 		link_send(&control->link, type, body);
 }
 
+/* Sends a message to the instance that leads, if it is known and reached. */
+void subscription_send_to_leader(subscription_t *subscription, msg_type_t type,
+				 const void *body)
+{
+	subscription_control_t *control =
+		subscription->leader == NULL
+			? NULL
+			: find(subscription, subscription->leader);
+
+	if (control != NULL)
+		link_send(&control->link, type, body);
+}
+
 /* Sends a message to every control instance that can be reached. */
 void subscription_send_all(subscription_t *subscription, msg_type_t type,
 			   const void *body)
--- a/src/wisteria/fleet/subscription_defs.h
+++ b/src/wisteria/fleet/subscription_defs.h
@@ -53,6 +53,7 @@
 	GPtrArray *seeds;    /* addresses to go back to without a lease */
 	GPtrArray *heard_of; /* addresses of instances with disks */
 	GPtrArray *wanted;   /* addresses to follow next; NULL: unchanged */
+	char *leader;	     /* its address, as last told; NULL: not known */
 	char *own_address;   /* never subscribed to; may be NULL */
 	uv_timer_t tick;
 	guint turn; /* of "controls": whom to ask */
--- a/src/wisteria/gateway/exchange.c
+++ b/src/wisteria/gateway/exchange.c
@@ -260,18 +260,25 @@
 		gateway_suspect(exchange->gateway, target->ids[at]);
 }
 
+static bool not_retried(const exchange_t *exchange, const char *reason)
+{
+	LOG_INFO("retry_not_made", "request=%s sends=%u reason=%s",
+		 id_of(exchange), exchange->sends, reason);
+	return false;
+}
+
 static bool try_again(exchange_t *exchange)
 {
 	gateway_t *gateway = exchange->gateway;
 	target_t target;
 
 	if (!subscription_has_lease(&gateway->subscription))
-		return false;
+		return not_retried(exchange, "no_lease");
 	if (target_choose(exchange, &target) != TARGET_FOUND)
-		return false;
+		return not_retried(exchange, "no_other_endpoint");
 	if (!retry_budget_take(
 		    gateway_budget(gateway, exchange->service->name)))
-		return false;
+		return not_retried(exchange, "retry_budget");
 	send_attempt(exchange, &target);
 	return true;
 }
--- a/src/wisteria/gateway/gateway.c
+++ b/src/wisteria/gateway/gateway.c
@@ -10,6 +10,7 @@
 #include "wisteria/base/counters.h"
 #include "wisteria/base/err.h"
 #include "wisteria/base/log.h"
+#include "wisteria/codec/pack.h"
 #include "wisteria/fleet/fleet_news.h"
 #include "wisteria/fleet/registry.h"
 #include "wisteria/fleet/routes.h"
@@ -66,6 +67,11 @@
 			 endpoint.end_layer, endpoint.draining, endpoint.gone,
 			 now - endpoint.heard_ms, gateway->registry.version);
 	}
+	for (size_t i = 0; i < news->alive_count; i++)
+		registry_touch(&gateway->registry, news->alive[i].id,
+			       news->alive[i].incarnation,
+			       news->alive[i].sequence,
+			       now - news->alive[i].age_ms);
 }
 
 static void use_table(gateway_t *gateway, route_table_t *table)
@@ -91,13 +97,21 @@
 	gateway_t *gateway = of_subscription(handler);
 	uint64_t held = gateway->table == NULL ? 0 : gateway->table->revision;
 	err_t err = ERR_INIT;
-	route_table_t *table;
+	route_table_t *table = NULL;
+	GBytes *document;
+	const void *data;
+	gsize len = 0;
 
 	gateway->entries = reply->subscribers;
-	if (reply->revision <= held || reply->document.len == 0)
+	if (reply->revision <= held || reply->packed_document.len == 0)
 		return;
-	table = gateway->dialect->read_configuration(reply->document.data,
-						     reply->document.len, &err);
+	document = unpack_bytes(reply->packed_document.data,
+				reply->packed_document.len, &err);
+	if (document != NULL) {
+		data = g_bytes_get_data(document, &len);
+		table = gateway->dialect->read_configuration(data, len, &err);
+		g_bytes_unref(document);
+	}
 	if (table == NULL)
 		log_err(G_LOG_LEVEL_CRITICAL, "revision_unreadable", &err);
 	else
@@ -218,14 +232,15 @@
 	msg_fleet_use_t *uses;
 
 	gateway->reported_ms = now;
-	uses = usage_list(&gateway->usage, &load.use_count);
+	uses = usage_report(&gateway->usage, &load.use_count);
 	load.uses = uses;
 	load.slow =
 		gateway->long_pauses >= GATEWAY_SLOW_EVENTS &&
 		gateway->long_pauses >= gateway->events * GATEWAY_SLOW_SHARE;
 	gateway->events = 0;
 	gateway->long_pauses = 0;
-	subscription_send(&gateway->subscription, MSG_FLEET_LOAD, &load);
+	subscription_send_to_leader(&gateway->subscription, MSG_FLEET_LOAD,
+				    &load);
 	g_free(uses);
 }
 
--- a/src/wisteria/gateway/usage.c
+++ b/src/wisteria/gateway/usage.c
@@ -1,36 +1,27 @@
 /*
  * How much of each endpoint is in use: exact for this entry's own requests,
- * as last reported for those of other entries.
+ * and for those of the others what the leader last summed up, less this
+ * entry's own part in the sum.
  */
 #include "wisteria/gateway/usage.h"
 
 #include <string.h>
 
-typedef struct {
-	clock_ms_t taken_ms;
-	GHashTable *tokens; /* endpoint id -> double * */
-} usage_report_t;
-
-static void free_report(gpointer data)
-{
-	g_hash_table_destroy(((usage_report_t *)data)->tokens);
-	g_free(data);
-}
-
 /* Makes an empty account. */
 void usage_init(usage_t *usage)
 {
 	usage->own =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	usage->others = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					      free_report);
+	usage->all =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	usage->all_ms = 0;
 }
 
 /* Frees what the account holds. */
 void usage_finish(usage_t *usage)
 {
 	g_hash_table_destroy(usage->own);
-	g_hash_table_destroy(usage->others);
+	g_hash_table_destroy(usage->all);
 }
 
 /* A request of "tokens" tokens begins at endpoint "id". */
@@ -70,47 +61,34 @@
 double usage_tokens(const usage_t *usage, const char *id, clock_ms_t now)
 {
 	const usage_own_t *own = g_hash_table_lookup(usage->own, id);
-	double sum = own == NULL ? 0 : own->tokens;
-	GHashTableIter iter;
-	gpointer value;
+	const double *all = g_hash_table_lookup(usage->all, id);
+	double own_tokens = own == NULL ? 0 : own->tokens;
+	double own_reported = own == NULL ? 0 : own->reported;
 
-	g_hash_table_iter_init(&iter, usage->others);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const usage_report_t *report = value;
-		const double *tokens = g_hash_table_lookup(report->tokens, id);
-
-		if (tokens != NULL && now - report->taken_ms < USAGE_FRESH_MS)
-			sum += *tokens;
-	}
-	return sum;
+	if (all == NULL || now - usage->all_ms >= USAGE_FRESH_MS)
+		return own_tokens;
+	return own_tokens + MAX(*all - own_reported, 0);
 }
 
-/* Takes the report of another entry. */
+/* Takes what all entries use, this one among them. */
 void usage_take(usage_t *usage, const msg_fleet_load_t *load, clock_ms_t now)
 {
-	usage_report_t *report =
-		g_hash_table_lookup(usage->others, load->entry);
-
-	if (report == NULL) {
-		report = g_new0(usage_report_t, 1);
-		report->tokens = g_hash_table_new_full(g_str_hash, g_str_equal,
-						       g_free, g_free);
-		g_hash_table_insert(usage->others, g_strdup(load->entry),
-				    report);
-	}
-	report->taken_ms = now;
-	g_hash_table_remove_all(report->tokens);
+	usage->all_ms = now;
+	g_hash_table_remove_all(usage->all);
 	for (size_t i = 0; i < load->use_count; i++) {
 		double *tokens = g_new(double, 1);
 
 		*tokens = load->uses[i].tokens;
-		g_hash_table_insert(report->tokens, g_strdup(load->uses[i].id),
+		g_hash_table_insert(usage->all, g_strdup(load->uses[i].id),
 				    tokens);
 	}
 }
 
-/* Returns what this entry uses; the caller frees the list, not its strings. */
-msg_fleet_use_t *usage_list(const usage_t *usage, size_t *count)
+/*
+ * Returns what this entry uses, and notes it as reported; the caller frees the
+ * list, not its strings.
+ */
+msg_fleet_use_t *usage_report(usage_t *usage, size_t *count)
 {
 	msg_fleet_use_t *list =
 		g_new(msg_fleet_use_t, g_hash_table_size(usage->own) + 1);
@@ -120,10 +98,14 @@
 
 	*count = 0;
 	g_hash_table_iter_init(&iter, usage->own);
-	while (g_hash_table_iter_next(&iter, &key, &value))
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		usage_own_t *own = value;
+
+		own->reported = own->tokens;
 		list[(*count)++] = (msg_fleet_use_t){
 			.id = key,
-			.tokens = ((const usage_own_t *)value)->tokens,
+			.tokens = own->tokens,
 		};
+	}
 	return list;
 }
--- a/test/unit/registry_test.c
+++ b/test/unit/registry_test.c
@@ -119,6 +119,26 @@
 	registry_finish(&registry);
 }
 
+static void test_signs_of_life(void)
+{
+	endpoint_t endpoint = news("i-1", "10.0.0.1:80", 100, 4);
+
+	registry_init(&registry);
+	CU_ASSERT_FALSE(registry_touch(&registry, "i-1", 100, 5, 10));
+	CU_ASSERT_EQUAL(registry_take(&registry, &endpoint, 0),
+			REGISTRY_CHANGED);
+	CU_ASSERT_TRUE(registry_touch(&registry, "i-1", 100, 5, 10));
+	CU_ASSERT_EQUAL(registry_find(&registry, "i-1")->heard_ms, 10);
+	CU_ASSERT_TRUE(registry_touch(&registry, "i-1", 100, 4, 20));
+	CU_ASSERT_EQUAL(registry_find(&registry, "i-1")->heard_ms, 10);
+	/* Another process under the same id has to describe itself. */
+	CU_ASSERT_FALSE(registry_touch(&registry, "i-1", 200, 1, 30));
+	CU_ASSERT_PTR_NOT_NULL(registry_leave(&registry, "i-1", 40));
+	CU_ASSERT_TRUE(registry_touch(&registry, "i-1", 100, 9, 50));
+	CU_ASSERT_TRUE(registry_find(&registry, "i-1")->gone);
+	registry_finish(&registry);
+}
+
 /* One silent endpoint is lost; where all are silent, it is our own links. */
 static void test_silence(void)
 {
@@ -151,6 +171,7 @@
 	  test_one_that_left_does_not_come_back },
 	{ "an end outweighs a later heartbeat",
 	  test_an_end_outweighs_a_later_heartbeat },
+	{ "signs of life", test_signs_of_life },
 	{ "silence", test_silence },
 };
 
