Show token counts in the line on a sent request; stop 0.25 s before the platform does

The hint of the answer's length is right at the median only, the most tokens are 430 for all: neither tells which streams would outlast the stop.

--- a/src/wisteria/daemon/fleet_daemon.c
+++ b/src/wisteria/daemon/fleet_daemon.c
@@ -19,7 +19,7 @@
 
 #define STOP_TICK_MS 50
 /* Kept of the time to stop for closing files and connections. */
-#define STOP_RESERVE_MS 500
+#define STOP_RESERVE_MS 250
 
 typedef struct {
 	const settings_t *settings;
--- a/src/wisteria/gateway/exchange.c
+++ b/src/wisteria/gateway/exchange.c
@@ -143,12 +143,16 @@
 			      GATEWAY_CONNECT_MS, &exchange->call_handler);
 	g_string_free(request, TRUE);
 	LOG_INFO("request_sent",
-		 "request=%s send=%u endpoint=%s hops=%u cost_ms=%.1f "
+		 "request=%s send=%u endpoint=%s hops=%u tokens=%u+%u "
+		 "hint=%u cost_ms=%.1f "
 		 "left_ms=%" G_GINT64_FORMAT " behind_event=%" G_GINT64_FORMAT
 		 " registry=%" G_GUINT64_FORMAT,
 		 id_of(exchange), exchange->sends, target->ids[0],
-		 target->count, target->cost_ms, forward.time_limit_ms,
-		 forward.last_event_id, gateway->registry.version);
+		 target->count, exchange->caller.prompt_tokens,
+		 exchange->caller.answer_tokens_max,
+		 exchange->caller.answer_tokens_hint, target->cost_ms,
+		 forward.time_limit_ms, forward.last_event_id,
+		 gateway->registry.version);
 }
 
 static bool start(exchange_t *exchange)
