--- a/src/wisteria/fleet/registry_file.c
+++ b/src/wisteria/fleet/registry_file.c
@@ -119,6 +119,18 @@
 	g_free(job);
 }
 
+static unsigned count_silent(const registry_t *registry)
+{
+	unsigned silent = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, registry->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		silent += registry_is_silent(registry, value);
+	return silent;
+}
+
 static void begin_write(registry_file_t *file, const registry_t *registry,
 			clock_ms_t now)
 {
@@ -136,14 +148,19 @@
 	}
 	file->writing = true;
 	file->written_version = registry->version;
+	file->written_silent = count_silent(registry);
 	file->changed_ms = 0;
 }
 
-/* Writes the copy when the registry has changed.  Called often. */
+/*
+ * Writes the copy when the registry has changed or an endpoint has fallen
+ * silent.  Called often.
+ */
 void registry_file_follow(registry_file_t *file, const registry_t *registry,
 			  clock_ms_t now)
 {
-	if (file->writing || registry->version == file->written_version)
+	if (file->writing || (registry->version == file->written_version &&
+			      count_silent(registry) == file->written_silent))
 		return;
 	if (file->changed_ms == 0)
 		file->changed_ms = now;
@@ -151,7 +168,10 @@
 		begin_write(file, registry, now);
 }
 
-/* Takes the copy into an empty registry; returns how many endpoints it had. */
+/*
+ * Takes the copy into an empty registry, but for the endpoints that were silent
+ * when it was written; returns how many it took.
+ */
 unsigned registry_file_load(const registry_file_t *file, registry_t *registry,
 			    clock_ms_t now)
 {
@@ -177,6 +197,8 @@
 		     i++) {
 			endpoint_t endpoint;
 
+			if (news->endpoints[i].age_ms > REGISTRY_SILENCE_MS)
+				continue;
 			fleet_news_read(&news->endpoints[i], now, &endpoint);
 			registry_take(registry, &endpoint, now);
 			count++;
--- a/src/wisteria/fleet/registry_file.h
+++ b/src/wisteria/fleet/registry_file.h
@@ -15,6 +15,7 @@
 	uv_loop_t *loop;
 	char *folder;
 	uint64_t written_version; /* of the registry; 0: none */
+	unsigned written_silent;  /* endpoints that were silent then */
 	clock_ms_t changed_ms;	  /* since when the file is old; 0: it is not */
 	bool writing;
 	bool failing;
--- a/src/wisteria/route/candidate.c
+++ b/src/wisteria/route/candidate.c
@@ -64,12 +64,16 @@
 
 /*
  * Keeps the endpoint out for a pause, which doubles with every failure that
- * follows soon after the last pause.
+ * follows soon after the last pause.  A failure within a pause, of a session
+ * that was begun before it, only keeps it from ending early.
  */
 void candidate_failed(candidate_t *candidate, clock_ms_t now)
 {
-	if (now < candidate->paused_until_ms)
+	if (now < candidate->paused_until_ms) {
+		candidate->paused_until_ms =
+			MAX(candidate->paused_until_ms, now + PAUSE_FIRST_MS);
 		return;
+	}
 	if (candidate->pause_ms == 0 ||
 	    now - candidate->paused_until_ms > PAUSE_FORGET_MS)
 		candidate->pause_ms = PAUSE_FIRST_MS;
--- a/test/functional/harness/harness.c
+++ b/test/functional/harness/harness.c
@@ -200,6 +200,11 @@
 static void run_program(const harness_process_t *process, int log, pid_t parent)
 {
 	prctl(PR_SET_PDEATHSIG, SIGKILL);
+	/*
+	 * A process that the test has stopped would get SIGHUP when some other
+	 * process of an orphaned process group ends.
+	 */
+	setpgid(0, 0);
 	if (getppid() != parent)
 		_exit(127);
 	dup2(log, STDOUT_FILENO);
--- a/test/unit/registry_file_test.c
+++ b/test/unit/registry_file_test.c
@@ -123,12 +123,47 @@
 	registry_finish(&registry);
 }
 
+/*
+ * An endpoint that fell silent is no change of the registry, and is written
+ * all the same: a copy that still names it would bring it back.
+ */
+static void test_the_silent_are_not_recalled(void)
+{
+	registry_t registry = filled();
+	endpoint_t other = { .incarnation = 7, .sequence = 1 };
+	endpoint_t first = { 0 };
+	registry_file_t file;
+	clock_ms_t now = 2000;
+
+	g_strlcpy(other.id, "i-2", sizeof(other.id));
+	g_strlcpy(other.address, "10.0.0.2:80", sizeof(other.address));
+	CU_ASSERT_EQUAL(registry_take(&registry, &other, now),
+			REGISTRY_CHANGED);
+	registry_file_init(&file, uv_default_loop(), folder);
+	registry_file_follow(&file, &registry, now);
+	registry_file_follow(&file, &registry, now + REGISTRY_FILE_DELAY_MS);
+	uv_run(uv_default_loop(), UV_RUN_DEFAULT);
+	CU_ASSERT_EQUAL(load_count(0, &first), 2);
+	now += REGISTRY_SILENCE_MS;
+	CU_ASSERT_TRUE(registry_touch(&registry, "i-2", 7, 2, now));
+	registry_file_follow(&file, &registry, now);
+	registry_file_follow(&file, &registry, now + REGISTRY_FILE_DELAY_MS);
+	CU_ASSERT_TRUE(file.writing);
+	uv_run(uv_default_loop(), UV_RUN_DEFAULT);
+	memset(&first, 0, sizeof(first));
+	CU_ASSERT_EQUAL(load_count(0, &first), 1);
+	CU_ASSERT_STRING_EQUAL(first.id, "");
+	registry_file_finish(&file);
+	registry_finish(&registry);
+}
+
 static const unit_test_t tests[] = {
 	{ "comes back", test_comes_back },
 	{ "damaged copies are ignored", test_damaged_copies_are_ignored },
 	{ "a folder that cannot be written",
 	  test_a_folder_that_cannot_be_written },
 	{ "follows the registry", test_follows_the_registry },
+	{ "the silent are not recalled", test_the_silent_are_not_recalled },
 };
 
 int main(void)
