Explain a request from log files: wisteriactl explain-file

On-call has the files, not always a live process. One sentence for each decision, by time; lines of events that the tool does not know are printed as they are, so that nothing is hidden. Test: explain from files, in the functional test of the tool.

--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -21,6 +21,7 @@
 CLI_COMMAND(cli_order_engine);
 CLI_COMMAND(cli_preset_delete);
 CLI_COMMAND(cli_explain);
+CLI_COMMAND(cli_explain_file);
 CLI_COMMAND(cli_key_hash);
 CLI_COMMAND(cli_trace);
 
--- /dev/null
+++ b/src/cli/explain_file.c
@@ -0,0 +1,175 @@
+/* Tells what became of a request from the log lines of the processes. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "cli/commands.h"
+#include "wisteria/base/macros_defs.h"
+
+/*
+ * What a line says, by its event.  "{key}" stands for the value of the line;
+ * an event that is not listed is printed as it is.
+ */
+static const struct {
+	const char *event;
+	const char *sentence;
+} sentences[] = {
+	{ "request_refused",
+	  "Refused with {status} before anything was sent, because of "
+	  "{reason}; revision {revision} decided it." },
+	{ "request_queued",
+	  "All places were taken: it waited, for {for_ms} ms at most, with "
+	  "{waiting} waiting in all." },
+	{ "request_sent",
+	  "Attempt {send} went to {endpoint}, first of {hops} endpoints, "
+	  "behind "
+	  "event {behind_event} (-1: from the start), with {left_ms} ms left "
+	  "and version {registry} of the registry." },
+	{ "attempt_failed",
+	  "Attempt {send} at {endpoint} ended as {end} after {waited_ms} ms "
+	  "and {events} events: {reason}, at fault {at}; {runs} attempts of "
+	  "{of} allowed may have run." },
+	{ "retry_not_made", "It was not sent again because of {reason}." },
+	{ "stream_stalled",
+	  "The answer was silent for {silent_ms} ms behind event {events}, so "
+	  "another pipeline was to take it up." },
+	{ "request_answered",
+	  "Answered with {status} after {sends} attempts: first event after "
+	  "{first_ms} ms, longest pause {gap_ms} ms, {all_ms} ms in all." },
+	{ "request_given_up",
+	  "Given up with {status} (0: broken off) after {after_ms} ms, "
+	  "because of {reason}; {runs} of its {sends} attempts may have run." },
+	{ "caller_left",
+	  "The caller left after {after_ms} ms, {events} events and {sends} "
+	  "attempts." },
+};
+
+/* The value of "key" in a line of key=value pairs; freed by the caller. */
+static char *value_of(const char *line, const char *key)
+{
+	size_t key_len = strlen(key);
+
+	for (const char *at = line; at != NULL; at = strchr(at, ' ')) {
+		at += *at == ' ';
+		if (strncmp(at, key, key_len) == 0 && at[key_len] == '=')
+			return g_strndup(at + key_len + 1,
+					 strcspn(at + key_len + 1, " \n"));
+	}
+	return NULL;
+}
+
+static bool has_value(const char *line, const char *key, const char *expected)
+{
+	char *value = value_of(line, key);
+	bool same = g_strcmp0(value, expected) == 0;
+
+	g_free(value);
+	return same;
+}
+
+/* Reads the lines of one file that name the request. */
+static bool read_file(GPtrArray *lines, const char *path,
+		      const char *request_id)
+{
+	FILE *file = fopen(path, "re");
+	char *line = NULL;
+	size_t size = 0;
+	bool whole;
+
+	if (file == NULL) {
+		fprintf(stderr, "wisteriactl: %s: %m\n", path);
+		return false;
+	}
+	while (getline(&line, &size, file) > 0)
+		if (has_value(line, "request", request_id))
+			g_ptr_array_add(lines, g_strchomp(g_strdup(line)));
+	whole = !ferror(file);
+	if (!whole)
+		fprintf(stderr, "wisteriactl: %s: %m\n", path);
+	free(line);
+	fclose(file);
+	return whole;
+}
+
+/* A line begins with its time, so that the order of texts is that of times. */
+static gint compare_times(gconstpointer left, gconstpointer right)
+{
+	const char *a = *(char *const *)left;
+	const char *b = *(char *const *)right;
+	size_t a_len = strcspn(a, " ");
+	size_t b_len = strcspn(b, " ");
+	int order = strncmp(a, b, MIN(a_len, b_len));
+
+	return order != 0 ? order : (int)a_len - (int)b_len;
+}
+
+static void print_sentence(const char *sentence, const char *line)
+{
+	for (const char *at = sentence; *at != '\0'; at++) {
+		const char *end = *at == '{' ? strchr(at, '}') : NULL;
+		char *key;
+		char *value;
+
+		if (end == NULL) {
+			putchar(*at);
+			continue;
+		}
+		key = g_strndup(at + 1, (gsize)(end - at - 1));
+		value = value_of(line, key);
+		fputs(value == NULL ? "(not logged)" : value, stdout);
+		g_free(value);
+		g_free(key);
+		at = end;
+	}
+}
+
+static void print_line(const char *line)
+{
+	char *event = value_of(line, "event");
+	char *time = value_of(line, "ts");
+	char *instance = value_of(line, "instance");
+	const char *sentence = NULL;
+
+	for (size_t i = 0; i < ARRAY_SIZE(sentences); i++)
+		if (g_strcmp0(event, sentences[i].event) == 0)
+			sentence = sentences[i].sentence;
+	if (sentence == NULL) {
+		puts(line);
+	} else {
+		printf("%s %s: ", time == NULL ? "-" : time,
+		       instance == NULL ? "-" : instance);
+		print_sentence(sentence, line);
+		putchar('\n');
+	}
+	g_free(event);
+	g_free(time);
+	g_free(instance);
+}
+
+/*
+ * Prints one sentence for each decision on a request, by time, from the log
+ * files of several processes.  Refused where no file names the request: its
+ * lines may be in another process's file, or may have been dropped.
+ */
+CLI_COMMAND(cli_explain_file)
+{
+	GPtrArray *lines = g_ptr_array_new_with_free_func(g_free);
+	cli_exit_t code = CLI_OK;
+
+	(void)options;
+	for (unsigned i = 1; i < arg_count && code == CLI_OK; i++)
+		if (!read_file(lines, args[i], args[0]))
+			code = CLI_USAGE;
+	if (code == CLI_OK && lines->len == 0) {
+		fprintf(stderr, "wisteriactl: no line names request %s\n",
+			args[0]);
+		code = CLI_REFUSED;
+	}
+	g_ptr_array_sort(lines, compare_times);
+	for (guint i = 0; code == CLI_OK && i < lines->len; i++)
+		print_line(g_ptr_array_index(lines, i));
+	g_ptr_array_free(lines, TRUE);
+	return code;
+}
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -44,6 +44,9 @@
 	"  order engine NAME JSON     an order to the engine of an endpoint\n"
 	"  explain REQUEST-ID         why a request went as it did; --server\n"
 	"                             is the entry that took it\n"
+	"  explain-file REQUEST-ID FILE...\n"
+	"                             the same from log files of the "
+	"processes\n"
 	"  trace TRACE-ID FILE...     draw a trace from the processes' files\n"
 	"  key hash KEY               hash of an API key for a contract\n"
 	"\n"
@@ -109,6 +112,13 @@
 	  true,
 	  cli_order_engine },
 	{ { "explain", NULL }, 1, 1, "REQUEST-ID", false, true, cli_explain },
+	{ { "explain-file", NULL },
+	  2,
+	  60,
+	  "REQUEST-ID FILE...",
+	  false,
+	  false,
+	  cli_explain_file },
 	{ { "trace", NULL },
 	  2,
 	  60,
--- a/test/functional/cli_test.c
+++ b/test/functional/cli_test.c
@@ -253,6 +253,46 @@
 	CU_ASSERT_EQUAL(run("trace 0af7 /nonexistent"), 2);
 }
 
+/* A request that was refused, sent twice, or never seen. */
+static void test_explain_file(void)
+{
+	const char *first = harness_write(
+		&harness, "entry-1.log",
+		"ts=2026-04-01T00:00:02.000Z level=info instance=e1 "
+		"event=request_sent request=ab1 send=1 endpoint=i-1 hops=3 "
+		"left_ms=900 behind_event=-1 registry=7\n"
+		"ts=2026-04-01T00:00:02.100Z level=info instance=e1 "
+		"event=request_sent request=ab12 send=1 endpoint=i-9\n"
+		"ts=2026-04-01T00:00:02.500Z level=info instance=e1 "
+		"event=something_new request=ab1 of=it\n");
+	const char *second = harness_write(
+		&harness, "entry-2.log",
+		"ts=2026-04-01T00:00:01.000Z level=info instance=e2 "
+		"event=request_queued request=ab1 waiting=2 for_ms=300\n"
+		"ts=2026-04-01T00:00:03.000Z level=info instance=e2 "
+		"event=request_given_up request=ab1 status=502 reason=reset "
+		"sends=1 runs=1 after_ms=2000");
+
+	CU_ASSERT_EQUAL(run(harness_string(&harness, "explain-file ab1 %s %s",
+					   first, second)),
+			0);
+	CU_ASSERT_STRING_EQUAL(
+		output,
+		"2026-04-01T00:00:01.000Z e2: All places were taken: it "
+		"waited, for 300 ms at most, with 2 waiting in all.\n"
+		"2026-04-01T00:00:02.000Z e1: Attempt 1 went to i-1, first of "
+		"3 endpoints, behind event -1 (-1: from the start), with 900 "
+		"ms left and version 7 of the registry.\n"
+		"ts=2026-04-01T00:00:02.500Z level=info instance=e1 "
+		"event=something_new request=ab1 of=it\n"
+		"2026-04-01T00:00:03.000Z e2: Given up with 502 (0: broken "
+		"off) after 2000 ms, because of reset; 1 of its 1 attempts may "
+		"have run.\n");
+	CU_ASSERT_EQUAL(
+		run(harness_string(&harness, "explain-file ab %s", first)), 1);
+	CU_ASSERT_EQUAL(run("explain-file ab1 /nonexistent"), 2);
+}
+
 static const unit_test_t tests[] = {
 	{ "presets", test_presets },
 	{ "shown states", test_shown_states },
@@ -261,6 +301,7 @@
 	{ "servers in turn", test_servers_in_turn },
 	{ "usage errors change nothing", test_usage_errors_change_nothing },
 	{ "trace", test_trace },
+	{ "explain from files", test_explain_file },
 };
 
 int main(void)
