Count retries in a sliding window instead of a token bucket

Cause: when an endpoint of a long pipeline dies, an entry loses tens of streams in one moment. A window lets through at once what the last 10 s left, and then nothing until the burst has left it.

Test: burst of lost streams takes 30 retries; the bucket gave 8.

--- a/src/wisteria/gateway/exchange.c
+++ b/src/wisteria/gateway/exchange.c
@@ -161,8 +161,9 @@
 
 	if (target_choose(exchange, &target) != TARGET_FOUND)
 		return false;
-	retry_budget_fresh(
-		gateway_budget(exchange->gateway, exchange->service->name));
+	retry_window_fresh(
+		gateway_retries(exchange->gateway, exchange->service->name),
+		now_of(exchange));
 	send_attempt(exchange, &target);
 	return true;
 }
@@ -280,8 +281,9 @@
 		return not_retried(exchange, "no_lease");
 	if (target_choose(exchange, &target) != TARGET_FOUND)
 		return not_retried(exchange, "no_other_endpoint");
-	if (!retry_budget_take(
-		    gateway_budget(gateway, exchange->service->name)))
+	if (!retry_window_take(
+		    gateway_retries(gateway, exchange->service->name),
+		    now_of(exchange)))
 		return not_retried(exchange, "retry_budget");
 	send_attempt(exchange, &target);
 	return true;
@@ -672,8 +674,9 @@
 	for (uint32_t i = 0; i < target->count; i++)
 		g_ptr_array_add(exchange->failed, g_strdup(target->ids[i]));
 	if (target_choose(exchange, &other) == TARGET_FOUND &&
-	    retry_budget_take(gateway_budget(exchange->gateway,
-					     exchange->service->name))) {
+	    retry_window_take(
+		    gateway_retries(exchange->gateway, exchange->service->name),
+		    now)) {
 		LOG_INFO("stream_stalled",
 			 "request=%s endpoint=%s silent_ms=%" G_GINT64_FORMAT
 			 " events=%" G_GUINT64_FORMAT,
--- a/src/wisteria/gateway/gateway.c
+++ b/src/wisteria/gateway/gateway.c
@@ -150,24 +150,23 @@
 	return gateway->table == NULL ? 0 : gateway->table->revision;
 }
 
-/* Returns the retry budget of "service". */
-retry_budget_t *gateway_budget(gateway_t *gateway, const char *service)
+/* Returns what "service" was sent and sent again, with the share of today. */
+retry_window_t *gateway_retries(gateway_t *gateway, const char *service)
 {
 	const settings_fleet_t *fleet = gateway->settings->fleet;
-	retry_budget_t *budget = g_hash_table_lookup(gateway->budgets, service);
-	uint32_t entries = MAX(gateway->entries, 1);
-
-	if (budget == NULL) {
-		budget = g_new(retry_budget_t, 1);
-		retry_budget_init(budget, (uint32_t)(fleet->retry_ratio * 100 *
-						     RETRY_SAFETY));
-		g_hash_table_insert(gateway->budgets, g_strdup(service),
-				    budget);
+	retry_window_t *window = g_hash_table_lookup(gateway->retries, service);
+
+	if (window == NULL) {
+		window = g_new(retry_window_t, 1);
+		retry_window_init(window,
+				  (clock_ms_t)(fleet->retry_window_s * 1000));
+		g_hash_table_insert(gateway->retries, g_strdup(service),
+				    window);
 	}
-	retry_budget_set_saved_max(
-		budget,
-		(uint32_t)(fleet->retry_slack * RETRY_SAFETY) / entries);
-	return budget;
+	retry_window_set(window, fleet->retry_ratio * RETRY_SAFETY,
+			 fleet->retry_slack * RETRY_SAFETY /
+				 MAX(gateway->entries, 1));
+	return window;
 }
 
 /* Whether endpoint "id" has failed a moment ago. */
@@ -397,7 +396,7 @@
 	gateway->held = g_array_new(FALSE, FALSE, sizeof(held_request_t));
 	registry_init(&gateway->registry);
 	usage_init(&gateway->usage);
-	gateway->budgets =
+	gateway->retries =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	gateway->paces =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -456,7 +455,7 @@
 	usage_finish(&gateway->usage);
 	route_table_unref(gateway->table);
 	g_array_unref(gateway->held);
-	g_hash_table_destroy(gateway->budgets);
+	g_hash_table_destroy(gateway->retries);
 	g_hash_table_destroy(gateway->suspects);
 	g_hash_table_destroy(gateway->paces);
 	g_rand_free(gateway->random);
--- a/src/wisteria/gateway/gateway.h
+++ b/src/wisteria/gateway/gateway.h
@@ -14,8 +14,8 @@
 void gateway_close(gateway_t *gateway) ATTR_NONNULL_ALL;
 void gateway_finish(gateway_t *gateway) ATTR_NONNULL_ALL;
 
-retry_budget_t *gateway_budget(gateway_t *gateway,
-			       const char *service) ATTR_NONNULL_ALL;
+retry_window_t *gateway_retries(gateway_t *gateway,
+				const char *service) ATTR_NONNULL_ALL;
 bool gateway_is_suspect(const gateway_t *gateway,
 			const char *id) ATTR_NONNULL_ALL;
 double gateway_pace(const gateway_t *gateway, const char *id) ATTR_NONNULL_ALL;
--- a/src/wisteria/gateway/gateway_defs.h
+++ b/src/wisteria/gateway/gateway_defs.h
@@ -13,7 +13,7 @@
 #include "wisteria/gateway/wait_queue.h"
 #include "wisteria/http/http_call.h"
 #include "wisteria/http/http_server.h"
-#include "wisteria/limits/retry_budget.h"
+#include "wisteria/limits/retry_window.h"
 #include "wisteria/settings/settings_defs.h"
 
 #define GATEWAY_TICK_MS 50
@@ -122,7 +122,7 @@
 	registry_t registry;
 	route_table_t *table; /* NULL: none is known yet */
 	uint32_t entries;     /* of the fleet, as last told */
-	GHashTable *budgets;  /* service -> retry_budget_t */
+	GHashTable *retries;  /* service -> retry_window_t */
 	GHashTable *suspects; /* endpoint id -> clock_ms_t, until when */
 	GHashTable *paces;    /* endpoint id -> double *, of slow engines */
 	clock_ms_t paces_ms;  /* when they were told */
--- a/src/wisteria/limits/retry_budget.c
+++ b/src/wisteria/limits/retry_budget.c
@@ -10,7 +10,7 @@
 #define RETRY_COST 100
 /* Retries that an entry without recent requests may make. */
 #define INITIAL_RETRIES 10
-/* Retries that may be saved up, where nothing else is set. */
+/* Retries that may be saved up. */
 #define SAVED_RETRIES_MAX 100
 
 /* Makes a budget of "percent" retries for each 100 fresh requests. */
@@ -18,7 +18,6 @@
 {
 	*budget = (retry_budget_t){
 		.percent = percent,
-		.saved_max = SAVED_RETRIES_MAX,
 		.balance = percent > 0 ? INITIAL_RETRIES * RETRY_COST : 0,
 	};
 }
@@ -34,23 +33,13 @@
 	budget->percent = percent;
 }
 
-/*
- * Changes how many retries may be saved up: the share of one entry in what
- * all entries together may do beyond the fraction.
- */
-void retry_budget_set_saved_max(retry_budget_t *budget, uint32_t saved_max)
-{
-	budget->saved_max = saved_max;
-	budget->balance = MIN(budget->balance, saved_max * RETRY_COST);
-}
-
 /* A fresh request came in. */
 void retry_budget_fresh(retry_budget_t *budget)
 {
 	const uint64_t balance = (uint64_t)budget->balance + budget->percent;
 
-	budget->balance = (uint32_t)MIN(balance, (uint64_t)budget->saved_max *
-							 RETRY_COST);
+	budget->balance =
+		(uint32_t)MIN(balance, SAVED_RETRIES_MAX * RETRY_COST);
 }
 
 /* Takes one retry from the budget; returns false if there is none. */
--- a/src/wisteria/limits/retry_budget.h
+++ b/src/wisteria/limits/retry_budget.h
@@ -10,15 +10,12 @@
 typedef struct {
 	uint32_t percent;
 	uint32_t balance;
-	uint32_t saved_max; /* retries that may be saved up */
 } retry_budget_t;
 
 void retry_budget_init(retry_budget_t *budget,
 		       uint32_t percent) ATTR_NONNULL_ALL;
 void retry_budget_set_percent(retry_budget_t *budget,
 			      uint32_t percent) ATTR_NONNULL_ALL;
-void retry_budget_set_saved_max(retry_budget_t *budget,
-				uint32_t saved_max) ATTR_NONNULL_ALL;
 void retry_budget_fresh(retry_budget_t *budget) ATTR_NONNULL_ALL;
 bool retry_budget_take(retry_budget_t *budget)
 	ATTR_NONNULL_ALL ATTR_WARN_UNUSED;
--- a/test/unit/admission_test.c
+++ b/test/unit/admission_test.c
@@ -1,8 +1,11 @@
 /* Unit tests of admission and the retry budget. */
 #include "unit.h"
 
+#include <glib.h>
+
 #include "wisteria/limits/admission.h"
 #include "wisteria/limits/retry_budget.h"
+#include "wisteria/limits/retry_window.h"
 
 static preset_contract_t contracts[] = {
 	{ .customer = "grande",
@@ -202,6 +205,77 @@
 	CU_ASSERT_FALSE(retry_budget_take(&budget));
 }
 
+#define WINDOW_MS 10000
+
+static unsigned take_all(retry_window_t *window, clock_ms_t now)
+{
+	unsigned taken = 0;
+
+	while (retry_window_take(window, now))
+		taken++;
+	return taken;
+}
+
+/* 13 requests a second, and then an endpoint dies with 30 of its streams. */
+static void test_burst_of_lost_streams(void)
+{
+	retry_window_t window;
+	clock_ms_t now = 0;
+
+	retry_window_init(&window, WINDOW_MS);
+	retry_window_set(&window, 0.2, 8);
+	CU_ASSERT_EQUAL(take_all(&window, now), 8);
+	for (; now < 3 * WINDOW_MS; now += 77)
+		retry_window_fresh(&window, now);
+	CU_ASSERT(take_all(&window, now) >= 30);
+	CU_ASSERT_EQUAL(take_all(&window, now + WINDOW_MS / 2), 0);
+	/* without fresh requests only the slack comes back */
+	CU_ASSERT_EQUAL(take_all(&window, now + 2 * WINDOW_MS), 8);
+}
+
+/*
+ * Over windows of any phase the bound holds, whatever is asked.  The requests
+ * of a window are those within it, or within one that began up to a window
+ * earlier, whichever are more.
+ */
+static void test_window_holds_its_bound(void)
+{
+	enum {
+		END_MS = 120000
+	};
+	static double fresh[END_MS + 1], taken[END_MS + 1]; /* until then */
+	retry_window_t window;
+	GRand *random = g_rand_new_with_seed(20261204);
+	double worst = 0;
+
+	retry_window_init(&window, WINDOW_MS);
+	retry_window_set(&window, 0.2, 8);
+	for (clock_ms_t now = 0; now < END_MS; now++) {
+		fresh[now + 1] = fresh[now];
+		taken[now + 1] = taken[now];
+		if (g_rand_int_range(random, 0, 70) == 0) {
+			retry_window_fresh(&window, now);
+			fresh[now + 1]++;
+		}
+		if (g_rand_int_range(random, 0, 2500) == 0)
+			taken[now + 1] += take_all(&window, now);
+	}
+	g_rand_free(random);
+	for (clock_ms_t end = 2 * WINDOW_MS; end <= END_MS; end++) {
+		double most = 0;
+
+		for (clock_ms_t back = 0; back <= WINDOW_MS;
+		     back += WINDOW_MS / 2)
+			most = MAX(most, fresh[end - back] -
+						 fresh[end - back - WINDOW_MS]);
+		worst = MAX(worst, taken[end] - taken[end - WINDOW_MS] -
+					   (0.2 * most + 8));
+	}
+	/* retries of one part that leave the window before its end */
+	CU_ASSERT(worst <= 4);
+	CU_ASSERT(taken[END_MS] > 100);
+}
+
 static const unit_test_t tests[] = {
 	{ "share bounds sessions", test_share_bounds_sessions },
 	{ "less served customer goes first",
@@ -215,6 +289,8 @@
 	  test_shrunk_contract_cuts_old_parts },
 	{ "idle time is no backlog", test_idle_time_is_no_backlog },
 	{ "retries are a fraction", test_retries_are_a_fraction },
+	{ "burst of lost streams", test_burst_of_lost_streams },
+	{ "window holds its bound", test_window_holds_its_bound },
 };
 
 int main(void)
