Refuse streams that a planned stop would cut

Cause: the balancer sends to a stopping instance for 2 s or more, and a stream of 200 tokens takes longer than the 8 s of the stop. They are refused at once, not run, with Retry-After; the next entry serves them. Each stream that is cut all the same leaves a line, request_cut.

Ruled out: refusing every stream from SIGTERM on; three of four end in time. Test: stop under load, which plays the streams of a stop.

--- a/src/cli/explain_file.c
+++ b/src/cli/explain_file.c
@@ -41,6 +41,8 @@
 	{ "request_given_up",
 	  "Given up with {status} (0: broken off) after {after_ms} ms, "
 	  "because of {reason}; {runs} of its {sends} attempts may have run." },
+	{ "request_cut", "Cut after {after_ms} ms and {events} events: the "
+			 "entry had to stop." },
 	{ "caller_left",
 	  "The caller left after {after_ms} ms, {events} events and {sends} "
 	  "attempts." },
--- a/src/wisteria/daemon/fleet_daemon.c
+++ b/src/wisteria/daemon/fleet_daemon.c
@@ -46,15 +46,18 @@
 		fleet_control_is_idle(&daemon->control));
 }
 
+static clock_ms_t stop_time(const fleet_daemon_t *daemon)
+{
+	return (clock_ms_t)(daemon->settings->fleet->stop_s * 1000) -
+	       STOP_RESERVE_MS;
+}
+
 static void on_stop_tick(uv_timer_t *timer)
 {
 	fleet_daemon_t *daemon = timer->data;
 	clock_ms_t age = clock_now(&clock_boottime) - daemon->stop_since_ms;
-	clock_ms_t limit =
-		(clock_ms_t)(daemon->settings->fleet->stop_s * 1000) -
-		STOP_RESERVE_MS;
 
-	if (is_idle(daemon) || age >= limit)
+	if (is_idle(daemon) || age >= stop_time(daemon))
 		uv_stop(&daemon->loop);
 }
 
@@ -69,7 +72,7 @@
 	if (daemon->has_control)
 		fleet_control_leave(&daemon->control);
 	if (daemon->has_gateway)
-		gateway_drain(&daemon->gateway);
+		gateway_drain(&daemon->gateway, stop_time(daemon));
 	uv_timer_start(&daemon->stop_tick, on_stop_tick, STOP_TICK_MS,
 		       STOP_TICK_MS);
 }
--- a/src/wisteria/gateway/exchange.c
+++ b/src/wisteria/gateway/exchange.c
@@ -15,6 +15,7 @@
 #include "wisteria/fleet/routes.h"
 #include "wisteria/fleet/subscription.h"
 #include "wisteria/gateway/gateway.h"
+#include "wisteria/gateway/stop_margin.h"
 #include "wisteria/gateway/target.h"
 #include "wisteria/http/http_message.h"
 
@@ -24,6 +25,8 @@
 #define RETRY_AFTER_ENDPOINT_MS 1000
 /* When to come back: a few requests end in this time. */
 #define RETRY_AFTER_FULL_MS 500
+/* When to come back: at once, the balancer has other entries; 0 says nothing. */
+#define RETRY_AFTER_STOPPING_MS 50
 
 static clock_ms_t now_of(const exchange_t *exchange)
 {
@@ -214,6 +217,20 @@
 		refuse(exchange, RETRY_AFTER_ENDPOINT_MS, "no_endpoint");
 }
 
+/* Whether the answer would be cut by the stop that is planned. */
+static bool would_be_cut(exchange_t *exchange)
+{
+	const gateway_t *gateway = exchange->gateway;
+	const caller_request_t *caller = &exchange->caller;
+	target_t target;
+
+	return gateway->drain_since_ms != 0 &&
+	       exchange->route->kind == ROUTE_STREAM &&
+	       target_choose(exchange, &target) == TARGET_FOUND &&
+	       stop_margin_is_short(gateway->stop_ms - now_of(exchange),
+				    caller->answer_tokens_hint, target.cost_ms);
+}
+
 static void send_first(exchange_t *exchange)
 {
 	gateway_t *gateway = exchange->gateway;
@@ -222,6 +239,10 @@
 	clock_ms_t time_ms;
 	target_t target;
 
+	if (would_be_cut(exchange)) {
+		refuse(exchange, RETRY_AFTER_STOPPING_MS, "stopping");
+		return;
+	}
 	wait->pool = exchange->service;
 	wait->priority = exchange->route->priority;
 	if (!wait_queue_has(&gateway->waiting, wait->pool, wait->priority)) {
@@ -638,6 +659,17 @@
 	exchange_discard(exchange);
 }
 
+/* The time for a planned stop is up: what is not at its end breaks off. */
+void exchange_cut(exchange_t *exchange)
+{
+	LOG_WARN("request_cut",
+		 "request=%s reason=stopped sends=%u events=%" G_GUINT64_FORMAT
+		 " after_ms=%" G_GINT64_FORMAT,
+		 id_of(exchange), exchange->sends, exchange->events.events,
+		 now_of(exchange) - exchange->started_ms);
+	exchange_discard(exchange);
+}
+
 /*
  * Passes over the endpoints of a silent pipeline that have not been heard
  * either.
--- a/src/wisteria/gateway/exchange.h
+++ b/src/wisteria/gateway/exchange.h
@@ -9,6 +9,7 @@
 void exchange_caller_left(exchange_t *exchange) ATTR_NONNULL_ALL;
 void exchange_tick(exchange_t *exchange, clock_ms_t now) ATTR_NONNULL_ALL;
 void exchange_discard(exchange_t *exchange) ATTR_NONNULL_ALL;
+void exchange_cut(exchange_t *exchange) ATTR_NONNULL_ALL;
 void exchange_serve_waiting(gateway_t *gateway) ATTR_NONNULL_ALL;
 
 #endif
--- a/src/wisteria/gateway/gateway.c
+++ b/src/wisteria/gateway/gateway.c
@@ -420,10 +420,14 @@
 	return true;
 }
 
-/* A stop is planned: not ready any more; what is open goes on to its end. */
-void gateway_drain(gateway_t *gateway)
+/*
+ * A stop is planned in "left_ms": not ready any more; what is open goes on to
+ * its end, and what could not end in time is not taken.
+ */
+void gateway_drain(gateway_t *gateway, clock_ms_t left_ms)
 {
 	gateway->drain_since_ms = clock_now(gateway->clock);
+	gateway->stop_ms = gateway->drain_since_ms + left_ms;
 	http_server_drain(&gateway->http);
 }
 
@@ -440,7 +444,7 @@
 void gateway_close(gateway_t *gateway)
 {
 	while (!LIST_EMPTY(&gateway->exchanges))
-		exchange_discard(LIST_FIRST(&gateway->exchanges));
+		exchange_cut(LIST_FIRST(&gateway->exchanges));
 	uv_close((uv_handle_t *)&gateway->tick, NULL);
 	http_server_close(&gateway->http);
 	http_server_close(&gateway->ready);
--- a/src/wisteria/gateway/gateway_defs.h
+++ b/src/wisteria/gateway/gateway_defs.h
@@ -140,6 +140,7 @@
 	GRand *random;
 	uv_timer_t tick;
 	clock_ms_t drain_since_ms; /* 0: not draining */
+	clock_ms_t stop_ms;	   /* end of the time for the stop */
 } gateway_t;
 
 #endif
--- /dev/null
+++ b/src/wisteria/gateway/stop_margin.h
@@ -0,0 +1,12 @@
+#ifndef WISTERIA_GATEWAY_STOP_MARGIN_H
+#define WISTERIA_GATEWAY_STOP_MARGIN_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "wisteria/base/clock_defs.h"
+
+bool stop_margin_is_short(clock_ms_t left_ms, uint32_t answer_tokens,
+			  double pass_ms);
+
+#endif
--- /dev/null
+++ b/test/unit/stop_margin_test.c
@@ -0,0 +1,56 @@
+/* Unit tests of what an entry that stops still takes, with a play of a stop. */
+#include "unit.h"
+
+#include <glib.h>
+
+#include "wisteria/gateway/stop_margin.h"
+
+#define STOP_MS 7750
+#define PASS_MS 33
+
+static void test_short_answers_are_taken(void)
+{
+	CU_ASSERT_FALSE(stop_margin_is_short(STOP_MS, 60, PASS_MS));
+	CU_ASSERT_TRUE(stop_margin_is_short(STOP_MS, 400, PASS_MS));
+	CU_ASSERT_FALSE(stop_margin_is_short(STOP_MS, 0, PASS_MS));
+	CU_ASSERT_TRUE(stop_margin_is_short(0, 1, PASS_MS));
+}
+
+/*
+ * For 2.5 s after a stop began, streams of 20 to 300 tokens still come.  Their
+ * answers take 0.3 to 1.5 passes a token.  Without the margin a tenth or
+ * more is cut; with it under a fortieth, and most are still taken.
+ */
+static void test_stop_under_load(void)
+{
+	GRand *random = g_rand_new_with_seed(20261204);
+	unsigned all = 0, taken = 0, cut = 0, cut_without = 0;
+
+	for (clock_ms_t now = 0; now < 2500; now += 5) {
+		uint32_t tokens = (uint32_t)g_rand_int_range(random, 20, 300);
+		double answer_ms = tokens * PASS_MS *
+				   g_rand_double_range(random, 0.3, 1.5);
+		bool in_time = (double)now + answer_ms < STOP_MS;
+
+		all++;
+		cut_without += !in_time;
+		if (stop_margin_is_short(STOP_MS - now, tokens, PASS_MS))
+			continue;
+		taken++;
+		cut += !in_time;
+	}
+	g_rand_free(random);
+	CU_ASSERT(cut_without * 10 > all);
+	CU_ASSERT(cut * 40 < all);
+	CU_ASSERT(taken * 2 > all);
+}
+
+static const unit_test_t tests[] = {
+	{ "short answers are taken", test_short_answers_are_taken },
+	{ "stop under load", test_stop_under_load },
+};
+
+int main(void)
+{
+	return unit_run("stop_margin", tests, ARRAY_SIZE(tests));
+}
