--- a/src/wisteria/gateway/exchange.c
+++ b/src/wisteria/gateway/exchange.c
@@ -293,7 +293,7 @@
 	return false;
 }
 
-static bool try_again(exchange_t *exchange)
+static bool try_again(exchange_t *exchange, const outcome_case_t *given)
 {
 	gateway_t *gateway = exchange->gateway;
 	target_t target;
@@ -302,7 +302,8 @@
 		return not_retried(exchange, "no_lease");
 	if (target_choose(exchange, &target) != TARGET_FOUND)
 		return not_retried(exchange, "no_other_endpoint");
-	if (!retry_window_take(
+	if (outcome_is_repeat(given) &&
+	    !retry_window_take(
 		    gateway_retries(gateway, exchange->service->name),
 		    now_of(exchange)))
 		return not_retried(exchange, "retry_budget");
@@ -333,7 +334,9 @@
 
 	counter_add(COUNTER_GATEWAY_FAILED_SENDS, 1);
 	exchange->runs += ran;
+	exchange->arrivals += end != ATTEMPT_UNSENT;
 	given.runs = exchange->runs;
+	given.arrivals = exchange->arrivals;
 	given.may_have_run = exchange->runs > 0;
 	note_failed(exchange, end, faulty_address);
 	LOG_INFO("attempt_failed",
@@ -348,7 +351,7 @@
 	outcome = outcome_decide(&given);
 	end_attempt(exchange);
 	if (outcome == OUTCOME_AGAIN) {
-		if (try_again(exchange))
+		if (try_again(exchange, &given))
 			return;
 		outcome = outcome_without_retry(&given);
 	}
@@ -716,6 +719,7 @@
 			 now - exchange->progress_ms, exchange->events.events);
 		counter_add(COUNTER_GATEWAY_STALLS, 1);
 		exchange->runs++;
+		exchange->arrivals++;
 		end_attempt(exchange);
 		send_attempt(exchange, &other);
 		return;
--- a/src/wisteria/gateway/gateway_defs.h
+++ b/src/wisteria/gateway/gateway_defs.h
@@ -95,8 +95,9 @@
 	clock_ms_t progress_ms; /* when it was sent or last said something */
 	GPtrArray *failed;	/* ids of endpoints not to be tried again */
 	unsigned sends;
-	unsigned runs; /* attempts that may have run */
-	bool streams;  /* the attempt's answer is passed on as it comes */
+	unsigned runs;	   /* attempts that may have run */
+	unsigned arrivals; /* attempts that an endpoint may have read */
+	bool streams;	   /* the attempt's answer is passed on as it comes */
 	bool head_sent;
 	int64_t content_length; /* of a stream's answer; -1: none */
 	event_stream_t events;
--- a/src/wisteria/gateway/outcome.c
+++ b/src/wisteria/gateway/outcome.c
@@ -31,6 +31,16 @@
 	return OUTCOME_AGAIN;
 }
 
+/*
+ * Returns whether another attempt is a repeat, for which the budget pays.  The
+ * load that it answers: a machine is lost, and what was on its way to it was
+ * never read there; elsewhere it arrives for the first time.
+ */
+bool outcome_is_repeat(const outcome_case_t *given)
+{
+	return given->arrivals > 0;
+}
+
 /* Returns the name of "end" for logs. */
 const char *attempt_end_name(attempt_end_t end)
 {
--- a/src/wisteria/gateway/outcome.h
+++ b/src/wisteria/gateway/outcome.h
@@ -24,6 +24,7 @@
 	bool caller_waits; /* there is time left for another attempt */
 	unsigned runs;	   /* attempts that may have run, this one included */
 	unsigned max_runs;
+	unsigned arrivals; /* attempts that an endpoint may have read */
 } outcome_case_t;
 
 typedef enum {
@@ -36,6 +37,7 @@
 
 outcome_t outcome_decide(const outcome_case_t *given) ATTR_NONNULL_ALL;
 outcome_t outcome_without_retry(const outcome_case_t *given) ATTR_NONNULL_ALL;
+bool outcome_is_repeat(const outcome_case_t *given) ATTR_NONNULL_ALL;
 const char *attempt_end_name(attempt_end_t end);
 
 #endif
--- a/test/unit/outcome_test.c
+++ b/test/unit/outcome_test.c
@@ -111,6 +111,23 @@
 	}
 }
 
+/* A retry budget that is spent does not refuse what was never sent. */
+static void test_first_arrival_is_no_repeat(void)
+{
+	outcome_case_t given = { .end = ATTEMPT_UNSENT,
+				 .caller_waits = true,
+				 .max_runs = 1 };
+
+	CU_ASSERT_EQUAL(outcome_decide(&given), OUTCOME_AGAIN);
+	CU_ASSERT_FALSE(outcome_is_repeat(&given));
+	given.end = ATTEMPT_NOT_RUN;
+	given.arrivals = 1;
+	CU_ASSERT_EQUAL(outcome_decide(&given), OUTCOME_AGAIN);
+	CU_ASSERT_TRUE(outcome_is_repeat(&given));
+	given.end = ATTEMPT_UNSENT;
+	CU_ASSERT_TRUE(outcome_is_repeat(&given));
+}
+
 /* Over all cases: "not run" is only said of what cannot have run. */
 static void test_refusals_are_true(void)
 {
@@ -141,6 +158,7 @@
 }
 
 static const unit_test_t tests[] = {
+	{ "first arrival is no repeat", test_first_arrival_is_no_repeat },
 	{ "rows", test_rows },
 	{ "refusals are true", test_refusals_are_true },
 };
