--- a/src/wisteria/http/http_call.c
+++ b/src/wisteria/http/http_call.c
@@ -134,6 +134,10 @@
 			return;
 		}
 		http_reader_eof(&call->reader);
+		if (call->reader.state == HTTP_READ_FAILED) {
+			fail(call, "closed_midway");
+			return;
+		}
 	} else if (http_reader_feed(&call->reader, buf->base, (size_t)len) ==
 		   0) {
 		call->reader.state = HTTP_READ_FAILED;
