--- a/src/wisteria/fleet/fleet_control.c
+++ b/src/wisteria/fleet/fleet_control.c
@@ -4,15 +4,14 @@
  */
 #include "wisteria/fleet/fleet_control.h"
 
-#include <stdlib.h>
 #include <string.h>
 
 #include "wisteria/base/clock.h"
 #include "wisteria/base/err.h"
 #include "wisteria/base/log.h"
-#include "wisteria/base/log_sink.h"
 #include "wisteria/control/replica.h"
 #include "wisteria/fleet/fleet_api.h"
+#include "wisteria/fleet/fleet_group.h"
 #include "wisteria/fleet/fleet_news.h"
 #include "wisteria/fleet/placer.h"
 #include "wisteria/fleet/prober.h"
@@ -148,15 +147,6 @@
 		replica_on_message(&control->replica, conn, body);
 }
 
-/* How the control instances of a new fleet find each other. */
-
-/* Notes a control instance; returns whether it was not known. */
-static bool meet(fleet_control_t *control, const char *address, bool has_disk)
-{
-	return g_hash_table_replace(control->met, g_strdup(address),
-				    has_disk ? control : NULL);
-}
-
 static void take_meeting(fleet_control_t *control, conn_t *conn,
 			 const void *body)
 {
@@ -167,8 +157,9 @@
 	for (size_t i = 0; i < meeting->control_count; i++) {
 		subscription_hear_of(&control->subscription,
 				     &meeting->controls[i]);
-		is_new |= meet(control, meeting->controls[i].address,
-			       meeting->controls[i].has_disk);
+		is_new |=
+			fleet_group_meet(control, meeting->controls[i].address,
+					 meeting->controls[i].has_disk);
 	}
 	for (guint i = 0; is_new && i < control->subscribers->len; i++)
 		send_met(control, g_ptr_array_index(control->subscribers, i));
@@ -190,8 +181,8 @@
 	fleet_control_t *control = of_subscription(handler);
 
 	for (size_t i = 0; i < meeting->control_count; i++)
-		meet(control, meeting->controls[i].address,
-		     meeting->controls[i].has_disk);
+		fleet_group_meet(control, meeting->controls[i].address,
+				 meeting->controls[i].has_disk);
 }
 
 /* Whether nothing newer is known than what "news" says. */
@@ -536,7 +527,7 @@
 		return;
 	for (uint32_t i = 0; i < members->count; i++) {
 		addresses[count++] = members->items[i].address;
-		meet(control, members->items[i].address, true);
+		fleet_group_meet(control, members->items[i].address, true);
 	}
 	/* The seeds may be all that others know: they hear of us there. */
 	for (guint i = 0; i < MIN(seeds->len, SETTINGS_SEEDS_MAX); i++)
@@ -544,102 +535,12 @@
 	subscription_follow(&control->subscription, addresses, count);
 }
 
-static void add_founder(fleet_control_t *control, const char *address)
-{
-	settings_control_t *group = &control->group;
-	settings_peer_t *founder = &group->voters[group->voters_count++];
-
-	founder->address = g_strdup(address);
-	founder->instance = g_strdup(address);
-}
-
-static int compare_addresses(gconstpointer a, gconstpointer b)
-{
-	return strcmp(a, b);
-}
-
-/* A new fleet is founded by all instances with disks that have met. */
-static void add_founders_met(fleet_control_t *control)
-{
-	GList *addresses = g_hash_table_get_keys(control->met);
-
-	addresses = g_list_sort(addresses, compare_addresses);
-	for (GList *at = addresses; at != NULL; at = at->next)
-		if (g_hash_table_lookup(control->met, at->data) != NULL &&
-		    control->group.voters_count < FLEET_FOUNDERS_MAX)
-			add_founder(control, at->data);
-	g_list_free(addresses);
-}
-
-/* An instance that joins asks the seeds. */
-static void add_seeds(fleet_control_t *control)
-{
-	const settings_fleet_t *fleet = control->settings->fleet;
-
-	for (unsigned i = 0; i < fleet->seeds_count; i++) {
-		char *address =
-			settings_fleet_peer_address(fleet, fleet->seeds[i]);
-
-		add_founder(control, address);
-		g_free(address);
-	}
-}
-
-/* Describes the group's founders and the data folder to the replica. */
-static void describe_group(fleet_control_t *control)
-{
-	const settings_fleet_t *fleet = control->settings->fleet;
-	settings_control_t *group = &control->group;
-
-	group->listen = fleet->peer_listen;
-	group->data_dir = fleet->data_dir;
-	group->join_only = !fleet->bootstrap;
-	group->open_group = true;
-	group->voters = g_new0(settings_peer_t,
-			       FLEET_FOUNDERS_MAX + fleet->seeds_count);
-	if (fleet->bootstrap)
-		add_founders_met(control);
-	else
-		add_seeds(control);
-	control->replica_settings = *control->settings;
-	control->replica_settings.control = group;
-}
-
-/*
- * Starts the replica: at once, or in a new fleet when the control instances
- * have met.  A data folder that cannot be used ends the process: it would
- * look like a member that is well.
- */
-static void begin_replica(fleet_control_t *control, clock_ms_t now)
-{
-	const settings_fleet_t *fleet = control->settings->fleet;
-	err_t err = ERR_INIT;
-
-	if (control->replicates || fleet->data_dir == NULL ||
-	    (fleet->bootstrap && now - control->started_ms < FLEET_MEET_MS))
-		return;
-	describe_group(control);
-	if (!replica_init(&control->replica, control->net,
-			  &control->replica_settings, &control->machine,
-			  &err)) {
-		log_err(G_LOG_LEVEL_CRITICAL, "data_folder_unusable", &err);
-		log_sink_stop();
-		exit(EXIT_FAILURE);
-	}
-	control->replicates = true;
-	registry_file_init(&control->registry_file, control->net->loop,
-			   fleet->data_dir);
-	LOG_INFO("endpoints_recalled", "endpoints=%u",
-		 registry_file_load(&control->registry_file, &control->registry,
-				    now));
-}
-
 static void on_tick(uv_timer_t *timer)
 {
 	fleet_control_t *control = timer->data;
 	clock_ms_t now = now_of(control);
 
-	begin_replica(control, now);
+	fleet_group_begin(control, now);
 	if (control->table_is_old)
 		follow_revision(control);
 	send_news(control);
@@ -734,8 +635,8 @@
 	control->started_ms = clock_now(net->clock);
 	control->met =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	meet(control, settings->fleet->peer_listen,
-	     settings->fleet->data_dir != NULL);
+	fleet_group_meet(control, settings->fleet->peer_listen,
+			 settings->fleet->data_dir != NULL);
 	revisions_init(&control->revisions);
 	registry_init(&control->registry);
 	fleet_told_init(&control->told);
@@ -756,7 +657,7 @@
 			  settings->fleet->peer_listen,
 			  &control->subscription_handler);
 	subscribe_to_seeds(control);
-	begin_replica(control, control->started_ms);
+	fleet_group_begin(control, control->started_ms);
 	uv_timer_init(net->loop, &control->tick);
 	control->tick.data = control;
 	uv_timer_start(&control->tick, on_tick, CONTROL_TICK_MS,
--- /dev/null
+++ b/src/wisteria/fleet/fleet_group.h
@@ -0,0 +1,12 @@
+#ifndef WISTERIA_FLEET_FLEET_GROUP_H
+#define WISTERIA_FLEET_FLEET_GROUP_H
+
+#include "wisteria/base/macros_defs.h"
+#include "wisteria/fleet/fleet_control_defs.h"
+
+bool fleet_group_meet(fleet_control_t *control, const char *address,
+		      bool has_disk) ATTR_NONNULL_ALL;
+void fleet_group_begin(fleet_control_t *control,
+		       clock_ms_t now) ATTR_NONNULL_ALL;
+
+#endif
