Wait for the log in the test of a leader that is cut off

The test asked the log who leads right after the last answer. Log lines are handed to a thread that writes every 20 ms; in a run of the whole script the new leader's line was of 37.608 and the question came at 37.628, so the old leader was read once. The test waits for the line now; what it expects is the same. Seen once, functional/control_test, traced by the kept logs of that run.

--- a/test/functional/control_test.c
+++ b/test/functional/control_test.c
@@ -118,6 +118,18 @@
 	control_rig_finish(&rig);
 }
 
+typedef struct {
+	control_rig_t *rig;
+	size_t leader;
+} led_t;
+
+static bool is_led_by_another(void *user)
+{
+	const led_t *before = user;
+
+	return control_rig_leader(before->rig) != before->leader;
+}
+
 /* The others no longer reach the leader; it still reaches them. */
 static void test_leader_cut_off_in_one_direction(void)
 {
@@ -136,7 +148,9 @@
 		CU_ASSERT_EQUAL(
 			control_rig_change(&rig, (leader + 1) % 3).outcome,
 			ORDER_APPLIED);
-	CU_ASSERT_NOT_EQUAL(control_rig_leader(&rig), leader);
+	/* The rig reads it in the log, which is written behind the answer. */
+	CU_ASSERT(control_rig_until(&rig, is_led_by_another,
+				    &(led_t){ &rig, leader }, HARNESS_WAIT_MS));
 	CU_ASSERT(control_rig_until(&rig, lease_ran_out, daemon,
 				    HARNESS_WAIT_MS));
 	relay_silence(rig.controls[leader].relay, false);
