Drop functions that nothing calls

Found by counting the uses of every declared function. Functions that only tests call stay: tests keep their assertions. No behaviour changes.

--- a/src/wisteria/base/histogram.c
+++ b/src/wisteria/base/histogram.c
@@ -39,16 +39,6 @@
 	ck_pr_add_64(&sums[latency], (uint64_t)span);
 }
 
-/* Returns how many spans were at most "up_to", a bound of a bucket. */
-uint64_t histogram_count(latency_t latency, clock_ms_t up_to)
-{
-	uint64_t count = 0;
-
-	for (size_t i = 0; i < ARRAY_SIZE(bounds) && bounds[i] <= up_to; i++)
-		count += ck_pr_load_64(&buckets[latency][i]);
-	return count;
-}
-
 static void print_one(FILE *out, latency_t latency)
 {
 	uint64_t count = 0;
--- a/src/wisteria/base/histogram.h
+++ b/src/wisteria/base/histogram.h
@@ -19,7 +19,6 @@
 } latency_t;
 
 void histogram_add(latency_t latency, clock_ms_t span);
-uint64_t histogram_count(latency_t latency, clock_ms_t up_to);
 void histogram_print(FILE *out) ATTR_NONNULL_ALL;
 
 #endif
--- a/src/wisteria/base/table.c
+++ b/src/wisteria/base/table.c
@@ -83,12 +83,6 @@
 	table->free_list[table->free_count++] = handle.index;
 }
 
-/* Returns the number of records. */
-uint32_t table_count(const table_t *table)
-{
-	return table->used - table->free_count;
-}
-
 /*
  * Returns the first record after "after", or a zero handle at the end.  A
  * zero "after" starts the walk.
--- a/src/wisteria/base/table.h
+++ b/src/wisteria/base/table.h
@@ -11,7 +11,6 @@
 handle_t table_add(table_t *table) ATTR_NONNULL_ALL;
 void *table_get(const table_t *table, handle_t handle) ATTR_NONNULL_ALL;
 void table_remove(table_t *table, handle_t handle) ATTR_NONNULL_ALL;
-uint32_t table_count(const table_t *table) ATTR_NONNULL_ALL;
 handle_t table_next(const table_t *table, handle_t after) ATTR_NONNULL_ALL;
 bool handle_is_null(handle_t handle);
 
--- a/src/wisteria/entry/agent_links.c
+++ b/src/wisteria/entry/agent_links.c
@@ -40,24 +40,3 @@
 	g_hash_table_insert(links->by_address, g_strdup(address), link);
 	return link;
 }
-
-/* Ends the links without work whose address is not among "addresses". */
-void agent_links_drop_unused(agent_links_t *links, const char *const *addresses,
-			     size_t count)
-{
-	GHashTable *wanted = g_hash_table_new(g_str_hash, g_str_equal);
-	GHashTableIter iter;
-	gpointer address;
-	gpointer value;
-
-	for (size_t i = 0; i < count; i++)
-		g_hash_table_add(wanted, (char *)addresses[i]);
-	g_hash_table_iter_init(&iter, links->by_address);
-	while (g_hash_table_iter_next(&iter, &address, &value)) {
-		const link_t *link = value;
-
-		if (link->holds == 0 && !g_hash_table_contains(wanted, address))
-			g_hash_table_iter_remove(&iter);
-	}
-	g_hash_table_destroy(wanted);
-}
--- a/src/wisteria/entry/agent_links.h
+++ b/src/wisteria/entry/agent_links.h
@@ -18,7 +18,5 @@
 void agent_links_finish(agent_links_t *links) ATTR_NONNULL_ALL;
 link_t *agent_links_get(agent_links_t *links,
 			const char *address) ATTR_NONNULL_ALL;
-void agent_links_drop_unused(agent_links_t *links, const char *const *addresses,
-			     size_t count) ATTR_NONNULL(1);
 
 #endif
--- a/src/wisteria/fleet/subscription.c
+++ b/src/wisteria/fleet/subscription.c
@@ -354,16 +354,6 @@
 	return subscription->lease_until_ms > now_of(subscription);
 }
 
-/* Sends a message to one control instance, the one that is asked next. */
-void subscription_send(subscription_t *subscription, msg_type_t type,
-		       const void *body)
-{
-	subscription_control_t *control = next_control(subscription);
-
-	if (control != NULL)
-		link_send(&control->link, type, body);
-}
-
 /* Sends a message to the instance that leads, if it is known and reached. */
 void subscription_send_to_leader(subscription_t *subscription, msg_type_t type,
 				 const void *body)
