Choose a target once for each request that arrives

send_first() chose up to three times: for the check of a planned stop, to start, and once more to learn why it could not start, the last on each request that is refused or queued under load. A stopping entry also paid twice for the pipes. The choice is made once and handed on. What callers get is the same; the fleet test passes.

--- a/src/wisteria/gateway/exchange.c
+++ b/src/wisteria/gateway/exchange.c
@@ -158,25 +158,22 @@
 		 gateway->registry.version);
 }
 
-static bool start(exchange_t *exchange)
+static void start(exchange_t *exchange, const target_t *target)
 {
-	target_t target;
-
-	if (target_choose(exchange, &target) != TARGET_FOUND)
-		return false;
 	retry_window_fresh(
 		gateway_retries(exchange->gateway, exchange->service->name),
 		now_of(exchange));
-	send_attempt(exchange, &target);
-	return true;
+	send_attempt(exchange, target);
 }
 
 static bool start_waiting(wait_item_t *item)
 {
 	exchange_t *exchange = CONTAINER_OF(item, exchange_t, wait);
+	target_t target;
 
-	if (!start(exchange))
+	if (target_choose(exchange, &target) != TARGET_FOUND)
 		return false;
+	start(exchange, &target);
 	wait_queue_remove(&exchange->gateway->waiting, item);
 	histogram_add(LATENCY_QUEUE, now_of(exchange) - exchange->started_ms);
 	return true;
@@ -218,41 +215,45 @@
 }
 
 /* Whether the answer would be cut by the stop that is planned. */
-static bool would_be_cut(exchange_t *exchange)
+static bool would_be_cut(const exchange_t *exchange, const target_t *target)
 {
 	const gateway_t *gateway = exchange->gateway;
 	const caller_request_t *caller = &exchange->caller;
-	target_t target;
 
 	return gateway->drain_since_ms != 0 &&
 	       exchange->route->kind == ROUTE_STREAM &&
-	       target_choose(exchange, &target) == TARGET_FOUND &&
 	       stop_margin_is_short(gateway->stop_ms - now_of(exchange),
-				    caller->answer_tokens_hint, target.cost_ms);
+				    caller->answer_tokens_hint,
+				    target->cost_ms);
 }
 
 static void send_first(exchange_t *exchange)
 {
 	gateway_t *gateway = exchange->gateway;
 	wait_item_t *wait = &exchange->wait;
-	target_result_t result = TARGET_FULL;
+	target_result_t found = TARGET_FULL;
 	clock_ms_t time_ms;
 	target_t target;
+	bool waits;
 
-	if (would_be_cut(exchange)) {
+	wait->pool = exchange->service;
+	wait->priority = exchange->route->priority;
+	waits = wait_queue_has(&gateway->waiting, wait->pool, wait->priority);
+	if (!waits || gateway->drain_since_ms != 0)
+		found = target_choose(exchange, &target);
+	if (found == TARGET_FOUND && would_be_cut(exchange, &target)) {
 		refuse(exchange, RETRY_AFTER_STOPPING_MS, "stopping");
 		return;
 	}
-	wait->pool = exchange->service;
-	wait->priority = exchange->route->priority;
-	if (!wait_queue_has(&gateway->waiting, wait->pool, wait->priority)) {
-		if (start(exchange))
-			return;
-		result = target_choose(exchange, &target);
+	if (found == TARGET_FOUND && !waits) {
+		start(exchange, &target);
+		return;
 	}
-	time_ms = waiting_time(exchange, result, now_of(exchange));
+	if (waits)
+		found = TARGET_FULL; /* those before it have found no place */
+	time_ms = waiting_time(exchange, found, now_of(exchange));
 	if (time_ms <= 0) {
-		refuse_for_want(exchange, result);
+		refuse_for_want(exchange, found);
 		return;
 	}
 	wait->until_ms = exchange->started_ms + time_ms;
