Let owners leave out the callbacks that they have no use for

placer.c and prober.c had the same two empty callbacks of an HTTP call word for word, and three other owners had empty ones for a subscription or a server. The callers of those callbacks take NULL now, as they did already for two of a subscription's. No behaviour changes.

--- a/src/wisteria/daemon/fleet_metrics.c
+++ b/src/wisteria/daemon/fleet_metrics.c
@@ -51,18 +51,11 @@
 		http_conn_reply(conn, 404, "", "no such page\n", 13);
 }
 
-static void on_gone(http_server_handler_t *handler, http_conn_t *conn)
-{
-	(void)handler;
-	(void)conn;
-}
-
 /* Listens on "address"; returns false if it cannot be bound. */
 bool fleet_metrics_init(fleet_metrics_t *metrics, uv_loop_t *loop,
 			const char *address, err_t *err)
 {
 	metrics->handler.request = on_request;
-	metrics->handler.gone = on_gone;
 	return http_server_init(&metrics->server, loop, address,
 				&clock_monotonic, &limits, &metrics->handler,
 				err);
--- a/src/wisteria/fleet/fleet_control.c
+++ b/src/wisteria/fleet/fleet_control.c
@@ -409,20 +409,6 @@
 	control->revisions.number = reply->revision;
 }
 
-static void on_load(subscription_handler_t *handler,
-		    const msg_fleet_load_t *load)
-{
-	(void)handler;
-	(void)load;
-}
-
-static void on_paces(subscription_handler_t *handler,
-		     const msg_fleet_paces_t *paces)
-{
-	(void)handler;
-	(void)paces;
-}
-
 static uint64_t on_held(subscription_handler_t *handler)
 {
 	return of_subscription(handler)->revisions.number;
@@ -580,8 +566,6 @@
 	control->machine.message = machine_message;
 	control->subscription_handler.endpoints = on_endpoints;
 	control->subscription_handler.renewed = on_renewed;
-	control->subscription_handler.load = on_load;
-	control->subscription_handler.paces = on_paces;
 	control->subscription_handler.held = on_held;
 	control->subscription_handler.opened = on_control_opened;
 	control->subscription_handler.meeting = on_meeting;
--- a/src/wisteria/fleet/placer.c
+++ b/src/wisteria/fleet/placer.c
@@ -65,19 +65,6 @@
 	return CONTAINER_OF(handler, placer_order_t, handler);
 }
 
-static void on_headers(http_call_handler_t *handler,
-		       const http_message_t *answer)
-{
-	(void)handler;
-	(void)answer;
-}
-
-static void on_body(http_call_handler_t *handler, GByteArray *body)
-{
-	(void)handler;
-	(void)body;
-}
-
 static void on_complete(http_call_handler_t *handler,
 			const http_message_t *answer)
 {
@@ -144,8 +131,6 @@
 {
 	placer_order_t *order = g_new0(placer_order_t, 1);
 
-	order->handler.headers = on_headers;
-	order->handler.body = on_body;
 	order->handler.complete = on_complete;
 	order->handler.failed = on_failed;
 	order->placer = placer;
--- a/src/wisteria/fleet/prober.c
+++ b/src/wisteria/fleet/prober.c
@@ -55,19 +55,6 @@
 	return CONTAINER_OF(handler, probe_t, handler);
 }
 
-static void on_headers(http_call_handler_t *handler,
-		       const http_message_t *answer)
-{
-	(void)handler;
-	(void)answer;
-}
-
-static void on_body(http_call_handler_t *handler, GByteArray *body)
-{
-	(void)handler;
-	(void)body;
-}
-
 static void on_complete(http_call_handler_t *handler,
 			const http_message_t *answer)
 {
@@ -102,8 +89,6 @@
 {
 	probe_t *probe = g_new0(probe_t, 1);
 
-	probe->handler.headers = on_headers;
-	probe->handler.body = on_body;
 	probe->handler.complete = on_complete;
 	probe->handler.failed = on_failed;
 	probe->prober = prober;
--- a/src/wisteria/fleet/subscription.c
+++ b/src/wisteria/fleet/subscription.c
@@ -101,11 +101,13 @@
 	else if (msg->type == MSG_FLEET_ENDPOINTS)
 		subscription->handler->endpoints(subscription->handler,
 						 msg->body);
-	else if (msg->type == MSG_FLEET_LOAD)
+	else if (msg->type == MSG_FLEET_LOAD &&
+		 subscription->handler->load != NULL)
 		subscription->handler->load(subscription->handler, msg->body);
 	else if (msg->type == MSG_FLEET_MEET)
 		on_meeting(subscription, msg->body);
-	else if (msg->type == MSG_FLEET_PACES)
+	else if (msg->type == MSG_FLEET_PACES &&
+		 subscription->handler->paces != NULL)
 		subscription->handler->paces(subscription->handler, msg->body);
 }
 
--- a/src/wisteria/fleet/subscription_defs.h
+++ b/src/wisteria/fleet/subscription_defs.h
@@ -24,8 +24,10 @@
 			  const msg_fleet_endpoints_t *news);
 	void (*renewed)(struct subscription_handler_t *self,
 			const msg_fleet_renew_reply_t *reply);
+	/* What all entries use of the endpoints; may be NULL. */
 	void (*load)(struct subscription_handler_t *self,
 		     const msg_fleet_load_t *load);
+	/* Which engines are slow; may be NULL. */
 	void (*paces)(struct subscription_handler_t *self,
 		      const msg_fleet_paces_t *paces);
 	/* Which control instances another one knows; may be NULL. */
--- a/src/wisteria/gateway/gateway.c
+++ b/src/wisteria/gateway/gateway.c
@@ -342,18 +342,11 @@
 	http_conn_reply(conn, is_ready(gateway) ? 200 : 503, "", "", 0);
 }
 
-static void on_ready_gone(http_server_handler_t *handler, http_conn_t *conn)
-{
-	(void)handler;
-	(void)conn;
-}
-
 static void set_handlers(gateway_t *gateway)
 {
 	gateway->http_handler.request = on_request;
 	gateway->http_handler.gone = on_gone;
 	gateway->ready_handler.request = on_ready_request;
-	gateway->ready_handler.gone = on_ready_gone;
 	gateway->subscription_handler.endpoints = on_endpoints;
 	gateway->subscription_handler.renewed = on_renewed;
 	gateway->subscription_handler.load = on_load;
--- a/src/wisteria/http/http_call.c
+++ b/src/wisteria/http/http_call.c
@@ -80,9 +80,11 @@
 	if (!call->headers_told && call->reader.state != HTTP_READ_FAILED) {
 		call->headers_told = true;
 		call->stage = HTTP_CALL_CUT;
-		call->handler->headers(call->handler, answer);
+		if (call->handler->headers != NULL)
+			call->handler->headers(call->handler, answer);
 	}
-	if (!call->ended && call->headers_told && answer->body->len > 0)
+	if (!call->ended && call->headers_told && answer->body->len > 0 &&
+	    call->handler->body != NULL)
 		call->handler->body(call->handler, answer->body);
 	if (call->ended || call->reader.state == HTTP_READ_BODY)
 		return;
--- a/src/wisteria/http/http_call.h
+++ b/src/wisteria/http/http_call.h
@@ -19,9 +19,10 @@
  * or "failed" comes last and once; "call" ends with it.
  */
 typedef struct http_call_handler_t {
+	/* The answer's headers were read; may be NULL. */
 	void (*headers)(struct http_call_handler_t *self,
 			const http_message_t *answer);
-	/* New bytes of the body; the owner may consume them. */
+	/* New bytes of the body, which may be consumed; may be NULL. */
 	void (*body)(struct http_call_handler_t *self, GByteArray *body);
 	void (*complete)(struct http_call_handler_t *self,
 			 const http_message_t *answer);
--- a/src/wisteria/http/http_server.c
+++ b/src/wisteria/http/http_server.c
@@ -49,7 +49,7 @@
 	conn->state = HTTP_CONN_CLOSED;
 	LIST_REMOVE(conn, entry);
 	server->conn_count--;
-	if (was_open && conn->user != NULL)
+	if (was_open && conn->user != NULL && server->handler->gone != NULL)
 		server->handler->gone(server->handler, conn);
 	conn->user = NULL;
 	uv_close((uv_handle_t *)&conn->tcp, on_conn_closed);
--- a/src/wisteria/http/http_server.h
+++ b/src/wisteria/http/http_server.h
@@ -17,7 +17,10 @@
 	/* A whole request was read; it is answered now or later. */
 	void (*request)(struct http_server_handler_t *self,
 			struct http_conn_t *conn);
-	/* The caller left while its request was open; "conn" ends. */
+	/*
+	 * The caller left while its request was open; "conn" ends.  NULL for
+	 * an owner that answers all requests at once.
+	 */
 	void (*gone)(struct http_server_handler_t *self,
 		     struct http_conn_t *conn);
 } http_server_handler_t;
