Number failure domains in one place, and let GLib search lists of names

The choice of pipelines and the placer each numbered failure domains with a loop of their own; registry_domain_number() serves both. Two more loops were g_ptr_array_find_with_equal_func(), which subscription.c called already. No behaviour changes.

--- a/src/wisteria/fleet/placer.c
+++ b/src/wisteria/fleet/placer.c
@@ -162,15 +162,6 @@
 	       clock_now(placer->clock) - order->first_ms >= PLACER_ORDER_MS;
 }
 
-static uint32_t domain_number(picture_t *picture, const char *name)
-{
-	for (guint i = 0; i < picture->domains->len; i++)
-		if (strcmp(g_ptr_array_index(picture->domains, i), name) == 0)
-			return i;
-	g_ptr_array_add(picture->domains, (gpointer)(uintptr_t)name);
-	return picture->domains->len - 1;
-}
-
 static void add_node(const placer_t *placer, const service_t *service,
 		     const endpoint_t *endpoint, picture_t *picture)
 {
@@ -179,7 +170,8 @@
 	const placer_order_t *order =
 		g_hash_table_lookup(placer->orders, endpoint->id);
 	placement_node_t node = {
-		.domain = domain_number(picture, endpoint->failure_domain),
+		.domain = registry_domain_number(picture->domains,
+						 endpoint->failure_domain),
 		.first_layer = endpoint->first_layer,
 		.end_layer = endpoint->end_layer,
 		.slow = prober_pace(placer->prober, endpoint->id) >=
--- a/src/wisteria/fleet/registry.c
+++ b/src/wisteria/fleet/registry.c
@@ -183,3 +183,17 @@
 {
 	g_hash_table_foreach_remove(registry->by_id, is_old, &now);
 }
+
+/*
+ * Returns the place of failure domain "name" in "names", where a new one is
+ * added at the end; the names belong to the caller.
+ */
+uint32_t registry_domain_number(GPtrArray *names, const char *name)
+{
+	guint at;
+
+	if (g_ptr_array_find_with_equal_func(names, name, g_str_equal, &at))
+		return at;
+	g_ptr_array_add(names, (gpointer)(uintptr_t)name);
+	return names->len - 1;
+}
--- a/src/wisteria/fleet/registry.h
+++ b/src/wisteria/fleet/registry.h
@@ -29,5 +29,7 @@
 bool registry_is_usable(const registry_t *registry,
 			const endpoint_t *endpoint) ATTR_NONNULL_ALL;
 void registry_forget_old(registry_t *registry, clock_ms_t now) ATTR_NONNULL_ALL;
+uint32_t registry_domain_number(GPtrArray *names,
+				const char *name) ATTR_NONNULL_ALL;
 
 #endif
--- a/src/wisteria/fleet/subscription.c
+++ b/src/wisteria/fleet/subscription.c
@@ -139,15 +139,6 @@
 	g_ptr_array_add(subscription->controls, control);
 }
 
-static bool is_wanted(const subscription_t *subscription, const char *address)
-{
-	for (guint i = 0; i < subscription->wanted->len; i++)
-		if (strcmp(g_ptr_array_index(subscription->wanted, i),
-			   address) == 0)
-			return true;
-	return false;
-}
-
 static void drop_unwanted(subscription_t *subscription)
 {
 	guint i = 0;
@@ -156,7 +147,9 @@
 		subscription_control_t *control =
 			g_ptr_array_index(subscription->controls, i);
 
-		if (is_wanted(subscription, control->address)) {
+		if (g_ptr_array_find_with_equal_func(subscription->wanted,
+						     control->address,
+						     g_str_equal, NULL)) {
 			i++;
 			continue;
 		}
--- a/src/wisteria/gateway/target.c
+++ b/src/wisteria/gateway/target.c
@@ -36,19 +36,12 @@
 /* How many requests more a plain endpoint of the own domain may have. */
 #define OWN_DOMAIN_REQUESTS 3
 
-static bool has_failed(const exchange_t *exchange, const char *id)
-{
-	for (guint i = 0; i < exchange->failed->len; i++)
-		if (strcmp(g_ptr_array_index(exchange->failed, i), id) == 0)
-			return true;
-	return false;
-}
-
 static bool is_candidate(const exchange_t *exchange, const endpoint_t *endpoint)
 {
 	return strcmp(endpoint->service, exchange->service->name) == 0 &&
 	       registry_is_usable(&exchange->gateway->registry, endpoint) &&
-	       !has_failed(exchange, endpoint->id);
+	       !g_ptr_array_find_with_equal_func(exchange->failed, endpoint->id,
+						 g_str_equal, NULL);
 }
 
 static void put_hop(target_t *target, const endpoint_t *endpoint,
@@ -113,16 +106,11 @@
 	GPtrArray *domains;   /* their names; the first is our own */
 } candidates_t;
 
-static uint32_t domain_number(candidates_t *candidates, const char *name)
+/* Domains beyond those that the search tells apart are taken for one. */
+static uint32_t domain_number(const candidates_t *candidates, const char *name)
 {
-	for (guint i = 0; i < candidates->domains->len; i++)
-		if (strcmp(g_ptr_array_index(candidates->domains, i), name) ==
-		    0)
-			return i;
-	if (candidates->domains->len == PIPELINE_DOMAINS_MAX)
-		return PIPELINE_DOMAINS_MAX - 1;
-	g_ptr_array_add(candidates->domains, (gpointer)(uintptr_t)name);
-	return candidates->domains->len - 1;
+	return MIN(registry_domain_number(candidates->domains, name),
+		   PIPELINE_DOMAINS_MAX - 1);
 }
 
 static void add_stage(const exchange_t *exchange, const endpoint_t *endpoint,
