Put a revision in force by one function in entries and control instances

Both unpacked the document, read it through the dialect, swapped the tables and logged the same two lines; revisions_use() does it for both. The number of the revision that an entry holds was worked out in four places, now in gateway_revision(). No behaviour changes.

--- a/src/wisteria/fleet/fleet_control.c
+++ b/src/wisteria/fleet/fleet_control.c
@@ -250,27 +250,11 @@
 
 static void follow_revision(fleet_control_t *control)
 {
-	err_t err = ERR_INIT;
-	GBytes *document = revisions_document(&control->revisions, &err);
-	route_table_t *table = NULL;
-	const void *data;
 	gsize len = 0;
+	const void *packed = g_bytes_get_data(control->revisions.packed, &len);
 
 	control->table_is_old = false;
-	if (document != NULL) {
-		data = g_bytes_get_data(document, &len);
-		table = control->dialect->read_configuration(data, len, &err);
-		g_bytes_unref(document);
-	}
-	if (table == NULL) {
-		log_err(G_LOG_LEVEL_CRITICAL, "revision_unreadable", &err);
-		return;
-	}
-	route_table_unref(control->table);
-	control->table = table;
-	LOG_INFO("revision_in_force",
-		 "revision=%" G_GUINT64_FORMAT " routes=%u customers=%u",
-		 table->revision, table->routes->len, table->customers->len);
+	revisions_use(control->dialect, packed, len, &control->table);
 }
 
 static void machine_apply(replica_machine_t *machine, uint64_t index,
--- a/src/wisteria/fleet/revisions.c
+++ b/src/wisteria/fleet/revisions.c
@@ -1,11 +1,13 @@
 /*
  * Which revision of the configuration is in force: the one with the highest
- * number that was ever committed, in whichever order they arrive.  Pure.
+ * number that was ever committed, in whichever order they arrive.
  */
 #include "wisteria/fleet/revisions.h"
 
 #include "wisteria/base/err.h"
+#include "wisteria/base/log.h"
 #include "wisteria/codec/pack.h"
+#include "wisteria/fleet/routes.h"
 
 /* Makes a state without a revision. */
 void revisions_init(revisions_t *revisions)
@@ -61,6 +63,35 @@
 	return unpack_bytes(packed, len, err);
 }
 
+/*
+ * Reads a packed document and puts its routes in the place of "table", which
+ * may hold NULL.  Where it cannot be read, the routes held stay in force.
+ */
+void revisions_use(const fleet_dialect_t *dialect, const void *packed,
+		   size_t len, route_table_t **table)
+{
+	err_t err = ERR_INIT;
+	GBytes *document = unpack_bytes(packed, len, &err);
+	route_table_t *read = NULL;
+	const void *data;
+	gsize data_len = 0;
+
+	if (document != NULL) {
+		data = g_bytes_get_data(document, &data_len);
+		read = dialect->read_configuration(data, data_len, &err);
+		g_bytes_unref(document);
+	}
+	if (read == NULL) {
+		log_err(G_LOG_LEVEL_CRITICAL, "revision_unreadable", &err);
+		return;
+	}
+	route_table_unref(*table);
+	*table = read;
+	LOG_INFO("revision_in_force",
+		 "revision=%" G_GUINT64_FORMAT " routes=%u customers=%u",
+		 read->revision, read->routes->len, read->customers->len);
+}
+
 /*
  * Applies an entry of the log or a snapshot; "changed" tells whether it is
  * in force now.  Returns false where the bytes are no revision.
--- a/src/wisteria/fleet/revisions.h
+++ b/src/wisteria/fleet/revisions.h
@@ -6,6 +6,7 @@
 
 #include "wisteria/base/err_defs.h"
 #include "wisteria/base/macros_defs.h"
+#include "wisteria/fleet/dialect.h"
 
 /*
  * The revision of the configuration that is in force: its number and its
@@ -24,6 +25,8 @@
 			msgpack_sbuffer *out) ATTR_NONNULL_ALL;
 GBytes *revisions_document(const revisions_t *revisions,
 			   err_t *err) ATTR_WARN_UNUSED;
+void revisions_use(const fleet_dialect_t *dialect, const void *packed,
+		   size_t len, route_table_t **table) ATTR_NONNULL_ALL;
 bool revisions_apply(revisions_t *revisions, const uint8_t *data, size_t len,
 		     bool *changed, err_t *err) ATTR_WARN_UNUSED;
 
--- a/src/wisteria/gateway/exchange.c
+++ b/src/wisteria/gateway/exchange.c
@@ -579,7 +579,7 @@
 		 "revision=%" G_GUINT64_FORMAT,
 		 caller->id == NULL ? "-" : caller->id, verdict->status,
 		 verdict->reason, http_message_target(&conn->reader.message),
-		 gateway->table == NULL ? 0 : gateway->table->revision);
+		 gateway_revision(gateway));
 	answer_own(conn, gateway->dialect, caller, verdict->status,
 		   verdict->retry_after_ms, verdict->reason);
 }
--- a/src/wisteria/gateway/gateway.c
+++ b/src/wisteria/gateway/gateway.c
@@ -10,9 +10,9 @@
 #include "wisteria/base/counters.h"
 #include "wisteria/base/err.h"
 #include "wisteria/base/log.h"
-#include "wisteria/codec/pack.h"
 #include "wisteria/fleet/fleet_news.h"
 #include "wisteria/fleet/registry.h"
+#include "wisteria/fleet/revisions.h"
 #include "wisteria/fleet/routes.h"
 #include "wisteria/fleet/subscription.h"
 #include "wisteria/gateway/exchange.h"
@@ -74,48 +74,37 @@
 			       now - news->alive[i].age_ms);
 }
 
-static void use_table(gateway_t *gateway, route_table_t *table)
+/* Returns the number of the revision held; 0: none. */
+uint64_t gateway_revision(const gateway_t *gateway)
 {
-	const route_limits_t *limits = &table->limits;
+	return gateway->table == NULL ? 0 : gateway->table->revision;
+}
+
+static void use_limits(gateway_t *gateway)
+{
+	const route_limits_t *limits = &gateway->table->limits;
 
-	route_table_unref(gateway->table);
-	gateway->table = table;
 	gateway->http.limits = (http_limits_t){
 		.header_bytes = limits->header_bytes,
 		.body_bytes = limits->body_bytes,
 		.header_ms = limits->header_ms,
 		.idle_ms = limits->idle_ms,
 	};
-	LOG_INFO("revision_in_force",
-		 "revision=%" G_GUINT64_FORMAT " routes=%u customers=%u",
-		 table->revision, table->routes->len, table->customers->len);
 }
 
 static void on_renewed(subscription_handler_t *handler,
 		       const msg_fleet_renew_reply_t *reply)
 {
 	gateway_t *gateway = of_subscription(handler);
-	uint64_t held = gateway->table == NULL ? 0 : gateway->table->revision;
-	err_t err = ERR_INIT;
-	route_table_t *table = NULL;
-	GBytes *document;
-	const void *data;
-	gsize len = 0;
 
 	gateway->entries = reply->subscribers;
-	if (reply->revision <= held || reply->packed_document.len == 0)
+	if (reply->revision <= gateway_revision(gateway) ||
+	    reply->packed_document.len == 0)
 		return;
-	document = unpack_bytes(reply->packed_document.data,
-				reply->packed_document.len, &err);
-	if (document != NULL) {
-		data = g_bytes_get_data(document, &len);
-		table = gateway->dialect->read_configuration(data, len, &err);
-		g_bytes_unref(document);
-	}
-	if (table == NULL)
-		log_err(G_LOG_LEVEL_CRITICAL, "revision_unreadable", &err);
-	else
-		use_table(gateway, table);
+	revisions_use(gateway->dialect, reply->packed_document.data,
+		      reply->packed_document.len, &gateway->table);
+	if (gateway->table != NULL)
+		use_limits(gateway);
 }
 
 static void on_load(subscription_handler_t *handler,
@@ -145,9 +134,7 @@
 
 static uint64_t on_held(subscription_handler_t *handler)
 {
-	const gateway_t *gateway = of_subscription(handler);
-
-	return gateway->table == NULL ? 0 : gateway->table->revision;
+	return gateway_revision(of_subscription(handler));
 }
 
 /* Returns what "service" was sent and sent again, with the share of today. */
@@ -218,8 +205,7 @@
 		    g_hash_table_size(gateway->registry.by_id));
 	counter_set(GAUGE_LEASE,
 		    subscription_has_lease(&gateway->subscription));
-	counter_set(GAUGE_REVISION,
-		    gateway->table == NULL ? 0 : gateway->table->revision);
+	counter_set(GAUGE_REVISION, gateway_revision(gateway));
 }
 
 static void report_load(gateway_t *gateway, clock_ms_t now)
--- a/src/wisteria/gateway/gateway.h
+++ b/src/wisteria/gateway/gateway.h
@@ -14,6 +14,7 @@
 void gateway_close(gateway_t *gateway) ATTR_NONNULL_ALL;
 void gateway_finish(gateway_t *gateway) ATTR_NONNULL_ALL;
 
+uint64_t gateway_revision(const gateway_t *gateway) ATTR_NONNULL_ALL;
 retry_window_t *gateway_retries(gateway_t *gateway,
 				const char *service) ATTR_NONNULL_ALL;
 bool gateway_is_suspect(const gateway_t *gateway,
