Ask for the leader's address, and make news of endpoints, in one place

fleet_api.c and the answer to a renewal each searched the members for the leader. Each maker of news first listed the endpoints and freed the list again; fleet_news_init() walks the registry itself.

--- a/src/wisteria/fleet/fleet_api.c
+++ b/src/wisteria/fleet/fleet_api.c
@@ -13,6 +13,7 @@
 #include "wisteria/base/histogram.h"
 #include "wisteria/base/log.h"
 #include "wisteria/control/replica.h"
+#include "wisteria/fleet/fleet_group.h"
 #include "wisteria/fleet/registry.h"
 #include "wisteria/fleet/routes.h"
 #include "wisteria/http/http_message.h"
@@ -79,19 +80,6 @@
 	acknowledge(conn);
 }
 
-/* Returns where the instance that leads listens for frames, or NULL. */
-static const char *leader_address(const fleet_control_t *control)
-{
-	const raft_members_t *members = &control->replica.raft.members;
-
-	if (!control->replicates)
-		return control->leader;
-	for (uint32_t i = 0; i < members->count; i++)
-		if (members->items[i].id == control->replica.raft.leader)
-			return members->items[i].address;
-	return NULL;
-}
-
 /*
  * Sends an operator's call on to the instance that leads; all instances use
  * the same port for calls.
@@ -100,7 +88,7 @@
 {
 	const char *port =
 		strrchr(control->settings->fleet->control_listen, ':');
-	const char *leader = leader_address(control);
+	const char *leader = fleet_group_leader(control);
 	const char *host_end = leader == NULL ? NULL : strrchr(leader, ':');
 	GString *headers;
 
--- a/src/wisteria/fleet/fleet_control.c
+++ b/src/wisteria/fleet/fleet_control.c
@@ -89,15 +89,13 @@
 
 static void send_all_endpoints(const fleet_control_t *control, conn_t *conn)
 {
-	GPtrArray *all = fleet_news_of(&control->registry, NULL);
 	msg_fleet_endpoints_t message;
 	fleet_news_t news;
 
-	fleet_news_init(&news, all, NULL, now_of(control));
+	fleet_news_init(&news, &control->registry, NULL, NULL, now_of(control));
 	message = fleet_news_message(&news);
 	conn_send(conn, MSG_FLEET_ENDPOINTS, &message);
 	fleet_news_finish(&news);
-	g_ptr_array_unref(all);
 }
 
 static void take_subscriber(fleet_control_t *control, conn_t *conn,
@@ -304,6 +302,7 @@
 {
 	const raft_members_t *members = &control->replica.raft.members;
 	const revisions_t *revisions = &control->revisions;
+	const char *leader = fleet_group_leader(control);
 	msg_fleet_control_t controls[RAFT_MEMBERS_MAX];
 	msg_fleet_renew_reply_t reply = {
 		.asked_ms = read->asked_ms,
@@ -311,14 +310,12 @@
 		.controls = controls,
 		.control_count = members->count,
 		.subscribers = count_entries(control),
-		.leader = "",
+		.leader = leader == NULL ? "" : leader,
 	};
 
 	for (uint32_t i = 0; i < members->count; i++) {
 		controls[i].address = members->items[i].address;
 		controls[i].has_disk = true;
-		if (members->items[i].id == control->replica.raft.leader)
-			reply.leader = members->items[i].address;
 	}
 	if (read->held != revisions->number)
 		reply.packed_document.data = g_bytes_get_data(
@@ -416,12 +413,11 @@
 {
 	msg_fleet_endpoints_t message;
 	fleet_news_t news;
-	GPtrArray *fresh;
 
 	if (g_hash_table_size(control->fresh) == 0)
 		return;
-	fresh = fleet_news_of(&control->registry, control->fresh);
-	fleet_news_init(&news, fresh, &control->told, now_of(control));
+	fleet_news_init(&news, &control->registry, control->fresh,
+			&control->told, now_of(control));
 	message = fleet_news_message(&news);
 	if (control->settings->fleet->data_dir == NULL)
 		subscription_send_all(&control->subscription,
@@ -430,7 +426,6 @@
 		conn_send(g_ptr_array_index(control->subscribers, i),
 			  MSG_FLEET_ENDPOINTS, &message);
 	fleet_news_finish(&news);
-	g_ptr_array_unref(fresh);
 	g_hash_table_remove_all(control->fresh);
 }
 
--- a/src/wisteria/fleet/fleet_group.c
+++ b/src/wisteria/fleet/fleet_group.c
@@ -1,6 +1,6 @@
 /*
  * How the control group of a fleet begins: which instances have met, who
- * founds a new group, and when the replica starts.
+ * founds a new group, when the replica starts, and who leads.
  */
 #include "wisteria/fleet/fleet_group.h"
 
@@ -110,3 +110,16 @@
 		 registry_file_load(&control->registry_file, &control->registry,
 				    now));
 }
+
+/* Returns where the instance that leads listens for frames, or NULL. */
+const char *fleet_group_leader(const fleet_control_t *control)
+{
+	const raft_members_t *members = &control->replica.raft.members;
+
+	if (!control->replicates)
+		return control->leader;
+	for (uint32_t i = 0; i < members->count; i++)
+		if (members->items[i].id == control->replica.raft.leader)
+			return members->items[i].address;
+	return NULL;
+}
--- a/src/wisteria/fleet/fleet_group.h
+++ b/src/wisteria/fleet/fleet_group.h
@@ -8,5 +8,6 @@
 		      bool has_disk) ATTR_NONNULL_ALL;
 void fleet_group_begin(fleet_control_t *control,
 		       clock_ms_t now) ATTR_NONNULL_ALL;
+const char *fleet_group_leader(const fleet_control_t *control) ATTR_NONNULL_ALL;
 
 #endif
--- a/src/wisteria/fleet/fleet_news.c
+++ b/src/wisteria/fleet/fleet_news.c
@@ -62,16 +62,22 @@
 }
 
 /*
- * Makes news of "endpoints", of const endpoint_t.  What "told" knows to be the
- * same as before is only said to live; NULL describes everything in full.
+ * Makes news of the endpoints whose ids are in "ids", or of all where it is
+ * NULL.  What "told" knows to be the same as before is only said to live; NULL
+ * describes everything in full.
  */
-void fleet_news_init(fleet_news_t *news, const GPtrArray *endpoints,
-		     fleet_told_t *told, clock_ms_t now)
+void fleet_news_init(fleet_news_t *news, const registry_t *registry,
+		     GHashTable *ids, fleet_told_t *told, clock_ms_t now)
 {
+	GHashTableIter iter;
+	gpointer id;
+	gpointer value;
+
 	news->full = g_array_new(FALSE, FALSE, sizeof(msg_fleet_endpoint_t));
 	news->alive = g_array_new(FALSE, FALSE, sizeof(msg_fleet_alive_t));
-	for (guint i = 0; i < endpoints->len; i++) {
-		const endpoint_t *endpoint = g_ptr_array_index(endpoints, i);
+	g_hash_table_iter_init(&iter, registry->by_id);
+	while (g_hash_table_iter_next(&iter, &id, &value)) {
+		const endpoint_t *endpoint = value;
 		msg_fleet_endpoint_t full = message_of(endpoint, now);
 		msg_fleet_alive_t alive = {
 			.id = endpoint->id,
@@ -80,6 +86,8 @@
 			.age_ms = full.age_ms,
 		};
 
+		if (ids != NULL && !g_hash_table_contains(ids, id))
+			continue;
 		if (is_told(told, endpoint, now))
 			g_array_append_val(news->alive, alive);
 		else
@@ -106,37 +114,17 @@
 	};
 }
 
-/*
- * Returns the endpoints whose ids are in "ids", or all where it is NULL; the
- * caller frees the array, not the endpoints.
- */
-GPtrArray *fleet_news_of(const registry_t *registry, GHashTable *ids)
-{
-	GPtrArray *endpoints = g_ptr_array_new();
-	GHashTableIter iter;
-	gpointer key;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, registry->by_id);
-	while (g_hash_table_iter_next(&iter, &key, &value))
-		if (ids == NULL || g_hash_table_contains(ids, key))
-			g_ptr_array_add(endpoints, value);
-	return endpoints;
-}
-
 /* Appends all that is known, as the message to a subscriber. */
 void fleet_news_encode(const registry_t *registry, clock_ms_t now,
 		       msgpack_sbuffer *out)
 {
-	GPtrArray *all = fleet_news_of(registry, NULL);
 	msg_fleet_endpoints_t message;
 	fleet_news_t news;
 
-	fleet_news_init(&news, all, NULL, now);
+	fleet_news_init(&news, registry, NULL, NULL, now);
 	message = fleet_news_message(&news);
 	msg_encode(MSG_FLEET_ENDPOINTS, &message, out);
 	fleet_news_finish(&news);
-	g_ptr_array_unref(all);
 }
 
 /* Reads what another process passed on. */
--- a/src/wisteria/fleet/fleet_news.h
+++ b/src/wisteria/fleet/fleet_news.h
@@ -21,13 +21,12 @@
 
 void fleet_told_init(fleet_told_t *told) ATTR_NONNULL_ALL;
 void fleet_told_finish(fleet_told_t *told) ATTR_NONNULL_ALL;
-void fleet_news_init(fleet_news_t *news, const GPtrArray *endpoints,
-		     fleet_told_t *told, clock_ms_t now) ATTR_NONNULL(1, 2);
+void fleet_news_init(fleet_news_t *news, const registry_t *registry,
+		     GHashTable *ids, fleet_told_t *told, clock_ms_t now)
+	ATTR_NONNULL(1, 2);
 void fleet_news_finish(fleet_news_t *news) ATTR_NONNULL_ALL;
 msg_fleet_endpoints_t
 fleet_news_message(const fleet_news_t *news) ATTR_NONNULL_ALL;
-GPtrArray *fleet_news_of(const registry_t *registry, GHashTable *ids)
-	ATTR_NONNULL(1) ATTR_WARN_UNUSED;
 void fleet_news_encode(const registry_t *registry, clock_ms_t now,
 		       msgpack_sbuffer *out) ATTR_NONNULL_ALL;
 void fleet_news_read(const msg_fleet_endpoint_t *message, clock_ms_t now,
