--- a/src/wisteria/daemon/fleet_daemon.c
+++ b/src/wisteria/daemon/fleet_daemon.c
@@ -189,8 +189,9 @@
 
 /*
  * Runs the fleet roles of "settings" until the process is told to stop by
- * SIGTERM and its work has ended.  SIGHUP reads "settings_path" again.  Returns false if it could not start; the
- * process ends then, and with it all that was opened.
+ * SIGTERM and its work has ended.  SIGHUP reads "settings_path" again.
+ * Returns false if it could not start; the process ends then, and with it all
+ * that was opened.
  */
 bool fleet_daemon_run(const settings_t *settings, const char *settings_path,
 		      const fleet_dialect_t *dialect, err_t *err)
--- a/src/wisteria/gateway/exchange.c
+++ b/src/wisteria/gateway/exchange.c
@@ -338,7 +338,6 @@
 	exchange->arrivals += end != ATTEMPT_UNSENT;
 	given.runs = exchange->runs;
 	given.arrivals = exchange->arrivals;
-	given.may_have_run = exchange->runs > 0;
 	note_failed(exchange, end, faulty_address);
 	LOG_INFO("attempt_failed",
 		 "request=%s send=%u endpoint=%s end=%s reason=%s at=%s "
--- a/src/wisteria/gateway/outcome.c
+++ b/src/wisteria/gateway/outcome.c
@@ -14,7 +14,7 @@
 		return OUTCOME_BREAK;
 	if (given->end == ATTEMPT_ERROR)
 		return OUTCOME_PASS;
-	return given->may_have_run ? OUTCOME_FAIL : OUTCOME_REFUSE;
+	return given->runs > 0 ? OUTCOME_FAIL : OUTCOME_REFUSE;
 }
 
 /* Returns what to do; OUTCOME_AGAIN still depends on budget and endpoints. */
@@ -24,7 +24,7 @@
 		return outcome_without_retry(given);
 	if (given->answer_begun && !given->resumable)
 		return OUTCOME_BREAK;
-	if (given->may_have_run && !given->repeatable)
+	if (given->runs > 0 && !given->repeatable)
 		return outcome_without_retry(given);
 	if (given->runs >= given->max_runs)
 		return outcome_without_retry(given);
--- a/src/wisteria/gateway/outcome.h
+++ b/src/wisteria/gateway/outcome.h
@@ -20,7 +20,6 @@
 	bool repeatable;   /* may run more than once */
 	bool answer_begun; /* the caller has read a part of the answer */
 	bool resumable;	   /* an answer that has begun can go on elsewhere */
-	bool may_have_run; /* this attempt or an earlier one */
 	bool caller_waits; /* there is time left for another attempt */
 	unsigned runs;	   /* attempts that may have run, this one included */
 	unsigned max_runs;
