Check leaders only against commits of earlier terms

Cause: raft_fuzz reported "a leader lacks a committed entry". Shrunk from 731 to 13 bytes (six steps): a transfer makes node 1 a candidate of term 3; it is paused with its votes in flight; the others elect a leader of term 4 and commit index 3; the pause ends and the delayed votes make node 1 the leader of term 3. The log is right: leader completeness (section 5.4.3 of the 2014 paper) speaks of leaders of later terms. The late leader commits nothing and answers no read, since a quorum is in term 4 and rejects it. The oracle compared every leader with all that was committed at that moment.

Change: the oracle keeps the term in which an entry was committed, and the log of each leader at its election. A leader is checked against the entries of its own and earlier terms, also against those that are seen to be committed after its election, which was not checked before. Ruled out: skipping stale leaders altogether, which would hide a lost vote.

--- a/test/fuzz/raft_sim.h
+++ b/test/fuzz/raft_sim.h
@@ -94,13 +94,17 @@
 
 typedef struct {
 	uint64_t term;
+	uint64_t commit_term; /* of the leader that committed it */
 	uint64_t log_hash;
 	uint64_t revision;
 } sim_committed_t;
 
+/* A leader with the terms of its log entries when it was elected. */
 typedef struct {
 	uint64_t term;
 	uint64_t leader;
+	uint64_t base_index;
+	GArray *entry_terms; /* of uint64_t; base_index + 1 first */
 } sim_leader_t;
 
 typedef struct {
@@ -163,12 +167,51 @@
 	return &g_array_index(sim->committed, sim_committed_t, index - 1);
 }
 
-/* The oracle: all replicas commit the same entries, without gaps. */
+/*
+ * Leader completeness (section 5.4.3 of the 2014 paper): an entry that is
+ * committed in a term is in the logs of the leaders of later terms.  A leader
+ * of an earlier term may lack it: delayed votes can elect that leader after the
+ * group has moved on.  It commits nothing, since a quorum has a later term.
+ */
+static void sim_check_holds(sim_t *sim, const sim_leader_t *leader,
+			    uint64_t index)
+{
+	const sim_committed_t *entry = sim_committed_at(sim, index);
+	uint64_t at = index - leader->base_index - 1;
+
+	if (index <= leader->base_index || leader->term < entry->commit_term)
+		return;
+	if (at >= leader->entry_terms->len ||
+	    g_array_index(leader->entry_terms, uint64_t, at) != entry->term)
+		sim_fail(sim, "a leader lacks a committed entry");
+}
+
+/*
+ * Checks a new entry against the leaders of later terms that were elected
+ * before it was committed.
+ */
+static void sim_check_later_leaders(sim_t *sim, uint64_t index)
+{
+	uint64_t commit_term = sim_committed_at(sim, index)->commit_term;
+
+	for (guint i = 0; i < sim->leaders->len; i++) {
+		const sim_leader_t *leader =
+			&g_array_index(sim->leaders, sim_leader_t, i);
+
+		if (leader->term > commit_term)
+			sim_check_holds(sim, leader, index);
+	}
+}
+
+/*
+ * The oracle: all replicas commit the same entries, without gaps.  The first
+ * replica to apply an entry still has the term in which it was committed.
+ */
 static void sim_check_commit(sim_t *sim, const sim_node_t *node,
 			     const raft_entry_t *entry)
 {
-	const sim_committed_t added = { entry->term, node->log_hash,
-					node->revision };
+	const sim_committed_t added = { entry->term, node->raft.term,
+					node->log_hash, node->revision };
 
 	if (entry->index <= sim_committed_count(sim)) {
 		if (sim_committed_at(sim, entry->index)->log_hash !=
@@ -181,6 +224,7 @@
 		return;
 	}
 	g_array_append_val(sim->committed, added);
+	sim_check_later_leaders(sim, entry->index);
 	if (entry->kind == RAFT_ENTRY_DATA)
 		g_array_append_val(sim->accepted_ms, sim->now_ms);
 }
@@ -305,21 +349,31 @@
 	}
 }
 
-static void sim_check_log(sim_t *sim, const raft_t *raft)
+static sim_leader_t sim_leader_of(const sim_node_t *node)
 {
-	for (uint64_t i = raft->log.base_index + 1;
-	     i <= sim_committed_count(sim); i++) {
-		uint64_t term = 0;
+	const raft_log_t *log = &node->raft.log;
+	sim_leader_t leader = {
+		.term = node->raft.term,
+		.leader = node->id,
+		.base_index = log->base_index,
+		.entry_terms = g_array_new(FALSE, FALSE, sizeof(uint64_t)),
+	};
 
-		if (!raft_log_term(&raft->log, i, &term) ||
-		    term != sim_committed_at(sim, i)->term)
-			sim_fail(sim, "a leader lacks a committed entry");
-	}
+	for (guint i = 0; i < log->entries->len; i++)
+		g_array_append_val(
+			leader.entry_terms,
+			g_array_index(log->entries, raft_entry_t, i).term);
+	return leader;
+}
+
+static void sim_leader_clear(gpointer data)
+{
+	g_array_unref(((sim_leader_t *)data)->entry_terms);
 }
 
 static void sim_check_leader(sim_t *sim, const sim_node_t *node)
 {
-	const sim_leader_t found = { node->raft.term, node->id };
+	sim_leader_t found;
 
 	if (node->raft.role != RAFT_LEADER)
 		return;
@@ -327,15 +381,17 @@
 		const sim_leader_t *known =
 			&g_array_index(sim->leaders, sim_leader_t, i);
 
-		if (known->term != found.term)
+		if (known->term != node->raft.term)
 			continue;
-		if (known->leader != found.leader)
+		if (known->leader != node->id)
 			sim_fail(sim, "two leaders in one term");
 		return;
 	}
+	found = sim_leader_of(node);
 	g_array_append_val(sim->leaders, found);
 	sim->elections++;
-	sim_check_log(sim, &node->raft);
+	for (uint64_t i = 1; i <= sim_committed_count(sim); i++)
+		sim_check_holds(sim, &found, i);
 }
 
 /* Processes all output of a replica after a step. */
@@ -856,6 +912,7 @@
 	sim->committed = g_array_new(FALSE, FALSE, sizeof(sim_committed_t));
 	sim->accepted_ms = g_array_new(FALSE, FALSE, sizeof(clock_ms_t));
 	sim->leaders = g_array_new(FALSE, FALSE, sizeof(sim_leader_t));
+	g_array_set_clear_func(sim->leaders, sim_leader_clear);
 	for (int i = 0; i < count; i++) {
 		sim_node_t *node = &sim->nodes[i];
 
--- a/test/unit/raft_faults_test.c
+++ b/test/unit/raft_faults_test.c
@@ -48,7 +48,41 @@
 			"an old revision under a valid lease");
 }
 
+/*
+ * A candidate of term 3 is paused with its votes in flight, the others elect a
+ * leader of term 4 and commit, and the candidate then becomes the leader of
+ * term 3.  This is allowed: it lacks the entry of term 4 and commits nothing.
+ */
+static void test_late_leader_of_older_term_is_allowed(void)
+{
+	CU_ASSERT_STRING_EQUAL(run_seed("late_leader", "none"), "none");
+	CU_ASSERT_STRING_EQUAL(run_seed("late_leader_long", "none"), "none");
+}
+
+/*
+ * The committed entries of an earlier term must be in the log of each later
+ * leader, also if they are learned of after it was elected.
+ */
+static void test_missing_entry_of_earlier_term_is_detected(void)
+{
+	sim_t sim;
+	sim_leader_t later = { .term = 9, .leader = 1 };
+	sim_committed_t entry = { .term = 2, .commit_term = 3 };
+
+	sim_begin(&sim, fault_variant("none"), 3);
+	later.entry_terms = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	g_array_append_val(sim.leaders, later);
+	g_array_append_val(sim.committed, entry);
+	sim_check_later_leaders(&sim, sim_committed_count(&sim));
+	CU_ASSERT_PTR_NOT_NULL(sim.violation);
+	sim_end(&sim);
+}
+
 static const unit_test_t tests[] = {
+	{ "late leader of an older term is allowed",
+	  test_late_leader_of_older_term_is_allowed },
+	{ "missing entry of an earlier term is detected",
+	  test_missing_entry_of_earlier_term_is_detected },
 	{ "vote before sync is detected", test_vote_before_sync_is_detected },
 	{ "commit of older term is detected",
 	  test_commit_of_older_term_is_detected },
