Tell a replica without a disk who the members are

Cause: an empty replica sent its join request to the peers that its settings name, the seeds. A member that does not lead records the request and passes it nowhere, and a reply named neither members nor leader. With a leader outside the seeds the replica never rejoined; it could not even have answered that leader, to which it had no link. The list of join requests also kept old entries for ever and took none beyond its size.

Change: a replica that is searched for answers with the members that it knows too (REPLICA_MSG_MEMBERS, which an older replica ignores); the searcher links them and asks them all to join. Ruled out: passing requests on to the leader, since the joiner needs a link to it anyway; members in the search reply itself, which an older replica would reject.

Measured: functional/replica_test, two new tests (five replicas, three seeds, the leader none of them; the lost one a seed or not): both fail on at run_until(wiped_member_is_voter) after 30 s, both pass now.

--- a/src/wisteria/control/replica.c
+++ b/src/wisteria/control/replica.c
@@ -312,7 +312,6 @@
 	replica->peers = g_ptr_array_new_with_free_func(g_free);
 	replica->instance_of = g_hash_table_new_full(
 		g_int64_hash, g_int64_equal, g_free, g_free);
-	replica->joiners = g_array_new(FALSE, FALSE, sizeof(replica_joiner_t));
 	replica->confirmed = g_array_new(FALSE, FALSE, sizeof(raft_read_t));
 	raft_init(&replica->raft, replica->storage.replica_id,
 		  randombytes_random(), &stored, now_of(replica));
@@ -350,7 +349,6 @@
 	storage_close(&replica->storage);
 	g_ptr_array_unref(replica->peers);
 	g_hash_table_destroy(replica->instance_of);
-	g_array_unref(replica->joiners);
 	g_array_unref(replica->confirmed);
 }
 
--- a/src/wisteria/control/replica_defs.h
+++ b/src/wisteria/control/replica_defs.h
@@ -1,6 +1,7 @@
 #ifndef WISTERIA_CONTROL_REPLICA_DEFS_H
 #define WISTERIA_CONTROL_REPLICA_DEFS_H
 
+#include "wisteria/control/joiners.h"
 #include "wisteria/control/log_writer.h"
 #include "wisteria/net/net_defs.h"
 #include "wisteria/raft/raft_defs.h"
@@ -11,8 +12,8 @@
 /* Interval at which a replica sends search messages; see replica_search(). */
 #define REPLICA_SEARCH_MS 250
 /*
- * Age at which a search reply or join request is ignored, and silence after
- * which a leader or member is assumed to be gone.
+ * Age at which a search reply is ignored, and silence after which a leader or
+ * member is assumed to be gone.
  */
 #define REPLICA_STALE_MS 2000
 /* A snapshot is made after this many entries or bytes in the log. */
@@ -23,7 +24,8 @@
 enum {
 	REPLICA_MSG_SEARCH = 100,
 	REPLICA_MSG_SEARCH_REPLY, /* reject: the sender is not blank */
-	REPLICA_MSG_JOIN
+	REPLICA_MSG_JOIN,
+	REPLICA_MSG_MEMBERS /* the members that the sender knows */
 };
 
 /* Callbacks of the replicated state machine, called on the control thread. */
@@ -55,12 +57,6 @@
 	clock_ms_t answered_ms;
 } replica_peer_t;
 
-/* An instance that has requested to join the group. */
-typedef struct {
-	raft_member_t member;
-	clock_ms_t requested_ms;
-} replica_joiner_t;
-
 /* One replica of the log with its storage, writer thread and peers. */
 typedef struct {
 	conn_handler_t handler;
@@ -73,7 +69,7 @@
 	raft_t raft;
 	GPtrArray *peers;	 /* of replica_peer_t */
 	GHashTable *instance_of; /* replica id -> instance */
-	GArray *joiners;	 /* of replica_joiner_t */
+	joiners_t joiners;
 	GArray *confirmed; /* of raft_read_t; their index is not applied yet */
 	uv_timer_t tick;
 	uv_check_t output_check;
--- a/src/wisteria/control/replica_group.c
+++ b/src/wisteria/control/replica_group.c
@@ -6,7 +6,9 @@
  * sends a search message to the others.  If all initial voters are blank, the
  * one whose instance name sorts first bootstraps the group, unless join_only is
  * set.  If any replica that replies is not blank, the blank replica requests to
- * join.  The leader adds it as a learner under its new id.  Once the learner
+ * join.  The replies list the members that their senders know, so that the
+ * request reaches the leader even if that is no initial voter.  The leader
+ * adds the blank replica as a learner under its new id.  Once the learner
  * has caught up, the instance's previous id, if it has one, is removed after
  * REPLICA_STALE_MS of silence (GROUP_REPLACE_TIMEOUT_MS in an open group).  A
  * caught-up learner without a previous id is promoted if its instance is an
@@ -167,6 +169,23 @@
 	g_bytes_unref(bytes);
 }
 
+/* Sends the members that this replica knows, if it knows any. */
+static void send_members(replica_t *replica, replica_peer_t *peer)
+{
+	msg_raft_t msg = {
+		.kind = REPLICA_MSG_MEMBERS,
+		.from = replica->raft.id,
+	};
+	GBytes *bytes;
+
+	if (replica->raft.members.count == 0)
+		return;
+	bytes = raft_members_encode(&replica->raft.members);
+	msg.members.data = g_bytes_get_data(bytes, &msg.members.len);
+	link_send(&peer->link, MSG_RAFT, &msg);
+	g_bytes_unref(bytes);
+}
+
 static void send_to_all(replica_t *replica, uint32_t kind)
 {
 	for (guint i = 0; i < replica->peers->len; i++)
@@ -253,17 +272,24 @@
 }
 
 /*
- * Searches for a group to join, or bootstraps one, while this replica is not in
- * its list of members, or is in it but may have been removed from the group.
+ * Returns whether this replica is not in its list of members, or is in it but
+ * may have been removed from the group.
  */
+static bool is_searching(const replica_t *replica)
+{
+	const raft_t *raft = &replica->raft;
+
+	return raft_members_find(&raft->members, raft->id) == NULL ||
+	       may_have_been_removed(replica);
+}
+
+/* While searching, looks for a group to join, or bootstraps one. */
 void replica_search(replica_t *replica)
 {
 	const raft_t *raft = &replica->raft;
 	clock_ms_t now = now_of(replica);
 
-	if (now < replica->search_at_ms ||
-	    (raft_members_find(&raft->members, raft->id) != NULL &&
-	     !may_have_been_removed(replica)))
+	if (now < replica->search_at_ms || !is_searching(replica))
 		return;
 	replica->search_at_ms = now + REPLICA_SEARCH_MS;
 	if (raft_is_blank(raft) && is_bootstrap_replica(replica) &&
@@ -289,48 +315,61 @@
 	peer->answered_ms = now_of(replica);
 }
 
-static void record_join_request(replica_t *replica, const raft_member_t *member)
+/*
+ * Links the members of the group that another replica knows, so that a join
+ * request reaches whoever leads.  A replica that has lost its disk knows the
+ * initial voters only, and the leader may be none of them.
+ */
+static void learn_members(replica_t *replica, const raft_members_t *members)
 {
-	replica_joiner_t joiner = { .member = *member };
-
-	joiner.requested_ms = now_of(replica);
-	for (guint i = 0; i < replica->joiners->len; i++) {
-		replica_joiner_t *known =
-			&g_array_index(replica->joiners, replica_joiner_t, i);
+	for (uint32_t i = 0; i < members->count; i++) {
+		const raft_member_t *member = &members->items[i];
 
-		if (strcmp(known->member.instance, member->instance) == 0) {
-			*known = joiner;
-			return;
-		}
+		if (replica_peer(replica, member->instance) != NULL ||
+		    is_self(replica, member->instance))
+			continue;
+		add_peer(replica, member->instance, member->address);
+		LOG_INFO("member_learned", "member=%s address=%s",
+			 member->instance, member->address);
 	}
-	if (replica->joiners->len < RAFT_MEMBERS_MAX)
-		g_array_append_val(replica->joiners, joiner);
 }
 
-/* Handles a search message, a search reply or a join request. */
+/*
+ * Handles a search message, a search reply, a join request or a list of
+ * members.  All but the last describe their sender.
+ */
 void replica_on_group_message(replica_t *replica, conn_t *conn,
 			      const msg_raft_t *msg)
 {
-	raft_members_t sender;
+	raft_members_t members;
 	replica_peer_t *peer;
 	err_t err = ERR_INIT;
 
-	if (!raft_members_decode(&sender, msg->members.data, msg->members.len,
-				 &err) ||
-	    sender.count != 1 ||
-	    strcmp(sender.items[0].instance, conn->peer_instance) != 0)
+	if (!raft_members_decode(&members, msg->members.data, msg->members.len,
+				 &err))
+		return;
+	if (msg->kind == REPLICA_MSG_MEMBERS) {
+		if (is_searching(replica))
+			learn_members(replica, &members);
+		return;
+	}
+	if (members.count != 1 ||
+	    strcmp(members.items[0].instance, conn->peer_instance) != 0)
 		return;
 	if (msg->kind == REPLICA_MSG_SEARCH_REPLY) {
 		record_search_reply(replica, conn->peer_instance, msg);
 		return;
 	}
 	if (msg->kind == REPLICA_MSG_JOIN) {
-		record_join_request(replica, &sender.items[0]);
+		joiners_record(&replica->joiners, &members.items[0],
+			       now_of(replica));
 		return;
 	}
-	peer = add_peer(replica, conn->peer_instance, sender.items[0].address);
-	if (peer != NULL)
-		send_group_message(replica, peer, REPLICA_MSG_SEARCH_REPLY);
+	peer = add_peer(replica, conn->peer_instance, members.items[0].address);
+	if (peer == NULL)
+		return;
+	send_group_message(replica, peer, REPLICA_MSG_SEARCH_REPLY);
+	send_members(replica, peer);
 }
 
 static const raft_member_t *find_previous_member(const replica_t *replica,
@@ -443,19 +482,14 @@
 void replica_update_membership(replica_t *replica)
 {
 	const raft_members_t *members = &replica->raft.members;
+	const raft_member_t *joiner;
 	clock_ms_t now = now_of(replica);
 
 	if (replica->raft.role != RAFT_LEADER)
 		return;
-	for (guint i = 0; i < replica->joiners->len; i++) {
-		const replica_joiner_t *joiner =
-			&g_array_index(replica->joiners, replica_joiner_t, i);
-
-		if (now - joiner->requested_ms < REPLICA_STALE_MS &&
-		    raft_members_find(members, joiner->member.id) == NULL)
-			change_member(replica, RAFT_MEMBER_ADD, &joiner->member,
-				      "member_added");
-	}
+	joiner = joiners_next(&replica->joiners, members, now);
+	if (joiner != NULL)
+		change_member(replica, RAFT_MEMBER_ADD, joiner, "member_added");
 	if (replica->settings->control->open_group) {
 		update_open_group(replica);
 		return;
--- a/test/functional/replica_test.c
+++ b/test/functional/replica_test.c
@@ -1,7 +1,7 @@
 /*
  * Tests replicas of the log in one process, with loopback connections and data
- * directories on disk: snapshots, restarts from them, and sending a snapshot
- * to a replica that lost its disk.
+ * directories on disk: snapshots, restarts from them, sending a snapshot to a
+ * replica that lost its disk, and rejoining through members that don't lead.
  */
 #include "../unit/unit.h"
 
@@ -17,6 +17,8 @@
 #include "wisteria/raft/raft_members.h"
 
 #define MEMBERS 3
+#define MEMBERS_MAX 5
+#define SEEDS 3
 #define SNAPSHOT_ENTRIES 40 /* from one snapshot to the next */
 #define ENTRIES 200	    /* proposed by propose_until_snapshots() */
 
@@ -31,14 +33,16 @@
 	replica_t replica;
 	settings_t settings;
 	settings_control_t control;
+	settings_peer_t seeds[SEEDS]; /* used by restart_with_seeds() */
 	uint64_t sum;
 	uint32_t restored; /* snapshots restored since the start */
 } member_t;
 
 typedef struct {
 	uv_loop_t loop;
-	member_t members[MEMBERS];
-	settings_peer_t voters[MEMBERS];
+	member_t members[MEMBERS_MAX];
+	settings_peer_t voters[MEMBERS_MAX];
+	size_t count;
 	GPtrArray *closed_nets; /* freed after the loop is closed */
 	uint64_t proposed;	/* the last value; the values are 1, 2, ... */
 } group_t;
@@ -159,12 +163,13 @@
 	member->net = NULL;
 }
 
-static void start_group(const char *name)
+static void start_group_of(const char *name, size_t count, bool open)
 {
 	memset(&group, 0, sizeof(group));
+	group.count = count;
 	uv_loop_init(&group.loop);
 	group.closed_nets = g_ptr_array_new_with_free_func(g_free);
-	for (size_t i = 0; i < MEMBERS; i++) {
+	for (size_t i = 0; i < group.count; i++) {
 		member_t *member = &group.members[i];
 
 		group.voters[i].instance =
@@ -181,16 +186,22 @@
 				harness_string(&harness, "%s-data",
 					       group.voters[i].instance)),
 			.voters = group.voters,
-			.voters_count = MEMBERS,
+			.voters_count = (unsigned)count,
+			.open_group = open,
 		};
 	}
-	for (size_t i = 0; i < MEMBERS; i++)
+	for (size_t i = 0; i < count; i++)
 		start_member(i);
 }
 
+static void start_group(const char *name)
+{
+	start_group_of(name, MEMBERS, false);
+}
+
 static void stop_group(void)
 {
-	for (size_t i = 0; i < MEMBERS; i++)
+	for (size_t i = 0; i < group.count; i++)
 		if (group.members[i].net != NULL)
 			stop_member(i);
 	uv_run(&group.loop, UV_RUN_DEFAULT);
@@ -209,7 +220,7 @@
 
 static member_t *find_leader(void)
 {
-	for (size_t i = 0; i < MEMBERS; i++)
+	for (size_t i = 0; i < group.count; i++)
 		if (group.members[i].net != NULL &&
 		    replica_is_ready_leader(&group.members[i].replica))
 			return &group.members[i];
@@ -226,7 +237,7 @@
 {
 	uint64_t sum = group.proposed * (group.proposed + 1) / 2;
 
-	for (size_t i = 0; i < MEMBERS; i++)
+	for (size_t i = 0; i < group.count; i++)
 		if (group.members[i].net != NULL && group.members[i].sum != sum)
 			return false;
 	return true;
@@ -248,7 +259,7 @@
 
 static bool all_have_snapshots(void)
 {
-	for (size_t i = 0; i < MEMBERS; i++)
+	for (size_t i = 0; i < group.count; i++)
 		if (group.members[i].replica.raft.snapshot.index < ENTRIES / 2)
 			return false;
 	return true;
@@ -269,12 +280,12 @@
 {
 	start_group("restart");
 	propose_until_snapshots();
-	for (size_t i = 0; i < MEMBERS; i++)
+	for (size_t i = 0; i < group.count; i++)
 		stop_member(i);
-	for (size_t i = 0; i < MEMBERS; i++)
+	for (size_t i = 0; i < group.count; i++)
 		start_member(i);
 	propose_entries(5);
-	for (size_t i = 0; i < MEMBERS; i++)
+	for (size_t i = 0; i < group.count; i++)
 		CU_ASSERT_EQUAL(group.members[i].restored, 1);
 	stop_group();
 }
@@ -332,10 +343,69 @@
 	stop_group();
 }
 
+static size_t index_of_leader(void)
+{
+	CU_ASSERT_FATAL(run_until(has_leader));
+	return (size_t)(find_leader() - group.members);
+}
+
+/*
+ * Restarts the wiped member as one that joins a group and knows SEEDS members,
+ * none of which leads.  With "is_seed" it is one of them itself.
+ */
+static void restart_with_seeds(size_t leader, bool is_seed)
+{
+	member_t *member = &group.members[wiped];
+	unsigned count = 0;
+
+	if (is_seed)
+		member->seeds[count++] = group.voters[wiped];
+	for (size_t i = 0; i < group.count && count < SEEDS; i++)
+		if (i != wiped && i != leader)
+			member->seeds[count++] = group.voters[i];
+	CU_ASSERT_EQUAL_FATAL(count, SEEDS);
+	member->control.voters = member->seeds;
+	member->control.voters_count = count;
+	member->control.join_only = true;
+	start_member(wiped);
+}
+
+static void check_rejoin(const char *name, bool is_seed)
+{
+	size_t leader;
+
+	start_group_of(name, MEMBERS_MAX, true);
+	propose_entries(5);
+	leader = index_of_leader();
+	wiped = (leader + 1) % group.count;
+	stop_member(wiped);
+	remove_files(group.members[wiped].control.data_dir);
+	restart_with_seeds(leader, is_seed);
+	CU_ASSERT_FATAL(run_until(wiped_member_is_voter));
+	CU_ASSERT_FATAL(run_until(all_have_applied));
+	CU_ASSERT_EQUAL(find_leader()->replica.raft.members.count, group.count);
+	stop_group();
+}
+
+/* The leader is none of the members that the empty replica knows. */
+static void test_empty_replica_finds_a_leader_that_is_no_seed(void)
+{
+	check_rejoin("rejoin", false);
+}
+
+static void test_empty_seed_finds_a_leader_that_is_no_seed(void)
+{
+	check_rejoin("rejoin-seed", true);
+}
+
 static const unit_test_t tests[] = {
 	{ "restart from snapshots", test_restart_from_snapshots },
 	{ "lost disk is restored from a snapshot",
 	  test_lost_disk_is_restored_from_snapshot },
+	{ "empty replica finds a leader that is no seed",
+	  test_empty_replica_finds_a_leader_that_is_no_seed },
+	{ "empty seed finds a leader that is no seed",
+	  test_empty_seed_finds_a_leader_that_is_no_seed },
 };
 
 int main(void)
