Walk at random over a group that loses its disks

Change: unit/group_walk_test runs the log, the policy and the join requests of five replicas and three seeds under injected clocks: every pair of a leader and a lost disk, two losses 0 to 4 s apart, and 400 seeded walks (lost disks, freezes, restarts, cuts, one-way cuts, lost messages, transfers, compaction). Bound: a voter again 4 s after the disk is lost, the shortest catchUpS of the deployments; after a walk two elections more. A test takes the members out of the replies and expects that the walk notices.

--- a/src/wisteria/control/joiners.h
+++ b/src/wisteria/control/joiners.h
@@ -21,9 +21,8 @@
 
 void joiners_record(joiners_t *joiners, const raft_member_t *member,
 		    clock_ms_t now) ATTR_NONNULL_ALL;
-const raft_member_t *joiners_next(const joiners_t *joiners,
-				  const raft_members_t *members,
-				  clock_ms_t now)
-	ATTR_NONNULL_ALL ATTR_WARN_UNUSED;
+const raft_member_t *
+joiners_next(const joiners_t *joiners, const raft_members_t *members,
+	     clock_ms_t now) ATTR_NONNULL_ALL ATTR_WARN_UNUSED;
 
 #endif
--- a/test/fuzz/raft_sim.h
+++ b/test/fuzz/raft_sim.h
@@ -981,8 +981,8 @@
  * byte chooses 3 or 5 replicas, and whether a leader is elected before the
  * first fault.
  */
-static const char *sim_run(const uint8_t *data, size_t size,
-			   const sim_variant_t *variant)
+G_GNUC_UNUSED static const char *sim_run(const uint8_t *data, size_t size,
+					 const sim_variant_t *variant)
 {
 	sim_t sim;
 	bool intact = true;
--- /dev/null
+++ b/test/unit/group_walk_test.c
@@ -0,0 +1,535 @@
+/*
+ * Seeded random walks over a control group of five replicas that know three of
+ * them, the seeds: disks are lost, replicas freeze, restart, are cut off, and
+ * messages are reordered or lost.  The log, the membership policy and the list
+ * of join requests are the real ones; the messages that find a group are
+ * modelled here.  At most GROUP_LOSSES disks are lost at once.  A walk fails if
+ * an acknowledged entry is lost, or if a replica is no voter again within
+ * REJOIN_BOUND_MS after the faults have ended.
+ */
+#include "unit.h"
+
+#include "../fuzz/raft_faults.h"
+
+#include "wisteria/control/group_policy.h"
+#include "wisteria/control/joiners.h"
+#include "wisteria/control/replica_defs.h"
+
+#define NODES 5
+#define SEEDS 3
+#define GROUP_LOSSES 2
+/* The shortest time in which deployments want a lost member back. */
+#define REJOIN_BOUND_MS 4000
+#define TICK_MS 20
+#define WALKS 400
+#define WALK_EVENTS 12
+
+typedef struct {
+	joiners_t joiners;
+	bool knows[NODES]; /* has a link to that node */
+	clock_ms_t search_at_ms;
+} member_t;
+
+typedef struct {
+	sim_t sim;
+	member_t members[NODES];
+	GRand *random;
+	bool replies_list_members;
+	int loss_percent; /* of messages */
+	uint32_t lost_disks;
+	uint32_t steps;
+} walk_t;
+
+static raft_member_t member_of(const walk_t *walk, int at)
+{
+	raft_member_t member = { .id = walk->sim.nodes[at].id };
+
+	snprintf(member.instance, sizeof(member.instance), "node-%d", at);
+	return member;
+}
+
+static int node_of(const raft_member_t *member)
+{
+	return atoi(member->instance + strlen("node-"));
+}
+
+static bool is_active(const walk_t *walk, int at)
+{
+	return walk->sim.nodes[at].up && !walk->sim.nodes[at].paused;
+}
+
+static bool can_send(const walk_t *walk, int from, int to)
+{
+	return is_active(walk, from) && is_active(walk, to) &&
+	       walk->members[from].knows[to] &&
+	       !walk->sim.partitioned[from][to];
+}
+
+static void learn_members(walk_t *walk, int at, const raft_members_t *members)
+{
+	for (uint32_t i = 0; i < members->count; i++)
+		walk->members[at].knows[node_of(&members->items[i])] = true;
+}
+
+static bool is_searching(const walk_t *walk, int at)
+{
+	const raft_t *raft = &walk->sim.nodes[at].raft;
+
+	return raft_members_find(&raft->members, raft->id) == NULL ||
+	       (raft->role != RAFT_LEADER &&
+		raft->now_ms - raft->leader_contact_ms >= REPLICA_STALE_MS);
+}
+
+/* Sends search messages and join requests, as replica_search() does. */
+static void search(walk_t *walk, int at)
+{
+	member_t *self = &walk->members[at];
+	const raft_member_t joiner = member_of(walk, at);
+
+	if (!is_searching(walk, at) || walk->sim.now_ms < self->search_at_ms)
+		return;
+	self->search_at_ms = walk->sim.now_ms + REPLICA_SEARCH_MS;
+	for (int to = 0; to < NODES; to++) {
+		const raft_t *peer = &walk->sim.nodes[to].raft;
+
+		if (to == at || !can_send(walk, at, to))
+			continue;
+		walk->members[to].knows[at] = true;
+		joiners_record(&walk->members[to].joiners, &joiner,
+			       peer->now_ms);
+		if (can_send(walk, to, at) && walk->replies_list_members)
+			learn_members(walk, at, &peer->members);
+	}
+}
+
+/* Makes the next membership change, as replica_update_membership() does. */
+static void update_membership(walk_t *walk, int at)
+{
+	raft_t *raft = &walk->sim.nodes[at].raft;
+	group_member_status_t statuses[RAFT_MEMBERS_MAX];
+	const raft_member_t *joiner;
+	group_change_t next;
+	err_t err = ERR_INIT;
+
+	if (raft->role != RAFT_LEADER)
+		return;
+	joiner = joiners_next(&walk->members[at].joiners, &raft->members,
+			      raft->now_ms);
+	if (joiner != NULL)
+		(void)!raft_change_member(raft, RAFT_MEMBER_ADD, joiner, &err);
+	for (uint32_t i = 0; i < raft->members.count; i++) {
+		const raft_progress_t *progress = &raft->progress[i];
+		bool is_leader = progress->id == raft->id;
+
+		statuses[i] = (group_member_status_t){
+			.silent_ms = is_leader
+					     ? 0
+					     : raft->now_ms -
+						       progress->last_heard_ms,
+			.caught_up =
+				is_leader || progress->match >= raft->commit,
+		};
+	}
+	if (group_policy_next(&raft->members, statuses, &next))
+		(void)!raft_change_member(raft, next.change,
+					  &raft->members.items[next.member],
+					  &err);
+}
+
+static void deliver_messages(walk_t *walk)
+{
+	sim_t *sim = &walk->sim;
+	guint remaining = sim->in_flight->len;
+	guint at = 0;
+
+	for (; remaining > 0 && at < sim->in_flight->len; remaining--) {
+		const sim_msg_t *msg = g_ptr_array_index(sim->in_flight, at);
+		int to = sim_find_node(sim, msg->to);
+		bool lost = g_rand_int_range(walk->random, 0, 100) <
+			    walk->loss_percent;
+
+		if (to >= 0 && sim->nodes[to].up && sim->nodes[to].paused) {
+			at++;
+			continue;
+		}
+		if (lost || to < 0 || !walk->members[msg->from].knows[to])
+			g_ptr_array_remove_index(sim->in_flight, at);
+		else
+			sim_deliver(sim, at, false);
+	}
+}
+
+static void tick(walk_t *walk)
+{
+	sim_t *sim = &walk->sim;
+
+	for (int i = 0; i < NODES; i++) {
+		if (!is_active(walk, i))
+			continue;
+		learn_members(walk, i, &sim->nodes[i].raft.members);
+		search(walk, i);
+		update_membership(walk, i);
+		sim_drain(sim, i);
+		sim_sync(sim, i, 8);
+	}
+	deliver_messages(walk);
+	sim_advance(sim, TICK_MS);
+	walk->steps++;
+}
+
+static void run_for(walk_t *walk, clock_ms_t duration_ms)
+{
+	for (clock_ms_t at = 0; at < duration_ms; at += TICK_MS)
+		tick(walk);
+}
+
+/* The committed membership that the leader of the highest term knows. */
+static const raft_members_t *members_in_force(const walk_t *walk)
+{
+	const raft_t *newest = NULL;
+
+	for (int i = 0; i < NODES; i++) {
+		const raft_t *raft = &walk->sim.nodes[i].raft;
+
+		if (walk->sim.nodes[i].up && raft->role == RAFT_LEADER &&
+		    raft->members_index <= raft->commit &&
+		    (newest == NULL || raft->term > newest->term))
+			newest = raft;
+	}
+	return newest == NULL ? NULL : &newest->members;
+}
+
+/* Nodes that are no voters; all of them while the membership is not known. */
+static int count_absent(const walk_t *walk)
+{
+	const raft_members_t *members = members_in_force(walk);
+	int absent = 0;
+
+	for (int i = 0; i < NODES; i++)
+		if (members == NULL ||
+		    !raft_members_is_voter(members, walk->sim.nodes[i].id))
+			absent++;
+	return absent;
+}
+
+/* Disks that hold the newest committed entry. */
+static int count_holders(const walk_t *walk)
+{
+	uint64_t newest = sim_committed_count(&walk->sim);
+	int holders = 0;
+
+	for (int i = 0; i < NODES; i++) {
+		const sim_disk_t *disk = &walk->sim.nodes[i].disk;
+
+		if (disk->snapshot.index + disk->entries->len >= newest)
+			holders++;
+	}
+	return holders;
+}
+
+/* Loses the disk of a node, which comes back empty and knows the seeds. */
+static void lose_disk(walk_t *walk, int at)
+{
+	member_t *self = &walk->members[at];
+
+	sim_wipe(&walk->sim, at);
+	memset(self, 0, sizeof(*self));
+	for (int i = 0; i < SEEDS; i++)
+		self->knows[i] = i != at;
+	walk->lost_disks++;
+}
+
+static void heal(walk_t *walk)
+{
+	step_heal(&walk->sim, 0);
+	walk->loss_percent = 0;
+	for (int i = 0; i < NODES; i++) {
+		walk->sim.nodes[i].paused = false;
+		if (!walk->sim.nodes[i].up)
+			sim_start(&walk->sim, i);
+	}
+}
+
+static void begin(walk_t *walk, uint32_t seed, bool replies_list_members)
+{
+	raft_members_t members = { .count = NODES };
+
+	memset(walk, 0, sizeof(*walk));
+	walk->random = g_rand_new_with_seed(seed);
+	walk->replies_list_members = replies_list_members;
+	sim_begin(&walk->sim, fault_variant("none"), NODES);
+	sim_crash(&walk->sim, 0, 0, 0);
+	sim_disk_clear(&walk->sim.nodes[0].disk);
+	sim_start(&walk->sim, 0);
+	for (int i = 0; i < NODES; i++) {
+		members.items[i] = member_of(walk, i);
+		members.items[i].voter = true;
+		for (int j = 0; j < NODES; j++)
+			walk->members[i].knows[j] = i != j;
+	}
+	raft_bootstrap(&walk->sim.nodes[0].raft, &members);
+	sim_drain(&walk->sim, 0);
+	sim_sync(&walk->sim, 0, 1);
+	run_for(walk, 3000);
+}
+
+static void end(walk_t *walk)
+{
+	sim_end(&walk->sim);
+	g_rand_free(walk->random);
+}
+
+static int find_leader(const walk_t *walk)
+{
+	for (int i = 0; i < NODES; i++)
+		if (walk->sim.nodes[i].raft.role == RAFT_LEADER)
+			return i;
+	return -1;
+}
+
+/* Moves leadership to "to", as raft_transfer() does with a voter it chooses. */
+static bool make_leader(walk_t *walk, int to)
+{
+	int from = find_leader(walk);
+	raft_t *target = &walk->sim.nodes[to].raft;
+	msg_raft_t msg = { .kind = RAFT_MSG_TIMEOUT_NOW, .to = target->id };
+
+	if (from < 0 || from == to)
+		return from == to;
+	msg.from = walk->sim.nodes[from].raft.id;
+	msg.term = target->term;
+	raft_step(target, &msg, target->now_ms);
+	sim_drain(&walk->sim, to);
+	run_for(walk, 500);
+	return find_leader(walk) == to;
+}
+
+static bool rejoins(int leader, int lost, bool replies_list_members)
+{
+	walk_t walk;
+	bool is_back;
+
+	begin(&walk, 1, replies_list_members);
+	CU_ASSERT_TRUE(make_leader(&walk, leader));
+	sim_submit(&walk.sim, 3);
+	run_for(&walk, 200);
+	lose_disk(&walk, lost);
+	run_for(&walk, REJOIN_BOUND_MS);
+	is_back = count_absent(&walk) == 0;
+	CU_ASSERT_PTR_NULL(walk.sim.violation);
+	end(&walk);
+	return is_back;
+}
+
+/* Every pair of a leader and a node that loses its disk, the leader included. */
+static void test_lost_disk_is_voter_again_for_every_leader(void)
+{
+	for (int leader = 0; leader < NODES; leader++)
+		for (int lost = 0; lost < NODES; lost++)
+			CU_ASSERT_TRUE(rejoins(leader, lost, true));
+}
+
+/* Without the members in the replies, a leader outside the seeds is unknown. */
+static void test_walk_detects_replies_without_members(void)
+{
+	CU_ASSERT_TRUE(rejoins(0, 4, false));
+	CU_ASSERT_FALSE(rejoins(4, 0, false));
+	CU_ASSERT_FALSE(rejoins(3, 4, false));
+}
+
+/* Two lost disks, one REJOIN_BOUND_MS or less after the other. */
+static void test_two_losses_follow_each_other(void)
+{
+	for (clock_ms_t gap_ms = 0; gap_ms <= REJOIN_BOUND_MS; gap_ms += 500)
+		for (int leader = 0; leader < NODES; leader++) {
+			walk_t walk;
+
+			begin(&walk, 1, true);
+			CU_ASSERT_TRUE(make_leader(&walk, leader));
+			sim_submit(&walk.sim, 3);
+			run_for(&walk, 200);
+			lose_disk(&walk, (leader + 1) % NODES);
+			run_for(&walk, gap_ms);
+			lose_disk(&walk, (leader + 2) % NODES);
+			run_for(&walk, REJOIN_BOUND_MS);
+			CU_ASSERT_EQUAL(count_absent(&walk), 0);
+			CU_ASSERT_PTR_NULL(walk.sim.violation);
+			end(&walk);
+		}
+}
+
+typedef void (*event_t)(walk_t *walk, int at);
+
+static void event_lose_disk(walk_t *walk, int at)
+{
+	if (count_absent(walk) < GROUP_LOSSES)
+		lose_disk(walk, at);
+}
+
+static void event_freeze(walk_t *walk, int at)
+{
+	walk->sim.nodes[at].paused = !walk->sim.nodes[at].paused;
+}
+
+static void event_restart(walk_t *walk, int at)
+{
+	sim_crash(&walk->sim, at, 0, 0);
+	sim_start(&walk->sim, at);
+}
+
+static void event_stop(walk_t *walk, int at)
+{
+	sim_crash(&walk->sim, at, 0, 0);
+}
+
+static void event_cut(walk_t *walk, int at)
+{
+	step_isolate(&walk->sim, (uint8_t)at);
+}
+
+static void event_cut_one_way(walk_t *walk, int at)
+{
+	int to = g_rand_int_range(walk->random, 0, NODES);
+
+	walk->sim.partitioned[at][to] = true;
+}
+
+static void event_lossy(walk_t *walk, int at)
+{
+	(void)at;
+	walk->loss_percent = 10;
+}
+
+static void event_transfer(walk_t *walk, int at)
+{
+	if (!is_active(walk, at))
+		return;
+	(void)!raft_transfer(&walk->sim.nodes[at].raft);
+	sim_drain(&walk->sim, at);
+}
+
+static void event_write(walk_t *walk, int at)
+{
+	(void)at;
+	sim_submit(&walk->sim, 3);
+}
+
+static void event_compact(walk_t *walk, int at)
+{
+	sim_compact(&walk->sim, at);
+}
+
+static void event_heal(walk_t *walk, int at)
+{
+	(void)at;
+	heal(walk);
+}
+
+static const event_t events[] = {
+	event_lose_disk, event_lose_disk, event_lose_disk, event_freeze,
+	event_restart,	 event_stop,	  event_cut,	   event_cut_one_way,
+	event_lossy,	 event_transfer,  event_write,	   event_write,
+	event_compact,	 event_heal,	  event_heal,
+};
+
+/*
+ * Plays one walk; returns what failed, or NULL.  After the last event all
+ * faults end, and the group gets the time that two elections may take before
+ * the bound counts.
+ */
+static const char *play(uint32_t seed, walk_t *walk)
+{
+	const char *failure = NULL;
+
+	begin(walk, seed, true);
+	for (int i = 0; i < WALK_EVENTS && failure == NULL; i++) {
+		int event =
+			g_rand_int_range(walk->random, 0, ARRAY_SIZE(events));
+		int at = g_rand_int_range(walk->random, 0, NODES);
+
+		events[event](walk, at);
+		if (count_holders(walk) < NODES / 2 + 1 - GROUP_LOSSES)
+			failure = "no disk holds the newest committed entry";
+		run_for(walk, g_rand_int_range(walk->random, 1, 3000));
+		if (walk->sim.violation != NULL)
+			failure = walk->sim.violation;
+	}
+	if (failure == NULL) {
+		uint64_t before = sim_committed_count(&walk->sim);
+
+		heal(walk);
+		run_for(walk, 4 * RAFT_ELECTION_TIMEOUT_MS + REJOIN_BOUND_MS);
+		sim_submit(&walk->sim, 1);
+		run_for(walk, 1000);
+		if (walk->sim.violation != NULL)
+			failure = walk->sim.violation;
+		else if (sim_committed_count(&walk->sim) <= before)
+			failure = "nothing commits after the faults";
+		else if (count_absent(walk) > 0)
+			failure = "a node is no voter again";
+	}
+	end(walk);
+	return failure;
+}
+
+static void test_random_walks(void)
+{
+	const char *walks = getenv("GROUP_WALKS");
+	const char *first = getenv("GROUP_WALK_SEED");
+	uint32_t seed = first == NULL ? 1 : (uint32_t)atoi(first);
+	uint32_t last = seed + (walks == NULL ? WALKS : (uint32_t)atoi(walks));
+	uint64_t steps = 0;
+	uint64_t lost = 0;
+
+	for (; seed < last; seed++) {
+		walk_t walk;
+		const char *failure = play(seed, &walk);
+
+		steps += walk.steps;
+		lost += walk.lost_disks;
+		if (failure != NULL)
+			printf("\n    walk %u: %s", seed, failure);
+		CU_ASSERT_PTR_NULL(failure);
+	}
+	printf("\n    steps=%" G_GUINT64_FORMAT " lost_disks=%" G_GUINT64_FORMAT
+	       " ",
+	       steps, lost);
+}
+
+static void test_join_requests_replace_the_oldest(void)
+{
+	joiners_t joiners = { .count = 0 };
+	const raft_members_t none = { .count = 0 };
+	const raft_member_t *next;
+
+	for (int i = 0; i < RAFT_MEMBERS_MAX + 1; i++) {
+		raft_member_t member = { .id = (uint64_t)i + 1 };
+
+		snprintf(member.instance, sizeof(member.instance), "n%d", i);
+		joiners_record(&joiners, &member, i);
+	}
+	CU_ASSERT_EQUAL(joiners.count, RAFT_MEMBERS_MAX);
+	CU_ASSERT_EQUAL(joiners.items[0].member.id, RAFT_MEMBERS_MAX + 1);
+	next = joiners_next(&joiners, &none,
+			    JOINERS_STALE_MS + RAFT_MEMBERS_MAX - 1);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(next);
+	CU_ASSERT_EQUAL(next->id, RAFT_MEMBERS_MAX + 1);
+	CU_ASSERT_PTR_NULL(joiners_next(&joiners, &none,
+					JOINERS_STALE_MS + RAFT_MEMBERS_MAX));
+}
+
+static const unit_test_t tests[] = {
+	{ "join requests replace the oldest",
+	  test_join_requests_replace_the_oldest },
+	{ "lost disk is a voter again for every leader",
+	  test_lost_disk_is_voter_again_for_every_leader },
+	{ "walk detects replies without members",
+	  test_walk_detects_replies_without_members },
+	{ "two losses follow each other", test_two_losses_follow_each_other },
+	{ "random walks", test_random_walks },
+};
+
+int main(void)
+{
+	return unit_run("group_walk", tests, ARRAY_SIZE(tests));
+}
