Obey endpoints that leave or refuse with a time

Cause: an endpoint that leaves says so in every answer, and one that turns a request away may say for how long it wants nothing. Entries read neither: they learned of a leave from heartbeats alone, and sent the next request to an endpoint that had just refused one.

Change: the adapter reads both headers into fields of an answer (leaving, pause_ms); gateway/endpoint_notices.c keeps them for an incarnation of the endpoint, without network and clock. A leaving endpoint is no candidate, and the leader is told, which passes it on like any drain. A paused one is no candidate until its time is over, plus up to a quarter and 250 ms at most, so that entries return one after the other. If only paused ones are left, a request waits if the first pause ends inside its queueing time, else it is refused at once with the time that is left. Unreadable times are logged and ignored, long ones cut to 60 s. Neither header reaches a caller. Ruled out: a suspicion as after a failed connection, which only makes an endpoint costlier.

--- a/src/wisteria/base/counters.c
+++ b/src/wisteria/base/counters.c
@@ -73,6 +73,12 @@
 					   "Sends without a good answer." },
 	[COUNTER_GATEWAY_STALLS] = { "gateway_stalls_total", "counter",
 				     "Silent streams taken up elsewhere." },
+	[COUNTER_ENDPOINTS_LEAVING] = { "endpoints_leaving_total", "counter",
+					"Endpoints that said in an answer that "
+					"they leave." },
+	[COUNTER_ENDPOINT_PAUSES] = { "endpoint_pauses_total", "counter",
+				      "Answers of endpoints that want nothing "
+				      "for a while." },
 	[COUNTER_GATEWAY_EVENTS] = { "gateway_events_total", "counter",
 				     "Events of streams passed on." },
 	[COUNTER_HEARTBEATS] = { "heartbeats_total", "counter",
--- a/src/wisteria/fleet/dialect.h
+++ b/src/wisteria/fleet/dialect.h
@@ -50,6 +50,13 @@
 	const char *faulty_address; /* of the hop that failed; NULL: none */
 	bool stamped;		    /* the endpoint itself wrote the body */
 	bool not_run;		    /* the endpoint did not run the request */
+	bool leaving; /* the endpoint that answers wants nothing more */
+	/*
+	 * How long the endpoint that answers, which has turned the request
+	 * away, wants nothing from this entry; 0: it does not say.
+	 */
+	clock_ms_t pause_ms;
+	const char *unreadable_pause; /* a pause that has no sense, or NULL */
 } endpoint_answer_t;
 
 /* An order that places a range of layers on an endpoint. */
--- a/src/wisteria/fleet/fleet_update.c
+++ b/src/wisteria/fleet/fleet_update.c
@@ -4,8 +4,12 @@
 #include "wisteria/codec/msg.h"
 #include "wisteria/fleet/registry.h"
 
-static msg_fleet_endpoint_t message_of(const endpoint_t *endpoint,
-				       clock_ms_t now)
+/*
+ * Returns the full description of an endpoint as of "now"; it points into
+ * "endpoint".
+ */
+msg_fleet_endpoint_t fleet_update_describe(const endpoint_t *endpoint,
+					   clock_ms_t now)
 {
 	return (msg_fleet_endpoint_t){
 		.id = endpoint->id,
@@ -84,7 +88,8 @@
 	g_hash_table_iter_init(&iter, registry->by_id);
 	while (g_hash_table_iter_next(&iter, &id, &value)) {
 		const endpoint_t *endpoint = value;
-		msg_fleet_endpoint_t full = message_of(endpoint, now);
+		msg_fleet_endpoint_t full =
+			fleet_update_describe(endpoint, now);
 		msg_fleet_alive_t alive = {
 			.id = endpoint->id,
 			.incarnation = endpoint->incarnation,
--- a/src/wisteria/fleet/fleet_update.h
+++ b/src/wisteria/fleet/fleet_update.h
@@ -22,6 +22,9 @@
 	GArray *alive; /* of msg_fleet_alive_t */
 } fleet_update_t;
 
+msg_fleet_endpoint_t
+fleet_update_describe(const endpoint_t *endpoint,
+		      clock_ms_t now) ATTR_NONNULL_ALL ATTR_WARN_UNUSED;
 void fleet_sent_init(fleet_sent_t *sent) ATTR_NONNULL_ALL;
 void fleet_sent_finish(fleet_sent_t *sent) ATTR_NONNULL_ALL;
 void fleet_update_init(fleet_update_t *update, const registry_t *registry,
--- a/src/wisteria/fleet/registry.c
+++ b/src/wisteria/fleet/registry.c
@@ -36,9 +36,10 @@
 	/* Once gone, a process stays gone, whatever the sequence. */
 	if (update->gone != known->gone)
 		return update->gone;
-	/* An unreachable mark has the sequence of the last heartbeat. */
+	/* Marks made between two heartbeats have the sequence of the first. */
 	if (update->sequence == known->sequence)
-		return update->unreachable && !known->unreachable;
+		return (update->unreachable && !known->unreachable) ||
+		       (update->draining && !known->draining);
 	return update->sequence > known->sequence;
 }
 
--- a/src/wisteria/gateway/exchange.c
+++ b/src/wisteria/gateway/exchange.c
@@ -25,6 +25,8 @@
 #define RETRY_AFTER_ENDPOINT_MS 1000
 /* Retry-After without capacity: a few requests end in this time. */
 #define RETRY_AFTER_FULL_MS 500
+/* Retry-After while endpoints want nothing for a while: at least this. */
+#define RETRY_AFTER_PAUSED_MIN_MS 50
 /* Retry-After during a stop: other entries are ready; 0 would omit it. */
 #define RETRY_AFTER_STOPPING_MS 50
 
@@ -196,30 +198,56 @@
 /*
  * Returns how long after its arrival a request may wait for capacity: just
  * after a start, when some endpoints may not be known, GATEWAY_HOLD_TIMEOUT_MS;
- * later, if the endpoints are full, a fraction of the goal for the first event
- * that leaves time to process the prompt; if no known endpoint serves the
- * request, 0.
+ * later, if the endpoints are full or the pause of one ends by then, a fraction
+ * of the goal for the first event that leaves time to process the prompt; if no
+ * known endpoint serves the request, 0.
  */
 static clock_ms_t max_wait_ms(const exchange_t *exchange,
-			      target_result_t result, clock_ms_t now)
+			      target_result_t result, const target_t *target,
+			      clock_ms_t now)
 {
 	const gateway_t *gateway = exchange->gateway;
+	clock_ms_t queue_ms;
 
 	if (gateway->first_endpoint_ms == 0 ||
 	    now - gateway->first_endpoint_ms < GATEWAY_WARM_UP_MS)
 		return GATEWAY_HOLD_TIMEOUT_MS;
+	queue_ms = (clock_ms_t)((double)exchange->route->goal_ms *
+				GATEWAY_QUEUE_TIME_RATIO);
 	if (result == TARGET_FULL)
-		return (clock_ms_t)((double)exchange->route->goal_ms *
-				    GATEWAY_QUEUE_TIME_RATIO);
+		return queue_ms;
+	if (result == TARGET_PAUSED &&
+	    target->pause_end_ms - exchange->started_ms <= queue_ms)
+		return queue_ms;
 	return 0;
 }
 
-static void refuse_without_target(exchange_t *exchange, target_result_t result)
+/*
+ * Returns when a caller should come back for whose request target_choose()
+ * found no "target".
+ */
+static clock_ms_t retry_after_ms(const exchange_t *exchange,
+				 target_result_t result, const target_t *target)
 {
-	if (result == TARGET_FULL)
-		refuse(exchange, RETRY_AFTER_FULL_MS, "endpoints_full");
-	else
-		refuse(exchange, RETRY_AFTER_ENDPOINT_MS, "no_endpoint");
+	if (result == TARGET_PAUSED)
+		return MAX(target->pause_end_ms - now_of(exchange),
+			   RETRY_AFTER_PAUSED_MIN_MS);
+	return result == TARGET_FULL ? RETRY_AFTER_FULL_MS
+				     : RETRY_AFTER_ENDPOINT_MS;
+}
+
+static void refuse_without_target(exchange_t *exchange, target_result_t result,
+				  const target_t *target)
+{
+	static const char *const reasons[] = {
+		[TARGET_FOUND] = "no_endpoint",
+		[TARGET_NONE] = "no_endpoint",
+		[TARGET_FULL] = "endpoints_full",
+		[TARGET_PAUSED] = "endpoints_paused",
+	};
+
+	refuse(exchange, retry_after_ms(exchange, result, target),
+	       reasons[result]);
 }
 
 /* Returns whether the answer might be truncated by the planned stop. */
@@ -242,8 +270,8 @@
 	gateway_t *gateway = exchange->gateway;
 	wait_item_t *wait = &exchange->wait;
 	target_result_t found = TARGET_FULL;
+	target_t target = { 0 };
 	clock_ms_t wait_ms;
-	target_t target;
 	bool must_wait;
 
 	/* Every revision has its own pools, as it has its own services. */
@@ -263,9 +291,9 @@
 	}
 	if (must_wait)
 		found = TARGET_FULL; /* requests ahead still wait */
-	wait_ms = max_wait_ms(exchange, found, now_of(exchange));
+	wait_ms = max_wait_ms(exchange, found, &target, now_of(exchange));
 	if (wait_ms <= 0) {
-		refuse_without_target(exchange, found);
+		refuse_without_target(exchange, found, &target);
 		return;
 	}
 	wait->expires_ms = exchange->started_ms + wait_ms;
@@ -311,15 +339,25 @@
 	return false;
 }
 
-static bool retry_attempt(exchange_t *exchange, const failed_attempt_t *attempt)
+/*
+ * Sends the request to other endpoints, if the limits allow.  Otherwise returns
+ * false and sets "come_back_ms", for a caller who is refused.
+ */
+static bool retry_attempt(exchange_t *exchange, const failed_attempt_t *attempt,
+			  clock_ms_t *come_back_ms)
 {
 	gateway_t *gateway = exchange->gateway;
+	target_result_t found;
 	target_t target;
 
+	*come_back_ms = RETRY_AFTER_ENDPOINT_MS;
 	if (!subscription_has_lease(&gateway->subscription))
 		return log_retry_not_made(exchange, "no_lease");
-	if (target_choose(exchange, &target) != TARGET_FOUND)
+	found = target_choose(exchange, &target);
+	if (found != TARGET_FOUND) {
+		*come_back_ms = retry_after_ms(exchange, found, &target);
 		return log_retry_not_made(exchange, "no_other_endpoint");
+	}
 	if (outcome_uses_retry_budget(attempt) &&
 	    !retry_window_take(
 		    gateway_retry_window(gateway, exchange->service->name),
@@ -348,6 +386,7 @@
 		.has_time_left = now_of(exchange) < exchange->deadline_ms,
 		.max_runs = MAX(exchange->route->max_attempts, 1),
 	};
+	clock_ms_t come_back_ms = RETRY_AFTER_ENDPOINT_MS;
 	outcome_t outcome;
 
 	counter_add(COUNTER_GATEWAY_FAILED_SENDS, 1);
@@ -369,14 +408,14 @@
 	outcome = outcome_decide(&attempt);
 	end_attempt(exchange);
 	if (outcome == OUTCOME_RETRY) {
-		if (retry_attempt(exchange, &attempt))
+		if (retry_attempt(exchange, &attempt, &come_back_ms))
 			return;
 		outcome = outcome_without_retry(&attempt);
 	}
 	if (outcome == OUTCOME_FORWARD_ERROR && answer != NULL)
 		forward_answer(exchange, answer);
 	else
-		refuse(exchange, RETRY_AFTER_ENDPOINT_MS, reason);
+		refuse(exchange, come_back_ms, reason);
 }
 
 /* Answers of endpoints. */
@@ -436,6 +475,9 @@
 
 	exchange->last_progress_ms = now_of(exchange);
 	exchange->gateway->dialect->read_answer(answer, &answer_info);
+	if (is_matching_answer(exchange, &answer_info))
+		gateway_obey_endpoint(exchange->gateway,
+				      exchange->target.ids[0], &answer_info);
 	exchange->is_streaming = exchange->route->kind == ROUTE_STREAM &&
 				 answer->status / 100 == 2 &&
 				 answer_info.stamped &&
@@ -817,6 +859,7 @@
 void exchange_tick(exchange_t *exchange, clock_ms_t now)
 {
 	if (exchange->wait.queued && now >= exchange->wait.expires_ms) {
+		target_result_t result;
 		target_t target;
 
 		/*
@@ -824,8 +867,8 @@
 		 * it is not used, its crossings are deducted from the pipe
 		 * budget all the same, and the reason is "no_endpoint".
 		 */
-		refuse_without_target(exchange,
-				      target_choose(exchange, &target));
+		result = target_choose(exchange, &target);
+		refuse_without_target(exchange, result, &target);
 		return;
 	}
 	if (now < exchange->deadline_ms) {
--- a/src/wisteria/gateway/gateway.c
+++ b/src/wisteria/gateway/gateway.c
@@ -282,6 +282,57 @@
 		 GATEWAY_SUSPICION_MS);
 }
 
+/* Tells the leader, and thereby the other entries, that "endpoint" leaves. */
+static void report_leaving(gateway_t *gateway, const endpoint_t *endpoint)
+{
+	endpoint_t leaving = *endpoint;
+	msg_fleet_endpoint_t described;
+	const msg_fleet_endpoints_t message = { .endpoints = &described,
+						.endpoint_count = 1 };
+
+	leaving.draining = true;
+	described = fleet_update_describe(&leaving, clock_now(gateway->clock));
+	subscription_send_to_leader(&gateway->subscription, MSG_FLEET_ENDPOINTS,
+				    &message);
+}
+
+/*
+ * Obeys what endpoint "id" has asked of this entry in an answer: to send
+ * nothing more because it leaves, or nothing for a while.
+ */
+void gateway_obey_endpoint(gateway_t *gateway, const char *id,
+			   const endpoint_answer_t *answer)
+{
+	const endpoint_t *endpoint = registry_find(&gateway->registry, id);
+	clock_ms_t now = clock_now(gateway->clock);
+
+	if (answer->unreadable_pause != NULL)
+		LOG_WARN("endpoint_pause_unreadable",
+			 "endpoint=%s retry_after=%s", id,
+			 answer->unreadable_pause);
+	if (endpoint == NULL)
+		return;
+	if (answer->leaving &&
+	    endpoint_notices_leave(&gateway->notices, endpoint)) {
+		counter_add(COUNTER_ENDPOINTS_LEAVING, 1);
+		LOG_INFO("endpoint_leaves",
+			 "endpoint=%s address=%s source=answer", id,
+			 endpoint->address);
+		report_leaving(gateway, endpoint);
+	}
+	if (answer->pause_ms > 0) {
+		clock_ms_t until_ms = endpoint_notices_pause(
+			&gateway->notices, endpoint, answer->pause_ms,
+			g_rand_double(gateway->random), now);
+
+		counter_add(COUNTER_ENDPOINT_PAUSES, 1);
+		LOG_INFO("endpoint_paused",
+			 "endpoint=%s asked_ms=%" G_GINT64_FORMAT
+			 " for_ms=%" G_GINT64_FORMAT " source=answer",
+			 id, answer->pause_ms, until_ms - now);
+	}
+}
+
 static gboolean is_suspicion_expired(gpointer key, gpointer value,
 				     gpointer data)
 {
@@ -438,6 +489,7 @@
 	g_hash_table_foreach_remove(gateway->suspects, is_suspicion_expired,
 				    &now);
 	registry_remove_expired(&gateway->registry, now);
+	endpoint_notices_expire(&gateway->notices, &gateway->registry, now);
 	if (now - gateway->last_report_ms >= GATEWAY_REPORT_INTERVAL_MS) {
 		set_gauges(gateway);
 		report_load(gateway, now);
@@ -511,6 +563,7 @@
 		g_array_new(FALSE, FALSE, sizeof(held_request_t));
 	registry_init(&gateway->registry);
 	usage_init(&gateway->usage);
+	endpoint_notices_init(&gateway->notices);
 	gateway->retry_windows =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	gateway->slowdowns =
@@ -578,6 +631,7 @@
 	subscription_finish(&gateway->subscription);
 	registry_finish(&gateway->registry);
 	usage_finish(&gateway->usage);
+	endpoint_notices_finish(&gateway->notices);
 	route_table_unref(gateway->table);
 	g_array_unref(gateway->held_requests);
 	g_hash_table_destroy(gateway->retry_windows);
--- a/src/wisteria/gateway/gateway_defs.h
+++ b/src/wisteria/gateway/gateway_defs.h
@@ -7,6 +7,7 @@
 #include "wisteria/fleet/pipeline_defs.h"
 #include "wisteria/fleet/registry_defs.h"
 #include "wisteria/fleet/subscription_defs.h"
+#include "wisteria/gateway/endpoint_notices.h"
 #include "wisteria/gateway/event_stream.h"
 #include "wisteria/gateway/outcome.h"
 #include "wisteria/gateway/silence.h"
@@ -94,6 +95,11 @@
 	 * between failure domains; otherwise a load score without a unit.
 	 */
 	double cost_ms;
+	/*
+	 * If TARGET_PAUSED: when the first endpoint that wants nothing for a
+	 * while may be used again.
+	 */
+	clock_ms_t pause_end_ms;
 } target_t;
 
 struct gateway_t;
@@ -167,8 +173,9 @@
 	uint32_t entry_count; /* in the fleet, per the last renewal reply */
 	GHashTable *retry_windows; /* service -> retry_window_t */
 	GHashTable *suspects;	   /* endpoint id -> clock_ms_t, expiry */
-	GHashTable *slowdowns;	   /* id of a slow engine -> double * */
-	clock_ms_t slowdowns_ms;   /* when they were received */
+	endpoint_notices_t notices;
+	GHashTable *slowdowns;	 /* id of a slow engine -> double * */
+	clock_ms_t slowdowns_ms; /* when they were received */
 	usage_t usage;
 	uint64_t report_sequence;
 	clock_ms_t last_report_ms;
--- a/src/wisteria/gateway/target.c
+++ b/src/wisteria/gateway/target.c
@@ -40,12 +40,27 @@
  */
 #define OTHER_DOMAIN_PENALTY_REQUESTS 3
 
-static bool is_candidate(const exchange_t *exchange, const endpoint_t *endpoint)
+/*
+ * Returns whether the endpoint may be sent the request.  The earliest end of a
+ * pause of an endpoint that is left out for it alone goes to "target".
+ */
+static bool is_candidate(const exchange_t *exchange, const endpoint_t *endpoint,
+			 target_t *target)
 {
-	return strcmp(endpoint->service, exchange->service->name) == 0 &&
-	       registry_is_usable(&exchange->gateway->registry, endpoint) &&
-	       !g_ptr_array_find_with_equal_func(
-		       exchange->failed_ids, endpoint->id, g_str_equal, NULL);
+	const gateway_t *gateway = exchange->gateway;
+	clock_ms_t pause_end_ms;
+
+	if (strcmp(endpoint->service, exchange->service->name) != 0 ||
+	    !registry_is_usable(&gateway->registry, endpoint) ||
+	    endpoint_notices_is_leaving(&gateway->notices, endpoint))
+		return false;
+	pause_end_ms = endpoint_notices_pause_end(&gateway->notices, endpoint);
+	if (clock_now(gateway->clock) >= pause_end_ms)
+		return !g_ptr_array_find_with_equal_func(
+			exchange->failed_ids, endpoint->id, g_str_equal, NULL);
+	if (target->pause_end_ms == 0 || pause_end_ms < target->pause_end_ms)
+		target->pause_end_ms = pause_end_ms;
+	return false;
 }
 
 static void append_hop(target_t *target, const endpoint_t *endpoint,
@@ -87,7 +102,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		double cost;
 
-		if (!is_candidate(exchange, value))
+		if (!is_candidate(exchange, value, target))
 			continue;
 		cost = plain_cost(gateway, value);
 		if (cost >= best_cost)
@@ -149,7 +164,7 @@
 }
 
 static void collect_candidates(const exchange_t *exchange,
-			       candidates_t *candidates)
+			       candidates_t *candidates, target_t *target)
 {
 	const gateway_t *gateway = exchange->gateway;
 	GHashTableIter iter;
@@ -158,7 +173,7 @@
 	domain_number(candidates, gateway->settings->failure_domain);
 	g_hash_table_iter_init(&iter, gateway->registry.by_id);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
-		if (is_candidate(exchange, value))
+		if (is_candidate(exchange, value, target))
 			add_stage(exchange, value, candidates);
 }
 
@@ -262,7 +277,7 @@
 	pipeline_t pipeline;
 	pipeline_result_t result;
 
-	collect_candidates(exchange, &candidates);
+	collect_candidates(exchange, &candidates, target);
 	result = choose_within_pipe_budget(exchange, &candidates, &query,
 					   &pipeline);
 	for (uint32_t i = 0; i < pipeline.count; i++)
@@ -286,8 +301,13 @@
  */
 target_result_t target_choose(exchange_t *exchange, target_t *target)
 {
+	target_result_t result;
+
 	memset(target, 0, sizeof(*target));
-	if (exchange->service->has_engine)
-		return choose_pipeline(exchange, target);
-	return choose_plain(exchange, target);
+	result = exchange->service->has_engine
+			 ? choose_pipeline(exchange, target)
+			 : choose_plain(exchange, target);
+	if (result != TARGET_FOUND && target->pause_end_ms != 0)
+		return TARGET_PAUSED;
+	return result;
 }
--- a/src/wisteria/gateway/target.h
+++ b/src/wisteria/gateway/target.h
@@ -7,7 +7,9 @@
 typedef enum {
 	TARGET_FOUND,
 	TARGET_NONE, /* no usable endpoint serves what is needed */
-	TARGET_FULL  /* the endpoints that do have no free capacity */
+	TARGET_FULL, /* the endpoints that do have no free capacity */
+	/* As the two above, and some endpoints want nothing for a while. */
+	TARGET_PAUSED
 } target_result_t;
 
 target_result_t target_choose(exchange_t *exchange, target_t *target)
--- a/test/functional/fleet_test.c
+++ b/test/functional/fleet_test.c
@@ -6,6 +6,7 @@
 #include "../unit/unit.h"
 
 #include <signal.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "harness/fake_endpoint.h"
@@ -301,6 +302,72 @@
 	fake_endpoint_stop(&endpoints[1]);
 }
 
+/*
+ * An endpoint that says in an answer that it leaves gets nothing more from this
+ * entry, although its heartbeats still call it ready.
+ */
+static void test_leaving_endpoint_gets_nothing_new(void)
+{
+	fake_endpoint_t endpoints[2];
+
+	fake_endpoint_start(&endpoints[0], "i-10", "writer", harness.ip,
+			    control_address, FAKE_ENDPOINT_LEAVE);
+	CU_ASSERT(harness_wait_log(entry, "endpoint=i-10 ", HARNESS_WAIT_MS));
+	fake_endpoint_start(&endpoints[1], "i-11", "writer", harness.ip,
+			    control_address, FAKE_ENDPOINT_SERVE);
+	CU_ASSERT(harness_wait_log(entry, "endpoint=i-11 ", HARNESS_WAIT_MS));
+	while (endpoints[0].runs == 0)
+		CU_ASSERT_EQUAL_FATAL(
+			request_status(entry_address, "/chat/6", "leave", "hi"),
+			200);
+	CU_ASSERT(harness_wait_log(entry, "event=endpoint_leaves endpoint=i-10",
+				   HARNESS_WAIT_MS));
+	for (int i = 0; i < 8; i++)
+		CU_ASSERT_EQUAL(
+			request_status(entry_address, "/chat/6", "left", "hi"),
+			200);
+	CU_ASSERT_EQUAL(endpoints[0].runs, 1);
+	fake_endpoint_stop(&endpoints[0]);
+	fake_endpoint_stop(&endpoints[1]);
+}
+
+/*
+ * An endpoint that refuses with a time gets nothing until that is over.  While
+ * there is no other, callers are refused at once and told when to come back.
+ */
+static void test_paused_endpoint_gets_nothing(void)
+{
+	fake_endpoint_t endpoints[2];
+	http_request_t *request;
+	const char *told;
+
+	fake_endpoint_start(&endpoints[0], "i-12", "orders", harness.ip,
+			    control_address, FAKE_ENDPOINT_PAUSE);
+	CU_ASSERT(harness_wait_log(entry, "endpoint=i-12 ", HARNESS_WAIT_MS));
+	CU_ASSERT_EQUAL(request_status(entry_address, "/book/3", "pause1", "7"),
+			503);
+	request = send_and_wait(entry_address, "/book/3", "pause2", "7");
+	CU_ASSERT_EQUAL(request->status, 503);
+	told = strcasestr(request->headers->str, "retry-after: ");
+	CU_ASSERT_PTR_NOT_NULL_FATAL(told);
+	CU_ASSERT(atof(told + strlen("retry-after: ")) >
+		  FAKE_ENDPOINT_PAUSE_S / 2.0);
+	http_request_free(&client, request);
+	CU_ASSERT(harness_wait_log(
+		entry, "request=pause2 status=503 reason=endpoints_paused",
+		HARNESS_WAIT_MS));
+	fake_endpoint_start(&endpoints[1], "i-13", "orders", harness.ip,
+			    control_address, FAKE_ENDPOINT_SERVE);
+	CU_ASSERT(harness_wait_log(entry, "endpoint=i-13 ", HARNESS_WAIT_MS));
+	for (int i = 0; i < 8; i++)
+		CU_ASSERT_EQUAL(
+			request_status(entry_address, "/book/3", "pause3", "7"),
+			200);
+	CU_ASSERT_EQUAL(endpoints[0].rejections, 1);
+	fake_endpoint_stop(&endpoints[0]);
+	fake_endpoint_stop(&endpoints[1]);
+}
+
 static bool control_has_configuration(void *user)
 {
 	http_request_t *request = send_and_wait(
@@ -455,6 +522,9 @@
 	{ "explain: refused", test_explain_refused },
 	{ "explain: cut in the middle", test_explain_cut_in_the_middle },
 	{ "explain: lost answer", test_explain_lost_answer },
+	{ "leaving endpoint gets nothing new",
+	  test_leaving_endpoint_gets_nothing_new },
+	{ "paused endpoint gets nothing", test_paused_endpoint_gets_nothing },
 	{ "accepted change survives", test_accepted_change_survives },
 	{ "bad reload changes nothing", test_bad_reload_changes_nothing },
 	{ "large configuration", test_large_configuration },
--- a/test/functional/harness/fake_endpoint.c
+++ b/test/functional/harness/fake_endpoint.c
@@ -100,22 +100,24 @@
 }
 
 /*
- * Sends the events after "Last-Event-Id".  With "truncates", ends a stream that
- * was requested from the start early, after event FAKE_ENDPOINT_TRUNCATE_AFTER.
+ * Sends the events after "Last-Event-Id".  FAKE_ENDPOINT_TRUNCATE ends a stream
+ * that was requested from the start early, after event
+ * FAKE_ENDPOINT_TRUNCATE_AFTER.
  */
-static void send_stream(int fd, const char *request, bool truncates)
+static void send_stream(int fd, const char *request, int mode)
 {
 	char *request_id = copy_header(request, "X-Wisteriadrift-Request-Id");
 	char *last = copy_header(request, "Last-Event-Id");
 	unsigned long id = last[0] == '\0' ? 0 : strtoul(last, NULL, 10) + 1;
-	bool is_truncated = truncates && last[0] == '\0';
+	bool is_truncated = mode == FAKE_ENDPOINT_TRUNCATE && last[0] == '\0';
 	char *head = g_strdup_printf(
 		"HTTP/1.1 200 OK\r\n"
 		"Content-Type: text/event-stream\r\n"
 		"X-Wisteriadrift-Request-Id: %s\r\n"
-		"X-Wisteriadrift-Response-Stamp: 1.2.3\r\n"
+		"X-Wisteriadrift-Response-Stamp: 1.2.3\r\n%s"
 		"Transfer-Encoding: chunked\r\nConnection: close\r\n\r\n",
-		request_id);
+		request_id,
+		mode == FAKE_ENDPOINT_LEAVE ? "Server-Leaving: 1\r\n" : "");
 
 	send_text(fd, head);
 	for (; id < FAKE_ENDPOINT_EVENTS; id++) {
@@ -189,6 +191,23 @@
 	return other;
 }
 
+static void send_rejection(fake_endpoint_t *fake_endpoint, int fd)
+{
+	char *pause =
+		g_strdup_printf("Retry-After: %d\r\n", FAKE_ENDPOINT_PAUSE_S);
+	bool pauses = fake_endpoint->mode == FAKE_ENDPOINT_PAUSE;
+	char *text = g_strdup_printf(
+		"HTTP/1.1 503 Service Unavailable\r\n"
+		"X-Wisteriadrift-Not-Executed: full\r\n%s"
+		"Content-Length: 0\r\nConnection: close\r\n\r\n",
+		pauses ? pause : "");
+
+	fake_endpoint->rejections++;
+	send_text(fd, text);
+	g_free(text);
+	g_free(pause);
+}
+
 static void serve_request(fake_endpoint_t *fake_endpoint, int fd)
 {
 	char request[REQUEST_BYTES];
@@ -201,16 +220,14 @@
 			      "Content-Length: 0\r\nConnection: close\r\n\r\n");
 		return;
 	}
-	if (fake_endpoint->mode == FAKE_ENDPOINT_REJECT) {
-		send_text(fd, "HTTP/1.1 503 Service Unavailable\r\n"
-			      "X-Wisteriadrift-Not-Executed: full\r\n"
-			      "Content-Length: 0\r\nConnection: close\r\n\r\n");
+	if (fake_endpoint->mode == FAKE_ENDPOINT_REJECT ||
+	    fake_endpoint->mode == FAKE_ENDPOINT_PAUSE) {
+		send_rejection(fake_endpoint, fd);
 		return;
 	}
 	record_run(fake_endpoint, request);
 	if (fake_endpoint->mode != FAKE_ENDPOINT_DROP)
-		send_stream(fd, request,
-			    fake_endpoint->mode == FAKE_ENDPOINT_TRUNCATE);
+		send_stream(fd, request, fake_endpoint->mode);
 }
 
 static void *serve(void *user)
--- a/test/functional/harness/fake_endpoint.h
+++ b/test/functional/harness/fake_endpoint.h
@@ -14,11 +14,17 @@
 /* The last event of a truncated stream. */
 #define FAKE_ENDPOINT_TRUNCATE_AFTER 5
 
+/* Longer than any test that uses it. */
+#define FAKE_ENDPOINT_PAUSE_S 40
+
 /* How a fake endpoint handles a request that it has read. */
 typedef enum {
 	FAKE_ENDPOINT_SERVE,
 	FAKE_ENDPOINT_TRUNCATE, /* ends the stream early */
 	FAKE_ENDPOINT_REJECT,	/* answers 503 without running it */
+	/* As before, and wants nothing for FAKE_ENDPOINT_PAUSE_S. */
+	FAKE_ENDPOINT_PAUSE,
+	FAKE_ENDPOINT_LEAVE, /* serves, and says that it leaves */
 	FAKE_ENDPOINT_DROP	/* runs it and closes without an answer */
 } fake_endpoint_mode_t;
 
@@ -44,6 +50,7 @@
 	int listener;
 	_Atomic int mode; /* fake_endpoint_mode_t */
 	atomic_uint runs;
+	atomic_uint rejections;
 	atomic_bool stopping;
 	pthread_t server_thread;
 	pthread_t heartbeat_thread;
--- a/test/unit/platform_test.c
+++ b/test/unit/platform_test.c
@@ -361,6 +361,92 @@
 	g_string_free(out, TRUE);
 }
 
+static const http_message_t *parse_rejection(const char *headers)
+{
+	char *text = g_strdup_printf(
+		"HTTP/1.1 503 No\r\n%sContent-Length: 0\r\n\r\n", headers);
+	const http_message_t *answer = parse_message(HTTP_RESPONSE, text);
+
+	g_free(text);
+	return answer;
+}
+
+static void expect_pause(const char *headers, clock_ms_t expected)
+{
+	endpoint_answer_t read;
+
+	platform_dialect.read_answer(parse_rejection(headers), &read);
+	CU_ASSERT_EQUAL(read.pause_ms, expected);
+	CU_ASSERT_PTR_NULL(read.unreadable_pause);
+	http_reader_finish(&reader);
+}
+
+static void expect_unreadable_pause(const char *headers, const char *expected)
+{
+	endpoint_answer_t read;
+
+	platform_dialect.read_answer(parse_rejection(headers), &read);
+	CU_ASSERT_EQUAL(read.pause_ms, 0);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(read.unreadable_pause);
+	CU_ASSERT_STRING_EQUAL(read.unreadable_pause, expected);
+	http_reader_finish(&reader);
+}
+
+static void test_pauses_of_endpoints(void)
+{
+	endpoint_answer_t read;
+
+	expect_pause("", 0);
+	expect_pause("Retry-After: 2\r\n", 2000);
+	expect_pause("Retry-After: 0.25\r\n", 250);
+	expect_pause("Retry-After: 1000000000\r\n", 86400 * 1000);
+	expect_unreadable_pause("Retry-After: -1\r\n", "-1");
+	expect_unreadable_pause("Retry-After: \r\n", "");
+	expect_unreadable_pause("Retry-After: nan\r\n", "nan");
+	expect_unreadable_pause(
+		"Retry-After: Fri, 04 Dec 2026 08:00:00 GMT\r\n",
+		"Fri, 04 Dec 2026 08:00:00 GMT");
+	/* Only a refusal asks for a pause. */
+	platform_dialect.read_answer(parse_message(HTTP_RESPONSE,
+						   "HTTP/1.1 500 No\r\n"
+						   "Retry-After: 2\r\n"
+						   "Content-Length: 0\r\n\r\n"),
+				     &read);
+	CU_ASSERT_EQUAL(read.pause_ms, 0);
+	http_reader_finish(&reader);
+}
+
+/* An endpoint may say that it leaves in any answer; callers don't see it. */
+static void test_leaving_endpoint(void)
+{
+	endpoint_answer_t read;
+	GString *out = g_string_new(NULL);
+	const http_message_t *answer;
+
+	platform_dialect.read_answer(
+		parse_rejection("Server-Leaving: 1\r\nRetry-After: 1\r\n"),
+		&read);
+	CU_ASSERT_TRUE(read.leaving);
+	CU_ASSERT_EQUAL(read.pause_ms, 1000);
+	http_reader_finish(&reader);
+	platform_dialect.read_answer(parse_rejection("Server-Leaving: 0\r\n"),
+				     &read);
+	CU_ASSERT_FALSE(read.leaving);
+	http_reader_finish(&reader);
+	answer = parse_message(HTTP_RESPONSE,
+			       "HTTP/1.1 200 OK\r\nServer-Leaving: 1\r\n"
+			       "Retry-After: 9\r\nX-Other: 2\r\n"
+			       "Content-Length: 0\r\n\r\n");
+	platform_dialect.read_answer(answer, &read);
+	CU_ASSERT_TRUE(read.leaving);
+	platform_dialect.write_answer_headers(answer, out);
+	CU_ASSERT_PTR_NULL(strcasestr(out->str, "leaving"));
+	CU_ASSERT_PTR_NULL(strcasestr(out->str, "retry-after"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(out->str, "X-Other: 2"));
+	http_reader_finish(&reader);
+	g_string_free(out, TRUE);
+}
+
 static void test_own_headers_and_orders(void)
 {
 	const caller_request_t caller = { .id = "9c" };
@@ -410,6 +496,8 @@
 	{ "callers", test_callers },
 	{ "forward", test_forward },
 	{ "answers", test_answers },
+	{ "pauses of endpoints", test_pauses_of_endpoints },
+	{ "leaving endpoint", test_leaving_endpoint },
 	{ "own headers and orders", test_own_headers_and_orders },
 	{ "reports", test_reports },
 };
