Count silence of members only while the leader watched

Cause: found by group_walk_test (walks 2934 and 2941 of 6,000). A leader was frozen for seconds; a voter that had been stopped was back; two others lost their disks. On waking the leader read replies that had waited for it, took the two for reachable and the voter, whose silence was in part its own, for lost, and removed it. Of the four voters left two were empty: no quorum any more, with no more than two disks lost.

The replica and the walks share the function that fills the statuses. Ruled out: shifting the times in the log's own progress, which would keep a leader that was frozen in office longer.

Measured: both walks pass; two new tests in unit/group_policy_test, red before.

--- a/src/wisteria/control/group_policy.h
+++ b/src/wisteria/control/group_policy.h
@@ -4,6 +4,11 @@
 #include "wisteria/base/macros_defs.h"
 #include "wisteria/raft/raft_defs.h"
 
+/*
+ * A voter counts as reachable if it has sent something within this time: two
+ * election timeouts.  A longer silence may be a loss that is not counted yet.
+ */
+#define GROUP_REACHABLE_MS (2 * RAFT_ELECTION_TIMEOUT_MS)
 /*
  * A member that has been silent for this long is removed, a voter only if
  * GROUP_VOTERS_MIN others are reachable.  Longer than a restart, a process
@@ -18,10 +23,23 @@
 /* A group of fewer voters cannot tolerate the loss of one. */
 #define GROUP_VOTERS_MIN 3
 
+/*
+ * A leader whose ticks are further apart than this was frozen.  What it then
+ * reads may have been sent long ago, and the silence of the others was its own.
+ */
+#define GROUP_LATE_TICK_MS 250
+
+/* How long the leader has watched the members without a pause of its own. */
+typedef struct {
+	clock_ms_t last_tick_ms;
+	clock_ms_t since_ms;
+} group_watch_t;
+
 /* The leader's view of a member. */
 typedef struct {
-	clock_ms_t silent_ms; /* since its last message; 0 for the leader */
-	bool caught_up;	      /* has all committed entries */
+	/* Since its last message, while it was watched; 0 for the leader. */
+	clock_ms_t silent_ms;
+	bool caught_up; /* has all committed entries */
 } group_member_status_t;
 
 /* The next membership change. */
@@ -30,6 +48,10 @@
 	uint32_t member; /* index in the list of members */
 } group_change_t;
 
+void group_watch_tick(group_watch_t *watch, clock_ms_t now) ATTR_NONNULL_ALL;
+void group_watch_statuses(const group_watch_t *watch, const raft_t *raft,
+			  group_member_status_t statuses[RAFT_MEMBERS_MAX])
+	ATTR_NONNULL_ALL;
 bool group_policy_next(const raft_members_t *members,
 		       const group_member_status_t *statuses,
 		       group_change_t *next) ATTR_NONNULL_ALL ATTR_WARN_UNUSED;
--- a/src/wisteria/control/replica_defs.h
+++ b/src/wisteria/control/replica_defs.h
@@ -1,6 +1,7 @@
 #ifndef WISTERIA_CONTROL_REPLICA_DEFS_H
 #define WISTERIA_CONTROL_REPLICA_DEFS_H
 
+#include "wisteria/control/group_policy.h"
 #include "wisteria/control/joiners.h"
 #include "wisteria/control/log_writer.h"
 #include "wisteria/net/net_defs.h"
@@ -70,6 +71,7 @@
 	GPtrArray *peers;	 /* of replica_peer_t */
 	GHashTable *instance_of; /* replica id -> instance */
 	joiners_t joiners;
+	group_watch_t watch;
 	GArray *confirmed; /* of raft_read_t; their index is not applied yet */
 	uv_timer_t tick;
 	uv_check_t output_check;
--- a/src/wisteria/control/replica_group.c
+++ b/src/wisteria/control/replica_group.c
@@ -453,21 +453,7 @@
 	group_member_status_t statuses[RAFT_MEMBERS_MAX];
 	group_change_t next;
 
-	for (uint32_t i = 0; i < raft->members.count; i++) {
-		const raft_progress_t *progress =
-			progress_of(replica, raft->members.items[i].id);
-		bool is_leader = raft->members.items[i].id == raft->id;
-
-		statuses[i] = (group_member_status_t){
-			.silent_ms = is_leader || progress == NULL
-					     ? 0
-					     : raft->now_ms -
-						       progress->last_heard_ms,
-			.caught_up =
-				is_leader || (progress != NULL &&
-					      progress->match >= raft->commit),
-		};
-	}
+	group_watch_statuses(&replica->watch, raft, statuses);
 	if (group_policy_next(&raft->members, statuses, &next))
 		change_member(replica, next.change,
 			      &raft->members.items[next.member],
@@ -485,6 +471,7 @@
 	const raft_member_t *joiner;
 	clock_ms_t now = now_of(replica);
 
+	group_watch_tick(&replica->watch, now);
 	if (replica->raft.role != RAFT_LEADER)
 		return;
 	joiner = joiners_next(&replica->joiners, members, now);
--- a/test/unit/group_policy_test.c
+++ b/test/unit/group_policy_test.c
@@ -108,6 +108,41 @@
 	CU_ASSERT_EQUAL(next.member, 5);
 }
 
+/* A voter is removed only if the others were heard from just now. */
+static void test_lost_voter_is_kept_while_others_are_quiet(void)
+{
+	group_change_t next;
+
+	init_three_voters(GROUP_MEMBER_TIMEOUT_MS);
+	add_member(4, "d", true, 100, true);
+	CU_ASSERT_TRUE(group_policy_next(&members, statuses, &next));
+	statuses[1].silent_ms = GROUP_REACHABLE_MS;
+	CU_ASSERT_FALSE(group_policy_next(&members, statuses, &next));
+}
+
+/* The time in which the leader was frozen is no silence of the others. */
+static void test_frozen_leader_watches_anew(void)
+{
+	raft_t raft = { .id = 1, .now_ms = 20000 };
+	group_watch_t watch = { 0 };
+
+	init_three_voters(0);
+	raft.members = members;
+	for (uint32_t i = 0; i < members.count; i++)
+		raft.progress[i] = (raft_progress_t){
+			.id = members.items[i].id,
+			.last_heard_ms = 1000,
+		};
+	for (clock_ms_t now = 1000; now <= 3000; now += 100)
+		group_watch_tick(&watch, now);
+	group_watch_statuses(&watch, &raft, statuses);
+	CU_ASSERT_EQUAL(statuses[0].silent_ms, 0);
+	CU_ASSERT_EQUAL(statuses[1].silent_ms, 2000);
+	group_watch_tick(&watch, 20000);
+	group_watch_statuses(&watch, &raft, statuses);
+	CU_ASSERT_EQUAL(statuses[1].silent_ms, 0);
+}
+
 static const unit_test_t tests[] = {
 	{ "healthy group is unchanged", test_healthy_group_is_unchanged },
 	{ "lost voter of three is kept", test_lost_voter_of_three_is_kept },
@@ -117,6 +152,9 @@
 	{ "silent learner is removed", test_silent_learner_is_removed },
 	{ "lost voters of large group are removed",
 	  test_lost_voters_of_large_group_are_removed },
+	{ "lost voter is kept while others are quiet",
+	  test_lost_voter_is_kept_while_others_are_quiet },
+	{ "frozen leader watches anew", test_frozen_leader_watches_anew },
 };
 
 int main(void)
--- a/test/unit/group_walk_test.c
+++ b/test/unit/group_walk_test.c
@@ -26,6 +26,7 @@
 
 typedef struct {
 	joiners_t joiners;
+	group_watch_t watch;
 	bool knows[NODES]; /* has a link to that node */
 	clock_ms_t search_at_ms;
 } member_t;
@@ -111,25 +112,15 @@
 	group_change_t next;
 	err_t err = ERR_INIT;
 
+	group_watch_tick(&walk->members[at].watch,
+			 sim_local_ms(&walk->sim.nodes[at]));
 	if (raft->role != RAFT_LEADER)
 		return;
 	joiner = joiners_next(&walk->members[at].joiners, &raft->members,
 			      raft->now_ms);
 	if (joiner != NULL)
 		(void)!raft_change_member(raft, RAFT_MEMBER_ADD, joiner, &err);
-	for (uint32_t i = 0; i < raft->members.count; i++) {
-		const raft_progress_t *progress = &raft->progress[i];
-		bool is_leader = progress->id == raft->id;
-
-		statuses[i] = (group_member_status_t){
-			.silent_ms = is_leader
-					     ? 0
-					     : raft->now_ms -
-						       progress->last_heard_ms,
-			.caught_up =
-				is_leader || progress->match >= raft->commit,
-		};
-	}
+	group_watch_statuses(&walk->members[at].watch, raft, statuses);
 	if (group_policy_next(&raft->members, statuses, &next))
 		(void)!raft_change_member(raft, next.change,
 					  &raft->members.items[next.member],
@@ -496,6 +487,21 @@
 	       steps, lost);
 }
 
+/*
+ * Walks that failed: a leader that had been frozen removed a voter, which was
+ * just back, at the moment at which two others lost their disks.
+ */
+static void test_walks_that_failed(void)
+{
+	static const uint32_t seeds[] = { 2934, 2941 };
+
+	for (size_t i = 0; i < ARRAY_SIZE(seeds); i++) {
+		walk_t walk;
+
+		CU_ASSERT_PTR_NULL(play(seeds[i], &walk));
+	}
+}
+
 static void test_join_requests_replace_the_oldest(void)
 {
 	joiners_t joiners = { .count = 0 };
@@ -526,6 +532,7 @@
 	{ "walk detects replies without members",
 	  test_walk_detects_replies_without_members },
 	{ "two losses follow each other", test_two_losses_follow_each_other },
+	{ "walks that failed", test_walks_that_failed },
 	{ "random walks", test_random_walks },
 };
 
