Take unreported endpoints for as fast as the fastest

Cause: path_test, red beside load: all 200 streams ran through one chain. An endpoint without a reported step time counted as DEFAULT_STEP_MS (10) until the next change of the directory; the first that was used reported 4 ms, and then every request went to it until it was full. In a quiet start the directory still changes while the first reports come; beside load it does not.

Change: a report updates the least step time of its range at once, and the unreported candidates of the range are refreshed if it falls by more than the margin for ties. Ruled out: link times, which nothing records yet.

Measured: unit/router_test "first report attracts no herd": 60 sessions on three alike endpoints, all on one before, at least 15 on each now.

--- a/src/wisteria/route/router.c
+++ b/src/wisteria/route/router.c
@@ -18,10 +18,7 @@
 #include "wisteria/route/links.h"
 #include "wisteria/route/target.h"
 
-/*
- * Assumed step time in a range where no endpoint had reported one at the last
- * router_update().
- */
+/* Assumed step time in a range where no endpoint has reported one. */
 #define DEFAULT_STEP_MS 10.0
 /*
  * Expected step times that differ by less than this fraction may be ordered
@@ -130,7 +127,7 @@
  * INFINITY if it is not free.  The time is raised by a random fraction of up
  * to TIE_MARGIN, so that near ties are broken at random.  An endpoint that has
  * not reported a step time is assumed to be as fast as the fastest of its
- * range at the last router_update().
+ * range.
  */
 static double heap_key(const router_t *router, const range_t *range,
 		       const candidate_t *candidate, clock_ms_t now)
@@ -520,6 +517,43 @@
 	refresh_candidate(router, candidate, router->now_ms);
 }
 
+/* Refreshes the candidates of "range" that have not reported a step time. */
+static void refresh_unreported(router_t *router, const range_t *range,
+			       clock_ms_t now)
+{
+	handle_t handle = { 0, 0 };
+
+	while (handle = table_next(&router->candidates, handle),
+	       !handle_is_null(handle)) {
+		candidate_t *candidate = table_get(&router->candidates, handle);
+
+		if (candidate->listed && candidate->step_ms == 0 &&
+		    range_of(router, candidate) == range)
+			refresh_candidate(router, candidate, now);
+	}
+}
+
+/*
+ * Applies a reported step time to the candidates that have reported none.  They
+ * would otherwise keep the default and get no request while the first one that
+ * reports is faster.
+ */
+static void learn_step(router_t *router, const candidate_t *candidate,
+		       clock_ms_t now)
+{
+	range_t *range;
+	double before_ms;
+
+	if (!candidate->listed)
+		return;
+	range = range_of(router, candidate);
+	before_ms = range->least_step_ms;
+	update_least_step(range, candidate);
+	if (before_ms == 0 ||
+	    range->least_step_ms < before_ms * (1 - TIE_MARGIN))
+		refresh_unreported(router, range, now);
+}
+
 /* Records a load report; one of an unknown endpoint is ignored. */
 void router_record_load(router_t *router, const msg_load_t *load,
 			clock_ms_t now)
@@ -529,6 +563,7 @@
 	if (candidate == NULL)
 		return;
 	candidate_record_load(candidate, load, now);
+	learn_step(router, candidate, now);
 	refresh_candidate(router, candidate, now);
 }
 
--- a/test/unit/router_test.c
+++ b/test/unit/router_test.c
@@ -258,6 +258,38 @@
 	router_free(router);
 }
 
+/*
+ * Of three alike endpoints, the first one that reports a step time below the
+ * default doesn't get all sessions: the others count as equally fast.
+ */
+static void test_first_report_attracts_no_herd(void)
+{
+	msg_endpoint_t endpoints[] = { endpoint("a", 0, 12),
+				       endpoint("b", 0, 12),
+				       endpoint("c", 0, 12) };
+	router_t *router = router_new("nordeste", "recife", 1);
+	unsigned sessions[3] = { 0 };
+	route_choice_t choice;
+
+	for (size_t i = 0; i < ARRAY_SIZE(endpoints); i++)
+		endpoints[i].slots = 64;
+	router_update(router, endpoints, ARRAY_SIZE(endpoints), NULL, 0, 0);
+	for (int i = 0; i < 60; i++) {
+		msg_load_t load = { .slots = 64, .step_ms = 4 };
+		size_t at;
+
+		CU_ASSERT_EQUAL_FATAL(choose(router, i, &choice), ROUTE_FOUND);
+		at = (size_t)(choice.hops[0].endpoint[0] - 'a');
+		router_session_started(router, choice.hops[0].endpoint);
+		load.endpoint = choice.hops[0].endpoint;
+		load.in_flight = ++sessions[at];
+		router_record_load(router, &load, i);
+	}
+	for (size_t i = 0; i < ARRAY_SIZE(sessions); i++)
+		CU_ASSERT(sessions[i] >= 15);
+	router_free(router);
+}
+
 static const unit_test_t tests[] = {
 	{ "chain covers the layers exactly", test_chain_covers_layers_exactly },
 	{ "slow endpoint is chosen last", test_slow_endpoint_is_chosen_last },
@@ -275,6 +307,7 @@
 	{ "old report doesn't keep an endpoint full",
 	  test_old_report_does_not_keep_endpoint_full },
 	{ "chain of a service has one hop", test_service_chain_has_one_hop },
+	{ "first report attracts no herd", test_first_report_attracts_no_herd },
 };
 
 int main(void)
