Restart the chain when a replaced last hop would pass on tokens

A last hop that replaced another by replay generates its first token anew. The first hop may have that token already, goes on from its own and drops the new one, but the last hop keeps it. When the first hop is replaced too, the new one gets this token and the later ones that followed from the other: the answer mixes both.

Change: MSG_OPEN says whether it opens a replacement (appended field; an older process ignores it), and such a last hop refuses a reroute that replaces the first hop; the entry then restarts the chain from the tokens that it delivered. Ruled out: having the first hop tell how many tokens it holds, since that message can be lost with its connection.

Measured: the committed input fails without the change and passes with it (unit/session_world_test, unit/hop_session_test; both red before).

--- a/src/wisteria/codec/msg.c
+++ b/src/wisteria/codec/msg.c
@@ -58,6 +58,7 @@
 	FIELD(FIELD_STR, msg_open_t, prompt),
 	FIELD_LIST_OF(msg_open_t, tokens, token_count, &msg_token_desc),
 	FIELD(FIELD_STR, msg_open_t, traceparent),
+	FIELD(FIELD_BOOL, msg_open_t, is_replacement),
 };
 static const record_desc_t msg_open_desc = RECORD_DESC(msg_open_t, open_fields);
 
--- a/src/wisteria/codec/msg_defs.h
+++ b/src/wisteria/codec/msg_defs.h
@@ -123,6 +123,7 @@
 	const msg_token_t *tokens;
 	size_t token_count;
 	const char *traceparent;
+	bool is_replacement; /* of one hop; the others keep their state */
 } msg_open_t;
 
 /* An endpoint's load; "in_flight" and "queued" count sessions. */
--- a/src/wisteria/session/entry_send.c
+++ b/src/wisteria/session/entry_send.c
@@ -45,6 +45,7 @@
 		.tokens = tokens,
 		.token_count = hop == 0 ? token_count : 0,
 		.traceparent = params->traceparent,
+		.is_replacement = session->state == ENTRY_REPLACING,
 	};
 
 	fill_hops(&session->chain, hops);
--- a/src/wisteria/session/hop_reroute.c
+++ b/src/wisteria/session/hop_reroute.c
@@ -18,6 +18,19 @@
 	session->ops->send_entry(session->ops, session, MSG_OPEN_REPLY, &reply);
 }
 
+/*
+ * Returns whether a new first hop could get tokens from this last hop that
+ * differ from those that the old one went on from.  A last hop that replaced
+ * another generated its first token anew, and the old first hop may have had
+ * that token already.  The entry then restarts the chain.
+ */
+static bool may_hold_another_token(const hop_session_t *session,
+				   const msg_reroute_t *reroute)
+{
+	return reroute->replaced == 0 && hop_is_last(session) &&
+	       session->open->is_replacement;
+}
+
 static refusal_t check_reroute(const hop_session_t *session,
 			       const msg_reroute_t *reroute)
 {
@@ -27,7 +40,7 @@
 	    reroute->replaced >= session->hop_count ||
 	    reroute->replaced == session->hop)
 		return REFUSAL_WRONG_LAYERS;
-	if (session->engine_failed)
+	if (session->engine_failed || may_hold_another_token(session, reroute))
 		return REFUSAL_NO_SESSION;
 	if (reroute->replaced == session->hop + 1 && session->outputs.first > 0)
 		return REFUSAL_NO_SESSION;
--- a/test/unit/hop_session_test.c
+++ b/test/unit/hop_session_test.c
@@ -98,7 +98,8 @@
 	{ .endpoint = "c", .address = "3", .first_layer = 8, .end_layer = 12 },
 };
 
-static hop_session_t *new_session(uint32_t hop, uint32_t hop_count)
+static hop_session_t *new_session_of(uint32_t hop, uint32_t hop_count,
+				     bool is_replacement)
 {
 	const msg_open_t open = {
 		.session = 7,
@@ -108,6 +109,7 @@
 		.hops = hops,
 		.hop_count = hop_count,
 		.prompt = "prompt",
+		.is_replacement = is_replacement,
 	};
 
 	memset(&recorder, 0, sizeof(recorder));
@@ -115,6 +117,11 @@
 	return hop_session_new(&open, &recorder.ops);
 }
 
+static hop_session_t *new_session(uint32_t hop, uint32_t hop_count)
+{
+	return new_session_of(hop, hop_count, false);
+}
+
 static void receive_step(hop_session_t *session, uint32_t attempt,
 			 uint32_t first, size_t count)
 {
@@ -311,6 +318,25 @@
 	hop_session_free(session);
 }
 
+/*
+ * A last hop that replaced another has generated a token anew that the first
+ * hop may have gone on from in another form, so no new first hop may get it.
+ */
+static void test_replaced_last_hop_serves_no_new_first_hop(void)
+{
+	hop_session_t *session = new_session_of(2, 3, true);
+
+	receive_reroute(session, 3, 1);
+	CU_ASSERT_EQUAL(recorder.refusal, REFUSAL_NONE);
+	receive_reroute(session, 4, 0);
+	CU_ASSERT_EQUAL(recorder.refusal, REFUSAL_NO_SESSION);
+	hop_session_free(session);
+	session = new_session(2, 3);
+	receive_reroute(session, 4, 0);
+	CU_ASSERT_EQUAL(recorder.refusal, REFUSAL_NONE);
+	hop_session_free(session);
+}
+
 static void test_engine_failure_ends_the_hop(void)
 {
 	hop_session_t *session = new_session(1, 3);
@@ -333,6 +359,8 @@
 	{ "a reroute resends kept outputs", test_reroute_resends_kept_outputs },
 	{ "a reroute without kept outputs is refused",
 	  test_reroute_without_kept_outputs_is_refused },
+	{ "a replaced last hop serves no new first hop",
+	  test_replaced_last_hop_serves_no_new_first_hop },
 	{ "an engine's failure ends the hop",
 	  test_engine_failure_ends_the_hop },
 };
--- a/test/unit/session_world_test.c
+++ b/test/unit/session_world_test.c
@@ -48,6 +48,28 @@
 	CU_ASSERT_EQUAL(seed, 0);
 }
 
+/* Inputs that once violated the oracle; see test/fuzz/seeds/session. */
+static void test_inputs_that_failed(void)
+{
+	static const char *const seeds[] = { "regenerated_token" };
+	static world_outcome_t outcome;
+
+	for (size_t i = 0; i < ARRAY_SIZE(seeds); i++) {
+		gchar *folder = g_path_get_dirname(__FILE__);
+		gchar *path = g_build_filename(folder, "..", "fuzz", "seeds",
+					       "session", seeds[i], NULL);
+		gchar *data = NULL;
+		gsize len = 0;
+
+		CU_ASSERT_FATAL(g_file_get_contents(path, &data, &len, NULL));
+		world_run((const uint8_t *)data, len, FAULT_NONE, &outcome);
+		CU_ASSERT_STRING_EQUAL(outcome.violation, "");
+		g_free(data);
+		g_free(path);
+		g_free(folder);
+	}
+}
+
 static void test_faults_are_detected(void)
 {
 	static world_outcome_t outcome;
@@ -80,6 +102,7 @@
 static const unit_test_t tests[] = {
 	{ "undisturbed requests finish", test_undisturbed_requests_finish },
 	{ "no violation without injected faults", test_no_violation },
+	{ "inputs that failed", test_inputs_that_failed },
 	{ "faults are found", test_faults_are_detected },
 };
 
