Give test processes ports that the kernel does not hand out

The harness took a free port from the kernel, from the range of outgoing connections, and closed it; a connection could then get the port before the process listened, or while it was restarted.

Change: harness_address() counts through ports below that range and returns one that can be bound. Ruled out: keeping the port bound until the process starts, which does not help a restart.

Measured: functional/harness_test "addresses are reserved" (200 addresses); harness, fleet, replica and path tests pass.

--- a/test/functional/harness/harness.c
+++ b/test/functional/harness/harness.c
@@ -26,7 +26,11 @@
 #define KILL_WAIT_MS 5000
 #define LOG_TAIL_BYTES 1200
 #define OPEN_FILE_LIMIT 16384
-#define PORT_ATTEMPTS_MAX 100
+/* Ports of harness_address(); below those of outgoing connections. */
+#define PORT_FIRST 2048u
+#define PORT_COUNT 16000u
+/* Distance of the first ports of two runs by hand with adjacent pids. */
+#define PORTS_PER_RUN 61u
 
 static void find_bin_dir(harness_t *harness)
 {
@@ -170,32 +174,40 @@
 	return path;
 }
 
-static unsigned free_port(const char *ip)
+static bool is_free(const char *ip, unsigned port)
 {
-	struct sockaddr_in address = { .sin_family = AF_INET };
-	socklen_t len = sizeof(address);
+	struct sockaddr_in address = {
+		.sin_family = AF_INET,
+		.sin_port = htons((uint16_t)port),
+	};
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	bool bound;
 
+	if (fd < 0)
+		g_error("socket: %s", g_strerror(errno));
 	if (inet_pton(AF_INET, ip, &address.sin_addr) != 1)
 		g_error("WISTERIA_TEST_IP is not an IPv4 address: %s", ip);
-	if (fd < 0 || bind(fd, (struct sockaddr *)&address, len) != 0 ||
-	    getsockname(fd, (struct sockaddr *)&address, &len) != 0)
-		g_error("no free port on %s: %s", ip, g_strerror(errno));
+	bound = bind(fd, (struct sockaddr *)&address, sizeof(address)) == 0;
 	close(fd);
-	return ntohs(address.sin_port);
+	return bound;
 }
 
-/* Returns an unused IP:PORT that this process has not returned before. */
+/*
+ * Returns an unused IP:PORT that this process has not returned before.  Its port
+ * is none that the kernel gives to outgoing connections, which could take it
+ * before its process listens, or while that is restarted.
+ */
 const char *harness_address(harness_t *harness)
 {
-	static GHashTable *returned_ports;
+	static unsigned next;
 
-	if (returned_ports == NULL)
-		returned_ports = g_hash_table_new(NULL, NULL);
-	for (int i = 0; i < PORT_ATTEMPTS_MAX; i++) {
-		unsigned port = free_port(harness->ip);
+	/* Runs by hand share an IP; they begin at different ports. */
+	if (next == 0)
+		next = (unsigned)getpid() * PORTS_PER_RUN;
+	for (unsigned i = 0; i < PORT_COUNT; i++) {
+		unsigned port = PORT_FIRST + next++ % PORT_COUNT;
 
-		if (g_hash_table_add(returned_ports, GUINT_TO_POINTER(port)))
+		if (is_free(harness->ip, port))
 			return harness_string(harness, "%s:%u", harness->ip,
 					      port);
 	}
--- a/test/functional/harness_test.c
+++ b/test/functional/harness_test.c
@@ -2,6 +2,8 @@
 #include "../unit/unit.h"
 
 #include <signal.h>
+#include <stdlib.h>
+#include <string.h>
 
 #include "harness/journal.h"
 #include "harness/relay.h"
@@ -106,10 +108,29 @@
 	}
 }
 
+/*
+ * Addresses are not in the range from which the kernel takes the ports of
+ * outgoing connections (Linux: 32768 and above), differ, and are free.
+ */
+static void test_addresses_are_reserved(void)
+{
+	GHashTable *seen = g_hash_table_new(g_str_hash, g_str_equal);
+
+	for (int i = 0; i < 200; i++) {
+		const char *address = harness_address(&harness);
+		int port = atoi(strchr(address, ':') + 1);
+
+		CU_ASSERT(port >= 1024 && port < 32768);
+		CU_ASSERT(g_hash_table_add(seen, (gpointer)address));
+	}
+	g_hash_table_destroy(seen);
+}
+
 static const unit_test_t tests[] = {
 	{ "a relay silences connections and forwards again",
 	  test_relay_silence },
 	{ "the journal check finds faults", test_journal_check },
+	{ "addresses are reserved", test_addresses_are_reserved },
 };
 
 int main(void)
