Tell refused callers to wait as long as the shortage has lasted

Cause: a caller who was refused for lack of capacity was told to come back after 0.5 s, one without an endpoint after 1 s, whatever the reason.

Change: gateway/shortage.c: the wait is how long the shortage has lasted, spread by a quarter, at least as before and at most a third of the caller's time. A shortage is over when nothing was refused for 1.5 s. Ruled out: half of that time, that time by the share of refusals, and a limit of 5 s; each serves fewer in the same model.

--- a/src/wisteria/gateway/exchange.c
+++ b/src/wisteria/gateway/exchange.c
@@ -21,9 +21,9 @@
 
 /* Retry-After without a lease: a lease is renewed every 400 ms. */
 #define RETRY_AFTER_LEASE_MS 500
-/* Retry-After without an endpoint: heartbeats are sent every 1.2 s. */
+/* Least Retry-After without an endpoint: heartbeats are sent every 1.2 s. */
 #define RETRY_AFTER_ENDPOINT_MS 1000
-/* Retry-After without capacity: a few requests end in this time. */
+/* Least Retry-After without capacity: a few requests end in this time. */
 #define RETRY_AFTER_FULL_MS 500
 /* Retry-After while endpoints want nothing for a while: at least this. */
 #define RETRY_AFTER_PAUSED_MIN_MS 50
@@ -230,11 +230,20 @@
 static clock_ms_t retry_after_ms(const exchange_t *exchange,
 				 target_result_t result, const target_t *target)
 {
+	clock_ms_t now = now_of(exchange);
+	const shortage_refusal_t refusal = {
+		.least_ms = result == TARGET_FULL ? RETRY_AFTER_FULL_MS
+						  : RETRY_AFTER_ENDPOINT_MS,
+		.left_ms = exchange->deadline_ms - now,
+		.drawn = g_rand_double(exchange->gateway->random),
+	};
+
 	if (result == TARGET_PAUSED)
-		return MAX(target->pause_end_ms - now_of(exchange),
+		return MAX(target->pause_end_ms - now,
 			   RETRY_AFTER_PAUSED_MIN_MS);
-	return result == TARGET_FULL ? RETRY_AFTER_FULL_MS
-				     : RETRY_AFTER_ENDPOINT_MS;
+	return shortage_refuse(
+		gateway_shortage(exchange->gateway, exchange->service->name),
+		&refusal, now);
 }
 
 static void refuse_without_target(exchange_t *exchange, target_result_t result,
@@ -342,7 +351,8 @@
 
 /*
  * Sends the request to other endpoints, if the limits allow.  Otherwise returns
- * false and sets "come_back_ms", for a caller who is refused.
+ * false; if there is no other endpoint, sets "come_back_ms", for a caller who is
+ * refused.
  */
 static bool retry_attempt(exchange_t *exchange, const failed_attempt_t *attempt,
 			  clock_ms_t *come_back_ms)
@@ -351,7 +361,6 @@
 	target_result_t found;
 	target_t target;
 
-	*come_back_ms = RETRY_AFTER_ENDPOINT_MS;
 	if (!subscription_has_lease(&gateway->subscription))
 		return log_retry_not_made(exchange, "no_lease");
 	found = target_choose(exchange, &target);
--- a/src/wisteria/gateway/gateway.c
+++ b/src/wisteria/gateway/gateway.c
@@ -248,6 +248,19 @@
 	return window;
 }
 
+/* Returns the record of the lack of capacity of "service". */
+shortage_t *gateway_shortage(gateway_t *gateway, const char *service)
+{
+	shortage_t *shortage = g_hash_table_lookup(gateway->shortages, service);
+
+	if (shortage == NULL) {
+		shortage = g_new0(shortage_t, 1);
+		g_hash_table_insert(gateway->shortages, g_strdup(service),
+				    shortage);
+	}
+	return shortage;
+}
+
 /* Returns whether endpoint "id" has failed recently. */
 bool gateway_is_suspect(const gateway_t *gateway, const char *id)
 {
@@ -566,6 +579,8 @@
 	endpoint_notices_init(&gateway->notices);
 	gateway->retry_windows =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	gateway->shortages =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	gateway->slowdowns =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	gateway->suspects =
@@ -635,6 +650,7 @@
 	route_table_unref(gateway->table);
 	g_array_unref(gateway->held_requests);
 	g_hash_table_destroy(gateway->retry_windows);
+	g_hash_table_destroy(gateway->shortages);
 	g_hash_table_destroy(gateway->suspects);
 	g_hash_table_destroy(gateway->slowdowns);
 	g_rand_free(gateway->random);
--- a/src/wisteria/gateway/gateway_defs.h
+++ b/src/wisteria/gateway/gateway_defs.h
@@ -10,6 +10,7 @@
 #include "wisteria/gateway/endpoint_notices.h"
 #include "wisteria/gateway/event_stream.h"
 #include "wisteria/gateway/outcome.h"
+#include "wisteria/gateway/shortage.h"
 #include "wisteria/gateway/silence.h"
 #include "wisteria/gateway/usage.h"
 #include "wisteria/gateway/wait_queue.h"
@@ -172,6 +173,7 @@
 	bool closed;
 	uint32_t entry_count; /* in the fleet, per the last renewal reply */
 	GHashTable *retry_windows; /* service -> retry_window_t */
+	GHashTable *shortages;	   /* service -> shortage_t */
 	GHashTable *suspects;	   /* endpoint id -> clock_ms_t, expiry */
 	endpoint_notices_t notices;
 	GHashTable *slowdowns;	 /* id of a slow engine -> double * */
