Keep trailers and reported layers inside their buffers

The value of a request's last trailer was not terminated, so that a search for a header read past the buffer. A slow engine that is a member of its group was added to it again, past the end of the array, if all of a domain were slow. An engine that reports layers which the model lacks (20000-20010) made the repair of a placement write past the layers.

Change: the text is terminated at the end of a message; a slow engine that is a member is not added; the repair counts layers up to the model's last.

Measured: unit/http_reader_test and unit/placement_test, three new tests; before, the first fails and ASan ends the others (heap-buffer-overflow, SEGV in is_movable).

--- a/src/wisteria/fleet/placement.c
+++ b/src/wisteria/fleet/placement.c
@@ -313,6 +313,14 @@
 	return false;
 }
 
+static bool is_member(const group_t *group, uint32_t node)
+{
+	for (uint32_t i = 0; i < group->count; i++)
+		if (group->members[i] == node)
+			return true;
+	return false;
+}
+
 /*
  * Initializes "holders" with the members of a group and the slow nodes of its
  * domains that hold layers: slowness mostly ends before another node could
@@ -331,6 +339,7 @@
 
 		if (!planning->rearrange_served && node->slow &&
 		    node->first_layer < node->end_layer &&
+		    !is_member(group, i) &&
 		    group_has_domain(planning, group, node->domain))
 			holders->members[holders->count++] = i;
 	}
--- a/src/wisteria/fleet/placement_chain.c
+++ b/src/wisteria/fleet/placement_chain.c
@@ -102,10 +102,11 @@
 static bool is_movable(const chain_t *chain, uint32_t member)
 {
 	const placement_node_t *node = node_of(chain, member);
+	uint32_t end = MIN(node->end_layer, chain->planning->engine->layers);
 
 	if (chain->in_chain[member] || node->slow)
 		return false;
-	for (uint32_t i = node->first_layer; i < node->end_layer; i++)
+	for (uint32_t i = node->first_layer; i < end; i++)
 		if (chain->holders[i] < 2)
 			return false;
 	return true;
@@ -147,8 +148,9 @@
 			 const placement_range_t *range)
 {
 	const placement_node_t *node = node_of(chain, member);
+	uint32_t end = MIN(node->end_layer, chain->planning->engine->layers);
 
-	for (uint32_t i = node->first_layer; i < node->end_layer; i++)
+	for (uint32_t i = node->first_layer; i < end; i++)
 		chain->holders[i]--;
 	for (uint32_t i = range->first_layer; i < range->end_layer; i++)
 		chain->covered[i] = 1;
@@ -190,8 +192,11 @@
 			*range = (placement_range_t){ 0 };
 		else if (chain->in_chain[i] &&
 			 range->first_layer == range->end_layer)
-			*range = (placement_range_t){ node->first_layer,
-						      node->end_layer };
+			*range = (placement_range_t){
+				node->first_layer,
+				MIN(node->end_layer,
+				    chain->planning->engine->layers)
+			};
 	}
 }
 
--- a/src/wisteria/http/http_reader.c
+++ b/src/wisteria/http/http_reader.c
@@ -114,6 +114,7 @@
 		reader->in_header_value = false;
 		return 0;
 	}
+	terminate_string(reader); /* of the last trailer */
 	reader->state = HTTP_READ_COMPLETE;
 	http_parser_pause(parser, 1);
 	return 0;
--- a/test/unit/http_reader_test.c
+++ b/test/unit/http_reader_test.c
@@ -45,6 +45,20 @@
 	}
 }
 
+/* The strings of trailers end where they end in the message. */
+static void test_trailers_are_terminated(void)
+{
+	init_reader(HTTP_REQUEST);
+	feed("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n"
+	     "\r\n1\r\na\r\n0\r\nX-Last: value\r\n\r\n");
+	CU_ASSERT_EQUAL(reader.state, HTTP_READ_COMPLETE);
+	CU_ASSERT_EQUAL(reader.message.text->data[reader.message.text->len - 1],
+			'\0');
+	CU_ASSERT_STRING_EQUAL(
+		http_message_find_header(&reader.message, "x-last"), "value");
+	http_reader_finish(&reader);
+}
+
 static void test_two_requests_at_once(void)
 {
 	static const char first[] = "GET /1 HTTP/1.1\r\nHost: x\r\n\r\n";
@@ -127,6 +141,7 @@
 	{ "two requests at once", test_two_requests_at_once },
 	{ "invalid requests", test_invalid_requests },
 	{ "responses", test_responses },
+	{ "trailers are terminated", test_trailers_are_terminated },
 };
 
 int main(void)
--- a/test/unit/placement_test.c
+++ b/test/unit/placement_test.c
@@ -418,6 +418,44 @@
 		}
 }
 
+/* A domain whose engines are all slow: each is counted once as a holder. */
+static void test_domain_of_slow_engines(void)
+{
+	placement_node_t nodes[NODES_MAX];
+	placement_range_t ranges[NODES_MAX];
+	uint32_t count = fleet_add(nodes, 0, 0, LARGE_SLOW, 12);
+
+	placement_plan(&engine, nodes, count, ranges);
+	fleet_apply_ranges(nodes, count, ranges);
+	for (uint32_t i = 0; i < count; i++)
+		nodes[i].slow = true;
+	placement_repair(&engine, nodes, count, false, ranges);
+	for (uint32_t i = 0; i < count; i++)
+		assert_fits(&nodes[i], &ranges[i]);
+	CU_ASSERT_TRUE(
+		placement_complete_if_slow_recover(&engine, nodes, count));
+}
+
+/* An engine may report layers that the model doesn't have. */
+static void test_layers_beyond_the_model(void)
+{
+	placement_node_t nodes[NODES_MAX];
+	placement_range_t ranges[NODES_MAX];
+	uint32_t count = fleet_add(nodes, 0, 0, LARGE_SLOW, 8);
+
+	placement_plan(&engine, nodes, count, ranges);
+	fleet_apply_ranges(nodes, count, ranges);
+	nodes[0].first_layer = 20000;
+	nodes[0].end_layer = 20010;
+	nodes[1].first_layer = engine.layers - 2;
+	nodes[1].end_layer = engine.layers + 5;
+	placement_repair(&engine, nodes, count, false, ranges);
+	for (uint32_t i = 0; i < count; i++) {
+		assert_fits(&nodes[i], &ranges[i]);
+		CU_ASSERT(ranges[i].end_layer <= engine.layers);
+	}
+}
+
 static const unit_test_t tests[] = {
 	{ "each domain holds a copy", test_each_domain_holds_a_copy },
 	{ "memory for requests", test_memory_for_requests },
@@ -440,6 +478,8 @@
 	{ "leftover layers are not a copy",
 	  test_leftover_layers_are_not_a_copy },
 	{ "steps fit beside held layers", test_steps_fit_beside_held_layers },
+	{ "domain of slow engines", test_domain_of_slow_engines },
+	{ "layers beyond the model", test_layers_beyond_the_model },
 };
 
 int main(void)
