Remember how many entries there are over a restart

Cause: after a restart of all processes entries connect to the control instances one by one, and the first renewal replies said that there are few. Each entry then took a large share of free memory and of the retry slack, at the moment at which all cut streams come back.

Change: the copy of the endpoints on disk also holds the number of entries (an appended field); for 10 s after its start a control instance reports at least that. Ruled out: the number of endpoints as a guess.

Measured: unit/registry_file_test.

--- a/src/wisteria/codec/msg.c
+++ b/src/wisteria/codec/msg.c
@@ -517,6 +517,7 @@
 		      &msg_fleet_endpoint_desc),
 	FIELD_LIST_OF(msg_fleet_endpoints_t, alive, alive_count,
 		      &msg_fleet_alive_desc),
+	FIELD(FIELD_U32, msg_fleet_endpoints_t, entries),
 };
 static const record_desc_t msg_fleet_endpoints_desc =
 	RECORD_DESC(msg_fleet_endpoints_t, fleet_endpoints_fields);
--- a/src/wisteria/codec/msg_defs.h
+++ b/src/wisteria/codec/msg_defs.h
@@ -663,6 +663,7 @@
 	size_t endpoint_count;
 	const msg_fleet_alive_t *alive;
 	size_t alive_count;
+	uint32_t entries; /* of the fleet; only in the copy on disk */
 } msg_fleet_endpoints_t;
 
 /* The number of tokens of the requests in flight at an endpoint. */
--- a/src/wisteria/fleet/fleet_control.c
+++ b/src/wisteria/fleet/fleet_control.c
@@ -346,8 +346,10 @@
 }
 
 /*
- * Returns the number of subscribed entries.  Each entry takes an equal share of
- * the fleet's retry slack and of the transfer time between failure domains.
+ * Returns the number of entries: those that are subscribed or, just after a
+ * start, those of before if they were more.  Each entry takes an equal share of
+ * the fleet's retry slack, of the transfer time between failure domains, and of
+ * the free memory of endpoints.
  */
 static uint32_t count_entries(const fleet_control_t *control)
 {
@@ -358,6 +360,8 @@
 
 		count += conn->user != NULL;
 	}
+	if (now_of(control) - control->started_ms < FLEET_ENTRIES_RECALL_MS)
+		return MAX(count, control->recalled_entries);
 	return count;
 }
 
@@ -619,9 +623,11 @@
 	if (control->table_is_stale)
 		rebuild_table(control);
 	send_updates(control);
-	if (control->has_replica)
+	if (control->has_replica) {
+		control->registry_file.entries = count_entries(control);
 		registry_file_write_if_changed(&control->registry_file,
 					       &control->registry, now);
+	}
 	fleet_api_expire(control, now, false);
 	subscribe_to_members(control);
 	registry_remove_expired(&control->registry, now);
--- a/src/wisteria/fleet/fleet_control_defs.h
+++ b/src/wisteria/fleet/fleet_control_defs.h
@@ -36,6 +36,11 @@
  * for each other before they form the group.
  */
 #define FLEET_DISCOVERY_MS 1600
+/*
+ * After a start, this long, the fleet is taken to have at least the entries that
+ * it had before: all of them may have been restarted, and connect one by one.
+ */
+#define FLEET_ENTRIES_RECALL_MS 10000
 /* Limit of voters in a new group; 11 voters tolerate five failures. */
 #define FLEET_INITIAL_VOTERS_MAX 11
 
@@ -87,6 +92,7 @@
 	bool table_is_stale;  /* a newer revision has been applied */
 	registry_t registry;
 	registry_file_t registry_file; /* used with a data folder only */
+	uint32_t recalled_entries;     /* of the fleet, before the start */
 	fleet_sent_t sent;	       /* what all subscribers were sent */
 	/* Ids of the endpoints to send to subscribers at the next tick. */
 	GHashTable *updated_ids;
--- a/src/wisteria/fleet/fleet_group.c
+++ b/src/wisteria/fleet/fleet_group.c
@@ -118,6 +118,7 @@
 	LOG_INFO("endpoints_recalled", "endpoints=%u",
 		 registry_file_load(&control->registry_file, &control->registry,
 				    now));
+	control->recalled_entries = control->registry_file.entries;
 }
 
 /* Returns the leader's address for frames, or NULL if it is not known. */
--- a/src/wisteria/fleet/fleet_update.c
+++ b/src/wisteria/fleet/fleet_update.c
@@ -125,15 +125,19 @@
 	};
 }
 
-/* Appends the whole registry, encoded as a MSG_FLEET_ENDPOINTS message. */
-void fleet_update_encode(const registry_t *registry, clock_ms_t now,
-			 msgpack_sbuffer *out)
+/*
+ * Appends the whole registry and the number of entries, encoded as a
+ * MSG_FLEET_ENDPOINTS message.
+ */
+void fleet_update_encode(const registry_t *registry, uint32_t entries,
+			 clock_ms_t now, msgpack_sbuffer *out)
 {
 	msg_fleet_endpoints_t message;
 	fleet_update_t update;
 
 	fleet_update_init(&update, registry, NULL, NULL, now);
 	message = fleet_update_message(&update);
+	message.entries = entries;
 	msg_encode(MSG_FLEET_ENDPOINTS, &message, out);
 	fleet_update_finish(&update);
 }
--- a/src/wisteria/fleet/fleet_update.h
+++ b/src/wisteria/fleet/fleet_update.h
@@ -33,8 +33,8 @@
 void fleet_update_finish(fleet_update_t *update) ATTR_NONNULL_ALL;
 msg_fleet_endpoints_t
 fleet_update_message(const fleet_update_t *update) ATTR_NONNULL_ALL;
-void fleet_update_encode(const registry_t *registry, clock_ms_t now,
-			 msgpack_sbuffer *out) ATTR_NONNULL_ALL;
+void fleet_update_encode(const registry_t *registry, uint32_t entries,
+			 clock_ms_t now, msgpack_sbuffer *out) ATTR_NONNULL_ALL;
 void fleet_update_read_endpoint(const msg_fleet_endpoint_t *message,
 				clock_ms_t now,
 				endpoint_t *endpoint) ATTR_NONNULL_ALL;
--- a/src/wisteria/fleet/registry_file.c
+++ b/src/wisteria/fleet/registry_file.c
@@ -140,7 +140,7 @@
 	job->file = file;
 	job->folder = g_strdup(file->folder);
 	msgpack_sbuffer_init(&job->data);
-	fleet_update_encode(registry, now, &job->data);
+	fleet_update_encode(registry, file->entries, now, &job->data);
 	if (uv_queue_work(file->loop, &job->work, on_work, on_work_done) != 0) {
 		msgpack_sbuffer_destroy(&job->data);
 		g_free(job->folder);
@@ -173,9 +173,9 @@
 /*
  * Loads the copy into the registry, except for endpoints that had sent
  * nothing for REGISTRY_SILENCE_MS when it was written.  Loaded endpoints count
- * as heard at "now".  Returns how many it loaded.
+ * as heard at "now".  Returns how many it loaded, and sets file->entries.
  */
-unsigned registry_file_load(const registry_file_t *file, registry_t *registry,
+unsigned registry_file_load(registry_file_t *file, registry_t *registry,
 			    clock_ms_t now)
 {
 	char *path = g_build_filename(file->folder, FILE_NAME, NULL);
@@ -195,6 +195,8 @@
 		log_err(G_LOG_LEVEL_WARNING, "endpoints_unreadable", &err);
 	} else {
 		message = msg.body;
+		if (msg.type == MSG_FLEET_ENDPOINTS)
+			file->entries = message->entries;
 		for (size_t i = 0; msg.type == MSG_FLEET_ENDPOINTS &&
 				   i < message->endpoint_count;
 		     i++) {
--- a/src/wisteria/fleet/registry_file.h
+++ b/src/wisteria/fleet/registry_file.h
@@ -17,6 +17,7 @@
 	uint64_t written_version;      /* of the registry; 0: none */
 	unsigned written_silent_count; /* how many endpoints were silent then */
 	clock_ms_t changed_ms;	       /* 0: the file is up to date */
+	uint32_t entries; /* of the fleet: loaded, or to be written */
 	bool writing;
 	bool failing;
 } registry_file_t;
@@ -24,7 +25,7 @@
 void registry_file_init(registry_file_t *file, uv_loop_t *loop,
 			const char *folder) ATTR_NONNULL_ALL;
 void registry_file_finish(registry_file_t *file) ATTR_NONNULL_ALL;
-unsigned registry_file_load(const registry_file_t *file, registry_t *registry,
+unsigned registry_file_load(registry_file_t *file, registry_t *registry,
 			    clock_ms_t now) ATTR_NONNULL_ALL;
 void registry_file_write_if_changed(registry_file_t *file,
 				    const registry_t *registry,
--- a/test/unit/registry_file_test.c
+++ b/test/unit/registry_file_test.c
@@ -12,7 +12,10 @@
 #include "wisteria/fleet/registry.h"
 #include "wisteria/fleet/registry_file.h"
 
+#define ENTRIES 105
+
 static char *folder;
+static uint32_t loaded_entries;
 
 static registry_t registry_with_endpoint(void)
 {
@@ -40,6 +43,7 @@
 	registry_init(&registry);
 	registry_file_init(&file, uv_default_loop(), folder);
 	count = registry_file_load(&file, &registry, now);
+	loaded_entries = file.entries;
 	found = registry_find(&registry, "i-1");
 	if (found != NULL)
 		*first = *found;
@@ -64,12 +68,13 @@
 	err_t err = { 0 };
 
 	msgpack_sbuffer_init(&data);
-	fleet_update_encode(&registry, 100, &data);
+	fleet_update_encode(&registry, ENTRIES, 100, &data);
 	CU_ASSERT_TRUE(registry_file_write(folder, data.data, data.size, &err));
 	CU_ASSERT_EQUAL(load_copy(5000, &first), 1);
 	CU_ASSERT_EQUAL(first.sequence, 3);
 	CU_ASSERT_EQUAL(first.end_layer, 31);
 	CU_ASSERT_EQUAL(first.last_heard_ms, 5000);
+	CU_ASSERT_EQUAL(loaded_entries, ENTRIES);
 	msgpack_sbuffer_destroy(&data);
 	registry_finish(&registry);
 }
@@ -82,7 +87,7 @@
 	msgpack_sbuffer data;
 
 	msgpack_sbuffer_init(&data);
-	fleet_update_encode(&registry, 100, &data);
+	fleet_update_encode(&registry, ENTRIES, 100, &data);
 	for (size_t len = 0; len < data.size; len++) {
 		write_text(data.data, len);
 		CU_ASSERT_EQUAL(load_copy(0, &first), 0);
