Refuse long bodies and bad time limits by their headers

Cause: a body announced as 90 MB of which nothing was sent held its connection until the caller gave up; X-Timeout-Ms of 0 or -1 was taken for none and answered with 200.

Change: both are refused before the body is read, 413 and 400, each as not run; a body that grows too long is 413 too (was 400).

--- a/src/wisteria/base/err.c
+++ b/src/wisteria/base/err.c
@@ -21,6 +21,7 @@
 	[ERR_CONFLICT] = "conflict",
 	[ERR_UNAVAILABLE] = "unavailable",
 	[ERR_OVERLOAD] = "overload",
+	[ERR_TOO_LARGE] = "too_large",
 };
 
 /*
--- a/src/wisteria/base/err_defs.h
+++ b/src/wisteria/base/err_defs.h
@@ -19,7 +19,8 @@
 	ERR_NOT_ALLOWED,
 	ERR_CONFLICT,
 	ERR_UNAVAILABLE,
-	ERR_OVERLOAD
+	ERR_OVERLOAD,
+	ERR_TOO_LARGE
 } err_code_t;
 
 /*
--- a/src/wisteria/entry/http_front.c
+++ b/src/wisteria/entry/http_front.c
@@ -136,17 +136,54 @@
 	return g_strdup(value + 7);
 }
 
-static int64_t parse_timeout_ms(struct MHD_Connection *connection)
+/*
+ * Reads how long the answer may take; 0: the caller does not say.  Returns false
+ * for a header that is no number from 1 to HTTP_TIMEOUT_MS_MAX.
+ */
+static bool parse_timeout_ms(struct MHD_Connection *connection,
+			     int64_t *timeout_ms)
 {
 	const char *value = MHD_lookup_connection_value(
 		connection, MHD_HEADER_KIND, "X-Timeout-Ms");
-	guint64 timeout_ms = 0;
+	guint64 parsed = 0;
+
+	*timeout_ms = 0;
+	if (value == NULL)
+		return true;
+	if (!g_ascii_string_to_unsigned(value, 10, 1, HTTP_TIMEOUT_MS_MAX,
+					&parsed, NULL))
+		return false;
+	*timeout_ms = (int64_t)parsed;
+	return true;
+}
+
+/* Returns whether the headers announce a body that is too long. */
+static bool announces_long_body(struct MHD_Connection *connection)
+{
+	const char *value = MHD_lookup_connection_value(
+		connection, MHD_HEADER_KIND, "Content-Length");
 
-	if (value == NULL ||
-	    !g_ascii_string_to_unsigned(value, 10, 1, HTTP_TIMEOUT_MS_MAX,
-					&timeout_ms, NULL))
-		return 0;
-	return (int64_t)timeout_ms;
+	return value != NULL &&
+	       g_ascii_strtoull(value, NULL, 10) > HTTP_BODY_BYTES_MAX;
+}
+
+/*
+ * Refuses a request for its headers, before its body is read: a caller who
+ * announces a body that is too long may never send it.  Returns false if the
+ * headers are fine.
+ */
+static bool refuse_for_headers(request_t *request,
+			       struct MHD_Connection *connection)
+{
+	if (announces_long_body(connection))
+		refuse(request, ERR_TOO_LARGE, "read_body", "body too long");
+	else if (!parse_timeout_ms(connection, &request->timeout_ms))
+		refuse(request, ERR_INVALID, "read_headers",
+		       "X-Timeout-Ms is no number of milliseconds above 0");
+	else
+		return false;
+	request->posted = true;
+	return true;
 }
 
 static request_t *begin_request(http_front_t *front,
@@ -166,7 +203,6 @@
 	request->idempotency_key = get_header(connection, "Idempotency-Key");
 	request->last_event_id = get_header(connection, "Last-Event-ID");
 	request->traceparent = get_header(connection, "traceparent");
-	request->timeout_ms = parse_timeout_ms(connection);
 	MHD_get_connection_values(connection, MHD_HEADER_KIND, copy_header,
 				  request);
 	return request;
@@ -200,7 +236,7 @@
 	err_clear(&err);
 	request->kind = route->kind;
 	if (request->body->len > HTTP_BODY_BYTES_MAX) {
-		refuse(request, ERR_INVALID, "read_body", "body too long");
+		refuse(request, ERR_TOO_LARGE, "read_body", "body too long");
 		return;
 	}
 	if (request->api_key == NULL) {
@@ -303,7 +339,10 @@
 
 	(void)version;
 	if (request == NULL) {
-		*context = begin_request(data, connection, url, method);
+		request = begin_request(data, connection, url, method);
+		*context = request;
+		if (refuse_for_headers(request, connection))
+			return respond(request);
 		return MHD_YES;
 	}
 	if (*upload_len > 0) {
--- a/src/wisteria/entry/refusal.c
+++ b/src/wisteria/entry/refusal.c
@@ -20,10 +20,10 @@
 } refusal_status_t;
 
 static const refusal_status_t statuses[] = {
-	{ ERR_INVALID, 400 },	  { ERR_AUTH, 401 },	 { ERR_NOT_FOUND, 404 },
-	{ ERR_NOT_ALLOWED, 405 }, { ERR_CONFLICT, 409 }, { ERR_OVERLOAD, 429 },
-	{ ERR_UNAVAILABLE, 503 }, { ERR_TIMEOUT, 504 },	 { ERR_CLOSED, 502 },
-	{ ERR_PROTOCOL, 502 },
+	{ ERR_TOO_LARGE, 413 }, { ERR_INVALID, 400 },	  { ERR_AUTH, 401 },
+	{ ERR_NOT_FOUND, 404 }, { ERR_NOT_ALLOWED, 405 }, { ERR_CONFLICT, 409 },
+	{ ERR_OVERLOAD, 429 },	{ ERR_UNAVAILABLE, 503 }, { ERR_TIMEOUT, 504 },
+	{ ERR_CLOSED, 502 },	{ ERR_PROTOCOL, 502 },
 };
 
 /* Returns the HTTP status of a refusal with "code". */
--- a/test/functional/path_test.c
+++ b/test/functional/path_test.c
@@ -89,6 +89,11 @@
 	long status;
 } bad_case_t;
 
+typedef struct {
+	const char *header;
+	long status;
+} bad_header_t;
+
 static const bad_case_t bad_cases[] = {
 	{ "/v1/completions", NULL, NULL, "{\"model\":\"modelo\"}", 401 },
 	{ "/v1/completions", NULL, "wrong",
@@ -108,6 +113,14 @@
 	{ "/services/other/a", "GET", CLUSTER_API_KEY, NULL, 404 },
 };
 
+/* Each is sent with a request that is fine otherwise. */
+static const bad_header_t bad_headers[] = {
+	{ "X-Timeout-Ms: 0", 400 },
+	{ "X-Timeout-Ms: -1", 400 },
+	{ "X-Timeout-Ms: soon", 400 },
+	{ "Content-Length: 90000000", 413 }, /* of which little is sent */
+};
+
 static void check_error(const http_request_t *request, const bad_case_t *bad)
 {
 	json_t *body = json_loads(request->body->str, 0, NULL);
@@ -125,6 +138,24 @@
 	json_decref(body);
 }
 
+static void check_header(const cluster_t *cluster, http_client_t *client,
+			 const bad_header_t *bad)
+{
+	const char *const headers[] = { bad->header, NULL };
+	const bad_case_t expected = { .status = bad->status };
+	const http_params_t params = {
+		.url = harness_string(&harness, "http://%s/v1/completions",
+				      cluster->entries[0].http),
+		.api_key = CLUSTER_API_KEY,
+		.body = "{\"model\":\"modelo\",\"prompt\":\"a\"}",
+		.headers = headers,
+	};
+	const http_request_t *request = http_send(client, &params);
+
+	CU_ASSERT(http_wait(client, request, HARNESS_WAIT_MS));
+	check_error(request, &expected);
+}
+
 static void test_bad_requests(void)
 {
 	static const cluster_params_t params = { .entries = 1,
@@ -151,6 +182,8 @@
 		CU_ASSERT(http_wait(&client, request, HARNESS_WAIT_MS));
 		check_error(request, bad);
 	}
+	for (size_t i = 0; i < ARRAY_SIZE(bad_headers); i++)
+		check_header(&cluster, &client, &bad_headers[i]);
 	http_client_finish(&client);
 	end_test();
 }
