Prefer endpoints with better odds to the cheapest one

Change: the odds that are asked for are lowered up to three times, each to a sixth, before the search is without them. Ruled out: waiting in the queue, where a request that is not drawn holds up those behind it.

--- a/src/wisteria/gateway/target.c
+++ b/src/wisteria/gateway/target.c
@@ -35,6 +35,9 @@
  * per token: only the answer then crosses, and the prompt's activations do not.
  */
 #define ENTRY_CROSSING_MS 12.0
+/* How often the odds are lowered, and by what, to find some pipeline. */
+#define SHARE_DRAWS 4
+#define SHARE_DRAW_DIVISOR 6
 /*
  * Services without a model: how many more requests an endpoint in this entry's
  * domain may have before one in another domain is preferred.
@@ -244,30 +247,45 @@
 	return crossings;
 }
 
-/*
- * Chooses a pipeline of endpoints of whose free capacity this entry has a share.
- * One number is drawn for all of them, so that a long pipeline is not less
- * likely than a short one.
- */
-static pipeline_result_t choose_within_share(const gateway_t *gateway,
-					     const candidates_t *candidates,
-					     const pipeline_query_t *query,
-					     pipeline_t *pipeline)
+static pipeline_result_t choose_above_odds(const candidates_t *candidates,
+					   double odds,
+					   const pipeline_query_t *query,
+					   pipeline_t *pipeline)
 {
 	uint32_t count = candidates->stages->len;
 	pipeline_stage_t *stages =
 		g_memdup2(candidates->stages->data, count * sizeof(*stages));
-	double drawn = g_rand_double(gateway->random);
 	pipeline_result_t result;
 
 	for (uint32_t i = 0; i < count; i++)
-		if (g_array_index(candidates->odds, double, i) <= drawn)
+		if (g_array_index(candidates->odds, double, i) <= odds)
 			stages[i].excluded = true;
 	result = pipeline_choose(stages, count, query, pipeline);
 	g_free(stages);
 	return result;
 }
 
+/*
+ * Chooses a pipeline of endpoints of whose free capacity this entry has a share.
+ * One number is drawn for all of them, so that a long pipeline is not less
+ * likely than a short one.  If the draw leaves no pipeline, those with the better
+ * odds are preferred to the cheapest.
+ */
+static pipeline_result_t choose_within_share(const gateway_t *gateway,
+					     const candidates_t *candidates,
+					     const pipeline_query_t *query,
+					     pipeline_t *pipeline)
+{
+	double odds = g_rand_double(gateway->random);
+	pipeline_result_t result = PIPELINE_NO_MEMORY;
+
+	for (int i = 0; i < SHARE_DRAWS && result != PIPELINE_FOUND; i++) {
+		result = choose_above_odds(candidates, odds, query, pipeline);
+		odds /= SHARE_DRAW_DIVISOR;
+	}
+	return result;
+}
+
 /*
  * Chooses a pipeline and deducts the transfer time of its domain crossings from
  * the entry's pipe budget; if the budget is too small, chooses a pipeline
