Open another chain without the retry budget while nothing has run

Cause: path_test beside load, "streams survive the loss of a failure domain", path_test.c:279: one of 200 streams was refused as not run, "no connection to the next hop". A stream that arrives while lost endpoints are still listed may get one of them in each of its attempts. Each such attempt, which had run nothing, was charged to the retry budget, which the streams that had run needed.

Change: a hop that is lost before MSG_START is treated like a refusal of MSG_OPEN: another chain at once, three times, then at intervals until the deadline. Ruled out: a larger budget, which lets running streams multiply the load.

Measured: unit/entry_session_test "a loss before start uses no retry budget", red before (3 of 44 assertions); unit/session_world_test 776 asserts pass.

--- a/src/wisteria/session/entry_recovery.c
+++ b/src/wisteria/session/entry_recovery.c
@@ -181,7 +181,28 @@
 	return true;
 }
 
-/* Recovers from the loss of a hop of the current attempt. */
+/*
+ * Chooses another chain for an attempt that has run nothing, which does not use
+ * the retry budget: at once, or in a while after more than
+ * ENTRY_IMMEDIATE_RETRIES_MAX of them or with "wait".
+ */
+static void choose_another_chain(entry_session_t *session, bool wait,
+				 clock_ms_t now)
+{
+	if (!wait && ++session->open_refusals <= ENTRY_IMMEDIATE_RETRIES_MAX) {
+		entry_restart(session, now);
+		return;
+	}
+	entry_send_close(session, "refused");
+	session->chain.hop_count = 0;
+	session->last_choose_ms = now;
+	entry_set_state(session, ENTRY_CHOOSING, now);
+}
+
+/*
+ * Recovers from the loss of a hop of the current attempt.  While the attempt is
+ * being opened nothing of it has run.
+ */
 void entry_handle_hop_loss(entry_session_t *session, size_t hop,
 			   const char *step, const char *reason, clock_ms_t now)
 {
@@ -196,7 +217,10 @@
 		entry_send_close_hop(session, hop);
 	if (replace_hop(session, hop, now))
 		return;
-	restart_within_budget(session, now);
+	if (session->state == ENTRY_OPENING)
+		choose_another_chain(session, false, now);
+	else
+		restart_within_budget(session, now);
 }
 
 /*
@@ -220,14 +244,8 @@
 		  sizeof(session->failed_endpoint));
 	if (session->state == ENTRY_RUNNING)
 		session->not_running_since_ms = now;
-	if (session->state == ENTRY_RUNNING ||
-	    (!wait &&
-	     ++session->open_refusals <= ENTRY_IMMEDIATE_RETRIES_MAX)) {
+	if (session->state == ENTRY_RUNNING)
 		entry_restart(session, now);
-		return;
-	}
-	entry_send_close(session, "refused");
-	session->chain.hop_count = 0;
-	session->last_choose_ms = now;
-	entry_set_state(session, ENTRY_CHOOSING, now);
+	else
+		choose_another_chain(session, wait, now);
 }
--- a/src/wisteria/session/entry_session_internal.h
+++ b/src/wisteria/session/entry_session_internal.h
@@ -36,8 +36,9 @@
 	clock_ms_t last_token_ms;  /* when the last token was received */
 	clock_ms_t last_choose_ms; /* start of the wait for the next choose() */
 	clock_ms_t not_running_since_ms; /* since when no attempt is running */
-	uint32_t open_refusals;		 /* refusals of MSG_OPEN since then */
-	route_result_t route_result;	 /* of the last choose() */
+	/* Since then: refusals of MSG_OPEN, and hops lost while opening. */
+	uint32_t open_refusals;
+	route_result_t route_result;		 /* of the last choose() */
 	char failed_endpoint[ROUTER_NAME_BYTES]; /* to avoid; may be empty */
 	/* Endpoints that were disconnected when the last attempt failed. */
 	char suspects[ROUTER_HOPS_MAX][ROUTER_NAME_BYTES];
--- a/test/unit/entry_session_test.c
+++ b/test/unit/entry_session_test.c
@@ -284,6 +284,28 @@
 	teardown();
 }
 
+/*
+ * A hop that is lost before MSG_START has run nothing, so that another attempt
+ * is none that the retry budget limits.
+ */
+static void test_loss_before_start_uses_no_retry_budget(void)
+{
+	setup(PRESET_RESTART);
+	recorder.may_retry = false;
+	receive_failure(1, 1);
+	CU_ASSERT_FALSE(recorder.refused);
+	CU_ASSERT_EQUAL(entry_session_attempt(recorder.session), 2);
+	for (uint32_t attempt = 2; attempt < 10; attempt++)
+		receive_failure(attempt, 1);
+	/* After a few in a row, chains are chosen at intervals only. */
+	CU_ASSERT_FALSE(recorder.refused);
+	CU_ASSERT(entry_session_attempt(recorder.session) < 10);
+	entry_session_tick(recorder.session, 60000);
+	CU_ASSERT(recorder.refused);
+	CU_ASSERT(recorder.not_run);
+	teardown();
+}
+
 /* An agent has a newer configuration: the entry waits until it has it too. */
 static void test_old_revision_waits_for_configuration(void)
 {
@@ -342,6 +364,8 @@
 	  test_refused_before_start_is_not_run },
 	{ "refused after start may have run",
 	  test_refused_after_start_may_have_run },
+	{ "a loss before start uses no retry budget",
+	  test_loss_before_start_uses_no_retry_budget },
 	{ "an old revision waits for the new configuration",
 	  test_old_revision_waits_for_configuration },
 	{ "a hop that is down is not lost while tokens arrive",
