Refuse at once what would wait in vain

A caller who is told at once has more time to come back in.

Change: once three requests in a row have waited in vain, one request waits at an entry for a service, and the others are refused at once, until one that waited is started (gateway/shortage.c). Ruled out: no waiting at all during a shortage, which notices capacity only when a new request comes.

Measured: unit/shortage_test plays 8 s without capacity, then plenty: callers are held in vain 68,760 -> 11,160 ms in sum, none is refused after the outage.

--- a/src/wisteria/gateway/exchange.c
+++ b/src/wisteria/gateway/exchange.c
@@ -184,6 +184,9 @@
 		return false;
 	start(exchange, &target);
 	wait_queue_remove(&exchange->gateway->waiting, item);
+	shortage_wait_ended(
+		gateway_shortage(exchange->gateway, exchange->service->name),
+		true);
 	histogram_add(LATENCY_QUEUE, now_of(exchange) - exchange->started_ms);
 	return true;
 }
@@ -302,7 +305,10 @@
 	if (must_wait)
 		found = TARGET_FULL; /* requests ahead still wait */
 	wait_ms = max_wait_ms(exchange, found, &target, now_of(exchange));
-	if (wait_ms <= 0) {
+	if (wait_ms <= 0 ||
+	    !shortage_allows_wait(
+		    gateway_shortage(gateway, exchange->service->name),
+		    must_wait)) {
 		refuse_without_target(exchange, found, &target);
 		return;
 	}
@@ -877,6 +883,9 @@
 		 * it is not used, its crossings are deducted from the pipe
 		 * budget all the same, and the reason is "no_endpoint".
 		 */
+		shortage_wait_ended(gateway_shortage(exchange->gateway,
+						     exchange->service->name),
+				    false);
 		result = target_choose(exchange, &target);
 		refuse_without_target(exchange, result, &target);
 		return;
--- a/src/wisteria/gateway/shortage.c
+++ b/src/wisteria/gateway/shortage.c
@@ -1,6 +1,6 @@
 /*
- * Tells refused callers when to come back.  Answers a lack of capacity that
- * lasts: after the loss of endpoints others load their layers for seconds, and a
+ * Refuses at once what would wait in vain, and tells refused callers when to
+ * come back.  Answers a lack of capacity that lasts: after the loss of endpoints others load their layers for seconds, and a
  * caller who comes back sooner is refused again, for good if it tries only
  * twice.  How long a shortage will last is not known, so a caller is told to
  * wait for as long as it has lasted already; each comes back at another moment.
@@ -13,6 +13,24 @@
 /* Callers wait no longer than this fraction of the time that they have left. */
 #define WAIT_FRACTION_MAX (1.0 / 3)
 
+/*
+ * Returns whether a request may wait for capacity.  If the last ones waited in
+ * vain, only one waits, to notice when there is capacity again.
+ */
+bool shortage_allows_wait(const shortage_t *shortage, bool another_waits)
+{
+	return !another_waits || shortage->vain_waits < SHORTAGE_VAIN_WAITS;
+}
+
+/* Records that a request that waited was started, or was not. */
+void shortage_wait_ended(shortage_t *shortage, bool started)
+{
+	if (started)
+		shortage->vain_waits = 0;
+	else if (shortage->vain_waits < SHORTAGE_VAIN_WAITS)
+		shortage->vain_waits++;
+}
+
 /*
  * Records a refusal and returns after how long the caller should come back, in
  * milliseconds: at most a third of the time that it has left, so that the rest
--- a/src/wisteria/gateway/shortage.h
+++ b/src/wisteria/gateway/shortage.h
@@ -1,11 +1,19 @@
 #ifndef WISTERIA_GATEWAY_SHORTAGE_H
 #define WISTERIA_GATEWAY_SHORTAGE_H
 
+#include <stdbool.h>
+#include <stdint.h>
+
 #include "wisteria/base/clock_defs.h"
 #include "wisteria/base/macros_defs.h"
 
 /* A shortage is over once nothing was refused for this long. */
 #define SHORTAGE_GAP_MS 1500
+/*
+ * After this many requests in a row have waited in vain, the next ones are
+ * refused at once while another one waits.
+ */
+#define SHORTAGE_VAIN_WAITS 3
 /* Callers come back between this fraction of the time and 2 - this. */
 #define SHORTAGE_SPREAD_MIN 0.75
 
@@ -13,6 +21,7 @@
 typedef struct {
 	clock_ms_t since_ms; /* first refusal of the current shortage */
 	clock_ms_t last_ms;  /* last refusal; 0: none yet */
+	uint32_t vain_waits; /* since a request that waited was started */
 } shortage_t;
 
 /* A request that is refused. */
@@ -22,6 +31,9 @@
 	double drawn;	     /* between 0 and 1, for the spread */
 } shortage_refusal_t;
 
+bool shortage_allows_wait(const shortage_t *shortage,
+			  bool another_waits) ATTR_NONNULL_ALL;
+void shortage_wait_ended(shortage_t *shortage, bool started) ATTR_NONNULL_ALL;
 clock_ms_t shortage_refuse(shortage_t *shortage,
 			   const shortage_refusal_t *refusal,
 			   clock_ms_t now) ATTR_NONNULL_ALL ATTR_WARN_UNUSED;
--- a/test/unit/shortage_test.c
+++ b/test/unit/shortage_test.c
@@ -141,12 +141,86 @@
 		  PER_S * (PLAY_MS - RECOVERY_MS) / 1000 / 100);
 }
 
+/* The load that is played: no capacity at all for a while, then plenty. */
+#define WAIT_MS 360
+#define ARRIVAL_MS 40
+#define OUTAGE_MS 8000
+#define AFTER_MS 2000
+
+typedef struct {
+	unsigned held_in_vain_ms; /* by callers who were refused in the end */
+	unsigned refused_after;	  /* the outage */
+} waits_t;
+
+static waits_t play_waits(bool judges)
+{
+	GArray *waiting = g_array_new(FALSE, FALSE, sizeof(clock_ms_t));
+	shortage_t shortage = { 0 };
+	waits_t waits = { 0 };
+
+	for (clock_ms_t at = 0; at < OUTAGE_MS + AFTER_MS; at += ARRIVAL_MS) {
+		bool has_room = at >= OUTAGE_MS;
+
+		while (waiting->len > 0) {
+			clock_ms_t since =
+				g_array_index(waiting, clock_ms_t, 0);
+
+			if (!has_room && at - since < WAIT_MS)
+				break;
+			shortage_wait_ended(&shortage, has_room);
+			if (!has_room)
+				waits.held_in_vain_ms += (unsigned)(at - since);
+			g_array_remove_index(waiting, 0);
+		}
+		if (has_room && waiting->len == 0)
+			continue;
+		if (!judges ||
+		    shortage_allows_wait(&shortage, waiting->len > 0))
+			g_array_append_val(waiting, at);
+		else
+			waits.refused_after += at >= OUTAGE_MS;
+	}
+	g_array_unref(waiting);
+	return waits;
+}
+
+/*
+ * While there is no capacity, nearly all callers are refused at once instead of
+ * after the time for which they may wait, and when it is back nobody is.
+ */
+static void test_vain_waits_are_refused_at_once(void)
+{
+	waits_t all_wait = play_waits(false);
+	waits_t judged = play_waits(true);
+
+	printf("\n    held in vain %u -> %u ms of %d callers ",
+	       all_wait.held_in_vain_ms, judged.held_in_vain_ms,
+	       OUTAGE_MS / ARRIVAL_MS);
+	CU_ASSERT(judged.held_in_vain_ms * 4 < all_wait.held_in_vain_ms);
+	CU_ASSERT_EQUAL(judged.refused_after, 0);
+}
+
+static void test_one_request_always_waits(void)
+{
+	shortage_t shortage = { 0 };
+
+	for (int i = 0; i < 10; i++)
+		shortage_wait_ended(&shortage, false);
+	CU_ASSERT_TRUE(shortage_allows_wait(&shortage, false));
+	CU_ASSERT_FALSE(shortage_allows_wait(&shortage, true));
+	shortage_wait_ended(&shortage, true);
+	CU_ASSERT_TRUE(shortage_allows_wait(&shortage, true));
+}
+
 static const unit_test_t tests[] = {
 	{ "wait grows with the shortage", test_wait_grows_with_the_shortage },
 	{ "wait leaves time for an answer",
 	  test_wait_leaves_time_for_an_answer },
 	{ "callers are served after a shortage",
 	  test_callers_are_served_after_a_shortage },
+	{ "vain waits are refused at once",
+	  test_vain_waits_are_refused_at_once },
+	{ "one request always waits", test_one_request_always_waits },
 };
 
 int main(void)
