Share free memory within a failure domain only

Change: the choice by odds considers pipelines within one domain; the search without odds is as before, with its budget for crossings.

--- a/src/wisteria/gateway/target.c
+++ b/src/wisteria/gateway/target.c
@@ -269,18 +269,23 @@
  * Chooses a pipeline of endpoints of whose free capacity this entry has a share.
  * One number is drawn for all of them, so that a long pipeline is not less
  * likely than a short one.  If the draw leaves no pipeline, those with the better
- * odds are preferred to the cheapest.
+ * odds are preferred to the cheapest.  Only pipelines within one domain are
+ * considered: sharing memory must not cost transfers between domains.
  */
 static pipeline_result_t choose_within_share(const gateway_t *gateway,
 					     const candidates_t *candidates,
 					     const pipeline_query_t *query,
 					     pipeline_t *pipeline)
 {
+	pipeline_query_t within_domain = *query;
 	double odds = g_rand_double(gateway->random);
 	pipeline_result_t result = PIPELINE_NO_MEMORY;
 
+	within_domain.stays_in_domain = true;
+
 	for (int i = 0; i < SHARE_DRAWS && result != PIPELINE_FOUND; i++) {
-		result = choose_above_odds(candidates, odds, query, pipeline);
+		result = choose_above_odds(candidates, odds, &within_domain,
+					   pipeline);
 		odds /= SHARE_DRAW_DIVISOR;
 	}
 	return result;
