--- a/test/functional/fleet_test.c
+++ b/test/functional/fleet_test.c
@@ -350,8 +350,8 @@
 	CU_ASSERT_EQUAL(request->status, 503);
 	told = strcasestr(request->headers->str, "retry-after: ");
 	CU_ASSERT_PTR_NOT_NULL_FATAL(told);
-	CU_ASSERT(atof(told + strlen("retry-after: ")) >
-		  FAKE_ENDPOINT_PAUSE_S / 2.0);
+	CU_ASSERT(told != NULL && atof(told + strlen("retry-after: ")) >
+					  FAKE_ENDPOINT_PAUSE_S / 2.0);
 	http_request_free(&client, request);
 	CU_ASSERT(harness_wait_log(
 		entry, "request=pause2 status=503 reason=endpoints_paused",
--- a/test/functional/harness/fake_endpoint.h
+++ b/test/functional/harness/fake_endpoint.h
@@ -25,7 +25,7 @@
 	/* As before, and wants nothing for FAKE_ENDPOINT_PAUSE_S. */
 	FAKE_ENDPOINT_PAUSE,
 	FAKE_ENDPOINT_LEAVE, /* serves, and says that it leaves */
-	FAKE_ENDPOINT_DROP	/* runs it and closes without an answer */
+	FAKE_ENDPOINT_DROP   /* runs it and closes without an answer */
 } fake_endpoint_mode_t;
 
 /* How often each request has run on the fake endpoints that share it. */
--- a/test/fuzz/replay_main.c
+++ b/test/fuzz/replay_main.c
@@ -5,11 +5,13 @@
  *
  * Usage: TARGET --runs=N [--seed=N] [FOLDER...]
  */
+#include <fcntl.h>
 #include <signal.h>
 #include <stdint.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include <glib.h>
 
@@ -21,6 +23,7 @@
 /* The input that is being run, for a crash to be reproduced. */
 static GByteArray *current;
 static const char *crash_path;
+static const char *crash_text; /* says where the input is */
 
 static int compare_names(gconstpointer a, gconstpointer b)
 {
@@ -59,11 +62,14 @@
 
 static void on_abort(int signal_number)
 {
+	int fd = open(crash_path, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC,
+		      0644);
+
 	(void)signal_number;
-	g_file_set_contents(crash_path, (const char *)current->data,
-			    (gssize)current->len, NULL);
-	fprintf(stderr, "the input is in %s\n", crash_path);
-	_Exit(EXIT_FAILURE);
+	if (fd >= 0 &&
+	    write(fd, current->data, current->len) == (ssize_t)current->len)
+		(void)!write(STDERR_FILENO, crash_text, strlen(crash_text));
+	_exit(EXIT_FAILURE);
 }
 
 static void append_part(GByteArray *input, GPtrArray *inputs, GRand *random)
@@ -129,10 +135,12 @@
 	uint32_t seed = 1;
 	unsigned long runs = 0;
 	char *path = g_strdup_printf("%s.crash", argv[0]);
+	char *text = g_strdup_printf("the input is in %s\n", path);
 	GRand *random;
 
 	current = g_byte_array_new();
 	crash_path = path;
+	crash_text = text;
 	signal(SIGABRT, on_abort);
 	for (int i = 1; i < argc; i++)
 		if (strncmp(argv[i], "--runs=", strlen("--runs=")) == 0)
@@ -164,6 +172,7 @@
 	g_byte_array_unref(input);
 	g_byte_array_unref(current);
 	g_ptr_array_unref(inputs);
+	g_free(text);
 	g_free(path);
 	return EXIT_SUCCESS;
 }
--- a/test/unit/platform_test.c
+++ b/test/unit/platform_test.c
@@ -387,8 +387,8 @@
 
 	platform_dialect.read_answer(parse_rejection(headers), &read);
 	CU_ASSERT_EQUAL(read.pause_ms, 0);
-	CU_ASSERT_PTR_NOT_NULL_FATAL(read.unreadable_pause);
-	CU_ASSERT_STRING_EQUAL(read.unreadable_pause, expected);
+	CU_ASSERT(read.unreadable_pause != NULL &&
+		  strcmp(read.unreadable_pause, expected) == 0);
 	http_reader_finish(&reader);
 }
 
