Log by what an answer ends and whether inside an event

The framing is part of a read message; it replaces http_reader_has_framing(), which only the tests used, and the tests check its exact value. No decision changes.

--- a/src/wisteria/gateway/exchange.c
+++ b/src/wisteria/gateway/exchange.c
@@ -143,6 +143,8 @@
 	usage_count_begun(&gateway->usage, target->tokens);
 	exchange->target = *target;
 	exchange->is_streaming = false;
+	exchange->answer_framing = HTTP_FRAMING_NONE;
+	exchange->partial_event_bytes = 0;
 	exchange->send_count++;
 	counter_add(COUNTER_GATEWAY_SENDS, 1);
 	exchange->last_progress_ms = now;
@@ -414,12 +416,15 @@
 	LOG_INFO("attempt_failed",
 		 "request=%s send=%u endpoint=%s end=%s reason=%s at=%s "
 		 "runs=%u of=%u events=%" G_GUINT64_FORMAT
-		 " waited_ms=%" G_GINT64_FORMAT,
+		 " framing=%s partial_event_bytes=%zu "
+		 "waited_ms=%" G_GINT64_FORMAT,
 		 id_of(exchange), exchange->send_count, exchange->target.ids[0],
 		 attempt_failure_name(failure), reason,
 		 faulty_address == NULL ? "-" : faulty_address,
 		 exchange->possible_runs, attempt.max_runs,
 		 exchange->event_stream.event_count,
+		 http_framing_name(exchange->answer_framing),
+		 exchange->partial_event_bytes,
 		 now_of(exchange) - exchange->last_progress_ms);
 	outcome = outcome_decide(&attempt);
 	end_attempt(exchange);
@@ -456,13 +461,15 @@
 	histogram_add(LATENCY_ANSWER, now - exchange->started_ms);
 	LOG_INFO("request_answered",
 		 "request=%s status=%u route=%s customer=%s sends=%u "
-		 "events=%" G_GUINT64_FORMAT " behind_event=%" G_GINT64_FORMAT
+		 "events=%" G_GUINT64_FORMAT " framing=%s "
+		 "partial_event_bytes=%zu behind_event=%" G_GINT64_FORMAT
 		 " first_ms=%" G_GINT64_FORMAT " gap_ms=%" G_GINT64_FORMAT
 		 " all_ms=%" G_GINT64_FORMAT,
 		 id_of(exchange), status, exchange->route->name,
 		 exchange->customer == NULL ? "-" : exchange->customer,
 		 exchange->send_count, exchange->event_stream.event_count,
-		 exchange->caller.last_event_id,
+		 http_framing_name(exchange->answer_framing),
+		 exchange->partial_event_bytes, exchange->caller.last_event_id,
 		 exchange->first_event_ms == 0
 			 ? (clock_ms_t)-1
 			 : exchange->first_event_ms - exchange->started_ms,
@@ -490,6 +497,7 @@
 	endpoint_answer_t answer_info;
 
 	exchange->last_progress_ms = now_of(exchange);
+	exchange->answer_framing = answer->framing;
 	exchange->gateway->dialect->read_answer(answer, &answer_info);
 	if (is_matching_answer(exchange, &answer_info))
 		gateway_obey_endpoint(exchange->gateway,
@@ -549,6 +557,7 @@
 		return;
 	complete_len = event_stream_consume(&exchange->event_stream, body->data,
 					    body->len);
+	exchange->partial_event_bytes = body->len - complete_len;
 	if (complete_len == 0)
 		return;
 	record_event(exchange);
@@ -577,6 +586,8 @@
 	char reason[32];
 
 	exchange->call = NULL;
+	if (exchange->partial_event_bytes > 0)
+		counter_add(COUNTER_GATEWAY_ENDED_IN_EVENT, 1);
 	if (exchange->is_streaming) {
 		finish_stream(exchange, answer);
 		return;
--- a/src/wisteria/gateway/gateway_defs.h
+++ b/src/wisteria/gateway/gateway_defs.h
@@ -134,9 +134,11 @@
 	unsigned possible_arrivals; /* attempts possibly received */
 	bool is_streaming;	    /* the answer is forwarded as it arrives */
 	bool headers_sent;
-	int64_t content_length; /* unused */
 	event_stream_t event_stream;
-	clock_ms_t first_event_ms; /* 0: none yet */
+	/* Of the current attempt: */
+	http_framing_t answer_framing;
+	size_t partial_event_bytes; /* received of an incomplete event */
+	clock_ms_t first_event_ms;  /* 0: none yet */
 	clock_ms_t last_event_ms;
 	clock_ms_t longest_gap_ms; /* between two events */
 } exchange_t;
--- a/src/wisteria/http/http_message.c
+++ b/src/wisteria/http/http_message.c
@@ -35,6 +35,7 @@
 	message->method = "";
 	message->target = 0;
 	message->status = 0;
+	message->framing = HTTP_FRAMING_NONE;
 	message->keep_alive = false;
 }
 
@@ -95,6 +96,19 @@
 	return false;
 }
 
+/* Returns the name of "framing" for logs. */
+const char *http_framing_name(http_framing_t framing)
+{
+	static const char *const names[] = {
+		[HTTP_FRAMING_NONE] = "none",
+		[HTTP_FRAMING_LENGTH] = "length",
+		[HTTP_FRAMING_CHUNKED] = "chunked",
+		[HTTP_FRAMING_CLOSE] = "close",
+	};
+
+	return names[framing];
+}
+
 typedef struct {
 	unsigned status;
 	const char *reason;
--- a/src/wisteria/http/http_message_defs.h
+++ b/src/wisteria/http/http_message_defs.h
@@ -15,6 +15,14 @@
 	uint32_t value;
 } http_field_t;
 
+/* What marks the end of a message's body. */
+typedef enum {
+	HTTP_FRAMING_NONE,    /* it has no body, or no headers were read */
+	HTTP_FRAMING_LENGTH,  /* Content-Length */
+	HTTP_FRAMING_CHUNKED, /* the last chunk */
+	HTTP_FRAMING_CLOSE    /* the end of the connection */
+} http_framing_t;
+
 /*
  * One request or response; the body is stored without chunk framing.  "text"
  * begins with an empty string, so that offset 0 stands for a target or value
@@ -27,6 +35,7 @@
 	const char *method; /* requests; a static string */
 	uint32_t target;    /* requests; offset in "text" */
 	unsigned status;    /* responses */
+	http_framing_t framing;
 	bool keep_alive;
 } http_message_t;
 
--- a/src/wisteria/http/http_reader.c
+++ b/src/wisteria/http/http_reader.c
@@ -74,6 +74,22 @@
 	return count_header_bytes(reader, len);
 }
 
+/* See RFC 9112, 6.3; http-parser ends the body by the same rules. */
+static http_framing_t framing_of(const http_parser *parser)
+{
+	unsigned status = parser->status_code;
+
+	if (parser->type == HTTP_RESPONSE &&
+	    (status / 100 == 1 || status == 204 || status == 304))
+		return HTTP_FRAMING_NONE;
+	if ((parser->flags & F_CHUNKED) != 0)
+		return HTTP_FRAMING_CHUNKED;
+	if (parser->content_length != ULLONG_MAX)
+		return HTTP_FRAMING_LENGTH;
+	return parser->type == HTTP_RESPONSE ? HTTP_FRAMING_CLOSE
+					     : HTTP_FRAMING_NONE;
+}
+
 static int on_headers_complete(http_parser *parser)
 {
 	http_reader_t *reader = parser->data;
@@ -83,6 +99,7 @@
 		reader->message.method =
 			http_method_str((enum http_method)parser->method);
 	reader->message.status = parser->status_code;
+	reader->message.framing = framing_of(parser);
 	reader->message.keep_alive = http_should_keep_alive(parser) != 0;
 	reader->is_interim =
 		parser->type == HTTP_RESPONSE && parser->status_code / 100 == 1;
@@ -204,10 +221,3 @@
 	if (reader->state != HTTP_READ_COMPLETE)
 		fail(reader, HTTP_BAD_SYNTAX);
 }
-
-/* Returns whether the message has a Content-Length or is chunked. */
-bool http_reader_has_framing(const http_reader_t *reader)
-{
-	return (reader->parser.flags & F_CHUNKED) != 0 ||
-	       (reader->parser.flags & F_CONTENTLENGTH) != 0;
-}
--- a/src/wisteria/http/http_reader.h
+++ b/src/wisteria/http/http_reader.h
@@ -42,6 +42,5 @@
 size_t http_reader_feed(http_reader_t *reader, const char *data,
 			size_t len) ATTR_NONNULL_ALL ATTR_WARN_UNUSED;
 void http_reader_eof(http_reader_t *reader) ATTR_NONNULL_ALL;
-bool http_reader_has_framing(const http_reader_t *reader) ATTR_NONNULL_ALL;
 
 #endif
--- a/test/unit/http_reader_test.c
+++ b/test/unit/http_reader_test.c
@@ -118,13 +118,13 @@
 		    "Content-Length: 2\r\n\r\nok");
 	CU_ASSERT_EQUAL(reader.state, HTTP_READ_COMPLETE);
 	CU_ASSERT_EQUAL(reader.message.status, 200);
-	CU_ASSERT_TRUE(http_reader_has_framing(&reader));
+	CU_ASSERT_EQUAL(reader.message.framing, HTTP_FRAMING_LENGTH);
 	http_reader_finish(&reader);
 
 	init_reader(HTTP_RESPONSE);
 	(void)!feed("HTTP/1.1 200 OK\r\n\r\nok");
 	CU_ASSERT_EQUAL(reader.state, HTTP_READ_BODY);
-	CU_ASSERT_FALSE(http_reader_has_framing(&reader));
+	CU_ASSERT_EQUAL(reader.message.framing, HTTP_FRAMING_CLOSE);
 	http_reader_eof(&reader);
 	CU_ASSERT_EQUAL(reader.state, HTTP_READ_COMPLETE);
 	http_reader_finish(&reader);
@@ -136,11 +136,43 @@
 	http_reader_finish(&reader);
 }
 
+typedef struct {
+	const char *head;
+	http_framing_t framing;
+} framed_response_t;
+
+static void test_framing(void)
+{
+	static const framed_response_t responses[] = {
+		{ "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+		  HTTP_FRAMING_CHUNKED },
+		{ "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+		  HTTP_FRAMING_LENGTH },
+		{ "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
+		  HTTP_FRAMING_CLOSE },
+		{ "HTTP/1.1 200 OK\r\nConnection: keep-alive\r\n\r\n",
+		  HTTP_FRAMING_CLOSE },
+		{ "HTTP/1.1 204 No Content\r\n\r\n", HTTP_FRAMING_NONE },
+	};
+
+	for (size_t i = 0; i < ARRAY_SIZE(responses); i++) {
+		init_reader(HTTP_RESPONSE);
+		(void)!feed(responses[i].head);
+		CU_ASSERT_EQUAL(reader.message.framing, responses[i].framing);
+		http_reader_finish(&reader);
+	}
+	init_reader(HTTP_REQUEST);
+	(void)!feed("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+	CU_ASSERT_EQUAL(reader.message.framing, HTTP_FRAMING_NONE);
+	http_reader_finish(&reader);
+}
+
 static const unit_test_t tests[] = {
 	{ "every split position", test_every_split_position },
 	{ "two requests at once", test_two_requests_at_once },
 	{ "invalid requests", test_invalid_requests },
 	{ "responses", test_responses },
+	{ "framing", test_framing },
 	{ "trailers are terminated", test_trailers_are_terminated },
 };
 
