Test that a stream ended inside an event is not complete

An endpoint whose answer has neither length nor chunks closes inside an event: the caller gets the part of the event and a complete response, where the stream should be resumed after the last whole event, or broken off on a route that cannot be resumed. The same holds for a last chunk behind a part of an event, and for an unframed stream that ends before its first event. A whole unframed stream passes through as complete.

--- a/test/functional/fleet_test.c
+++ b/test/functional/fleet_test.c
@@ -27,6 +27,11 @@
 	"\"kind\":\"stream\",\"timeoutMs\":9000,\"goalMs\":3000,\"priority\":1,"
 	"\"service\":\"writer\",\"maxAttempts\":3,\"allowAnonymous\":true,"
 	"\"sticky\":false,\"streamResume\":true,\"gapGoalMs\":500},"
+	"{\"name\":\"once\",\"host\":\"shop.example\",\"pathPrefix\":\"/once/"
+	"\","
+	"\"kind\":\"stream\",\"timeoutMs\":9000,\"goalMs\":3000,\"priority\":1,"
+	"\"service\":\"writer\",\"maxAttempts\":3,\"allowAnonymous\":true,"
+	"\"sticky\":false,\"streamResume\":false,\"gapGoalMs\":500},"
 	"{\"name\":\"book\",\"host\":\"shop.example\",\"pathPrefix\":\"/book/"
 	"\","
 	"\"kind\":\"non_idempotent\",\"timeoutMs\":5000,\"goalMs\":3000,"
@@ -275,6 +280,87 @@
 	fake_endpoint_stop(&endpoints[1]);
 }
 
+/* Starts two endpoints of the model service that the entry knows. */
+static void start_writers(fake_endpoint_t endpoints[2], const char *first_id,
+			  const char *second_id, fake_endpoint_mode_t mode)
+{
+	const char *ids[] = { first_id, second_id };
+
+	for (size_t i = 0; i < ARRAY_SIZE(ids); i++) {
+		fake_endpoint_start(&endpoints[i], ids[i], "writer", harness.ip,
+				    control_address, mode);
+		CU_ASSERT(harness_wait_log(
+			entry, harness_string(&harness, "endpoint=%s ", ids[i]),
+			HARNESS_WAIT_MS));
+	}
+}
+
+static void stop_writers(fake_endpoint_t endpoints[2])
+{
+	fake_endpoint_stop(&endpoints[0]);
+	fake_endpoint_stop(&endpoints[1]);
+}
+
+static void test_unframed_stream_is_complete(void)
+{
+	fake_endpoint_t endpoints[2];
+	http_request_t *request;
+
+	start_writers(endpoints, "i-14", "i-15", FAKE_ENDPOINT_UNFRAMED);
+	request = send_and_wait(entry_address, "/chat/7", "unframed1", "hi");
+	expect_complete_stream(request, "unframed1");
+	CU_ASSERT_EQUAL(endpoints[0].runs + endpoints[1].runs, 1);
+	http_request_free(&client, request);
+	stop_writers(endpoints);
+}
+
+/* Expects a response that is broken off after the last complete event. */
+static void expect_broken_off(const http_request_t *request)
+{
+	CU_ASSERT_EQUAL(request->status, 200);
+	CU_ASSERT_NOT_EQUAL(request->result, CURLE_OK);
+	CU_ASSERT_PTR_NOT_NULL(strstr(request->body->str, "id: 5\n"));
+	CU_ASSERT_PTR_NULL(strstr(request->body->str, "id: 6\n"));
+}
+
+static void test_stream_ended_inside_event_is_not_complete(void)
+{
+	static const fake_endpoint_mode_t modes[] = {
+		FAKE_ENDPOINT_UNFRAMED_CUT, FAKE_ENDPOINT_CHUNKED_CUT
+	};
+	fake_endpoint_t endpoints[2];
+
+	for (size_t i = 0; i < ARRAY_SIZE(modes); i++) {
+		const char *id = harness_string(&harness, "inside%zu", i);
+		http_request_t *resumed;
+		http_request_t *broken_off;
+
+		start_writers(
+			endpoints, harness_string(&harness, "i-16-%zu", i),
+			harness_string(&harness, "i-17-%zu", i), modes[i]);
+		resumed = send_and_wait(entry_address, "/chat/8", id, "hi");
+		expect_complete_stream(resumed, id);
+		http_request_free(&client, resumed);
+		broken_off = send_and_wait(entry_address, "/once/8", id, "hi");
+		expect_broken_off(broken_off);
+		http_request_free(&client, broken_off);
+		stop_writers(endpoints);
+	}
+}
+
+static void test_unframed_stream_without_events_is_not_complete(void)
+{
+	fake_endpoint_t endpoints[2];
+	http_request_t *request;
+
+	start_writers(endpoints, "i-18", "i-19", FAKE_ENDPOINT_UNFRAMED_EMPTY);
+	request = send_and_wait(entry_address, "/chat/9", "empty1", "hi");
+	CU_ASSERT_EQUAL(request->status, 502);
+	CU_ASSERT_EQUAL(endpoints[0].runs + endpoints[1].runs, 2);
+	http_request_free(&client, request);
+	stop_writers(endpoints);
+}
+
 /*
  * An endpoint runs a booking and doesn't answer: the booking isn't sent again,
  * and the caller gets 502.
@@ -523,6 +609,11 @@
 	{ "explain: refused", test_explain_refused },
 	{ "explain: cut in the middle", test_explain_cut_in_the_middle },
 	{ "explain: lost answer", test_explain_lost_answer },
+	{ "unframed stream is complete", test_unframed_stream_is_complete },
+	{ "stream ended inside an event is not complete",
+	  test_stream_ended_inside_event_is_not_complete },
+	{ "unframed stream without events is not complete",
+	  test_unframed_stream_without_events_is_not_complete },
 	{ "leaving endpoint gets nothing new",
 	  test_leaving_endpoint_gets_nothing_new },
 	{ "paused endpoint gets nothing", test_paused_endpoint_gets_nothing },
--- a/test/functional/harness/fake_endpoint.c
+++ b/test/functional/harness/fake_endpoint.c
@@ -88,45 +88,77 @@
 	return value;
 }
 
-static void send_event(int fd, const char *request_id, unsigned long id)
+static void send_body(int fd, bool chunked, const char *body)
+{
+	char *chunk = g_strdup_printf("%zx\r\n%s\r\n", strlen(body), body);
+
+	send_text(fd, chunked ? chunk : body);
+	g_free(chunk);
+}
+
+static void send_event(int fd, bool chunked, const char *request_id,
+		       unsigned long id)
 {
 	char *event = g_strdup_printf("id: %lu\ndata: word%lu of %s\n\n", id,
 				      id, request_id);
-	char *chunk = g_strdup_printf("%zx\r\n%s\r\n", strlen(event), event);
 
-	send_text(fd, chunk);
-	g_free(chunk);
+	send_body(fd, chunked, event);
 	g_free(event);
 }
 
+/* Returns whether "mode" ends streams early that are requested from event 0. */
+static bool truncates(int mode)
+{
+	return mode == FAKE_ENDPOINT_TRUNCATE ||
+	       mode == FAKE_ENDPOINT_UNFRAMED_CUT ||
+	       mode == FAKE_ENDPOINT_CHUNKED_CUT;
+}
+
+static bool is_chunked(int mode)
+{
+	return mode != FAKE_ENDPOINT_UNFRAMED &&
+	       mode != FAKE_ENDPOINT_UNFRAMED_CUT &&
+	       mode != FAKE_ENDPOINT_UNFRAMED_EMPTY;
+}
+
 /*
- * Sends the events after "Last-Event-Id".  FAKE_ENDPOINT_TRUNCATE ends a stream
- * that was requested from the start early, after event
+ * Sends the events after "Last-Event-Id", or those up to
  * FAKE_ENDPOINT_TRUNCATE_AFTER.
  */
+static void send_events(int fd, const char *request_id, unsigned long id,
+			bool chunked, bool is_truncated)
+{
+	for (; id < FAKE_ENDPOINT_EVENTS; id++) {
+		if (is_truncated && id > FAKE_ENDPOINT_TRUNCATE_AFTER)
+			return;
+		send_event(fd, chunked, request_id, id);
+		g_usleep(EVENT_INTERVAL_US);
+	}
+}
+
 static void send_stream(int fd, const char *request, int mode)
 {
 	char *request_id = copy_header(request, "X-Wisteriadrift-Request-Id");
 	char *last = copy_header(request, "Last-Event-Id");
 	unsigned long id = last[0] == '\0' ? 0 : strtoul(last, NULL, 10) + 1;
-	bool is_truncated = mode == FAKE_ENDPOINT_TRUNCATE && last[0] == '\0';
+	bool is_truncated = truncates(mode) && last[0] == '\0';
+	bool chunked = is_chunked(mode);
 	char *head = g_strdup_printf(
 		"HTTP/1.1 200 OK\r\n"
 		"Content-Type: text/event-stream\r\n"
 		"X-Wisteriadrift-Request-Id: %s\r\n"
-		"X-Wisteriadrift-Response-Stamp: 1.2.3\r\n%s"
-		"Transfer-Encoding: chunked\r\nConnection: close\r\n\r\n",
+		"X-Wisteriadrift-Response-Stamp: 1.2.3\r\n%s%s"
+		"Connection: close\r\n\r\n",
 		request_id,
-		mode == FAKE_ENDPOINT_LEAVE ? "Server-Leaving: 1\r\n" : "");
+		mode == FAKE_ENDPOINT_LEAVE ? "Server-Leaving: 1\r\n" : "",
+		chunked ? "Transfer-Encoding: chunked\r\n" : "");
 
 	send_text(fd, head);
-	for (; id < FAKE_ENDPOINT_EVENTS; id++) {
-		if (is_truncated && id > FAKE_ENDPOINT_TRUNCATE_AFTER)
-			break;
-		send_event(fd, request_id, id);
-		g_usleep(EVENT_INTERVAL_US);
-	}
-	if (!is_truncated)
+	if (mode != FAKE_ENDPOINT_UNFRAMED_EMPTY)
+		send_events(fd, request_id, id, chunked, is_truncated);
+	if (is_truncated && mode != FAKE_ENDPOINT_TRUNCATE)
+		send_body(fd, chunked, "id: 6\ndata: wor");
+	if (chunked && (!is_truncated || mode == FAKE_ENDPOINT_CHUNKED_CUT))
 		send_text(fd, "0\r\n\r\n");
 	g_free(head);
 	g_free(last);
--- a/test/functional/harness/fake_endpoint.h
+++ b/test/functional/harness/fake_endpoint.h
@@ -11,7 +11,7 @@
 
 /* The number of events of a whole stream. */
 #define FAKE_ENDPOINT_EVENTS 12
-/* The last event of a truncated stream. */
+/* The last complete event of a truncated stream. */
 #define FAKE_ENDPOINT_TRUNCATE_AFTER 5
 
 /* Longer than any test that uses it. */
@@ -21,7 +21,15 @@
 typedef enum {
 	FAKE_ENDPOINT_SERVE,
 	FAKE_ENDPOINT_TRUNCATE, /* ends the stream early */
-	FAKE_ENDPOINT_REJECT,	/* answers 503 without running it */
+	/* Serves; the end of the connection marks the end of the stream. */
+	FAKE_ENDPOINT_UNFRAMED,
+	/* The same, but closes a new stream inside an event. */
+	FAKE_ENDPOINT_UNFRAMED_CUT,
+	/* The same, but closes each stream before its first event. */
+	FAKE_ENDPOINT_UNFRAMED_EMPTY,
+	/* Ends a new stream inside an event and then sends the last chunk. */
+	FAKE_ENDPOINT_CHUNKED_CUT,
+	FAKE_ENDPOINT_REJECT, /* answers 503 without running it */
 	/* As before, and wants nothing for FAKE_ENDPOINT_PAUSE_S. */
 	FAKE_ENDPOINT_PAUSE,
 	FAKE_ENDPOINT_LEAVE, /* serves, and says that it leaves */
