Complete a stream only after a whole last event

Cause: the entry took the end of an answer's framing for the end of the stream. An answer with neither Content-Length nor chunks ends with its connection, and so does an answer that is broken off; the entry forwarded the part of an event that it held and ended its own chunked response, which vouches for more than the endpoint ever did.

Change: what an endpoint's framing claims is checked against the stream itself. A stream that ends inside an event, or that ends with its connection before an event of this attempt, is a truncated attempt: it is resumed after its last whole event, or broken off. This holds for each framing, so it does not matter whether the end was a close, a reset read as one, or a last chunk. Comments and blank lines are no events. A 2xx of another Content-Type on a stream route has no events to check and is forwarded whole, as a plain answer is.

--- a/src/wisteria/base/counters.c
+++ b/src/wisteria/base/counters.c
@@ -81,10 +81,10 @@
 				      "for a while." },
 	[COUNTER_GATEWAY_EVENTS] = { "gateway_events_total", "counter",
 				     "Events of streams passed on." },
-	[COUNTER_GATEWAY_ENDED_IN_EVENT] = { "gateway_ended_in_event_total",
+	[COUNTER_GATEWAY_BROKEN_STREAMS] = { "gateway_broken_streams_total",
 					     "counter",
-					     "Streams of endpoints that ended "
-					     "inside an event." },
+					     "Streams that ended inside an "
+					     "event or without one." },
 	[COUNTER_HEARTBEATS] = { "heartbeats_total", "counter",
 				 "Heartbeats of endpoints taken." },
 	[COUNTER_PLACE_ORDERS] = { "place_orders_total", "counter",
--- a/src/wisteria/gateway/event_stream.c
+++ b/src/wisteria/gateway/event_stream.c
@@ -16,6 +16,30 @@
 {
 	stream->last_id = last_id;
 	stream->event_count = 0;
+	event_stream_begin_attempt(stream);
+}
+
+/* The next bytes come from the start of another answer. */
+void event_stream_begin_attempt(event_stream_t *stream)
+{
+	stream->attempt_event_count = 0;
+	stream->partial_bytes = 0;
+}
+
+/*
+ * Returns why the answer of the current attempt, which has ended as its framing
+ * says, is not a complete stream; NULL if it is.  An endpoint that breaks off
+ * ends its connection as well, so this end proves nothing by itself: some event
+ * must have come, and the last one must be whole.
+ */
+const char *event_stream_defect(const event_stream_t *stream,
+				http_framing_t framing)
+{
+	if (stream->partial_bytes > 0)
+		return "ended_in_event";
+	if (framing == HTTP_FRAMING_CLOSE && stream->attempt_event_count == 0)
+		return "ended_without_event";
+	return NULL;
 }
 
 /* Returns the length of the first line with its LF; 0: incomplete. */
@@ -49,11 +73,17 @@
 		*id = value;
 }
 
-/* Returns the length of the first event in "data"; 0: it is incomplete. */
-static size_t first_event_length(const uint8_t *data, size_t len, int64_t *id)
+/*
+ * Returns the length of the first event in "data"; 0: it is incomplete.  Sets
+ * "has_fields" to false for an event of comments and blank lines only.
+ */
+static size_t first_event_length(const uint8_t *data, size_t len, int64_t *id,
+				 bool *has_fields)
 {
 	size_t at = 0;
 
+	*has_fields = false;
+
 	while (at < len) {
 		size_t line = line_length(data + at, len - at);
 
@@ -63,13 +93,16 @@
 		at += line;
 		if (is_blank_line(data + at - line, line))
 			return at;
+		if (data[at - line] != ':')
+			*has_fields = true;
 	}
 	return 0;
 }
 
 /*
  * Counts the complete events at the start of "data", keeps the id of the last
- * one, and returns their total length in bytes.
+ * one, and returns their total length in bytes.  The rest of "data" belongs to
+ * an incomplete event.
  */
 size_t event_stream_consume(event_stream_t *stream, const uint8_t *data,
 			    size_t len)
@@ -78,13 +111,17 @@
 
 	for (;;) {
 		int64_t id = stream->last_id;
-		size_t event = first_event_length(data + consumed,
-						  len - consumed, &id);
+		bool has_fields;
+		size_t event = first_event_length(
+			data + consumed, len - consumed, &id, &has_fields);
 
-		if (event == 0)
+		if (event == 0) {
+			stream->partial_bytes = len - consumed;
 			return consumed;
+		}
 		stream->last_id = id;
-		stream->event_count++;
+		stream->event_count += has_fields;
+		stream->attempt_event_count += has_fields;
 		consumed += event;
 	}
 }
--- a/src/wisteria/gateway/event_stream.h
+++ b/src/wisteria/gateway/event_stream.h
@@ -7,15 +7,23 @@
 #include <glib.h>
 
 #include "wisteria/base/macros_defs.h"
+#include "wisteria/http/http_message_defs.h"
 
 /* Position in a forwarded stream of server-sent events. */
 typedef struct {
 	int64_t last_id; /* of the last complete event; -1: none had one */
 	uint64_t event_count;
+	/* Of the current attempt: */
+	uint64_t attempt_event_count;
+	size_t partial_bytes; /* received of an incomplete event */
 } event_stream_t;
 
 void event_stream_init(event_stream_t *stream,
 		       int64_t last_id) ATTR_NONNULL_ALL;
+void event_stream_begin_attempt(event_stream_t *stream) ATTR_NONNULL_ALL;
+const char *
+event_stream_defect(const event_stream_t *stream,
+		    http_framing_t framing) ATTR_NONNULL_ALL ATTR_WARN_UNUSED;
 size_t event_stream_consume(event_stream_t *stream, const uint8_t *data,
 			    size_t len) ATTR_NONNULL_ALL ATTR_WARN_UNUSED;
 
--- a/src/wisteria/gateway/exchange.c
+++ b/src/wisteria/gateway/exchange.c
@@ -144,7 +144,7 @@
 	exchange->target = *target;
 	exchange->is_streaming = false;
 	exchange->answer_framing = HTTP_FRAMING_NONE;
-	exchange->partial_event_bytes = 0;
+	event_stream_begin_attempt(&exchange->event_stream);
 	exchange->send_count++;
 	counter_add(COUNTER_GATEWAY_SENDS, 1);
 	exchange->last_progress_ms = now;
@@ -424,7 +424,7 @@
 		 exchange->possible_runs, attempt.max_runs,
 		 exchange->event_stream.event_count,
 		 http_framing_name(exchange->answer_framing),
-		 exchange->partial_event_bytes,
+		 exchange->event_stream.partial_bytes,
 		 now_of(exchange) - exchange->last_progress_ms);
 	outcome = outcome_decide(&attempt);
 	end_attempt(exchange);
@@ -469,7 +469,8 @@
 		 exchange->customer == NULL ? "-" : exchange->customer,
 		 exchange->send_count, exchange->event_stream.event_count,
 		 http_framing_name(exchange->answer_framing),
-		 exchange->partial_event_bytes, exchange->caller.last_event_id,
+		 exchange->event_stream.partial_bytes,
+		 exchange->caller.last_event_id,
 		 exchange->first_event_ms == 0
 			 ? (clock_ms_t)-1
 			 : exchange->first_event_ms - exchange->started_ms,
@@ -505,7 +506,8 @@
 	exchange->is_streaming = exchange->route->kind == ROUTE_STREAM &&
 				 answer->status / 100 == 2 &&
 				 answer_info.stamped &&
-				 is_matching_answer(exchange, &answer_info);
+				 is_matching_answer(exchange, &answer_info) &&
+				 http_message_may_be_event_stream(answer);
 }
 
 static void begin_stream(exchange_t *exchange, const http_message_t *answer)
@@ -557,7 +559,6 @@
 		return;
 	complete_len = event_stream_consume(&exchange->event_stream, body->data,
 					    body->len);
-	exchange->partial_event_bytes = body->len - complete_len;
 	if (complete_len == 0)
 		return;
 	record_event(exchange);
@@ -569,15 +570,26 @@
 static void finish_stream(exchange_t *exchange, const http_message_t *answer)
 {
 	begin_stream(exchange, answer);
-	if (answer->body->len > 0)
-		http_conn_send(exchange->conn, answer->body->data,
-			       answer->body->len);
 	log_answered(exchange, answer->status);
 	http_conn_end(exchange->conn);
 	exchange->conn = NULL;
 	exchange_discard(exchange);
 }
 
+/* Completes the response only if the stream is complete, too. */
+static void on_stream_ended(exchange_t *exchange, const http_message_t *answer)
+{
+	const char *defect =
+		event_stream_defect(&exchange->event_stream, answer->framing);
+
+	if (defect == NULL) {
+		finish_stream(exchange, answer);
+		return;
+	}
+	counter_add(COUNTER_GATEWAY_BROKEN_STREAMS, 1);
+	on_attempt_failed(exchange, ATTEMPT_TRUNCATED, NULL, defect, NULL);
+}
+
 static void on_complete(http_call_handler_t *handler,
 			const http_message_t *answer)
 {
@@ -586,10 +598,8 @@
 	char reason[32];
 
 	exchange->call = NULL;
-	if (exchange->partial_event_bytes > 0)
-		counter_add(COUNTER_GATEWAY_ENDED_IN_EVENT, 1);
 	if (exchange->is_streaming) {
-		finish_stream(exchange, answer);
+		on_stream_ended(exchange, answer);
 		return;
 	}
 	exchange->gateway->dialect->read_answer(answer, &answer_info);
--- a/src/wisteria/gateway/gateway_defs.h
+++ b/src/wisteria/gateway/gateway_defs.h
@@ -135,10 +135,8 @@
 	bool is_streaming;	    /* the answer is forwarded as it arrives */
 	bool headers_sent;
 	event_stream_t event_stream;
-	/* Of the current attempt: */
-	http_framing_t answer_framing;
-	size_t partial_event_bytes; /* received of an incomplete event */
-	clock_ms_t first_event_ms;  /* 0: none yet */
+	http_framing_t answer_framing; /* of the current attempt */
+	clock_ms_t first_event_ms;     /* 0: none yet */
 	clock_ms_t last_event_ms;
 	clock_ms_t longest_gap_ms; /* between two events */
 } exchange_t;
--- a/test/functional/fleet_test.c
+++ b/test/functional/fleet_test.c
@@ -361,6 +361,21 @@
 	stop_writers(endpoints);
 }
 
+static void test_json_on_stream_route_is_whole(void)
+{
+	fake_endpoint_t endpoints[2];
+	http_request_t *request;
+
+	start_writers(endpoints, "i-20", "i-21", FAKE_ENDPOINT_JSON);
+	request = send_and_wait(entry_address, "/chat/10", "json1", "hi");
+	CU_ASSERT_EQUAL(request->status, 200);
+	CU_ASSERT_EQUAL(request->result, CURLE_OK);
+	CU_ASSERT_STRING_EQUAL(request->body->str, FAKE_ENDPOINT_JSON_BODY);
+	CU_ASSERT_EQUAL(endpoints[0].runs + endpoints[1].runs, 1);
+	http_request_free(&client, request);
+	stop_writers(endpoints);
+}
+
 /*
  * An endpoint runs a booking and doesn't answer: the booking isn't sent again,
  * and the caller gets 502.
@@ -612,6 +627,8 @@
 	{ "unframed stream is complete", test_unframed_stream_is_complete },
 	{ "stream ended inside an event is not complete",
 	  test_stream_ended_inside_event_is_not_complete },
+	{ "JSON on a stream route is whole",
+	  test_json_on_stream_route_is_whole },
 	{ "unframed stream without events is not complete",
 	  test_unframed_stream_without_events_is_not_complete },
 	{ "leaving endpoint gets nothing new",
--- a/test/functional/harness/fake_endpoint.c
+++ b/test/functional/harness/fake_endpoint.c
@@ -118,7 +118,8 @@
 {
 	return mode != FAKE_ENDPOINT_UNFRAMED &&
 	       mode != FAKE_ENDPOINT_UNFRAMED_CUT &&
-	       mode != FAKE_ENDPOINT_UNFRAMED_EMPTY;
+	       mode != FAKE_ENDPOINT_UNFRAMED_EMPTY &&
+	       mode != FAKE_ENDPOINT_JSON;
 }
 
 /*
@@ -145,16 +146,20 @@
 	bool chunked = is_chunked(mode);
 	char *head = g_strdup_printf(
 		"HTTP/1.1 200 OK\r\n"
-		"Content-Type: text/event-stream\r\n"
+		"Content-Type: %s\r\n"
 		"X-Wisteriadrift-Request-Id: %s\r\n"
 		"X-Wisteriadrift-Response-Stamp: 1.2.3\r\n%s%s"
 		"Connection: close\r\n\r\n",
+		mode == FAKE_ENDPOINT_JSON ? "application/json"
+					   : "text/event-stream",
 		request_id,
 		mode == FAKE_ENDPOINT_LEAVE ? "Server-Leaving: 1\r\n" : "",
 		chunked ? "Transfer-Encoding: chunked\r\n" : "");
 
 	send_text(fd, head);
-	if (mode != FAKE_ENDPOINT_UNFRAMED_EMPTY)
+	if (mode == FAKE_ENDPOINT_JSON)
+		send_text(fd, FAKE_ENDPOINT_JSON_BODY);
+	else if (mode != FAKE_ENDPOINT_UNFRAMED_EMPTY)
 		send_events(fd, request_id, id, chunked, is_truncated);
 	if (is_truncated && mode != FAKE_ENDPOINT_TRUNCATE)
 		send_body(fd, chunked, "id: 6\ndata: wor");
--- a/test/functional/harness/fake_endpoint.h
+++ b/test/functional/harness/fake_endpoint.h
@@ -11,6 +11,7 @@
 
 /* The number of events of a whole stream. */
 #define FAKE_ENDPOINT_EVENTS 12
+#define FAKE_ENDPOINT_JSON_BODY "{\"text\":\"whole\"}"
 /* The last complete event of a truncated stream. */
 #define FAKE_ENDPOINT_TRUNCATE_AFTER 5
 
@@ -27,6 +28,8 @@
 	FAKE_ENDPOINT_UNFRAMED_CUT,
 	/* The same, but closes each stream before its first event. */
 	FAKE_ENDPOINT_UNFRAMED_EMPTY,
+	/* Answers each request with FAKE_ENDPOINT_JSON_BODY, unframed. */
+	FAKE_ENDPOINT_JSON,
 	/* Ends a new stream inside an event and then sends the last chunk. */
 	FAKE_ENDPOINT_CHUNKED_CUT,
 	FAKE_ENDPOINT_REJECT, /* answers 503 without running it */
--- a/test/unit/event_stream_test.c
+++ b/test/unit/event_stream_test.c
@@ -56,6 +56,50 @@
 	CU_ASSERT_EQUAL(stream.event_count, 3);
 }
 
+static void test_stream_ended_inside_event_is_not_complete(void)
+{
+	static const char *const partial[] = {
+		"id: 1\ndata: a\n\ni", "id: 1\ndata: a\n\nid: 2\n",
+		"id: 1\ndata: a\n\nid: 2\ndata: b\n", "id: 1\r\n\r\n\r",
+		"data: a"
+	};
+	event_stream_t stream;
+
+	for (size_t i = 0; i < ARRAY_SIZE(partial); i++) {
+		event_stream_init(&stream, -1);
+		(void)!consume(&stream, partial[i]);
+		CU_ASSERT_PTR_NOT_NULL(
+			event_stream_defect(&stream, HTTP_FRAMING_CLOSE));
+		CU_ASSERT_PTR_NOT_NULL(
+			event_stream_defect(&stream, HTTP_FRAMING_CHUNKED));
+		CU_ASSERT_PTR_NOT_NULL(
+			event_stream_defect(&stream, HTTP_FRAMING_LENGTH));
+	}
+	event_stream_init(&stream, -1);
+	(void)!consume(&stream, "id: 1\ndata: a\n\n");
+	CU_ASSERT_PTR_NULL(event_stream_defect(&stream, HTTP_FRAMING_CLOSE));
+	CU_ASSERT_PTR_NULL(event_stream_defect(&stream, HTTP_FRAMING_CHUNKED));
+}
+
+static void test_closed_without_event_is_not_complete(void)
+{
+	event_stream_t stream;
+
+	event_stream_init(&stream, -1);
+	CU_ASSERT_PTR_NOT_NULL(
+		event_stream_defect(&stream, HTTP_FRAMING_CLOSE));
+	CU_ASSERT_PTR_NULL(event_stream_defect(&stream, HTTP_FRAMING_CHUNKED));
+	(void)!consume(&stream, ": warm\n\n\n");
+	CU_ASSERT_PTR_NOT_NULL(
+		event_stream_defect(&stream, HTTP_FRAMING_CLOSE));
+	(void)!consume(&stream, "id: 1\ndata: a\n\nid: 2\nda");
+	event_stream_begin_attempt(&stream);
+	CU_ASSERT_PTR_NOT_NULL(
+		event_stream_defect(&stream, HTTP_FRAMING_CLOSE));
+	(void)!consume(&stream, "id: 2\ndata: b\n\n");
+	CU_ASSERT_PTR_NULL(event_stream_defect(&stream, HTTP_FRAMING_CLOSE));
+}
+
 /* Wherever the bytes are split, each event is forwarded exactly once. */
 static void test_every_split(void)
 {
@@ -85,6 +129,10 @@
 	{ "line endings", test_line_endings },
 	{ "invalid ids", test_invalid_ids },
 	{ "every split", test_every_split },
+	{ "stream ended inside an event is not complete",
+	  test_stream_ended_inside_event_is_not_complete },
+	{ "closed without event is not complete",
+	  test_closed_without_event_is_not_complete },
 };
 
 int main(void)
