Report a call whose event stream was broken off as unknown

The caller of /services/NAME/ got a 200 with a part of an event.

Change: the check of the gateway, moved to the http folder, also judges buffered answers of Content-Type text/event-stream; the outcome of a defective one is unknown, as of any truncated answer. An answer of another type without framing that is closed early looks like a whole one to any client; nothing to check.

--- a/src/wisteria/agent/agent_call.c
+++ b/src/wisteria/agent/agent_call.c
@@ -12,6 +12,7 @@
 #include "wisteria/base/counters.h"
 #include "wisteria/base/log.h"
 #include "wisteria/codec/msg.h"
+#include "wisteria/http/event_stream.h"
 #include "wisteria/net/conn.h"
 
 /* How long an outcome is stored after the caller's deadline. */
@@ -37,6 +38,8 @@
 	GPtrArray *header_names;  /* of the service's response */
 	GPtrArray *header_values; /* of the service's response */
 	GByteArray *response_body;
+	bool has_length; /* Content-Length, or chunks */
+	bool is_event_stream;
 	uint32_t status;
 	call_outcome_t outcome;
 	refusal_t refusal;
@@ -199,6 +202,16 @@
 	return size * count;
 }
 
+/* Notes what the headers say of the end of the body and of its content. */
+static void read_header(agent_call_t *call, const char *name, const char *value)
+{
+	if (g_ascii_strcasecmp(name, "content-length") == 0 ||
+	    g_ascii_strcasecmp(name, "transfer-encoding") == 0)
+		call->has_length = true;
+	if (g_ascii_strcasecmp(name, "content-type") == 0)
+		call->is_event_stream = event_stream_is_named_by(value);
+}
+
 static size_t on_header_line(char *data, size_t size, size_t count, void *user)
 {
 	agent_call_t *call = user;
@@ -210,13 +223,17 @@
 		if (g_str_has_prefix(line, "HTTP/")) {
 			g_ptr_array_set_size(call->header_names, 0);
 			g_ptr_array_set_size(call->header_values, 0);
+			call->has_length = false;
+			call->is_event_stream = false;
 		}
 	} else {
 		*colon = '\0';
+		g_strstrip(colon + 1);
+		read_header(call, line, colon + 1);
 		if (!is_connection_header(line)) {
 			g_ptr_array_add(call->header_names, g_strdup(line));
 			g_ptr_array_add(call->header_values,
-					g_strdup(g_strstrip(colon + 1)));
+					g_strdup(colon + 1));
 		}
 	}
 	g_free(line);
@@ -250,18 +267,36 @@
 	call->conn = NULL;
 }
 
+/* Returns why the response is not complete; NULL if it is. */
+static const char *find_defect(const agent_call_t *call, CURLcode code)
+{
+	event_stream_t stream;
+
+	if (code != CURLE_OK)
+		return curl_easy_strerror(code);
+	if (!call->is_event_stream)
+		return NULL;
+	event_stream_init(&stream, -1);
+	(void)!event_stream_consume(&stream, call->response_body->data,
+				    call->response_body->len);
+	return event_stream_defect(&stream, call->has_length
+						    ? HTTP_FRAMING_LENGTH
+						    : HTTP_FRAMING_CLOSE);
+}
+
 static void on_call_done(curl_done_t *self, CURL *handle, CURLcode code)
 {
 	agent_call_t *call = CONTAINER_OF(self, agent_call_t, done);
+	const char *defect = find_defect(call, code);
 	long status = 0;
 
 	curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
-	if (code == CURLE_OK) {
+	if (defect == NULL) {
 		call->outcome = CALL_DONE;
 		call->status = (uint32_t)status;
 	} else {
 		call->outcome = call->started ? CALL_UNKNOWN : CALL_NOT_RUN;
-		call->reason = curl_easy_strerror(code);
+		call->reason = defect;
 		g_byte_array_set_size(call->response_body, 0);
 		g_ptr_array_set_size(call->header_names, 0);
 		g_ptr_array_set_size(call->header_values, 0);
--- a/src/wisteria/gateway/exchange.c
+++ b/src/wisteria/gateway/exchange.c
@@ -491,6 +491,14 @@
 	exchange_discard(exchange);
 }
 
+/* Answers without a Content-Type on a stream route are streams. */
+static bool may_be_event_stream(const http_message_t *answer)
+{
+	const char *type = http_message_find_header(answer, "content-type");
+
+	return type == NULL || event_stream_is_named_by(type);
+}
+
 static void on_headers(http_call_handler_t *handler,
 		       const http_message_t *answer)
 {
@@ -507,7 +515,7 @@
 				 answer->status / 100 == 2 &&
 				 answer_info.stamped &&
 				 is_matching_answer(exchange, &answer_info) &&
-				 http_message_may_be_event_stream(answer);
+				 may_be_event_stream(answer);
 }
 
 static void begin_stream(exchange_t *exchange, const http_message_t *answer)
--- a/src/wisteria/gateway/event_stream.c
+++ b/src/wisteria/http/event_stream.c
@@ -1,16 +1,23 @@
 /*
  * Splits a stream of server-sent events (WHATWG HTML, 9.2) into complete
- * events, so that an event truncated by the failure of an endpoint is not
- * forwarded and the stream can be resumed after the last complete one.  No
- * clock, no I/O.
+ * events, so that one that was truncated by the failure of an endpoint is not
+ * taken for a complete one.  No clock, no I/O.
  */
-#include "wisteria/gateway/event_stream.h"
+#include "wisteria/http/event_stream.h"
 
 #include <string.h>
 
 /* Any number of this many digits fits in an int64_t; longer ids are ignored. */
 #define ID_DIGITS_MAX 18
 
+/* Returns whether this Content-Type means server-sent events. */
+bool event_stream_is_named_by(const char *content_type)
+{
+	static const char type[] = "text/event-stream";
+
+	return g_ascii_strncasecmp(content_type, type, sizeof(type) - 1) == 0;
+}
+
 /* Starts after event "last_id"; -1: at the beginning of the stream. */
 void event_stream_init(event_stream_t *stream, int64_t last_id)
 {
--- a/src/wisteria/gateway/event_stream.h
+++ b/src/wisteria/http/event_stream.h
@@ -1,5 +1,5 @@
-#ifndef WISTERIA_GATEWAY_EVENT_STREAM_H
-#define WISTERIA_GATEWAY_EVENT_STREAM_H
+#ifndef WISTERIA_HTTP_EVENT_STREAM_H
+#define WISTERIA_HTTP_EVENT_STREAM_H
 
 #include <stdbool.h>
 #include <stdint.h>
@@ -18,6 +18,7 @@
 	size_t partial_bytes; /* received of an incomplete event */
 } event_stream_t;
 
+bool event_stream_is_named_by(const char *content_type) ATTR_NONNULL_ALL;
 void event_stream_init(event_stream_t *stream,
 		       int64_t last_id) ATTR_NONNULL_ALL;
 void event_stream_begin_attempt(event_stream_t *stream) ATTR_NONNULL_ALL;
--- a/src/wisteria/http/http_message.c
+++ b/src/wisteria/http/http_message.c
@@ -70,19 +70,6 @@
 	return NULL;
 }
 
-/*
- * Returns whether the body may consist of server-sent events: unless a
- * Content-Type names something else.
- */
-bool http_message_may_be_event_stream(const http_message_t *message)
-{
-	static const char event_stream[] = "text/event-stream";
-	const char *type = http_message_find_header(message, "content-type");
-
-	return type == NULL ||
-	       strncasecmp(type, event_stream, sizeof(event_stream) - 1) == 0;
-}
-
 /*
  * Returns whether header "name" applies to a single connection and must not be
  * forwarded (RFC 9110, section 7.6.1).
--- a/src/wisteria/http/http_message.h
+++ b/src/wisteria/http/http_message.h
@@ -14,8 +14,6 @@
 				      guint index) ATTR_NONNULL_ALL;
 const char *http_message_find_header(const http_message_t *message,
 				     const char *name) ATTR_NONNULL_ALL;
-bool http_message_may_be_event_stream(const http_message_t *message)
-	ATTR_NONNULL_ALL;
 bool http_is_hop_by_hop_header(const char *name) ATTR_NONNULL_ALL;
 const char *http_framing_name(http_framing_t framing);
 const char *http_reason_phrase(unsigned status);
--- a/test/functional/agent_test.c
+++ b/test/functional/agent_test.c
@@ -592,6 +592,19 @@
 	finish();
 }
 
+static void test_call_with_stream_ended_inside_event_is_unknown(void)
+{
+	start_service();
+	send_call(3, "stream", 0);
+	CU_ASSERT_EQUAL(rig.call_reply.outcome, CALL_DONE);
+	CU_ASSERT_PTR_NOT_NULL(strstr(rig.call_body, "data: 2\n\n"));
+	send_call(4, "cut", 0);
+	CU_ASSERT_EQUAL(rig.call_reply.outcome, CALL_UNKNOWN);
+	CU_ASSERT_PTR_NULL(strstr(rig.call_body, "data: 2"));
+	CU_ASSERT_EQUAL(count_runs(), 2);
+	finish();
+}
+
 /*
  * A call is reported as not run if it was cancelled before it arrived (4), was
  * refused (7) or can't reach the service (8).  If it was sent to another
@@ -647,6 +660,8 @@
 	{ "refused is not run", test_refusals },
 	{ "a call runs once", test_call_runs_once },
 	{ "an unanswered call is unknown", test_call_unanswered_is_unknown },
+	{ "a call with a stream ended inside an event is unknown",
+	  test_call_with_stream_ended_inside_event_is_unknown },
 	{ "a call that is not run", test_call_not_run },
 };
 
--- a/test/functional/fakes/fake_service.c
+++ b/test/functional/fakes/fake_service.c
@@ -1,7 +1,9 @@
 /*
  * Fake plain services.  Every call that arrives is counted as run and written
  * to the journal before it is answered.  A request header "X-Fake: drop"
- * makes the service run the call and close the connection without an answer.
+ * makes the service run the call and close the connection without an answer;
+ * "X-Fake: stream" and "X-Fake: cut" make it answer with events and no framing,
+ * and "cut" closes the connection inside the second one.
  *
  * Journal line: METHOD PATH IDEMPOTENCY-KEY BODY LISTEN-ADDRESS.
  */
@@ -22,6 +24,8 @@
 #include "wisteria/net/net.h"
 
 #define FAKE_SERVICES_MAX 64
+#define FAKE_BLOCK_BYTES 1024
+#define FAKE_EVENT "data: 1\n\n"
 
 typedef struct {
 	char *listen;
@@ -89,6 +93,36 @@
 	return result;
 }
 
+static ssize_t read_text(void *closure, uint64_t position, char *out,
+			 size_t size)
+{
+	const char *text = closure;
+	size_t len = strlen(text) - (size_t)position;
+
+	if (len == 0)
+		return MHD_CONTENT_READER_END_OF_STREAM;
+	len = MIN(len, size);
+	memcpy(out, text + position, len);
+	return (ssize_t)len;
+}
+
+/* Answers with text whose end is the end of the connection. */
+static enum MHD_Result answer_unframed(struct MHD_Connection *connection,
+				       const char *text)
+{
+	struct MHD_Response *response = MHD_create_response_from_callback(
+		MHD_SIZE_UNKNOWN, FAKE_BLOCK_BYTES, read_text,
+		(void *)(uintptr_t)text, NULL);
+	enum MHD_Result result;
+
+	MHD_set_response_options(response, MHD_RF_HTTP_VERSION_1_0_RESPONSE,
+				 MHD_RO_END);
+	MHD_add_response_header(response, "Content-Type", "text/event-stream");
+	result = MHD_queue_response(connection, 200, response);
+	MHD_destroy_response(response);
+	return result;
+}
+
 static enum MHD_Result on_request(void *closure,
 				  struct MHD_Connection *connection,
 				  const char *url, const char *method,
@@ -115,6 +149,10 @@
 	sleep_us(service->delay_us);
 	if (strcmp(header_or_dash(connection, "X-Fake"), "drop") == 0)
 		return MHD_NO;
+	if (strcmp(header_or_dash(connection, "X-Fake"), "stream") == 0)
+		return answer_unframed(connection, FAKE_EVENT "data: 2\n\n");
+	if (strcmp(header_or_dash(connection, "X-Fake"), "cut") == 0)
+		return answer_unframed(connection, FAKE_EVENT "data: 2");
 	return answer(connection, url, number, body);
 }
 
--- a/test/unit/event_stream_test.c
+++ b/test/unit/event_stream_test.c
@@ -3,7 +3,7 @@
 
 #include <string.h>
 
-#include "wisteria/gateway/event_stream.h"
+#include "wisteria/http/event_stream.h"
 
 static size_t consume(event_stream_t *stream, const char *text)
 {
