Refuse bytes of endpoints that are no events, also without end

What an endpoint sent up to a blank line was taken for an event and forwarded, so junk lines reached the caller of a stream until its deadline; junk without a line end was held up to 16 MiB a request.

Change: a block of lines that names no field of server-sent events is no event, and the attempt ends as cut; so it does after 256 KiB without a complete event. Comments and blank lines are forwarded together with the event that follows them, so that only what leads up to an event of this attempt reaches the caller; they count as progress, as before. Ruled out: a lower limit of the whole body, as events of a long stream are forwarded and not held.

--- a/src/wisteria/agent/agent_call.c
+++ b/src/wisteria/agent/agent_call.c
@@ -277,8 +277,9 @@
 	if (!call->is_event_stream)
 		return NULL;
 	event_stream_init(&stream, -1);
-	(void)!event_stream_consume(&stream, call->response_body->data,
-				    call->response_body->len);
+	if (call->response_body->len > 0)
+		(void)!event_stream_consume(&stream, call->response_body->data,
+					    call->response_body->len);
 	return event_stream_defect(&stream, call->has_length
 						    ? HTTP_FRAMING_LENGTH
 						    : HTTP_FRAMING_CLOSE);
--- a/src/wisteria/gateway/exchange.c
+++ b/src/wisteria/gateway/exchange.c
@@ -558,26 +558,49 @@
 	exchange->last_event_ms = now;
 }
 
+/* Ends the attempt of a stream that is not one, or not this one. */
+static void end_defective_stream(exchange_t *exchange, const char *defect)
+{
+	counter_add(COUNTER_GATEWAY_BROKEN_STREAMS, 1);
+	on_attempt_failed(exchange, ATTEMPT_TRUNCATED, NULL, defect, NULL);
+}
+
+static void forward_events(exchange_t *exchange, GByteArray *body)
+{
+	event_stream_t *stream = &exchange->event_stream;
+	size_t ignored_before = stream->ignored_bytes;
+	size_t complete_len =
+		event_stream_consume(stream, body->data, body->len);
+
+	if (stream->ignored_bytes > ignored_before)
+		exchange->last_progress_ms = now_of(exchange);
+	if (complete_len > 0) {
+		record_event(exchange);
+		begin_stream(exchange, http_call_response(exchange->call));
+		http_conn_send(exchange->conn, body->data, complete_len);
+		g_byte_array_remove_range(body, 0, (guint)complete_len);
+	}
+	if (stream->defect != NULL)
+		end_defective_stream(exchange, stream->defect);
+	else if (stream->partial_bytes + stream->ignored_bytes >
+		 GATEWAY_EVENT_BYTES_MAX)
+		end_defective_stream(exchange, "event_too_long");
+}
+
 static void on_body(http_call_handler_t *handler, GByteArray *body)
 {
 	exchange_t *exchange = exchange_of(handler);
-	size_t complete_len;
 
-	if (!exchange->is_streaming)
-		return;
-	complete_len = event_stream_consume(&exchange->event_stream, body->data,
-					    body->len);
-	if (complete_len == 0)
-		return;
-	record_event(exchange);
-	begin_stream(exchange, http_call_response(exchange->call));
-	http_conn_send(exchange->conn, body->data, complete_len);
-	g_byte_array_remove_range(body, 0, (guint)complete_len);
+	if (exchange->is_streaming)
+		forward_events(exchange, body);
 }
 
 static void finish_stream(exchange_t *exchange, const http_message_t *answer)
 {
 	begin_stream(exchange, answer);
+	if (answer->body->len > 0)
+		http_conn_send(exchange->conn, answer->body->data,
+			       answer->body->len);
 	log_answered(exchange, answer->status);
 	http_conn_end(exchange->conn);
 	exchange->conn = NULL;
@@ -594,8 +617,7 @@
 		finish_stream(exchange, answer);
 		return;
 	}
-	counter_add(COUNTER_GATEWAY_BROKEN_STREAMS, 1);
-	on_attempt_failed(exchange, ATTEMPT_TRUNCATED, NULL, defect, NULL);
+	end_defective_stream(exchange, defect);
 }
 
 static void on_complete(http_call_handler_t *handler,
--- a/src/wisteria/gateway/gateway_defs.h
+++ b/src/wisteria/gateway/gateway_defs.h
@@ -38,6 +38,8 @@
  * for events that are still in transit to arrive.
  */
 #define GATEWAY_LOST_ENDPOINT_STALL_MS 40
+/* Most bytes without a complete event that an endpoint may send in a stream. */
+#define GATEWAY_EVENT_BYTES_MAX (256u << 10)
 /* Minimum interval between reports of silent endpoints to the leader. */
 #define GATEWAY_SILENCE_REPORT_INTERVAL_MS 150
 /*
--- a/src/wisteria/http/event_stream.c
+++ b/src/wisteria/http/event_stream.c
@@ -18,7 +18,8 @@
 	return g_ascii_strncasecmp(content_type, type, sizeof(type) - 1) == 0;
 }
 
-/* Starts after event "last_id"; -1: at the beginning of the stream. */
+/*
+ * Starts after event "last_id"; -1: at the beginning of the stream. */
 void event_stream_init(event_stream_t *stream, int64_t last_id)
 {
 	stream->last_id = last_id;
@@ -31,6 +32,8 @@
 {
 	stream->attempt_event_count = 0;
 	stream->partial_bytes = 0;
+	stream->ignored_bytes = 0;
+	stream->defect = NULL;
 }
 
 /*
@@ -42,6 +45,8 @@
 const char *event_stream_defect(const event_stream_t *stream,
 				http_framing_t framing)
 {
+	if (stream->defect != NULL)
+		return stream->defect;
 	if (stream->partial_bytes > 0)
 		return "ended_in_event";
 	if (framing == HTTP_FRAMING_CLOSE && stream->attempt_event_count == 0)
@@ -62,73 +67,112 @@
 	return len == 1 || (len == 2 && line[0] == '\r');
 }
 
-/* Parses the id of an "id:" line; leaves "id" unchanged on other lines. */
-static void parse_id(const uint8_t *line, size_t len, int64_t *id)
+/* Returns whether the line is field "name", with or without a value. */
+static bool is_field(const uint8_t *line, size_t len, const char *name)
+{
+	size_t name_len = strlen(name);
+
+	return len > name_len && memcmp(line, name, name_len) == 0 &&
+	       strchr(":\r\n", line[name_len]) != NULL;
+}
+
+/* Parses the id of an "id" line; returns -1 if it is not a number. */
+static int64_t parse_id(const uint8_t *line, size_t len)
 {
 	int64_t value = 0;
-	size_t at = 3;
+	size_t at = sizeof("id:") - 1;
 	size_t digits = 0;
 
-	if (len < 4 || memcmp(line, "id:", 3) != 0)
-		return;
-	if (line[at] == ' ')
+	if (at < len && line[at] == ' ')
 		at++;
 	for (; at < len && g_ascii_isdigit(line[at]); at++, digits++)
 		if (digits < ID_DIGITS_MAX)
 			value = value * 10 + (line[at] - '0');
-	if (digits > 0 && digits <= ID_DIGITS_MAX)
-		*id = value;
+	return digits > 0 && digits <= ID_DIGITS_MAX ? value : -1;
 }
 
-/*
- * Returns the length of the first event in "data"; 0: it is incomplete.  Sets
- * "has_fields" to false for an event of comments and blank lines only.
- */
-static size_t first_event_length(const uint8_t *data, size_t len, int64_t *id,
-				 bool *has_fields)
+/* One event, or a block of lines that is none. */
+typedef struct {
+	size_t len;	 /* 0: it is incomplete */
+	int64_t id;	 /* -1: none */
+	bool has_lines;	 /* other than comments */
+	bool has_fields; /* lines that name a field of events */
+	bool has_data;
+} event_t;
+
+static void read_line(event_t *event, const uint8_t *line, size_t len)
 {
-	size_t at = 0;
+	if (line[0] == ':')
+		return;
+	event->has_lines = true;
+	if (is_field(line, len, "id"))
+		event->id = parse_id(line, len);
+	if (is_field(line, len, "data"))
+		event->has_data = true;
+	if (is_field(line, len, "id") || is_field(line, len, "data") ||
+	    is_field(line, len, "event") || is_field(line, len, "retry"))
+		event->has_fields = true;
+}
 
-	*has_fields = false;
+/* Returns the first event in "data". */
+static event_t first_event(const uint8_t *data, size_t len)
+{
+	event_t event = { .id = -1 };
+	size_t at = 0;
 
 	while (at < len) {
 		size_t line = line_length(data + at, len - at);
 
 		if (line == 0)
-			return 0;
-		parse_id(data + at, line, id);
+			break;
+		if (is_blank_line(data + at, line)) {
+			event.len = at + line;
+			break;
+		}
+		read_line(&event, data + at, line);
 		at += line;
-		if (is_blank_line(data + at - line, line))
-			return at;
-		if (data[at - line] != ':')
-			*has_fields = true;
 	}
-	return 0;
+	return event;
+}
+
+/* Returns why "event" cannot come next in the stream; NULL if it can. */
+static const char *event_defect(const event_t *event)
+{
+	if (event->has_lines && !event->has_fields)
+		return "not_an_event";
+	return NULL;
 }
 
 /*
- * Counts the complete events at the start of "data", keeps the id of the last
- * one, and returns their total length in bytes.  The rest of "data" belongs to
- * an incomplete event.
+ * Counts the complete events at the start of "data" and returns the length up
+ * to the end of the last one.  "data" starts behind the last event that was
+ * counted; comments and blank lines are left in it until an event follows, so
+ * that all that is forwarded leads up to an event.
  */
 size_t event_stream_consume(event_stream_t *stream, const uint8_t *data,
 			    size_t len)
 {
+	size_t at = stream->ignored_bytes;
 	size_t consumed = 0;
 
 	for (;;) {
-		int64_t id = stream->last_id;
-		bool has_fields;
-		size_t event = first_event_length(
-			data + consumed, len - consumed, &id, &has_fields);
-
-		if (event == 0) {
-			stream->partial_bytes = len - consumed;
-			return consumed;
-		}
-		stream->last_id = id;
-		stream->event_count += has_fields;
-		stream->attempt_event_count += has_fields;
-		consumed += event;
+		event_t event = first_event(data + at, len - at);
+
+		if (event.len == 0)
+			break;
+		stream->defect = event_defect(&event);
+		if (stream->defect != NULL)
+			break;
+		at += event.len;
+		if (!event.has_lines)
+			continue;
+		if (event.id >= 0)
+			stream->last_id = event.id;
+		stream->event_count++;
+		stream->attempt_event_count++;
+		consumed = at;
 	}
+	stream->ignored_bytes = at - consumed;
+	stream->partial_bytes = len - at;
+	return consumed;
 }
--- a/src/wisteria/http/event_stream.h
+++ b/src/wisteria/http/event_stream.h
@@ -16,6 +16,9 @@
 	/* Of the current attempt: */
 	uint64_t attempt_event_count;
 	size_t partial_bytes; /* received of an incomplete event */
+	/* Comments and blank lines behind the last event, not consumed. */
+	size_t ignored_bytes;
+	const char *defect; /* what follows is no next event; NULL: it may */
 } event_stream_t;
 
 bool event_stream_is_named_by(const char *content_type) ATTR_NONNULL_ALL;
--- a/test/functional/fleet_test.c
+++ b/test/functional/fleet_test.c
@@ -361,6 +361,52 @@
 	stop_writers(endpoints);
 }
 
+/* Expects whole streams although one of two endpoints sends without end. */
+static void expect_resumed_after_endless(fake_endpoint_mode_t mode,
+					 const char *name, const char *reason)
+{
+	const char *bad = harness_string(&harness, "i-%s-bad", name);
+	const char *good = harness_string(&harness, "i-%s-good", name);
+	fake_endpoint_t endpoints[2];
+
+	fake_endpoint_start(&endpoints[0], bad, "writer", harness.ip,
+			    control_address, mode);
+	fake_endpoint_start(&endpoints[1], good, "writer", harness.ip,
+			    control_address, FAKE_ENDPOINT_SERVE);
+	CU_ASSERT(harness_wait_log(
+		entry, harness_string(&harness, "endpoint=%s ", bad),
+		HARNESS_WAIT_MS));
+	CU_ASSERT(harness_wait_log(
+		entry, harness_string(&harness, "endpoint=%s ", good),
+		HARNESS_WAIT_MS));
+	/* The choice is random; so many in a row for the other are not. */
+	for (int i = 0; i < 100 && endpoints[0].runs == 0; i++) {
+		const char *id = harness_string(&harness, "%s%d", name, i);
+		http_request_t *request =
+			send_and_wait(entry_address, "/chat/11", id, "hi");
+
+		expect_complete_stream(request, id);
+		http_request_free(&client, request);
+	}
+	CU_ASSERT(harness_wait_log(entry,
+				   harness_string(&harness,
+						  "endpoint=%s end=cut "
+						  "reason=%s",
+						  bad, reason),
+				   HARNESS_WAIT_MS));
+	stop_writers(endpoints);
+}
+
+static void test_endless_body_is_not_forwarded(void)
+{
+	expect_resumed_after_endless(FAKE_ENDPOINT_ENDLESS_BYTES, "bytes",
+				     "event_too_long");
+	expect_resumed_after_endless(FAKE_ENDPOINT_ENDLESS_LINES, "lines",
+				     "not_an_event");
+	expect_resumed_after_endless(FAKE_ENDPOINT_ENDLESS_BLANKS, "blanks",
+				     "event_too_long");
+}
+
 static void test_json_on_stream_route_is_whole(void)
 {
 	fake_endpoint_t endpoints[2];
@@ -627,6 +673,7 @@
 	{ "unframed stream is complete", test_unframed_stream_is_complete },
 	{ "stream ended inside an event is not complete",
 	  test_stream_ended_inside_event_is_not_complete },
+	{ "endless body is not forwarded", test_endless_body_is_not_forwarded },
 	{ "JSON on a stream route is whole",
 	  test_json_on_stream_route_is_whole },
 	{ "unframed stream without events is not complete",
--- a/test/functional/harness/fake_endpoint.c
+++ b/test/functional/harness/fake_endpoint.c
@@ -19,6 +19,7 @@
 #define HEARTBEAT_INTERVAL_US 300000
 #define REQUEST_BYTES 8192
 #define EVENT_INTERVAL_US 20000
+#define ENDLESS_BLOCK_BYTES 16384
 /* The timeout of each receive and send on a connection. */
 #define IO_TIMEOUT_S 1
 
@@ -30,7 +31,8 @@
 	setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof(limit));
 }
 
-static void send_text(int fd, const char *text)
+/* Returns whether all of "text" was sent. */
+static bool try_send_text(int fd, const char *text)
 {
 	size_t len = strlen(text);
 
@@ -38,10 +40,16 @@
 		ssize_t sent = send(fd, text, len, MSG_NOSIGNAL);
 
 		if (sent <= 0)
-			return;
+			return false;
 		text += sent;
 		len -= (size_t)sent;
 	}
+	return true;
+}
+
+static void send_text(int fd, const char *text)
+{
+	(void)!try_send_text(fd, text);
 }
 
 /* Reads the headers and a body of Content-Length bytes, if there is one. */
@@ -170,6 +178,48 @@
 	g_free(request_id);
 }
 
+/* Returns what the mode repeats without end; NULL: it is another mode. */
+static const char *endless_unit(int mode)
+{
+	switch (mode) {
+	case FAKE_ENDPOINT_ENDLESS_INTERIM:
+		return "HTTP/1.1 100 Continue\r\n\r\n";
+	case FAKE_ENDPOINT_ENDLESS_BYTES:
+		return "zzzzzzzzzzzzzzzz";
+	case FAKE_ENDPOINT_ENDLESS_LINES:
+		return "this is no event\r\n\r\n";
+	case FAKE_ENDPOINT_ENDLESS_BLANKS:
+		return "\n";
+	default:
+		return NULL;
+	}
+}
+
+/*
+ * Sends "unit" again and again until the gateway closes the connection.  A body
+ * follows the head of a good answer.
+ */
+static void send_without_end(fake_endpoint_t *fake_endpoint, int fd,
+			     const char *request, const char *unit)
+{
+	char *request_id = copy_header(request, "X-Wisteriadrift-Request-Id");
+	char *head = g_strdup_printf(
+		"HTTP/1.1 200 OK\r\nX-Wisteriadrift-Request-Id: %s\r\n"
+		"X-Wisteriadrift-Response-Stamp: 1.2.3\r\n\r\n",
+		request_id);
+	GString *block = g_string_new(NULL);
+
+	while (block->len < ENDLESS_BLOCK_BYTES)
+		g_string_append(block, unit);
+	if (fake_endpoint->mode != FAKE_ENDPOINT_ENDLESS_INTERIM)
+		send_text(fd, head);
+	while (!fake_endpoint->stopping && try_send_text(fd, block->str))
+		continue;
+	g_string_free(block, TRUE);
+	g_free(head);
+	g_free(request_id);
+}
+
 /* Initializes an empty journal. */
 void fake_endpoint_journal_init(fake_endpoint_journal_t *journal)
 {
@@ -263,7 +313,10 @@
 		return;
 	}
 	record_run(fake_endpoint, request);
-	if (fake_endpoint->mode != FAKE_ENDPOINT_DROP)
+	if (endless_unit(fake_endpoint->mode) != NULL)
+		send_without_end(fake_endpoint, fd, request,
+				 endless_unit(fake_endpoint->mode));
+	else if (fake_endpoint->mode != FAKE_ENDPOINT_DROP)
 		send_stream(fd, request, fake_endpoint->mode);
 }
 
--- a/test/functional/harness/fake_endpoint.h
+++ b/test/functional/harness/fake_endpoint.h
@@ -30,6 +30,11 @@
 	FAKE_ENDPOINT_UNFRAMED_EMPTY,
 	/* Answers each request with FAKE_ENDPOINT_JSON_BODY, unframed. */
 	FAKE_ENDPOINT_JSON,
+	/* Sends bytes that are no answer until the connection is closed: */
+	FAKE_ENDPOINT_ENDLESS_INTERIM, /* heads of interim responses */
+	FAKE_ENDPOINT_ENDLESS_BYTES,   /* a body without line ends */
+	FAKE_ENDPOINT_ENDLESS_LINES,   /* a body of lines that are no events */
+	FAKE_ENDPOINT_ENDLESS_BLANKS,  /* a body of blank lines */
 	/* Ends a new stream inside an event and then sends the last chunk. */
 	FAKE_ENDPOINT_CHUNKED_CUT,
 	FAKE_ENDPOINT_REJECT, /* answers 503 without running it */
--- a/test/unit/event_stream_test.c
+++ b/test/unit/event_stream_test.c
@@ -89,10 +89,12 @@
 	CU_ASSERT_PTR_NOT_NULL(
 		event_stream_defect(&stream, HTTP_FRAMING_CLOSE));
 	CU_ASSERT_PTR_NULL(event_stream_defect(&stream, HTTP_FRAMING_CHUNKED));
-	(void)!consume(&stream, ": warm\n\n\n");
+	CU_ASSERT_EQUAL(consume(&stream, ": warm\n\n\n"), 0);
 	CU_ASSERT_PTR_NOT_NULL(
 		event_stream_defect(&stream, HTTP_FRAMING_CLOSE));
-	(void)!consume(&stream, "id: 1\ndata: a\n\nid: 2\nda");
+	CU_ASSERT_EQUAL(consume(&stream, ": warm\n\n\n"
+					 "id: 1\ndata: a\n\nid: 2\nda"),
+			24);
 	event_stream_begin_attempt(&stream);
 	CU_ASSERT_PTR_NOT_NULL(
 		event_stream_defect(&stream, HTTP_FRAMING_CLOSE));
@@ -100,6 +102,35 @@
 	CU_ASSERT_PTR_NULL(event_stream_defect(&stream, HTTP_FRAMING_CLOSE));
 }
 
+static void test_junk_is_not_an_event(void)
+{
+	static const char *const junk[] = { "GARBAGE\r\n\r\n", "\x01\x02\n\n",
+					    "database: 1\n\n", "ID: 5\n\n" };
+	event_stream_t stream;
+
+	for (size_t i = 0; i < ARRAY_SIZE(junk); i++) {
+		event_stream_init(&stream, -1);
+		CU_ASSERT_EQUAL(consume(&stream, "data: a\n\n"), 9);
+		CU_ASSERT_EQUAL(consume(&stream, junk[i]), 0);
+		CU_ASSERT_STRING_EQUAL(
+			event_stream_defect(&stream, HTTP_FRAMING_CHUNKED),
+			"not_an_event");
+	}
+}
+
+static void test_bytes_without_events_are_counted(void)
+{
+	event_stream_t stream;
+
+	event_stream_init(&stream, -1);
+	CU_ASSERT_EQUAL(consume(&stream, "\n\n: a\n\nda"), 0);
+	CU_ASSERT_EQUAL(stream.ignored_bytes, 7);
+	CU_ASSERT_EQUAL(stream.partial_bytes, 2);
+	CU_ASSERT_EQUAL(consume(&stream, "\n\n: a\n\ndata: a\n\n"), 16);
+	CU_ASSERT_EQUAL(stream.ignored_bytes, 0);
+	CU_ASSERT_EQUAL(stream.partial_bytes, 0);
+}
+
 /* Wherever the bytes are split, each event is forwarded exactly once. */
 static void test_every_split(void)
 {
@@ -129,6 +160,9 @@
 	{ "line endings", test_line_endings },
 	{ "invalid ids", test_invalid_ids },
 	{ "every split", test_every_split },
+	{ "junk is not an event", test_junk_is_not_an_event },
+	{ "bytes without events are counted",
+	  test_bytes_without_events_are_counted },
 	{ "stream ended inside an event is not complete",
 	  test_stream_ended_inside_event_is_not_complete },
 	{ "closed without event is not complete",
