Break a resumable stream off at an event that is not the next

From an endpoint that starts with event 0 again the caller got events twice in a stream that ended as complete.

Change: on a route whose streams can be resumed, an event whose id is not above the last one ends the attempt as cut. Other routes have no ids to rely on.

--- a/src/wisteria/agent/agent_call.c
+++ b/src/wisteria/agent/agent_call.c
@@ -276,7 +276,7 @@
 		return curl_easy_strerror(code);
 	if (!call->is_event_stream)
 		return NULL;
-	event_stream_init(&stream, -1);
+	event_stream_init(&stream, -1, false);
 	if (call->response_body->len > 0)
 		(void)!event_stream_consume(&stream, call->response_body->data,
 					    call->response_body->len);
--- a/src/wisteria/gateway/exchange.c
+++ b/src/wisteria/gateway/exchange.c
@@ -740,7 +740,8 @@
 		limit = MIN(limit, caller->time_limit_ms);
 	exchange->deadline_ms = exchange->started_ms + limit;
 	exchange->failed_ids = g_ptr_array_new_with_free_func(g_free);
-	event_stream_init(&exchange->event_stream, caller->last_event_id);
+	event_stream_init(&exchange->event_stream, caller->last_event_id,
+			  route->resumable);
 	LIST_INSERT_HEAD(&gateway->exchanges, exchange, entry);
 	conn->user = exchange;
 	return exchange;
--- a/src/wisteria/http/event_stream.c
+++ b/src/wisteria/http/event_stream.c
@@ -19,11 +19,14 @@
 }
 
 /*
- * Starts after event "last_id"; -1: at the beginning of the stream. */
-void event_stream_init(event_stream_t *stream, int64_t last_id)
+ * Starts after event "last_id"; -1: at the beginning of the stream.  In an
+ * ordered stream each event has a higher id than the one before.
+ */
+void event_stream_init(event_stream_t *stream, int64_t last_id, bool is_ordered)
 {
 	stream->last_id = last_id;
 	stream->event_count = 0;
+	stream->is_ordered = is_ordered;
 	event_stream_begin_attempt(stream);
 }
 
@@ -136,10 +139,14 @@
 }
 
 /* Returns why "event" cannot come next in the stream; NULL if it can. */
-static const char *event_defect(const event_t *event)
+static const char *event_defect(const event_stream_t *stream,
+				const event_t *event)
 {
 	if (event->has_lines && !event->has_fields)
 		return "not_an_event";
+	if (stream->is_ordered && (event->has_data || event->id >= 0) &&
+	    event->id <= stream->last_id)
+		return "event_out_of_order";
 	return NULL;
 }
 
@@ -160,7 +167,7 @@
 
 		if (event.len == 0)
 			break;
-		stream->defect = event_defect(&event);
+		stream->defect = event_defect(stream, &event);
 		if (stream->defect != NULL)
 			break;
 		at += event.len;
--- a/src/wisteria/http/event_stream.h
+++ b/src/wisteria/http/event_stream.h
@@ -13,6 +13,7 @@
 typedef struct {
 	int64_t last_id; /* of the last complete event; -1: none had one */
 	uint64_t event_count;
+	bool is_ordered;
 	/* Of the current attempt: */
 	uint64_t attempt_event_count;
 	size_t partial_bytes; /* received of an incomplete event */
@@ -22,8 +23,8 @@
 } event_stream_t;
 
 bool event_stream_is_named_by(const char *content_type) ATTR_NONNULL_ALL;
-void event_stream_init(event_stream_t *stream,
-		       int64_t last_id) ATTR_NONNULL_ALL;
+void event_stream_init(event_stream_t *stream, int64_t last_id,
+		       bool is_ordered) ATTR_NONNULL_ALL;
 void event_stream_begin_attempt(event_stream_t *stream) ATTR_NONNULL_ALL;
 const char *
 event_stream_defect(const event_stream_t *stream,
--- a/test/functional/fleet_test.c
+++ b/test/functional/fleet_test.c
@@ -407,6 +407,34 @@
 				     "event_too_long");
 }
 
+static void test_repeated_events_are_not_forwarded(void)
+{
+	fake_endpoint_t endpoints[2];
+	bool resumed = false;
+
+	fake_endpoint_start(&endpoints[0], "i-22", "writer", harness.ip,
+			    control_address, FAKE_ENDPOINT_TRUNCATE);
+	fake_endpoint_start(&endpoints[1], "i-23", "writer", harness.ip,
+			    control_address, FAKE_ENDPOINT_RESTART);
+	CU_ASSERT(harness_wait_log(entry, "endpoint=i-22 ", HARNESS_WAIT_MS));
+	CU_ASSERT(harness_wait_log(entry, "endpoint=i-23 ", HARNESS_WAIT_MS));
+	/* The choice is random; so many in a row for the other are not. */
+	for (int i = 0; i < 100 && !resumed; i++) {
+		const char *id = harness_string(&harness, "repeated%d", i);
+		http_request_t *request =
+			send_and_wait(entry_address, "/chat/12", id, "hi");
+
+		resumed = endpoints[0].runs > 0;
+		if (resumed)
+			expect_broken_off(request);
+		else
+			expect_complete_stream(request, id);
+		http_request_free(&client, request);
+	}
+	CU_ASSERT(resumed);
+	stop_writers(endpoints);
+}
+
 static void test_json_on_stream_route_is_whole(void)
 {
 	fake_endpoint_t endpoints[2];
@@ -674,6 +702,8 @@
 	{ "stream ended inside an event is not complete",
 	  test_stream_ended_inside_event_is_not_complete },
 	{ "endless body is not forwarded", test_endless_body_is_not_forwarded },
+	{ "repeated events are not forwarded",
+	  test_repeated_events_are_not_forwarded },
 	{ "JSON on a stream route is whole",
 	  test_json_on_stream_route_is_whole },
 	{ "unframed stream without events is not complete",
--- a/test/functional/harness/fake_endpoint.c
+++ b/test/functional/harness/fake_endpoint.c
@@ -149,7 +149,9 @@
 {
 	char *request_id = copy_header(request, "X-Wisteriadrift-Request-Id");
 	char *last = copy_header(request, "Last-Event-Id");
-	unsigned long id = last[0] == '\0' ? 0 : strtoul(last, NULL, 10) + 1;
+	unsigned long id = last[0] == '\0' || mode == FAKE_ENDPOINT_RESTART
+				   ? 0
+				   : strtoul(last, NULL, 10) + 1;
 	bool is_truncated = truncates(mode) && last[0] == '\0';
 	bool chunked = is_chunked(mode);
 	char *head = g_strdup_printf(
--- a/test/functional/harness/fake_endpoint.h
+++ b/test/functional/harness/fake_endpoint.h
@@ -40,6 +40,8 @@
 	FAKE_ENDPOINT_REJECT, /* answers 503 without running it */
 	/* As before, and wants nothing for FAKE_ENDPOINT_PAUSE_S. */
 	FAKE_ENDPOINT_PAUSE,
+	/* Serves, and starts each stream with event 0. */
+	FAKE_ENDPOINT_RESTART,
 	FAKE_ENDPOINT_LEAVE, /* serves, and says that it leaves */
 	FAKE_ENDPOINT_DROP   /* runs it and closes without an answer */
 } fake_endpoint_mode_t;
--- a/test/unit/event_stream_test.c
+++ b/test/unit/event_stream_test.c
@@ -15,7 +15,7 @@
 {
 	event_stream_t stream;
 
-	event_stream_init(&stream, -1);
+	event_stream_init(&stream, -1, false);
 	CU_ASSERT_EQUAL(
 		consume(&stream, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"), 30);
 	CU_ASSERT_EQUAL(stream.last_id, 2);
@@ -26,7 +26,7 @@
 {
 	event_stream_t stream;
 
-	event_stream_init(&stream, -1);
+	event_stream_init(&stream, -1, false);
 	CU_ASSERT_EQUAL(consume(&stream, "id: 1\ndata: a\n\nid: 2\ndata: b\n"),
 			15);
 	CU_ASSERT_EQUAL(stream.last_id, 1);
@@ -38,7 +38,7 @@
 {
 	event_stream_t stream;
 
-	event_stream_init(&stream, 6);
+	event_stream_init(&stream, 6, false);
 	CU_ASSERT_EQUAL(consume(&stream, "id:7\r\ndata: a\r\n\r\n"), 17);
 	CU_ASSERT_EQUAL(stream.last_id, 7);
 }
@@ -47,7 +47,7 @@
 {
 	event_stream_t stream;
 
-	event_stream_init(&stream, 3);
+	event_stream_init(&stream, 3, false);
 	CU_ASSERT_EQUAL(consume(&stream, "id: x\n\n"), 7);
 	CU_ASSERT_EQUAL(consume(&stream, "data: id: 9\n\n"), 13);
 	CU_ASSERT_EQUAL(consume(&stream, "id: 99999999999999999999999\n\n"),
@@ -66,7 +66,7 @@
 	event_stream_t stream;
 
 	for (size_t i = 0; i < ARRAY_SIZE(partial); i++) {
-		event_stream_init(&stream, -1);
+		event_stream_init(&stream, -1, false);
 		(void)!consume(&stream, partial[i]);
 		CU_ASSERT_PTR_NOT_NULL(
 			event_stream_defect(&stream, HTTP_FRAMING_CLOSE));
@@ -75,7 +75,7 @@
 		CU_ASSERT_PTR_NOT_NULL(
 			event_stream_defect(&stream, HTTP_FRAMING_LENGTH));
 	}
-	event_stream_init(&stream, -1);
+	event_stream_init(&stream, -1, false);
 	(void)!consume(&stream, "id: 1\ndata: a\n\n");
 	CU_ASSERT_PTR_NULL(event_stream_defect(&stream, HTTP_FRAMING_CLOSE));
 	CU_ASSERT_PTR_NULL(event_stream_defect(&stream, HTTP_FRAMING_CHUNKED));
@@ -85,7 +85,7 @@
 {
 	event_stream_t stream;
 
-	event_stream_init(&stream, -1);
+	event_stream_init(&stream, -1, false);
 	CU_ASSERT_PTR_NOT_NULL(
 		event_stream_defect(&stream, HTTP_FRAMING_CLOSE));
 	CU_ASSERT_PTR_NULL(event_stream_defect(&stream, HTTP_FRAMING_CHUNKED));
@@ -102,6 +102,30 @@
 	CU_ASSERT_PTR_NULL(event_stream_defect(&stream, HTTP_FRAMING_CLOSE));
 }
 
+static void test_ordered_stream_refuses_repeated_events(void)
+{
+	static const char *const wrong[] = { "id: 4\ndata: d\n\n",
+					     "id: 0\ndata: a\n\n",
+					     "data: e\n\n",
+					     "id: x\ndata: e\n\n" };
+	event_stream_t stream;
+
+	for (size_t i = 0; i < ARRAY_SIZE(wrong); i++) {
+		event_stream_init(&stream, 3, true);
+		CU_ASSERT_EQUAL(consume(&stream, "id: 4\ndata: d\n\n"), 15);
+		CU_ASSERT_EQUAL(consume(&stream, wrong[i]), 0);
+		CU_ASSERT_STRING_EQUAL(stream.defect, "event_out_of_order");
+		CU_ASSERT_EQUAL(stream.last_id, 4);
+		CU_ASSERT_EQUAL(stream.event_count, 1);
+	}
+	event_stream_init(&stream, 3, true);
+	CU_ASSERT_EQUAL(consume(&stream, ": warm\n\nretry: 50\n\n"
+					 "version: 2\nid: 5\ndata: e\n\n"),
+			45);
+	CU_ASSERT_PTR_NULL(stream.defect);
+	CU_ASSERT_EQUAL(stream.last_id, 5);
+}
+
 static void test_junk_is_not_an_event(void)
 {
 	static const char *const junk[] = { "GARBAGE\r\n\r\n", "\x01\x02\n\n",
@@ -109,7 +133,7 @@
 	event_stream_t stream;
 
 	for (size_t i = 0; i < ARRAY_SIZE(junk); i++) {
-		event_stream_init(&stream, -1);
+		event_stream_init(&stream, -1, false);
 		CU_ASSERT_EQUAL(consume(&stream, "data: a\n\n"), 9);
 		CU_ASSERT_EQUAL(consume(&stream, junk[i]), 0);
 		CU_ASSERT_STRING_EQUAL(
@@ -122,7 +146,7 @@
 {
 	event_stream_t stream;
 
-	event_stream_init(&stream, -1);
+	event_stream_init(&stream, -1, false);
 	CU_ASSERT_EQUAL(consume(&stream, "\n\n: a\n\nda"), 0);
 	CU_ASSERT_EQUAL(stream.ignored_bytes, 7);
 	CU_ASSERT_EQUAL(stream.partial_bytes, 2);
@@ -141,7 +165,7 @@
 		event_stream_t stream;
 		size_t consumed;
 
-		event_stream_init(&stream, -1);
+		event_stream_init(&stream, -1, false);
 		consumed = event_stream_consume(&stream, (const uint8_t *)text,
 						split);
 		CU_ASSERT(consumed <= split);
@@ -160,6 +184,8 @@
 	{ "line endings", test_line_endings },
 	{ "invalid ids", test_invalid_ids },
 	{ "every split", test_every_split },
+	{ "ordered stream refuses repeated events",
+	  test_ordered_stream_refuses_repeated_events },
 	{ "junk is not an event", test_junk_is_not_an_event },
 	{ "bytes without events are counted",
 	  test_bytes_without_events_are_counted },
