Count interim responses against the limit of a head

Found while testing bytes without end: the status lines of interim (1xx) responses were not counted, so an endpoint that sends nothing but these was read until the deadline of the request, at full speed and with nothing to show for it.

Change: each interim response counts at least the length of its status line towards the 64 KiB of a head. All other forms of a head, chunk or body without end that the new unit test tries were bounded before.

--- a/src/wisteria/http/http_reader.c
+++ b/src/wisteria/http/http_reader.c
@@ -5,6 +5,12 @@
 
 #include "wisteria/http/http_message.h"
 
+/*
+ * What each interim response adds to the header bytes, besides its headers; the
+ * parser does not pass on its status line.
+ */
+#define INTERIM_BYTES_MIN (sizeof("HTTP/1.1 100\r\n\r\n") - 1)
+
 static const guint8 NUL = 0;
 
 static int fail(http_reader_t *reader, http_read_error_t error)
@@ -103,8 +109,9 @@
 	reader->message.keep_alive = http_should_keep_alive(parser) != 0;
 	reader->is_interim =
 		parser->type == HTTP_RESPONSE && parser->status_code / 100 == 1;
-	if (!reader->is_interim)
-		reader->state = HTTP_READ_BODY;
+	if (reader->is_interim)
+		return count_header_bytes(reader, INTERIM_BYTES_MIN);
+	reader->state = HTTP_READ_BODY;
 	if (parser->content_length != ULLONG_MAX &&
 	    parser->content_length > reader->body_bytes_max)
 		return fail(reader, HTTP_BODY_TOO_LARGE);
--- a/test/functional/fleet_test.c
+++ b/test/functional/fleet_test.c
@@ -363,7 +363,7 @@
 
 /* Expects whole streams although one of two endpoints sends without end. */
 static void expect_resumed_after_endless(fake_endpoint_mode_t mode,
-					 const char *name, const char *reason)
+					 const char *name, const char *end)
 {
 	const char *bad = harness_string(&harness, "i-%s-bad", name);
 	const char *good = harness_string(&harness, "i-%s-good", name);
@@ -388,23 +388,26 @@
 		expect_complete_stream(request, id);
 		http_request_free(&client, request);
 	}
-	CU_ASSERT(harness_wait_log(entry,
-				   harness_string(&harness,
-						  "endpoint=%s end=cut "
-						  "reason=%s",
-						  bad, reason),
-				   HARNESS_WAIT_MS));
+	CU_ASSERT(harness_wait_log(
+		entry, harness_string(&harness, "endpoint=%s end=%s", bad, end),
+		HARNESS_WAIT_MS));
 	stop_writers(endpoints);
 }
 
+static void test_endless_interim_heads_are_refused(void)
+{
+	expect_resumed_after_endless(FAKE_ENDPOINT_ENDLESS_INTERIM, "interim",
+				     "unknown reason=unreadable_answer");
+}
+
 static void test_endless_body_is_not_forwarded(void)
 {
 	expect_resumed_after_endless(FAKE_ENDPOINT_ENDLESS_BYTES, "bytes",
-				     "event_too_long");
+				     "cut reason=event_too_long");
 	expect_resumed_after_endless(FAKE_ENDPOINT_ENDLESS_LINES, "lines",
-				     "not_an_event");
+				     "cut reason=not_an_event");
 	expect_resumed_after_endless(FAKE_ENDPOINT_ENDLESS_BLANKS, "blanks",
-				     "event_too_long");
+				     "cut reason=event_too_long");
 }
 
 static void test_repeated_events_are_not_forwarded(void)
@@ -701,6 +704,8 @@
 	{ "unframed stream is complete", test_unframed_stream_is_complete },
 	{ "stream ended inside an event is not complete",
 	  test_stream_ended_inside_event_is_not_complete },
+	{ "endless interim heads are refused",
+	  test_endless_interim_heads_are_refused },
 	{ "endless body is not forwarded", test_endless_body_is_not_forwarded },
 	{ "repeated events are not forwarded",
 	  test_repeated_events_are_not_forwarded },
--- a/test/unit/http_reader_test.c
+++ b/test/unit/http_reader_test.c
@@ -6,6 +6,9 @@
 #include "wisteria/http/http_message.h"
 #include "wisteria/http/http_reader.h"
 
+/* Above the limit of the parser's own count of a head's bytes. */
+#define ENDLESS_BYTES_MAX (128u << 10)
+
 static http_reader_t reader;
 
 static size_t feed(const char *text)
@@ -136,6 +139,47 @@
 	http_reader_finish(&reader);
 }
 
+/* Each head or body that does not end is refused after a bounded length. */
+static void test_bytes_without_end_are_refused(void)
+{
+	static const struct {
+		const char *start;
+		const char *unit; /* repeated */
+	} endless[] = {
+		{ "", "HTTP/1.1 100 Continue\r\n\r\n" },
+		{ "", "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" },
+		{ "", "\r\n" },
+		{ "", "\x01junk" },
+		{ "HTTP/1.1 200 ", "reason" },
+		{ "HTTP/1.1 200 OK\r\n", "name" },
+		{ "HTTP/1.1 200 OK\r\n", "A:\r\n" },
+		{ "HTTP/1.1 200 OK\r\nA:", " " },
+		{ "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+		  "0" },
+		{ "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;",
+		  "extension" },
+		{ "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		  "0\r\n",
+		  "A: trailer\r\n" },
+		{ "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+		  "1\r\nx\r\n" },
+		{ "HTTP/1.1 200 OK\r\n\r\n", "body" },
+	};
+
+	for (size_t i = 0; i < ARRAY_SIZE(endless); i++) {
+		size_t len = 0;
+
+		init_reader(HTTP_RESPONSE);
+		(void)!feed(endless[i].start);
+		while (reader.state != HTTP_READ_FAILED &&
+		       len < ENDLESS_BYTES_MAX)
+			len += feed(endless[i].unit);
+		CU_ASSERT_EQUAL(reader.state, HTTP_READ_FAILED);
+		CU_ASSERT(len < ENDLESS_BYTES_MAX);
+		http_reader_finish(&reader);
+	}
+}
+
 typedef struct {
 	const char *head;
 	http_framing_t framing;
@@ -173,6 +217,7 @@
 	{ "invalid requests", test_invalid_requests },
 	{ "responses", test_responses },
 	{ "framing", test_framing },
+	{ "bytes without end are refused", test_bytes_without_end_are_refused },
 	{ "trailers are terminated", test_trailers_are_terminated },
 };
 
