Accept no longer answers than can be delivered

Seen while testing answers without end: an answer of 8 to 16 MiB was read whole, logged as answered with 200, and then cut, because at most 8 MiB are queued for a caller.

Change: the limit of an answer follows from the limit of the queue, so a longer one fails as unreadable and the caller gets a truthful 502, or another attempt.

--- a/src/wisteria/http/http_call.c
+++ b/src/wisteria/http/http_call.c
@@ -14,8 +14,11 @@
 #include "wisteria/net/net.h"
 
 #define CALL_HEADER_BYTES_MAX (64u << 10)
-/* Maximum size of the response body that the owner has not consumed. */
-#define CALL_BODY_BYTES_MAX (16u << 20)
+/*
+ * Maximum size of the response body that the owner has not consumed: as much as
+ * can be queued for a caller, with its headers.
+ */
+#define CALL_BODY_BYTES_MAX (HTTP_BACKLOG_BYTES_MAX - CALL_HEADER_BYTES_MAX)
 #define CALL_READ_BYTES (64u << 10)
 
 struct http_call_t {
