Bound the memory of all unfinished answers of an entry

Found while testing bytes without end: each answer was bounded, their sum was not. A plain answer is held until it is complete, so ten endpoints that send without end would have cost an entry more memory than its machine has, and with it all its callers.

Change: unfinished answers hold 24 MiB at most over all requests; beyond that the longest is given up as cut, with the usual retry where that is safe. The gauge gateway_answer_bytes shows what is held. Ruled out: a lower limit for each answer, which refuses what callers may rightly ask for.

--- a/src/wisteria/base/counters.c
+++ b/src/wisteria/base/counters.c
@@ -93,6 +93,8 @@
 				 "Requests under way." },
 	[GAUGE_GATEWAY_WAITING] = { "gateway_waiting", "gauge",
 				    "Requests that wait for a place." },
+	[GAUGE_GATEWAY_ANSWER_BYTES] = { "gateway_answer_bytes", "gauge",
+					 "Bytes held of unfinished answers." },
 	[GAUGE_ENDPOINTS] = { "endpoints", "gauge", "Endpoints known." },
 	[GAUGE_LEASE] = { "lease", "gauge",
 			  "1 while the revision held is confirmed." },
--- a/src/wisteria/gateway/exchange.c
+++ b/src/wisteria/gateway/exchange.c
@@ -53,10 +53,19 @@
 	g_string_free(headers, TRUE);
 }
 
+/* Records how much is held of the answer of the current attempt. */
+static void set_answer_bytes(exchange_t *exchange, size_t bytes)
+{
+	exchange->gateway->answer_bytes -= exchange->answer_bytes;
+	exchange->gateway->answer_bytes += bytes;
+	exchange->answer_bytes = bytes;
+}
+
 static void end_attempt(exchange_t *exchange)
 {
 	const target_t *target = &exchange->target;
 
+	set_answer_bytes(exchange, 0);
 	if (exchange->call != NULL)
 		http_call_cancel(exchange->call);
 	exchange->call = NULL;
@@ -587,12 +596,34 @@
 		end_defective_stream(exchange, "event_too_long");
 }
 
+/*
+ * Ends the attempt whose answer takes up most of the memory for answers: one
+ * that does not end rather than many that do.
+ */
+static void end_largest_answer(gateway_t *gateway)
+{
+	exchange_t *largest = LIST_FIRST(&gateway->exchanges);
+	exchange_t *exchange;
+
+	LIST_FOREACH(exchange, &gateway->exchanges, entry)
+	if (exchange->answer_bytes > largest->answer_bytes)
+		largest = exchange;
+	on_attempt_failed(largest, ATTEMPT_TRUNCATED, NULL, "answers_too_large",
+			  NULL);
+}
+
 static void on_body(http_call_handler_t *handler, GByteArray *body)
 {
 	exchange_t *exchange = exchange_of(handler);
+	gateway_t *gateway = exchange->gateway;
 
-	if (exchange->is_streaming)
+	if (exchange->is_streaming) {
 		forward_events(exchange, body);
+		return;
+	}
+	set_answer_bytes(exchange, body->len);
+	if (gateway->answer_bytes > GATEWAY_ANSWERS_BYTES_MAX)
+		end_largest_answer(gateway);
 }
 
 static void finish_stream(exchange_t *exchange, const http_message_t *answer)
--- a/src/wisteria/gateway/gateway.c
+++ b/src/wisteria/gateway/gateway.c
@@ -362,6 +362,7 @@
 	open++;
 	counter_set(GAUGE_GATEWAY_OPEN, open);
 	counter_set(GAUGE_GATEWAY_WAITING, gateway->waiting.count);
+	counter_set(GAUGE_GATEWAY_ANSWER_BYTES, gateway->answer_bytes);
 	counter_set(GAUGE_ENDPOINTS,
 		    g_hash_table_size(gateway->registry.by_id));
 	counter_set(GAUGE_LEASE,
--- a/src/wisteria/gateway/gateway_defs.h
+++ b/src/wisteria/gateway/gateway_defs.h
@@ -40,6 +40,11 @@
 #define GATEWAY_LOST_ENDPOINT_STALL_MS 40
 /* Most bytes without a complete event that an endpoint may send in a stream. */
 #define GATEWAY_EVENT_BYTES_MAX (256u << 10)
+/*
+ * Most bytes of unfinished answers that are held, over all requests.  Answers
+ * other than streams are forwarded only once they are complete.
+ */
+#define GATEWAY_ANSWERS_BYTES_MAX (24u << 20)
 /* Minimum interval between reports of silent endpoints to the leader. */
 #define GATEWAY_SILENCE_REPORT_INTERVAL_MS 150
 /*
@@ -138,6 +143,7 @@
 	bool headers_sent;
 	event_stream_t event_stream;
 	http_framing_t answer_framing; /* of the current attempt */
+	size_t answer_bytes;	       /* held of it, unless it is a stream */
 	clock_ms_t first_event_ms;     /* 0: none yet */
 	clock_ms_t last_event_ms;
 	clock_ms_t longest_gap_ms; /* between two events */
@@ -194,6 +200,7 @@
 	clock_ms_t first_endpoint_ms; /* first one known; 0: none yet */
 	wait_queue_t waiting;	      /* for capacity at endpoints */
 	exchange_list_t exchanges;
+	size_t answer_bytes;   /* of all exchanges */
 	GArray *held_requests; /* of held_request_t, oldest first */
 	GRand *random;
 	uv_timer_t tick;
--- a/test/functional/fleet_test.c
+++ b/test/functional/fleet_test.c
@@ -13,6 +13,8 @@
 #include "harness/harness.h"
 #include "harness/http.h"
 
+#define REQUESTS_MAX 100
+
 static harness_t harness;
 static http_client_t client;
 static const char *control_address;
@@ -438,6 +440,60 @@
 	stop_writers(endpoints);
 }
 
+static bool all_have_run(const fake_endpoint_t *endpoints, size_t count)
+{
+	for (size_t i = 0; i < count; i++)
+		if (endpoints[i].runs == 0)
+			return false;
+	return true;
+}
+
+/*
+ * Four answers that together exceed the limit; the caller of one gets 502, and
+ * the others are delivered whole.
+ */
+static void test_unfinished_answers_fit_in_memory(void)
+{
+	static const char *const ids[] = { "i-24", "i-25", "i-26", "i-27" };
+	fake_endpoint_t endpoints[ARRAY_SIZE(ids)];
+	http_request_t *requests[REQUESTS_MAX];
+	unsigned failed = 0;
+	unsigned whole = 0;
+	int count = 0;
+
+	for (size_t i = 0; i < ARRAY_SIZE(ids); i++) {
+		fake_endpoint_start(&endpoints[i], ids[i], "orders", harness.ip,
+				    control_address, FAKE_ENDPOINT_LARGE);
+		CU_ASSERT(harness_wait_log(
+			entry, harness_string(&harness, "endpoint=%s ", ids[i]),
+			HARNESS_WAIT_MS));
+	}
+	/* Each endpoint must have one; further ones wait at any. */
+	while (count < REQUESTS_MAX &&
+	       !all_have_run(endpoints, ARRAY_SIZE(ids))) {
+		requests[count] = send_request(
+			entry_address, "/book/4",
+			harness_string(&harness, "large%d", count), "7");
+		count++;
+		CU_ASSERT(!http_client_run(&client, 20));
+	}
+	CU_ASSERT(harness_wait_log(entry, "reason=answers_too_large",
+				   HARNESS_WAIT_MS));
+	for (size_t i = 0; i < ARRAY_SIZE(ids); i++)
+		endpoints[i].mode = FAKE_ENDPOINT_SERVE;
+	CU_ASSERT(http_client_run(&client, HARNESS_WAIT_MS));
+	for (int i = 0; i < count; i++) {
+		failed += requests[i]->status == 502;
+		whole += requests[i]->status == 200 &&
+			 requests[i]->body->len == FAKE_ENDPOINT_LARGE_BYTES;
+		http_request_free(&client, requests[i]);
+	}
+	CU_ASSERT_EQUAL(failed, 1);
+	CU_ASSERT_EQUAL(whole, ARRAY_SIZE(ids) - 1);
+	for (size_t i = 0; i < ARRAY_SIZE(ids); i++)
+		fake_endpoint_stop(&endpoints[i]);
+}
+
 static void test_json_on_stream_route_is_whole(void)
 {
 	fake_endpoint_t endpoints[2];
@@ -709,6 +765,8 @@
 	{ "endless body is not forwarded", test_endless_body_is_not_forwarded },
 	{ "repeated events are not forwarded",
 	  test_repeated_events_are_not_forwarded },
+	{ "unfinished answers fit in memory",
+	  test_unfinished_answers_fit_in_memory },
 	{ "JSON on a stream route is whole",
 	  test_json_on_stream_route_is_whole },
 	{ "unframed stream without events is not complete",
--- a/test/functional/harness/fake_endpoint.c
+++ b/test/functional/harness/fake_endpoint.c
@@ -187,6 +187,7 @@
 	case FAKE_ENDPOINT_ENDLESS_INTERIM:
 		return "HTTP/1.1 100 Continue\r\n\r\n";
 	case FAKE_ENDPOINT_ENDLESS_BYTES:
+	case FAKE_ENDPOINT_LARGE:
 		return "zzzzzzzzzzzzzzzz";
 	case FAKE_ENDPOINT_ENDLESS_LINES:
 		return "this is no event\r\n\r\n";
@@ -197,9 +198,15 @@
 	}
 }
 
+static size_t length_limit(int mode)
+{
+	return mode == FAKE_ENDPOINT_LARGE ? FAKE_ENDPOINT_LARGE_BYTES
+					   : SIZE_MAX;
+}
+
 /*
- * Sends "unit" again and again until the gateway closes the connection.  A body
- * follows the head of a good answer.
+ * Sends "unit" again and again until the gateway closes the connection or the
+ * length of the mode is reached.  A body follows the head of a good answer.
  */
 static void send_without_end(fake_endpoint_t *fake_endpoint, int fd,
 			     const char *request, const char *unit)
@@ -210,13 +217,20 @@
 		"X-Wisteriadrift-Response-Stamp: 1.2.3\r\n\r\n",
 		request_id);
 	GString *block = g_string_new(NULL);
+	int mode = fake_endpoint->mode;
 
 	while (block->len < ENDLESS_BLOCK_BYTES)
 		g_string_append(block, unit);
-	if (fake_endpoint->mode != FAKE_ENDPOINT_ENDLESS_INTERIM)
+	if (mode != FAKE_ENDPOINT_ENDLESS_INTERIM)
 		send_text(fd, head);
-	while (!fake_endpoint->stopping && try_send_text(fd, block->str))
+	for (size_t sent = 0;
+	     !fake_endpoint->stopping && sent < length_limit(mode) &&
+	     try_send_text(fd, block->str);
+	     sent += block->len)
 		continue;
+	while (mode == FAKE_ENDPOINT_LARGE && fake_endpoint->mode == mode &&
+	       !fake_endpoint->stopping)
+		g_usleep(EVENT_INTERVAL_US);
 	g_string_free(block, TRUE);
 	g_free(head);
 	g_free(request_id);
--- a/test/functional/harness/fake_endpoint.h
+++ b/test/functional/harness/fake_endpoint.h
@@ -15,6 +15,7 @@
 /* The last complete event of a truncated stream. */
 #define FAKE_ENDPOINT_TRUNCATE_AFTER 5
 
+#define FAKE_ENDPOINT_LARGE_BYTES (7u << 20)
 /* Longer than any test that uses it. */
 #define FAKE_ENDPOINT_PAUSE_S 40
 
@@ -35,6 +36,11 @@
 	FAKE_ENDPOINT_ENDLESS_BYTES,   /* a body without line ends */
 	FAKE_ENDPOINT_ENDLESS_LINES,   /* a body of lines that are no events */
 	FAKE_ENDPOINT_ENDLESS_BLANKS,  /* a body of blank lines */
+	/*
+	 * Sends FAKE_ENDPOINT_LARGE_BYTES without framing, and ends when the
+	 * mode has changed.
+	 */
+	FAKE_ENDPOINT_LARGE,
 	/* Ends a new stream inside an event and then sends the last chunk. */
 	FAKE_ENDPOINT_CHUNKED_CUT,
 	FAKE_ENDPOINT_REJECT, /* answers 503 without running it */
