Refuse a reply of an engine that does not end

Found while testing bytes without end: an agent kept all that an engine sent in reply to a batch. An engine that sends without end and passes its health checks held all sessions of the agent until its memory was gone.

Change: a reply longer than what can be queued for the next hop, 64 MiB, fails the batch, and the sessions go on at another engine.

--- a/src/wisteria/agent/engine_http.c
+++ b/src/wisteria/agent/engine_http.c
@@ -17,6 +17,7 @@
 #include "wisteria/base/err.h"
 #include "wisteria/base/log.h"
 #include "wisteria/codec/codec.h"
+#include "wisteria/net/net_defs.h"
 
 /*
  * A request is overdue when it takes this many times its expected duration, and
@@ -26,6 +27,8 @@
 #define ENGINE_OVERDUE_MIN_MS 300
 #define ENGINE_HEALTH_TIMEOUT_MS 300L
 #define ENGINE_BATCH_STEPS_MAX 256
+/* A longer reply could not be sent on to the next hop. */
+#define ENGINE_REPLY_BYTES_MAX NET_SEND_QUEUE_BYTES_MAX
 /* Weight of the latest request in the moving averages of step times. */
 #define ENGINE_TIME_SMOOTHING 0.2
 
@@ -115,6 +118,8 @@
 {
 	engine_request_t *request = user;
 
+	if (request->reply->len + size * count > ENGINE_REPLY_BYTES_MAX)
+		return 0;
 	g_byte_array_append(request->reply, (const guint8 *)data,
 			    (guint)(size * count));
 	return size * count;
--- a/test/functional/agent_test.c
+++ b/test/functional/agent_test.c
@@ -10,6 +10,7 @@
 
 #include "fakes/answer.h"
 #include "harness/agent_rig.h"
+#include "harness/fake_endpoint.h"
 #include "harness/http.h"
 #include "harness/journal.h"
 
@@ -300,6 +301,17 @@
 	finish();
 }
 
+static void test_engine_reply_without_end_is_refused(void)
+{
+	start_agents(PRESET_REPLAY);
+	send_requests();
+	run_until_streaming();
+	configure_engine(2, "junk=1");
+	run_and_check_answers();
+	configure_engine(2, "junk=0");
+	finish();
+}
+
 /* A step that takes far longer than all earlier ones is not a failure. */
 static void test_engine_slow(void)
 {
@@ -528,7 +540,8 @@
 		.headers = &header,
 		.header_count = 1,
 		.body = { (const uint8_t *)"pallet-7", 8 },
-		.remaining_ms = HARNESS_WAIT_MS,
+		/* Beyond the wait below, so that no deadline ends the call. */
+		.remaining_ms = 2 * HARNESS_WAIT_MS,
 		.traceparent = "",
 		.incarnation = incarnation,
 	};
@@ -605,6 +618,23 @@
 	finish();
 }
 
+static void test_call_with_heads_without_end_is_unknown(void)
+{
+	fake_endpoint_t fake_endpoint;
+
+	start_service();
+	fake_endpoint_start(&fake_endpoint, "i-1", "orders", harness.ip,
+			    rig.agents[0].role.listen,
+			    FAKE_ENDPOINT_ENDLESS_INTERIM);
+	rig.agents[0].endpoints[0].url = (char *)harness_string(
+		&harness, "http://%s", fake_endpoint.address);
+	send_call(5, "", 0);
+	CU_ASSERT_EQUAL(rig.call_reply.outcome, CALL_UNKNOWN);
+	CU_ASSERT_EQUAL(fake_endpoint.runs, 1);
+	fake_endpoint_crash(&fake_endpoint);
+	finish();
+}
+
 /*
  * A call is reported as not run if it was cancelled before it arrived (4), was
  * refused (7) or can't reach the service (8).  If it was sent to another
@@ -650,6 +680,8 @@
 	{ "replay: two hops lost", test_replay_two_lost },
 	{ "an engine is lost", test_engine_lost },
 	{ "an engine falls silent", test_engine_silent },
+	{ "an engine's reply without end is refused",
+	  test_engine_reply_without_end_is_refused },
 	{ "a slow engine is waited for", test_engine_slow },
 	{ "an agent is back with a new incarnation", test_new_incarnation },
 	{ "the entry's connections are lost", test_entry_connection_lost },
@@ -662,6 +694,8 @@
 	{ "an unanswered call is unknown", test_call_unanswered_is_unknown },
 	{ "a call with a stream ended inside an event is unknown",
 	  test_call_with_stream_ended_inside_event_is_unknown },
+	{ "a call with heads without end is unknown",
+	  test_call_with_heads_without_end_is_unknown },
 	{ "a call that is not run", test_call_not_run },
 };
 
--- a/test/functional/fakes/fake_engine.c
+++ b/test/functional/fakes/fake_engine.c
@@ -4,7 +4,7 @@
  * the order in which they arrive and does not check that positions are
  * consecutive: a fault of the router shows in the journal and in the answer.
  *
- * PUT /fake?step_us=N&hang=0|1 reconfigures a running engine.
+ * PUT /fake?step_us=N&hang=0|1&junk=0|1 reconfigures a running engine.
  */
 #include <argp.h>
 #include <errno.h>
@@ -24,6 +24,9 @@
 
 #define FAKE_ENGINES_MAX 128
 #define FAKE_HANG_POLL_US 20000
+/* More than the agent accepts; then the response hangs. */
+#define FAKE_JUNK_BYTES (80u << 20)
+#define FAKE_JUNK_BLOCK_BYTES (64u << 10)
 #define FENCING_HEADER "X-Fencing-Number"
 
 typedef struct {
@@ -42,6 +45,7 @@
 	GHashTable *sequences;
 	uint64_t fencing_token;
 	bool hang;
+	bool junk; /* answers steps with bytes that are no reply */
 } engine_t;
 
 typedef struct {
@@ -271,6 +275,32 @@
 	return respond(connection, status, text, strlen(text));
 }
 
+static ssize_t read_junk(void *closure, uint64_t position, char *out,
+			 size_t size)
+{
+	engine_t *engine = closure;
+
+	while (position >= FAKE_JUNK_BYTES &&
+	       __atomic_load_n(&engine->junk, __ATOMIC_ACQUIRE))
+		sleep_us(FAKE_HANG_POLL_US);
+	if (position >= FAKE_JUNK_BYTES)
+		return MHD_CONTENT_READER_END_OF_STREAM;
+	memset(out, 'z', size);
+	return (ssize_t)size;
+}
+
+static enum MHD_Result respond_junk(struct MHD_Connection *connection,
+				    engine_t *engine)
+{
+	struct MHD_Response *response = MHD_create_response_from_callback(
+		MHD_SIZE_UNKNOWN, FAKE_JUNK_BLOCK_BYTES, read_junk, engine,
+		NULL);
+	enum MHD_Result result = MHD_queue_response(connection, 200, response);
+
+	MHD_destroy_response(response);
+	return result;
+}
+
 static void run_batch(engine_t *engine, const engine_batch_t *batch,
 		      msgpack_zone *zone, msgpack_sbuffer *out)
 {
@@ -300,6 +330,8 @@
 	enum MHD_Result result;
 	err_t err = { .code = ERR_NONE };
 
+	if (__atomic_load_n(&request->engine->junk, __ATOMIC_ACQUIRE))
+		return respond_junk(connection, request->engine);
 	msgpack_zone_init(&zone, MSGPACK_ZONE_CHUNK_SIZE);
 	if (!codec_decode(&engine_batch_desc, request->body->data,
 			  request->body->len, &zone, &batch, &err)) {
@@ -383,6 +415,8 @@
 		connection, MHD_GET_ARGUMENT_KIND, "step_us");
 	const char *hang = MHD_lookup_connection_value(
 		connection, MHD_GET_ARGUMENT_KIND, "hang");
+	const char *junk = MHD_lookup_connection_value(
+		connection, MHD_GET_ARGUMENT_KIND, "junk");
 
 	if (step_us != NULL)
 		__atomic_store_n(&engine->step_us,
@@ -391,6 +425,9 @@
 	if (hang != NULL)
 		__atomic_store_n(&engine->hang, hang[0] == '1',
 				 __ATOMIC_RELEASE);
+	if (junk != NULL)
+		__atomic_store_n(&engine->junk, junk[0] == '1',
+				 __ATOMIC_RELEASE);
 	return respond_text(connection, 200, "changed\n");
 }
 
