Judge buffered event streams of a plain route as streams are judged

Change: its events are checked when it has ended, by the function that agents use; a defective one is a cut attempt, so a booking gets 502.

--- a/src/wisteria/agent/agent_call.c
+++ b/src/wisteria/agent/agent_call.c
@@ -270,19 +270,13 @@
 /* Returns why the response is not complete; NULL if it is. */
 static const char *find_defect(const agent_call_t *call, CURLcode code)
 {
-	event_stream_t stream;
-
 	if (code != CURLE_OK)
 		return curl_easy_strerror(code);
 	if (!call->is_event_stream)
 		return NULL;
-	event_stream_init(&stream, -1, false);
-	if (call->response_body->len > 0)
-		(void)!event_stream_consume(&stream, call->response_body->data,
-					    call->response_body->len);
-	return event_stream_defect(&stream, call->has_length
-						    ? HTTP_FRAMING_LENGTH
-						    : HTTP_FRAMING_CLOSE);
+	return event_stream_find_defect(call->response_body,
+					call->has_length ? HTTP_FRAMING_LENGTH
+							 : HTTP_FRAMING_CLOSE);
 }
 
 static void on_call_done(curl_done_t *self, CURL *handle, CURLcode code)
--- a/src/wisteria/gateway/exchange.c
+++ b/src/wisteria/gateway/exchange.c
@@ -651,11 +651,22 @@
 	end_defective_stream(exchange, defect);
 }
 
+/* Returns why an answer that is not a stream is incomplete; NULL if it is not. */
+static const char *plain_answer_defect(const http_message_t *answer)
+{
+	const char *type = http_message_find_header(answer, "content-type");
+
+	if (type == NULL || !event_stream_is_named_by(type))
+		return NULL;
+	return event_stream_find_defect(answer->body, answer->framing);
+}
+
 static void on_complete(http_call_handler_t *handler,
 			const http_message_t *answer)
 {
 	exchange_t *exchange = exchange_of(handler);
 	endpoint_answer_t answer_info;
+	const char *defect;
 	char reason[32];
 
 	exchange->call = NULL;
@@ -664,6 +675,7 @@
 		return;
 	}
 	exchange->gateway->dialect->read_answer(answer, &answer_info);
+	defect = plain_answer_defect(answer);
 	g_snprintf(reason, sizeof(reason), "status_%u", answer->status);
 	if (!is_matching_answer(exchange, &answer_info))
 		on_attempt_failed(exchange, ATTEMPT_UNKNOWN, NULL,
@@ -674,6 +686,9 @@
 	else if (!answer_info.stamped)
 		on_attempt_failed(exchange, ATTEMPT_UNKNOWN,
 				  answer_info.faulty_address, reason, NULL);
+	else if (defect != NULL)
+		on_attempt_failed(exchange, ATTEMPT_TRUNCATED, NULL, defect,
+				  NULL);
 	else if (answer->status >= 500 || exchange->headers_sent)
 		on_attempt_failed(exchange, ATTEMPT_ERROR,
 				  answer_info.faulty_address, reason, answer);
--- a/src/wisteria/http/event_stream.c
+++ b/src/wisteria/http/event_stream.c
@@ -183,3 +183,15 @@
 	stream->partial_bytes = len - at;
 	return consumed;
 }
+
+/* Returns why "body" is not a whole stream, as event_stream_defect() does. */
+const char *event_stream_find_defect(const GByteArray *body,
+				     http_framing_t framing)
+{
+	event_stream_t stream;
+
+	event_stream_init(&stream, -1, false);
+	if (body->len > 0)
+		(void)!event_stream_consume(&stream, body->data, body->len);
+	return event_stream_defect(&stream, framing);
+}
--- a/src/wisteria/http/event_stream.h
+++ b/src/wisteria/http/event_stream.h
@@ -29,6 +29,9 @@
 const char *
 event_stream_defect(const event_stream_t *stream,
 		    http_framing_t framing) ATTR_NONNULL_ALL ATTR_WARN_UNUSED;
+const char *event_stream_find_defect(const GByteArray *body,
+				     http_framing_t framing)
+	ATTR_NONNULL_ALL ATTR_WARN_UNUSED;
 size_t event_stream_consume(event_stream_t *stream, const uint8_t *data,
 			    size_t len) ATTR_NONNULL_ALL ATTR_WARN_UNUSED;
 
--- a/test/functional/fleet_test.c
+++ b/test/functional/fleet_test.c
@@ -350,6 +350,24 @@
 	}
 }
 
+static void test_buffered_stream_ended_inside_event_is_not_complete(void)
+{
+	fake_endpoint_t endpoint;
+	http_request_t *request;
+
+	fake_endpoint_start(&endpoint, "i-28", "orders", harness.ip,
+			    control_address, FAKE_ENDPOINT_UNFRAMED_CUT);
+	CU_ASSERT(harness_wait_log(entry, "endpoint=i-28 ", HARNESS_WAIT_MS));
+	CU_ASSERT_EQUAL(request_status(entry_address, "/book/5", "cut2", "7"),
+			502);
+	endpoint.mode = FAKE_ENDPOINT_UNFRAMED;
+	request = send_and_wait(entry_address, "/book/5", "cut3", "7");
+	expect_complete_stream(request, "cut3");
+	http_request_free(&client, request);
+	CU_ASSERT_EQUAL(endpoint.runs, 2);
+	fake_endpoint_stop(&endpoint);
+}
+
 static void test_unframed_stream_without_events_is_not_complete(void)
 {
 	fake_endpoint_t endpoints[2];
@@ -769,6 +787,8 @@
 	  test_unfinished_answers_fit_in_memory },
 	{ "JSON on a stream route is whole",
 	  test_json_on_stream_route_is_whole },
+	{ "buffered stream ended inside an event is not complete",
+	  test_buffered_stream_ended_inside_event_is_not_complete },
 	{ "unframed stream without events is not complete",
 	  test_unframed_stream_without_events_is_not_complete },
 	{ "leaving endpoint gets nothing new",
