--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -13,7 +13,8 @@
 do
 	WISTERIA_TEST_IP=127.0.$((seed / 250 % 250)).$((seed % 250 + 1)) \
 		build/release/soak --seed="$seed" \
-		--seconds="${SOAK_SECONDS:-12}" >build/soak-"$seed".log 2>&1 ||
+		--seconds="${SOAK_SECONDS:-12}" \
+		--entries="${SOAK_ENTRIES:-2}" >build/soak-"$seed".log 2>&1 ||
 		failed=$((failed + 1))
 	grep -a '^BROKEN\|^seed=' build/soak-"$seed".log
 done
--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -1,10 +1,11 @@
 /*
- * A randomized soak test of the fleet roles: three control instances and two
- * entries as processes, simulated endpoints behind relays, and clients with
+ * A randomized soak test of the fleet roles: three control instances and two or
+ * more entries as processes, simulated endpoints behind relays, and clients with
  * persistent connections.  The seed determines the random faults, several of
  * which can overlap: processes are stopped, killed, paused and reloaded, a disk
- * is lost, connections are delayed, cut and silenced, endpoints crash, shed and
- * drop requests.  Configurations change meanwhile.
+ * is lost, also while all others end, connections are delayed, cut and silenced,
+ * endpoints crash, shed and drop requests, break answers off and send bytes that
+ * are no answer.  Configurations change meanwhile.
  *
  * It checks what clients and endpoints observe:
  *   - a client receives only its own stream, in order and without duplicates;
@@ -33,13 +34,17 @@
 #include "wisteria/base/macros_defs.h"
 
 #define CONTROLS 3
-#define ENTRIES 2
+#define ENTRIES_DEFAULT 2
+#define ENTRIES_MAX 100
 #define WRITER_ENDPOINTS 4
 #define ORDER_ENDPOINTS 3
 #define ENDPOINTS (WRITER_ENDPOINTS + ORDER_ENDPOINTS)
 #define FAULTS_MAX 3
 #define SECONDS_DEFAULT 12
-/* Mean intervals between requests, faults, changes and reads. */
+/*
+ * Mean intervals between requests, faults, changes and reads; the first two for
+ * ENTRIES_DEFAULT entries.
+ */
 #define REQUEST_INTERVAL_MS 70
 #define FAULT_INTERVAL_MS 700
 #define CHANGE_INTERVAL_MS 900
@@ -93,7 +98,8 @@
 	GRand *random;
 	clock_ms_t now_ms;
 	instance_t controls[CONTROLS];
-	instance_t entries[ENTRIES];
+	instance_t entries[ENTRIES_MAX];
+	unsigned entry_count;
 	const char *control_addresses[CONTROLS + 1];
 	const char *control_ips[CONTROLS];
 	unsigned peer_port;
@@ -143,6 +149,12 @@
 	return random_chance(soak, (double)elapsed_ms / mean_ms);
 }
 
+/* Returns an interval that is inversely proportional to the entries. */
+static double interval_per_entry(const soak_t *soak, double mean_ms)
+{
+	return mean_ms * ENTRIES_DEFAULT / soak->entry_count;
+}
+
 /* Settings and processes. */
 
 static void write_settings(soak_t *soak, const char *name, const char *role,
@@ -213,11 +225,11 @@
 			harness_string(&soak->harness, "control-%d", i + 1);
 		soak->control_addresses[i] = control->address;
 	}
-	for (int i = 0; i < ENTRIES; i++) {
+	for (unsigned i = 0; i < soak->entry_count; i++) {
 		instance_t *entry = &soak->entries[i];
 
 		entry->address = harness_address(&soak->harness);
-		entry->name = harness_string(&soak->harness, "entry-%d", i + 1);
+		entry->name = harness_string(&soak->harness, "entry-%u", i + 1);
 	}
 }
 
@@ -227,7 +239,7 @@
 		write_control(soak, i, true);
 		start_process(soak, &soak->controls[i]);
 	}
-	for (int i = 0; i < ENTRIES; i++) {
+	for (unsigned i = 0; i < soak->entry_count; i++) {
 		instance_t *entry = &soak->entries[i];
 		char *addresses = g_strdup_printf(
 			"  front_listen: \"%s\"\n  ready_listen: \"%s\"\n",
@@ -361,7 +373,7 @@
 
 static http_request_t *send_service_request(soak_t *soak, bool is_booking)
 {
-	unsigned target = random_below(soak, ENTRIES);
+	unsigned target = random_below(soak, soak->entry_count);
 
 	return send_request(soak, is_booking ? KIND_BOOKING : KIND_CHAT,
 			    &soak->entries[target], target,
@@ -514,7 +526,7 @@
 
 static instance_t *random_entry(soak_t *soak)
 {
-	return &soak->entries[random_below(soak, ENTRIES)];
+	return &soak->entries[random_below(soak, soak->entry_count)];
 }
 
 static instance_t *random_control(soak_t *soak)
@@ -556,7 +568,7 @@
 static void fault_stop_entry(soak_t *soak)
 {
 	/* Only if both entries are up, so that the other one keeps serving. */
-	for (int i = 0; i < ENTRIES; i++)
+	for (unsigned i = 0; i < soak->entry_count; i++)
 		if (!is_up(&soak->entries[i]))
 			return;
 	stop_instance(random_entry(soak));
@@ -625,6 +637,16 @@
 	control->erase_disk = true;
 }
 
+/* A disk is lost while all other instances end at the same moment. */
+static void fault_lose_disk_of_all_that_end(soak_t *soak)
+{
+	fault_lose_disk(soak);
+	for (int i = 0; i < CONTROLS; i++)
+		kill_instance(&soak->controls[i]);
+	for (unsigned i = 0; i < soak->entry_count; i++)
+		kill_instance(&soak->entries[i]);
+}
+
 /*
  * Returns a random endpoint and schedules the end of its fault; NULL if it
  * already has a fault.
@@ -650,9 +672,20 @@
 
 static void fault_endpoint_mode(soak_t *soak)
 {
-	static const fake_endpoint_mode_t modes[] = { FAKE_ENDPOINT_TRUNCATE,
-						      FAKE_ENDPOINT_REJECT,
-						      FAKE_ENDPOINT_DROP };
+	static const fake_endpoint_mode_t modes[] = {
+		FAKE_ENDPOINT_TRUNCATE,
+		FAKE_ENDPOINT_REJECT,
+		FAKE_ENDPOINT_DROP,
+		FAKE_ENDPOINT_UNFRAMED,
+		FAKE_ENDPOINT_UNFRAMED_CUT,
+		FAKE_ENDPOINT_UNFRAMED_EMPTY,
+		FAKE_ENDPOINT_CHUNKED_CUT,
+		FAKE_ENDPOINT_RESTART,
+		FAKE_ENDPOINT_ENDLESS_INTERIM,
+		FAKE_ENDPOINT_ENDLESS_BYTES,
+		FAKE_ENDPOINT_ENDLESS_LINES,
+		FAKE_ENDPOINT_ENDLESS_BLANKS,
+	};
 	soak_endpoint_t *endpoint = begin_endpoint_fault(soak);
 
 	if (endpoint != NULL)
@@ -688,13 +721,21 @@
 };
 
 static const fault_t all_faults[] = {
-	fault_stop_entry,	    fault_reload,
-	fault_endpoint_leaves,	    fault_kill_entry,
-	fault_pause_entry,	    fault_stop_control,
-	fault_kill_control,	    fault_kill_all_controls,
-	fault_pause_control,	    fault_lose_disk,
-	fault_endpoint_crashes,	    fault_endpoint_mode,
-	fault_endpoint_connections, fault_endpoint_connections,
+	fault_stop_entry,
+	fault_reload,
+	fault_endpoint_leaves,
+	fault_kill_entry,
+	fault_pause_entry,
+	fault_stop_control,
+	fault_kill_control,
+	fault_kill_all_controls,
+	fault_pause_control,
+	fault_lose_disk,
+	fault_endpoint_crashes,
+	fault_endpoint_mode,
+	fault_endpoint_connections,
+	fault_endpoint_connections,
+	fault_lose_disk_of_all_that_end,
 };
 
 static void repair_endpoint(soak_t *soak, unsigned i)
@@ -743,7 +784,7 @@
 			repair_endpoint(soak, i);
 	for (int i = 0; i < CONTROLS; i++)
 		repair_instance(soak, &soak->controls[i]);
-	for (int i = 0; i < ENTRIES; i++)
+	for (unsigned i = 0; i < soak->entry_count; i++)
 		repair_instance(soak, &soak->entries[i]);
 }
 
@@ -753,7 +794,7 @@
 	for (int i = 0; i < CONTROLS; i++)
 		if (!is_up(&soak->controls[i]))
 			return true;
-	for (int i = 0; i < ENTRIES; i++)
+	for (unsigned i = 0; i < soak->entry_count; i++)
 		if (soak->entries[i].resume_ms != 0)
 			return true;
 	for (unsigned i = 0; i < ENDPOINTS; i++)
@@ -768,7 +809,8 @@
 
 	if (has_unplanned_fault(soak))
 		soak->unplanned_ms = soak->now_ms;
-	if (!is_due(soak, elapsed_ms, FAULT_INTERVAL_MS))
+	if (!is_due(soak, elapsed_ms,
+		    interval_per_entry(soak, FAULT_INTERVAL_MS)))
 		return;
 	for (unsigned i = random_below(soak, FAULTS_MAX) + 1; i > 0; i--) {
 		soak->faults++;
@@ -784,7 +826,8 @@
 
 static void send_due_requests(soak_t *soak, clock_ms_t elapsed_ms)
 {
-	if (is_due(soak, elapsed_ms, REQUEST_INTERVAL_MS))
+	if (is_due(soak, elapsed_ms,
+		   interval_per_entry(soak, REQUEST_INTERVAL_MS)))
 		send_service_request(soak, random_chance(soak, 0.5));
 	if (is_due(soak, elapsed_ms, READ_INTERVAL_MS))
 		send_read(soak);
@@ -856,7 +899,7 @@
 	for (int i = 0; i < CONTROLS; i++)
 		if (!is_up(&soak->controls[i]))
 			return false;
-	for (int i = 0; i < ENTRIES; i++)
+	for (unsigned i = 0; i < soak->entry_count; i++)
 		if (!is_up(&soak->entries[i]))
 			return false;
 	return true;
@@ -879,7 +922,7 @@
 		printf("BROKEN: some requests got no response\n");
 	}
 	check_responses(soak);
-	for (unsigned i = 0; i < ENTRIES; i++) {
+	for (unsigned i = 0; i < soak->entry_count; i++) {
 		expect_probe_succeeds(soak, &soak->entries[i], i, KIND_CHAT);
 		expect_probe_succeeds(soak, &soak->entries[i], i, KIND_BOOKING);
 	}
@@ -911,7 +954,7 @@
 	/* From here on, an empty disk is a lost disk and not a new instance. */
 	for (int i = 0; i < CONTROLS; i++)
 		write_control(soak, i, false);
-	for (unsigned i = 0; i < ENTRIES; i++) {
+	for (unsigned i = 0; i < soak->entry_count; i++) {
 		probe = (probe_t){ soak, &soak->entries[i], i, KIND_CHAT };
 		if (!harness_wait_until(probe_succeeds, &probe,
 					HARNESS_WAIT_MS))
@@ -952,7 +995,7 @@
 	http_client_finish(&soak->client);
 	for (unsigned i = 0; i < ENDPOINTS; i++)
 		stop_endpoint(&soak->endpoints[i], false);
-	for (int i = 0; i < ENTRIES; i++)
+	for (unsigned i = 0; i < soak->entry_count; i++)
 		harness_kill(soak->entries[i].process);
 	for (int i = 0; i < CONTROLS; i++)
 		harness_kill(soak->controls[i].process);
@@ -966,6 +1009,7 @@
 typedef struct {
 	int seed;
 	int seconds;
+	int entries;
 } options_t;
 
 static error_t parse_option(int key, char *argument, struct argp_state *state)
@@ -976,6 +1020,8 @@
 		options->seed = atoi(argument);
 	else if (key == 't')
 		options->seconds = atoi(argument);
+	else if (key == 'e')
+		options->entries = atoi(argument);
 	else
 		return ARGP_ERR_UNKNOWN;
 	return 0;
@@ -984,6 +1030,8 @@
 static const struct argp_option option_list[] = {
 	{ "seed", 's', "N", 0, "Seed of the random faults (default: 1)", 0 },
 	{ "seconds", 't', "N", 0, "Duration of the faults (default: 12)", 0 },
+	{ "entries", 'e', "N", 0, "Number of entries, 1 to 100 (default: 2)",
+	  0 },
 	{ 0 },
 };
 
@@ -994,13 +1042,20 @@
 		.parser = parse_option,
 		.doc = "Runs the fleet roles under random faults.",
 	};
-	options_t options = { .seed = 1, .seconds = SECONDS_DEFAULT };
+	options_t options = { .seed = 1,
+			      .seconds = SECONDS_DEFAULT,
+			      .entries = ENTRIES_DEFAULT };
 	bool failed;
 	soak_t *soak;
 
 	if (argp_parse(&parser, argc, argv, 0, NULL, &options) != 0)
 		return 2;
+	if (options.entries < 1 || options.entries > ENTRIES_MAX) {
+		fprintf(stderr, "soak: --entries: from 1 to %d\n", ENTRIES_MAX);
+		return 2;
+	}
 	soak = g_new0(soak_t, 1);
+	soak->entry_count = (unsigned)options.entries;
 	harness_init(&soak->harness, "soak");
 	http_client_init(&soak->client);
 	fake_endpoint_journal_init(&soak->journal);
@@ -1016,10 +1071,11 @@
 		soak->violations++;
 		printf("BROKEN: the fleet did not start\n");
 	}
-	printf("seed=%d seconds=%d requests=%u served=%u faults=%u "
+	printf("seed=%d seconds=%d entries=%u requests=%u served=%u faults=%u "
 	       "configurations=%u broken=%u\n",
-	       options.seed, options.seconds, soak->requests, soak->served,
-	       soak->faults, soak->acknowledged_version, soak->violations);
+	       options.seed, options.seconds, soak->entry_count, soak->requests,
+	       soak->served, soak->faults, soak->acknowledged_version,
+	       soak->violations);
 	failed = soak->violations > 0;
 	tear_down(soak);
 	g_free(soak);
