Test that the group outlasts a power loss of all with lost disks

The walks over the control group lost one after the other. New: each pair of disks lost while all nodes lose power, right after a commit, below each leader; and random walks that end so.

--- a/test/unit/group_walk_test.c
+++ b/test/unit/group_walk_test.c
@@ -349,6 +349,59 @@
 		}
 }
 
+/* All nodes lose power, and those in "lost" lose their disks with it. */
+static void lose_power(walk_t *walk, uint32_t lost)
+{
+	for (int i = 0; i < NODES; i++) {
+		sim_crash(&walk->sim, i, 0, 0);
+		if ((lost & 1u << i) != 0)
+			lose_disk(walk, i);
+		else if (!walk->sim.nodes[i].up)
+			sim_start(&walk->sim, i);
+	}
+}
+
+/* Returns why the group does not work again; NULL if it does. */
+static const char *find_failure_after(walk_t *walk)
+{
+	uint64_t before = sim_committed_count(&walk->sim);
+
+	run_for(walk, 4 * RAFT_ELECTION_TIMEOUT_MS + REJOIN_BOUND_MS);
+	sim_submit(&walk->sim, 1);
+	run_for(walk, 1000);
+	if (walk->sim.violation != NULL)
+		return walk->sim.violation;
+	if (sim_committed_count(&walk->sim) <= before)
+		return "nothing commits after the faults";
+	if (count_absent(walk) > 0)
+		return "a node is no voter again";
+	return NULL;
+}
+
+/*
+ * As soon as a change is committed all nodes lose power, and each pair of disks
+ * is lost with it, below each leader.
+ */
+static void test_disks_are_lost_while_all_lose_power(void)
+{
+	for (int leader = 0; leader < NODES; leader++)
+		for (int pair = 0; pair < NODES * NODES; pair++) {
+			uint32_t lost = 1u << pair % NODES | 1u << pair / NODES;
+			uint64_t before;
+			walk_t walk;
+
+			begin(&walk, 1, true);
+			CU_ASSERT_TRUE(make_leader(&walk, leader));
+			before = sim_committed_count(&walk.sim);
+			sim_submit(&walk.sim, 3);
+			while (sim_committed_count(&walk.sim) <= before)
+				tick(&walk);
+			lose_power(&walk, lost);
+			CU_ASSERT_PTR_NULL(find_failure_after(&walk));
+			end(&walk);
+		}
+}
+
 typedef void (*event_t)(walk_t *walk, int at);
 
 static void event_lose_disk(walk_t *walk, int at)
@@ -423,12 +476,41 @@
 	event_compact,	 event_heal,	  event_heal,
 };
 
+/* Returns whether a change commits within the time of some elections. */
+static bool commit_change(walk_t *walk)
+{
+	uint64_t before = sim_committed_count(&walk->sim);
+
+	for (clock_ms_t at = 0; at < 4 * RAFT_ELECTION_TIMEOUT_MS;
+	     at += TICK_MS) {
+		sim_submit(&walk->sim, 1);
+		tick(walk);
+		if (sim_committed_count(&walk->sim) > before)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Draws as many disks as may be lost at the moment, when a leader has just
+ * committed a change and so knows the members in force.
+ */
+static uint32_t draw_lost_disks(walk_t *walk)
+{
+	uint32_t lost = 0;
+
+	for (int left = GROUP_LOSSES - count_absent(walk); left > 0; left--)
+		lost |= 1u << g_rand_int_range(walk->random, 0, NODES);
+	return lost;
+}
+
 /*
  * Plays one walk; returns what failed, or NULL.  After the last event all
- * faults end, and the group gets the time that two elections may take before
+ * faults end; with "loses_power" a change is committed, and all nodes lose power
+ * at once, some with their disks.  Then the group gets the time that two elections may take before
  * the bound counts.
  */
-static const char *play(uint32_t seed, walk_t *walk)
+static const char *play(uint32_t seed, bool loses_power, walk_t *walk)
 {
 	const char *failure = NULL;
 
@@ -446,24 +528,16 @@
 			failure = walk->sim.violation;
 	}
 	if (failure == NULL) {
-		uint64_t before = sim_committed_count(&walk->sim);
-
 		heal(walk);
-		run_for(walk, 4 * RAFT_ELECTION_TIMEOUT_MS + REJOIN_BOUND_MS);
-		sim_submit(&walk->sim, 1);
-		run_for(walk, 1000);
-		if (walk->sim.violation != NULL)
-			failure = walk->sim.violation;
-		else if (sim_committed_count(&walk->sim) <= before)
-			failure = "nothing commits after the faults";
-		else if (count_absent(walk) > 0)
-			failure = "a node is no voter again";
+		if (loses_power && commit_change(walk))
+			lose_power(walk, draw_lost_disks(walk));
+		failure = find_failure_after(walk);
 	}
 	end(walk);
 	return failure;
 }
 
-static void test_random_walks(void)
+static void play_walks(bool lose_power)
 {
 	const char *walks = getenv("GROUP_WALKS");
 	const char *first = getenv("GROUP_WALK_SEED");
@@ -474,7 +548,7 @@
 
 	for (; seed < last; seed++) {
 		walk_t walk;
-		const char *failure = play(seed, &walk);
+		const char *failure = play(seed, lose_power, &walk);
 
 		steps += walk.steps;
 		lost += walk.lost_disks;
@@ -487,6 +561,16 @@
 	       steps, lost);
 }
 
+static void test_random_walks(void)
+{
+	play_walks(false);
+}
+
+static void test_random_walks_that_end_with_a_power_loss(void)
+{
+	play_walks(true);
+}
+
 /*
  * Walks that failed: a leader that had been frozen removed a voter, which was
  * just back, at the moment at which two others lost their disks.
@@ -498,7 +582,7 @@
 	for (size_t i = 0; i < ARRAY_SIZE(seeds); i++) {
 		walk_t walk;
 
-		CU_ASSERT_PTR_NULL(play(seeds[i], &walk));
+		CU_ASSERT_PTR_NULL(play(seeds[i], false, &walk));
 	}
 }
 
@@ -533,7 +617,11 @@
 	  test_walk_detects_replies_without_members },
 	{ "two losses follow each other", test_two_losses_follow_each_other },
 	{ "walks that failed", test_walks_that_failed },
+	{ "disks are lost while all lose power",
+	  test_disks_are_lost_while_all_lose_power },
 	{ "random walks", test_random_walks },
+	{ "random walks that end with a power loss",
+	  test_random_walks_that_end_with_a_power_loss },
 };
 
 int main(void)
