--- /dev/null
+++ b/src/wisteria/gateway/answer.c
@@ -0,0 +1,306 @@
+/*
+ * Reads the answers of endpoints: streams are forwarded event by event as they
+ * arrive, all others once they are complete.  What an endpoint sends is an
+ * answer only as far as it proves to be one: a stream must end behind an event
+ * whatever its framing says, and bytes that are no answer end the attempt.
+ */
+#include "wisteria/gateway/answer.h"
+
+#include <string.h>
+
+#include "wisteria/base/clock.h"
+#include "wisteria/base/counters.h"
+#include "wisteria/base/histogram.h"
+#include "wisteria/base/log.h"
+#include "wisteria/gateway/exchange.h"
+#include "wisteria/gateway/gateway.h"
+#include "wisteria/http/http_message.h"
+
+static clock_ms_t now_of(const exchange_t *exchange)
+{
+	return clock_now(exchange->gateway->clock);
+}
+
+static const char *id_of(const exchange_t *exchange)
+{
+	return exchange->caller.id;
+}
+
+/* Records how much is held of the answer of the current attempt. */
+void answer_hold(exchange_t *exchange, size_t bytes)
+{
+	exchange->gateway->answer_bytes -= exchange->answer_bytes;
+	exchange->gateway->answer_bytes += bytes;
+	exchange->answer_bytes = bytes;
+}
+
+static exchange_t *exchange_of(http_call_handler_t *handler)
+{
+	return CONTAINER_OF(handler, exchange_t, call_handler);
+}
+
+static bool is_matching_answer(const exchange_t *exchange,
+			       const endpoint_answer_t *answer_info)
+{
+	return answer_info->request_id == NULL ||
+	       strcmp(answer_info->request_id, id_of(exchange)) == 0;
+}
+
+static void log_answered(const exchange_t *exchange, unsigned status)
+{
+	clock_ms_t now = now_of(exchange);
+
+	counter_add(COUNTER_GATEWAY_ANSWERED, 1);
+	histogram_add(LATENCY_ANSWER, now - exchange->started_ms);
+	LOG_INFO("request_answered",
+		 "request=%s status=%u route=%s customer=%s sends=%u "
+		 "events=%" G_GUINT64_FORMAT " framing=%s "
+		 "partial_event_bytes=%zu behind_event=%" G_GINT64_FORMAT
+		 " first_ms=%" G_GINT64_FORMAT " gap_ms=%" G_GINT64_FORMAT
+		 " all_ms=%" G_GINT64_FORMAT,
+		 id_of(exchange), status, exchange->route->name,
+		 exchange->customer == NULL ? "-" : exchange->customer,
+		 exchange->send_count, exchange->event_stream.event_count,
+		 http_framing_name(exchange->answer_framing),
+		 exchange->event_stream.partial_bytes,
+		 exchange->caller.last_event_id,
+		 exchange->first_event_ms == 0
+			 ? (clock_ms_t)-1
+			 : exchange->first_event_ms - exchange->started_ms,
+		 exchange->longest_gap_ms, now - exchange->started_ms);
+}
+
+/* Forwards a complete answer unchanged. */
+void answer_forward(exchange_t *exchange, const http_message_t *answer)
+{
+	GString *headers = g_string_sized_new(256);
+
+	log_answered(exchange, answer->status);
+	exchange->gateway->dialect->write_answer_headers(answer, headers);
+	http_conn_reply(exchange->conn, answer->status, headers->str,
+			answer->body->data, answer->body->len);
+	g_string_free(headers, TRUE);
+	exchange->conn = NULL;
+	exchange_discard(exchange);
+}
+
+/* Answers without a Content-Type on a stream route are streams. */
+static bool may_be_event_stream(const http_message_t *answer)
+{
+	const char *type = http_message_find_header(answer, "content-type");
+
+	return type == NULL || event_stream_is_named_by(type);
+}
+
+static void on_headers(http_call_handler_t *handler,
+		       const http_message_t *answer)
+{
+	exchange_t *exchange = exchange_of(handler);
+	endpoint_answer_t answer_info;
+
+	exchange->last_progress_ms = now_of(exchange);
+	exchange->answer_framing = answer->framing;
+	exchange->gateway->dialect->read_answer(answer, &answer_info);
+	if (is_matching_answer(exchange, &answer_info))
+		gateway_obey_endpoint(exchange->gateway,
+				      exchange->target.ids[0], &answer_info);
+	exchange->is_streaming = exchange->route->kind == ROUTE_STREAM &&
+				 answer->status / 100 == 2 &&
+				 answer_info.stamped &&
+				 is_matching_answer(exchange, &answer_info) &&
+				 may_be_event_stream(answer);
+}
+
+static void begin_stream(exchange_t *exchange, const http_message_t *answer)
+{
+	GString *headers;
+
+	if (exchange->headers_sent)
+		return;
+	headers = g_string_sized_new(256);
+	exchange->gateway->dialect->write_answer_headers(answer, headers);
+	exchange->headers_sent = true;
+	http_conn_begin(exchange->conn, answer->status, headers->str, -1);
+	g_string_free(headers, TRUE);
+}
+
+/* Records the arrival of one or more events; together they count as one. */
+static void record_event(exchange_t *exchange)
+{
+	gateway_t *gateway = exchange->gateway;
+	clock_ms_t now = now_of(exchange);
+	double pause_ms = (double)(now - exchange->last_event_ms);
+
+	exchange->last_progress_ms = now;
+	gateway->event_count++;
+	if (exchange->first_event_ms != 0 && exchange->route->gap_goal_ms > 0 &&
+	    pause_ms > (double)exchange->route->gap_goal_ms *
+			       GATEWAY_LONG_PAUSE_RATIO)
+		gateway->long_pause_count++;
+	if (exchange->first_event_ms == 0) {
+		exchange->first_event_ms = now;
+		histogram_add(LATENCY_FIRST_EVENT, now - exchange->started_ms);
+	} else {
+		silence_add_pause(&gateway->silence,
+				  now - exchange->last_event_ms);
+		exchange->longest_gap_ms = MAX(exchange->longest_gap_ms,
+					       now - exchange->last_event_ms);
+		histogram_add(LATENCY_EVENT_GAP, now - exchange->last_event_ms);
+	}
+	counter_add(COUNTER_GATEWAY_EVENTS, 1);
+	exchange->last_event_ms = now;
+}
+
+/* Ends the attempt of a stream that is not one, or not this one. */
+static void end_defective_stream(exchange_t *exchange, const char *defect)
+{
+	counter_add(COUNTER_GATEWAY_BROKEN_STREAMS, 1);
+	exchange_attempt_failed(exchange, ATTEMPT_TRUNCATED, NULL, defect,
+				NULL);
+}
+
+static void forward_events(exchange_t *exchange, GByteArray *body)
+{
+	event_stream_t *stream = &exchange->event_stream;
+	size_t ignored_before = stream->ignored_bytes;
+	size_t complete_len =
+		event_stream_consume(stream, body->data, body->len);
+
+	if (stream->ignored_bytes > ignored_before)
+		exchange->last_progress_ms = now_of(exchange);
+	if (complete_len > 0) {
+		record_event(exchange);
+		begin_stream(exchange, http_call_response(exchange->call));
+		http_conn_send(exchange->conn, body->data, complete_len);
+		g_byte_array_remove_range(body, 0, (guint)complete_len);
+	}
+	if (stream->defect != NULL)
+		end_defective_stream(exchange, stream->defect);
+	else if (stream->partial_bytes + stream->ignored_bytes >
+		 GATEWAY_EVENT_BYTES_MAX)
+		end_defective_stream(exchange, "event_too_long");
+}
+
+/*
+ * Ends the attempt whose answer takes up most of the memory for answers: one
+ * that does not end rather than many that do.
+ */
+static void end_largest_answer(gateway_t *gateway)
+{
+	exchange_t *largest = LIST_FIRST(&gateway->exchanges);
+	exchange_t *exchange;
+
+	LIST_FOREACH(exchange, &gateway->exchanges, entry)
+	if (exchange->answer_bytes > largest->answer_bytes)
+		largest = exchange;
+	exchange_attempt_failed(largest, ATTEMPT_TRUNCATED, NULL,
+				"answers_too_large", NULL);
+}
+
+static void on_body(http_call_handler_t *handler, GByteArray *body)
+{
+	exchange_t *exchange = exchange_of(handler);
+	gateway_t *gateway = exchange->gateway;
+
+	if (exchange->is_streaming) {
+		forward_events(exchange, body);
+		return;
+	}
+	answer_hold(exchange, body->len);
+	if (gateway->answer_bytes > GATEWAY_ANSWERS_BYTES_MAX)
+		end_largest_answer(gateway);
+}
+
+static void finish_stream(exchange_t *exchange, const http_message_t *answer)
+{
+	begin_stream(exchange, answer);
+	if (answer->body->len > 0)
+		http_conn_send(exchange->conn, answer->body->data,
+			       answer->body->len);
+	log_answered(exchange, answer->status);
+	http_conn_end(exchange->conn);
+	exchange->conn = NULL;
+	exchange_discard(exchange);
+}
+
+/* Completes the response only if the stream is complete, too. */
+static void on_stream_ended(exchange_t *exchange, const http_message_t *answer)
+{
+	const char *defect =
+		event_stream_defect(&exchange->event_stream, answer->framing);
+
+	if (defect == NULL) {
+		finish_stream(exchange, answer);
+		return;
+	}
+	end_defective_stream(exchange, defect);
+}
+
+/* Returns why an answer that is not a stream is incomplete; NULL if it is not. */
+static const char *plain_answer_defect(const http_message_t *answer)
+{
+	const char *type = http_message_find_header(answer, "content-type");
+
+	if (type == NULL || !event_stream_is_named_by(type))
+		return NULL;
+	return event_stream_find_defect(answer->body, answer->framing);
+}
+
+static void on_complete(http_call_handler_t *handler,
+			const http_message_t *answer)
+{
+	exchange_t *exchange = exchange_of(handler);
+	endpoint_answer_t answer_info;
+	const char *defect;
+	char reason[32];
+
+	exchange->call = NULL;
+	if (exchange->is_streaming) {
+		on_stream_ended(exchange, answer);
+		return;
+	}
+	exchange->gateway->dialect->read_answer(answer, &answer_info);
+	defect = plain_answer_defect(answer);
+	g_snprintf(reason, sizeof(reason), "status_%u", answer->status);
+	if (!is_matching_answer(exchange, &answer_info))
+		exchange_attempt_failed(exchange, ATTEMPT_UNKNOWN, NULL,
+					"answer_of_another_request", NULL);
+	else if (answer_info.not_run)
+		exchange_attempt_failed(exchange, ATTEMPT_NOT_RUN,
+					answer_info.faulty_address, reason,
+					NULL);
+	else if (!answer_info.stamped)
+		exchange_attempt_failed(exchange, ATTEMPT_UNKNOWN,
+					answer_info.faulty_address, reason,
+					NULL);
+	else if (defect != NULL)
+		exchange_attempt_failed(exchange, ATTEMPT_TRUNCATED, NULL,
+					defect, NULL);
+	else if (answer->status >= 500 || exchange->headers_sent)
+		exchange_attempt_failed(exchange, ATTEMPT_ERROR,
+					answer_info.faulty_address, reason,
+					answer);
+	else
+		answer_forward(exchange, answer);
+}
+
+static void on_failed(http_call_handler_t *handler, http_call_stage_t stage,
+		      const char *reason)
+{
+	static const attempt_failure_t failures[] = {
+		[HTTP_CALL_UNSENT] = ATTEMPT_UNSENT,
+		[HTTP_CALL_SENT] = ATTEMPT_UNKNOWN,
+		[HTTP_CALL_TRUNCATED] = ATTEMPT_TRUNCATED,
+	};
+	exchange_t *exchange = exchange_of(handler);
+
+	exchange->call = NULL;
+	exchange_attempt_failed(exchange, failures[stage], NULL, reason, NULL);
+}
+
+const http_call_handler_t answer_handler = {
+	.headers = on_headers,
+	.body = on_body,
+	.complete = on_complete,
+	.failed = on_failed,
+};
--- /dev/null
+++ b/src/wisteria/gateway/answer.h
@@ -0,0 +1,14 @@
+#ifndef WISTERIA_GATEWAY_ANSWER_H
+#define WISTERIA_GATEWAY_ANSWER_H
+
+#include "wisteria/base/macros_defs.h"
+#include "wisteria/gateway/gateway_defs.h"
+
+/* Handles the calls of exchanges to endpoints. */
+extern const http_call_handler_t answer_handler;
+
+void answer_hold(exchange_t *exchange, size_t bytes) ATTR_NONNULL_ALL;
+void answer_forward(exchange_t *exchange,
+		    const http_message_t *answer) ATTR_NONNULL_ALL;
+
+#endif
--- a/src/wisteria/gateway/exchange.c
+++ b/src/wisteria/gateway/exchange.c
@@ -14,6 +14,7 @@
 #include "wisteria/fleet/registry.h"
 #include "wisteria/fleet/routes.h"
 #include "wisteria/fleet/subscription.h"
+#include "wisteria/gateway/answer.h"
 #include "wisteria/gateway/gateway.h"
 #include "wisteria/gateway/stop_margin.h"
 #include "wisteria/gateway/target.h"
@@ -53,19 +54,11 @@
 	g_string_free(headers, TRUE);
 }
 
-/* Records how much is held of the answer of the current attempt. */
-static void set_answer_bytes(exchange_t *exchange, size_t bytes)
-{
-	exchange->gateway->answer_bytes -= exchange->answer_bytes;
-	exchange->gateway->answer_bytes += bytes;
-	exchange->answer_bytes = bytes;
-}
-
 static void end_attempt(exchange_t *exchange)
 {
 	const target_t *target = &exchange->target;
 
-	set_answer_bytes(exchange, 0);
+	answer_hold(exchange, 0);
 	if (exchange->call != NULL)
 		http_call_cancel(exchange->call);
 	exchange->call = NULL;
@@ -394,15 +387,13 @@
 	return true;
 }
 
-static void forward_answer(exchange_t *exchange, const http_message_t *answer);
-
 /*
  * Retries a failed attempt or answers the caller.  "answer" is the endpoint's
  * error answer, or NULL.
  */
-static void on_attempt_failed(exchange_t *exchange, attempt_failure_t failure,
-			      const char *faulty_address, const char *reason,
-			      const http_message_t *answer)
+void exchange_attempt_failed(exchange_t *exchange, attempt_failure_t failure,
+			     const char *faulty_address, const char *reason,
+			     const http_message_t *answer)
 {
 	bool ran = failure != ATTEMPT_UNSENT && failure != ATTEMPT_NOT_RUN;
 	failed_attempt_t attempt = {
@@ -443,273 +434,11 @@
 		outcome = outcome_without_retry(&attempt);
 	}
 	if (outcome == OUTCOME_FORWARD_ERROR && answer != NULL)
-		forward_answer(exchange, answer);
+		answer_forward(exchange, answer);
 	else
 		refuse(exchange, come_back_ms, reason);
 }
 
-/* Answers of endpoints. */
-
-static exchange_t *exchange_of(http_call_handler_t *handler)
-{
-	return CONTAINER_OF(handler, exchange_t, call_handler);
-}
-
-static bool is_matching_answer(const exchange_t *exchange,
-			       const endpoint_answer_t *answer_info)
-{
-	return answer_info->request_id == NULL ||
-	       strcmp(answer_info->request_id, id_of(exchange)) == 0;
-}
-
-static void log_answered(const exchange_t *exchange, unsigned status)
-{
-	clock_ms_t now = now_of(exchange);
-
-	counter_add(COUNTER_GATEWAY_ANSWERED, 1);
-	histogram_add(LATENCY_ANSWER, now - exchange->started_ms);
-	LOG_INFO("request_answered",
-		 "request=%s status=%u route=%s customer=%s sends=%u "
-		 "events=%" G_GUINT64_FORMAT " framing=%s "
-		 "partial_event_bytes=%zu behind_event=%" G_GINT64_FORMAT
-		 " first_ms=%" G_GINT64_FORMAT " gap_ms=%" G_GINT64_FORMAT
-		 " all_ms=%" G_GINT64_FORMAT,
-		 id_of(exchange), status, exchange->route->name,
-		 exchange->customer == NULL ? "-" : exchange->customer,
-		 exchange->send_count, exchange->event_stream.event_count,
-		 http_framing_name(exchange->answer_framing),
-		 exchange->event_stream.partial_bytes,
-		 exchange->caller.last_event_id,
-		 exchange->first_event_ms == 0
-			 ? (clock_ms_t)-1
-			 : exchange->first_event_ms - exchange->started_ms,
-		 exchange->longest_gap_ms, now - exchange->started_ms);
-}
-
-/* Forwards a complete answer unchanged. */
-static void forward_answer(exchange_t *exchange, const http_message_t *answer)
-{
-	GString *headers = g_string_sized_new(256);
-
-	log_answered(exchange, answer->status);
-	exchange->gateway->dialect->write_answer_headers(answer, headers);
-	http_conn_reply(exchange->conn, answer->status, headers->str,
-			answer->body->data, answer->body->len);
-	g_string_free(headers, TRUE);
-	exchange->conn = NULL;
-	exchange_discard(exchange);
-}
-
-/* Answers without a Content-Type on a stream route are streams. */
-static bool may_be_event_stream(const http_message_t *answer)
-{
-	const char *type = http_message_find_header(answer, "content-type");
-
-	return type == NULL || event_stream_is_named_by(type);
-}
-
-static void on_headers(http_call_handler_t *handler,
-		       const http_message_t *answer)
-{
-	exchange_t *exchange = exchange_of(handler);
-	endpoint_answer_t answer_info;
-
-	exchange->last_progress_ms = now_of(exchange);
-	exchange->answer_framing = answer->framing;
-	exchange->gateway->dialect->read_answer(answer, &answer_info);
-	if (is_matching_answer(exchange, &answer_info))
-		gateway_obey_endpoint(exchange->gateway,
-				      exchange->target.ids[0], &answer_info);
-	exchange->is_streaming = exchange->route->kind == ROUTE_STREAM &&
-				 answer->status / 100 == 2 &&
-				 answer_info.stamped &&
-				 is_matching_answer(exchange, &answer_info) &&
-				 may_be_event_stream(answer);
-}
-
-static void begin_stream(exchange_t *exchange, const http_message_t *answer)
-{
-	GString *headers;
-
-	if (exchange->headers_sent)
-		return;
-	headers = g_string_sized_new(256);
-	exchange->gateway->dialect->write_answer_headers(answer, headers);
-	exchange->headers_sent = true;
-	http_conn_begin(exchange->conn, answer->status, headers->str, -1);
-	g_string_free(headers, TRUE);
-}
-
-/* Records the arrival of one or more events; together they count as one. */
-static void record_event(exchange_t *exchange)
-{
-	gateway_t *gateway = exchange->gateway;
-	clock_ms_t now = now_of(exchange);
-	double pause_ms = (double)(now - exchange->last_event_ms);
-
-	exchange->last_progress_ms = now;
-	gateway->event_count++;
-	if (exchange->first_event_ms != 0 && exchange->route->gap_goal_ms > 0 &&
-	    pause_ms > (double)exchange->route->gap_goal_ms *
-			       GATEWAY_LONG_PAUSE_RATIO)
-		gateway->long_pause_count++;
-	if (exchange->first_event_ms == 0) {
-		exchange->first_event_ms = now;
-		histogram_add(LATENCY_FIRST_EVENT, now - exchange->started_ms);
-	} else {
-		silence_add_pause(&gateway->silence,
-				  now - exchange->last_event_ms);
-		exchange->longest_gap_ms = MAX(exchange->longest_gap_ms,
-					       now - exchange->last_event_ms);
-		histogram_add(LATENCY_EVENT_GAP, now - exchange->last_event_ms);
-	}
-	counter_add(COUNTER_GATEWAY_EVENTS, 1);
-	exchange->last_event_ms = now;
-}
-
-/* Ends the attempt of a stream that is not one, or not this one. */
-static void end_defective_stream(exchange_t *exchange, const char *defect)
-{
-	counter_add(COUNTER_GATEWAY_BROKEN_STREAMS, 1);
-	on_attempt_failed(exchange, ATTEMPT_TRUNCATED, NULL, defect, NULL);
-}
-
-static void forward_events(exchange_t *exchange, GByteArray *body)
-{
-	event_stream_t *stream = &exchange->event_stream;
-	size_t ignored_before = stream->ignored_bytes;
-	size_t complete_len =
-		event_stream_consume(stream, body->data, body->len);
-
-	if (stream->ignored_bytes > ignored_before)
-		exchange->last_progress_ms = now_of(exchange);
-	if (complete_len > 0) {
-		record_event(exchange);
-		begin_stream(exchange, http_call_response(exchange->call));
-		http_conn_send(exchange->conn, body->data, complete_len);
-		g_byte_array_remove_range(body, 0, (guint)complete_len);
-	}
-	if (stream->defect != NULL)
-		end_defective_stream(exchange, stream->defect);
-	else if (stream->partial_bytes + stream->ignored_bytes >
-		 GATEWAY_EVENT_BYTES_MAX)
-		end_defective_stream(exchange, "event_too_long");
-}
-
-/*
- * Ends the attempt whose answer takes up most of the memory for answers: one
- * that does not end rather than many that do.
- */
-static void end_largest_answer(gateway_t *gateway)
-{
-	exchange_t *largest = LIST_FIRST(&gateway->exchanges);
-	exchange_t *exchange;
-
-	LIST_FOREACH(exchange, &gateway->exchanges, entry)
-	if (exchange->answer_bytes > largest->answer_bytes)
-		largest = exchange;
-	on_attempt_failed(largest, ATTEMPT_TRUNCATED, NULL, "answers_too_large",
-			  NULL);
-}
-
-static void on_body(http_call_handler_t *handler, GByteArray *body)
-{
-	exchange_t *exchange = exchange_of(handler);
-	gateway_t *gateway = exchange->gateway;
-
-	if (exchange->is_streaming) {
-		forward_events(exchange, body);
-		return;
-	}
-	set_answer_bytes(exchange, body->len);
-	if (gateway->answer_bytes > GATEWAY_ANSWERS_BYTES_MAX)
-		end_largest_answer(gateway);
-}
-
-static void finish_stream(exchange_t *exchange, const http_message_t *answer)
-{
-	begin_stream(exchange, answer);
-	if (answer->body->len > 0)
-		http_conn_send(exchange->conn, answer->body->data,
-			       answer->body->len);
-	log_answered(exchange, answer->status);
-	http_conn_end(exchange->conn);
-	exchange->conn = NULL;
-	exchange_discard(exchange);
-}
-
-/* Completes the response only if the stream is complete, too. */
-static void on_stream_ended(exchange_t *exchange, const http_message_t *answer)
-{
-	const char *defect =
-		event_stream_defect(&exchange->event_stream, answer->framing);
-
-	if (defect == NULL) {
-		finish_stream(exchange, answer);
-		return;
-	}
-	end_defective_stream(exchange, defect);
-}
-
-/* Returns why an answer that is not a stream is incomplete; NULL if it is not. */
-static const char *plain_answer_defect(const http_message_t *answer)
-{
-	const char *type = http_message_find_header(answer, "content-type");
-
-	if (type == NULL || !event_stream_is_named_by(type))
-		return NULL;
-	return event_stream_find_defect(answer->body, answer->framing);
-}
-
-static void on_complete(http_call_handler_t *handler,
-			const http_message_t *answer)
-{
-	exchange_t *exchange = exchange_of(handler);
-	endpoint_answer_t answer_info;
-	const char *defect;
-	char reason[32];
-
-	exchange->call = NULL;
-	if (exchange->is_streaming) {
-		on_stream_ended(exchange, answer);
-		return;
-	}
-	exchange->gateway->dialect->read_answer(answer, &answer_info);
-	defect = plain_answer_defect(answer);
-	g_snprintf(reason, sizeof(reason), "status_%u", answer->status);
-	if (!is_matching_answer(exchange, &answer_info))
-		on_attempt_failed(exchange, ATTEMPT_UNKNOWN, NULL,
-				  "answer_of_another_request", NULL);
-	else if (answer_info.not_run)
-		on_attempt_failed(exchange, ATTEMPT_NOT_RUN,
-				  answer_info.faulty_address, reason, NULL);
-	else if (!answer_info.stamped)
-		on_attempt_failed(exchange, ATTEMPT_UNKNOWN,
-				  answer_info.faulty_address, reason, NULL);
-	else if (defect != NULL)
-		on_attempt_failed(exchange, ATTEMPT_TRUNCATED, NULL, defect,
-				  NULL);
-	else if (answer->status >= 500 || exchange->headers_sent)
-		on_attempt_failed(exchange, ATTEMPT_ERROR,
-				  answer_info.faulty_address, reason, answer);
-	else
-		forward_answer(exchange, answer);
-}
-
-static void on_failed(http_call_handler_t *handler, http_call_stage_t stage,
-		      const char *reason)
-{
-	static const attempt_failure_t failures[] = {
-		[HTTP_CALL_UNSENT] = ATTEMPT_UNSENT,
-		[HTTP_CALL_SENT] = ATTEMPT_UNKNOWN,
-		[HTTP_CALL_TRUNCATED] = ATTEMPT_TRUNCATED,
-	};
-	exchange_t *exchange = exchange_of(handler);
-
-	exchange->call = NULL;
-	on_attempt_failed(exchange, failures[stage], NULL, reason, NULL);
-}
-
 /* Admission. */
 
 /* Why a request is not admitted; status 0: it is admitted. */
@@ -771,10 +500,7 @@
 		route_pick_service(route, g_rand_int(gateway->random));
 	clock_ms_t limit = route->timeout_ms;
 
-	exchange->call_handler.headers = on_headers;
-	exchange->call_handler.body = on_body;
-	exchange->call_handler.complete = on_complete;
-	exchange->call_handler.failed = on_failed;
+	exchange->call_handler = answer_handler;
 	exchange->gateway = gateway;
 	exchange->conn = conn;
 	exchange->table = route_table_ref(gateway->table);
--- a/test/unit/group_walk_test.c
+++ b/test/unit/group_walk_test.c
@@ -507,8 +507,8 @@
 /*
  * Plays one walk; returns what failed, or NULL.  After the last event all
  * faults end; with "loses_power" a change is committed, and all nodes lose power
- * at once, some with their disks.  Then the group gets the time that two elections may take before
- * the bound counts.
+ * at once, some with their disks.  Then the group gets the time that two
+ * elections may take before the bound counts.
  */
 static const char *play(uint32_t seed, bool loses_power, walk_t *walk)
 {
