End responses to HTTP/1.0 callers with their connection, resetting it on abort

Change: such a response ends with its connection. Until all of it is sent the socket is set to be reset by a close, so an abort, a failed write, and the end of the process cannot be taken for the end of the response.

--- a/src/wisteria/http/http_server.c
+++ b/src/wisteria/http/http_server.c
@@ -7,6 +7,7 @@
 
 #include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "wisteria/base/clock.h"
 #include "wisteria/base/err.h"
@@ -56,9 +57,26 @@
 	uv_close((uv_handle_t *)&conn->tcp, on_conn_closed);
 }
 
+/*
+ * Sets whether closing the connection, also by the end of this process, resets
+ * it, so that a client does not take what it has for a complete response.
+ */
+static void set_reset_on_close(http_conn_t *conn, bool resets)
+{
+	const struct linger linger = { .l_onoff = resets };
+	uv_os_fd_t fd;
+
+	if (uv_fileno((const uv_handle_t *)&conn->tcp, &fd) == 0)
+		setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+}
+
 static void on_shutdown(uv_shutdown_t *request, int status)
 {
-	(void)status; /* closed by the peer or after LINGER_MS */
+	http_conn_t *conn = request->handle->data;
+
+	/* Otherwise closed by the peer or after LINGER_MS. */
+	if (status == 0 && conn->ends_with_close)
+		set_reset_on_close(conn, false);
 	g_free(request);
 }
 
@@ -264,9 +282,18 @@
 	finish_response(conn);
 }
 
+static bool accepts_chunks(const http_conn_t *conn)
+{
+	const http_parser *parser = &conn->reader.parser;
+
+	return parser->http_major > 1 ||
+	       (parser->http_major == 1 && parser->http_minor >= 1);
+}
+
 /*
  * Sends the status and headers of a response whose body follows with
- * http_conn_send(), chunked if "content_length" is negative.
+ * http_conn_send().  Without a "content_length", which is then negative, it is
+ * chunked; HTTP/1.0 has no chunks, and there the connection is its end.
  */
 void http_conn_begin(http_conn_t *conn, unsigned status, const char *headers,
 		     int64_t content_length)
@@ -277,10 +304,17 @@
 	if (!is_responding(conn))
 		return;
 	head = g_string_sized_new(256);
-	conn->chunked = content_length < 0;
+	conn->chunked = content_length < 0 && accepts_chunks(conn);
+	conn->ends_with_close = content_length < 0 && !conn->chunked;
+	if (conn->ends_with_close) {
+		conn->close_after = true;
+		set_reset_on_close(conn, true);
+	}
 	append_head(conn, head, status, headers);
 	if (conn->chunked)
 		g_string_append(head, "Transfer-Encoding: chunked\r\n\r\n");
+	else if (conn->ends_with_close)
+		g_string_append(head, "\r\n");
 	else
 		g_string_append_printf(
 			head, "Content-Length: %" G_GINT64_FORMAT "\r\n\r\n",
--- a/src/wisteria/http/http_server.h
+++ b/src/wisteria/http/http_server.h
@@ -53,6 +53,7 @@
 	clock_ms_t since_ms;  /* start of the interval for timeouts */
 	bool request_started; /* a byte of the next request was read */
 	bool chunked;
+	bool ends_with_close; /* the response has no other end */
 	bool close_after;
 	bool read_stopped;
 	bool processing_pending;
--- a/test/unit/http_server_test.c
+++ b/test/unit/http_server_test.c
@@ -2,6 +2,7 @@
 #include "unit.h"
 
 #include <arpa/inet.h>
+#include <errno.h>
 #include <netinet/in.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -260,6 +261,43 @@
 }
 
 /* A draining server completes the open request, then closes its connection. */
+/* Ends the response as a whole one, or aborts it; returns the last error. */
+static int end_http_1_0_response(bool aborts, const char **text)
+{
+	fixture_t fixture;
+	uint16_t port = start(&fixture);
+	int fd = send_request(port, "GET / HTTP/1.0\r\n\r\n");
+	bool ended;
+	int error;
+
+	run_loop(&fixture);
+	http_conn_begin(fixture.open, 200, "", -1);
+	http_conn_send(fixture.open, "part", 4);
+	run_loop(&fixture);
+	*text = received(fd, &ended);
+	CU_ASSERT_FALSE(ended);
+	if (aborts)
+		http_conn_abort(fixture.open);
+	else
+		http_conn_end(fixture.open);
+	run_loop(&fixture);
+	error = recv(fd, &ended, 1, MSG_DONTWAIT) < 0 ? errno : 0;
+	close(fd);
+	stop(&fixture);
+	return error;
+}
+
+static void test_aborted_response_of_http_1_0_is_not_complete(void)
+{
+	const char *text;
+
+	CU_ASSERT_EQUAL(end_http_1_0_response(true, &text), ECONNRESET);
+	CU_ASSERT_EQUAL(end_http_1_0_response(false, &text), 0);
+	CU_ASSERT_PTR_NOT_NULL(strstr(text, "\r\n\r\npart"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(text, "Connection: close\r\n"));
+	CU_ASSERT_PTR_NULL(strstr(text, "chunked"));
+}
+
 static void test_draining(void)
 {
 	fixture_t fixture;
@@ -295,6 +333,8 @@
 	{ "large body is rejected", test_large_body_is_rejected },
 	{ "100-continue is sent", test_100_continue_is_sent },
 	{ "aborted response", test_aborted_response },
+	{ "aborted response of HTTP/1.0 is not complete",
+	  test_aborted_response_of_http_1_0_is_not_complete },
 	{ "draining", test_draining },
 };
 
