--- a/test/functional/fakes/fake_service.c
+++ b/test/functional/fakes/fake_service.c
@@ -102,7 +102,8 @@
 	if (len == 0)
 		return MHD_CONTENT_READER_END_OF_STREAM;
 	len = MIN(len, size);
-	memcpy(out, text + position, len);
+	for (size_t i = 0; i < len; i++)
+		out[i] = text[position + i];
 	return (ssize_t)len;
 }
 
