Bound what probes and orders hold of an engine's answer

Found while testing bytes without end: the leader's probes and orders held up to 8 MiB of an answer each, with as many engines as there are, and a check that is not followed by another has no time limit.

Change: the owner of a call says how much of the body it may hold: 256 KiB of a report, 64 KiB of the answer to an order, of which only the status is used.

--- a/src/wisteria/fleet/placer.c
+++ b/src/wisteria/fleet/placer.c
@@ -98,6 +98,10 @@
 		       const engine_model_t *engine, placer_order_t *order,
 		       uint64_t fencing_token)
 {
+	const http_call_limits_t limits = {
+		.connect_ms = PLACER_CONNECT_TIMEOUT_MS,
+		.body_bytes = PLACER_ANSWER_BYTES_MAX,
+	};
 	GString *request = g_string_new(NULL);
 	place_order_t message = {
 		.address = endpoint->address,
@@ -112,7 +116,7 @@
 		http_call_cancel(order->call);
 	order->sent_ms = clock_now(placer->clock);
 	order->call = http_call_new(placer->loop, endpoint->address, request,
-				    PLACER_CONNECT_TIMEOUT_MS, &order->handler);
+				    &limits, &order->handler);
 	g_string_free(request, TRUE);
 	counter_add(COUNTER_PLACE_ORDERS, 1);
 	LOG_INFO("order_given",
--- a/src/wisteria/fleet/placer_defs.h
+++ b/src/wisteria/fleet/placer_defs.h
@@ -36,6 +36,8 @@
  */
 #define PLACER_REPLAN_SERVED_MS 15000
 #define PLACER_CONNECT_TIMEOUT_MS 1000
+/* Only the status of the answer to an order is used. */
+#define PLACER_ANSWER_BYTES_MAX (64u << 10)
 /* Slowdown factor from which an engine holds no layers if others can. */
 #define PLACER_SLOW_PACE 2.5
 
--- a/src/wisteria/fleet/prober.c
+++ b/src/wisteria/fleet/prober.c
@@ -17,6 +17,8 @@
 
 /* A pace above this is reported as slow; less may be a measuring error. */
 #define REPORTED_PACE_MIN 1.2
+/* A report lists the engine's models and its stalled requests. */
+#define PROBER_REPORT_BYTES_MAX (256u << 10)
 
 static void free_probe(gpointer data)
 {
@@ -82,12 +84,16 @@
 		       clock_ms_t connect_ms)
 {
 	prober_t *prober = probe->prober;
+	const http_call_limits_t limits = {
+		.connect_ms = connect_ms,
+		.body_bytes = PROBER_REPORT_BYTES_MAX,
+	};
 	GString *request = g_string_new(NULL);
 
 	prober->dialect->write_probe(endpoint->address, request);
 	probe->sent_ms = clock_now(prober->clock);
 	probe->call = http_call_new(prober->loop, endpoint->address, request,
-				    connect_ms, &probe->handler);
+				    &limits, &probe->handler);
 	g_string_free(request, TRUE);
 }
 
--- a/src/wisteria/gateway/exchange.c
+++ b/src/wisteria/gateway/exchange.c
@@ -134,6 +134,10 @@
 		.hops = hops,
 		.hop_count = target->is_pipeline ? target->count : 0,
 	};
+	const http_call_limits_t limits = {
+		.connect_ms = GATEWAY_CONNECT_TIMEOUT_MS,
+		.body_bytes = HTTP_CALL_BODY_BYTES_MAX,
+	};
 	GString *request = g_string_sized_new(2048);
 
 	for (uint32_t i = 0; i < target->count; i++) {
@@ -152,9 +156,9 @@
 	exchange->last_progress_ms = now;
 	gateway->dialect->write_forward(&exchange->conn->reader.message,
 					&forward, request);
-	exchange->call = http_call_new(gateway->net->loop, target->addresses[0],
-				       request, GATEWAY_CONNECT_TIMEOUT_MS,
-				       &exchange->call_handler);
+	exchange->call =
+		http_call_new(gateway->net->loop, target->addresses[0], request,
+			      &limits, &exchange->call_handler);
 	g_string_free(request, TRUE);
 	LOG_INFO("request_sent",
 		 "request=%s send=%u endpoint=%s hops=%u tokens=%u+%u "
--- a/src/wisteria/http/http_call.c
+++ b/src/wisteria/http/http_call.c
@@ -13,12 +13,6 @@
 #include "wisteria/http/http_write.h"
 #include "wisteria/net/net.h"
 
-#define CALL_HEADER_BYTES_MAX (64u << 10)
-/*
- * Maximum size of the response body that the owner has not consumed: as much as
- * can be queued for a caller, with its headers.
- */
-#define CALL_BODY_BYTES_MAX (HTTP_BACKLOG_BYTES_MAX - CALL_HEADER_BYTES_MAX)
 #define CALL_READ_BYTES (64u << 10)
 
 struct http_call_t {
@@ -172,13 +166,13 @@
 }
 
 /*
- * Sends "request", the complete text of a request, to "address".  The call
- * fails if no connection is established within "connect_ms".  The handler is
+ * Sends "request", the complete text of a request, to "address".  The handler is
  * never called from within this function; an address that cannot be parsed
  * fails later with "connect_timeout".
  */
 http_call_t *http_call_new(uv_loop_t *loop, const char *address,
-			   const GString *request, clock_ms_t connect_ms,
+			   const GString *request,
+			   const http_call_limits_t *limits,
 			   http_call_handler_t *handler)
 {
 	http_call_t *call = g_new0(http_call_t, 1);
@@ -191,8 +185,8 @@
 	call->request = g_byte_array_sized_new((guint)request->len);
 	g_byte_array_append(call->request, (const guint8 *)request->str,
 			    (guint)request->len);
-	http_reader_init(&call->reader, HTTP_RESPONSE, CALL_HEADER_BYTES_MAX,
-			 CALL_BODY_BYTES_MAX);
+	http_reader_init(&call->reader, HTTP_RESPONSE,
+			 HTTP_CALL_HEADER_BYTES_MAX, limits->body_bytes);
 	uv_tcp_init(loop, &call->tcp);
 	call->tcp.data = call;
 	uv_timer_init(loop, &call->timer);
@@ -202,6 +196,6 @@
 				 (const struct sockaddr *)&parsed,
 				 on_connected) == 0;
 	uv_timer_start(&call->timer, on_connect_timeout,
-		       started ? (uint64_t)connect_ms : 0, 0);
+		       started ? (uint64_t)limits->connect_ms : 0, 0);
 	return call;
 }
--- a/src/wisteria/http/http_call.h
+++ b/src/wisteria/http/http_call.h
@@ -6,6 +6,12 @@
 #include "wisteria/base/clock_defs.h"
 #include "wisteria/base/macros_defs.h"
 #include "wisteria/http/http_reader.h"
+#include "wisteria/http/http_write.h"
+
+#define HTTP_CALL_HEADER_BYTES_MAX (64u << 10)
+/* The longest body that can be queued for a caller, with its headers. */
+#define HTTP_CALL_BODY_BYTES_MAX \
+	(HTTP_BACKLOG_BYTES_MAX - HTTP_CALL_HEADER_BYTES_MAX)
 
 /* How far a call had progressed when it failed. */
 typedef enum {
@@ -33,12 +39,18 @@
 		       http_call_stage_t stage, const char *reason);
 } http_call_handler_t;
 
+/* A call fails when one of these is exceeded. */
+typedef struct {
+	clock_ms_t connect_ms; /* until the connection is established */
+	size_t body_bytes;     /* of the body that the owner has not consumed */
+} http_call_limits_t;
+
 /* One HTTP request over a connection of its own. */
 typedef struct http_call_t http_call_t;
 
 http_call_t *
 http_call_new(uv_loop_t *loop, const char *address, const GString *request,
-	      clock_ms_t connect_ms,
+	      const http_call_limits_t *limits,
 	      http_call_handler_t *handler) ATTR_NONNULL_ALL ATTR_WARN_UNUSED;
 const http_message_t *
 http_call_response(const http_call_t *call) ATTR_NONNULL_ALL;
--- a/test/unit/http_call_test.c
+++ b/test/unit/http_call_test.c
@@ -10,6 +10,7 @@
 #include "wisteria/http/http_call.h"
 
 #define CONNECT_MS 2000
+#define BODY_BYTES 100
 
 /* A peer that sends one response and then closes or resets the connection. */
 typedef struct {
@@ -93,6 +94,8 @@
 	peer_t peer = { .response = response, .resets = resets };
 	struct sockaddr_in address = { .sin_family = AF_INET };
 	socklen_t len = sizeof(address);
+	const http_call_limits_t limits = { .connect_ms = CONNECT_MS,
+					    .body_bytes = BODY_BYTES };
 	GString *request = g_string_new("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
 	char text[64];
 	int listener = socket(AF_INET, SOCK_STREAM, 0);
@@ -105,8 +108,8 @@
 	getsockname(listener, (struct sockaddr *)&address, &len);
 	g_snprintf(text, sizeof(text), "127.0.0.1:%u", ntohs(address.sin_port));
 	uv_loop_init(&peer.loop);
-	CU_ASSERT_PTR_NOT_NULL(http_call_new(&peer.loop, text, request,
-					     CONNECT_MS, &result.handler));
+	CU_ASSERT_PTR_NOT_NULL(http_call_new(&peer.loop, text, request, &limits,
+					     &result.handler));
 	/* Sends the request on the connection, which is not accepted yet. */
 	uv_run(&peer.loop, UV_RUN_NOWAIT);
 	peer.fd = accept(listener, NULL, NULL);
@@ -154,6 +157,26 @@
 	CU_ASSERT_EQUAL(result.stage, HTTP_CALL_TRUNCATED);
 }
 
+static void test_body_over_the_limit(void)
+{
+	static const char *const heads[] = {
+		"HTTP/1.1 200 OK\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: 101\r\n\r\n"
+	};
+
+	for (size_t i = 0; i < ARRAY_SIZE(heads); i++)
+		for (int len = BODY_BYTES; len <= BODY_BYTES + 1; len++) {
+			char *text =
+				g_strdup_printf("%s%0*d", heads[i], len, 0);
+			call_result_t result = call_peer(text, false);
+
+			CU_ASSERT_EQUAL(result.complete,
+					i == 0 && len == BODY_BYTES);
+			CU_ASSERT_EQUAL(result.failed, !result.complete);
+			g_free(text);
+		}
+}
+
 static void test_no_response(void)
 {
 	call_result_t result = call_peer("HTTP/1.1 200", false);
@@ -174,6 +197,7 @@
 	CU_ADD_TEST(suite, test_response_ended_by_close);
 	CU_ADD_TEST(suite, test_response_ended_by_reset);
 	CU_ADD_TEST(suite, test_truncated_response);
+	CU_ADD_TEST(suite, test_body_over_the_limit);
 	CU_ADD_TEST(suite, test_no_response);
 	CU_basic_set_mode(CU_BRM_VERBOSE);
 	CU_basic_run_tests();
