--- a/src/wisteria/agent/agent_call.c
+++ b/src/wisteria/agent/agent_call.c
@@ -21,6 +21,8 @@
 #define CALL_STORED_MAX 65536
 #define CALL_STORED_BYTES_MAX (32u << 20)
 #define CALL_RESPONSE_BYTES_MAX (8u << 20)
+/* The same for all responses that have not ended. */
+#define CALL_RECEIVING_BYTES_MAX (24u << 20)
 #define CALL_TIMEOUT_MS_MAX (10 * 60 * 1000)
 
 typedef struct {
@@ -195,8 +197,11 @@
 {
 	agent_call_t *call = user;
 
-	if (call->response_body->len + size * count > CALL_RESPONSE_BYTES_MAX)
+	if (call->response_body->len + size * count > CALL_RESPONSE_BYTES_MAX ||
+	    call->agent->receiving_bytes + size * count >
+		    CALL_RECEIVING_BYTES_MAX)
 		return 0;
+	call->agent->receiving_bytes += size * count;
 	g_byte_array_append(call->response_body, (const guint8 *)data,
 			    (guint)(size * count));
 	return size * count;
@@ -285,6 +290,8 @@
 	const char *defect = find_defect(call, code);
 	long status = 0;
 
+	call->agent->receiving_bytes -= call->response_body->len;
+
 	curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
 	if (defect == NULL) {
 		call->outcome = CALL_DONE;
--- a/src/wisteria/agent/agent_defs.h
+++ b/src/wisteria/agent/agent_defs.h
@@ -79,6 +79,7 @@
 	GHashTable *closed_attempts; /* session -> closed_attempt_t */
 	GHashTable *peers;	     /* address -> agent_peer_t */
 	GHashTable *calls;	     /* call id -> agent_call_t */
+	size_t receiving_bytes;	     /* held of responses that have not ended */
 	bool listening;
 	bool draining;		/* refuses new work */
 	trace_writer_t *tracer; /* NULL: tracing is off */
--- a/test/functional/agent_test.c
+++ b/test/functional/agent_test.c
@@ -524,17 +524,18 @@
 }
 
 /*
- * Sends a call and waits for the reply.  "incarnation" is 0 when the call is
- * first sent, otherwise that of the agent to which it was first sent; the rig's
- * agent has incarnation 1.
+ * Sends a call to an endpoint of the first agent.  "incarnation" is 0 when the
+ * call is first sent, otherwise that of the agent to which it was first sent;
+ * the rig's agent has incarnation 1.
  */
-static void send_call(uint64_t id, const char *fault, uint64_t incarnation)
+static void post_call(uint64_t id, size_t endpoint, const char *fault,
+		      uint64_t incarnation)
 {
 	const msg_header_t header = { "X-Fake", fault };
 	const msg_call_t call = {
 		.call = id,
 		.revision = 1,
-		.endpoint = rig.agents[0].endpoints[0].name,
+		.endpoint = rig.agents[0].endpoints[endpoint].name,
 		.method = "POST",
 		.path = "/book",
 		.headers = &header,
@@ -545,11 +546,18 @@
 		.traceparent = "",
 		.incarnation = incarnation,
 	};
+
+	agent_rig_send(&rig, rig.agents[0].role.listen, MSG_CALL, &call);
+}
+
+/* Sends a call to the first endpoint and waits for the reply. */
+static void send_call(uint64_t id, const char *fault, uint64_t incarnation)
+{
 	const char *address = rig.agents[0].role.listen;
 	uint32_t expected = rig.call_replies + 1;
 
 	CU_ASSERT(agent_rig_run_until(&rig, link_is_up, (void *)address));
-	agent_rig_send(&rig, address, MSG_CALL, &call);
+	post_call(id, 0, fault, incarnation);
 	CU_ASSERT(agent_rig_run_until(&rig, has_call_reply, &expected));
 	CU_ASSERT_EQUAL(rig.call_reply.call, id);
 }
@@ -635,6 +643,48 @@
 	finish();
 }
 
+/*
+ * Four responses that together exceed the limit: one is unknown, and the others
+ * are whole.
+ */
+static void test_unfinished_responses_fit_in_memory(void)
+{
+	fake_endpoint_t services[RIG_ENDPOINTS_MAX];
+	rig_agent_t *agent;
+	uint32_t expected = 1;
+
+	harness_init(&harness, "agent");
+	agent_rig_init(&rig, &harness, LAYERS);
+	agent = agent_rig_add_agent(&rig);
+	for (size_t i = 0; i < ARRAY_SIZE(services); i++) {
+		settings_endpoint_t *endpoint =
+			agent_rig_add_endpoint(agent, 0, 0);
+
+		endpoint->name =
+			(char *)harness_string(&harness, "service-%zu", i);
+		fake_endpoint_start(&services[i], endpoint->name, "orders",
+				    harness.ip, agent->role.listen,
+				    FAKE_ENDPOINT_LARGE);
+		endpoint->url = (char *)harness_string(&harness, "http://%s",
+						       services[i].address);
+	}
+	agent_rig_start(agent);
+	CU_ASSERT(agent_rig_run_until(&rig, link_is_up, agent->role.listen));
+	for (size_t i = 0; i < ARRAY_SIZE(services); i++)
+		post_call(10 + i, i, "", 0);
+	CU_ASSERT(agent_rig_run_until(&rig, has_call_reply, &expected));
+	CU_ASSERT_EQUAL(rig.call_reply.outcome, CALL_UNKNOWN);
+	for (size_t i = 0; i < ARRAY_SIZE(services); i++)
+		services[i].mode = FAKE_ENDPOINT_SERVE;
+	for (expected = 2; expected <= ARRAY_SIZE(services); expected++) {
+		CU_ASSERT(agent_rig_run_until(&rig, has_call_reply, &expected));
+		CU_ASSERT_EQUAL(rig.call_reply.outcome, CALL_DONE);
+	}
+	for (size_t i = 0; i < ARRAY_SIZE(services); i++)
+		fake_endpoint_crash(&services[i]);
+	finish();
+}
+
 /*
  * A call is reported as not run if it was cancelled before it arrived (4), was
  * refused (7) or can't reach the service (8).  If it was sent to another
@@ -696,6 +746,8 @@
 	  test_call_with_stream_ended_inside_event_is_unknown },
 	{ "a call with heads without end is unknown",
 	  test_call_with_heads_without_end_is_unknown },
+	{ "unfinished responses fit in memory",
+	  test_unfinished_responses_fit_in_memory },
 	{ "a call that is not run", test_call_not_run },
 };
 
