--- a/src/wisteria/agent/agent_call.c
+++ b/src/wisteria/agent/agent_call.c
@@ -291,7 +291,6 @@
 	long status = 0;
 
 	call->agent->receiving_bytes -= call->response_body->len;
-
 	curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
 	if (defect == NULL) {
 		call->outcome = CALL_DONE;
--- a/src/wisteria/http/event_stream.c
+++ b/src/wisteria/http/event_stream.c
@@ -154,7 +154,8 @@
  * Counts the complete events at the start of "data" and returns the length up
  * to the end of the last one.  "data" starts behind the last event that was
  * counted; comments and blank lines are left in it until an event follows, so
- * that all that is forwarded leads up to an event.
+ * that all that is forwarded leads up to an event.  Stops at a block of lines
+ * that cannot come next, and sets "defect".
  */
 size_t event_stream_consume(event_stream_t *stream, const uint8_t *data,
 			    size_t len)
