--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -54,7 +54,7 @@
 # The randomized soak test of the fleet; CI does a short run with a fixed seed.
 add_executable(soak test/soak/soak.c)
 target_link_libraries(soak harness)
-add_test(NAME functional/soak COMMAND soak --seed=1 --seconds=12
+add_test(NAME functional/soak COMMAND soak --seed=1 --seconds=30
 	WORKING_DIRECTORY ${CMAKE_BINARY_DIR})
 set_tests_properties(functional/soak PROPERTIES TIMEOUT 240 RUN_SERIAL ON)
 
--- a/test/functional/harness/fake_endpoint.c
+++ b/test/functional/harness/fake_endpoint.c
@@ -205,11 +205,12 @@
 }
 
 /*
- * Sends "unit" again and again until the gateway closes the connection or the
- * length of the mode is reached.  A body follows the head of a good answer.
+ * Sends the unit of "mode" again and again until the gateway closes the
+ * connection or the length of the mode is reached.  A body follows the head of a
+ * good answer.
  */
 static void send_without_end(fake_endpoint_t *fake_endpoint, int fd,
-			     const char *request, const char *unit)
+			     const char *request, int mode)
 {
 	char *request_id = copy_header(request, "X-Wisteriadrift-Request-Id");
 	char *head = g_strdup_printf(
@@ -217,10 +218,9 @@
 		"X-Wisteriadrift-Response-Stamp: 1.2.3\r\n\r\n",
 		request_id);
 	GString *block = g_string_new(NULL);
-	int mode = fake_endpoint->mode;
 
 	while (block->len < ENDLESS_BLOCK_BYTES)
-		g_string_append(block, unit);
+		g_string_append(block, endless_unit(mode));
 	if (mode != FAKE_ENDPOINT_ENDLESS_INTERIM)
 		send_text(fd, head);
 	for (size_t sent = 0;
@@ -314,6 +314,7 @@
 static void serve_request(fake_endpoint_t *fake_endpoint, int fd)
 {
 	char request[REQUEST_BYTES];
+	int mode;
 
 	if (!read_request(fd, request))
 		return;
@@ -323,17 +324,17 @@
 			      "Content-Length: 0\r\nConnection: close\r\n\r\n");
 		return;
 	}
-	if (fake_endpoint->mode == FAKE_ENDPOINT_REJECT ||
-	    fake_endpoint->mode == FAKE_ENDPOINT_PAUSE) {
+	/* The test may change it at any time. */
+	mode = fake_endpoint->mode;
+	if (mode == FAKE_ENDPOINT_REJECT || mode == FAKE_ENDPOINT_PAUSE) {
 		send_rejection(fake_endpoint, fd);
 		return;
 	}
 	record_run(fake_endpoint, request);
-	if (endless_unit(fake_endpoint->mode) != NULL)
-		send_without_end(fake_endpoint, fd, request,
-				 endless_unit(fake_endpoint->mode));
-	else if (fake_endpoint->mode != FAKE_ENDPOINT_DROP)
-		send_stream(fd, request, fake_endpoint->mode);
+	if (endless_unit(mode) != NULL)
+		send_without_end(fake_endpoint, fd, request, mode);
+	else if (mode != FAKE_ENDPOINT_DROP)
+		send_stream(fd, request, mode);
 }
 
 static void *serve(void *user)
