--- a/test/functional/agent_test.c
+++ b/test/functional/agent_test.c
@@ -643,10 +643,7 @@
 	finish();
 }
 
-/*
- * Four responses that together exceed the limit: one is unknown, and the others
- * are whole.
- */
+/* Four responses together exceed the limit: one is unknown. */
 static void test_unfinished_responses_fit_in_memory(void)
 {
 	fake_endpoint_t services[RIG_ENDPOINTS_MAX];
--- a/test/functional/fleet_test.c
+++ b/test/functional/fleet_test.c
@@ -466,10 +466,7 @@
 	return true;
 }
 
-/*
- * Four answers that together exceed the limit; the caller of one gets 502, and
- * the others are delivered whole.
- */
+/* Four answers together exceed the limit: one fails, the others are whole. */
 static void test_unfinished_answers_fit_in_memory(void)
 {
 	static const char *const ids[] = { "i-24", "i-25", "i-26", "i-27" };
--- a/test/unit/group_walk_test.c
+++ b/test/unit/group_walk_test.c
@@ -378,10 +378,7 @@
 	return NULL;
 }
 
-/*
- * As soon as a change is committed all nodes lose power, and each pair of disks
- * is lost with it, below each leader.
- */
+/* Every leader and every pair of disks, right after a change is committed. */
 static void test_disks_are_lost_while_all_lose_power(void)
 {
 	for (int leader = 0; leader < NODES; leader++)
