Release the memory of a response that is given up at once

Suspected cause, by reading: an agent counted the bytes of the call that exceeded the limit until libcurl had ended it, and libcurl may pass on data of other calls before, which then failed, too.

Change: its bytes are dropped when it is given up.

--- a/src/wisteria/agent/agent_call.c
+++ b/src/wisteria/agent/agent_call.c
@@ -192,6 +192,13 @@
 	       stored_response_bytes(agent) >= CALL_STORED_BYTES_MAX;
 }
 
+/* Drops what was received of the response. */
+static void drop_response_body(agent_call_t *call)
+{
+	call->agent->receiving_bytes -= call->response_body->len;
+	g_byte_array_set_size(call->response_body, 0);
+}
+
 static size_t on_response_data(char *data, size_t size, size_t count,
 			       void *user)
 {
@@ -199,8 +206,11 @@
 
 	if (call->response_body->len + size * count > CALL_RESPONSE_BYTES_MAX ||
 	    call->agent->receiving_bytes + size * count >
-		    CALL_RECEIVING_BYTES_MAX)
+		    CALL_RECEIVING_BYTES_MAX) {
+		/* At once, before libcurl passes on data of other calls. */
+		drop_response_body(call);
 		return 0;
+	}
 	call->agent->receiving_bytes += size * count;
 	g_byte_array_append(call->response_body, (const guint8 *)data,
 			    (guint)(size * count));
