Take no cut response for the success of a command

When such a 200 had been cut, wisteriactl printed no outcome and ended with 0, as if the order had been applied.

Change: a 200 whose body is no JSON is no response: the next server is asked, with the same order id, and the outcome is unknown (4) if none answers.

--- a/src/cli/client.c
+++ b/src/cli/client.c
@@ -57,7 +57,21 @@
 		curl_easy_setopt(curl, CURLOPT_POSTFIELDS, body);
 }
 
-/* Returns whether the server sent a complete HTTP response. */
+/*
+ * Returns whether the body of a 200 is JSON, as all of them are.  Without a
+ * length or chunks, one that was cut looks complete to libcurl.
+ */
+static bool is_readable(const char *server, client_response_t *response)
+{
+	if (response->status != 200 || response->body != NULL)
+		return true;
+	response->status = 0;
+	snprintf(response->error_text, sizeof(response->error_text),
+		 "%s: the response is not complete", server);
+	return false;
+}
+
+/* Returns whether the server sent a complete response. */
 static bool try_server(const char *server, const char *method, const char *path,
 		       const char *body, struct curl_slist *headers,
 		       long timeout_ms, client_response_t *response)
@@ -65,6 +79,7 @@
 	CURL *curl = curl_easy_init();
 	char *url = g_strdup_printf("http://%s%s", server, path);
 	GString *received = g_string_new(NULL);
+	bool complete = false;
 	CURLcode code;
 
 	set_options(curl, url, method, body, timeout_ms);
@@ -76,6 +91,7 @@
 				  &response->status);
 		response->body =
 			json_loadb(received->str, received->len, 0, NULL);
+		complete = is_readable(server, response);
 	} else {
 		snprintf(response->error_text, sizeof(response->error_text),
 			 "%s: %s", server, curl_easy_strerror(code));
@@ -85,7 +101,7 @@
 	g_string_free(received, TRUE);
 	g_free(url);
 	curl_easy_cleanup(curl);
-	return code == CURLE_OK;
+	return complete;
 }
 
 /*
--- a/test/functional/cli_test.c
+++ b/test/functional/cli_test.c
@@ -8,6 +8,7 @@
 #include <string.h>
 #include <sys/wait.h>
 
+#include "harness/fake_endpoint.h"
 #include "harness/harness.h"
 
 #define TOKEN "operator-token"
@@ -150,6 +151,22 @@
 	stop_admin(admin);
 }
 
+static void test_incomplete_response_is_not_taken_for_success(void)
+{
+	fake_endpoint_t server;
+
+	fake_endpoint_start(&server, "i-1", "admin", harness.ip, "127.0.0.1:1",
+			    FAKE_ENDPOINT_UNFRAMED_EMPTY);
+	CU_ASSERT_EQUAL(
+		run_ctl(harness_string(&harness,
+				       "-s %s --timeout-ms 500 endpoint leave "
+				       "e1 --order-id cut",
+				       server.address)),
+		4);
+	CU_ASSERT(server.runs > 0);
+	fake_endpoint_crash(&server);
+}
+
 /* The server reports an unknown outcome twice; the order applies once. */
 static void test_lost_answers(void)
 {
@@ -307,6 +324,8 @@
 	{ "presets", test_presets },
 	{ "commands that show state", test_show_commands },
 	{ "lost answers", test_lost_answers },
+	{ "incomplete response is not taken for success",
+	  test_incomplete_response_is_not_taken_for_success },
 	{ "unknown outcome", test_unknown_outcome },
 	{ "servers are tried in turn", test_servers_are_tried_in_turn },
 	{ "usage errors change nothing", test_usage_errors_change_nothing },
