Log the member that a change of the group was about

Cause: the leader logged the member through a pointer into the list that the change had just rearranged, so that member_removed named the voter that took the place of the removed one. Change: the member is copied before the change.

--- a/src/wisteria/control/replica_group.c
+++ b/src/wisteria/control/replica_group.c
@@ -404,15 +404,16 @@
 	return false;
 }
 
+/* Takes "member" by value: the change moves the items of the member list. */
 static void change_member(replica_t *replica, raft_member_change_t kind,
-			  const raft_member_t *member, const char *event)
+			  raft_member_t member, const char *event)
 {
 	err_t err = ERR_INIT;
 
-	if (raft_change_member(&replica->raft, kind, member, &err) != 0)
+	if (raft_change_member(&replica->raft, kind, &member, &err) != 0)
 		LOG_INFO(event,
 			 "member=%s address=%s replica=%" G_GINT64_MODIFIER "x",
-			 member->instance, member->address, member->id);
+			 member.instance, member.address, member.id);
 }
 
 /*
@@ -432,12 +433,12 @@
 
 		if (old != NULL && replica->raft.now_ms - old->last_heard_ms >=
 					   REPLICA_STALE_MS)
-			change_member(replica, RAFT_MEMBER_REMOVE, previous,
+			change_member(replica, RAFT_MEMBER_REMOVE, *previous,
 				      "member_replaced");
 		return;
 	}
 	if (is_initial_voter(replica, learner->instance))
-		change_member(replica, RAFT_MEMBER_PROMOTE, learner,
+		change_member(replica, RAFT_MEMBER_PROMOTE, *learner,
 			      "member_promoted");
 }
 
@@ -456,7 +457,7 @@
 	group_watch_statuses(&replica->watch, raft, statuses);
 	if (group_policy_next(&raft->members, statuses, &next))
 		change_member(replica, next.change,
-			      &raft->members.items[next.member],
+			      raft->members.items[next.member],
 			      events[next.change]);
 }
 
@@ -476,7 +477,8 @@
 		return;
 	joiner = joiners_next(&replica->joiners, members, now);
 	if (joiner != NULL)
-		change_member(replica, RAFT_MEMBER_ADD, joiner, "member_added");
+		change_member(replica, RAFT_MEMBER_ADD, *joiner,
+			      "member_added");
 	if (replica->settings->control->open_group) {
 		update_open_group(replica);
 		return;
