Log which voters a replica without a leader can reach

Cause: when the group has no leader, the logs say nothing at all: voters that are gone for good, voters without a link and a second group look alike, which are the three hypotheses of the lost control group. Change: a replica that knows no leader logs leader_missing every 2 s, with each voter and the state of the link to it; the gauge control_leader says the same to the monitoring.

--- a/src/wisteria/base/counters.c
+++ b/src/wisteria/base/counters.c
@@ -98,6 +98,9 @@
 	[GAUGE_ENDPOINTS] = { "endpoints", "gauge", "Endpoints known." },
 	[GAUGE_LEASE] = { "lease", "gauge",
 			  "1 while the revision held is confirmed." },
+	[GAUGE_CONTROL_LEADER] = { "control_leader", "gauge",
+				   "1 while the leader of the control group "
+				   "is known to this replica." },
 	[GAUGE_SESSIONS] = { "sessions", "gauge", "Open sessions." },
 	[GAUGE_QUEUED] = { "queued", "gauge", "Requests waiting at entry." },
 	[GAUGE_REVISION] = { "revision", "gauge",
--- a/src/wisteria/control/replica.c
+++ b/src/wisteria/control/replica.c
@@ -210,6 +210,7 @@
 	raft_tick(&replica->raft, now_of(replica));
 	replica_search(replica);
 	replica_update_membership(replica);
+	replica_log_missing_leader(replica);
 	replica_link_members(replica);
 	process_output(replica);
 }
--- a/src/wisteria/control/replica_defs.h
+++ b/src/wisteria/control/replica_defs.h
@@ -17,6 +17,8 @@
  * member is assumed to be gone.
  */
 #define REPLICA_STALE_MS 2000
+/* How often a replica logs that it knows no leader. */
+#define REPLICA_LEADERLESS_LOG_MS 2000
 /* A snapshot is made after this many entries or bytes in the log. */
 #define REPLICA_SNAPSHOT_ENTRIES 20000
 #define REPLICA_SNAPSHOT_BYTES (32u << 20)
@@ -76,6 +78,7 @@
 	uv_timer_t tick;
 	uv_check_t output_check;
 	clock_ms_t search_at_ms;
+	clock_ms_t leaderless_log_ms; /* when to log it next */
 	uint64_t notified_term;
 	uint64_t notified_leader;
 	bool snapshot_in_progress;
--- a/src/wisteria/control/replica_group.c
+++ b/src/wisteria/control/replica_group.c
@@ -22,6 +22,7 @@
 #include <string.h>
 
 #include "wisteria/base/clock.h"
+#include "wisteria/base/counters.h"
 #include "wisteria/base/err.h"
 #include "wisteria/base/log.h"
 #include "wisteria/control/group_policy.h"
@@ -442,6 +443,51 @@
 			      "member_promoted");
 }
 
+static const char *link_state(const replica_t *replica,
+			      const raft_member_t *member)
+{
+	const replica_peer_t *peer = replica_peer(replica, member->instance);
+
+	if (member->id == replica->raft.id)
+		return "self";
+	return peer != NULL && peer->linked && link_is_open(&peer->link)
+		       ? "open"
+		       : "closed";
+}
+
+/*
+ * Logs each REPLICA_LEADERLESS_LOG_MS that no leader is known, with the voters
+ * and whether there is a link to them: too few links open explain why no
+ * majority forms.
+ */
+void replica_log_missing_leader(replica_t *replica)
+{
+	const raft_members_t *members = &replica->raft.members;
+	clock_ms_t now = now_of(replica);
+	GString *voters;
+
+	counter_set(GAUGE_CONTROL_LEADER, replica->raft.leader != 0);
+	if (replica->raft.leader != 0 || replica->leaderless_log_ms == 0) {
+		replica->leaderless_log_ms = now + REPLICA_LEADERLESS_LOG_MS;
+		return;
+	}
+	if (now < replica->leaderless_log_ms)
+		return;
+	replica->leaderless_log_ms = now + REPLICA_LEADERLESS_LOG_MS;
+	voters = g_string_new(NULL);
+	for (uint32_t i = 0; i < members->count; i++) {
+		const raft_member_t *member = &members->items[i];
+
+		if (member->voter)
+			g_string_append_printf(
+				voters, "%s%s=%s", voters->len > 0 ? "," : "",
+				member->instance, link_state(replica, member));
+	}
+	LOG_INFO("leader_missing", "term=%" G_GUINT64_FORMAT " voters=%s",
+		 replica->raft.term, voters->len > 0 ? voters->str : "none");
+	g_string_free(voters, TRUE);
+}
+
 /* Makes the next membership change of an open group; see group_policy.c. */
 static void update_open_group(replica_t *replica)
 {
--- a/src/wisteria/control/replica_group.h
+++ b/src/wisteria/control/replica_group.h
@@ -11,6 +11,7 @@
 			     const char *instance) ATTR_NONNULL_ALL;
 void replica_search(replica_t *replica) ATTR_NONNULL_ALL;
 void replica_update_membership(replica_t *replica) ATTR_NONNULL_ALL;
+void replica_log_missing_leader(replica_t *replica) ATTR_NONNULL_ALL;
 void replica_on_group_message(replica_t *replica, conn_t *conn,
 			      const msg_raft_t *msg) ATTR_NONNULL_ALL;
 
