--- a/test/unit/group_walk_test.c
+++ b/test/unit/group_walk_test.c
@@ -1,11 +1,11 @@
 /*
- * Seeded random walks over a control group of five replicas that know three of
- * them, the seeds: disks are lost, replicas freeze, restart, are cut off, and
- * messages are reordered or lost.  The log, the membership policy and the list
- * of join requests are the real ones; the messages that find a group are
- * modelled here.  At most GROUP_LOSSES disks are lost at once.  A walk fails if
- * an acknowledged entry is lost, or if a replica is no voter again within
- * REJOIN_BOUND_MS after the faults have ended.
+ * Seeded random walks over a control group of three or five replicas that know
+ * three of them, the seeds: disks are lost, replicas are replaced, freeze,
+ * restart, are cut off, and messages are reordered or lost.  The log, the
+ * membership policy and the list of join requests are the real ones; the
+ * messages that find a group are modelled here.  At most group_losses() disks
+ * are lost at once.  A walk fails if an acknowledged entry is lost, or if a
+ * replica is no voter again within REJOIN_BOUND_MS after the faults have ended.
  */
 #include "unit.h"
 
@@ -15,9 +15,10 @@
 #include "wisteria/control/joiners.h"
 #include "wisteria/control/replica_defs.h"
 
-#define NODES 5
+#define NODES_MAX 5
 #define SEEDS 3
-#define GROUP_LOSSES 2
+/* From the loss of a replica for good to the start of its successor. */
+#define SUCCESSOR_START_MS 1000
 /* The shortest time in which deployments want a lost member back. */
 #define REJOIN_BOUND_MS 4000
 #define TICK_MS 20
@@ -27,13 +28,15 @@
 typedef struct {
 	joiners_t joiners;
 	group_watch_t watch;
-	bool knows[NODES]; /* has a link to that node */
+	bool knows[NODES_MAX]; /* has a link to that node */
 	clock_ms_t search_at_ms;
+	int generation;		 /* replacements of the node so far */
+	clock_ms_t disturbed_ms; /* when it was last down, frozen or cut off */
 } member_t;
 
 typedef struct {
 	sim_t sim;
-	member_t members[NODES];
+	member_t members[NODES_MAX];
 	GRand *random;
 	bool replies_list_members;
 	int loss_percent; /* of messages */
@@ -45,10 +48,17 @@
 {
 	raft_member_t member = { .id = walk->sim.nodes[at].id };
 
-	snprintf(member.instance, sizeof(member.instance), "node-%d", at);
+	snprintf(member.instance, sizeof(member.instance), "node-%d.%d", at,
+		 walk->members[at].generation);
 	return member;
 }
 
+/* The losses that a group of this size tolerates at once. */
+static int group_losses(const walk_t *walk)
+{
+	return (walk->sim.count - 1) / 2;
+}
+
 static int node_of(const raft_member_t *member)
 {
 	return atoi(member->instance + strlen("node-"));
@@ -68,8 +78,13 @@
 
 static void learn_members(walk_t *walk, int at, const raft_members_t *members)
 {
-	for (uint32_t i = 0; i < members->count; i++)
-		walk->members[at].knows[node_of(&members->items[i])] = true;
+	for (uint32_t i = 0; i < members->count; i++) {
+		int node = node_of(&members->items[i]);
+		const raft_member_t current = member_of(walk, node);
+
+		if (strcmp(members->items[i].instance, current.instance) == 0)
+			walk->members[at].knows[node] = true;
+	}
 }
 
 static bool is_searching(const walk_t *walk, int at)
@@ -90,7 +105,7 @@
 	if (!is_searching(walk, at) || walk->sim.now_ms < self->search_at_ms)
 		return;
 	self->search_at_ms = walk->sim.now_ms + REPLICA_SEARCH_MS;
-	for (int to = 0; to < NODES; to++) {
+	for (int to = 0; to < walk->sim.count; to++) {
 		const raft_t *peer = &walk->sim.nodes[to].raft;
 
 		if (to == at || !can_send(walk, at, to))
@@ -150,11 +165,23 @@
 	}
 }
 
+/* Whether a node is down, frozen or cut off from another one. */
+static bool is_disturbed(const walk_t *walk, int at)
+{
+	if (!is_active(walk, at))
+		return true;
+	for (int i = 0; i < walk->sim.count; i++)
+		if (walk->sim.partitioned[at][i] ||
+		    walk->sim.partitioned[i][at])
+			return true;
+	return false;
+}
+
 static void tick(walk_t *walk)
 {
 	sim_t *sim = &walk->sim;
 
-	for (int i = 0; i < NODES; i++) {
+	for (int i = 0; i < sim->count; i++) {
 		if (!is_active(walk, i))
 			continue;
 		learn_members(walk, i, &sim->nodes[i].raft.members);
@@ -165,6 +192,9 @@
 	}
 	deliver_messages(walk);
 	sim_advance(sim, TICK_MS);
+	for (int i = 0; i < sim->count; i++)
+		if (is_disturbed(walk, i))
+			walk->members[i].disturbed_ms = sim->now_ms;
 	walk->steps++;
 }
 
@@ -179,7 +209,7 @@
 {
 	const raft_t *newest = NULL;
 
-	for (int i = 0; i < NODES; i++) {
+	for (int i = 0; i < walk->sim.count; i++) {
 		const raft_t *raft = &walk->sim.nodes[i].raft;
 
 		if (walk->sim.nodes[i].up && raft->role == RAFT_LEADER &&
@@ -196,7 +226,7 @@
 	const raft_members_t *members = members_in_force(walk);
 	int absent = 0;
 
-	for (int i = 0; i < NODES; i++)
+	for (int i = 0; i < walk->sim.count; i++)
 		if (members == NULL ||
 		    !raft_members_is_voter(members, walk->sim.nodes[i].id))
 			absent++;
@@ -209,7 +239,7 @@
 	uint64_t newest = sim_committed_count(&walk->sim);
 	int holders = 0;
 
-	for (int i = 0; i < NODES; i++) {
+	for (int i = 0; i < walk->sim.count; i++) {
 		const sim_disk_t *disk = &walk->sim.nodes[i].disk;
 
 		if (disk->snapshot.index + disk->entries->len >= newest)
@@ -224,38 +254,73 @@
 	member_t *self = &walk->members[at];
 
 	sim_wipe(&walk->sim, at);
-	memset(self, 0, sizeof(*self));
+	memset(self->knows, 0, sizeof(self->knows));
+	self->joiners.count = 0;
+	self->watch = (group_watch_t){ 0 };
+	self->search_at_ms = 0;
+	self->disturbed_ms = walk->sim.now_ms;
 	for (int i = 0; i < SEEDS; i++)
 		self->knows[i] = i != at;
 	walk->lost_disks++;
 }
 
+/* Takes a node away for good; its successor has another address. */
+static void take_away(walk_t *walk, int at)
+{
+	sim_crash(&walk->sim, at, 0, 0);
+	walk->members[at].generation++;
+	for (int i = 0; i < walk->sim.count; i++)
+		walk->members[i].knows[at] = false;
+}
+
+static void replace(walk_t *walk, int at)
+{
+	take_away(walk, at);
+	run_for(walk, SUCCESSOR_START_MS);
+	lose_disk(walk, at);
+}
+
+/* Nodes that are disturbed or were so within REJOIN_BOUND_MS. */
+static int count_lost(const walk_t *walk)
+{
+	int lost = 0;
+
+	for (int i = 0; i < walk->sim.count; i++)
+		if (walk->sim.now_ms - walk->members[i].disturbed_ms <
+		    REJOIN_BOUND_MS)
+			lost++;
+	return lost;
+}
+
 static void heal(walk_t *walk)
 {
 	step_heal(&walk->sim, 0);
 	walk->loss_percent = 0;
-	for (int i = 0; i < NODES; i++) {
+	for (int i = 0; i < walk->sim.count; i++) {
 		walk->sim.nodes[i].paused = false;
 		if (!walk->sim.nodes[i].up)
 			sim_start(&walk->sim, i);
 	}
 }
 
-static void begin(walk_t *walk, uint32_t seed, bool replies_list_members)
+static void begin(walk_t *walk, int nodes, uint32_t seed,
+		  bool replies_list_members)
 {
-	raft_members_t members = { .count = NODES };
+	raft_members_t members = { .count = (uint32_t)nodes };
 
 	memset(walk, 0, sizeof(*walk));
 	walk->random = g_rand_new_with_seed(seed);
 	walk->replies_list_members = replies_list_members;
-	sim_begin(&walk->sim, fault_variant("none"), NODES);
+	sim_begin(&walk->sim, fault_variant("none"), nodes);
+	for (int i = 0; i < nodes; i++)
+		walk->members[i].disturbed_ms = -REJOIN_BOUND_MS;
 	sim_crash(&walk->sim, 0, 0, 0);
 	sim_disk_clear(&walk->sim.nodes[0].disk);
 	sim_start(&walk->sim, 0);
-	for (int i = 0; i < NODES; i++) {
+	for (int i = 0; i < walk->sim.count; i++) {
 		members.items[i] = member_of(walk, i);
 		members.items[i].voter = true;
-		for (int j = 0; j < NODES; j++)
+		for (int j = 0; j < walk->sim.count; j++)
 			walk->members[i].knows[j] = i != j;
 	}
 	raft_bootstrap(&walk->sim.nodes[0].raft, &members);
@@ -272,7 +337,7 @@
 
 static int find_leader(const walk_t *walk)
 {
-	for (int i = 0; i < NODES; i++)
+	for (int i = 0; i < walk->sim.count; i++)
 		if (walk->sim.nodes[i].raft.role == RAFT_LEADER)
 			return i;
 	return -1;
@@ -300,7 +365,7 @@
 	walk_t walk;
 	bool is_back;
 
-	begin(&walk, 1, replies_list_members);
+	begin(&walk, NODES_MAX, 1, replies_list_members);
 	CU_ASSERT_TRUE(make_leader(&walk, leader));
 	sim_submit(&walk.sim, 3);
 	run_for(&walk, 200);
@@ -315,8 +380,8 @@
 /* Every pair of a leader and a node that loses its disk, the leader included. */
 static void test_lost_disk_is_voter_again_for_every_leader(void)
 {
-	for (int leader = 0; leader < NODES; leader++)
-		for (int lost = 0; lost < NODES; lost++)
+	for (int leader = 0; leader < NODES_MAX; leader++)
+		for (int lost = 0; lost < NODES_MAX; lost++)
 			CU_ASSERT_TRUE(rejoins(leader, lost, true));
 }
 
@@ -332,16 +397,16 @@
 static void test_two_losses_follow_each_other(void)
 {
 	for (clock_ms_t gap_ms = 0; gap_ms <= REJOIN_BOUND_MS; gap_ms += 500)
-		for (int leader = 0; leader < NODES; leader++) {
+		for (int leader = 0; leader < NODES_MAX; leader++) {
 			walk_t walk;
 
-			begin(&walk, 1, true);
+			begin(&walk, NODES_MAX, 1, true);
 			CU_ASSERT_TRUE(make_leader(&walk, leader));
 			sim_submit(&walk.sim, 3);
 			run_for(&walk, 200);
-			lose_disk(&walk, (leader + 1) % NODES);
+			lose_disk(&walk, (leader + 1) % NODES_MAX);
 			run_for(&walk, gap_ms);
-			lose_disk(&walk, (leader + 2) % NODES);
+			lose_disk(&walk, (leader + 2) % NODES_MAX);
 			run_for(&walk, REJOIN_BOUND_MS);
 			CU_ASSERT_EQUAL(count_absent(&walk), 0);
 			CU_ASSERT_PTR_NULL(walk.sim.violation);
@@ -352,7 +417,7 @@
 /* All nodes lose power, and those in "lost" lose their disks with it. */
 static void lose_power(walk_t *walk, uint32_t lost)
 {
-	for (int i = 0; i < NODES; i++) {
+	for (int i = 0; i < walk->sim.count; i++) {
 		sim_crash(&walk->sim, i, 0, 0);
 		if ((lost & 1u << i) != 0)
 			lose_disk(walk, i);
@@ -381,13 +446,14 @@
 /* Every leader and every pair of disks, right after a change is committed. */
 static void test_disks_are_lost_while_all_lose_power(void)
 {
-	for (int leader = 0; leader < NODES; leader++)
-		for (int pair = 0; pair < NODES * NODES; pair++) {
-			uint32_t lost = 1u << pair % NODES | 1u << pair / NODES;
+	for (int leader = 0; leader < NODES_MAX; leader++)
+		for (int pair = 0; pair < NODES_MAX * NODES_MAX; pair++) {
+			uint32_t lost =
+				1u << pair % NODES_MAX | 1u << pair / NODES_MAX;
 			uint64_t before;
 			walk_t walk;
 
-			begin(&walk, 1, true);
+			begin(&walk, NODES_MAX, 1, true);
 			CU_ASSERT_TRUE(make_leader(&walk, leader));
 			before = sim_committed_count(&walk.sim);
 			sim_submit(&walk.sim, 3);
@@ -399,11 +465,68 @@
 		}
 }
 
+/* Returns whether a change commits within the time of some elections. */
+static bool commit_change(walk_t *walk)
+{
+	uint64_t before = sim_committed_count(&walk->sim);
+
+	for (clock_ms_t at = 0; at < 4 * RAFT_ELECTION_TIMEOUT_MS;
+	     at += TICK_MS) {
+		sim_submit(&walk->sim, 1);
+		tick(walk);
+		if (sim_committed_count(&walk->sim) > before)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Replaces as many nodes as may be lost at once, beginning with "first", and
+ * takes as many others away once the successors have had REJOIN_BOUND_MS.
+ */
+static const char *find_failure_of_replacing(int nodes, int leader, int first)
+{
+	const char *failure = NULL;
+	walk_t walk;
+	int losses;
+
+	begin(&walk, nodes, 1, true);
+	losses = group_losses(&walk);
+	CU_ASSERT_TRUE(make_leader(&walk, leader));
+	sim_submit(&walk.sim, 3);
+	run_for(&walk, 200);
+	for (int i = 0; i < losses; i++)
+		take_away(&walk, (first + i) % nodes);
+	run_for(&walk, SUCCESSOR_START_MS);
+	for (int i = 0; i < losses; i++)
+		lose_disk(&walk, (first + i) % nodes);
+	run_for(&walk, REJOIN_BOUND_MS);
+	if (count_absent(&walk) > 0)
+		failure = "a successor is no voter";
+	for (int i = losses; i < 2 * losses; i++)
+		take_away(&walk, (first + i) % nodes);
+	if (failure == NULL && !commit_change(&walk))
+		failure = "nothing commits after the next loss";
+	if (failure == NULL)
+		failure = walk.sim.violation;
+	end(&walk);
+	return failure;
+}
+
+static void test_replaced_voters_do_not_count_at_the_next_loss(void)
+{
+	for (int nodes = 3; nodes <= NODES_MAX; nodes++)
+		for (int leader = 0; leader < nodes; leader++)
+			for (int first = 0; first < nodes; first++)
+				CU_ASSERT_PTR_NULL(find_failure_of_replacing(
+					nodes, leader, first));
+}
+
 typedef void (*event_t)(walk_t *walk, int at);
 
 static void event_lose_disk(walk_t *walk, int at)
 {
-	if (count_absent(walk) < GROUP_LOSSES)
+	if (count_absent(walk) < group_losses(walk))
 		lose_disk(walk, at);
 }
 
@@ -430,7 +553,7 @@
 
 static void event_cut_one_way(walk_t *walk, int at)
 {
-	int to = g_rand_int_range(walk->random, 0, NODES);
+	int to = g_rand_int_range(walk->random, 0, walk->sim.count);
 
 	walk->sim.partitioned[at][to] = true;
 }
@@ -466,6 +589,22 @@
 	heal(walk);
 }
 
+static void event_replace(walk_t *walk, int at)
+{
+	bool counts = walk->sim.now_ms - walk->members[at].disturbed_ms <
+		      REJOIN_BOUND_MS;
+
+	if (walk->loss_percent == 0 &&
+	    count_lost(walk) - (counts ? 1 : 0) < group_losses(walk))
+		replace(walk, at);
+}
+
+static void event_run(walk_t *walk, int at)
+{
+	(void)at;
+	run_for(walk, REJOIN_BOUND_MS);
+}
+
 static const event_t events[] = {
 	event_lose_disk, event_lose_disk, event_lose_disk, event_freeze,
 	event_restart,	 event_stop,	  event_cut,	   event_cut_one_way,
@@ -473,52 +612,55 @@
 	event_compact,	 event_heal,	  event_heal,
 };
 
-/* Returns whether a change commits within the time of some elections. */
-static bool commit_change(walk_t *walk)
-{
-	uint64_t before = sim_committed_count(&walk->sim);
+static const event_t replacements[] = {
+	event_replace, event_replace, event_replace,  event_freeze,
+	event_restart, event_cut,     event_transfer, event_write,
+	event_compact, event_heal,    event_heal,     event_run,
+};
 
-	for (clock_ms_t at = 0; at < 4 * RAFT_ELECTION_TIMEOUT_MS;
-	     at += TICK_MS) {
-		sim_submit(&walk->sim, 1);
-		tick(walk);
-		if (sim_committed_count(&walk->sim) > before)
-			return true;
-	}
-	return false;
-}
+/* What a walk is made of. */
+typedef struct {
+	const event_t *events;
+	int event_count;
+	int nodes;
+	bool loses_power; /* at the end */
+} plan_t;
 
 /*
  * Draws as many disks as may be lost at the moment, when a leader has just
  * committed a change and so knows the members in force.
  */
-static uint32_t draw_lost_disks(walk_t *walk)
+static uint32_t draw_lost_disks(walk_t *walk, const plan_t *plan)
 {
+	int absent = plan->events == replacements ? count_lost(walk)
+						  : count_absent(walk);
 	uint32_t lost = 0;
 
-	for (int left = GROUP_LOSSES - count_absent(walk); left > 0; left--)
-		lost |= 1u << g_rand_int_range(walk->random, 0, NODES);
+	for (int left = group_losses(walk) - absent; left > 0; left--)
+		lost |= 1u << g_rand_int_range(walk->random, 0,
+					       walk->sim.count);
 	return lost;
 }
 
 /*
  * Plays one walk; returns what failed, or NULL.  After the last event all
- * faults end; with "loses_power" a change is committed, and all nodes lose power
- * at once, some with their disks.  Then the group gets the time that two
+ * faults end; if the plan says so, a change is committed, and all nodes lose
+ * power at once, some with their disks.  Then the group gets the time that two
  * elections may take before the bound counts.
  */
-static const char *play(uint32_t seed, bool loses_power, walk_t *walk)
+static const char *play(uint32_t seed, const plan_t *plan, walk_t *walk)
 {
 	const char *failure = NULL;
 
-	begin(walk, seed, true);
+	begin(walk, plan->nodes, seed, true);
 	for (int i = 0; i < WALK_EVENTS && failure == NULL; i++) {
 		int event =
-			g_rand_int_range(walk->random, 0, ARRAY_SIZE(events));
-		int at = g_rand_int_range(walk->random, 0, NODES);
+			g_rand_int_range(walk->random, 0, plan->event_count);
+		int at = g_rand_int_range(walk->random, 0, walk->sim.count);
 
-		events[event](walk, at);
-		if (count_holders(walk) < NODES / 2 + 1 - GROUP_LOSSES)
+		plan->events[event](walk, at);
+		if (count_holders(walk) <
+		    walk->sim.count / 2 + 1 - group_losses(walk))
 			failure = "no disk holds the newest committed entry";
 		run_for(walk, g_rand_int_range(walk->random, 1, 3000));
 		if (walk->sim.violation != NULL)
@@ -526,10 +668,10 @@
 	}
 	if (failure == NULL) {
 		heal(walk);
-		if (loses_power && !commit_change(walk))
+		if (plan->loses_power && !commit_change(walk))
 			failure = "nothing commits before the power loss";
-		else if (loses_power)
-			lose_power(walk, draw_lost_disks(walk));
+		else if (plan->loses_power)
+			lose_power(walk, draw_lost_disks(walk, plan));
 	}
 	if (failure == NULL)
 		failure = find_failure_after(walk);
@@ -537,7 +679,7 @@
 	return failure;
 }
 
-static void play_walks(bool loses_power)
+static void play_walks(const plan_t *plan)
 {
 	const char *walks = getenv("GROUP_WALKS");
 	const char *first = getenv("GROUP_WALK_SEED");
@@ -548,7 +690,7 @@
 
 	for (; seed < last; seed++) {
 		walk_t walk;
-		const char *failure = play(seed, loses_power, &walk);
+		const char *failure = play(seed, plan, &walk);
 
 		steps += walk.steps;
 		lost += walk.lost_disks;
@@ -561,14 +703,29 @@
 	       steps, lost);
 }
 
+static const plan_t losses_plan = { events, ARRAY_SIZE(events), NODES_MAX,
+				    false };
+static const plan_t power_loss_plan = { events, ARRAY_SIZE(events), NODES_MAX,
+					true };
+
 static void test_random_walks(void)
 {
-	play_walks(false);
+	play_walks(&losses_plan);
 }
 
 static void test_random_walks_that_end_with_a_power_loss(void)
 {
-	play_walks(true);
+	play_walks(&power_loss_plan);
+}
+
+static void test_random_walks_with_replaced_nodes(void)
+{
+	for (int nodes = 3; nodes <= NODES_MAX; nodes++) {
+		const plan_t plan = { replacements, ARRAY_SIZE(replacements),
+				      nodes, true };
+
+		play_walks(&plan);
+	}
 }
 
 /*
@@ -582,7 +739,7 @@
 	for (size_t i = 0; i < ARRAY_SIZE(seeds); i++) {
 		walk_t walk;
 
-		CU_ASSERT_PTR_NULL(play(seeds[i], false, &walk));
+		CU_ASSERT_PTR_NULL(play(seeds[i], &losses_plan, &walk));
 	}
 }
 
@@ -619,9 +776,13 @@
 	{ "walks that failed", test_walks_that_failed },
 	{ "disks are lost while all lose power",
 	  test_disks_are_lost_while_all_lose_power },
+	{ "replaced voters do not count at the next loss",
+	  test_replaced_voters_do_not_count_at_the_next_loss },
 	{ "random walks", test_random_walks },
 	{ "random walks that end with a power loss",
 	  test_random_walks_that_end_with_a_power_loss },
+	{ "random walks with replaced nodes",
+	  test_random_walks_with_replaced_nodes },
 };
 
 int main(void)
