Replace a silent voter by a learner instead of adding it beside

Cause: a replaced instance was removed from the group only after 8 s of silence, while its successor was promoted beside it within 2 s. In between, three voters are four, one of them gone, and need three. The next loss, allowed 4 s after the successor's start, leaves two, and no change of members can be committed any more. The class: a timeout that decides when a loss counts was longer than the time in which the next loss must be tolerated.

Change: with an odd number of voters a learner takes the place of a silent voter after 2 s: the voter is removed, then the learner promoted. With an even number a learner is promoted at once and a silent voter removed after 2 s, since the group tolerates no less without it. 8 s hold for the rest. A new leader watches for a second before it promotes, as it can't know who is silent.

--- a/src/wisteria/control/group_policy.c
+++ b/src/wisteria/control/group_policy.c
@@ -1,10 +1,14 @@
 /*
  * Automatic membership changes of an open group (see
- * settings_control_t.open_group), one member at a time.  A learner becomes a
- * voter once it has caught up.  A lost voter is removed when enough other
- * voters are reachable, with a replacement counted among them.  A removed
- * member that comes back joins again as a learner.  Does no I/O and reads no
- * clock.
+ * settings_control_t.open_group), one member at a time.  Does no I/O and reads
+ * no clock.
+ *
+ * With an even number of voters the group tolerates no more losses than with
+ * one voter less, so a learner that has caught up is promoted at once, and a
+ * silent voter is removed soon.  With an odd number, neither changes what the
+ * group tolerates; there a learner takes the place of a silent voter instead of
+ * being promoted beside it.  A voter that is silent for long is removed without
+ * a replacement.  A removed member that comes back joins again as a learner.
  */
 #include "wisteria/control/group_policy.h"
 
@@ -26,9 +30,63 @@
 	return -1;
 }
 
+/* What the leader sees of the group. */
+typedef struct {
+	uint32_t voters;
+	uint32_t reachable; /* voters silent for less than GROUP_REACHABLE_MS */
+	uint32_t
+		newcomers; /* learners of other instances that could vote now */
+	bool is_known;	   /* watched for long enough to see a silence */
+} group_survey_t;
+
+static bool is_ready(const group_member_status_t *learner)
+{
+	return learner->caught_up && learner->silent_ms < GROUP_REACHABLE_MS;
+}
+
+static group_survey_t survey_group(const raft_members_t *members,
+				   const group_member_status_t *statuses,
+				   clock_ms_t watched_ms)
+{
+	group_survey_t survey = { .is_known =
+					  watched_ms >= GROUP_REACHABLE_MS };
+
+	for (uint32_t i = 0; i < members->count; i++) {
+		if (members->items[i].voter) {
+			survey.voters++;
+			if (statuses[i].silent_ms < GROUP_REACHABLE_MS)
+				survey.reachable++;
+		} else if (is_ready(&statuses[i]) &&
+			   find_previous_member(members, i) < 0) {
+			survey.newcomers++;
+		}
+	}
+	return survey;
+}
+
+static bool is_even(uint32_t voters)
+{
+	return voters % 2 == 0;
+}
+
+static bool may_promote(const group_survey_t *survey)
+{
+	return is_even(survey->voters) ||
+	       (survey->is_known && survey->reachable == survey->voters);
+}
+
+/* Returns how long a voter may be silent before it is removed. */
+static clock_ms_t voter_timeout_ms(const group_survey_t *survey)
+{
+	return is_even(survey->voters) || survey->newcomers > 0
+		       ? GROUP_REPLACE_TIMEOUT_MS
+		       : GROUP_MEMBER_TIMEOUT_MS;
+}
+
 static bool next_learner_change(const raft_members_t *members,
 				const group_member_status_t *statuses,
-				uint32_t learner, group_change_t *next)
+				const group_survey_t *survey, uint32_t learner,
+				group_change_t *next)
 {
 	int32_t previous = find_previous_member(members, learner);
 
@@ -37,11 +95,11 @@
 		next->change = RAFT_MEMBER_REMOVE;
 		return true;
 	}
-	if (!statuses[learner].caught_up)
+	if (!is_ready(&statuses[learner]))
 		return false;
 	if (previous < 0) {
 		next->change = RAFT_MEMBER_PROMOTE;
-		return true;
+		return may_promote(survey);
 	}
 	next->change = RAFT_MEMBER_REMOVE;
 	next->member = (uint32_t)previous;
@@ -50,42 +108,45 @@
 
 static bool next_voter_removal(const raft_members_t *members,
 			       const group_member_status_t *statuses,
+			       const group_survey_t *survey,
 			       group_change_t *next)
 {
-	uint32_t reachable = 0;
+	clock_ms_t timeout_ms = voter_timeout_ms(survey);
 	int32_t lost = -1;
 
-	for (uint32_t i = 0; i < members->count; i++) {
-		if (!members->items[i].voter)
-			continue;
-		if (statuses[i].silent_ms < GROUP_REACHABLE_MS)
-			reachable++;
-		if (statuses[i].silent_ms >= GROUP_MEMBER_TIMEOUT_MS &&
+	for (uint32_t i = 0; i < members->count; i++)
+		if (members->items[i].voter &&
+		    statuses[i].silent_ms >= timeout_ms &&
 		    (lost < 0 ||
 		     statuses[i].silent_ms > statuses[lost].silent_ms))
 			lost = (int32_t)i;
-	}
-	if (lost < 0 || reachable < GROUP_VOTERS_MIN)
+	if (lost < 0 ||
+	    survey->reachable + survey->newcomers < GROUP_VOTERS_MIN)
 		return false;
 	next->change = RAFT_MEMBER_REMOVE;
 	next->member = (uint32_t)lost;
 	return true;
 }
 
-/* Records a tick of the leader; to be called at least every 100 ms. */
-void group_watch_tick(group_watch_t *watch, clock_ms_t now)
+/*
+ * Records a tick of the replica; to be called at least every 100 ms.  The watch
+ * begins anew when it becomes the leader and after a pause.
+ */
+void group_watch_tick(group_watch_t *watch, const raft_t *raft, clock_ms_t now)
 {
-	if (now - watch->last_tick_ms > GROUP_LATE_TICK_MS)
+	if (raft->role != RAFT_LEADER ||
+	    now - watch->last_tick_ms > GROUP_LATE_TICK_MS)
 		watch->since_ms = now;
 	watch->last_tick_ms = now;
 }
 
 /*
- * Fills "statuses", one for each member, as of the last tick.  A member counts
- * as silent only for the time that it was watched.
+ * Fills "statuses", one for each member, as of the last tick, and returns for
+ * how long they were watched.  A member counts as silent only for that time.
  */
-void group_watch_statuses(const group_watch_t *watch, const raft_t *raft,
-			  group_member_status_t statuses[RAFT_MEMBERS_MAX])
+clock_ms_t
+group_watch_statuses(const group_watch_t *watch, const raft_t *raft,
+		     group_member_status_t statuses[RAFT_MEMBERS_MAX])
 {
 	for (uint32_t i = 0; i < raft->members.count; i++) {
 		const raft_progress_t *progress = &raft->progress[i];
@@ -100,16 +161,23 @@
 				is_leader || progress->match >= raft->commit,
 		};
 	}
+	return watch->last_tick_ms - watch->since_ms;
 }
 
-/* Finds the next membership change; returns false if there is none. */
+/*
+ * Finds the next membership change; returns false if there is none.
+ * "watched_ms" is for how long the leader has watched the members.
+ */
 bool group_policy_next(const raft_members_t *members,
 		       const group_member_status_t *statuses,
-		       group_change_t *next)
+		       clock_ms_t watched_ms, group_change_t *next)
 {
+	const group_survey_t survey =
+		survey_group(members, statuses, watched_ms);
+
 	for (uint32_t i = 0; i < members->count; i++)
 		if (!members->items[i].voter &&
-		    next_learner_change(members, statuses, i, next))
+		    next_learner_change(members, statuses, &survey, i, next))
 			return true;
-	return next_voter_removal(members, statuses, next);
+	return next_voter_removal(members, statuses, &survey, next);
 }
--- a/src/wisteria/control/group_policy.h
+++ b/src/wisteria/control/group_policy.h
@@ -11,13 +11,15 @@
 #define GROUP_REACHABLE_MS (2 * RAFT_ELECTION_TIMEOUT_MS)
 /*
  * A member that has been silent for this long is removed, a voter only if
- * GROUP_VOTERS_MIN others are reachable.  Longer than a restart, a process
- * freeze or a network interruption of a few seconds.
+ * GROUP_VOTERS_MIN others are reachable, learners that are ready to vote
+ * included.  Longer than a restart, a process freeze or a network interruption
+ * of a few seconds.
  */
 #define GROUP_MEMBER_TIMEOUT_MS 8000
 /*
- * When an instance rejoins under a new id, its previous id is removed once it
- * has been silent for this long.
+ * A voter that has been silent for this long is removed if a learner takes its
+ * place, among them its own instance under a new id, or if the group tolerates
+ * more losses without it.
  */
 #define GROUP_REPLACE_TIMEOUT_MS 2000
 /* A group of fewer voters cannot tolerate the loss of one. */
@@ -48,12 +50,14 @@
 	uint32_t member; /* index in the list of members */
 } group_change_t;
 
-void group_watch_tick(group_watch_t *watch, clock_ms_t now) ATTR_NONNULL_ALL;
-void group_watch_statuses(const group_watch_t *watch, const raft_t *raft,
-			  group_member_status_t statuses[RAFT_MEMBERS_MAX])
-	ATTR_NONNULL_ALL;
+void group_watch_tick(group_watch_t *watch, const raft_t *raft,
+		      clock_ms_t now) ATTR_NONNULL_ALL;
+clock_ms_t group_watch_statuses(
+	const group_watch_t *watch, const raft_t *raft,
+	group_member_status_t statuses[RAFT_MEMBERS_MAX]) ATTR_NONNULL_ALL;
 bool group_policy_next(const raft_members_t *members,
 		       const group_member_status_t *statuses,
+		       clock_ms_t watched_ms,
 		       group_change_t *next) ATTR_NONNULL_ALL ATTR_WARN_UNUSED;
 
 #endif
--- a/src/wisteria/control/replica_group.c
+++ b/src/wisteria/control/replica_group.c
@@ -499,9 +499,10 @@
 	const raft_t *raft = &replica->raft;
 	group_member_status_t statuses[RAFT_MEMBERS_MAX];
 	group_change_t next;
+	clock_ms_t watched_ms;
 
-	group_watch_statuses(&replica->watch, raft, statuses);
-	if (group_policy_next(&raft->members, statuses, &next))
+	watched_ms = group_watch_statuses(&replica->watch, raft, statuses);
+	if (group_policy_next(&raft->members, statuses, watched_ms, &next))
 		change_member(replica, next.change,
 			      raft->members.items[next.member],
 			      events[next.change]);
@@ -518,7 +519,7 @@
 	const raft_member_t *joiner;
 	clock_ms_t now = now_of(replica);
 
-	group_watch_tick(&replica->watch, now);
+	group_watch_tick(&replica->watch, &replica->raft, now);
 	if (replica->raft.role != RAFT_LEADER)
 		return;
 	joiner = joiners_next(&replica->joiners, members, now);
