Log the shared parts of the prompt with a failed attempt

Cause: the logs of the crashing requests name no part, so that a part, a caller and a kind look alike as the cause of a crash. Change: the adapter reads the ids of the prompt's parts but the last, which is the request's own; attempt_failed says shared_parts and attempt_events, the events of that attempt alone: none, with a framing, is an answer that had just begun.

--- a/src/wisteria/fleet/dialect.h
+++ b/src/wisteria/fleet/dialect.h
@@ -15,6 +15,9 @@
 	CONTROL_CALL_GET_CONFIGURATION
 } control_call_t;
 
+/* Most parts of a prompt that are read; further ones are ignored. */
+#define PROMPT_PARTS_MAX 16
+
 /* Metadata of a caller's request; strings point into the message. */
 typedef struct {
 	const char *id;	     /* NULL: none */
@@ -25,6 +28,12 @@
 	uint32_t answer_tokens_max;
 	uint32_t answer_tokens_hint; /* 0: none */
 	int64_t last_event_id;	     /* -1: not resuming a stream */
+	/*
+	 * Ids of the prompt's parts that other requests may have, too, from the
+	 * beginning of the prompt.
+	 */
+	uint64_t shared_parts[PROMPT_PARTS_MAX];
+	uint32_t shared_part_count;
 } caller_request_t;
 
 /* One hop of a chain, as written in the request to its first endpoint. */
--- a/src/wisteria/gateway/exchange.c
+++ b/src/wisteria/gateway/exchange.c
@@ -391,6 +391,18 @@
 	return true;
 }
 
+/* Returns the shared parts of the prompt for logs; the caller frees it. */
+static char *describe_parts(const caller_request_t *caller)
+{
+	GString *text = g_string_new(NULL);
+
+	for (uint32_t i = 0; i < caller->shared_part_count; i++)
+		g_string_append_printf(text, "%s%" G_GINT64_MODIFIER "x",
+				       i == 0 ? "" : ",",
+				       caller->shared_parts[i]);
+	return g_string_free(text, FALSE);
+}
+
 /*
  * Retries a failed attempt or answers the caller.  "answer" is the endpoint's
  * error answer, or NULL.
@@ -409,6 +421,7 @@
 		.max_runs = MAX(exchange->route->max_attempts, 1),
 	};
 	clock_ms_t come_back_ms = RETRY_AFTER_ENDPOINT_MS;
+	char *parts = describe_parts(&exchange->caller);
 	outcome_t outcome;
 
 	counter_add(COUNTER_GATEWAY_FAILED_SENDS, 1);
@@ -420,16 +433,19 @@
 	LOG_INFO("attempt_failed",
 		 "request=%s send=%u endpoint=%s end=%s reason=%s at=%s "
 		 "runs=%u of=%u events=%" G_GUINT64_FORMAT
+		 " attempt_events=%" G_GUINT64_FORMAT
 		 " framing=%s partial_event_bytes=%zu "
-		 "waited_ms=%" G_GINT64_FORMAT,
+		 "waited_ms=%" G_GINT64_FORMAT " shared_parts=%s",
 		 id_of(exchange), exchange->send_count, exchange->target.ids[0],
 		 attempt_failure_name(failure), reason,
 		 faulty_address == NULL ? "-" : faulty_address,
 		 exchange->possible_runs, attempt.max_runs,
 		 exchange->event_stream.event_count,
+		 exchange->event_stream.attempt_event_count,
 		 http_framing_name(exchange->answer_framing),
 		 exchange->event_stream.partial_bytes,
-		 now_of(exchange) - exchange->last_progress_ms);
+		 now_of(exchange) - exchange->last_progress_ms, parts);
+	g_free(parts);
 	outcome = outcome_decide(&attempt);
 	end_attempt(exchange);
 	if (outcome == OUTCOME_RETRY) {
--- a/test/unit/platform_test.c
+++ b/test/unit/platform_test.c
@@ -258,6 +258,8 @@
 			      "X-Wisteriadrift-Request-Id: 9c\r\n"
 			      "X-Wisteriadrift-Token-Count: 1460,80\r\n"
 			      "X-Wisteriadrift-Length-Hint: 50\r\n"
+			      "X-Wisteriadrift-Prefix-Hash: 5c1e07a2:800, "
+			      "91BD3f06:410,e4402b7d:250\r\n"
 			      "X-Wisteriadrift-Deadline-Ms: 2500\r\n"
 			      "Last-Event-Id: 12\r\n"
 			      "Authorization: bearer  k1\r\n\r\n"),
@@ -267,6 +269,9 @@
 	CU_ASSERT_EQUAL(caller.prompt_tokens, 1460);
 	CU_ASSERT_EQUAL(caller.answer_tokens_max, 80);
 	CU_ASSERT_EQUAL(caller.answer_tokens_hint, 50);
+	CU_ASSERT_EQUAL(caller.shared_part_count, 2);
+	CU_ASSERT_EQUAL(caller.shared_parts[0], 0x5c1e07a2);
+	CU_ASSERT_EQUAL(caller.shared_parts[1], 0x91bd3f06);
 	CU_ASSERT_EQUAL(caller.time_limit_ms, 2500);
 	CU_ASSERT_EQUAL(caller.last_event_id, 12);
 	http_reader_finish(&reader);
