--- a/test/functional/fleet_test.c
+++ b/test/functional/fleet_test.c
@@ -19,6 +19,7 @@
 static http_client_t client;
 static const char *control_address;
 static const char *entry_address;
+static const char *peer_address;
 static harness_process_t *control;
 static harness_process_t *entry;
 
@@ -73,10 +74,24 @@
 	return harness_start(&harness, name, argv);
 }
 
+static harness_process_t *start_entry(const char *name, const char *address,
+				      const char *peer)
+{
+	const char *addresses =
+		harness_string(&harness,
+			       "  front_listen: \"%s\"\n"
+			       "  ready_listen: \"%s\"\n",
+			       address, harness_address(&harness));
+
+	peer_address = peer;
+	return start_daemon(
+		name, write_settings(harness_string(&harness, "%s.yaml", name),
+				     "fleet_entry", addresses, peer));
+}
+
 static void start_fleet(void)
 {
 	const char *peer = harness_address(&harness);
-	const char *ready = harness_address(&harness);
 
 	control_address = harness_address(&harness);
 	entry_address = harness_address(&harness);
@@ -90,24 +105,24 @@
 					      control_address,
 					      harness_path(&harness, "data")),
 			       peer));
-	entry = start_daemon(
-		"entry",
-		write_settings("entry.yaml", "fleet_entry",
-			       harness_string(&harness,
-					      "  front_listen: \"%s\"\n"
-					      "  ready_listen: \"%s\"\n",
-					      entry_address, ready),
-			       peer));
+	entry = start_entry("entry", entry_address, peer);
 }
 
-static http_request_t *send_request(const char *address, const char *path,
-				    const char *request_id, const char *body)
+/* Sends a request whose prompt has "parts"; NULL: it does not say. */
+static http_request_t *send_parts(const char *address, const char *path,
+				  const char *request_id, const char *body,
+				  const char *parts)
 {
 	const char *headers[] = {
 		"Host: shop.example",
 		harness_string(&harness, "X-Wisteriadrift-Request-Id: %s",
 			       request_id),
 		"X-Wisteriadrift-Deadline-Ms: 9000",
+		parts == NULL ? NULL
+			      : harness_string(&harness,
+					       "X-Wisteriadrift-Prefix-Hash: "
+					       "%s",
+					       parts),
 		NULL,
 	};
 	const http_params_t params = {
@@ -119,6 +134,12 @@
 	return http_send(&client, &params);
 }
 
+static http_request_t *send_request(const char *address, const char *path,
+				    const char *request_id, const char *body)
+{
+	return send_parts(address, path, request_id, body, NULL);
+}
+
 static http_request_t *send_and_wait(const char *address, const char *path,
 				     const char *request_id, const char *body)
 {
@@ -604,6 +625,85 @@
 	fake_endpoint_stop(&endpoints[1]);
 }
 
+#define CRASHING_ENDPOINTS 6
+#define BAD_REQUESTS 12
+/* The crashes after which a part must be known, and the requests beyond. */
+#define CRASHES_MAX 5
+#define LATE_REQUESTS_MAX 3
+
+/* Sends a request with these parts and one of its own; returns its status. */
+static long parts_status(const char *address, const char *parts)
+{
+	static unsigned count;
+	const char *id = harness_string(&harness, "parts%u", ++count);
+	http_request_t *request =
+		send_parts(address, "/chat/7", id, "hi",
+			   harness_string(&harness, "%s%x:9", parts, count));
+	long status;
+
+	CU_ASSERT_FATAL(http_wait(&client, request, HARNESS_WAIT_MS));
+	status = request->status;
+	http_request_free(&client, request);
+	return status;
+}
+
+static unsigned count_crashes(const fake_endpoint_t *endpoints)
+{
+	unsigned crashes = 0;
+
+	for (size_t i = 0; i < CRASHING_ENDPOINTS; i++)
+		crashes += endpoints[i].crashes;
+	return crashes;
+}
+
+static bool serves_sound_parts(void *user)
+{
+	return parts_status(user, "aa:10,cc:20,") == 200;
+}
+
+static void test_part_that_crashes_endpoints_is_refused_everywhere(void)
+{
+	const char *bad = "aa:10," FAKE_ENDPOINT_BAD_PART ":5,";
+	const char *addresses[] = { entry_address, harness_address(&harness),
+				    harness_address(&harness) };
+	fake_endpoint_t endpoints[CRASHING_ENDPOINTS];
+	harness_process_t *others[2];
+	unsigned crashes;
+
+	for (int i = 0; i < CRASHING_ENDPOINTS; i++) {
+		const char *id = harness_string(&harness, "i-crash-%d", i);
+
+		fake_endpoint_start(&endpoints[i], id, "writer", harness.ip,
+				    control_address, FAKE_ENDPOINT_CRASH);
+		CU_ASSERT(harness_wait_log(
+			entry, harness_string(&harness, "endpoint=%s ", id),
+			HARNESS_WAIT_MS));
+	}
+	others[0] = start_entry("entry-2", addresses[1], peer_address);
+	CU_ASSERT(harness_wait_until(serves_sound_parts, (void *)addresses[1],
+				     HARNESS_WAIT_MS));
+	for (int i = 0; i < BAD_REQUESTS; i++)
+		CU_ASSERT_NOT_EQUAL(parts_status(addresses[i % 2], bad), 200);
+	crashes = count_crashes(endpoints);
+	CU_ASSERT(crashes <= CRASHES_MAX + LATE_REQUESTS_MAX);
+
+	others[1] = start_entry("entry-3", addresses[2], peer_address);
+	CU_ASSERT(harness_wait_until(serves_sound_parts, (void *)addresses[2],
+				     HARNESS_WAIT_MS));
+	for (size_t i = 0; i < ARRAY_SIZE(addresses); i++) {
+		CU_ASSERT_EQUAL(parts_status(addresses[i], bad), 503);
+		for (int n = 0; n < 4; n++)
+			CU_ASSERT(serves_sound_parts((void *)addresses[i]));
+	}
+	CU_ASSERT_EQUAL(count_crashes(endpoints), crashes);
+	for (size_t i = 0; i < ARRAY_SIZE(others); i++) {
+		harness_signal(others[i], SIGTERM);
+		CU_ASSERT(harness_wait_exit(others[i], HARNESS_WAIT_MS));
+	}
+	for (int i = 0; i < CRASHING_ENDPOINTS; i++)
+		fake_endpoint_stop(&endpoints[i]);
+}
+
 static bool control_has_configuration(void *user)
 {
 	http_request_t *request = send_and_wait(
@@ -777,6 +877,8 @@
 	{ "leaving endpoint gets nothing new",
 	  test_leaving_endpoint_gets_nothing_new },
 	{ "paused endpoint gets nothing", test_paused_endpoint_gets_nothing },
+	{ "part that crashes endpoints is refused everywhere",
+	  test_part_that_crashes_endpoints_is_refused_everywhere },
 	{ "accepted change survives", test_accepted_change_survives },
 	{ "bad reload changes nothing", test_bad_reload_changes_nothing },
 	{ "large configuration", test_large_configuration },
--- a/test/functional/harness/fake_endpoint.c
+++ b/test/functional/harness/fake_endpoint.c
@@ -153,6 +153,8 @@
 				   ? 0
 				   : strtoul(last, NULL, 10) + 1;
 	bool is_truncated = truncates(mode) && last[0] == '\0';
+	bool is_empty = mode == FAKE_ENDPOINT_UNFRAMED_EMPTY ||
+			mode == FAKE_ENDPOINT_CHUNKED_EMPTY;
 	bool chunked = is_chunked(mode);
 	char *head = g_strdup_printf(
 		"HTTP/1.1 200 OK\r\n"
@@ -169,11 +171,12 @@
 	send_text(fd, head);
 	if (mode == FAKE_ENDPOINT_JSON)
 		send_text(fd, FAKE_ENDPOINT_JSON_BODY);
-	else if (mode != FAKE_ENDPOINT_UNFRAMED_EMPTY)
+	else if (!is_empty)
 		send_events(fd, request_id, id, chunked, is_truncated);
 	if (is_truncated && mode != FAKE_ENDPOINT_TRUNCATE)
 		send_body(fd, chunked, "id: 6\ndata: wor");
-	if (chunked && (!is_truncated || mode == FAKE_ENDPOINT_CHUNKED_CUT))
+	if (chunked && !is_empty &&
+	    (!is_truncated || mode == FAKE_ENDPOINT_CHUNKED_CUT))
 		send_text(fd, "0\r\n\r\n");
 	g_free(head);
 	g_free(last);
@@ -311,6 +314,15 @@
 	g_free(pause);
 }
 
+static bool has_bad_part(const char *request)
+{
+	char *parts = copy_header(request, "X-Wisteriadrift-Prefix-Hash");
+	bool found = strstr(parts, FAKE_ENDPOINT_BAD_PART ":") != NULL;
+
+	g_free(parts);
+	return found;
+}
+
 static void serve_request(fake_endpoint_t *fake_endpoint, int fd)
 {
 	char request[REQUEST_BYTES];
@@ -331,6 +343,10 @@
 		return;
 	}
 	record_run(fake_endpoint, request);
+	if (mode == FAKE_ENDPOINT_CRASH && has_bad_part(request))
+		mode = fake_endpoint->crashes++ % 2 == 0
+			       ? FAKE_ENDPOINT_UNFRAMED_EMPTY
+			       : FAKE_ENDPOINT_CHUNKED_EMPTY;
 	if (endless_unit(mode) != NULL)
 		send_without_end(fake_endpoint, fd, request, mode);
 	else if (mode != FAKE_ENDPOINT_DROP)
--- a/test/functional/harness/fake_endpoint.h
+++ b/test/functional/harness/fake_endpoint.h
@@ -16,6 +16,7 @@
 #define FAKE_ENDPOINT_TRUNCATE_AFTER 5
 
 #define FAKE_ENDPOINT_LARGE_BYTES (7u << 20)
+#define FAKE_ENDPOINT_BAD_PART "bad0"
 /* Longer than any test that uses it. */
 #define FAKE_ENDPOINT_PAUSE_S 40
 
@@ -29,6 +30,8 @@
 	FAKE_ENDPOINT_UNFRAMED_CUT,
 	/* The same, but closes each stream before its first event. */
 	FAKE_ENDPOINT_UNFRAMED_EMPTY,
+	/* Serves in chunks, but closes each stream before its first event. */
+	FAKE_ENDPOINT_CHUNKED_EMPTY,
 	/* Answers each request with FAKE_ENDPOINT_JSON_BODY, unframed. */
 	FAKE_ENDPOINT_JSON,
 	/* Sends bytes that are no answer until the connection is closed: */
@@ -48,6 +51,11 @@
 	FAKE_ENDPOINT_PAUSE,
 	/* Serves, and starts each stream with event 0. */
 	FAKE_ENDPOINT_RESTART,
+	/*
+	 * Serves, but closes the connection of a request whose prompt has the
+	 * part FAKE_ENDPOINT_BAD_PART as it begins the answer.
+	 */
+	FAKE_ENDPOINT_CRASH,
 	FAKE_ENDPOINT_LEAVE, /* serves, and says that it leaves */
 	FAKE_ENDPOINT_DROP   /* runs it and closes without an answer */
 } fake_endpoint_mode_t;
@@ -75,6 +83,7 @@
 	_Atomic int mode; /* fake_endpoint_mode_t */
 	atomic_uint runs;
 	atomic_uint rejections;
+	atomic_uint crashes; /* of FAKE_ENDPOINT_CRASH */
 	atomic_bool stopping;
 	pthread_t server_thread;
 	pthread_t heartbeat_thread;
