Refuse requests with a part that crashes endpoints

Callers saw: most streams refused or broken off, as requests with one part of a prompt crashed one endpoint after the other, 20 in all, each with the streams of up to 90 other callers.

Cause: an entry takes each failed attempt for itself. Nothing related a crash to the request whose answer had just begun, nor the crashes that several entries saw to each other, so that the next request with the part went to the next endpoint. The class: harm that a request does to an endpoint, beyond its own failure, has neither a memory nor a limit.

Change: an entry whose answer ends as it begins, before the first event, reports the request's shared parts and the endpoint to the leader, and with which of the parts it served others. The leader decides (fleet/part_guard.c, no clock, no I/O): a part is refused for five minutes once requests with it crashed three endpoints and none was served in between or within 10 s; of several such parts the one that never passed, then the most specific one. Entries and the other control instances keep the refusals for a new leader. 64 parts at most; 1,024 passes at an entry; logged and counted.

Evidence: in the logs of second1 each crash has exactly one attempt that had begun without an event.

Ruled out: deciding at each entry (requests come at eight of them, so up to sixteen crashes more); counting crashes alone (the first part of a prompt is in all of these requests and in sound ones, and while nothing is served it can't pass); refusing the caller or the route (sound requests share them).

--- a/src/wisteria/base/counters.c
+++ b/src/wisteria/base/counters.c
@@ -85,6 +85,13 @@
 					     "counter",
 					     "Streams that ended inside an "
 					     "event or without one." },
+	[COUNTER_GATEWAY_CRASHES] = { "gateway_crashes_total", "counter",
+				      "Answers that ended as they began." },
+	[COUNTER_GATEWAY_PART_REFUSALS] = { "gateway_part_refusals_total",
+					    "counter",
+					    "Requests refused for a part of "
+					    "their prompt that crashes "
+					    "endpoints." },
 	[COUNTER_HEARTBEATS] = { "heartbeats_total", "counter",
 				 "Heartbeats of endpoints taken." },
 	[COUNTER_PLACE_ORDERS] = { "place_orders_total", "counter",
@@ -96,6 +103,8 @@
 	[GAUGE_GATEWAY_ANSWER_BYTES] = { "gateway_answer_bytes", "gauge",
 					 "Bytes held of unfinished answers." },
 	[GAUGE_ENDPOINTS] = { "endpoints", "gauge", "Endpoints known." },
+	[GAUGE_PARTS_REFUSED] = { "parts_refused", "gauge",
+				  "Parts of prompts that are refused." },
 	[GAUGE_LEASE] = { "lease", "gauge",
 			  "1 while the revision held is confirmed." },
 	[GAUGE_CONTROL_LEADER] = { "control_leader", "gauge",
--- a/src/wisteria/codec/msg.c
+++ b/src/wisteria/codec/msg.c
@@ -552,6 +552,23 @@
 static const record_desc_t msg_fleet_paces_desc =
 	RECORD_DESC(msg_fleet_paces_t, fleet_paces_fields);
 
+static const field_desc_t fleet_part_fields[] = {
+	FIELD(FIELD_U64, msg_fleet_part_t, part),
+	FIELD(FIELD_I64, msg_fleet_part_t, passed_ago_ms),
+	FIELD(FIELD_I64, msg_fleet_part_t, refused_left_ms),
+};
+static const record_desc_t msg_fleet_part_desc =
+	RECORD_DESC(msg_fleet_part_t, fleet_part_fields);
+
+static const field_desc_t fleet_parts_fields[] = {
+	FIELD(FIELD_U64, msg_fleet_parts_t, endpoint),
+	FIELD(FIELD_U64, msg_fleet_parts_t, request),
+	FIELD_LIST_OF(msg_fleet_parts_t, parts, part_count,
+		      &msg_fleet_part_desc),
+};
+static const record_desc_t msg_fleet_parts_desc =
+	RECORD_DESC(msg_fleet_parts_t, fleet_parts_fields);
+
 static const field_desc_t fleet_silent_fields[] = {
 	FIELD_LIST_OF(msg_fleet_silent_t, endpoints, endpoint_count,
 		      &msg_name_desc),
@@ -608,6 +625,7 @@
 	[MSG_FLEET_PACES] = { "fleet_paces", &msg_fleet_paces_desc },
 	[MSG_FLEET_MEET] = { "fleet_meet", &msg_fleet_meet_desc },
 	[MSG_FLEET_SILENT] = { "fleet_silent", &msg_fleet_silent_desc },
+	[MSG_FLEET_PARTS] = { "fleet_parts", &msg_fleet_parts_desc },
 };
 
 /* Returns the description of the body of "type"; NULL: unknown type. */
--- a/src/wisteria/codec/msg_defs.h
+++ b/src/wisteria/codec/msg_defs.h
@@ -65,6 +65,7 @@
 	MSG_FLEET_PACES = 89,
 	MSG_FLEET_MEET = 90,
 	MSG_FLEET_SILENT = 91,
+	MSG_FLEET_PARTS = 92,
 
 	MSG_TYPE_COUNT = 96
 } msg_type_t;
@@ -702,4 +703,23 @@
 	size_t slow_engine_count;
 } msg_fleet_paces_t;
 
+/* A shared part of prompts. */
+typedef struct {
+	uint64_t part;
+	int64_t passed_ago_ms;	 /* when it was last served; -1: not known */
+	int64_t refused_left_ms; /* 0: it is not refused */
+} msg_fleet_part_t;
+
+/*
+ * From an entry to the leader: the parts of a request under which an endpoint
+ * has just crashed, or what it knows of the parts that are watched.  From the
+ * leader: the parts that are watched or refused.
+ */
+typedef struct {
+	uint64_t endpoint; /* that crashed, and its incarnation; 0: none did */
+	uint64_t request;
+	const msg_fleet_part_t *parts;
+	size_t part_count;
+} msg_fleet_parts_t;
+
 #endif
--- a/src/wisteria/fleet/fleet_control.c
+++ b/src/wisteria/fleet/fleet_control.c
@@ -12,7 +12,9 @@
 #include "wisteria/control/replica.h"
 #include "wisteria/fleet/fleet_api.h"
 #include "wisteria/fleet/fleet_group.h"
+#include "wisteria/fleet/fleet_parts.h"
 #include "wisteria/fleet/fleet_update.h"
+#include "wisteria/fleet/part_guard.h"
 #include "wisteria/fleet/placer.h"
 #include "wisteria/fleet/prober.h"
 #include "wisteria/fleet/registry.h"
@@ -173,6 +175,13 @@
 	}
 }
 
+static void handle_parts(fleet_control_t *control, conn_t *conn,
+			 const void *body)
+{
+	(void)conn;
+	fleet_parts_handle(control, body);
+}
+
 static void handle_raft(fleet_control_t *control, conn_t *conn,
 			const void *body)
 {
@@ -291,6 +300,7 @@
 		[MSG_FLEET_LOAD] = handle_load,
 		[MSG_FLEET_MEET] = handle_known_controls,
 		[MSG_FLEET_SILENT] = handle_silent,
+		[MSG_FLEET_PARTS] = handle_parts,
 		[MSG_FLEET_ENDPOINTS] = handle_endpoints,
 		[MSG_RAFT] = handle_raft,
 	};
@@ -478,6 +488,12 @@
 	return of_subscription(handler)->revisions.revision;
 }
 
+static void on_parts(subscription_handler_t *handler,
+		     const msg_fleet_parts_t *parts)
+{
+	fleet_parts_follow(of_subscription(handler), parts);
+}
+
 /* The HTTP interface. */
 
 static void on_request(http_server_handler_t *handler, http_conn_t *conn)
@@ -629,6 +645,7 @@
 					       &control->registry, now);
 	}
 	fleet_api_expire(control, now, false);
+	fleet_parts_tick(control, now);
 	subscribe_to_members(control);
 	registry_remove_expired(&control->registry, now);
 	if (control->has_replica &&
@@ -667,6 +684,7 @@
 	control->machine.message = machine_message;
 	control->subscription_handler.endpoints = on_endpoints;
 	control->subscription_handler.renew_reply = on_renew_reply;
+	control->subscription_handler.parts = on_parts;
 	control->subscription_handler.held = on_held;
 	control->subscription_handler.opened = on_control_opened;
 	control->subscription_handler.control_list = on_control_list;
@@ -732,6 +750,7 @@
 	control->reads = g_array_new(FALSE, FALSE, sizeof(fleet_read_t));
 	control->writes = g_array_new(FALSE, FALSE, sizeof(fleet_write_t));
 	load_sum_init(&control->load);
+	part_guard_init(&control->parts);
 	prober_init(&control->prober, net->loop, dialect, &control->registry,
 		    net->clock, &control->prober_handler);
 	placer_init(&control->placer, net->loop, dialect, &control->registry,
--- a/src/wisteria/fleet/fleet_control_defs.h
+++ b/src/wisteria/fleet/fleet_control_defs.h
@@ -7,6 +7,7 @@
 #include "wisteria/fleet/dialect.h"
 #include "wisteria/fleet/fleet_update.h"
 #include "wisteria/fleet/load_sum.h"
+#include "wisteria/fleet/part_guard_defs.h"
 #include "wisteria/fleet/placer_defs.h"
 #include "wisteria/fleet/prober.h"
 #include "wisteria/fleet/registry_defs.h"
@@ -105,6 +106,9 @@
 	placer_t placer;
 	load_sum_t load;
 	clock_ms_t load_sent_ms;
+	part_guard_t parts;	  /* decides while this instance leads */
+	clock_ms_t parts_sent_ms; /* to the subscribers */
+	size_t parts_sent;	  /* length of the last list */
 	prober_t prober;
 	clock_ms_t slow_reported_ms; /* last report of slow streams */
 	size_t slow_engines_sent;    /* length of the last list sent */
--- /dev/null
+++ b/src/wisteria/fleet/part_guard.c
@@ -0,0 +1,262 @@
+/*
+ * Decides which parts of prompts are refused because they crash endpoints.  It
+ * is made for a part that crashes every endpoint which begins an answer to a
+ * request with it, whatever else the request has; other requests share its
+ * caller and its other parts and are sound.
+ *
+ * A part is held responsible if requests with it crashed
+ * PART_GUARD_CRASHES_MIN endpoints, and no request with it was served since the
+ * first of these crashes or within PART_GUARD_PASS_MS.  Of several such parts
+ * of one request only one is refused: one that was never in a served request
+ * before any that was, then the most specific one, since fewest requests have
+ * it.  A refusal ends after PART_GUARD_REFUSAL_MS; for PART_GUARD_MEMORY_MS
+ * more a single crash renews it.  Does no I/O and reads no clock.
+ */
+#include "wisteria/fleet/part_guard.h"
+
+#include <stddef.h>
+#include <string.h>
+
+#include <glib.h>
+
+/* Initializes a guard that knows no part. */
+void part_guard_init(part_guard_t *guard)
+{
+	guard->count = 0;
+}
+
+static part_record_t *find_record(part_guard_t *guard, uint64_t part)
+{
+	for (uint32_t i = 0; i < guard->count; i++)
+		if (guard->records[i].part == part)
+			return &guard->records[i];
+	return NULL;
+}
+
+/* Returns what is known of "part", or NULL. */
+const part_record_t *part_guard_find(const part_guard_t *guard, uint64_t part)
+{
+	return find_record((part_guard_t *)guard, part);
+}
+
+static void remove_record(part_guard_t *guard, part_record_t *record)
+{
+	*record = guard->records[--guard->count];
+}
+
+/*
+ * Returns until when the record is of use; 0: as long as another process wants
+ * the part watched.
+ */
+static clock_ms_t forget_ms(const part_record_t *record)
+{
+	clock_ms_t until_ms =
+		record->refused_until_ms == 0
+			? 0
+			: record->refused_until_ms + PART_GUARD_MEMORY_MS;
+
+	for (uint32_t i = 0; i < record->crash_count; i++)
+		until_ms = MAX(until_ms,
+			       record->crashes[i].at_ms + PART_GUARD_MEMORY_MS);
+	return until_ms;
+}
+
+/* Returns the record of "part"; a new one replaces the least useful. */
+static part_record_t *find_or_add(part_guard_t *guard, uint64_t part)
+{
+	part_record_t *record = find_record(guard, part);
+
+	if (record != NULL)
+		return record;
+	if (guard->count < PART_GUARD_PARTS_MAX) {
+		record = &guard->records[guard->count++];
+	} else {
+		record = &guard->records[0];
+		for (uint32_t i = 1; i < guard->count; i++)
+			if (forget_ms(&guard->records[i]) < forget_ms(record))
+				record = &guard->records[i];
+	}
+	*record = (part_record_t){ .part = part };
+	return record;
+}
+
+static void add_crash(part_record_t *record, const part_crash_t *crash)
+{
+	for (uint32_t i = 0; i < record->crash_count; i++)
+		if (record->crashes[i].endpoint == crash->endpoint)
+			return;
+	if (record->crash_count == PART_GUARD_CRASHES_MIN) {
+		memmove(&record->crashes[0], &record->crashes[1],
+			(PART_GUARD_CRASHES_MIN - 1) *
+				sizeof(record->crashes[0]));
+		record->crash_count--;
+	}
+	record->crashes[record->crash_count++] = *crash;
+}
+
+static void add_pass(part_record_t *record, clock_ms_t passed_ms)
+{
+	uint32_t kept = 0;
+
+	if (record->has_passed && passed_ms <= record->passed_ms)
+		return;
+	record->has_passed = true;
+	record->passed_ms = passed_ms;
+	for (uint32_t i = 0; i < record->crash_count; i++)
+		if (record->crashes[i].at_ms >= passed_ms)
+			record->crashes[kept++] = record->crashes[i];
+	record->crash_count = kept;
+}
+
+static uint32_t count_requests(const part_record_t *record)
+{
+	uint32_t requests = 0;
+
+	for (uint32_t i = 0; i < record->crash_count; i++) {
+		uint32_t same = 0;
+
+		while (same < i && record->crashes[same].request !=
+					   record->crashes[i].request)
+			same++;
+		requests += same == i;
+	}
+	return requests;
+}
+
+static bool is_refused(const part_record_t *record, clock_ms_t now)
+{
+	return now < record->refused_until_ms;
+}
+
+static bool is_responsible(const part_record_t *record, clock_ms_t now)
+{
+	if (record->has_passed && now - record->passed_ms < PART_GUARD_PASS_MS)
+		return false;
+	if (record->refused_until_ms != 0)
+		return record->crash_count > 0;
+	return record->crash_count >= PART_GUARD_CRASHES_MIN &&
+	       count_requests(record) >= PART_GUARD_REQUESTS_MIN;
+}
+
+/* Whether refusing "record" does less harm than refusing "other". */
+static bool is_preferred(const part_record_t *record,
+			 const part_record_t *other)
+{
+	if (other == NULL)
+		return true;
+	if (record->has_passed != other->has_passed)
+		return !record->has_passed;
+	return record->position > other->position;
+}
+
+/*
+ * Records that an endpoint crashed as it began the answer to a request with
+ * these shared parts.  Returns the part that is refused from now on, or NULL if
+ * none is, or if one of them was refused already.
+ */
+const part_record_t *part_guard_crash(part_guard_t *guard,
+				      const part_seen_t *parts, uint32_t count,
+				      const part_crash_t *crash)
+{
+	part_record_t *refused = NULL;
+
+	for (uint32_t i = 0; i < count; i++)
+		if (part_guard_refused_ms(guard, parts[i].part, crash->at_ms) >
+		    0)
+			return NULL;
+	for (uint32_t i = 0; i < count; i++) {
+		part_record_t *record = find_or_add(guard, parts[i].part);
+
+		record->position = i;
+		if (parts[i].has_passed)
+			add_pass(record, parts[i].passed_ms);
+		add_crash(record, crash);
+	}
+	for (uint32_t i = 0; i < count; i++) {
+		part_record_t *record = find_record(guard, parts[i].part);
+
+		if (record != NULL && is_responsible(record, crash->at_ms) &&
+		    is_preferred(record, refused))
+			refused = record;
+	}
+	if (refused == NULL)
+		return NULL;
+	refused->refused_until_ms = crash->at_ms + PART_GUARD_REFUSAL_MS;
+	for (uint32_t i = 0; i < count; i++) {
+		part_record_t *record = find_record(guard, parts[i].part);
+
+		if (record != NULL && record != refused)
+			record->crash_count = 0;
+	}
+	return refused;
+}
+
+/*
+ * Records that an endpoint began to answer a request with "part" and did not
+ * crash.  Nothing is recorded of parts that are in no record.
+ */
+void part_guard_pass(part_guard_t *guard, uint64_t part, clock_ms_t passed_ms)
+{
+	part_record_t *record = find_record(guard, part);
+
+	if (record != NULL)
+		add_pass(record, passed_ms);
+}
+
+/*
+ * Takes over from another process that "part" is refused until
+ * "refused_until_ms", or only watched if that is not after "now".  Returns
+ * whether the refusal is new here.
+ */
+bool part_guard_watch(part_guard_t *guard, uint64_t part,
+		      clock_ms_t refused_until_ms, clock_ms_t now)
+{
+	part_record_t *record = find_or_add(guard, part);
+	bool was_refused = is_refused(record, now);
+
+	if (refused_until_ms > now)
+		record->refused_until_ms =
+			MAX(record->refused_until_ms, refused_until_ms);
+	return !was_refused && is_refused(record, now);
+}
+
+/* Forgets the parts that are only watched for another process. */
+void part_guard_unwatch(part_guard_t *guard)
+{
+	for (uint32_t i = guard->count; i-- > 0;)
+		if (guard->records[i].refused_until_ms == 0 &&
+		    guard->records[i].crash_count == 0)
+			remove_record(guard, &guard->records[i]);
+}
+
+/* Returns how many parts are refused. */
+uint32_t part_guard_refused_count(const part_guard_t *guard, clock_ms_t now)
+{
+	uint32_t refused = 0;
+
+	for (uint32_t i = 0; i < guard->count; i++)
+		refused += is_refused(&guard->records[i], now);
+	return refused;
+}
+
+/* Returns for how long yet requests with "part" are refused; 0: they are not. */
+clock_ms_t part_guard_refused_ms(const part_guard_t *guard, uint64_t part,
+				 clock_ms_t now)
+{
+	const part_record_t *record = part_guard_find(guard, part);
+
+	return record != NULL && is_refused(record, now)
+		       ? record->refused_until_ms - now
+		       : 0;
+}
+
+/* Forgets what is of no use any more; to be called periodically. */
+void part_guard_expire(part_guard_t *guard, clock_ms_t now)
+{
+	for (uint32_t i = guard->count; i-- > 0;) {
+		clock_ms_t until_ms = forget_ms(&guard->records[i]);
+
+		if (until_ms != 0 && until_ms <= now)
+			remove_record(guard, &guard->records[i]);
+	}
+}
--- /dev/null
+++ b/src/wisteria/fleet/part_guard_defs.h
@@ -0,0 +1,57 @@
+#ifndef WISTERIA_FLEET_PART_GUARD_DEFS_H
+#define WISTERIA_FLEET_PART_GUARD_DEFS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "wisteria/base/clock_defs.h"
+
+/* Most parts that are watched or refused at a time. */
+#define PART_GUARD_PARTS_MAX 64
+/*
+ * A part is refused after it was in requests that crashed this many endpoints.
+ * Fewer crashes can be a coincidence; each ends the streams of many callers.
+ */
+#define PART_GUARD_CRASHES_MIN 3
+/* One request that crashes every endpoint says nothing of its shared parts. */
+#define PART_GUARD_REQUESTS_MIN 2
+/* A part that was in a served request this recently does not crash endpoints. */
+#define PART_GUARD_PASS_MS 10000
+/* How long a part is refused; then the engines may have been mended. */
+#define PART_GUARD_REFUSAL_MS (5 * 60 * 1000)
+/* A crash counts for this long, and so does an ended refusal. */
+#define PART_GUARD_MEMORY_MS (5 * 60 * 1000)
+
+/* A crash of an endpoint under a request with a part. */
+typedef struct {
+	uint64_t endpoint; /* and incarnation */
+	uint64_t request;
+	clock_ms_t at_ms;
+} part_crash_t;
+
+/* A part that was in a request under which an endpoint crashed. */
+typedef struct {
+	uint64_t part;
+	uint32_t position; /* in the prompt; later parts are more specific */
+	/* The last crashes that no pass followed, one for each endpoint. */
+	part_crash_t crashes[PART_GUARD_CRASHES_MIN];
+	uint32_t crash_count;
+	bool has_passed;
+	clock_ms_t passed_ms;	     /* last known pass */
+	clock_ms_t refused_until_ms; /* 0: never refused */
+} part_record_t;
+
+/* The parts of prompts that are suspected to crash endpoints, or refused. */
+typedef struct {
+	part_record_t records[PART_GUARD_PARTS_MAX];
+	uint32_t count;
+} part_guard_t;
+
+/* A shared part of a request, in the order of the prompt. */
+typedef struct {
+	uint64_t part;
+	bool has_passed; /* in another request, as far as is known */
+	clock_ms_t passed_ms;
+} part_seen_t;
+
+#endif
--- a/src/wisteria/fleet/subscription_defs.h
+++ b/src/wisteria/fleet/subscription_defs.h
@@ -39,6 +39,9 @@
 	/* The list of slow engines was received; may be NULL. */
 	void (*slow_engines)(struct subscription_handler_t *self,
 			     const msg_fleet_paces_t *slow_engines);
+	/* The parts that are watched or refused were received; may be NULL. */
+	void (*parts)(struct subscription_handler_t *self,
+		      const msg_fleet_parts_t *parts);
 	/* Another instance sent the control instances it knows; may be NULL. */
 	void (*control_list)(struct subscription_handler_t *self,
 			     const msg_fleet_meet_t *control_list);
--- a/src/wisteria/gateway/answer.c
+++ b/src/wisteria/gateway/answer.c
@@ -14,6 +14,7 @@
 #include "wisteria/base/log.h"
 #include "wisteria/gateway/exchange.h"
 #include "wisteria/gateway/gateway.h"
+#include "wisteria/gateway/prompt_parts.h"
 #include "wisteria/http/http_message.h"
 
 static clock_ms_t now_of(const exchange_t *exchange)
@@ -76,6 +77,8 @@
 	GString *headers = g_string_sized_new(256);
 
 	log_answered(exchange, answer->status);
+	if (answer->status / 100 == 2)
+		prompt_parts_passed(exchange->gateway, &exchange->caller);
 	exchange->gateway->dialect->write_answer_headers(answer, headers);
 	http_conn_reply(exchange->conn, answer->status, headers->str,
 			answer->body->data, answer->body->len);
@@ -163,12 +166,16 @@
 {
 	event_stream_t *stream = &exchange->event_stream;
 	size_t ignored_before = stream->ignored_bytes;
+	bool is_first = stream->attempt_event_count == 0;
 	size_t complete_len =
 		event_stream_consume(stream, body->data, body->len);
 
 	if (stream->ignored_bytes > ignored_before)
 		exchange->last_progress_ms = now_of(exchange);
 	if (complete_len > 0) {
+		if (is_first)
+			prompt_parts_passed(exchange->gateway,
+					    &exchange->caller);
 		record_event(exchange);
 		begin_stream(exchange, http_call_response(exchange->call));
 		http_conn_send(exchange->conn, body->data, complete_len);
@@ -223,6 +230,19 @@
 	exchange_discard(exchange);
 }
 
+/*
+ * Reports an endpoint that has closed the connection as it began to answer:
+ * before the first event, without an end of the stream.
+ */
+static void report_crash_at_begin(const exchange_t *exchange)
+{
+	if (exchange->is_streaming &&
+	    exchange->event_stream.attempt_event_count == 0)
+		prompt_parts_crashed(exchange->gateway, &exchange->caller,
+				     exchange->target.ids[0],
+				     exchange->incarnation);
+}
+
 /* Completes the response only if the stream is complete, too. */
 static void on_stream_ended(exchange_t *exchange, const http_message_t *answer)
 {
@@ -233,6 +253,8 @@
 		finish_stream(exchange, answer);
 		return;
 	}
+	if (answer->framing == HTTP_FRAMING_CLOSE)
+		report_crash_at_begin(exchange);
 	end_defective_stream(exchange, defect);
 }
 
@@ -295,6 +317,8 @@
 	exchange_t *exchange = exchange_of(handler);
 
 	exchange->call = NULL;
+	if (stage == HTTP_CALL_TRUNCATED)
+		report_crash_at_begin(exchange);
 	exchange_attempt_failed(exchange, failures[stage], NULL, reason, NULL);
 }
 
--- a/src/wisteria/gateway/exchange.c
+++ b/src/wisteria/gateway/exchange.c
@@ -16,6 +16,7 @@
 #include "wisteria/fleet/subscription.h"
 #include "wisteria/gateway/answer.h"
 #include "wisteria/gateway/gateway.h"
+#include "wisteria/gateway/prompt_parts.h"
 #include "wisteria/gateway/stop_margin.h"
 #include "wisteria/gateway/target.h"
 #include "wisteria/http/http_message.h"
@@ -134,6 +135,8 @@
 		.hops = hops,
 		.hop_count = target->is_pipeline ? target->count : 0,
 	};
+	const endpoint_t *first =
+		registry_find(&gateway->registry, target->ids[0]);
 	const http_call_limits_t limits = {
 		.connect_ms = GATEWAY_CONNECT_TIMEOUT_MS,
 		.body_bytes = HTTP_CALL_BODY_BYTES_MAX,
@@ -148,6 +151,7 @@
 	}
 	usage_count_begun(&gateway->usage, target->tokens);
 	exchange->target = *target;
+	exchange->incarnation = first == NULL ? 0 : first->incarnation;
 	exchange->is_streaming = false;
 	exchange->answer_framing = HTTP_FRAMING_NONE;
 	event_stream_begin_attempt(&exchange->event_stream);
@@ -377,6 +381,8 @@
 
 	if (!subscription_has_lease(&gateway->subscription))
 		return log_retry_not_made(exchange, "no_lease");
+	if (prompt_parts_refused_ms(gateway, &exchange->caller) > 0)
+		return log_retry_not_made(exchange, "part_refused");
 	found = target_choose(exchange, &target);
 	if (found != TARGET_FOUND) {
 		*come_back_ms = retry_after_ms(exchange, found, &target);
@@ -496,6 +502,17 @@
 	return (rejection_t){ 0 };
 }
 
+static rejection_t check_parts(const gateway_t *gateway,
+			       const caller_request_t *caller)
+{
+	clock_ms_t refused_ms = prompt_parts_refused_ms(gateway, caller);
+
+	if (refused_ms == 0)
+		return (rejection_t){ 0 };
+	counter_add(COUNTER_GATEWAY_PART_REFUSALS, 1);
+	return (rejection_t){ 503, refused_ms, "part_refused" };
+}
+
 static void reject_request(gateway_t *gateway, http_conn_t *conn,
 			   const caller_request_t *caller,
 			   const rejection_t *rejection)
@@ -567,6 +584,8 @@
 			rejection = check_caller(gateway, route, &caller,
 						 &customer);
 	}
+	if (rejection.status == 0)
+		rejection = check_parts(gateway, &caller);
 	if (rejection.status != 0) {
 		reject_request(gateway, conn, &caller, &rejection);
 		return;
@@ -712,6 +731,34 @@
 		g_hash_table_add(ids, (gpointer)exchange->target.ids[i]);
 }
 
+/* Whether an endpoint may yet begin to answer the request. */
+static bool may_begin(const exchange_t *exchange)
+{
+	return exchange->wait.queued ||
+	       (exchange->call != NULL && !exchange->headers_sent);
+}
+
+/*
+ * Ends all requests with a refused part which no endpoint has begun to answer.
+ */
+void exchange_refuse_parts(gateway_t *gateway)
+{
+	exchange_t *exchange = LIST_FIRST(&gateway->exchanges);
+
+	while (exchange != NULL) {
+		exchange_t *next = LIST_NEXT(exchange, entry);
+		clock_ms_t refused_ms =
+			prompt_parts_refused_ms(gateway, &exchange->caller);
+
+		if (refused_ms > 0 && may_begin(exchange)) {
+			exchange->possible_runs += exchange->call != NULL;
+			counter_add(COUNTER_GATEWAY_PART_REFUSALS, 1);
+			refuse(exchange, refused_ms, "part_refused");
+		}
+		exchange = next;
+	}
+}
+
 /*
  * Refuses a queued request whose waiting time has expired, ends an exchange
  * whose deadline has passed, and checks others for a silent stream.
--- a/src/wisteria/gateway/gateway.c
+++ b/src/wisteria/gateway/gateway.c
@@ -11,11 +11,13 @@
 #include "wisteria/base/err.h"
 #include "wisteria/base/log.h"
 #include "wisteria/fleet/fleet_update.h"
+#include "wisteria/fleet/part_guard.h"
 #include "wisteria/fleet/registry.h"
 #include "wisteria/fleet/revisions.h"
 #include "wisteria/fleet/routes.h"
 #include "wisteria/fleet/subscription.h"
 #include "wisteria/gateway/exchange.h"
+#include "wisteria/gateway/prompt_parts.h"
 #include "wisteria/settings/settings.h"
 
 /* Limits until the first configuration is in force. */
@@ -222,6 +224,15 @@
 		 slow_engines->slow_engine_count);
 }
 
+static void on_parts(subscription_handler_t *handler,
+		     const msg_fleet_parts_t *parts)
+{
+	gateway_t *gateway = gateway_of_subscription(handler);
+
+	if (prompt_parts_follow(gateway, parts))
+		exchange_refuse_parts(gateway);
+}
+
 static uint64_t on_held(subscription_handler_t *handler)
 {
 	return gateway_revision(gateway_of_subscription(handler));
@@ -368,6 +379,9 @@
 	counter_set(GAUGE_LEASE,
 		    subscription_has_lease(&gateway->subscription));
 	counter_set(GAUGE_REVISION, gateway_revision(gateway));
+	counter_set(GAUGE_PARTS_REFUSED,
+		    part_guard_refused_count(&gateway->parts,
+					     clock_now(gateway->clock)));
 }
 
 static void report_load(gateway_t *gateway, clock_ms_t now)
@@ -507,6 +521,7 @@
 	if (now - gateway->last_report_ms >= GATEWAY_REPORT_INTERVAL_MS) {
 		set_gauges(gateway);
 		report_load(gateway, now);
+		prompt_parts_report(gateway, now);
 	}
 	if (gateway->drain_since_ms != 0 &&
 	    now - gateway->drain_since_ms >= DRAIN_IDLE_MS) {
@@ -538,6 +553,7 @@
 	gateway->subscription_handler.renew_reply = on_renew_reply;
 	gateway->subscription_handler.load = on_load;
 	gateway->subscription_handler.slow_engines = on_slow_engines;
+	gateway->subscription_handler.parts = on_parts;
 	gateway->subscription_handler.held = on_held;
 }
 
@@ -576,6 +592,7 @@
 	gateway->held_requests =
 		g_array_new(FALSE, FALSE, sizeof(held_request_t));
 	registry_init(&gateway->registry);
+	part_guard_init(&gateway->parts);
 	usage_init(&gateway->usage);
 	endpoint_notices_init(&gateway->notices);
 	gateway->retry_windows =
--- a/src/wisteria/gateway/gateway_defs.h
+++ b/src/wisteria/gateway/gateway_defs.h
@@ -4,6 +4,7 @@
 #include <sys/queue.h>
 
 #include "wisteria/fleet/dialect.h"
+#include "wisteria/fleet/part_guard_defs.h"
 #include "wisteria/fleet/pipeline_defs.h"
 #include "wisteria/fleet/registry_defs.h"
 #include "wisteria/fleet/subscription_defs.h"
@@ -85,6 +86,15 @@
  */
 #define GATEWAY_QUEUE_TIME_RATIO 0.6
 
+/* Parts of prompts of which the last pass is kept; a new one replaces another. */
+#define GATEWAY_PART_PASSES_MAX 1024
+
+/* When a part was last in a request that was served. */
+typedef struct {
+	uint64_t part;
+	clock_ms_t at_ms; /* 0: never */
+} part_pass_t;
+
 /* The endpoints that one attempt uses: a single one or a pipeline. */
 typedef struct {
 	char ids[PIPELINE_HOPS_MAX][ENDPOINT_ID_BYTES];
@@ -134,6 +144,7 @@
 	clock_ms_t deadline_ms;
 	http_call_t *call;	     /* of the current attempt, or NULL */
 	target_t target;	     /* of the current attempt */
+	uint64_t incarnation;	     /* of its first endpoint */
 	clock_ms_t last_progress_ms; /* last send or received data */
 	GPtrArray *failed_ids;	     /* endpoints that are not tried again */
 	unsigned send_count;
@@ -186,6 +197,9 @@
 	endpoint_notices_t notices;
 	GHashTable *slowdowns;	 /* id of a slow engine -> double * */
 	clock_ms_t slowdowns_ms; /* when they were received */
+	part_guard_t parts;	 /* as the leader decides */
+	clock_ms_t parts_reported_ms;
+	part_pass_t part_passes[GATEWAY_PART_PASSES_MAX]; /* by hash */
 	usage_t usage;
 	uint64_t report_sequence;
 	clock_ms_t last_report_ms;
--- /dev/null
+++ b/src/wisteria/gateway/prompt_parts.c
@@ -0,0 +1,165 @@
+/*
+ * The entry's side of the parts of prompts that crash endpoints: reports to the
+ * leader which parts were in a request under which an endpoint crashed and which
+ * were in one that was served, and follows the leader's refusals.
+ */
+#include "wisteria/gateway/prompt_parts.h"
+
+#include <string.h>
+
+#include <xxhash.h>
+
+#include "wisteria/base/clock.h"
+#include "wisteria/base/counters.h"
+#include "wisteria/base/log.h"
+#include "wisteria/fleet/part_guard.h"
+#include "wisteria/fleet/subscription.h"
+
+#define PART_FORMAT "%" G_GINT64_MODIFIER "x"
+
+static part_pass_t *pass_of(gateway_t *gateway, uint64_t part)
+{
+	uint64_t slot =
+		XXH3_64bits(&part, sizeof(part)) % GATEWAY_PART_PASSES_MAX;
+
+	return &gateway->part_passes[slot];
+}
+
+/* Returns how long ago "part" was last served here; -1: it is not known. */
+static int64_t passed_ago_ms(gateway_t *gateway, uint64_t part, clock_ms_t now)
+{
+	const part_pass_t *pass = pass_of(gateway, part);
+
+	return pass->part == part && pass->at_ms != 0 ? now - pass->at_ms : -1;
+}
+
+/* Records that an endpoint has begun to answer a request and runs on. */
+void prompt_parts_passed(gateway_t *gateway, const caller_request_t *caller)
+{
+	clock_ms_t now = clock_now(gateway->clock);
+
+	for (uint32_t i = 0; i < caller->shared_part_count; i++)
+		*pass_of(gateway, caller->shared_parts[i]) = (part_pass_t){
+			.part = caller->shared_parts[i],
+			.at_ms = now,
+		};
+}
+
+/*
+ * Reports to the leader that an endpoint crashed as it began to answer a
+ * request.  A report that finds no leader is lost; the next crash counts.
+ */
+void prompt_parts_crashed(gateway_t *gateway, const caller_request_t *caller,
+			  const char *endpoint_id, uint64_t incarnation)
+{
+	clock_ms_t now = clock_now(gateway->clock);
+	msg_fleet_part_t parts[PROMPT_PARTS_MAX];
+	const msg_fleet_parts_t report = {
+		.endpoint = XXH3_64bits_withSeed(
+			endpoint_id, strlen(endpoint_id), incarnation),
+		.request = XXH3_64bits(caller->id, strlen(caller->id)),
+		.parts = parts,
+		.part_count = caller->shared_part_count,
+	};
+
+	for (uint32_t i = 0; i < caller->shared_part_count; i++)
+		parts[i] = (msg_fleet_part_t){
+			.part = caller->shared_parts[i],
+			.passed_ago_ms = passed_ago_ms(
+				gateway, caller->shared_parts[i], now),
+		};
+	counter_add(COUNTER_GATEWAY_CRASHES, 1);
+	LOG_INFO("endpoint_crashed_at_begin",
+		 "request=%s endpoint=%s incarnation=%" G_GUINT64_FORMAT
+		 " parts=%u",
+		 caller->id, endpoint_id, incarnation,
+		 caller->shared_part_count);
+	if (caller->shared_part_count > 0)
+		subscription_send_to_leader(&gateway->subscription,
+					    MSG_FLEET_PARTS, &report);
+}
+
+/*
+ * Returns for how long yet a request is refused for its parts; 0: it is not.
+ */
+clock_ms_t prompt_parts_refused_ms(const gateway_t *gateway,
+				   const caller_request_t *caller)
+{
+	clock_ms_t now = clock_now(gateway->clock);
+	clock_ms_t longest_ms = 0;
+
+	for (uint32_t i = 0; i < caller->shared_part_count; i++)
+		longest_ms = MAX(longest_ms,
+				 part_guard_refused_ms(&gateway->parts,
+						       caller->shared_parts[i],
+						       now));
+	return longest_ms;
+}
+
+/*
+ * Takes over the leader's list.  Refusals that it lacks stay until their end: a
+ * new leader may not know them yet.  Returns whether a part is newly refused.
+ */
+bool prompt_parts_follow(gateway_t *gateway, const msg_fleet_parts_t *list)
+{
+	clock_ms_t now = clock_now(gateway->clock);
+	bool any_new = false;
+
+	part_guard_unwatch(&gateway->parts);
+	for (size_t i = 0; i < list->part_count; i++) {
+		const msg_fleet_part_t *part = &list->parts[i];
+		clock_ms_t left_ms =
+			MIN(part->refused_left_ms, PART_GUARD_REFUSAL_MS);
+
+		if (!part_guard_watch(&gateway->parts, part->part,
+				      now + left_ms, now))
+			continue;
+		any_new = true;
+		LOG_WARN("part_refused",
+			 "part=" PART_FORMAT " for_ms=%" G_GINT64_FORMAT
+			 " source=leader",
+			 part->part, left_ms);
+	}
+	return any_new;
+}
+
+static void log_ended_refusals(const gateway_t *gateway, clock_ms_t now)
+{
+	for (uint32_t i = 0; i < gateway->parts.count; i++) {
+		const part_record_t *record = &gateway->parts.records[i];
+
+		if (record->refused_until_ms > gateway->parts_reported_ms &&
+		    record->refused_until_ms <= now)
+			LOG_INFO("part_allowed", "part=" PART_FORMAT,
+				 record->part);
+	}
+}
+
+/*
+ * Tells the leader which of the watched parts were served lately, and which
+ * parts are refused here, in case it has just begun to lead.
+ */
+void prompt_parts_report(gateway_t *gateway, clock_ms_t now)
+{
+	msg_fleet_part_t parts[PART_GUARD_PARTS_MAX];
+	msg_fleet_parts_t report = { .parts = parts };
+
+	log_ended_refusals(gateway, now);
+	gateway->parts_reported_ms = now;
+	part_guard_expire(&gateway->parts, now);
+	for (uint32_t i = 0; i < gateway->parts.count; i++) {
+		uint64_t part = gateway->parts.records[i].part;
+		msg_fleet_part_t known = {
+			.part = part,
+			.passed_ago_ms = passed_ago_ms(gateway, part, now),
+			.refused_left_ms = part_guard_refused_ms(
+				&gateway->parts, part, now),
+		};
+
+		if (known.passed_ago_ms >= 0 || known.refused_left_ms > 0)
+			parts[report.part_count++] = known;
+	}
+	if (report.part_count > 0)
+		subscription_send_to_leader(&gateway->subscription,
+					    MSG_FLEET_PARTS, &report);
+}
--- /dev/null
+++ b/src/wisteria/gateway/prompt_parts.h
@@ -0,0 +1,19 @@
+#ifndef WISTERIA_GATEWAY_PROMPT_PARTS_H
+#define WISTERIA_GATEWAY_PROMPT_PARTS_H
+
+#include "wisteria/base/macros_defs.h"
+#include "wisteria/gateway/gateway_defs.h"
+
+void prompt_parts_passed(gateway_t *gateway,
+			 const caller_request_t *caller) ATTR_NONNULL_ALL;
+void prompt_parts_crashed(gateway_t *gateway, const caller_request_t *caller,
+			  const char *endpoint_id,
+			  uint64_t incarnation) ATTR_NONNULL_ALL;
+clock_ms_t
+prompt_parts_refused_ms(const gateway_t *gateway,
+			const caller_request_t *caller) ATTR_NONNULL_ALL;
+bool prompt_parts_follow(gateway_t *gateway,
+			 const msg_fleet_parts_t *list) ATTR_NONNULL_ALL;
+void prompt_parts_report(gateway_t *gateway, clock_ms_t now) ATTR_NONNULL_ALL;
+
+#endif
--- /dev/null
+++ b/test/unit/part_guard_test.c
@@ -0,0 +1,231 @@
+/* Unit tests of the decision which parts of prompts are refused. */
+#include "unit.h"
+
+#include "wisteria/fleet/part_guard.h"
+
+/* Parts of the tests: BAD crashes endpoints, the others are sound. */
+#define SYSTEM 0xaa
+#define BAD 0xbad0
+#define SUBJECT 0xcc
+
+static part_guard_t guard;
+static uint64_t next_endpoint;
+static uint64_t next_request;
+
+static void init(void)
+{
+	part_guard_init(&guard);
+	next_endpoint = 1;
+	next_request = 1;
+}
+
+/* A crash at another endpoint under another request with the two parts. */
+static const part_record_t *crash_of(uint64_t first, uint64_t second,
+				     clock_ms_t now)
+{
+	const part_seen_t parts[] = { { .part = first }, { .part = second } };
+	const part_crash_t crash = { next_endpoint++, next_request++, now };
+
+	return part_guard_crash(&guard, parts, ARRAY_SIZE(parts), &crash);
+}
+
+static void refuse_bad_part(clock_ms_t now)
+{
+	CU_ASSERT_PTR_NULL(crash_of(SYSTEM, BAD, now - 2));
+	CU_ASSERT_PTR_NULL(crash_of(SYSTEM, BAD, now - 1));
+	CU_ASSERT_PTR_NOT_NULL(crash_of(SYSTEM, BAD, now));
+}
+
+static void test_part_is_refused_at_the_third_crash(void)
+{
+	const part_record_t *refused;
+
+	init();
+	CU_ASSERT_PTR_NULL(crash_of(SYSTEM, BAD, 1000));
+	CU_ASSERT_PTR_NULL(crash_of(SYSTEM, BAD, 2000));
+	CU_ASSERT_EQUAL(part_guard_refused_ms(&guard, BAD, 2000), 0);
+	refused = crash_of(SYSTEM, BAD, 3000);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(refused);
+	CU_ASSERT_EQUAL(refused->part, BAD);
+	CU_ASSERT_EQUAL(part_guard_refused_ms(&guard, BAD, 4000),
+			PART_GUARD_REFUSAL_MS - 1000);
+	CU_ASSERT_EQUAL(part_guard_refused_ms(&guard, SYSTEM, 4000), 0);
+}
+
+/* Also where nothing was served since, so that no part has passed. */
+static void test_shared_first_part_is_not_refused(void)
+{
+	init();
+	for (clock_ms_t now = 1000; now < 20000; now += 1000) {
+		(void)!crash_of(SYSTEM, BAD, now);
+		CU_ASSERT_EQUAL(part_guard_refused_ms(&guard, SYSTEM, now), 0);
+	}
+}
+
+static void test_first_part_that_crashes_is_refused(void)
+{
+	init();
+	CU_ASSERT_PTR_NULL(crash_of(BAD, 1, 1000));
+	CU_ASSERT_PTR_NULL(crash_of(BAD, 2, 2000));
+	CU_ASSERT_PTR_NOT_NULL(crash_of(BAD, 3, 3000));
+	CU_ASSERT_TRUE(part_guard_refused_ms(&guard, BAD, 3000) > 0);
+}
+
+/* Crashes with other causes hit sound requests, which also are served. */
+static void test_part_that_passes_is_not_refused(void)
+{
+	init();
+	for (clock_ms_t now = 1000; now < 60000; now += 1000) {
+		CU_ASSERT_PTR_NULL(crash_of(SYSTEM, SUBJECT, now));
+		part_guard_pass(&guard, SYSTEM, now + 1);
+		part_guard_pass(&guard, SUBJECT, now + 1);
+	}
+}
+
+static void test_part_that_passed_just_before_is_not_refused(void)
+{
+	part_seen_t part = { .part = SYSTEM, .has_passed = true };
+
+	init();
+	for (clock_ms_t now = 1000; now < 1000 + PART_GUARD_PASS_MS;
+	     now += 1000) {
+		const part_crash_t crash = { next_endpoint++, next_request++,
+					     now };
+
+		part.passed_ms = 999;
+		CU_ASSERT_PTR_NULL(part_guard_crash(&guard, &part, 1, &crash));
+	}
+}
+
+/* A part turns bad, as by another release of the engines. */
+static void test_part_that_passed_long_ago_is_refused(void)
+{
+	part_seen_t part = { .part = BAD, .has_passed = true };
+	const part_record_t *refused = NULL;
+
+	init();
+	part.passed_ms = 999;
+	for (clock_ms_t now = 1000; now <= 1000 + PART_GUARD_PASS_MS;
+	     now += 1000) {
+		const part_crash_t crash = { next_endpoint++, next_request++,
+					     now };
+
+		refused = part_guard_crash(&guard, &part, 1, &crash);
+	}
+	CU_ASSERT_PTR_NOT_NULL(refused);
+}
+
+static void test_one_endpoint_that_breaks_off_refuses_nothing(void)
+{
+	const part_seen_t part = { .part = SUBJECT };
+
+	init();
+	for (uint64_t i = 0; i < 20; i++) {
+		const part_crash_t crash = { 1, i, 1000 };
+
+		CU_ASSERT_PTR_NULL(part_guard_crash(&guard, &part, 1, &crash));
+	}
+}
+
+static void test_one_request_refuses_nothing(void)
+{
+	const part_seen_t part = { .part = SUBJECT };
+
+	init();
+	for (uint64_t i = 0; i < 20; i++) {
+		const part_crash_t crash = { i, 1, 1000 };
+
+		CU_ASSERT_PTR_NULL(part_guard_crash(&guard, &part, 1, &crash));
+	}
+}
+
+/* What the refusal explains is held against no other part. */
+static void test_other_parts_of_the_crashes_are_cleared(void)
+{
+	init();
+	refuse_bad_part(1000);
+	CU_ASSERT_PTR_NULL(crash_of(SYSTEM, SUBJECT, 2000));
+	CU_ASSERT_PTR_NULL(crash_of(SYSTEM, BAD, 3000));
+	CU_ASSERT_EQUAL(part_guard_find(&guard, SYSTEM)->crash_count, 1);
+}
+
+static void test_refusal_ends_and_one_crash_renews_it(void)
+{
+	clock_ms_t end_ms = 1000 + PART_GUARD_REFUSAL_MS;
+
+	init();
+	refuse_bad_part(1000);
+	CU_ASSERT_EQUAL(part_guard_refused_ms(&guard, BAD, end_ms - 1), 1);
+	CU_ASSERT_EQUAL(part_guard_refused_ms(&guard, BAD, end_ms), 0);
+	part_guard_expire(&guard, end_ms);
+	CU_ASSERT_PTR_NOT_NULL(crash_of(SYSTEM, BAD, end_ms + 1));
+	CU_ASSERT_TRUE(part_guard_refused_ms(&guard, BAD, end_ms + 1) > 0);
+}
+
+static void test_ended_refusal_is_forgotten(void)
+{
+	clock_ms_t end_ms = 1000 + PART_GUARD_REFUSAL_MS + PART_GUARD_MEMORY_MS;
+
+	init();
+	refuse_bad_part(1000);
+	part_guard_expire(&guard, end_ms - 1);
+	CU_ASSERT_PTR_NOT_NULL(part_guard_find(&guard, BAD));
+	part_guard_expire(&guard, end_ms);
+	CU_ASSERT_PTR_NULL(part_guard_find(&guard, BAD));
+	part_guard_unwatch(&guard);
+	CU_ASSERT_EQUAL(guard.count, 0);
+}
+
+static void test_memory_is_bounded_and_keeps_refusals(void)
+{
+	init();
+	refuse_bad_part(1000);
+	for (uint64_t i = 0; i < 10 * PART_GUARD_PARTS_MAX; i++)
+		CU_ASSERT_PTR_NULL(crash_of(0x10000 + 2 * i, 0x10001 + 2 * i,
+					    1000 + (clock_ms_t)i));
+	CU_ASSERT_EQUAL(guard.count, PART_GUARD_PARTS_MAX);
+	CU_ASSERT_TRUE(part_guard_refused_ms(&guard, BAD, 2000) > 0);
+}
+
+static void test_refusal_of_another_process_is_taken_over(void)
+{
+	init();
+	CU_ASSERT_FALSE(part_guard_watch(&guard, SYSTEM, 0, 1000));
+	CU_ASSERT_TRUE(part_guard_watch(&guard, BAD, 5000, 1000));
+	CU_ASSERT_FALSE(part_guard_watch(&guard, BAD, 4000, 1000));
+	CU_ASSERT_EQUAL(part_guard_refused_ms(&guard, BAD, 1000), 4000);
+	CU_ASSERT_EQUAL(part_guard_refused_ms(&guard, SYSTEM, 1000), 0);
+	CU_ASSERT_EQUAL(part_guard_refused_ms(&guard, BAD, 5000), 0);
+}
+
+static const unit_test_t tests[] = {
+	{ "part is refused at the third crash",
+	  test_part_is_refused_at_the_third_crash },
+	{ "shared first part is not refused",
+	  test_shared_first_part_is_not_refused },
+	{ "first part that crashes is refused",
+	  test_first_part_that_crashes_is_refused },
+	{ "part that passes is not refused",
+	  test_part_that_passes_is_not_refused },
+	{ "part that passed just before is not refused",
+	  test_part_that_passed_just_before_is_not_refused },
+	{ "part that passed long ago is refused",
+	  test_part_that_passed_long_ago_is_refused },
+	{ "one endpoint that breaks off refuses nothing",
+	  test_one_endpoint_that_breaks_off_refuses_nothing },
+	{ "one request refuses nothing", test_one_request_refuses_nothing },
+	{ "other parts of the crashes are cleared",
+	  test_other_parts_of_the_crashes_are_cleared },
+	{ "refusal ends and one crash renews it",
+	  test_refusal_ends_and_one_crash_renews_it },
+	{ "ended refusal is forgotten", test_ended_refusal_is_forgotten },
+	{ "memory is bounded and keeps refusals",
+	  test_memory_is_bounded_and_keeps_refusals },
+	{ "refusal of another process is taken over",
+	  test_refusal_of_another_process_is_taken_over },
+};
+
+int main(void)
+{
+	return unit_run("part_guard", tests, ARRAY_SIZE(tests));
+}
