Show refused parts on the command line

wisteriactl part list asks the metrics address of a process of a fleet for /v1/parts: each part with its state, the time that is left, and the crashes that are held against it. functional/fleet_test runs it against an entry that started after the refusal.

--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -39,6 +39,9 @@
 	"  endpoint list              endpoints, their load, which may stop\n"
 	"  endpoint leave NAME        no new work for an endpoint\n"
 	"  endpoint return NAME       give it new work again\n"
+	"  part list                  parts of prompts that crash endpoints;\n"
+	"                             --server is the metrics address of a\n"
+	"                             process of a fleet\n"
 	"  config history             accepted changes\n"
 	"  order show ID              outcome of an order\n"
 	"  order engine NAME JSON     an order to the engine of an endpoint\n"
@@ -102,6 +105,7 @@
 	  true,
 	  true,
 	  cli_endpoint_return },
+	{ { "part", "list" }, 0, 0, "", false, true, cli_part_list },
 	{ { "config", "history" }, 0, 0, "", false, true, cli_config_history },
 	{ { "order", "show" }, 1, 1, "ID", false, true, cli_order_show },
 	{ { "order", "engine" },
--- a/src/cli/show.c
+++ b/src/cli/show.c
@@ -122,6 +122,25 @@
 			  ARRAY_SIZE(columns));
 }
 
+/*
+ * Lists the parts of prompts that are refused since they crash endpoints, or
+ * watched since an endpoint crashed under a request with them.
+ */
+CLI_COMMAND(cli_part_list)
+{
+	static const output_column_t columns[] = {
+		{ "PART", "part" },
+		{ "STATE", "state" },
+		{ "SECONDS LEFT", "left_s" },
+		{ "CRASHES", "crashes" },
+	};
+
+	(void)args;
+	(void)arg_count;
+	return show_table(options, "/v1/parts", "parts", columns,
+			  ARRAY_SIZE(columns));
+}
+
 /*
  * Lists the accepted changes, oldest first.  Sends one request only, so that
  * changes after the first ADMIN_HISTORY_MAX stored ones are not listed.
--- a/src/wisteria/daemon/fleet_daemon.c
+++ b/src/wisteria/daemon/fleet_daemon.c
@@ -124,6 +124,17 @@
 	return true;
 }
 
+static bool start_metrics(fleet_daemon_t *daemon, err_t *err)
+{
+	bool is_entry = settings_has_role(daemon->settings, "fleet_entry");
+
+	return fleet_metrics_init(
+		&daemon->metrics, &daemon->loop,
+		daemon->settings->metrics_listen,
+		is_entry ? &daemon->gateway.parts : &daemon->control.parts,
+		is_entry ? &clock_boottime : &clock_monotonic, err);
+}
+
 static bool start(fleet_daemon_t *daemon, const fleet_dialect_t *dialect,
 		  err_t *err)
 {
@@ -148,8 +159,7 @@
 		daemon->has_control = true;
 	}
 	if (settings->metrics_listen != NULL) {
-		if (!fleet_metrics_init(&daemon->metrics, &daemon->loop,
-					settings->metrics_listen, err))
+		if (!start_metrics(daemon, err))
 			return false;
 		daemon->has_metrics = true;
 	}
--- a/test/functional/fleet_test.c
+++ b/test/functional/fleet_test.c
@@ -20,6 +20,7 @@
 static const char *control_address;
 static const char *entry_address;
 static const char *peer_address;
+static const char *metrics_address; /* of the process started last */
 static harness_process_t *control;
 static harness_process_t *entry;
 
@@ -50,19 +51,22 @@
 static const char *write_settings(const char *name, const char *role,
 				  const char *addresses, const char *peer)
 {
+	metrics_address = harness_address(&harness);
 	return harness_write_file(&harness, name,
 				  harness_string(&harness,
 						 "instance: %s\n"
 						 "failure_domain: z1\n"
 						 "region: here\n"
 						 "log_level: info\n"
+						 "metrics_listen: \"%s\"\n"
 						 "roles: [%s]\n"
 						 "fleet:\n%s"
 						 "  peer_listen: \"%s\"\n"
 						 "  seeds:\n"
 						 "    - \"%s\"\n"
 						 "  stop_s: 8\n",
-						 name, role, addresses, peer,
+						 name, metrics_address, role,
+						 addresses, peer,
 						 control_address));
 }
 
@@ -661,6 +665,26 @@
 	return parts_status(user, "aa:10,cc:20,") == 200;
 }
 
+/* Expects that "wisteriactl part list" shows the bad part as refused. */
+static void expect_refused_part_in_list(const char *server)
+{
+	const char *argv[] = { harness_program(&harness, "wisteriactl"),
+			       "--server",
+			       server,
+			       "part",
+			       "list",
+			       NULL };
+	harness_process_t *process = harness_start(&harness, "part-list", argv);
+	char *text;
+
+	CU_ASSERT(harness_wait_exit(process, HARNESS_WAIT_MS));
+	CU_ASSERT_EQUAL(process->exit_status, 0);
+	text = harness_read_file(process->log_path);
+	CU_ASSERT_PTR_NOT_NULL(
+		strstr(text, FAKE_ENDPOINT_BAD_PART "  refused"));
+	g_free(text);
+}
+
 static void test_part_that_crashes_endpoints_is_refused_everywhere(void)
 {
 	const char *bad = "aa:10," FAKE_ENDPOINT_BAD_PART ":5,";
@@ -696,6 +720,7 @@
 			CU_ASSERT(serves_sound_parts((void *)addresses[i]));
 	}
 	CU_ASSERT_EQUAL(count_crashes(endpoints), crashes);
+	expect_refused_part_in_list(metrics_address);
 	for (size_t i = 0; i < ARRAY_SIZE(others); i++) {
 		harness_signal(others[i], SIGTERM);
 		CU_ASSERT(harness_wait_exit(others[i], HARNESS_WAIT_MS));
