Keep refused parts across a power loss of all instances

Cause: refusals were in memory only. Change: the copy of the registry on disk has the refused parts and the time that is left of each; control instances load it at their start. The time during which nothing ran counts for no refusal. Weighed: entries in the replicated log (a write for a verdict that is soft and ends by itself). Result: unit/registry_file_test "refused parts outlast a power loss".

--- a/src/wisteria/codec/msg.c
+++ b/src/wisteria/codec/msg.c
@@ -512,12 +512,22 @@
 static const record_desc_t msg_fleet_alive_desc =
 	RECORD_DESC(msg_fleet_alive_t, fleet_alive_fields);
 
+static const field_desc_t fleet_part_fields[] = {
+	FIELD(FIELD_U64, msg_fleet_part_t, part),
+	FIELD(FIELD_I64, msg_fleet_part_t, passed_ago_ms),
+	FIELD(FIELD_I64, msg_fleet_part_t, refused_left_ms),
+};
+static const record_desc_t msg_fleet_part_desc =
+	RECORD_DESC(msg_fleet_part_t, fleet_part_fields);
+
 static const field_desc_t fleet_endpoints_fields[] = {
 	FIELD_LIST_OF(msg_fleet_endpoints_t, endpoints, endpoint_count,
 		      &msg_fleet_endpoint_desc),
 	FIELD_LIST_OF(msg_fleet_endpoints_t, alive, alive_count,
 		      &msg_fleet_alive_desc),
 	FIELD(FIELD_U32, msg_fleet_endpoints_t, entries),
+	FIELD_LIST_OF(msg_fleet_endpoints_t, parts, part_count,
+		      &msg_fleet_part_desc),
 };
 static const record_desc_t msg_fleet_endpoints_desc =
 	RECORD_DESC(msg_fleet_endpoints_t, fleet_endpoints_fields);
@@ -552,14 +562,6 @@
 static const record_desc_t msg_fleet_paces_desc =
 	RECORD_DESC(msg_fleet_paces_t, fleet_paces_fields);
 
-static const field_desc_t fleet_part_fields[] = {
-	FIELD(FIELD_U64, msg_fleet_part_t, part),
-	FIELD(FIELD_I64, msg_fleet_part_t, passed_ago_ms),
-	FIELD(FIELD_I64, msg_fleet_part_t, refused_left_ms),
-};
-static const record_desc_t msg_fleet_part_desc =
-	RECORD_DESC(msg_fleet_part_t, fleet_part_fields);
-
 static const field_desc_t fleet_parts_fields[] = {
 	FIELD(FIELD_U64, msg_fleet_parts_t, endpoint),
 	FIELD(FIELD_U64, msg_fleet_parts_t, request),
--- a/src/wisteria/codec/msg_defs.h
+++ b/src/wisteria/codec/msg_defs.h
@@ -659,12 +659,21 @@
 	int64_t age_ms;
 } msg_fleet_alive_t;
 
+/* A shared part of prompts. */
+typedef struct {
+	uint64_t part;
+	int64_t passed_ago_ms;	 /* when it was last served; -1: not known */
+	int64_t refused_left_ms; /* 0: it is not refused */
+} msg_fleet_part_t;
+
 typedef struct {
 	const msg_fleet_endpoint_t *endpoints;
 	size_t endpoint_count;
 	const msg_fleet_alive_t *alive;
 	size_t alive_count;
 	uint32_t entries; /* of the fleet; only in the copy on disk */
+	const msg_fleet_part_t *parts; /* refused; only in the copy on disk */
+	size_t part_count;
 } msg_fleet_endpoints_t;
 
 /* The number of tokens of the requests in flight at an endpoint. */
@@ -703,13 +712,6 @@
 	size_t slow_engine_count;
 } msg_fleet_paces_t;
 
-/* A shared part of prompts. */
-typedef struct {
-	uint64_t part;
-	int64_t passed_ago_ms;	 /* when it was last served; -1: not known */
-	int64_t refused_left_ms; /* 0: it is not refused */
-} msg_fleet_part_t;
-
 /*
  * From an entry to the leader: the parts of a request under which an endpoint
  * has just crashed, or what it knows of the parts that are watched.  From the
--- a/src/wisteria/fleet/fleet_group.c
+++ b/src/wisteria/fleet/fleet_group.c
@@ -114,7 +114,7 @@
 	}
 	control->has_replica = true;
 	registry_file_init(&control->registry_file, control->net->loop,
-			   fleet->data_dir);
+			   fleet->data_dir, &control->parts);
 	LOG_INFO("endpoints_recalled", "endpoints=%u",
 		 registry_file_load(&control->registry_file, &control->registry,
 				    now));
--- a/src/wisteria/fleet/fleet_update.c
+++ b/src/wisteria/fleet/fleet_update.c
@@ -2,6 +2,7 @@
 #include "wisteria/fleet/fleet_update.h"
 
 #include "wisteria/codec/msg.h"
+#include "wisteria/fleet/part_guard.h"
 #include "wisteria/fleet/registry.h"
 
 /*
@@ -126,18 +127,44 @@
 }
 
 /*
- * Appends the whole registry and the number of entries, encoded as a
- * MSG_FLEET_ENDPOINTS message.
+ * Fills "list", of PART_GUARD_PARTS_MAX items, with the refused parts; returns
+ * their number.
  */
-void fleet_update_encode(const registry_t *registry, uint32_t entries,
-			 clock_ms_t now, msgpack_sbuffer *out)
+static size_t list_refused(const part_guard_t *parts, clock_ms_t now,
+			   msg_fleet_part_t *list)
 {
+	size_t count = 0;
+
+	for (uint32_t i = 0; i < parts->count; i++) {
+		uint64_t part = parts->records[i].part;
+		clock_ms_t left_ms = part_guard_refused_ms(parts, part, now);
+
+		if (left_ms > 0)
+			list[count++] = (msg_fleet_part_t){
+				.part = part,
+				.passed_ago_ms = -1,
+				.refused_left_ms = left_ms,
+			};
+	}
+	return count;
+}
+
+/*
+ * Appends the whole registry, the refused parts and the number of entries,
+ * encoded as a MSG_FLEET_ENDPOINTS message.
+ */
+void fleet_update_encode(const registry_t *registry, const part_guard_t *parts,
+			 uint32_t entries, clock_ms_t now, msgpack_sbuffer *out)
+{
+	msg_fleet_part_t refused[PART_GUARD_PARTS_MAX];
 	msg_fleet_endpoints_t message;
 	fleet_update_t update;
 
 	fleet_update_init(&update, registry, NULL, NULL, now);
 	message = fleet_update_message(&update);
 	message.entries = entries;
+	message.parts = refused;
+	message.part_count = list_refused(parts, now, refused);
 	msg_encode(MSG_FLEET_ENDPOINTS, &message, out);
 	fleet_update_finish(&update);
 }
--- a/src/wisteria/fleet/fleet_update.h
+++ b/src/wisteria/fleet/fleet_update.h
@@ -3,6 +3,7 @@
 
 #include "wisteria/base/macros_defs.h"
 #include "wisteria/codec/msg_defs.h"
+#include "wisteria/fleet/part_guard_defs.h"
 #include "wisteria/fleet/registry_defs.h"
 
 /*
@@ -33,8 +34,9 @@
 void fleet_update_finish(fleet_update_t *update) ATTR_NONNULL_ALL;
 msg_fleet_endpoints_t
 fleet_update_message(const fleet_update_t *update) ATTR_NONNULL_ALL;
-void fleet_update_encode(const registry_t *registry, uint32_t entries,
-			 clock_ms_t now, msgpack_sbuffer *out) ATTR_NONNULL_ALL;
+void fleet_update_encode(const registry_t *registry, const part_guard_t *parts,
+			 uint32_t entries, clock_ms_t now,
+			 msgpack_sbuffer *out) ATTR_NONNULL_ALL;
 void fleet_update_read_endpoint(const msg_fleet_endpoint_t *message,
 				clock_ms_t now,
 				endpoint_t *endpoint) ATTR_NONNULL_ALL;
--- a/src/wisteria/fleet/registry_file.c
+++ b/src/wisteria/fleet/registry_file.c
@@ -1,5 +1,5 @@
 /*
- * Keeps a copy of the registry on disk.  After a power loss of all instances it
+ * Keeps a copy of the registry and of the refused parts on disk.  After a power loss of all instances it
  * takes seconds until all endpoints have announced themselves again; until then
  * the last known state is used.  It may be outdated: endpoints that do not
  * announce themselves become silent as usual.  A missing or damaged copy is
@@ -17,6 +17,7 @@
 #include "wisteria/base/log.h"
 #include "wisteria/codec/msg.h"
 #include "wisteria/fleet/fleet_update.h"
+#include "wisteria/fleet/part_guard.h"
 #include "wisteria/fleet/registry.h"
 
 #define FILE_NAME "endpoints"
@@ -32,11 +33,15 @@
 	err_t err;
 } write_job_t;
 
-/* Initializes a copy in "folder"; neither reads nor writes it. */
+/*
+ * Initializes a copy in "folder"; neither reads nor writes it.  Refused parts
+ * are loaded into "parts" and written from it.
+ */
 void registry_file_init(registry_file_t *file, uv_loop_t *loop,
-			const char *folder)
+			const char *folder, part_guard_t *parts)
 {
 	memset(file, 0, sizeof(*file));
+	file->parts = parts;
 	file->loop = loop;
 	file->folder = g_strdup(folder);
 }
@@ -140,7 +145,8 @@
 	job->file = file;
 	job->folder = g_strdup(file->folder);
 	msgpack_sbuffer_init(&job->data);
-	fleet_update_encode(registry, file->entries, now, &job->data);
+	fleet_update_encode(registry, file->parts, file->entries, now,
+			    &job->data);
 	if (uv_queue_work(file->loop, &job->work, on_work, on_work_done) != 0) {
 		msgpack_sbuffer_destroy(&job->data);
 		g_free(job->folder);
@@ -150,19 +156,23 @@
 	file->writing = true;
 	file->written_version = registry->version;
 	file->written_silent_count = count_silent(registry);
+	file->written_part_count = part_guard_refused_count(file->parts, now);
 	file->changed_ms = 0;
 }
 
 /*
- * Starts a write of the copy REGISTRY_FILE_WRITE_DELAY_MS after the registry or
- * the number of silent endpoints has changed.  Must be called periodically.
+ * Starts a write of the copy REGISTRY_FILE_WRITE_DELAY_MS after the registry,
+ * the number of silent endpoints or that of refused parts has changed.  Must be
+ * called periodically.
  */
 void registry_file_write_if_changed(registry_file_t *file,
 				    const registry_t *registry, clock_ms_t now)
 {
 	if (file->writing ||
 	    (registry->version == file->written_version &&
-	     count_silent(registry) == file->written_silent_count))
+	     count_silent(registry) == file->written_silent_count &&
+	     part_guard_refused_count(file->parts, now) ==
+		     file->written_part_count))
 		return;
 	if (file->changed_ms == 0)
 		file->changed_ms = now;
@@ -170,6 +180,24 @@
 		start_write(file, registry, now);
 }
 
+/* The time since the copy was written counts for no refusal. */
+static void load_parts(registry_file_t *file,
+		       const msg_fleet_endpoints_t *message, clock_ms_t now)
+{
+	for (size_t i = 0; i < message->part_count; i++) {
+		const msg_fleet_part_t *part = &message->parts[i];
+		clock_ms_t left_ms =
+			MIN(part->refused_left_ms, PART_GUARD_REFUSAL_MS);
+
+		if (part_guard_watch(file->parts, part->part, now + left_ms,
+				     now))
+			LOG_WARN("part_refused",
+				 "part=%" G_GINT64_MODIFIER
+				 "x for_ms=%" G_GINT64_FORMAT " source=disk",
+				 part->part, left_ms);
+	}
+}
+
 /*
  * Loads the copy into the registry, except for endpoints that had sent
  * nothing for REGISTRY_SILENCE_MS when it was written.  Loaded endpoints count
@@ -195,8 +223,10 @@
 		log_err(G_LOG_LEVEL_WARNING, "endpoints_unreadable", &err);
 	} else {
 		message = msg.body;
-		if (msg.type == MSG_FLEET_ENDPOINTS)
+		if (msg.type == MSG_FLEET_ENDPOINTS) {
 			file->entries = message->entries;
+			load_parts(file, message, now);
+		}
 		for (size_t i = 0; msg.type == MSG_FLEET_ENDPOINTS &&
 				   i < message->endpoint_count;
 		     i++) {
--- a/test/unit/registry_file_test.c
+++ b/test/unit/registry_file_test.c
@@ -9,6 +9,7 @@
 
 #include "wisteria/base/clock_defs.h"
 #include "wisteria/fleet/fleet_update.h"
+#include "wisteria/fleet/part_guard.h"
 #include "wisteria/fleet/registry.h"
 #include "wisteria/fleet/registry_file.h"
 
@@ -16,6 +17,7 @@
 
 static char *folder;
 static uint32_t loaded_entries;
+static part_guard_t parts;
 
 static registry_t registry_with_endpoint(void)
 {
@@ -41,7 +43,7 @@
 	unsigned count;
 
 	registry_init(&registry);
-	registry_file_init(&file, uv_default_loop(), folder);
+	registry_file_init(&file, uv_default_loop(), folder, &parts);
 	count = registry_file_load(&file, &registry, now);
 	loaded_entries = file.entries;
 	found = registry_find(&registry, "i-1");
@@ -52,6 +54,29 @@
 	return count;
 }
 
+/* Also where the clock of the process begins anew. */
+static void test_refused_parts_outlast_a_power_loss(void)
+{
+	registry_t registry = registry_with_endpoint();
+	endpoint_t first = { 0 };
+	msgpack_sbuffer data;
+	err_t err = { 0 };
+
+	part_guard_init(&parts);
+	CU_ASSERT_TRUE(part_guard_watch(&parts, 0xbad0, 60100, 100));
+	CU_ASSERT_FALSE(part_guard_watch(&parts, 0xaa, 0, 100));
+	msgpack_sbuffer_init(&data);
+	fleet_update_encode(&registry, &parts, ENTRIES, 100, &data);
+	CU_ASSERT_TRUE(registry_file_write(folder, data.data, data.size, &err));
+	part_guard_init(&parts);
+	CU_ASSERT_EQUAL(load_copy(5, &first), 1);
+	CU_ASSERT_EQUAL(part_guard_refused_ms(&parts, 0xbad0, 5), 60000);
+	CU_ASSERT_EQUAL(parts.count, 1);
+	part_guard_init(&parts);
+	msgpack_sbuffer_destroy(&data);
+	registry_finish(&registry);
+}
+
 static void write_text(const void *data, size_t len)
 {
 	char *path = g_build_filename(folder, "endpoints", NULL);
@@ -68,7 +93,7 @@
 	err_t err = { 0 };
 
 	msgpack_sbuffer_init(&data);
-	fleet_update_encode(&registry, ENTRIES, 100, &data);
+	fleet_update_encode(&registry, &parts, ENTRIES, 100, &data);
 	CU_ASSERT_TRUE(registry_file_write(folder, data.data, data.size, &err));
 	CU_ASSERT_EQUAL(load_copy(5000, &first), 1);
 	CU_ASSERT_EQUAL(first.sequence, 3);
@@ -87,7 +112,7 @@
 	msgpack_sbuffer data;
 
 	msgpack_sbuffer_init(&data);
-	fleet_update_encode(&registry, ENTRIES, 100, &data);
+	fleet_update_encode(&registry, &parts, ENTRIES, 100, &data);
 	for (size_t len = 0; len < data.size; len++) {
 		write_text(data.data, len);
 		CU_ASSERT_EQUAL(load_copy(0, &first), 0);
@@ -114,7 +139,7 @@
 	registry_file_t file;
 
 	write_text("", 0);
-	registry_file_init(&file, uv_default_loop(), folder);
+	registry_file_init(&file, uv_default_loop(), folder, &parts);
 	registry_file_write_if_changed(&file, &registry, 1000);
 	CU_ASSERT_FALSE(file.writing);
 	registry_file_write_if_changed(&file, &registry,
@@ -146,7 +171,7 @@
 	g_strlcpy(other.address, "10.0.0.2:80", sizeof(other.address));
 	CU_ASSERT_EQUAL(registry_update(&registry, &other, now),
 			REGISTRY_CHANGED);
-	registry_file_init(&file, uv_default_loop(), folder);
+	registry_file_init(&file, uv_default_loop(), folder, &parts);
 	registry_file_write_if_changed(&file, &registry, now);
 	registry_file_write_if_changed(&file, &registry,
 				       now + REGISTRY_FILE_WRITE_DELAY_MS);
@@ -167,6 +192,8 @@
 }
 
 static const unit_test_t tests[] = {
+	{ "refused parts outlast a power loss",
+	  test_refused_parts_outlast_a_power_loss },
 	{ "loads what was written", test_loads_what_was_written },
 	{ "damaged copies are ignored", test_damaged_copies_are_ignored },
 	{ "a folder that cannot be written",
