--- a/test/functional/fleet_test.c
+++ b/test/functional/fleet_test.c
@@ -711,6 +711,8 @@
 	crashes = count_crashes(endpoints);
 	CU_ASSERT(crashes <= CRASHES_MAX + LATE_REQUESTS_MAX);
 
+	harness_kill(control);
+	harness_restart(control);
 	others[1] = start_entry("entry-3", addresses[2], peer_address);
 	CU_ASSERT(harness_wait_until(serves_sound_parts, (void *)addresses[2],
 				     HARNESS_WAIT_MS));
