Send requests with a crashing part in the soak

A tenth of the streams has a part under which every writer endpoint breaks off as it begins; in the end, when all faults are over, such requests must be refused at every entry after few crashes.

--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -58,8 +58,15 @@
 /* Reads sent this long after an acknowledgement must include the change. */
 #define APPLY_MS 2000
 
+/* Share of the streams whose prompt has a part that crashes endpoints. */
+#define CRASHING_SHARE 0.1
+/* Crashes after which such a part must be known, and requests beyond. */
+#define CRASHES_MAX 5
+#define LATE_REQUESTS_MAX 3
+
 typedef enum {
 	KIND_CHAT,
+	KIND_CRASHING, /* KIND_CHAT with a part that crashes endpoints */
 	KIND_BOOKING,
 	KIND_CHANGE,
 	KIND_READ
@@ -254,6 +261,11 @@
 
 /* Endpoints. */
 
+static fake_endpoint_mode_t usual_mode(unsigned i)
+{
+	return i < WRITER_ENDPOINTS ? FAKE_ENDPOINT_CRASH : FAKE_ENDPOINT_SERVE;
+}
+
 static void start_endpoint(soak_t *soak, unsigned i)
 {
 	soak_endpoint_t *endpoint = &soak->endpoints[i];
@@ -263,7 +275,7 @@
 	fake_endpoint_listen(
 		&endpoint->fake_endpoint, endpoint->id,
 		i < WRITER_ENDPOINTS ? "writer" : "orders", soak->harness.ip,
-		soak->control_addresses[i % CONTROLS], FAKE_ENDPOINT_SERVE);
+		soak->control_addresses[i % CONTROLS], usual_mode(i));
 	endpoint->relay =
 		relay_new(&soak->harness, endpoint->fake_endpoint.address);
 	endpoint->fake_endpoint.advertised_address =
@@ -296,7 +308,8 @@
 	sent_request_t *sent = g_new0(sent_request_t, 1);
 	http_params_t params = { .body = body };
 	http_request_t *request;
-	const char *headers[4] = { "Host: shop.example", NULL };
+	const char *headers[5] = { "Host: shop.example", NULL };
+	char *parts_line;
 	char *id_line;
 	char *url;
 
@@ -307,6 +320,11 @@
 	id_line = g_strdup_printf("X-Wisteriadrift-Request-Id: %s", sent->id);
 	headers[1] = id_line;
 	headers[2] = "X-Wisteriadrift-Deadline-Ms: 6000";
+	parts_line = g_strdup_printf(
+		"X-Wisteriadrift-Prefix-Hash: aa:9,%s%x:9",
+		kind == KIND_CRASHING ? FAKE_ENDPOINT_BAD_PART ":9," : "",
+		soak->requests);
+	headers[3] = parts_line;
 	url = g_strdup_printf("http://%s%s", to->address, path);
 	params.url = url;
 	params.headers = headers;
@@ -314,6 +332,7 @@
 	request->user = sent;
 	if (kind == KIND_BOOKING)
 		g_hash_table_add(soak->bookings, g_strdup(sent->id));
+	g_free(parts_line);
 	g_free(id_line);
 	g_free(url);
 	return request;
@@ -374,9 +393,12 @@
 static http_request_t *send_service_request(soak_t *soak, bool is_booking)
 {
 	unsigned target = random_below(soak, soak->entry_count);
+	request_kind_t kind = is_booking ? KIND_BOOKING
+			      : random_chance(soak, CRASHING_SHARE)
+				      ? KIND_CRASHING
+				      : KIND_CHAT;
 
-	return send_request(soak, is_booking ? KIND_BOOKING : KIND_CHAT,
-			    &soak->entries[target], target,
+	return send_request(soak, kind, &soak->entries[target], target,
 			    is_booking ? "/book/1" : "/chat/1", "7 bolts");
 }
 
@@ -747,7 +769,7 @@
 		return;
 	}
 	endpoint->repair_ms = 0;
-	endpoint->fake_endpoint.mode = FAKE_ENDPOINT_SERVE;
+	endpoint->fake_endpoint.mode = usual_mode(i);
 	relay_silence(endpoint->relay, false);
 	relay_set_delay(endpoint->relay, 0);
 }
@@ -894,6 +916,49 @@
 				 probe_path(kind));
 }
 
+static unsigned count_crashes(const soak_t *soak)
+{
+	unsigned crashes = 0;
+
+	for (unsigned i = 0; i < WRITER_ENDPOINTS; i++)
+		crashes += soak->endpoints[i].fake_endpoint.crashes;
+	return crashes;
+}
+
+/* Sends a crashing request to an entry; returns its status. */
+static long crashing_status(soak_t *soak, unsigned target)
+{
+	http_request_t *request =
+		send_request(soak, KIND_CRASHING, &soak->entries[target],
+			     target, "/chat/1", "7 bolts");
+	long status = 0;
+
+	if (http_wait(&soak->client, request, HARNESS_WAIT_MS))
+		status = request->status;
+	g_free(request->user);
+	http_request_free(&soak->client, request);
+	return status;
+}
+
+/* Checks that a part that crashes endpoints is refused soon, and everywhere. */
+static void check_crashing_part(soak_t *soak)
+{
+	unsigned before = count_crashes(soak);
+	sent_request_t sent = { .kind = KIND_CRASHING, .id = "-" };
+	unsigned crashes;
+
+	for (unsigned i = 0; i < CRASHES_MAX + LATE_REQUESTS_MAX; i++)
+		crashing_status(soak, i % soak->entry_count);
+	for (; sent.target < soak->entry_count; sent.target++)
+		if (crashing_status(soak, sent.target) != 503)
+			report_violation(soak, "crashing part is refused",
+					 &sent, "it was not");
+	crashes = count_crashes(soak) - before;
+	if (crashes > CRASHES_MAX + LATE_REQUESTS_MAX)
+		report_violation(soak, "few endpoints crash", &sent,
+				 harness_string(&soak->harness, "%u", crashes));
+}
+
 static bool all_are_up(const soak_t *soak)
 {
 	for (int i = 0; i < CONTROLS; i++)
@@ -928,6 +993,7 @@
 	}
 	for (unsigned i = 0; i < CONTROLS; i++)
 		expect_probe_succeeds(soak, &soak->controls[i], i, KIND_READ);
+	check_crashing_part(soak);
 	check_bookings(soak);
 }
 
