Count a second request that crashes the same endpoints

A request crashed three endpoints. The next one crashed the same three, which came back under their incarnations; its crashes were dropped as known, so one request was all that was held against the part, and two are needed.

Change: a crash replaces the earlier one of the same endpoint, with its request.

Result: unit/part_guard_test "second request at the same endpoints counts" failed before and passes.

--- a/src/wisteria/fleet/part_guard.c
+++ b/src/wisteria/fleet/part_guard.c
@@ -80,16 +80,24 @@
 	return record;
 }
 
+/*
+ * Adds a crash in place of an earlier one of the same endpoint, or else of the
+ * oldest if there are PART_GUARD_CRASHES_MIN.
+ */
 static void add_crash(part_record_t *record, const part_crash_t *crash)
 {
-	for (uint32_t i = 0; i < record->crash_count; i++)
-		if (record->crashes[i].endpoint == crash->endpoint)
-			return;
-	if (record->crash_count == PART_GUARD_CRASHES_MIN) {
-		memmove(&record->crashes[0], &record->crashes[1],
-			(PART_GUARD_CRASHES_MIN - 1) *
-				sizeof(record->crashes[0]));
+	uint32_t at = 0;
+
+	while (at < record->crash_count &&
+	       record->crashes[at].endpoint != crash->endpoint)
+		at++;
+	if (at == PART_GUARD_CRASHES_MIN)
+		at = 0;
+	if (at < record->crash_count) {
 		record->crash_count--;
+		memmove(&record->crashes[at], &record->crashes[at + 1],
+			(record->crash_count - at) *
+				sizeof(record->crashes[0]));
 	}
 	record->crashes[record->crash_count++] = *crash;
 }
--- a/test/unit/part_guard_test.c
+++ b/test/unit/part_guard_test.c
@@ -138,6 +138,21 @@
 	}
 }
 
+/* Engines that come back under their incarnation are crashed again. */
+static void test_second_request_at_the_same_endpoints_counts(void)
+{
+	const part_seen_t part = { .part = BAD };
+
+	init();
+	for (uint64_t i = 1; i <= PART_GUARD_CRASHES_MIN; i++) {
+		const part_crash_t crash = { i, 1, 1000 };
+
+		CU_ASSERT_PTR_NULL(part_guard_crash(&guard, &part, 1, &crash));
+	}
+	CU_ASSERT_PTR_NOT_NULL(part_guard_crash(
+		&guard, &part, 1, &(part_crash_t){ 1, 2, 2000 }));
+}
+
 /* What the refusal explains is held against no other part. */
 static void test_other_parts_of_the_crashes_are_cleared(void)
 {
@@ -213,6 +228,8 @@
 	{ "one endpoint that breaks off refuses nothing",
 	  test_one_endpoint_that_breaks_off_refuses_nothing },
 	{ "one request refuses nothing", test_one_request_refuses_nothing },
+	{ "second request at the same endpoints counts",
+	  test_second_request_at_the_same_endpoints_counts },
 	{ "other parts of the crashes are cleared",
 	  test_other_parts_of_the_crashes_are_cleared },
 	{ "refusal ends and one crash renews it",
