Log what the leader holds against a part

Change: part_suspected, one line for each part of a reported crash: the crashes held against it, and when it was last served.

--- a/src/wisteria/fleet/fleet_parts.c
+++ b/src/wisteria/fleet/fleet_parts.c
@@ -33,6 +33,20 @@
 		 part_guard_refused_ms(&control->parts, part, now), source);
 }
 
+static void log_suspected(const fleet_control_t *control, uint64_t part,
+			  clock_ms_t now)
+{
+	const part_record_t *record = part_guard_find(&control->parts, part);
+
+	if (record != NULL && record->crash_count > 0)
+		LOG_INFO("part_suspected",
+			 "part=" PART_FORMAT
+			 " crashes=%u passed_ago_ms=%" G_GINT64_FORMAT,
+			 part, record->crash_count,
+			 record->has_passed ? now - record->passed_ms
+					    : (clock_ms_t)-1);
+}
+
 /* Takes over refusals and passes that another process knows of. */
 static void learn(fleet_control_t *control, const msg_fleet_parts_t *list,
 		  clock_ms_t now)
@@ -61,7 +75,7 @@
 		.at_ms = now,
 	};
 	uint32_t count = (uint32_t)MIN(report->part_count, PROMPT_PARTS_MAX);
-	part_seen_t seen[PROMPT_PARTS_MAX];
+	part_seen_t seen[PROMPT_PARTS_MAX] = { 0 };
 	const part_record_t *refused;
 
 	for (uint32_t i = 0; i < count; i++)
@@ -71,6 +85,8 @@
 			.passed_ms = now - report->parts[i].passed_ago_ms,
 		};
 	refused = part_guard_crash(&control->parts, seen, count, &crash);
+	for (uint32_t i = 0; i < count; i++)
+		log_suspected(control, seen[i].part, now);
 	if (refused == NULL)
 		return;
 	log_refused(control, refused->part, "crashes", now);
