Crash fake endpoints on the bad part in every mode that runs requests

In the soak, endpoints with a drawn fault served requests with the part, which is not the load that the users describe: whatever runs such a request crashes.

--- a/test/functional/fleet_test.c
+++ b/test/functional/fleet_test.c
@@ -698,7 +698,8 @@
 		const char *id = harness_string(&harness, "i-crash-%d", i);
 
 		fake_endpoint_start(&endpoints[i], id, "writer", harness.ip,
-				    control_address, FAKE_ENDPOINT_CRASH);
+				    control_address, FAKE_ENDPOINT_SERVE);
+		endpoints[i].crashes_on_bad_part = true;
 		CU_ASSERT(harness_wait_log(
 			entry, harness_string(&harness, "endpoint=%s ", id),
 			HARNESS_WAIT_MS));
--- a/test/functional/harness/fake_endpoint.c
+++ b/test/functional/harness/fake_endpoint.c
@@ -343,7 +343,8 @@
 		return;
 	}
 	record_run(fake_endpoint, request);
-	if (mode == FAKE_ENDPOINT_CRASH && has_bad_part(request))
+	if (fake_endpoint->crashes_on_bad_part && mode != FAKE_ENDPOINT_DROP &&
+	    has_bad_part(request))
 		mode = fake_endpoint->crashes++ % 2 == 0
 			       ? FAKE_ENDPOINT_UNFRAMED_EMPTY
 			       : FAKE_ENDPOINT_CHUNKED_EMPTY;
--- a/test/functional/harness/fake_endpoint.h
+++ b/test/functional/harness/fake_endpoint.h
@@ -51,11 +51,6 @@
 	FAKE_ENDPOINT_PAUSE,
 	/* Serves, and starts each stream with event 0. */
 	FAKE_ENDPOINT_RESTART,
-	/*
-	 * Serves, but closes the connection of a request whose prompt has the
-	 * part FAKE_ENDPOINT_BAD_PART as it begins the answer.
-	 */
-	FAKE_ENDPOINT_CRASH,
 	FAKE_ENDPOINT_LEAVE, /* serves, and says that it leaves */
 	FAKE_ENDPOINT_DROP   /* runs it and closes without an answer */
 } fake_endpoint_mode_t;
@@ -83,7 +78,12 @@
 	_Atomic int mode; /* fake_endpoint_mode_t */
 	atomic_uint runs;
 	atomic_uint rejections;
-	atomic_uint crashes; /* of FAKE_ENDPOINT_CRASH */
+	/*
+	 * Whether, in any mode that runs requests, it closes the connection of
+	 * one whose prompt has FAKE_ENDPOINT_BAD_PART as it begins the answer.
+	 */
+	atomic_bool crashes_on_bad_part;
+	atomic_uint crashes;
 	atomic_bool stopping;
 	pthread_t server_thread;
 	pthread_t heartbeat_thread;
--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -261,11 +261,6 @@
 
 /* Endpoints. */
 
-static fake_endpoint_mode_t usual_mode(unsigned i)
-{
-	return i < WRITER_ENDPOINTS ? FAKE_ENDPOINT_CRASH : FAKE_ENDPOINT_SERVE;
-}
-
 static void start_endpoint(soak_t *soak, unsigned i)
 {
 	soak_endpoint_t *endpoint = &soak->endpoints[i];
@@ -275,13 +270,14 @@
 	fake_endpoint_listen(
 		&endpoint->fake_endpoint, endpoint->id,
 		i < WRITER_ENDPOINTS ? "writer" : "orders", soak->harness.ip,
-		soak->control_addresses[i % CONTROLS], usual_mode(i));
+		soak->control_addresses[i % CONTROLS], FAKE_ENDPOINT_SERVE);
 	endpoint->relay =
 		relay_new(&soak->harness, endpoint->fake_endpoint.address);
 	endpoint->fake_endpoint.advertised_address =
 		relay_address(endpoint->relay);
 	endpoint->fake_endpoint.fallback_controls = soak->control_addresses;
 	endpoint->fake_endpoint.journal = &soak->journal;
+	endpoint->fake_endpoint.crashes_on_bad_part = i < WRITER_ENDPOINTS;
 	fake_endpoint_start_threads(&endpoint->fake_endpoint);
 	endpoint->is_running = true;
 	endpoint->repair_ms = 0;
@@ -769,7 +765,7 @@
 		return;
 	}
 	endpoint->repair_ms = 0;
-	endpoint->fake_endpoint.mode = usual_mode(i);
+	endpoint->fake_endpoint.mode = FAKE_ENDPOINT_SERVE;
 	relay_silence(endpoint->relay, false);
 	relay_set_delay(endpoint->relay, 0);
 }
