--- a/test/unit/part_guard_test.c
+++ b/test/unit/part_guard_test.c
@@ -149,8 +149,8 @@
 
 		CU_ASSERT_PTR_NULL(part_guard_crash(&guard, &part, 1, &crash));
 	}
-	CU_ASSERT_PTR_NOT_NULL(part_guard_crash(
-		&guard, &part, 1, &(part_crash_t){ 1, 2, 2000 }));
+	CU_ASSERT_PTR_NOT_NULL(part_guard_crash(&guard, &part, 1,
+						&(part_crash_t){ 1, 2, 2000 }));
 }
 
 /* What the refusal explains is held against no other part. */
