Log the request limit that an answer names

The logs could not tell whether an entry had seen the limit of an endpoint, and when. The header is read, request_answered and attempt_failed say it, and a value that is no finite decimal is logged as endpoint_limit_unreadable. Nothing decides on it yet. Callers do not get the header, like the others that speak to the router.

unit/platform_test "request limits of endpoints" covers fractions, 0, absurd and unreadable values.

--- a/src/wisteria/fleet/dialect.h
+++ b/src/wisteria/fleet/dialect.h
@@ -15,6 +15,8 @@
 	CONTROL_CALL_GET_CONFIGURATION
 } control_call_t;
 
+/* In place of a limit in requests per second: there is none. */
+#define REQUEST_LIMIT_NONE (-1.0)
 /* Most parts of a prompt that are read; further ones are ignored. */
 #define PROMPT_PARTS_MAX 16
 
@@ -66,6 +68,12 @@
 	 */
 	clock_ms_t pause_ms;
 	const char *unreadable_pause; /* a pause that has no sense, or NULL */
+	/*
+	 * Requests per second that the endpoint that answers takes from all
+	 * entries together; REQUEST_LIMIT_NONE: it names no limit.
+	 */
+	double request_limit;
+	const char *unreadable_limit; /* a limit that has no sense, or NULL */
 } endpoint_answer_t;
 
 /* An order that places a range of layers on an endpoint. */
--- a/src/wisteria/gateway/answer.c
+++ b/src/wisteria/gateway/answer.c
@@ -58,7 +58,7 @@
 		 "events=%" G_GUINT64_FORMAT " framing=%s "
 		 "partial_event_bytes=%zu behind_event=%" G_GINT64_FORMAT
 		 " first_ms=%" G_GINT64_FORMAT " gap_ms=%" G_GINT64_FORMAT
-		 " all_ms=%" G_GINT64_FORMAT,
+		 " all_ms=%" G_GINT64_FORMAT " endpoint=%s limit=%.3f",
 		 id_of(exchange), status, exchange->route->name,
 		 exchange->customer == NULL ? "-" : exchange->customer,
 		 exchange->send_count, exchange->event_stream.event_count,
@@ -68,7 +68,8 @@
 		 exchange->first_event_ms == 0
 			 ? (clock_ms_t)-1
 			 : exchange->first_event_ms - exchange->started_ms,
-		 exchange->longest_gap_ms, now - exchange->started_ms);
+		 exchange->longest_gap_ms, now - exchange->started_ms,
+		 exchange->target.ids[0], exchange->request_limit);
 }
 
 /* Forwards a complete answer unchanged. */
@@ -104,6 +105,7 @@
 	exchange->last_progress_ms = now_of(exchange);
 	exchange->answer_framing = answer->framing;
 	exchange->gateway->dialect->read_answer(answer, &answer_info);
+	exchange->request_limit = answer_info.request_limit;
 	if (is_matching_answer(exchange, &answer_info))
 		gateway_obey_endpoint(exchange->gateway,
 				      exchange->target.ids[0], &answer_info);
--- a/src/wisteria/gateway/exchange.c
+++ b/src/wisteria/gateway/exchange.c
@@ -154,6 +154,7 @@
 	exchange->incarnation = first == NULL ? 0 : first->incarnation;
 	exchange->is_streaming = false;
 	exchange->answer_framing = HTTP_FRAMING_NONE;
+	exchange->request_limit = REQUEST_LIMIT_NONE;
 	event_stream_begin_attempt(&exchange->event_stream);
 	exchange->send_count++;
 	counter_add(COUNTER_GATEWAY_SENDS, 1);
@@ -441,7 +442,7 @@
 		 "runs=%u of=%u events=%" G_GUINT64_FORMAT
 		 " attempt_events=%" G_GUINT64_FORMAT
 		 " framing=%s partial_event_bytes=%zu "
-		 "waited_ms=%" G_GINT64_FORMAT " shared_parts=%s",
+		 "waited_ms=%" G_GINT64_FORMAT " limit=%.3f shared_parts=%s",
 		 id_of(exchange), exchange->send_count, exchange->target.ids[0],
 		 attempt_failure_name(failure), reason,
 		 faulty_address == NULL ? "-" : faulty_address,
@@ -450,7 +451,8 @@
 		 exchange->event_stream.attempt_event_count,
 		 http_framing_name(exchange->answer_framing),
 		 exchange->event_stream.partial_bytes,
-		 now_of(exchange) - exchange->last_progress_ms, parts);
+		 now_of(exchange) - exchange->last_progress_ms,
+		 exchange->request_limit, parts);
 	g_free(parts);
 	outcome = outcome_decide(&attempt);
 	end_attempt(exchange);
--- a/src/wisteria/gateway/gateway.c
+++ b/src/wisteria/gateway/gateway.c
@@ -334,6 +334,9 @@
 		LOG_WARN("endpoint_pause_unreadable",
 			 "endpoint=%s retry_after=%s", id,
 			 answer->unreadable_pause);
+	if (answer->unreadable_limit != NULL)
+		LOG_WARN("endpoint_limit_unreadable", "endpoint=%s limit=%s",
+			 id, answer->unreadable_limit);
 	if (endpoint == NULL)
 		return;
 	if (answer->leaving &&
--- a/src/wisteria/gateway/gateway_defs.h
+++ b/src/wisteria/gateway/gateway_defs.h
@@ -155,7 +155,8 @@
 	event_stream_t event_stream;
 	http_framing_t answer_framing; /* of the current attempt */
 	size_t answer_bytes;	       /* held of it, unless it is a stream */
-	clock_ms_t first_event_ms;     /* 0: none yet */
+	double request_limit;	   /* that it names, or REQUEST_LIMIT_NONE */
+	clock_ms_t first_event_ms; /* 0: none yet */
 	clock_ms_t last_event_ms;
 	clock_ms_t longest_gap_ms; /* between two events */
 } exchange_t;
--- a/test/unit/platform_test.c
+++ b/test/unit/platform_test.c
@@ -421,6 +421,46 @@
 	http_reader_finish(&reader);
 }
 
+static void expect_limit(const char *status, const char *headers,
+			 double expected, const char *unreadable)
+{
+	char *text = g_strdup_printf(
+		"HTTP/1.1 %s\r\n%sContent-Length: 0\r\n\r\n", status, headers);
+	const http_message_t *answer = parse_message(HTTP_RESPONSE, text);
+	GString *forwarded = g_string_new(NULL);
+	endpoint_answer_t read;
+
+	platform_dialect.read_answer(answer, &read);
+	CU_ASSERT_EQUAL(read.request_limit, expected);
+	CU_ASSERT_EQUAL(g_strcmp0(read.unreadable_limit, unreadable), 0);
+	platform_dialect.write_answer_headers(answer, forwarded);
+	CU_ASSERT_PTR_NULL(strstr(forwarded->str, "Server-Limit"));
+	g_string_free(forwarded, TRUE);
+	g_free(text);
+	http_reader_finish(&reader);
+}
+
+/* Any answer may name a limit; callers don't see it. */
+static void test_request_limits_of_endpoints(void)
+{
+	expect_limit("200 OK", "", REQUEST_LIMIT_NONE, NULL);
+	expect_limit("200 OK", "Server-Limit: 12.3\r\n", 12.3, NULL);
+	expect_limit("503 No", "Server-Limit: 0\r\n", 0, NULL);
+	expect_limit("500 No", "Server-Limit: 0.004\r\n", 0.004, NULL);
+	expect_limit("200 OK", "Server-Limit: 99999999999\r\n", 1e6, NULL);
+	expect_limit("200 OK", "Server-Limit: -1\r\n", REQUEST_LIMIT_NONE,
+		     "-1");
+	expect_limit("200 OK", "Server-Limit: nan\r\n", REQUEST_LIMIT_NONE,
+		     "nan");
+	expect_limit("200 OK", "Server-Limit: inf\r\n", REQUEST_LIMIT_NONE,
+		     "inf");
+	expect_limit("200 OK", "Server-Limit: 1e999\r\n", REQUEST_LIMIT_NONE,
+		     "1e999");
+	expect_limit("200 OK", "Server-Limit: 10 a second\r\n",
+		     REQUEST_LIMIT_NONE, "10 a second");
+	expect_limit("200 OK", "Server-Limit: \r\n", REQUEST_LIMIT_NONE, "");
+}
+
 /* An endpoint may say that it leaves in any answer; callers don't see it. */
 static void test_leaving_endpoint(void)
 {
@@ -502,6 +542,7 @@
 	{ "forward", test_forward },
 	{ "answers", test_answers },
 	{ "pauses of endpoints", test_pauses_of_endpoints },
+	{ "request limits of endpoints", test_request_limits_of_endpoints },
 	{ "leaving endpoint", test_leaving_endpoint },
 	{ "own headers and orders", test_own_headers_and_orders },
 	{ "reports", test_reports },
