Test that all entries share the request limit of an endpoint

Callers that are not served must be refused with a time, and once the limit is no longer named every entry must serve 20 requests in a row.

--- a/test/functional/fleet_test.c
+++ b/test/functional/fleet_test.c
@@ -732,6 +732,97 @@
 		fake_endpoint_stop(&endpoints[i]);
 }
 
+/* Requests per second that the limited endpoint takes, and what is tolerated. */
+#define REQUEST_LIMIT "2"
+#define LIMIT_WINDOW_US (4 * G_USEC_PER_SEC)
+#define LIMIT_WINDOW_RUNS_MAX (2 * 4 * 3 / 2 + 5)
+#define LIMITED_REQUESTS 120
+#define LIMITED_INTERVAL_MS 50
+/* Requests in a row that show that nothing limits them any more. */
+#define UNLIMITED_REQUESTS 20
+
+static bool serves_booking(void *user)
+{
+	return request_status(user, "/book/4", "limit", "7") == 200;
+}
+
+static bool serves_without_limit(void *user)
+{
+	for (int i = 0; i < UNLIMITED_REQUESTS; i++)
+		if (!serves_booking(user))
+			return false;
+	return true;
+}
+
+/*
+ * Sends requests to the entries in turn, at a rate far above the limit; returns
+ * how many are served.  The others are refused, with a time.
+ */
+static unsigned press_on_limit(const char *const *addresses, size_t count)
+{
+	http_request_t *requests[LIMITED_REQUESTS];
+	unsigned served = 0;
+
+	for (size_t i = 0; i < LIMITED_REQUESTS; i++) {
+		gint64 until_us = g_get_monotonic_time() +
+				  LIMITED_INTERVAL_MS * G_TIME_SPAN_MILLISECOND;
+
+		requests[i] = send_request(
+			addresses[i % count], "/book/4",
+			harness_string(&harness, "limited%zu", i), "7");
+		while (g_get_monotonic_time() < until_us)
+			http_client_poll(&client, LIMITED_INTERVAL_MS / 5);
+	}
+	for (size_t i = 0; i < LIMITED_REQUESTS; i++) {
+		CU_ASSERT_FATAL(
+			http_wait(&client, requests[i], HARNESS_WAIT_MS));
+		served += requests[i]->status == 200;
+		CU_ASSERT(requests[i]->status == 200 ||
+			  (requests[i]->status == 503 &&
+			   strcasestr(requests[i]->headers->str,
+				      "retry-after: ") != NULL));
+		http_request_free(&client, requests[i]);
+	}
+	return served;
+}
+
+static void test_all_entries_share_the_request_limit_of_an_endpoint(void)
+{
+	const char *addresses[] = { entry_address, harness_address(&harness),
+				    harness_address(&harness) };
+	harness_process_t *others[2];
+	fake_endpoint_t endpoint;
+	gint64 since_us;
+
+	fake_endpoint_start(&endpoint, "i-limit", "orders", harness.ip,
+			    control_address, FAKE_ENDPOINT_JSON);
+	CU_ASSERT(
+		harness_wait_log(entry, "endpoint=i-limit ", HARNESS_WAIT_MS));
+	others[0] = start_entry("entry-limit-1", addresses[1], peer_address);
+	CU_ASSERT(harness_wait_until(serves_booking, (void *)addresses[1],
+				     HARNESS_WAIT_MS));
+	endpoint.request_limit = REQUEST_LIMIT;
+	CU_ASSERT(serves_booking((void *)entry_address));
+	others[1] = start_entry("entry-limit-2", addresses[2], peer_address);
+	CU_ASSERT(harness_wait_until(serves_booking, (void *)addresses[2],
+				     HARNESS_WAIT_MS));
+	since_us = g_get_monotonic_time();
+	CU_ASSERT(press_on_limit(addresses, ARRAY_SIZE(addresses)) > 0);
+	CU_ASSERT(
+		fake_endpoint_most_runs(&endpoint, since_us, LIMIT_WINDOW_US) <=
+		LIMIT_WINDOW_RUNS_MAX);
+	endpoint.request_limit = NULL;
+	for (size_t i = 0; i < ARRAY_SIZE(addresses); i++)
+		CU_ASSERT(harness_wait_until(serves_without_limit,
+					     (void *)addresses[i],
+					     HARNESS_WAIT_MS));
+	for (size_t i = 0; i < ARRAY_SIZE(others); i++) {
+		harness_signal(others[i], SIGTERM);
+		CU_ASSERT(harness_wait_exit(others[i], HARNESS_WAIT_MS));
+	}
+	fake_endpoint_stop(&endpoint);
+}
+
 static bool control_has_configuration(void *user)
 {
 	http_request_t *request = send_and_wait(
@@ -907,6 +998,8 @@
 	{ "paused endpoint gets nothing", test_paused_endpoint_gets_nothing },
 	{ "part that crashes endpoints is refused everywhere",
 	  test_part_that_crashes_endpoints_is_refused_everywhere },
+	{ "all entries share the request limit of an endpoint",
+	  test_all_entries_share_the_request_limit_of_an_endpoint },
 	{ "accepted change survives", test_accepted_change_survives },
 	{ "bad reload changes nothing", test_bad_reload_changes_nothing },
 	{ "large configuration", test_large_configuration },
--- a/test/functional/harness/fake_endpoint.c
+++ b/test/functional/harness/fake_endpoint.c
@@ -145,7 +145,17 @@
 	}
 }
 
-static void send_stream(int fd, const char *request, int mode)
+/* Returns the header line of the limit, or ""; the caller frees it. */
+static char *describe_limit(const fake_endpoint_t *fake_endpoint)
+{
+	const char *limit = fake_endpoint->request_limit;
+
+	return limit == NULL ? g_strdup("")
+			     : g_strdup_printf("Server-Limit: %s\r\n", limit);
+}
+
+static void send_stream(const fake_endpoint_t *fake_endpoint, int fd,
+			const char *request, int mode)
 {
 	char *request_id = copy_header(request, "X-Wisteriadrift-Request-Id");
 	char *last = copy_header(request, "Last-Event-Id");
@@ -156,17 +166,18 @@
 	bool is_empty = mode == FAKE_ENDPOINT_UNFRAMED_EMPTY ||
 			mode == FAKE_ENDPOINT_CHUNKED_EMPTY;
 	bool chunked = is_chunked(mode);
+	char *limit = describe_limit(fake_endpoint);
 	char *head = g_strdup_printf(
 		"HTTP/1.1 200 OK\r\n"
 		"Content-Type: %s\r\n"
 		"X-Wisteriadrift-Request-Id: %s\r\n"
-		"X-Wisteriadrift-Response-Stamp: 1.2.3\r\n%s%s"
+		"X-Wisteriadrift-Response-Stamp: 1.2.3\r\n%s%s%s"
 		"Connection: close\r\n\r\n",
 		mode == FAKE_ENDPOINT_JSON ? "application/json"
 					   : "text/event-stream",
 		request_id,
 		mode == FAKE_ENDPOINT_LEAVE ? "Server-Leaving: 1\r\n" : "",
-		chunked ? "Transfer-Encoding: chunked\r\n" : "");
+		chunked ? "Transfer-Encoding: chunked\r\n" : "", limit);
 
 	send_text(fd, head);
 	if (mode == FAKE_ENDPOINT_JSON)
@@ -178,6 +189,7 @@
 	if (chunked && !is_empty &&
 	    (!is_truncated || mode == FAKE_ENDPOINT_CHUNKED_CUT))
 		send_text(fd, "0\r\n\r\n");
+	g_free(limit);
 	g_free(head);
 	g_free(last);
 	g_free(request_id);
@@ -269,9 +281,13 @@
 static void record_run(fake_endpoint_t *fake_endpoint, const char *request)
 {
 	fake_endpoint_journal_t *journal = fake_endpoint->journal;
+	gint64 now_us = g_get_monotonic_time();
 	char *id;
 
 	fake_endpoint->runs++;
+	pthread_mutex_lock(&fake_endpoint->times_lock);
+	g_array_append_val(fake_endpoint->run_times_us, now_us);
+	pthread_mutex_unlock(&fake_endpoint->times_lock);
 	if (journal == NULL)
 		return;
 	id = copy_header(request, "X-Wisteriadrift-Request-Id");
@@ -284,6 +300,31 @@
 	pthread_mutex_unlock(&journal->lock);
 }
 
+/*
+ * Returns the largest number of runs in any "window_us" that begins at
+ * "since_us" or later, by the monotonic clock.
+ */
+unsigned fake_endpoint_most_runs(fake_endpoint_t *fake_endpoint,
+				 gint64 since_us, gint64 window_us)
+{
+	const gint64 *times;
+	unsigned most = 0;
+	guint first = 0;
+
+	pthread_mutex_lock(&fake_endpoint->times_lock);
+	times = (const gint64 *)(void *)fake_endpoint->run_times_us->data;
+	for (guint i = 0; i < fake_endpoint->run_times_us->len; i++) {
+		while (times[first] < since_us && first < i)
+			first++;
+		while (times[i] - times[first] >= window_us)
+			first++;
+		if (times[first] >= since_us)
+			most = MAX(most, i - first + 1);
+	}
+	pthread_mutex_unlock(&fake_endpoint->times_lock);
+	return most;
+}
+
 /* Returns whether the request expects another endpoint at this address. */
 static bool expects_another_endpoint(const fake_endpoint_t *fake_endpoint,
 				     const char *request)
@@ -351,7 +392,7 @@
 	if (endless_unit(mode) != NULL)
 		send_without_end(fake_endpoint, fd, request, mode);
 	else if (mode != FAKE_ENDPOINT_DROP)
-		send_stream(fd, request, mode);
+		send_stream(fake_endpoint, fd, request, mode);
 }
 
 static void *serve(void *user)
@@ -471,6 +512,8 @@
 	*fake_endpoint = (fake_endpoint_t){
 		.id = id, .service = service, .control = control, .mode = mode
 	};
+	pthread_mutex_init(&fake_endpoint->times_lock, NULL);
+	fake_endpoint->run_times_us = g_array_new(FALSE, FALSE, sizeof(gint64));
 	fake_endpoint->listener =
 		socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 	if (!net_parse_address(any, &at, NULL) ||
@@ -518,6 +561,8 @@
 	pthread_join(fake_endpoint->server_thread, NULL);
 	pthread_join(fake_endpoint->heartbeat_thread, NULL);
 	close(fake_endpoint->listener);
+	g_array_unref(fake_endpoint->run_times_us);
+	pthread_mutex_destroy(&fake_endpoint->times_lock);
 }
 
 /* Stops a fake endpoint and deregisters it. */
--- a/test/functional/harness/fake_endpoint.h
+++ b/test/functional/harness/fake_endpoint.h
@@ -84,6 +84,10 @@
 	 */
 	atomic_bool crashes_on_bad_part;
 	atomic_uint crashes;
+	/* The limit that its answers name; NULL: none. */
+	_Atomic(const char *) request_limit;
+	pthread_mutex_t times_lock;
+	GArray *run_times_us; /* of gint64, monotonic */
 	atomic_bool stopping;
 	pthread_t server_thread;
 	pthread_t heartbeat_thread;
@@ -105,6 +109,9 @@
 	ATTR_NONNULL_ALL;
 void fake_endpoint_journal_finish(fake_endpoint_journal_t *journal)
 	ATTR_NONNULL_ALL;
+unsigned fake_endpoint_most_runs(fake_endpoint_t *fake_endpoint,
+				 gint64 since_us,
+				 gint64 window_us) ATTR_NONNULL_ALL;
 unsigned fake_endpoint_journal_runs(fake_endpoint_journal_t *journal,
 				    const char *request_id) ATTR_NONNULL_ALL;
 
