Obey the request limit that an endpoint names, all entries together

No caller saw a failure.

Cause: nothing reads the limit, and the choice of endpoints knows no rate. An entry sends a request to the cheapest endpoint, however many it and the others have sent there.

Change: an entry reads the limit in the head of each answer and tells the leader; of two reports about one incarnation the newer answer holds (fleet/request_limits.c). A limit ends with the incarnation, or with a good answer without it to a request that was sent after the last one with it. The leader issues permits at the rate of the limit and divides them by the demand that the entries report (fleet/permit_issuer.c); a permit is one request and expires after 0.6 to 2 s. Each send to a limited endpoint uses one (gateway/permits.c), also retries, resumed streams, bookings and requests that waited. Without a permit another endpoint is chosen; a limited one can still be a later hop of a pipeline. If there is none, as many requests wait as permits come in their time, and the others are refused at once with Retry-After. An entry that has just started gets the limits as it subscribes. While the leader is silent an entry sends at its equal share of the limit. A limit under one request in 2 s is obeyed as that, since only answers show its end.

Evidence: with the limit in the logs, answers name 10.2 from 6 to 25 s while the entries send as before.

--- a/src/wisteria/base/counters.c
+++ b/src/wisteria/base/counters.c
@@ -92,6 +92,12 @@
 					    "Requests refused for a part of "
 					    "their prompt that crashes "
 					    "endpoints." },
+	[COUNTER_GATEWAY_LIMITED] = { "gateway_limited_total", "counter",
+				      "Requests whose best endpoint was at "
+				      "the limit that it names." },
+	[COUNTER_PERMITS_ISSUED] = { "permits_issued_total", "counter",
+				     "Permits for requests to endpoints that "
+				     "name a limit." },
 	[COUNTER_HEARTBEATS] = { "heartbeats_total", "counter",
 				 "Heartbeats of endpoints taken." },
 	[COUNTER_PLACE_ORDERS] = { "place_orders_total", "counter",
@@ -105,6 +111,8 @@
 	[GAUGE_ENDPOINTS] = { "endpoints", "gauge", "Endpoints known." },
 	[GAUGE_PARTS_REFUSED] = { "parts_refused", "gauge",
 				  "Parts of prompts that are refused." },
+	[GAUGE_ENDPOINTS_LIMITED] = { "endpoints_limited", "gauge",
+				      "Endpoints that name a limit." },
 	[GAUGE_LEASE] = { "lease", "gauge",
 			  "1 while the revision held is confirmed." },
 	[GAUGE_CONTROL_LEADER] = { "control_leader", "gauge",
--- a/src/wisteria/codec/msg.c
+++ b/src/wisteria/codec/msg.c
@@ -571,6 +571,25 @@
 static const record_desc_t msg_fleet_parts_desc =
 	RECORD_DESC(msg_fleet_parts_t, fleet_parts_fields);
 
+static const field_desc_t fleet_limit_fields[] = {
+	FIELD(FIELD_STR, msg_fleet_limit_t, endpoint),
+	FIELD(FIELD_U64, msg_fleet_limit_t, incarnation),
+	FIELD(FIELD_F64, msg_fleet_limit_t, per_s),
+	FIELD(FIELD_I64, msg_fleet_limit_t, seen_ago_ms),
+	FIELD(FIELD_U32, msg_fleet_limit_t, requests),
+};
+static const record_desc_t msg_fleet_limit_desc =
+	RECORD_DESC(msg_fleet_limit_t, fleet_limit_fields);
+
+static const field_desc_t fleet_limits_fields[] = {
+	FIELD(FIELD_I64, msg_fleet_limits_t, report_sent_ms),
+	FIELD(FIELD_BOOL, msg_fleet_limits_t, is_short),
+	FIELD_LIST_OF(msg_fleet_limits_t, limits, limit_count,
+		      &msg_fleet_limit_desc),
+};
+static const record_desc_t msg_fleet_limits_desc =
+	RECORD_DESC(msg_fleet_limits_t, fleet_limits_fields);
+
 static const field_desc_t fleet_silent_fields[] = {
 	FIELD_LIST_OF(msg_fleet_silent_t, endpoints, endpoint_count,
 		      &msg_name_desc),
@@ -628,6 +647,7 @@
 	[MSG_FLEET_MEET] = { "fleet_meet", &msg_fleet_meet_desc },
 	[MSG_FLEET_SILENT] = { "fleet_silent", &msg_fleet_silent_desc },
 	[MSG_FLEET_PARTS] = { "fleet_parts", &msg_fleet_parts_desc },
+	[MSG_FLEET_LIMITS] = { "fleet_limits", &msg_fleet_limits_desc },
 };
 
 /* Returns the description of the body of "type"; NULL: unknown type. */
--- a/src/wisteria/codec/msg_defs.h
+++ b/src/wisteria/codec/msg_defs.h
@@ -66,6 +66,7 @@
 	MSG_FLEET_MEET = 90,
 	MSG_FLEET_SILENT = 91,
 	MSG_FLEET_PARTS = 92,
+	MSG_FLEET_LIMITS = 93,
 
 	MSG_TYPE_COUNT = 96
 } msg_type_t;
@@ -724,4 +725,24 @@
 	size_t part_count;
 } msg_fleet_parts_t;
 
+/* The requests per second that an endpoint takes from all entries together. */
+typedef struct {
+	const char *endpoint;
+	uint64_t incarnation;
+	double per_s; /* below 0: it names none */
+	/* Age of the newest answer that says so; -1: none reached the sender. */
+	int64_t seen_ago_ms;
+	/* From an entry: that it would send; from the leader: that it may. */
+	uint32_t requests;
+} msg_fleet_limit_t;
+
+/* From an entry to the leader, and back. */
+typedef struct {
+	/* By the entry's clock; the leader returns that of the last report. */
+	int64_t report_sent_ms;
+	bool is_short; /* the entry has requests without a permit */
+	const msg_fleet_limit_t *limits;
+	size_t limit_count;
+} msg_fleet_limits_t;
+
 #endif
--- a/src/wisteria/fleet/fleet_control.c
+++ b/src/wisteria/fleet/fleet_control.c
@@ -12,6 +12,7 @@
 #include "wisteria/control/replica.h"
 #include "wisteria/fleet/fleet_api.h"
 #include "wisteria/fleet/fleet_group.h"
+#include "wisteria/fleet/fleet_limits.h"
 #include "wisteria/fleet/fleet_load.h"
 #include "wisteria/fleet/fleet_parts.h"
 #include "wisteria/fleet/fleet_update.h"
@@ -65,6 +66,7 @@
 
 	(void)why;
 	g_ptr_array_remove_fast(control->subscribers, conn);
+	fleet_limits_forget_entry(control, conn);
 	for (guint i = control->reads->len; i-- > 0;)
 		if (g_array_index(control->reads, fleet_read_t, i).conn == conn)
 			g_array_remove_index(control->reads, i);
@@ -113,6 +115,7 @@
 	g_ptr_array_add(control->subscribers, conn);
 	send_known_controls(control, conn);
 	send_all_endpoints(control, conn);
+	fleet_limits_send(control, conn);
 }
 
 /*
@@ -183,6 +186,12 @@
 	fleet_parts_handle(control, body);
 }
 
+static void handle_limits(fleet_control_t *control, conn_t *conn,
+			  const void *body)
+{
+	fleet_limits_handle(control, conn, body);
+}
+
 static void handle_raft(fleet_control_t *control, conn_t *conn,
 			const void *body)
 {
@@ -302,6 +311,7 @@
 		[MSG_FLEET_MEET] = handle_known_controls,
 		[MSG_FLEET_SILENT] = handle_silent,
 		[MSG_FLEET_PARTS] = handle_parts,
+		[MSG_FLEET_LIMITS] = handle_limits,
 		[MSG_FLEET_ENDPOINTS] = handle_endpoints,
 		[MSG_RAFT] = handle_raft,
 	};
@@ -588,6 +598,7 @@
 	}
 	fleet_api_expire(control, now, false);
 	fleet_parts_tick(control, now);
+	fleet_limits_tick(control, now);
 	subscribe_to_members(control);
 	registry_remove_expired(&control->registry, now);
 	if (control->has_replica &&
@@ -693,6 +704,7 @@
 	control->writes = g_array_new(FALSE, FALSE, sizeof(fleet_write_t));
 	load_sum_init(&control->load);
 	part_guard_init(&control->parts);
+	fleet_limits_init(&control->limits);
 	prober_init(&control->prober, net->loop, dialect, &control->registry,
 		    net->clock, &control->prober_handler);
 	placer_init(&control->placer, net->loop, dialect, &control->registry,
@@ -756,6 +768,7 @@
 	placer_finish(&control->placer);
 	prober_finish(&control->prober);
 	load_sum_finish(&control->load);
+	fleet_limits_finish(&control->limits);
 	if (control->has_replica) {
 		replica_finish(&control->replica);
 		registry_file_finish(&control->registry_file);
--- a/src/wisteria/fleet/fleet_control_defs.h
+++ b/src/wisteria/fleet/fleet_control_defs.h
@@ -8,10 +8,12 @@
 #include "wisteria/fleet/fleet_update.h"
 #include "wisteria/fleet/load_sum.h"
 #include "wisteria/fleet/part_guard_defs.h"
+#include "wisteria/fleet/permit_issuer.h"
 #include "wisteria/fleet/placer_defs.h"
 #include "wisteria/fleet/prober.h"
 #include "wisteria/fleet/registry_defs.h"
 #include "wisteria/fleet/registry_file.h"
+#include "wisteria/fleet/request_limits.h"
 #include "wisteria/fleet/revisions.h"
 #include "wisteria/fleet/subscription_defs.h"
 #include "wisteria/http/http_server.h"
@@ -66,6 +68,14 @@
 	http_conn_t *http;
 } fleet_write_t;
 
+/* The limits that endpoints name, as the leader knows and divides them. */
+typedef struct {
+	request_limits_t known;
+	permit_issuer_t issuer;
+	clock_ms_t issued_ms;	/* last round of permits */
+	GHashTable *reports_ms; /* conn_t of an entry -> int64_t, its clock */
+} fleet_limits_t;
+
 /*
  * The control role of a fleet whose endpoints register themselves: keeps the
  * configuration revision in force, receives heartbeats, and places layers
@@ -109,6 +119,7 @@
 	part_guard_t parts;	  /* decides while this instance leads */
 	clock_ms_t parts_sent_ms; /* to the subscribers */
 	size_t parts_sent;	  /* length of the last list */
+	fleet_limits_t limits;
 	prober_t prober;
 	clock_ms_t slow_reported_ms; /* last report of slow streams */
 	size_t slow_engines_sent;    /* length of the last list sent */
--- a/src/wisteria/fleet/pipeline.c
+++ b/src/wisteria/fleet/pipeline.c
@@ -102,6 +102,7 @@
 			const pipeline_stage_t *stage = &search->stages[i];
 
 			if (stage->excluded || stage->first_layer > start ||
+			    (start == 0 && stage->not_first) ||
 			    stage->end_layer <= start ||
 			    (int32_t)i == node->stage ||
 			    !has_room(stage, search->query))
--- a/src/wisteria/fleet/pipeline_defs.h
+++ b/src/wisteria/fleet/pipeline_defs.h
@@ -18,7 +18,8 @@
 	double pace;	    /* slowdown factor; 1: normal speed */
 	double used_tokens; /* by requests, as far as known */
 	double token_capacity;
-	bool excluded; /* suspected, or the request failed there */
+	bool excluded;	/* suspected, or the request failed there */
+	bool not_first; /* may not be the first of a pipeline */
 } pipeline_stage_t;
 
 /* Requirements of a request and the cost of crossing between domains. */
--- a/src/wisteria/fleet/subscription_defs.h
+++ b/src/wisteria/fleet/subscription_defs.h
@@ -42,6 +42,9 @@
 	/* The parts that are watched or refused were received; may be NULL. */
 	void (*parts)(struct subscription_handler_t *self,
 		      const msg_fleet_parts_t *parts);
+	/* Limits of endpoints and permits were received; may be NULL. */
+	void (*limits)(struct subscription_handler_t *self,
+		       const msg_fleet_limits_t *limits);
 	/* Another instance sent the control instances it knows; may be NULL. */
 	void (*control_list)(struct subscription_handler_t *self,
 			     const msg_fleet_meet_t *control_list);
--- a/src/wisteria/gateway/answer.c
+++ b/src/wisteria/gateway/answer.c
@@ -12,6 +12,7 @@
 #include "wisteria/base/counters.h"
 #include "wisteria/base/histogram.h"
 #include "wisteria/base/log.h"
+#include "wisteria/gateway/endpoint_limits.h"
 #include "wisteria/gateway/exchange.h"
 #include "wisteria/gateway/gateway.h"
 #include "wisteria/gateway/prompt_parts.h"
@@ -106,9 +107,11 @@
 	exchange->answer_framing = answer->framing;
 	exchange->gateway->dialect->read_answer(answer, &answer_info);
 	exchange->request_limit = answer_info.request_limit;
-	if (is_matching_answer(exchange, &answer_info))
+	if (is_matching_answer(exchange, &answer_info)) {
 		gateway_obey_endpoint(exchange->gateway,
 				      exchange->target.ids[0], &answer_info);
+		endpoint_limits_answered(exchange, answer, &answer_info);
+	}
 	exchange->is_streaming = exchange->route->kind == ROUTE_STREAM &&
 				 answer->status / 100 == 2 &&
 				 answer_info.stamped &&
--- a/src/wisteria/gateway/exchange.c
+++ b/src/wisteria/gateway/exchange.c
@@ -15,6 +15,7 @@
 #include "wisteria/fleet/routes.h"
 #include "wisteria/fleet/subscription.h"
 #include "wisteria/gateway/answer.h"
+#include "wisteria/gateway/endpoint_limits.h"
 #include "wisteria/gateway/gateway.h"
 #include "wisteria/gateway/prompt_parts.h"
 #include "wisteria/gateway/stop_margin.h"
@@ -150,6 +151,9 @@
 		usage_begin(&gateway->usage, target->ids[i], target->tokens);
 	}
 	usage_count_begun(&gateway->usage, target->tokens);
+	endpoint_limits_use(gateway, target->ids[0]);
+	exchange->demand_counted = false;
+	exchange->sent_ms = now;
 	exchange->target = *target;
 	exchange->incarnation = first == NULL ? 0 : first->incarnation;
 	exchange->is_streaming = false;
@@ -191,15 +195,18 @@
 static bool start_queued(wait_item_t *item)
 {
 	exchange_t *exchange = CONTAINER_OF(item, exchange_t, wait);
+	shortage_t *shortage =
+		gateway_shortage(exchange->gateway, exchange->service->name);
 	target_t target;
 
-	if (target_choose(exchange, &target) != TARGET_FOUND)
+	if (target_choose(exchange, &target) != TARGET_FOUND) {
+		shortage_expect_starts(shortage, target.limited_per_s,
+				       item->expires_ms - exchange->started_ms);
 		return false;
+	}
 	start(exchange, &target);
 	wait_queue_remove(&exchange->gateway->waiting, item);
-	shortage_wait_ended(
-		gateway_shortage(exchange->gateway, exchange->service->name),
-		true);
+	shortage_wait_ended(shortage, true);
 	histogram_add(LATENCY_QUEUE, now_of(exchange) - exchange->started_ms);
 	return true;
 }
@@ -231,7 +238,7 @@
 		return GATEWAY_HOLD_TIMEOUT_MS;
 	queue_ms = (clock_ms_t)((double)exchange->route->goal_ms *
 				GATEWAY_QUEUE_TIME_RATIO);
-	if (result == TARGET_FULL)
+	if (result == TARGET_FULL || result == TARGET_LIMITED)
 		return queue_ms;
 	if (result == TARGET_PAUSED &&
 	    target->pause_end_ms - exchange->started_ms <= queue_ms)
@@ -248,8 +255,8 @@
 {
 	clock_ms_t now = now_of(exchange);
 	const shortage_refusal_t refusal = {
-		.least_ms = result == TARGET_FULL ? RETRY_AFTER_FULL_MS
-						  : RETRY_AFTER_ENDPOINT_MS,
+		.least_ms = result == TARGET_NONE ? RETRY_AFTER_ENDPOINT_MS
+						  : RETRY_AFTER_FULL_MS,
 		.left_ms = exchange->deadline_ms - now,
 		.drawn = g_rand_double(exchange->gateway->random),
 	};
@@ -270,6 +277,7 @@
 		[TARGET_NONE] = "no_endpoint",
 		[TARGET_FULL] = "endpoints_full",
 		[TARGET_PAUSED] = "endpoints_paused",
+		[TARGET_LIMITED] = "endpoints_limited",
 	};
 
 	refuse(exchange, retry_after_ms(exchange, result, target),
@@ -294,6 +302,8 @@
 static void send_or_queue(exchange_t *exchange)
 {
 	gateway_t *gateway = exchange->gateway;
+	shortage_t *shortage =
+		gateway_shortage(gateway, exchange->service->name);
 	wait_item_t *wait = &exchange->wait;
 	target_result_t found = TARGET_FULL;
 	target_t target = { 0 };
@@ -318,10 +328,13 @@
 	if (must_wait)
 		found = TARGET_FULL; /* requests ahead still wait */
 	wait_ms = max_wait_ms(exchange, found, &target, now_of(exchange));
+	if (!must_wait)
+		shortage_expect_starts(shortage, target.limited_per_s, wait_ms);
 	if (wait_ms <= 0 ||
 	    !shortage_allows_wait(
-		    gateway_shortage(gateway, exchange->service->name),
-		    must_wait)) {
+		    shortage,
+		    must_wait ? wait_queue_count(&gateway->waiting, wait->pool)
+			      : 0)) {
 		refuse_without_target(exchange, found, &target);
 		return;
 	}
@@ -398,18 +411,6 @@
 	return true;
 }
 
-/* Returns the shared parts of the prompt for logs; the caller frees it. */
-static char *describe_parts(const caller_request_t *caller)
-{
-	GString *text = g_string_new(NULL);
-
-	for (uint32_t i = 0; i < caller->shared_part_count; i++)
-		g_string_append_printf(text, "%s%" G_GINT64_MODIFIER "x",
-				       i == 0 ? "" : ",",
-				       caller->shared_parts[i]);
-	return g_string_free(text, FALSE);
-}
-
 /*
  * Retries a failed attempt or answers the caller.  "answer" is the endpoint's
  * error answer, or NULL.
@@ -428,7 +429,7 @@
 		.max_runs = MAX(exchange->route->max_attempts, 1),
 	};
 	clock_ms_t come_back_ms = RETRY_AFTER_ENDPOINT_MS;
-	char *parts = describe_parts(&exchange->caller);
+	char *parts = prompt_parts_describe(&exchange->caller);
 	outcome_t outcome;
 
 	counter_add(COUNTER_GATEWAY_FAILED_SENDS, 1);
--- a/src/wisteria/gateway/gateway.c
+++ b/src/wisteria/gateway/gateway.c
@@ -16,6 +16,7 @@
 #include "wisteria/fleet/revisions.h"
 #include "wisteria/fleet/routes.h"
 #include "wisteria/fleet/subscription.h"
+#include "wisteria/gateway/endpoint_limits.h"
 #include "wisteria/gateway/exchange.h"
 #include "wisteria/gateway/prompt_parts.h"
 #include "wisteria/settings/settings.h"
@@ -233,6 +234,15 @@
 		exchange_refuse_parts(gateway);
 }
 
+static void on_limits(subscription_handler_t *handler,
+		      const msg_fleet_limits_t *limits)
+{
+	gateway_t *gateway = gateway_of_subscription(handler);
+
+	endpoint_limits_follow(gateway, limits);
+	exchange_start_queued(gateway);
+}
+
 static uint64_t on_held(subscription_handler_t *handler)
 {
 	return gateway_revision(gateway_of_subscription(handler));
@@ -521,6 +531,7 @@
 				    &now);
 	registry_remove_expired(&gateway->registry, now);
 	endpoint_notices_expire(&gateway->notices, &gateway->registry, now);
+	endpoint_limits_tick(gateway, now);
 	if (now - gateway->last_report_ms >= GATEWAY_REPORT_INTERVAL_MS) {
 		set_gauges(gateway);
 		report_load(gateway, now);
@@ -557,6 +568,7 @@
 	gateway->subscription_handler.load = on_load;
 	gateway->subscription_handler.slow_engines = on_slow_engines;
 	gateway->subscription_handler.parts = on_parts;
+	gateway->subscription_handler.limits = on_limits;
 	gateway->subscription_handler.held = on_held;
 }
 
@@ -598,6 +610,9 @@
 	part_guard_init(&gateway->parts);
 	usage_init(&gateway->usage);
 	endpoint_notices_init(&gateway->notices);
+	request_limits_init(&gateway->limits);
+	request_limits_init(&gateway->own_limits);
+	permits_init(&gateway->permits, gateway->random);
 	gateway->retry_windows =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	gateway->shortages =
@@ -668,6 +683,9 @@
 	registry_finish(&gateway->registry);
 	usage_finish(&gateway->usage);
 	endpoint_notices_finish(&gateway->notices);
+	request_limits_finish(&gateway->limits);
+	request_limits_finish(&gateway->own_limits);
+	permits_finish(&gateway->permits);
 	route_table_unref(gateway->table);
 	g_array_unref(gateway->held_requests);
 	g_hash_table_destroy(gateway->retry_windows);
--- a/src/wisteria/gateway/gateway_defs.h
+++ b/src/wisteria/gateway/gateway_defs.h
@@ -7,9 +7,11 @@
 #include "wisteria/fleet/part_guard_defs.h"
 #include "wisteria/fleet/pipeline_defs.h"
 #include "wisteria/fleet/registry_defs.h"
+#include "wisteria/fleet/request_limits.h"
 #include "wisteria/fleet/subscription_defs.h"
 #include "wisteria/gateway/endpoint_notices.h"
 #include "wisteria/gateway/outcome.h"
+#include "wisteria/gateway/permits.h"
 #include "wisteria/gateway/shortage.h"
 #include "wisteria/gateway/silence.h"
 #include "wisteria/gateway/usage.h"
@@ -118,6 +120,11 @@
 	 * while may be used again.
 	 */
 	clock_ms_t pause_end_ms;
+	/*
+	 * If TARGET_LIMITED: the requests per second that this entry may send
+	 * to the endpoints that are at their limit.
+	 */
+	double limited_per_s;
 } target_t;
 
 struct gateway_t;
@@ -145,8 +152,10 @@
 	http_call_t *call;	     /* of the current attempt, or NULL */
 	target_t target;	     /* of the current attempt */
 	uint64_t incarnation;	     /* of its first endpoint */
+	clock_ms_t sent_ms;	     /* of the current attempt */
 	clock_ms_t last_progress_ms; /* last send or received data */
 	GPtrArray *failed_ids;	     /* endpoints that are not tried again */
+	bool demand_counted;	     /* of the next attempt, at limited ones */
 	unsigned send_count;
 	unsigned possible_runs;	    /* attempts that may have run */
 	unsigned possible_arrivals; /* attempts possibly received */
@@ -201,6 +210,12 @@
 	part_guard_t parts;	 /* as the leader decides */
 	clock_ms_t parts_reported_ms;
 	part_pass_t part_passes[GATEWAY_PART_PASSES_MAX]; /* by hash */
+	request_limits_t limits;     /* that endpoints name */
+	request_limits_t own_limits; /* of them, in answers to this entry */
+	permits_t permits;	     /* to send to limited endpoints */
+	bool permits_short;	     /* a request lacks one since the report */
+	bool limits_report_due;	     /* a limit has changed */
+	clock_ms_t limits_reported_ms;
 	usage_t usage;
 	uint64_t report_sequence;
 	clock_ms_t last_report_ms;
--- /dev/null
+++ b/src/wisteria/gateway/permits.c
@@ -0,0 +1,169 @@
+/*
+ * Keeps the permits of this entry to send requests to endpoints that have named
+ * a limit.  The leader issues them (fleet/permit_issuer.c); while it is silent,
+ * as in an election or for an entry that is cut off, the entry issues its own at
+ * its equal share of the limit.  No clock, no I/O.
+ */
+#include "wisteria/gateway/permits.h"
+
+#include <math.h>
+#include <string.h>
+
+#include "wisteria/fleet/permit_issuer.h"
+
+/* Time constant of the average of the permits that are received. */
+#define RECEIVED_MS 1000.0
+
+/* Initializes a table without permits; "random" must outlive it. */
+void permits_init(permits_t *permits, GRand *random)
+{
+	permits->purses =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	permits->random = random;
+}
+
+/* Frees the table's contents. */
+void permits_finish(permits_t *permits)
+{
+	g_hash_table_destroy(permits->purses);
+}
+
+static permit_purse_t *find_or_add(permits_t *permits, const char *id)
+{
+	permit_purse_t *purse = g_hash_table_lookup(permits->purses, id);
+
+	if (purse == NULL) {
+		purse = g_new0(permit_purse_t, 1);
+		g_hash_table_insert(permits->purses, g_strdup(id), purse);
+	}
+	return purse;
+}
+
+/* Records that the leader issues permits for the endpoint. */
+void permits_hear(permits_t *permits, const char *id, clock_ms_t now)
+{
+	permit_purse_t *purse = find_or_add(permits, id);
+
+	purse->heard_ms = now;
+	purse->own_filled_ms = 0;
+}
+
+static void drop_batch(permit_purse_t *purse)
+{
+	purse->batch_count--;
+	memmove(&purse->batches[0], &purse->batches[1],
+		purse->batch_count * sizeof(purse->batches[0]));
+}
+
+static double received_per_s(const permit_purse_t *purse, clock_ms_t now)
+{
+	return purse->received *
+	       exp(-(double)(now - purse->received_ms) / RECEIVED_MS);
+}
+
+/* Adds permits of the leader for an endpoint with this limit. */
+void permits_add(permits_t *permits, const char *id, uint32_t count,
+		 double per_s, clock_ms_t now)
+{
+	permit_purse_t *purse = find_or_add(permits, id);
+
+	if (count == 0)
+		return;
+	if (purse->batch_count == PERMITS_BATCHES_MAX)
+		drop_batch(purse);
+	purse->batches[purse->batch_count++] = (permit_batch_t){
+		.count = count,
+		.expires_ms = now + permit_valid_ms(per_s),
+	};
+	purse->received = received_per_s(purse, now) + count;
+	purse->received_ms = now;
+}
+
+static bool is_leader_silent(const permit_purse_t *purse, clock_ms_t now)
+{
+	return purse->heard_ms == 0 ||
+	       now - purse->heard_ms >= PERMITS_LEADER_SILENT_MS;
+}
+
+/*
+ * Adds this entry's own permits since the last call.  It begins with a random
+ * part of one, so that the entries do not all send at the same moment.
+ */
+static void fill_own(permits_t *permits, permit_purse_t *purse,
+		     double own_per_s, clock_ms_t now)
+{
+	if (purse->own_filled_ms == 0) {
+		purse->own_credit = g_rand_double(permits->random);
+		purse->own_filled_ms = now;
+	}
+	purse->own_credit +=
+		own_per_s * (double)(now - purse->own_filled_ms) / 1000;
+	purse->own_credit = MIN(purse->own_credit, 1);
+	purse->own_filled_ms = now;
+}
+
+/*
+ * Returns whether a request may be sent to the endpoint.  "own_per_s" is this
+ * entry's equal share of the limit.
+ */
+bool permits_allow(permits_t *permits, const char *id, double own_per_s,
+		   clock_ms_t now)
+{
+	permit_purse_t *purse = find_or_add(permits, id);
+
+	while (purse->batch_count > 0 && now >= purse->batches[0].expires_ms)
+		drop_batch(purse);
+	if (purse->batch_count > 0)
+		return true;
+	if (!is_leader_silent(purse, now))
+		return false;
+	fill_own(permits, purse, own_per_s, now);
+	return purse->own_credit >= 1;
+}
+
+/* Uses a permit, after permits_allow(). */
+void permits_use(permits_t *permits, const char *id, clock_ms_t now)
+{
+	permit_purse_t *purse = find_or_add(permits, id);
+
+	if (purse->batch_count == 0) {
+		if (is_leader_silent(purse, now))
+			purse->own_credit -= 1;
+		return;
+	}
+	if (--purse->batches[0].count == 0)
+		drop_batch(purse);
+}
+
+/* Returns how many permits per second this entry can count on. */
+double permits_rate(permits_t *permits, const char *id, double own_per_s,
+		    clock_ms_t now)
+{
+	const permit_purse_t *purse = find_or_add(permits, id);
+
+	return is_leader_silent(purse, now) ? own_per_s
+					    : received_per_s(purse, now);
+}
+
+/* Records that a request would be sent to the endpoint. */
+void permits_want(permits_t *permits, const char *id)
+{
+	find_or_add(permits, id)->wanted++;
+}
+
+/* Returns the requests that permits_want() recorded since the last call. */
+uint32_t permits_collect_wanted(permits_t *permits, const char *id)
+{
+	permit_purse_t *purse = g_hash_table_lookup(permits->purses, id);
+	uint32_t wanted = purse == NULL ? 0 : purse->wanted;
+
+	if (purse != NULL)
+		purse->wanted = 0;
+	return wanted;
+}
+
+/* Forgets an endpoint that has no limit any more. */
+void permits_forget(permits_t *permits, const char *id)
+{
+	g_hash_table_remove(permits->purses, id);
+}
--- a/src/wisteria/gateway/prompt_parts.c
+++ b/src/wisteria/gateway/prompt_parts.c
@@ -33,6 +33,18 @@
 	return pass->part == part && pass->at_ms != 0 ? now - pass->at_ms : -1;
 }
 
+/* Returns the shared parts of the prompt for logs; the caller frees it. */
+char *prompt_parts_describe(const caller_request_t *caller)
+{
+	GString *text = g_string_new(NULL);
+
+	for (uint32_t i = 0; i < caller->shared_part_count; i++)
+		g_string_append_printf(text, "%s%" G_GINT64_MODIFIER "x",
+				       i == 0 ? "" : ",",
+				       caller->shared_parts[i]);
+	return g_string_free(text, FALSE);
+}
+
 /* Records that an endpoint has begun to answer a request and runs on. */
 void prompt_parts_passed(gateway_t *gateway, const caller_request_t *caller)
 {
--- a/src/wisteria/gateway/prompt_parts.h
+++ b/src/wisteria/gateway/prompt_parts.h
@@ -4,6 +4,8 @@
 #include "wisteria/base/macros_defs.h"
 #include "wisteria/gateway/gateway_defs.h"
 
+char *prompt_parts_describe(const caller_request_t *caller)
+	ATTR_NONNULL_ALL ATTR_WARN_UNUSED;
 void prompt_parts_passed(gateway_t *gateway,
 			 const caller_request_t *caller) ATTR_NONNULL_ALL;
 void prompt_parts_crashed(gateway_t *gateway, const caller_request_t *caller,
--- a/src/wisteria/gateway/shortage.c
+++ b/src/wisteria/gateway/shortage.c
@@ -14,12 +14,29 @@
 #define WAIT_FRACTION_MAX (1.0 / 3)
 
 /*
- * Returns whether a request may wait for capacity.  If the last ones waited in
- * vain, only one waits, to notice when there is capacity again.
+ * Returns whether a request may wait for capacity behind "ahead" others.  If the
+ * last ones waited in vain, only one waits, to notice when there is capacity
+ * again; if it is known how many are started in time, only these wait.
  */
-bool shortage_allows_wait(const shortage_t *shortage, bool another_waits)
+bool shortage_allows_wait(const shortage_t *shortage, uint32_t ahead)
 {
-	return !another_waits || shortage->vain_waits < SHORTAGE_VAIN_WAITS;
+	if (ahead == 0)
+		return true;
+	return shortage->vain_waits < SHORTAGE_VAIN_WAITS &&
+	       (shortage->places == 0 || ahead < shortage->places);
+}
+
+/*
+ * Records that the endpoints take "per_s" more requests per second, while a
+ * request waits for "wait_ms"; below 0: it is not known.
+ */
+void shortage_expect_starts(shortage_t *shortage, double per_s,
+			    clock_ms_t wait_ms)
+{
+	double starts = per_s * (double)wait_ms / 1000;
+
+	shortage->places =
+		per_s < 0 ? 0 : (uint32_t)CLAMP(starts, 1.0, UINT32_MAX);
 }
 
 /* Records that a request that waited was started, or was not. */
--- a/src/wisteria/gateway/shortage.h
+++ b/src/wisteria/gateway/shortage.h
@@ -22,6 +22,10 @@
 	clock_ms_t since_ms; /* first refusal of the current shortage */
 	clock_ms_t last_ms;  /* last refusal; 0: none yet */
 	uint32_t vain_waits; /* since a request that waited was started */
+	/*
+	 * Requests that can be started while one waits; 0: not known.
+	 */
+	uint32_t places;
 } shortage_t;
 
 /* A request that is refused. */
@@ -32,7 +36,9 @@
 } shortage_refusal_t;
 
 bool shortage_allows_wait(const shortage_t *shortage,
-			  bool another_waits) ATTR_NONNULL_ALL;
+			  uint32_t ahead) ATTR_NONNULL_ALL;
+void shortage_expect_starts(shortage_t *shortage, double per_s,
+			    clock_ms_t wait_ms) ATTR_NONNULL_ALL;
 void shortage_wait_ended(shortage_t *shortage, bool started) ATTR_NONNULL_ALL;
 clock_ms_t shortage_refuse(shortage_t *shortage,
 			   const shortage_refusal_t *refusal,
--- a/src/wisteria/gateway/target.c
+++ b/src/wisteria/gateway/target.c
@@ -5,10 +5,12 @@
 #include <string.h>
 
 #include "wisteria/base/clock.h"
+#include "wisteria/base/counters.h"
 #include "wisteria/fleet/pipeline.h"
 #include "wisteria/fleet/registry.h"
 #include "wisteria/fleet/routes.h"
 #include "wisteria/gateway/capacity_share.h"
+#include "wisteria/gateway/endpoint_limits.h"
 #include "wisteria/gateway/gateway.h"
 
 /* Leaves room for requests that other entries began since their last report. */
@@ -79,6 +81,34 @@
 	target->end_layers[i] = end_layer;
 }
 
+/*
+ * Records the demand of an attempt, once: at the endpoint that is best for it or,
+ * if "found" is false, at all that are blocked by their limit.
+ */
+static void count_demand(exchange_t *exchange, const endpoint_t *best,
+			 const GPtrArray *blocked, bool found, target_t *target)
+{
+	gateway_t *gateway = exchange->gateway;
+	bool is_short = g_ptr_array_find((GPtrArray *)blocked, best, NULL);
+
+	if (!found && blocked->len > 0) {
+		target->limited_per_s = 0;
+		for (guint i = 0; i < blocked->len; i++)
+			target->limited_per_s += endpoint_limits_rate(
+				gateway, g_ptr_array_index(blocked, i));
+	}
+	if (exchange->demand_counted)
+		return;
+	exchange->demand_counted = true;
+	if (is_short)
+		counter_add(COUNTER_GATEWAY_LIMITED, 1);
+	if (found)
+		endpoint_limits_want(gateway, best, is_short);
+	for (guint i = 0; !found && i < blocked->len; i++)
+		endpoint_limits_want(gateway, g_ptr_array_index(blocked, i),
+				     true);
+}
+
 /* Services without a model. */
 
 static double plain_cost(const gateway_t *gateway, const endpoint_t *endpoint)
@@ -93,12 +123,14 @@
 	return cost + g_rand_double(gateway->random) / 2;
 }
 
-static target_result_t choose_plain(const exchange_t *exchange,
-				    target_t *target)
+static target_result_t choose_plain(exchange_t *exchange, target_t *target)
 {
-	const gateway_t *gateway = exchange->gateway;
+	gateway_t *gateway = exchange->gateway;
 	const endpoint_t *best = NULL;
+	const endpoint_t *best_allowed = NULL;
 	double best_cost = INFINITY;
+	double best_allowed_cost = INFINITY;
+	GPtrArray *blocked = g_ptr_array_new();
 	GHashTableIter iter;
 	gpointer value;
 
@@ -109,15 +141,27 @@
 		if (!is_candidate(exchange, value, target))
 			continue;
 		cost = plain_cost(gateway, value);
-		if (cost >= best_cost)
-			continue;
-		best = value;
-		best_cost = cost;
+		if (cost < best_cost) {
+			best = value;
+			best_cost = cost;
+		}
+		if (!endpoint_limits_allow(gateway, value)) {
+			g_ptr_array_add(blocked, value);
+		} else if (cost < best_allowed_cost) {
+			best_allowed = value;
+			best_allowed_cost = cost;
+		}
 	}
+	if (best != NULL)
+		count_demand(exchange, best, blocked, best_allowed != NULL,
+			     target);
+	g_ptr_array_unref(blocked);
 	if (best == NULL)
 		return TARGET_NONE;
-	target->cost_ms = best_cost;
-	append_hop(target, best, 0, 0);
+	if (best_allowed == NULL)
+		return TARGET_LIMITED;
+	target->cost_ms = best_allowed_cost;
+	append_hop(target, best_allowed, 0, 0);
 	return TARGET_FOUND;
 }
 
@@ -128,6 +172,7 @@
 	GPtrArray *endpoints; /* of const endpoint_t */
 	GPtrArray *domains;   /* names; the first is this entry's own */
 	GArray *odds;	      /* of double, one for each stage */
+	GPtrArray *blocked;   /* of "endpoints", those at their limit */
 	capacity_load_t load;
 } candidates_t;
 
@@ -179,6 +224,11 @@
 					 clock_now(gateway->clock));
 	stage.pace = gateway_slowdown(gateway, endpoint->id);
 	stage.excluded = gateway_is_suspect(gateway, endpoint->id);
+	if (stage.first_layer == 0 && !stage.excluded &&
+	    !endpoint_limits_allow(exchange->gateway, endpoint)) {
+		stage.not_first = true;
+		g_ptr_array_add(candidates->blocked, (gpointer)endpoint);
+	}
 	add_odds(gateway, endpoint, &stage, candidates);
 	g_array_append_val(candidates->stages, stage);
 	g_ptr_array_add(candidates->endpoints, (gpointer)endpoint);
@@ -320,6 +370,39 @@
 	return PIPELINE_FOUND;
 }
 
+/*
+ * Records demand at the first endpoint of the best pipeline, as if no limit
+ * blocked it.  "pipeline" is the one that was found.
+ */
+static void count_pipeline_demand(exchange_t *exchange,
+				  const candidates_t *candidates,
+				  const pipeline_query_t *query,
+				  const pipeline_t *pipeline, target_t *target)
+{
+	bool found = pipeline->count > 0;
+	pipeline_t best = *pipeline;
+	const endpoint_t *first = NULL;
+
+	if (candidates->blocked->len > 0) {
+		uint32_t count = candidates->stages->len;
+		pipeline_stage_t *stages = g_memdup2(candidates->stages->data,
+						     count * sizeof(*stages));
+
+		for (uint32_t i = 0; i < count; i++)
+			stages[i].not_first = false;
+		if (pipeline_choose(stages, count, query, &best) !=
+		    PIPELINE_FOUND)
+			best = *pipeline;
+		g_free(stages);
+	}
+	if (best.count > 0)
+		first = g_ptr_array_index(candidates->endpoints,
+					  best.hops[0].stage);
+	if (first != NULL)
+		count_demand(exchange, first, candidates->blocked, found,
+			     target);
+}
+
 static target_result_t choose_pipeline(exchange_t *exchange, target_t *target)
 {
 	static const target_result_t results[] = {
@@ -332,6 +415,7 @@
 		.endpoints = g_ptr_array_new(),
 		.domains = g_ptr_array_new(),
 		.odds = g_array_new(FALSE, FALSE, sizeof(double)),
+		.blocked = g_ptr_array_new(),
 		.load = {
 			.entries = exchange->gateway->entry_count,
 			.own_arriving = usage_arriving_tokens(
@@ -353,6 +437,7 @@
 	collect_candidates(exchange, &candidates, target);
 	result = choose_within_pipe_budget(exchange, &candidates, &query,
 					   &pipeline);
+	count_pipeline_demand(exchange, &candidates, &query, &pipeline, target);
 	for (uint32_t i = 0; i < pipeline.count; i++)
 		append_hop(target,
 			   g_ptr_array_index(candidates.endpoints,
@@ -366,6 +451,9 @@
 	g_array_unref(candidates.odds);
 	g_ptr_array_unref(candidates.endpoints);
 	g_ptr_array_unref(candidates.domains);
+	g_ptr_array_unref(candidates.blocked);
+	if (result == PIPELINE_NO_MEMORY && target->limited_per_s >= 0)
+		return TARGET_LIMITED;
 	return results[result];
 }
 
@@ -378,6 +466,7 @@
 	target_result_t result;
 
 	memset(target, 0, sizeof(*target));
+	target->limited_per_s = REQUEST_LIMIT_NONE;
 	result = exchange->service->has_engine
 			 ? choose_pipeline(exchange, target)
 			 : choose_plain(exchange, target);
--- a/src/wisteria/gateway/target.h
+++ b/src/wisteria/gateway/target.h
@@ -9,7 +9,8 @@
 	TARGET_NONE, /* no usable endpoint serves what is needed */
 	TARGET_FULL, /* the endpoints that do have no free capacity */
 	/* As the two above, and some endpoints want nothing for a while. */
-	TARGET_PAUSED
+	TARGET_PAUSED,
+	TARGET_LIMITED /* as TARGET_FULL, and some are at a limit they name */
 } target_result_t;
 
 target_result_t target_choose(exchange_t *exchange, target_t *target)
--- a/src/wisteria/gateway/wait_queue.c
+++ b/src/wisteria/gateway/wait_queue.c
@@ -66,6 +66,17 @@
 	return false;
 }
 
+/* Returns how many requests of "pool" wait. */
+uint32_t wait_queue_count(const wait_queue_t *queue, const void *pool)
+{
+	const wait_item_t *item;
+	uint32_t count = 0;
+
+	TAILQ_FOREACH(item, &queue->items, entry)
+	count += item->pool == pool;
+	return count;
+}
+
 /* The pools in which a request could not be started in this dispatch. */
 typedef struct {
 	const void *pools[POOLS_MAX];
--- a/src/wisteria/gateway/wait_queue.h
+++ b/src/wisteria/gateway/wait_queue.h
@@ -35,6 +35,8 @@
 void wait_queue_init(wait_queue_t *queue) ATTR_NONNULL_ALL;
 void wait_queue_push(wait_queue_t *queue, wait_item_t *item) ATTR_NONNULL_ALL;
 void wait_queue_remove(wait_queue_t *queue, wait_item_t *item) ATTR_NONNULL_ALL;
+uint32_t wait_queue_count(const wait_queue_t *queue,
+			  const void *pool) ATTR_NONNULL_ALL;
 bool wait_queue_must_wait(const wait_queue_t *queue, const void *pool,
 			  uint32_t priority) ATTR_NONNULL_ALL;
 void wait_queue_dispatch(wait_queue_t *queue,
--- a/test/functional/harness/fake_endpoint.c
+++ b/test/functional/harness/fake_endpoint.c
@@ -314,7 +314,7 @@
 	pthread_mutex_lock(&fake_endpoint->times_lock);
 	times = (const gint64 *)(void *)fake_endpoint->run_times_us->data;
 	for (guint i = 0; i < fake_endpoint->run_times_us->len; i++) {
-		while (times[first] < since_us && first < i)
+		while (first < i && times[first] < since_us)
 			first++;
 		while (times[i] - times[first] >= window_us)
 			first++;
--- a/test/unit/pipeline_test.c
+++ b/test/unit/pipeline_test.c
@@ -48,6 +48,28 @@
 	CU_ASSERT_EQUAL(boundary, LAYERS);
 }
 
+/* An endpoint that may not be the first still runs later layers. */
+static void test_first_hop_may_be_ruled_out(void)
+{
+	pipeline_stage_t stages[] = {
+		stage(0, 40, 0),
+		stage(40, 80, 0),
+		stage(0, 60, 1),
+	};
+	pipeline_t pipeline;
+
+	stages[0].not_first = true;
+	CU_ASSERT_EQUAL(
+		pipeline_choose(stages, ARRAY_SIZE(stages), &query, &pipeline),
+		PIPELINE_FOUND);
+	assert_valid_pipeline(stages, &pipeline);
+	CU_ASSERT_EQUAL(pipeline.hops[0].stage, 2);
+	stages[2].not_first = true;
+	CU_ASSERT_EQUAL(
+		pipeline_choose(stages, ARRAY_SIZE(stages), &query, &pipeline),
+		PIPELINE_NO_MEMORY);
+}
+
 static void test_prefers_entry_domain(void)
 {
 	const pipeline_stage_t stages[] = {
@@ -192,6 +214,7 @@
 
 static const unit_test_t tests[] = {
 	{ "prefers the domain of the entry", test_prefers_entry_domain },
+	{ "first hop may be ruled out", test_first_hop_may_be_ruled_out },
 	{ "starts a hop inside a range", test_starts_hop_inside_range },
 	{ "moves the whole pipeline to another domain",
 	  test_moves_whole_pipeline_to_other_domain },
--- a/test/unit/shortage_test.c
+++ b/test/unit/shortage_test.c
@@ -206,10 +206,25 @@
 
 	for (int i = 0; i < 10; i++)
 		shortage_wait_ended(&shortage, false);
-	CU_ASSERT_TRUE(shortage_allows_wait(&shortage, false));
-	CU_ASSERT_FALSE(shortage_allows_wait(&shortage, true));
+	CU_ASSERT_TRUE(shortage_allows_wait(&shortage, 0));
+	CU_ASSERT_FALSE(shortage_allows_wait(&shortage, 1));
 	shortage_wait_ended(&shortage, true);
-	CU_ASSERT_TRUE(shortage_allows_wait(&shortage, true));
+	CU_ASSERT_TRUE(shortage_allows_wait(&shortage, 1));
+}
+
+/* At 10 a second, 3 requests are started while one waits for 300 ms. */
+static void test_no_more_wait_than_are_started(void)
+{
+	shortage_t shortage = { 0 };
+
+	shortage_expect_starts(&shortage, 10, 300);
+	CU_ASSERT_TRUE(shortage_allows_wait(&shortage, 2));
+	CU_ASSERT_FALSE(shortage_allows_wait(&shortage, 3));
+	shortage_expect_starts(&shortage, 0, 300);
+	CU_ASSERT_TRUE(shortage_allows_wait(&shortage, 0));
+	CU_ASSERT_FALSE(shortage_allows_wait(&shortage, 1));
+	shortage_expect_starts(&shortage, -1, 300);
+	CU_ASSERT_TRUE(shortage_allows_wait(&shortage, 1000));
 }
 
 static const unit_test_t tests[] = {
@@ -221,6 +236,7 @@
 	{ "vain waits are refused at once",
 	  test_vain_waits_are_refused_at_once },
 	{ "one request always waits", test_one_request_always_waits },
+	{ "no more wait than are started", test_no_more_wait_than_are_started },
 };
 
 int main(void)
