Show the limits that endpoints name on the command line

wisteriactl limit list asks the metrics address of a process of a fleet for /v1/limits: each endpoint with its requests per second and the age of the last answer that named them. The views of a process are now one struct, as there are two.

functional/fleet_test runs it against the entry that started last, which knows the limit from the leader or from its own answers.

--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -18,6 +18,7 @@
 CLI_COMMAND(cli_endpoint_return);
 CLI_COMMAND(cli_config_history);
 CLI_COMMAND(cli_part_list);
+CLI_COMMAND(cli_limit_list);
 CLI_COMMAND(cli_order_show);
 CLI_COMMAND(cli_order_engine);
 CLI_COMMAND(cli_preset_delete);
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -42,6 +42,9 @@
 	"  part list                  parts of prompts that crash endpoints;\n"
 	"                             --server is the metrics address of a\n"
 	"                             process of a fleet\n"
+	"  limit list                 requests per second that endpoints "
+	"take;\n"
+	"                             --server as for part list\n"
 	"  config history             accepted changes\n"
 	"  order show ID              outcome of an order\n"
 	"  order engine NAME JSON     an order to the engine of an endpoint\n"
@@ -106,6 +109,7 @@
 	  true,
 	  cli_endpoint_return },
 	{ { "part", "list" }, 0, 0, "", false, true, cli_part_list },
+	{ { "limit", "list" }, 0, 0, "", false, true, cli_limit_list },
 	{ { "config", "history" }, 0, 0, "", false, true, cli_config_history },
 	{ { "order", "show" }, 1, 1, "ID", false, true, cli_order_show },
 	{ { "order", "engine" },
--- a/src/cli/show.c
+++ b/src/cli/show.c
@@ -141,6 +141,24 @@
 			  ARRAY_SIZE(columns));
 }
 
+/*
+ * Lists the endpoints that have named a limit, in requests per second from all
+ * entries, and the age of the last answer that named it.
+ */
+CLI_COMMAND(cli_limit_list)
+{
+	static const output_column_t columns[] = {
+		{ "ENDPOINT", "endpoint" },
+		{ "PER SECOND", "per_s" },
+		{ "SECONDS AGO", "seen_s" },
+	};
+
+	(void)args;
+	(void)arg_count;
+	return show_table(options, "/v1/limits", "limits", columns,
+			  ARRAY_SIZE(columns));
+}
+
 /*
  * Lists the accepted changes, oldest first.  Sends one request only, so that
  * changes after the first ADMIN_HISTORY_MAX stored ones are not listed.
--- a/src/wisteria/daemon/fleet_daemon.c
+++ b/src/wisteria/daemon/fleet_daemon.c
@@ -126,13 +126,23 @@
 
 static bool start_metrics(fleet_daemon_t *daemon, err_t *err)
 {
-	bool is_entry = settings_has_role(daemon->settings, "fleet_entry");
+	const fleet_views_t entry = {
+		.parts = &daemon->gateway.parts,
+		.limits = &daemon->gateway.limits,
+		.clock = &clock_boottime,
+	};
+	const fleet_views_t control = {
+		.parts = &daemon->control.parts,
+		.limits = &daemon->control.limits.known,
+		.clock = &clock_monotonic,
+	};
 
 	return fleet_metrics_init(
 		&daemon->metrics, &daemon->loop,
 		daemon->settings->metrics_listen,
-		is_entry ? &daemon->gateway.parts : &daemon->control.parts,
-		is_entry ? &clock_boottime : &clock_monotonic, err);
+		settings_has_role(daemon->settings, "fleet_entry") ? &entry
+								   : &control,
+		err);
 }
 
 static bool start(fleet_daemon_t *daemon, const fleet_dialect_t *dialect,
--- a/src/wisteria/daemon/fleet_metrics.c
+++ b/src/wisteria/daemon/fleet_metrics.c
@@ -1,6 +1,7 @@
 /*
  * What a fleet process tells operators: counters and histograms in the
- * Prometheus text format, and the parts of prompts that are refused.
+ * Prometheus text format, the parts of prompts that are refused, and the limits
+ * that endpoints name.
  */
 #include "wisteria/daemon/fleet_metrics.h"
 
@@ -48,8 +49,9 @@
 static json_t *describe_part(const fleet_metrics_t *metrics,
 			     const part_record_t *record)
 {
-	clock_ms_t left_ms = part_guard_refused_ms(
-		metrics->parts, record->part, clock_now(metrics->parts_clock));
+	clock_ms_t left_ms =
+		part_guard_refused_ms(metrics->views.parts, record->part,
+				      clock_now(metrics->views.clock));
 	char id[17];
 
 	g_snprintf(id, sizeof(id), "%" G_GINT64_MODIFIER "x", record->part);
@@ -61,24 +63,53 @@
 			 "crashes", (int)record->crash_count);
 }
 
-static void show_parts(const fleet_metrics_t *metrics, http_conn_t *conn)
+/* Replies with the list "rows" as "name", and frees it. */
+static void reply_rows(http_conn_t *conn, const char *name, json_t *rows)
 {
-	json_t *body = json_object();
-	json_t *rows = json_array();
-	char *text;
+	json_t *body = json_pack("{s:o}", name, rows);
+	char *text = json_dumps(body, JSON_INDENT(2));
 
-	for (uint32_t i = 0; i < metrics->parts->count; i++)
-		json_array_append_new(
-			rows,
-			describe_part(metrics, &metrics->parts->records[i]));
-	json_object_set_new(body, "parts", rows);
-	text = json_dumps(body, JSON_INDENT(2));
 	http_conn_reply(conn, 200, "Content-Type: application/json\r\n", text,
 			strlen(text));
 	free(text);
 	json_decref(body);
 }
 
+static void show_parts(const fleet_metrics_t *metrics, http_conn_t *conn)
+{
+	const part_guard_t *parts = metrics->views.parts;
+	json_t *rows = json_array();
+
+	for (uint32_t i = 0; i < parts->count; i++)
+		json_array_append_new(
+			rows, describe_part(metrics, &parts->records[i]));
+	reply_rows(conn, "parts", rows);
+}
+
+static json_t *describe_limit(const request_limit_t *limit, clock_ms_t now)
+{
+	char per_s[32];
+
+	g_snprintf(per_s, sizeof(per_s), "%.6g", limit->per_s);
+	return json_pack("{s:s, s:s, s:I}", "endpoint", limit->id, "per_s",
+			 per_s, "seen_s",
+			 (json_int_t)(now - limit->seen_ms) / 1000);
+}
+
+static void show_limits(const fleet_metrics_t *metrics, http_conn_t *conn)
+{
+	clock_ms_t now = clock_now(metrics->views.clock);
+	json_t *rows = json_array();
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, metrics->views.limits->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (((const request_limit_t *)value)->per_s >= 0)
+			json_array_append_new(rows, describe_limit(value, now));
+	reply_rows(conn, "limits", rows);
+}
+
 static void on_request(http_server_handler_t *handler, http_conn_t *conn)
 {
 	const char *target = http_message_target(&conn->reader.message);
@@ -90,20 +121,19 @@
 	else if (strcmp(target, "/v1/parts") == 0)
 		show_parts(CONTAINER_OF(handler, fleet_metrics_t, handler),
 			   conn);
+	else if (strcmp(target, "/v1/limits") == 0)
+		show_limits(CONTAINER_OF(handler, fleet_metrics_t, handler),
+			    conn);
 	else
 		http_conn_reply(conn, 404, "", "no such page\n", 13);
 }
 
-/*
- * Listens on "address"; returns false if it cannot be bound.  "parts" is shown
- * as of "parts_clock", by which it is kept.
- */
+/* Listens on "address"; returns false if it cannot be bound. */
 bool fleet_metrics_init(fleet_metrics_t *metrics, uv_loop_t *loop,
-			const char *address, const part_guard_t *parts,
-			const clock_source_t *parts_clock, err_t *err)
+			const char *address, const fleet_views_t *views,
+			err_t *err)
 {
-	metrics->parts = parts;
-	metrics->parts_clock = parts_clock;
+	metrics->views = *views;
 	metrics->handler.request = on_request;
 	return http_server_init(&metrics->server, loop, address,
 				&clock_monotonic, &limits, &metrics->handler,
--- a/test/functional/fleet_test.c
+++ b/test/functional/fleet_test.c
@@ -665,23 +665,24 @@
 	return parts_status(user, "aa:10,cc:20,") == 200;
 }
 
-/* Expects that "wisteriactl part list" shows the bad part as refused. */
-static void expect_refused_part_in_list(const char *server)
+/* Expects that "wisteriactl NOUN list" shows "row" of the process at "server". */
+static void expect_row_in_list(const char *server, const char *noun,
+			       const char *row)
 {
 	const char *argv[] = { harness_program(&harness, "wisteriactl"),
 			       "--server",
 			       server,
-			       "part",
+			       noun,
 			       "list",
 			       NULL };
-	harness_process_t *process = harness_start(&harness, "part-list", argv);
+	harness_process_t *process = harness_start(
+		&harness, harness_string(&harness, "%s-list", noun), argv);
 	char *text;
 
 	CU_ASSERT(harness_wait_exit(process, HARNESS_WAIT_MS));
 	CU_ASSERT_EQUAL(process->exit_status, 0);
 	text = harness_read_file(process->log_path);
-	CU_ASSERT_PTR_NOT_NULL(
-		strstr(text, FAKE_ENDPOINT_BAD_PART "  refused"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(text, row));
 	g_free(text);
 }
 
@@ -723,7 +724,8 @@
 			CU_ASSERT(serves_sound_parts((void *)addresses[i]));
 	}
 	CU_ASSERT_EQUAL(count_crashes(endpoints), crashes);
-	expect_refused_part_in_list(metrics_address);
+	expect_row_in_list(metrics_address, "part",
+			   FAKE_ENDPOINT_BAD_PART "  refused");
 	for (size_t i = 0; i < ARRAY_SIZE(others); i++) {
 		harness_signal(others[i], SIGTERM);
 		CU_ASSERT(harness_wait_exit(others[i], HARNESS_WAIT_MS));
@@ -811,6 +813,8 @@
 	CU_ASSERT(
 		fake_endpoint_most_runs(&endpoint, since_us, LIMIT_WINDOW_US) <=
 		LIMIT_WINDOW_RUNS_MAX);
+	expect_row_in_list(metrics_address, "limit",
+			   "i-limit   " REQUEST_LIMIT " ");
 	endpoint.request_limit = NULL;
 	for (size_t i = 0; i < ARRAY_SIZE(addresses); i++)
 		CU_ASSERT(harness_wait_until(serves_without_limit,
