Let endpoints name limits in the soak

An endpoint names a limit, a fraction, 0 or nonsense for a while, beside the other faults. In the end all endpoints of the plain service name one, callers press, and the check is that each gets no more than 1.5 times that and 5 in 4 s from all entries together, and that every entry learns the end.

--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -64,6 +64,16 @@
 #define CRASHES_MAX 5
 #define LATE_REQUESTS_MAX 3
 
+/* What an endpoint takes in a second, and what is tolerated of all entries. */
+#define REQUEST_LIMIT "5"
+#define LIMIT_WINDOW_US (4 * G_USEC_PER_SEC)
+#define LIMIT_WINDOW_RUNS_MAX (5 * 4 * 3 / 2 + 5)
+#define LIMIT_LEARNED_US (3 * G_USEC_PER_SEC)
+#define LIMITED_REQUESTS 400
+#define LIMITED_INTERVAL_MS 20
+/* Requests in a row that show that no limit is in force any more. */
+#define UNLIMITED_REQUESTS 12
+
 typedef enum {
 	KIND_CHAT,
 	KIND_CRASHING, /* KIND_CHAT with a part that crashes endpoints */
@@ -732,6 +742,17 @@
 	}
 }
 
+static void fault_endpoint_limit(soak_t *soak)
+{
+	static const char *const limits[] = { "0",  "0.4",  "3",    "20",
+					      "-1", "soon", "1e300" };
+	soak_endpoint_t *endpoint = begin_endpoint_fault(soak);
+
+	if (endpoint != NULL)
+		endpoint->fake_endpoint.request_limit =
+			limits[random_below(soak, ARRAY_SIZE(limits))];
+}
+
 static const fault_t planned_faults[] = {
 	fault_stop_entry,
 	fault_reload,
@@ -754,6 +775,7 @@
 	fault_endpoint_connections,
 	fault_endpoint_connections,
 	fault_lose_disk_of_all_that_end,
+	fault_endpoint_limit,
 };
 
 static void repair_endpoint(soak_t *soak, unsigned i)
@@ -766,6 +788,7 @@
 	}
 	endpoint->repair_ms = 0;
 	endpoint->fake_endpoint.mode = FAKE_ENDPOINT_SERVE;
+	endpoint->fake_endpoint.request_limit = NULL;
 	relay_silence(endpoint->relay, false);
 	relay_set_delay(endpoint->relay, 0);
 }
@@ -955,6 +978,80 @@
 				 harness_string(&soak->harness, "%u", crashes));
 }
 
+static void set_limits(soak_t *soak, const char *limit,
+		       fake_endpoint_mode_t mode)
+{
+	for (unsigned i = WRITER_ENDPOINTS; i < ENDPOINTS; i++) {
+		soak->endpoints[i].fake_endpoint.request_limit = limit;
+		soak->endpoints[i].fake_endpoint.mode = mode;
+	}
+}
+
+/* Sends bookings to the entries in turn, faster than the endpoints take. */
+static void press_on_limits(soak_t *soak)
+{
+	http_request_t *requests[LIMITED_REQUESTS];
+
+	for (unsigned i = 0; i < LIMITED_REQUESTS; i++) {
+		unsigned target = i % soak->entry_count;
+		gint64 until_us = g_get_monotonic_time() +
+				  LIMITED_INTERVAL_MS * G_TIME_SPAN_MILLISECOND;
+
+		requests[i] =
+			send_request(soak, KIND_BOOKING, &soak->entries[target],
+				     target, "/book/1", "7 bolts");
+		while (g_get_monotonic_time() < until_us)
+			http_client_poll(&soak->client, 5);
+	}
+	for (unsigned i = 0; i < LIMITED_REQUESTS; i++) {
+		sent_request_t *sent = requests[i]->user;
+
+		if (!http_wait(&soak->client, requests[i], HARNESS_WAIT_MS) ||
+		    (requests[i]->status != 200 && requests[i]->status != 503))
+			report_violation(soak, "limited booking is answered",
+					 sent, "it was not");
+		g_free(sent);
+		http_request_free(&soak->client, requests[i]);
+	}
+}
+
+static bool serves_in_a_row(void *user)
+{
+	for (unsigned i = 0; i < UNLIMITED_REQUESTS; i++)
+		if (!probe_succeeds(user))
+			return false;
+	return true;
+}
+
+/*
+ * Checks that all entries together keep to the limits that endpoints name, and
+ * that each entry learns their end.
+ */
+static void check_request_limits(soak_t *soak)
+{
+	gint64 since_us = g_get_monotonic_time() + LIMIT_LEARNED_US;
+	sent_request_t sent = { .kind = KIND_BOOKING, .id = "-" };
+
+	set_limits(soak, REQUEST_LIMIT, FAKE_ENDPOINT_JSON);
+	press_on_limits(soak);
+	for (unsigned i = WRITER_ENDPOINTS; i < ENDPOINTS; i++)
+		if (fake_endpoint_most_runs(&soak->endpoints[i].fake_endpoint,
+					    since_us, LIMIT_WINDOW_US) >
+		    LIMIT_WINDOW_RUNS_MAX)
+			report_violation(soak, "limits are kept", &sent,
+					 soak->endpoints[i].id);
+	set_limits(soak, NULL, FAKE_ENDPOINT_JSON);
+	for (unsigned i = 0; i < soak->entry_count; i++) {
+		probe_t probe = { soak, &soak->entries[i], i, KIND_BOOKING };
+
+		sent.target = i;
+		if (!harness_wait_until(serves_in_a_row, &probe,
+					HARNESS_WAIT_MS))
+			report_violation(soak, "ends of limits are learned",
+					 &sent, "requests are refused");
+	}
+}
+
 static bool all_are_up(const soak_t *soak)
 {
 	for (int i = 0; i < CONTROLS; i++)
@@ -990,6 +1087,7 @@
 	for (unsigned i = 0; i < CONTROLS; i++)
 		expect_probe_succeeds(soak, &soak->controls[i], i, KIND_READ);
 	check_crashing_part(soak);
+	check_request_limits(soak);
 	check_bookings(soak);
 }
 
