--- a/src/wisteria/gateway/exchange.c
+++ b/src/wisteria/gateway/exchange.c
@@ -325,8 +325,8 @@
 		start(exchange, &target);
 		return;
 	}
-	if (must_wait)
-		found = TARGET_FULL; /* requests ahead still wait */
+	if (must_wait) /* requests ahead still wait */
+		found = shortage->places > 0 ? TARGET_LIMITED : TARGET_FULL;
 	wait_ms = max_wait_ms(exchange, found, &target, now_of(exchange));
 	if (!must_wait)
 		shortage_expect_starts(shortage, target.limited_per_s, wait_ms);
