Log a digest that shows repetitions of a request

No log line told whether two requests ask for the same, so the hypothesis that one repeated request crashes the endpoints could not be told from one about their load. attempt_failed now says digest: of method, host, path, customer and body.

--- a/src/wisteria/fleet/dialect.h
+++ b/src/wisteria/fleet/dialect.h
@@ -36,6 +36,8 @@
 	 */
 	uint64_t shared_parts[PROMPT_PARTS_MAX];
 	uint32_t shared_part_count;
+	/* Set by the gateway: the same for repetitions under other ids. */
+	uint64_t digest;
 } caller_request_t;
 
 /* One hop of a chain, as written in the request to its first endpoint. */
--- a/src/wisteria/gateway/exchange.c
+++ b/src/wisteria/gateway/exchange.c
@@ -587,8 +587,11 @@
 			rejection = check_caller(gateway, route, &caller,
 						 &customer);
 	}
-	if (rejection.status == 0)
+	if (rejection.status == 0) {
+		caller.digest = prompt_parts_digest(
+			message, customer == NULL ? NULL : customer->name);
 		rejection = check_parts(gateway, &caller);
+	}
 	if (rejection.status != 0) {
 		reject_request(gateway, conn, &caller, &rejection);
 		return;
--- a/src/wisteria/gateway/prompt_parts.c
+++ b/src/wisteria/gateway/prompt_parts.c
@@ -14,9 +14,30 @@
 #include "wisteria/base/log.h"
 #include "wisteria/fleet/part_guard.h"
 #include "wisteria/fleet/subscription.h"
+#include "wisteria/http/http_message.h"
 
 #define PART_FORMAT "%" G_GINT64_MODIFIER "x"
 
+/* Returns a digest of what a request asks for, and for which customer. */
+uint64_t prompt_parts_digest(const http_message_t *message,
+			     const char *customer)
+{
+	const char *const texts[] = {
+		message->method,
+		http_message_find_header(message, "host"),
+		http_message_target(message),
+		customer,
+	};
+	uint64_t digest = 0;
+
+	for (size_t i = 0; i < ARRAY_SIZE(texts); i++)
+		if (texts[i] != NULL)
+			digest = XXH3_64bits_withSeed(
+				texts[i], strlen(texts[i]) + 1, digest);
+	return XXH3_64bits_withSeed(message->body->data, message->body->len,
+				    digest);
+}
+
 static part_pass_t *pass_of(gateway_t *gateway, uint64_t part)
 {
 	uint64_t slot =
@@ -33,7 +54,10 @@
 	return pass->part == part && pass->at_ms != 0 ? now - pass->at_ms : -1;
 }
 
-/* Returns the shared parts of the prompt for logs; the caller frees it. */
+/*
+ * Returns the shared parts of the prompt and the digest of the request for logs;
+ * the caller frees it.
+ */
 char *prompt_parts_describe(const caller_request_t *caller)
 {
 	GString *text = g_string_new(NULL);
@@ -42,6 +66,7 @@
 		g_string_append_printf(text, "%s%" G_GINT64_MODIFIER "x",
 				       i == 0 ? "" : ",",
 				       caller->shared_parts[i]);
+	g_string_append_printf(text, " digest=" PART_FORMAT, caller->digest);
 	return g_string_free(text, FALSE);
 }
 
--- a/src/wisteria/gateway/prompt_parts.h
+++ b/src/wisteria/gateway/prompt_parts.h
@@ -4,6 +4,8 @@
 #include "wisteria/base/macros_defs.h"
 #include "wisteria/gateway/gateway_defs.h"
 
+uint64_t prompt_parts_digest(const http_message_t *message,
+			     const char *customer) ATTR_NONNULL(1);
 char *prompt_parts_describe(const caller_request_t *caller)
 	ATTR_NONNULL_ALL ATTR_WARN_UNUSED;
 void prompt_parts_passed(gateway_t *gateway,
