--- a/test/functional/fleet_test.c
+++ b/test/functional/fleet_test.c
@@ -36,6 +36,11 @@
 	"\"kind\":\"stream\",\"timeoutMs\":9000,\"goalMs\":3000,\"priority\":1,"
 	"\"service\":\"writer\",\"maxAttempts\":3,\"allowAnonymous\":true,"
 	"\"sticky\":false,\"streamResume\":false,\"gapGoalMs\":500},"
+	"{\"name\":\"look\",\"host\":\"shop.example\",\"pathPrefix\":\"/look/"
+	"\","
+	"\"kind\":\"idempotent\",\"timeoutMs\":5000,\"goalMs\":3000,"
+	"\"priority\":1,\"service\":\"orders\",\"maxAttempts\":2,"
+	"\"allowAnonymous\":true},"
 	"{\"name\":\"book\",\"host\":\"shop.example\",\"pathPrefix\":\"/book/"
 	"\","
 	"\"kind\":\"non_idempotent\",\"timeoutMs\":5000,\"goalMs\":3000,"
@@ -734,6 +739,88 @@
 		fake_endpoint_stop(&endpoints[i]);
 }
 
+#define ENDING_ENDPOINTS 3
+/* Repetitions, and the runs of them that are tolerated: three, and three late. */
+#define REPETITIONS 5
+#define REPEATED_RUNS_MAX (3 + 3)
+/* Sound requests in a row that show that all endpoints are up. */
+#define SOUND_REQUESTS 8
+
+static long lookup_status(const char *address, const char *body)
+{
+	static unsigned count;
+
+	return request_status(address, "/look/5",
+			      harness_string(&harness, "look%u", ++count),
+			      body);
+}
+
+static bool serves_sound_lookups(void *user)
+{
+	for (int i = 0; i < SOUND_REQUESTS; i++)
+		if (lookup_status(user, "7 bolts") != 200)
+			return false;
+	return true;
+}
+
+static unsigned count_ends(const fake_endpoint_t *endpoints)
+{
+	unsigned ends = 0;
+
+	for (size_t i = 0; i < ENDING_ENDPOINTS; i++)
+		ends += endpoints[i].crashes;
+	return ends;
+}
+
+static void
+test_repeated_request_that_ends_endpoints_is_refused_everywhere(void)
+{
+	const char *addresses[] = { entry_address, harness_address(&harness),
+				    harness_address(&harness) };
+	fake_endpoint_t endpoints[ENDING_ENDPOINTS];
+	harness_process_t *others[2];
+	unsigned ends;
+
+	for (int i = 0; i < ENDING_ENDPOINTS; i++) {
+		const char *id = harness_string(&harness, "i-end-%d", i);
+
+		fake_endpoint_start(&endpoints[i], id, "orders", harness.ip,
+				    control_address, FAKE_ENDPOINT_JSON);
+		endpoints[i].ends_on_bad_body = true;
+		CU_ASSERT(harness_wait_log(
+			entry, harness_string(&harness, "endpoint=%s ", id),
+			HARNESS_WAIT_MS));
+	}
+	others[0] = start_entry("entry-end-1", addresses[1], peer_address);
+	for (int i = 0; i < REPETITIONS; i++) {
+		const char *address = addresses[i % 2];
+
+		CU_ASSERT(harness_wait_until(serves_sound_lookups,
+					     (void *)address, HARNESS_WAIT_MS));
+		CU_ASSERT_NOT_EQUAL(
+			lookup_status(address, FAKE_ENDPOINT_BAD_BODY), 200);
+	}
+	ends = count_ends(endpoints);
+	CU_ASSERT(ends <= REPEATED_RUNS_MAX);
+
+	others[1] = start_entry("entry-end-2", addresses[2], peer_address);
+	for (size_t i = 0; i < ARRAY_SIZE(addresses); i++) {
+		CU_ASSERT(harness_wait_until(serves_sound_lookups,
+					     (void *)addresses[i],
+					     HARNESS_WAIT_MS));
+		CU_ASSERT_EQUAL(
+			lookup_status(addresses[i], FAKE_ENDPOINT_BAD_BODY),
+			503);
+	}
+	CU_ASSERT_EQUAL(count_ends(endpoints), ends);
+	for (size_t i = 0; i < ARRAY_SIZE(others); i++) {
+		harness_signal(others[i], SIGTERM);
+		CU_ASSERT(harness_wait_exit(others[i], HARNESS_WAIT_MS));
+	}
+	for (int i = 0; i < ENDING_ENDPOINTS; i++)
+		fake_endpoint_stop(&endpoints[i]);
+}
+
 /* Requests per second that the limited endpoint takes, and what is tolerated. */
 #define REQUEST_LIMIT "2"
 #define LIMIT_WINDOW_US (4 * G_USEC_PER_SEC)
@@ -1002,6 +1089,8 @@
 	{ "paused endpoint gets nothing", test_paused_endpoint_gets_nothing },
 	{ "part that crashes endpoints is refused everywhere",
 	  test_part_that_crashes_endpoints_is_refused_everywhere },
+	{ "repeated request that ends endpoints is refused everywhere",
+	  test_repeated_request_that_ends_endpoints_is_refused_everywhere },
 	{ "all entries share the request limit of an endpoint",
 	  test_all_entries_share_the_request_limit_of_an_endpoint },
 	{ "accepted change survives", test_accepted_change_survives },
--- a/test/functional/harness/fake_endpoint.c
+++ b/test/functional/harness/fake_endpoint.c
@@ -17,6 +17,7 @@
 #include "wisteria/net/net.h"
 
 #define HEARTBEAT_INTERVAL_US 300000
+#define FIRST_BORN_MS 1000
 #define REQUEST_BYTES 8192
 #define EVENT_INTERVAL_US 20000
 #define ENDLESS_BLOCK_BYTES 16384
@@ -364,6 +365,56 @@
 	return found;
 }
 
+static bool has_bad_body(const char *request)
+{
+	const char *end = strstr(request, "\r\n\r\n");
+
+	return end != NULL && strcmp(end + 4, FAKE_ENDPOINT_BAD_BODY) == 0;
+}
+
+/* Ends the listener, but keeps its descriptor. */
+static void stop_listening(const fake_endpoint_t *fake_endpoint)
+{
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	if (fd < 0 || dup2(fd, fake_endpoint->listener) < 0)
+		g_error("fake endpoint %s cannot stop listening",
+			fake_endpoint->id);
+	close(fd);
+}
+
+/* Listens at the address of before, under the same descriptor. */
+static void listen_again(const fake_endpoint_t *fake_endpoint)
+{
+	const int on = 1;
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	struct sockaddr_storage at;
+
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	if (!net_parse_address(fake_endpoint->address, &at, NULL) ||
+	    bind(fd, (struct sockaddr *)&at, sizeof(struct sockaddr_in)) != 0 ||
+	    listen(fd, SOMAXCONN) != 0 || dup2(fd, fake_endpoint->listener) < 0)
+		g_error("fake endpoint %s cannot listen again",
+			fake_endpoint->id);
+	close(fd);
+}
+
+/* Takes no connections for a while, and then is a new incarnation. */
+static void end_and_come_back(fake_endpoint_t *fake_endpoint)
+{
+	int64_t until_us = g_get_monotonic_time() +
+			   FAKE_ENDPOINT_DOWN_MS * G_TIME_SPAN_MILLISECOND;
+
+	stop_listening(fake_endpoint);
+	while (!fake_endpoint->stopping && g_get_monotonic_time() < until_us)
+		g_usleep(EVENT_INTERVAL_US);
+	if (fake_endpoint->stopping)
+		return;
+	fake_endpoint->born++;
+	listen_again(fake_endpoint);
+	fake_endpoint->is_down = false;
+}
+
 static void serve_request(fake_endpoint_t *fake_endpoint, int fd)
 {
 	char request[REQUEST_BYTES];
@@ -384,6 +435,11 @@
 		return;
 	}
 	record_run(fake_endpoint, request);
+	if (fake_endpoint->ends_on_bad_body && has_bad_body(request)) {
+		fake_endpoint->crashes++;
+		fake_endpoint->is_down = true;
+		return;
+	}
 	if (fake_endpoint->crashes_on_bad_part && mode != FAKE_ENDPOINT_DROP &&
 	    has_bad_part(request))
 		mode = fake_endpoint->crashes++ % 2 == 0
@@ -407,6 +463,8 @@
 		set_io_timeouts(fd);
 		serve_request(fake_endpoint, fd);
 		close(fd);
+		if (fake_endpoint->is_down)
+			end_and_come_back(fake_endpoint);
 	}
 	return NULL;
 }
@@ -475,12 +533,12 @@
 	char *body = g_strdup_printf(
 		"{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"z1\","
 		"\"version\":\"v1\",\"slots\":8,\"state\":\"ready\","
-		"\"coldLeftMs\":0,\"seq\":%u,\"born\":1000}",
+		"\"coldLeftMs\":0,\"seq\":%u,\"born\":%u}",
 		fake_endpoint->service,
 		fake_endpoint->advertised_address == NULL
 			? fake_endpoint->address
 			: fake_endpoint->advertised_address,
-		sequence);
+		sequence, fake_endpoint->born);
 
 	post_to_any_control(fake_endpoint, "heartbeat", body);
 	g_free(body);
@@ -491,7 +549,8 @@
 	fake_endpoint_t *fake_endpoint = user;
 
 	for (unsigned sequence = 1; !fake_endpoint->stopping; sequence++) {
-		send_heartbeat(fake_endpoint, sequence);
+		if (!fake_endpoint->is_down)
+			send_heartbeat(fake_endpoint, sequence);
 		g_usleep(HEARTBEAT_INTERVAL_US);
 	}
 	return NULL;
@@ -506,16 +565,23 @@
 			  const char *control, fake_endpoint_mode_t mode)
 {
 	char *any = g_strconcat(ip, ":0", NULL);
+	const int on = 1;
 	struct sockaddr_storage at;
 	socklen_t len = sizeof(struct sockaddr_in);
 
 	*fake_endpoint = (fake_endpoint_t){
-		.id = id, .service = service, .control = control, .mode = mode
+		.id = id,
+		.service = service,
+		.control = control,
+		.mode = mode,
+		.born = FIRST_BORN_MS,
 	};
 	pthread_mutex_init(&fake_endpoint->times_lock, NULL);
 	fake_endpoint->run_times_us = g_array_new(FALSE, FALSE, sizeof(gint64));
 	fake_endpoint->listener =
 		socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	setsockopt(fake_endpoint->listener, SOL_SOCKET, SO_REUSEADDR, &on,
+		   sizeof(on));
 	if (!net_parse_address(any, &at, NULL) ||
 	    bind(fake_endpoint->listener, (struct sockaddr *)&at, len) != 0 ||
 	    listen(fake_endpoint->listener, SOMAXCONN) != 0 ||
--- a/test/functional/harness/fake_endpoint.h
+++ b/test/functional/harness/fake_endpoint.h
@@ -17,6 +17,9 @@
 
 #define FAKE_ENDPOINT_LARGE_BYTES (7u << 20)
 #define FAKE_ENDPOINT_BAD_PART "bad0"
+#define FAKE_ENDPOINT_BAD_BODY "666 bolts"
+/* How long an endpoint that ended under such a body is down. */
+#define FAKE_ENDPOINT_DOWN_MS 800
 /* Longer than any test that uses it. */
 #define FAKE_ENDPOINT_PAUSE_S 40
 
@@ -83,7 +86,14 @@
 	 * one whose prompt has FAKE_ENDPOINT_BAD_PART as it begins the answer.
 	 */
 	atomic_bool crashes_on_bad_part;
+	/*
+	 * Whether it ends under a request with FAKE_ENDPOINT_BAD_BODY: closes
+	 * all connections, and is back after a while as a new incarnation.
+	 */
+	atomic_bool ends_on_bad_body;
 	atomic_uint crashes;
+	atomic_uint born; /* when its incarnation started */
+	atomic_bool is_down;
 	/* The limit that its answers name; NULL: none. */
 	_Atomic(const char *) request_limit;
 	pthread_mutex_t times_lock;
