--- a/test/functional/harness/fake_endpoint.c
+++ b/test/functional/harness/fake_endpoint.c
@@ -372,47 +372,57 @@
 	return end != NULL && strcmp(end + 4, FAKE_ENDPOINT_BAD_BODY) == 0;
 }
 
-/* Ends the listener, but keeps its descriptor. */
-static void stop_listening(const fake_endpoint_t *fake_endpoint)
-{
-	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-
-	if (fd < 0 || dup2(fd, fake_endpoint->listener) < 0)
-		g_error("fake endpoint %s cannot stop listening",
-			fake_endpoint->id);
-	close(fd);
-}
-
-/* Listens at the address of before, under the same descriptor. */
-static void listen_again(const fake_endpoint_t *fake_endpoint)
+/*
+ * Listens on a free port of "ip", under the same descriptor if there was a
+ * listener; ends the test if that fails.
+ */
+static void listen_at(fake_endpoint_t *fake_endpoint, const char *ip)
 {
-	const int on = 1;
+	char *any = g_strconcat(ip, ":0", NULL);
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 	struct sockaddr_storage at;
+	socklen_t len = sizeof(struct sockaddr_in);
 
-	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-	if (!net_parse_address(fake_endpoint->address, &at, NULL) ||
-	    bind(fd, (struct sockaddr *)&at, sizeof(struct sockaddr_in)) != 0 ||
-	    listen(fd, SOMAXCONN) != 0 || dup2(fd, fake_endpoint->listener) < 0)
+	if (!net_parse_address(any, &at, NULL) ||
+	    bind(fd, (struct sockaddr *)&at, len) != 0 ||
+	    listen(fd, SOMAXCONN) != 0 ||
+	    getsockname(fd, (struct sockaddr *)&at, &len) != 0)
+		g_error("fake endpoint %s cannot listen on %s",
+			fake_endpoint->id, any);
+	g_free(any);
+	snprintf(fake_endpoint->address, sizeof(fake_endpoint->address),
+		 "%s:%u", ip,
+		 ntohs(((struct sockaddr_in *)(void *)&at)->sin_port));
+	if (fake_endpoint->listener < 0) {
+		fake_endpoint->listener = fd;
+		return;
+	}
+	if (dup2(fd, fake_endpoint->listener) < 0)
 		g_error("fake endpoint %s cannot listen again",
 			fake_endpoint->id);
 	close(fd);
 }
 
-/* Takes no connections for a while, and then is a new incarnation. */
+/*
+ * Takes no connections for a while, and then is a new incarnation at another
+ * address.
+ */
 static void end_and_come_back(fake_endpoint_t *fake_endpoint)
 {
 	int64_t until_us = g_get_monotonic_time() +
 			   FAKE_ENDPOINT_DOWN_MS * G_TIME_SPAN_MILLISECOND;
+	char *ip = g_strndup(fake_endpoint->address,
+			     strcspn(fake_endpoint->address, ":"));
 
-	stop_listening(fake_endpoint);
+	shutdown(fake_endpoint->listener, SHUT_RDWR);
 	while (!fake_endpoint->stopping && g_get_monotonic_time() < until_us)
 		g_usleep(EVENT_INTERVAL_US);
-	if (fake_endpoint->stopping)
-		return;
-	fake_endpoint->born++;
-	listen_again(fake_endpoint);
-	fake_endpoint->is_down = false;
+	if (!fake_endpoint->stopping) {
+		listen_at(fake_endpoint, ip);
+		fake_endpoint->born++;
+		fake_endpoint->is_down = false;
+	}
+	g_free(ip);
 }
 
 static void serve_request(fake_endpoint_t *fake_endpoint, int fd)
@@ -564,34 +574,17 @@
 			  const char *service, const char *ip,
 			  const char *control, fake_endpoint_mode_t mode)
 {
-	char *any = g_strconcat(ip, ":0", NULL);
-	const int on = 1;
-	struct sockaddr_storage at;
-	socklen_t len = sizeof(struct sockaddr_in);
-
 	*fake_endpoint = (fake_endpoint_t){
 		.id = id,
 		.service = service,
 		.control = control,
 		.mode = mode,
 		.born = FIRST_BORN_MS,
+		.listener = -1,
 	};
 	pthread_mutex_init(&fake_endpoint->times_lock, NULL);
 	fake_endpoint->run_times_us = g_array_new(FALSE, FALSE, sizeof(gint64));
-	fake_endpoint->listener =
-		socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-	setsockopt(fake_endpoint->listener, SOL_SOCKET, SO_REUSEADDR, &on,
-		   sizeof(on));
-	if (!net_parse_address(any, &at, NULL) ||
-	    bind(fake_endpoint->listener, (struct sockaddr *)&at, len) != 0 ||
-	    listen(fake_endpoint->listener, SOMAXCONN) != 0 ||
-	    getsockname(fake_endpoint->listener, (struct sockaddr *)&at,
-			&len) != 0)
-		g_error("fake endpoint %s cannot listen on %s", id, any);
-	snprintf(fake_endpoint->address, sizeof(fake_endpoint->address),
-		 "%s:%u", ip,
-		 ntohs(((struct sockaddr_in *)(void *)&at)->sin_port));
-	g_free(any);
+	listen_at(fake_endpoint, ip);
 }
 
 /* Starts to serve requests and to send heartbeats. */
