Refuse a repeated request that crashes endpoints

Cause: the entries know a request by its id, and each repetition has another one; what refuses crashing parts only looks at parts of prompts, and at answers that end as they begin.

Change: a request counts as its own last part, known by the digest of method, host, path, prompt, customer and body, so that the same decision serves (fleet/part_guard.c): three endpoints, two ids, no pass. Its shared parts are held responsible only for crashes under different requests, and that a request is refused clears nothing that is held against them. A connection that an endpoint of a service without a model closes without a whole answer is reported with all requests that were there; the leader counts it only if the endpoint then takes no connection, is silent or was started again (fleet/crash_reports.c, checked by the prober), and not if it leaves. Entries keep 4,096 passes instead of 1,024, as each request has one.

Ruled out: counting each closed connection (with endpoints that reset part of their requests a lookup that is asked for often would be refused); refusing the path or the customer (sound requests share them).

--- a/src/wisteria/codec/msg.c
+++ b/src/wisteria/codec/msg.c
@@ -567,6 +567,10 @@
 	FIELD(FIELD_U64, msg_fleet_parts_t, request),
 	FIELD_LIST_OF(msg_fleet_parts_t, parts, part_count,
 		      &msg_fleet_part_desc),
+	FIELD(FIELD_U64, msg_fleet_parts_t, digest),
+	FIELD(FIELD_I64, msg_fleet_parts_t, digest_passed_ago_ms),
+	FIELD(FIELD_STR, msg_fleet_parts_t, suspected_id),
+	FIELD(FIELD_U64, msg_fleet_parts_t, suspected_incarnation),
 };
 static const record_desc_t msg_fleet_parts_desc =
 	RECORD_DESC(msg_fleet_parts_t, fleet_parts_fields);
--- a/src/wisteria/codec/msg_defs.h
+++ b/src/wisteria/codec/msg_defs.h
@@ -723,6 +723,11 @@
 	uint64_t request;
 	const msg_fleet_part_t *parts;
 	size_t part_count;
+	uint64_t digest;	      /* of the whole request; 0: not given */
+	int64_t digest_passed_ago_ms; /* -1: not known */
+	/* The endpoint, if it may only have closed the connection; or "". */
+	const char *suspected_id;
+	uint64_t suspected_incarnation;
 } msg_fleet_parts_t;
 
 /* The requests per second that an endpoint takes from all entries together. */
--- a/src/wisteria/fleet/dialect.h
+++ b/src/wisteria/fleet/dialect.h
@@ -19,6 +19,8 @@
 #define REQUEST_LIMIT_NONE (-1.0)
 /* Most parts of a prompt that are read; further ones are ignored. */
 #define PROMPT_PARTS_MAX 16
+/* These, and the whole request. */
+#define REQUEST_PARTS_MAX (PROMPT_PARTS_MAX + 1)
 
 /* Metadata of a caller's request; strings point into the message. */
 typedef struct {
@@ -36,6 +38,7 @@
 	 */
 	uint64_t shared_parts[PROMPT_PARTS_MAX];
 	uint32_t shared_part_count;
+	uint64_t own_part; /* of this request or its session; 0: none */
 	/* Set by the gateway: the same for repetitions under other ids. */
 	uint64_t digest;
 } caller_request_t;
--- a/src/wisteria/fleet/fleet_control.c
+++ b/src/wisteria/fleet/fleet_control.c
@@ -557,6 +557,7 @@
 		 id, incarnation, control->registry.version);
 	g_hash_table_add(control->updated_ids, g_strdup(id));
 	send_updates(control);
+	fleet_parts_confirm(control, now_of(control));
 }
 
 static void subscribe_to_members(fleet_control_t *control)
--- a/src/wisteria/fleet/fleet_control_defs.h
+++ b/src/wisteria/fleet/fleet_control_defs.h
@@ -4,6 +4,7 @@
 #include <glib.h>
 
 #include "wisteria/control/replica_defs.h"
+#include "wisteria/fleet/crash_reports.h"
 #include "wisteria/fleet/dialect.h"
 #include "wisteria/fleet/fleet_update.h"
 #include "wisteria/fleet/load_sum.h"
@@ -116,9 +117,10 @@
 	placer_t placer;
 	load_sum_t load;
 	clock_ms_t load_sent_ms;
-	part_guard_t parts;	  /* decides while this instance leads */
-	clock_ms_t parts_sent_ms; /* to the subscribers */
-	size_t parts_sent;	  /* length of the last list */
+	part_guard_t parts;	       /* decides while this instance leads */
+	clock_ms_t parts_sent_ms;      /* to the subscribers */
+	size_t parts_sent;	       /* length of the last list */
+	crash_reports_t crash_reports; /* of crashes that are not certain */
 	fleet_limits_t limits;
 	prober_t prober;
 	clock_ms_t slow_reported_ms; /* last report of slow streams */
--- a/src/wisteria/fleet/fleet_parts.c
+++ b/src/wisteria/fleet/fleet_parts.c
@@ -1,5 +1,6 @@
 /*
- * The leader's side of the parts of prompts that crash endpoints: collects what
+ * The leader's side of the parts of prompts, and the requests, that crash
+ * endpoints: collects what
  * the entries see, decides with part_guard.c, and tells all subscribers.  The
  * other control instances keep the refusals, so that a new leader has them.
  */
@@ -9,8 +10,11 @@
 #include "wisteria/base/counters.h"
 #include "wisteria/base/log.h"
 #include "wisteria/control/replica.h"
+#include "wisteria/fleet/crash_reports.h"
 #include "wisteria/fleet/dialect.h"
 #include "wisteria/fleet/part_guard.h"
+#include "wisteria/fleet/prober.h"
+#include "wisteria/fleet/registry.h"
 #include "wisteria/net/conn.h"
 
 #define PART_FORMAT "%" G_GINT64_MODIFIER "x"
@@ -66,33 +70,93 @@
 	}
 }
 
-static void handle_crash(fleet_control_t *control,
-			 const msg_fleet_parts_t *report, clock_ms_t now)
+static part_seen_t read_part(uint64_t part, int64_t passed_ago_ms,
+			     clock_ms_t now)
+{
+	return (part_seen_t){
+		.part = part,
+		.has_passed = passed_ago_ms >= 0,
+		.passed_ms = now - passed_ago_ms,
+	};
+}
+
+static void read_report(const msg_fleet_parts_t *message, clock_ms_t now,
+			crash_report_t *report)
 {
-	const part_crash_t crash = {
-		.endpoint = report->endpoint,
-		.request = report->request,
-		.at_ms = now,
+	*report = (crash_report_t){
+		.incarnation = message->suspected_incarnation,
+		.crash = {
+			.endpoint = message->endpoint,
+			.request = message->digest == 0 ? message->request
+							: message->digest,
+			.repetition = message->request,
+			.at_ms = now,
+		},
+		.part_count =
+			(uint32_t)MIN(message->part_count, PROMPT_PARTS_MAX),
 	};
-	uint32_t count = (uint32_t)MIN(report->part_count, PROMPT_PARTS_MAX);
-	part_seen_t seen[PROMPT_PARTS_MAX] = { 0 };
-	const part_record_t *refused;
-
-	for (uint32_t i = 0; i < count; i++)
-		seen[i] = (part_seen_t){
-			.part = report->parts[i].part,
-			.has_passed = report->parts[i].passed_ago_ms >= 0,
-			.passed_ms = now - report->parts[i].passed_ago_ms,
-		};
-	refused = part_guard_crash(&control->parts, seen, count, &crash);
-	for (uint32_t i = 0; i < count; i++)
-		log_suspected(control, seen[i].part, now);
+	g_strlcpy(report->endpoint_id, message->suspected_id,
+		  sizeof(report->endpoint_id));
+	for (uint32_t i = 0; i < report->part_count; i++)
+		report->parts[i] =
+			read_part(message->parts[i].part,
+				  message->parts[i].passed_ago_ms, now);
+	if (message->digest == 0)
+		return;
+	report->parts[report->part_count] =
+		read_part(message->digest, message->digest_passed_ago_ms, now);
+	report->parts[report->part_count++].is_whole = true;
+}
+
+static void count_crash(fleet_control_t *control, const crash_report_t *report,
+			clock_ms_t now)
+{
+	const part_record_t *refused =
+		part_guard_crash(&control->parts, report->parts,
+				 report->part_count, &report->crash);
+
+	for (uint32_t i = 0; i < report->part_count; i++)
+		log_suspected(control, report->parts[i].part, now);
 	if (refused == NULL)
 		return;
 	log_refused(control, refused->part, "crashes", now);
 	fleet_parts_send(control, now);
 }
 
+/* Counts the reported crashes that are certain now. */
+void fleet_parts_confirm(fleet_control_t *control, clock_ms_t now)
+{
+	crash_report_t report;
+
+	while (crash_reports_take(&control->crash_reports, &control->registry,
+				  now, &report)) {
+		LOG_INFO("crash_confirmed",
+			 "endpoint=%s incarnation=%" G_GUINT64_FORMAT
+			 " digest=" PART_FORMAT,
+			 report.endpoint_id, report.incarnation,
+			 report.crash.request);
+		count_crash(control, &report, now);
+	}
+}
+
+static void handle_crash(fleet_control_t *control,
+			 const msg_fleet_parts_t *message, clock_ms_t now)
+{
+	crash_report_t report;
+
+	read_report(message, now, &report);
+	if (report.endpoint_id[0] == '\0') {
+		count_crash(control, &report, now);
+		return;
+	}
+	if (!crash_reports_add(&control->crash_reports, &report,
+			       &control->registry))
+		return;
+	prober_check(&control->prober,
+		     registry_find(&control->registry, report.endpoint_id));
+	fleet_parts_confirm(control, now);
+}
+
 /* Handles a report of an entry, at the leader. */
 void fleet_parts_handle(fleet_control_t *control,
 			const msg_fleet_parts_t *report)
@@ -121,13 +185,13 @@
 }
 
 /*
- * Sends all subscribers the parts that are refused or worth watching.  An empty
- * list is sent only once, after a list that was not empty.
+ * Fills "parts", of PART_GUARD_PARTS_MAX items, with those that are refused or
+ * worth watching; returns the message with them.
  */
-void fleet_parts_send(fleet_control_t *control, clock_ms_t now)
+static msg_fleet_parts_t list_parts(const fleet_control_t *control,
+				    clock_ms_t now, msg_fleet_part_t *parts)
 {
 	const part_guard_t *guard = &control->parts;
-	msg_fleet_part_t parts[PART_GUARD_PARTS_MAX];
 	msg_fleet_parts_t list = { .parts = parts };
 
 	for (uint32_t i = 0; i < guard->count; i++) {
@@ -142,6 +206,18 @@
 				.refused_left_ms = refused_ms,
 			};
 	}
+	return list;
+}
+
+/*
+ * Sends all subscribers the parts that are refused or worth watching.  An empty
+ * list is sent only once, after a list that was not empty.
+ */
+void fleet_parts_send(fleet_control_t *control, clock_ms_t now)
+{
+	msg_fleet_part_t parts[PART_GUARD_PARTS_MAX];
+	const msg_fleet_parts_t list = list_parts(control, now, parts);
+
 	for (guint i = 0; (list.part_count > 0 || control->parts_sent > 0) &&
 			  i < control->subscribers->len;
 	     i++)
@@ -154,6 +230,10 @@
 /* Forgets old parts and, at the leader, sends the list at intervals. */
 void fleet_parts_tick(fleet_control_t *control, clock_ms_t now)
 {
+	if (leads(control))
+		fleet_parts_confirm(control, now);
+	else
+		crash_reports_init(&control->crash_reports);
 	part_guard_expire(&control->parts, now);
 	part_guard_unwatch(&control->parts);
 	counter_set(GAUGE_PARTS_REFUSED,
--- a/src/wisteria/fleet/part_guard.c
+++ b/src/wisteria/fleet/part_guard.c
@@ -1,8 +1,10 @@
 /*
- * Decides which parts of prompts are refused because they crash endpoints.  It
- * is made for a part that crashes every endpoint which begins an answer to a
- * request with it, whatever else the request has; other requests share its
- * caller and its other parts and are sound.
+ * Decides which parts of prompts, and which whole requests, are refused because
+ * they crash endpoints.  It is made for a part that crashes every endpoint which
+ * begins an answer to a request with it, whatever else the request has, and for a
+ * request that crashes every endpoint and is repeated under other ids; other
+ * requests share its caller and its other parts and are sound.  A request counts
+ * as its own last part.
  *
  * A part is held responsible if requests with it crashed
  * PART_GUARD_CRASHES_MIN endpoints, and no request with it was served since the
@@ -167,6 +169,7 @@
 				      const part_crash_t *crash)
 {
 	part_record_t *refused = NULL;
+	bool refuses_whole = false;
 
 	for (uint32_t i = 0; i < count; i++)
 		if (part_guard_refused_ms(guard, parts[i].part, crash->at_ms) >
@@ -174,23 +177,29 @@
 			return NULL;
 	for (uint32_t i = 0; i < count; i++) {
 		part_record_t *record = find_or_add(guard, parts[i].part);
+		part_crash_t counted = *crash;
 
+		if (parts[i].is_whole)
+			counted.request = crash->repetition;
 		record->position = i;
 		if (parts[i].has_passed)
 			add_pass(record, parts[i].passed_ms);
-		add_crash(record, crash);
+		add_crash(record, &counted);
 	}
 	for (uint32_t i = 0; i < count; i++) {
 		part_record_t *record = find_record(guard, parts[i].part);
 
-		if (record != NULL && is_responsible(record, crash->at_ms) &&
-		    is_preferred(record, refused))
-			refused = record;
+		if (record == NULL || !is_responsible(record, crash->at_ms) ||
+		    !is_preferred(record, refused))
+			continue;
+		refused = record;
+		refuses_whole = parts[i].is_whole;
 	}
 	if (refused == NULL)
 		return NULL;
 	refused->refused_until_ms = crash->at_ms + PART_GUARD_REFUSAL_MS;
-	for (uint32_t i = 0; i < count; i++) {
+	/* That one request is refused explains no crash of other requests. */
+	for (uint32_t i = 0; !refuses_whole && i < count; i++) {
 		part_record_t *record = find_record(guard, parts[i].part);
 
 		if (record != NULL && record != refused)
--- a/src/wisteria/fleet/part_guard_defs.h
+++ b/src/wisteria/fleet/part_guard_defs.h
@@ -25,8 +25,9 @@
 /* A crash of an endpoint under a request with a part. */
 typedef struct {
 	uint64_t endpoint; /* and incarnation */
-	uint64_t request;
+	uint64_t request;  /* the same for its repetitions */
 	clock_ms_t at_ms;
+	uint64_t repetition; /* another one for each */
 } part_crash_t;
 
 /* A part that was in a request under which an endpoint crashed. */
@@ -47,9 +48,10 @@
 	uint32_t count;
 } part_guard_t;
 
-/* A shared part of a request, in the order of the prompt. */
+/* A part of a request, in the order of the prompt; then the whole request. */
 typedef struct {
 	uint64_t part;
+	bool is_whole;	 /* only the repetitions of the request have it, too */
 	bool has_passed; /* in another request, as far as is known */
 	clock_ms_t passed_ms;
 } part_seen_t;
--- a/src/wisteria/gateway/answer.c
+++ b/src/wisteria/gateway/answer.c
@@ -236,16 +236,20 @@
 }
 
 /*
- * Reports an endpoint that has closed the connection as it began to answer:
- * before the first event, without an end of the stream.
+ * Reports an endpoint that has closed the connection without a whole answer.  It
+ * has crashed if it had begun a stream and sent no event.  An endpoint without a
+ * model runs few requests at a time, so each of them may be why it closed; one
+ * with a model cuts many that it has not begun.
  */
-static void report_crash_at_begin(const exchange_t *exchange)
+static void report_crash(const exchange_t *exchange)
 {
-	if (exchange->is_streaming &&
-	    exchange->event_stream.attempt_event_count == 0)
+	bool is_certain = exchange->is_streaming;
+
+	if (exchange->event_stream.attempt_event_count == 0 &&
+	    (is_certain || !exchange->service->has_engine))
 		prompt_parts_crashed(exchange->gateway, &exchange->caller,
 				     exchange->target.ids[0],
-				     exchange->incarnation);
+				     exchange->incarnation, is_certain);
 }
 
 /* Completes the response only if the stream is complete, too. */
@@ -259,7 +263,7 @@
 		return;
 	}
 	if (answer->framing == HTTP_FRAMING_CLOSE)
-		report_crash_at_begin(exchange);
+		report_crash(exchange);
 	end_defective_stream(exchange, defect);
 }
 
@@ -322,8 +326,8 @@
 	exchange_t *exchange = exchange_of(handler);
 
 	exchange->call = NULL;
-	if (stage == HTTP_CALL_TRUNCATED)
-		report_crash_at_begin(exchange);
+	if (stage != HTTP_CALL_UNSENT)
+		report_crash(exchange);
 	exchange_attempt_failed(exchange, failures[stage], NULL, reason, NULL);
 }
 
--- a/src/wisteria/gateway/exchange.c
+++ b/src/wisteria/gateway/exchange.c
@@ -589,7 +589,8 @@
 	}
 	if (rejection.status == 0) {
 		caller.digest = prompt_parts_digest(
-			message, customer == NULL ? NULL : customer->name);
+			message, &caller,
+			customer == NULL ? NULL : customer->name);
 		rejection = check_parts(gateway, &caller);
 	}
 	if (rejection.status != 0) {
--- a/src/wisteria/gateway/gateway_defs.h
+++ b/src/wisteria/gateway/gateway_defs.h
@@ -88,10 +88,10 @@
  */
 #define GATEWAY_QUEUE_TIME_RATIO 0.6
 
-/* Parts of prompts of which the last pass is kept; a new one replaces another. */
-#define GATEWAY_PART_PASSES_MAX 1024
+/* Parts and requests whose last pass is kept; a new one replaces another. */
+#define GATEWAY_PART_PASSES_MAX 4096
 
-/* When a part was last in a request that was served. */
+/* When a part, or a request, was last served. */
 typedef struct {
 	uint64_t part;
 	clock_ms_t at_ms; /* 0: never */
--- a/src/wisteria/gateway/prompt_parts.c
+++ b/src/wisteria/gateway/prompt_parts.c
@@ -1,7 +1,8 @@
 /*
- * The entry's side of the parts of prompts that crash endpoints: reports to the
- * leader which parts were in a request under which an endpoint crashed and which
- * were in one that was served, and follows the leader's refusals.
+ * The entry's side of the parts of prompts, and the requests, that crash
+ * endpoints: reports to the leader which were there as an endpoint crashed and
+ * which were served, and follows the leader's refusals.  A request is known by its
+ * digest, as its repetitions have other ids.
  */
 #include "wisteria/gateway/prompt_parts.h"
 
@@ -18,8 +19,12 @@
 
 #define PART_FORMAT "%" G_GINT64_MODIFIER "x"
 
-/* Returns a digest of what a request asks for, and for which customer. */
+/*
+ * Returns a digest of what a request asks for, its prompt included, and for which
+ * customer.
+ */
 uint64_t prompt_parts_digest(const http_message_t *message,
+			     const caller_request_t *caller,
 			     const char *customer)
 {
 	const char *const texts[] = {
@@ -28,8 +33,11 @@
 		http_message_target(message),
 		customer,
 	};
-	uint64_t digest = 0;
+	uint64_t digest = caller->own_part;
 
+	for (uint32_t i = 0; i < caller->shared_part_count; i++)
+		digest = XXH3_64bits_withSeed(&caller->shared_parts[i],
+					      sizeof(uint64_t), digest);
 	for (size_t i = 0; i < ARRAY_SIZE(texts); i++)
 		if (texts[i] != NULL)
 			digest = XXH3_64bits_withSeed(
@@ -70,24 +78,40 @@
 	return g_string_free(text, FALSE);
 }
 
+/*
+ * Fills "parts", of REQUEST_PARTS_MAX items, with what the request may be refused
+ * for: its shared parts, and itself.  Returns their number.
+ */
+static uint32_t list_parts(const caller_request_t *caller, uint64_t *parts)
+{
+	memcpy(parts, caller->shared_parts,
+	       caller->shared_part_count * sizeof(*parts));
+	parts[caller->shared_part_count] = caller->digest;
+	return caller->shared_part_count + 1;
+}
+
 /* Records that an endpoint has begun to answer a request and runs on. */
 void prompt_parts_passed(gateway_t *gateway, const caller_request_t *caller)
 {
 	clock_ms_t now = clock_now(gateway->clock);
+	uint64_t parts[REQUEST_PARTS_MAX];
+	uint32_t count = list_parts(caller, parts);
 
-	for (uint32_t i = 0; i < caller->shared_part_count; i++)
-		*pass_of(gateway, caller->shared_parts[i]) = (part_pass_t){
-			.part = caller->shared_parts[i],
+	for (uint32_t i = 0; i < count; i++)
+		*pass_of(gateway, parts[i]) = (part_pass_t){
+			.part = parts[i],
 			.at_ms = now,
 		};
 }
 
 /*
- * Reports to the leader that an endpoint crashed as it began to answer a
- * request.  A report that finds no leader is lost; the next crash counts.
+ * Reports to the leader that an endpoint crashed under a request or, if
+ * "is_certain" is false, that it may have: it closed the connection.  A report
+ * that finds no leader is lost; the next crash counts.
  */
 void prompt_parts_crashed(gateway_t *gateway, const caller_request_t *caller,
-			  const char *endpoint_id, uint64_t incarnation)
+			  const char *endpoint_id, uint64_t incarnation,
+			  bool is_certain)
 {
 	clock_ms_t now = clock_now(gateway->clock);
 	msg_fleet_part_t parts[PROMPT_PARTS_MAX];
@@ -97,6 +121,11 @@
 		.request = XXH3_64bits(caller->id, strlen(caller->id)),
 		.parts = parts,
 		.part_count = caller->shared_part_count,
+		.digest = caller->digest,
+		.digest_passed_ago_ms =
+			passed_ago_ms(gateway, caller->digest, now),
+		.suspected_id = is_certain ? "" : endpoint_id,
+		.suspected_incarnation = incarnation,
 	};
 
 	for (uint32_t i = 0; i < caller->shared_part_count; i++)
@@ -105,31 +134,34 @@
 			.passed_ago_ms = passed_ago_ms(
 				gateway, caller->shared_parts[i], now),
 		};
-	counter_add(COUNTER_GATEWAY_CRASHES, 1);
-	LOG_INFO("endpoint_crashed_at_begin",
+	if (is_certain)
+		counter_add(COUNTER_GATEWAY_CRASHES, 1);
+	LOG_INFO(is_certain ? "endpoint_crashed_at_begin"
+			    : "endpoint_crash_suspected",
 		 "request=%s endpoint=%s incarnation=%" G_GUINT64_FORMAT
-		 " parts=%u",
+		 " parts=%u digest=" PART_FORMAT,
 		 caller->id, endpoint_id, incarnation,
-		 caller->shared_part_count);
-	if (caller->shared_part_count > 0)
-		subscription_send_to_leader(&gateway->subscription,
-					    MSG_FLEET_PARTS, &report);
+		 caller->shared_part_count, caller->digest);
+	subscription_send_to_leader(&gateway->subscription, MSG_FLEET_PARTS,
+				    &report);
 }
 
 /*
- * Returns for how long yet a request is refused for its parts; 0: it is not.
+ * Returns for how long yet a request is refused for its parts, or itself; 0: it is
+ * not.
  */
 clock_ms_t prompt_parts_refused_ms(const gateway_t *gateway,
 				   const caller_request_t *caller)
 {
 	clock_ms_t now = clock_now(gateway->clock);
+	uint64_t parts[REQUEST_PARTS_MAX];
+	uint32_t count = list_parts(caller, parts);
 	clock_ms_t longest_ms = 0;
 
-	for (uint32_t i = 0; i < caller->shared_part_count; i++)
-		longest_ms = MAX(longest_ms,
-				 part_guard_refused_ms(&gateway->parts,
-						       caller->shared_parts[i],
-						       now));
+	for (uint32_t i = 0; i < count; i++)
+		longest_ms =
+			MAX(longest_ms, part_guard_refused_ms(&gateway->parts,
+							      parts[i], now));
 	return longest_ms;
 }
 
--- a/src/wisteria/gateway/prompt_parts.h
+++ b/src/wisteria/gateway/prompt_parts.h
@@ -5,14 +5,15 @@
 #include "wisteria/gateway/gateway_defs.h"
 
 uint64_t prompt_parts_digest(const http_message_t *message,
-			     const char *customer) ATTR_NONNULL(1);
+			     const caller_request_t *caller,
+			     const char *customer) ATTR_NONNULL(1, 2);
 char *prompt_parts_describe(const caller_request_t *caller)
 	ATTR_NONNULL_ALL ATTR_WARN_UNUSED;
 void prompt_parts_passed(gateway_t *gateway,
 			 const caller_request_t *caller) ATTR_NONNULL_ALL;
 void prompt_parts_crashed(gateway_t *gateway, const caller_request_t *caller,
-			  const char *endpoint_id,
-			  uint64_t incarnation) ATTR_NONNULL_ALL;
+			  const char *endpoint_id, uint64_t incarnation,
+			  bool is_certain) ATTR_NONNULL_ALL;
 clock_ms_t
 prompt_parts_refused_ms(const gateway_t *gateway,
 			const caller_request_t *caller) ATTR_NONNULL_ALL;
--- a/test/unit/part_guard_test.c
+++ b/test/unit/part_guard_test.c
@@ -24,7 +24,7 @@
 				     clock_ms_t now)
 {
 	const part_seen_t parts[] = { { .part = first }, { .part = second } };
-	const part_crash_t crash = { next_endpoint++, next_request++, now };
+	const part_crash_t crash = { next_endpoint++, next_request++, now, 0 };
 
 	return part_guard_crash(&guard, parts, ARRAY_SIZE(parts), &crash);
 }
@@ -89,7 +89,7 @@
 	for (clock_ms_t now = 1000; now < 1000 + PART_GUARD_PASS_MS;
 	     now += 1000) {
 		const part_crash_t crash = { next_endpoint++, next_request++,
-					     now };
+					     now, 0 };
 
 		part.passed_ms = 999;
 		CU_ASSERT_PTR_NULL(part_guard_crash(&guard, &part, 1, &crash));
@@ -107,7 +107,7 @@
 	for (clock_ms_t now = 1000; now <= 1000 + PART_GUARD_PASS_MS;
 	     now += 1000) {
 		const part_crash_t crash = { next_endpoint++, next_request++,
-					     now };
+					     now, 0 };
 
 		refused = part_guard_crash(&guard, &part, 1, &crash);
 	}
@@ -120,7 +120,7 @@
 
 	init();
 	for (uint64_t i = 0; i < 20; i++) {
-		const part_crash_t crash = { 1, i, 1000 };
+		const part_crash_t crash = { 1, i, 1000, 0 };
 
 		CU_ASSERT_PTR_NULL(part_guard_crash(&guard, &part, 1, &crash));
 	}
@@ -132,7 +132,7 @@
 
 	init();
 	for (uint64_t i = 0; i < 20; i++) {
-		const part_crash_t crash = { i, 1, 1000 };
+		const part_crash_t crash = { i, 1, 1000, 0 };
 
 		CU_ASSERT_PTR_NULL(part_guard_crash(&guard, &part, 1, &crash));
 	}
@@ -145,12 +145,12 @@
 
 	init();
 	for (uint64_t i = 1; i <= PART_GUARD_CRASHES_MIN; i++) {
-		const part_crash_t crash = { i, 1, 1000 };
+		const part_crash_t crash = { i, 1, 1000, 0 };
 
 		CU_ASSERT_PTR_NULL(part_guard_crash(&guard, &part, 1, &crash));
 	}
-	CU_ASSERT_PTR_NOT_NULL(part_guard_crash(&guard, &part, 1,
-						&(part_crash_t){ 1, 2, 2000 }));
+	CU_ASSERT_PTR_NOT_NULL(part_guard_crash(
+		&guard, &part, 1, &(part_crash_t){ 1, 2, 2000, 0 }));
 }
 
 /* What the refusal explains is held against no other part. */
@@ -212,6 +212,53 @@
 	CU_ASSERT_EQUAL(part_guard_refused_ms(&guard, BAD, 5000), 0);
 }
 
+/* The whole request of the tests, and its crash in repetition "id". */
+#define REQUEST 0xd19e57
+
+static const part_record_t *crash_of_repetition(uint64_t id, clock_ms_t now)
+{
+	const part_seen_t parts[] = {
+		{ .part = SYSTEM },
+		{ .part = SUBJECT },
+		{ .part = REQUEST, .is_whole = true },
+	};
+	const part_crash_t crash = { next_endpoint++, REQUEST, now, id };
+
+	return part_guard_crash(&guard, parts, ARRAY_SIZE(parts), &crash);
+}
+
+static void test_repeated_request_is_refused_without_its_parts(void)
+{
+	const part_record_t *refused;
+
+	init();
+	CU_ASSERT_PTR_NULL(crash_of_repetition(1, 1000));
+	CU_ASSERT_PTR_NULL(crash_of_repetition(1, 1100));
+	refused = crash_of_repetition(2, 1200);
+	CU_ASSERT(refused != NULL && refused->part == REQUEST);
+	CU_ASSERT_EQUAL(part_guard_refused_ms(&guard, SUBJECT, 1200), 0);
+	CU_ASSERT_EQUAL(part_guard_refused_ms(&guard, SYSTEM, 1200), 0);
+}
+
+/* One attempt after the other may hit endpoints that end for another reason. */
+static void test_request_without_repetition_is_not_refused(void)
+{
+	init();
+	for (clock_ms_t now = 1000; now < 9000; now += 1000)
+		CU_ASSERT_PTR_NULL(crash_of_repetition(1, now));
+}
+
+/* Callers repeat a request with a bad part; that part is still found. */
+static void test_repetitions_do_not_hide_a_bad_part(void)
+{
+	init();
+	CU_ASSERT_PTR_NULL(crash_of_repetition(1, 1000));
+	CU_ASSERT_PTR_NULL(crash_of_repetition(1, 1100));
+	CU_ASSERT_PTR_NOT_NULL(crash_of_repetition(2, 1200));
+	CU_ASSERT(crash_of(SYSTEM, SUBJECT, 1300) != NULL &&
+		  part_guard_refused_ms(&guard, SUBJECT, 1300) > 0);
+}
+
 static const unit_test_t tests[] = {
 	{ "part is refused at the third crash",
 	  test_part_is_refused_at_the_third_crash },
@@ -237,6 +284,12 @@
 	{ "ended refusal is forgotten", test_ended_refusal_is_forgotten },
 	{ "memory is bounded and keeps refusals",
 	  test_memory_is_bounded_and_keeps_refusals },
+	{ "repeated request is refused without its parts",
+	  test_repeated_request_is_refused_without_its_parts },
+	{ "request without repetition is not refused",
+	  test_request_without_repetition_is_not_refused },
+	{ "repetitions do not hide a bad part",
+	  test_repetitions_do_not_hide_a_bad_part },
 	{ "refusal of another process is taken over",
 	  test_refusal_of_another_process_is_taken_over },
 };
--- a/test/unit/prompt_parts_test.c
+++ b/test/unit/prompt_parts_test.c
@@ -15,6 +15,7 @@
 				     "X-Request: %s\r\n"
 				     "Content-Length: %zu\r\n\r\n%s",
 				     method, target, id, strlen(body), body);
+	const caller_request_t caller = { 0 };
 	http_reader_t reader;
 	uint64_t digest;
 
@@ -22,7 +23,7 @@
 	CU_ASSERT_EQUAL(http_reader_feed(&reader, text, strlen(text)),
 			strlen(text));
 	CU_ASSERT_EQUAL(reader.state, HTTP_READ_COMPLETE);
-	digest = prompt_parts_digest(&reader.message, customer);
+	digest = prompt_parts_digest(&reader.message, &caller, customer);
 	http_reader_finish(&reader);
 	g_free(text);
 	return digest;
