Tell an entry that subscribes what is refused

Callers would see: for up to 0.5 s after it has connected, an entry that has just started sends a request that all others refuse to an endpoint, which ends under it.

Cause: the refusals went out with the next list of the leader. An entry takes requests as soon as it has a lease, which may be earlier.

Change: a control instance sends its refusals as the entry subscribes, like the endpoints and the limits. Any of them does, not only the leader; they have the list.

--- a/src/wisteria/fleet/fleet_control.c
+++ b/src/wisteria/fleet/fleet_control.c
@@ -115,6 +115,7 @@
 	g_ptr_array_add(control->subscribers, conn);
 	send_known_controls(control, conn);
 	send_all_endpoints(control, conn);
+	fleet_parts_send_to(control, conn);
 	fleet_limits_send(control, conn);
 }
 
--- a/src/wisteria/fleet/fleet_parts.c
+++ b/src/wisteria/fleet/fleet_parts.c
@@ -227,6 +227,17 @@
 	control->parts_sent_ms = now;
 }
 
+/* Tells a subscriber that has just connected what is refused. */
+void fleet_parts_send_to(const fleet_control_t *control, conn_t *conn)
+{
+	msg_fleet_part_t parts[PART_GUARD_PARTS_MAX];
+	const msg_fleet_parts_t list =
+		list_parts(control, clock_now(control->net->clock), parts);
+
+	if (list.part_count > 0)
+		conn_send(conn, MSG_FLEET_PARTS, &list);
+}
+
 /* Forgets old parts and, at the leader, sends the list at intervals. */
 void fleet_parts_tick(fleet_control_t *control, clock_ms_t now)
 {
