Repeat a request that ends endpoints in the soak

In the end of a run a booking that ends the endpoint that runs it is repeated; at the fifth at the latest every entry must refuse it, one with 100 entries as well, and no more than five endpoints may end. Relays follow endpoints that come back elsewhere.

--- a/test/functional/harness/relay.c
+++ b/test/functional/harness/relay.c
@@ -101,9 +101,13 @@
 static void add_conn(relay_t *relay, int fd)
 {
 	int target = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	struct sockaddr_storage to;
 	relay_conn_t *conn;
 
-	if (connect(target, (struct sockaddr *)&relay->target,
+	pthread_mutex_lock(&relay->lock);
+	to = relay->target;
+	pthread_mutex_unlock(&relay->lock);
+	if (connect(target, (struct sockaddr *)&to,
 		    sizeof(struct sockaddr_in)) != 0) {
 		close(target);
 		close(fd);
@@ -184,6 +188,15 @@
 }
 
 /* Returns the IP:PORT at which the relay listens. */
+/* Leads new connections to "target". */
+void relay_set_target(relay_t *relay, const char *target)
+{
+	pthread_mutex_lock(&relay->lock);
+	if (!net_parse_address(target, &relay->target, NULL))
+		g_error("relay cannot lead to %s", target);
+	pthread_mutex_unlock(&relay->lock);
+}
+
 const char *relay_address(const relay_t *relay)
 {
 	return relay->address;
--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -78,6 +78,7 @@
 	KIND_CHAT,
 	KIND_CRASHING, /* KIND_CHAT with a part that crashes endpoints */
 	KIND_BOOKING,
+	KIND_ENDING, /* KIND_BOOKING that ends the endpoint that runs it */
 	KIND_CHANGE,
 	KIND_READ
 } request_kind_t;
@@ -106,6 +107,7 @@
 	relay_t *relay;
 	char id[16];
 	bool is_running;
+	unsigned born;	      /* its incarnation that the relay leads to */
 	clock_ms_t repair_ms; /* when its fault ends; 0: no fault */
 } soak_endpoint_t;
 
@@ -288,6 +290,8 @@
 	endpoint->fake_endpoint.fallback_controls = soak->control_addresses;
 	endpoint->fake_endpoint.journal = &soak->journal;
 	endpoint->fake_endpoint.crashes_on_bad_part = i < WRITER_ENDPOINTS;
+	endpoint->fake_endpoint.ends_on_bad_body = i >= WRITER_ENDPOINTS;
+	endpoint->born = endpoint->fake_endpoint.born;
 	fake_endpoint_start_threads(&endpoint->fake_endpoint);
 	endpoint->is_running = true;
 	endpoint->repair_ms = 0;
@@ -330,7 +334,8 @@
 		"X-Wisteriadrift-Prefix-Hash: aa:9,%s%x:9",
 		kind == KIND_CRASHING ? FAKE_ENDPOINT_BAD_PART ":9," : "",
 		soak->requests);
-	headers[3] = parts_line;
+	/* Repetitions of one request have the same prompt, here none. */
+	headers[3] = kind == KIND_ENDING ? NULL : parts_line;
 	url = g_strdup_printf("http://%s%s", to->address, path);
 	params.url = url;
 	params.headers = headers;
@@ -939,17 +944,18 @@
 {
 	unsigned crashes = 0;
 
-	for (unsigned i = 0; i < WRITER_ENDPOINTS; i++)
+	for (unsigned i = 0; i < ENDPOINTS; i++)
 		crashes += soak->endpoints[i].fake_endpoint.crashes;
 	return crashes;
 }
 
-/* Sends a crashing request to an entry; returns its status. */
-static long crashing_status(soak_t *soak, unsigned target)
+/* Sends a request that crashes endpoints to an entry; returns its status. */
+static long crashing_status(soak_t *soak, request_kind_t kind, unsigned target)
 {
-	http_request_t *request =
-		send_request(soak, KIND_CRASHING, &soak->entries[target],
-			     target, "/chat/1", "7 bolts");
+	http_request_t *request = send_request(
+		soak, kind, &soak->entries[target], target,
+		kind == KIND_ENDING ? "/book/1" : "/chat/1",
+		kind == KIND_ENDING ? FAKE_ENDPOINT_BAD_BODY : "7 bolts");
 	long status = 0;
 
 	if (http_wait(&soak->client, request, HARNESS_WAIT_MS))
@@ -967,9 +973,9 @@
 	unsigned crashes;
 
 	for (unsigned i = 0; i < CRASHES_MAX + LATE_REQUESTS_MAX; i++)
-		crashing_status(soak, i % soak->entry_count);
+		crashing_status(soak, KIND_CRASHING, i % soak->entry_count);
 	for (; sent.target < soak->entry_count; sent.target++)
-		if (crashing_status(soak, sent.target) != 503)
+		if (crashing_status(soak, KIND_CRASHING, sent.target) != 503)
 			report_violation(soak, "crashing part is refused",
 					 &sent, "it was not");
 	crashes = count_crashes(soak) - before;
@@ -978,6 +984,54 @@
 				 harness_string(&soak->harness, "%u", crashes));
 }
 
+/* Leads the relays of endpoints that were started again to them. */
+static void follow_restarts(soak_t *soak)
+{
+	for (unsigned i = 0; i < ENDPOINTS; i++) {
+		soak_endpoint_t *endpoint = &soak->endpoints[i];
+
+		if (endpoint->born == endpoint->fake_endpoint.born)
+			continue;
+		endpoint->born = endpoint->fake_endpoint.born;
+		relay_set_target(endpoint->relay,
+				 endpoint->fake_endpoint.address);
+	}
+}
+
+static void wait_until_all_serve(soak_t *soak, unsigned target)
+{
+	gint64 until_us = g_get_monotonic_time() +
+			  2 * FAKE_ENDPOINT_DOWN_MS * G_TIME_SPAN_MILLISECOND;
+
+	while (g_get_monotonic_time() < until_us) {
+		http_client_poll(&soak->client, 10);
+		follow_restarts(soak);
+	}
+	expect_probe_succeeds(soak, &soak->entries[target], target,
+			      KIND_BOOKING);
+}
+
+/* Checks that a repeated request that ends endpoints is refused everywhere. */
+static void check_repeated_request(soak_t *soak)
+{
+	unsigned before = count_crashes(soak);
+	sent_request_t sent = { .kind = KIND_ENDING, .id = "-" };
+	unsigned crashes;
+
+	for (unsigned i = 0; i < CRASHES_MAX; i++) {
+		crashing_status(soak, KIND_ENDING, i % soak->entry_count);
+		wait_until_all_serve(soak, i % soak->entry_count);
+	}
+	for (; sent.target < soak->entry_count; sent.target++)
+		if (crashing_status(soak, KIND_ENDING, sent.target) != 503)
+			report_violation(soak, "repeated request is refused",
+					 &sent, "it was not");
+	crashes = count_crashes(soak) - before;
+	if (crashes > CRASHES_MAX)
+		report_violation(soak, "few endpoints end", &sent,
+				 harness_string(&soak->harness, "%u", crashes));
+}
+
 static void set_limits(soak_t *soak, const char *limit,
 		       fake_endpoint_mode_t mode)
 {
@@ -1087,6 +1141,7 @@
 	for (unsigned i = 0; i < CONTROLS; i++)
 		expect_probe_succeeds(soak, &soak->controls[i], i, KIND_READ);
 	check_crashing_part(soak);
+	check_repeated_request(soak);
 	check_request_limits(soak);
 	check_bookings(soak);
 }
