Ask in one place whether a control instance leads

Four places of the fleet's control role had the same condition, two of them added for limits and refusals. Also names requests beside parts of prompts in the help, the counter and the gauge.

No change of behaviour; the unit tests pass.

--- a/src/cli/show.c
+++ b/src/cli/show.c
@@ -123,8 +123,8 @@
 }
 
 /*
- * Lists the parts of prompts that are refused since they crash endpoints, or
- * watched since an endpoint crashed under a request with them.
+ * Lists the parts of prompts, and the digests of requests, that are refused since
+ * they crash endpoints, or watched since an endpoint crashed under them.
  */
 CLI_COMMAND(cli_part_list)
 {
--- a/src/wisteria/base/counters.c
+++ b/src/wisteria/base/counters.c
@@ -89,8 +89,8 @@
 				      "Answers that ended as they began." },
 	[COUNTER_GATEWAY_PART_REFUSALS] = { "gateway_part_refusals_total",
 					    "counter",
-					    "Requests refused for a part of "
-					    "their prompt that crashes "
+					    "Requests refused since they, or "
+					    "a part of their prompt, crash "
 					    "endpoints." },
 	[COUNTER_GATEWAY_LIMITED] = { "gateway_limited_total", "counter",
 				      "Requests whose best endpoint was at "
@@ -110,7 +110,8 @@
 					 "Bytes held of unfinished answers." },
 	[GAUGE_ENDPOINTS] = { "endpoints", "gauge", "Endpoints known." },
 	[GAUGE_PARTS_REFUSED] = { "parts_refused", "gauge",
-				  "Parts of prompts that are refused." },
+				  "Parts of prompts, and requests, that "
+				  "are refused." },
 	[GAUGE_ENDPOINTS_LIMITED] = { "endpoints_limited", "gauge",
 				      "Endpoints that name a limit." },
 	[GAUGE_LEASE] = { "lease", "gauge",
--- a/src/wisteria/fleet/fleet_control.c
+++ b/src/wisteria/fleet/fleet_control.c
@@ -167,8 +167,7 @@
 	const msg_fleet_silent_t *silent = body;
 
 	(void)conn;
-	if (!control->has_replica ||
-	    !replica_is_ready_leader(&control->replica))
+	if (!fleet_group_leads(control))
 		return;
 	for (size_t i = 0; i < silent->endpoint_count; i++) {
 		const endpoint_t *endpoint = registry_find(
@@ -603,9 +602,8 @@
 	fleet_limits_tick(control, now);
 	subscribe_to_members(control);
 	registry_remove_expired(&control->registry, now);
-	if (control->has_replica &&
-	    replica_is_ready_leader(&control->replica) &&
-	    control->table != NULL && !control->draining) {
+	if (fleet_group_leads(control) && control->table != NULL &&
+	    !control->draining) {
 		/*
 		 * Probes only after a report of slow streams, and then until no
 		 * engine is slow.
--- a/src/wisteria/fleet/fleet_group.c
+++ b/src/wisteria/fleet/fleet_group.c
@@ -121,6 +121,13 @@
 	control->recalled_entries = control->registry_file.entries;
 }
 
+/* Returns whether this instance leads and has applied the log so far. */
+bool fleet_group_leads(const fleet_control_t *control)
+{
+	return control->has_replica &&
+	       replica_is_ready_leader(&control->replica);
+}
+
 /* Returns the leader's address for frames, or NULL if it is not known. */
 const char *fleet_group_leader_address(const fleet_control_t *control)
 {
--- a/src/wisteria/fleet/fleet_limits.c
+++ b/src/wisteria/fleet/fleet_limits.c
@@ -7,8 +7,8 @@
 #include "wisteria/base/clock.h"
 #include "wisteria/base/counters.h"
 #include "wisteria/base/log.h"
-#include "wisteria/control/replica.h"
 #include "wisteria/fleet/dialect.h"
+#include "wisteria/fleet/fleet_group.h"
 #include "wisteria/fleet/permit_issuer.h"
 #include "wisteria/fleet/registry.h"
 #include "wisteria/fleet/request_limits.h"
@@ -34,12 +34,6 @@
 	g_hash_table_destroy(limits->reports_ms);
 }
 
-static bool leads(const fleet_control_t *control)
-{
-	return control->has_replica &&
-	       replica_is_ready_leader(&control->replica);
-}
-
 static void issue(fleet_control_t *control, clock_ms_t now)
 {
 	fleet_limits_t *limits = &control->limits;
@@ -111,7 +105,7 @@
 /* Tells an entry that has just connected all limits. */
 void fleet_limits_send(fleet_control_t *control, conn_t *conn)
 {
-	if (leads(control) && conn->user != NULL)
+	if (fleet_group_leads(control) && conn->user != NULL)
 		send_permits(control, conn, true,
 			     clock_now(control->net->clock));
 }
@@ -145,7 +139,7 @@
 
 	*report_ms = report->report_sent_ms;
 	g_hash_table_replace(limits->reports_ms, conn, report_ms);
-	if (!leads(control))
+	if (!fleet_group_leads(control))
 		return;
 	for (size_t i = 0; i < report->limit_count; i++) {
 		const msg_fleet_limit_t *limit = &report->limits[i];
@@ -180,7 +174,7 @@
 {
 	fleet_limits_t *limits = &control->limits;
 
-	if (!leads(control)) {
+	if (!fleet_group_leads(control)) {
 		/* A later leader learns them from the entries. */
 		g_hash_table_remove_all(limits->known.by_id);
 		g_hash_table_remove_all(limits->issuer.accounts);
--- a/src/wisteria/fleet/fleet_parts.c
+++ b/src/wisteria/fleet/fleet_parts.c
@@ -1,17 +1,17 @@
 /*
  * The leader's side of the parts of prompts, and the requests, that crash
- * endpoints: collects what
- * the entries see, decides with part_guard.c, and tells all subscribers.  The
- * other control instances keep the refusals, so that a new leader has them.
+ * endpoints: collects what the entries see, decides with part_guard.c, and tells
+ * all subscribers.  The other control instances keep the refusals, so that a new
+ * leader has them.
  */
 #include "wisteria/fleet/fleet_parts.h"
 
 #include "wisteria/base/clock.h"
 #include "wisteria/base/counters.h"
 #include "wisteria/base/log.h"
-#include "wisteria/control/replica.h"
 #include "wisteria/fleet/crash_reports.h"
 #include "wisteria/fleet/dialect.h"
+#include "wisteria/fleet/fleet_group.h"
 #include "wisteria/fleet/part_guard.h"
 #include "wisteria/fleet/prober.h"
 #include "wisteria/fleet/registry.h"
@@ -19,12 +19,6 @@
 
 #define PART_FORMAT "%" G_GINT64_MODIFIER "x"
 
-static bool leads(const fleet_control_t *control)
-{
-	return control->has_replica &&
-	       replica_is_ready_leader(&control->replica);
-}
-
 static void log_refused(const fleet_control_t *control, uint64_t part,
 			const char *source, clock_ms_t now)
 {
@@ -163,7 +157,7 @@
 {
 	clock_ms_t now = clock_now(control->net->clock);
 
-	if (!leads(control))
+	if (!fleet_group_leads(control))
 		return;
 	if (report->endpoint != 0)
 		handle_crash(control, report, now);
@@ -174,7 +168,7 @@
 /* Takes over the refusals that the leader sends. */
 void fleet_parts_follow(fleet_control_t *control, const msg_fleet_parts_t *list)
 {
-	if (!leads(control))
+	if (!fleet_group_leads(control))
 		learn(control, list, clock_now(control->net->clock));
 }
 
@@ -241,7 +235,7 @@
 /* Forgets old parts and, at the leader, sends the list at intervals. */
 void fleet_parts_tick(fleet_control_t *control, clock_ms_t now)
 {
-	if (leads(control))
+	if (fleet_group_leads(control))
 		fleet_parts_confirm(control, now);
 	else
 		crash_reports_init(&control->crash_reports);
@@ -249,7 +243,7 @@
 	part_guard_unwatch(&control->parts);
 	counter_set(GAUGE_PARTS_REFUSED,
 		    part_guard_refused_count(&control->parts, now));
-	if (leads(control) &&
+	if (fleet_group_leads(control) &&
 	    now - control->parts_sent_ms >= FLEET_LOAD_INTERVAL_MS)
 		fleet_parts_send(control, now);
 }
