Start and stop what two tests of the fleet need by the same code

The tests of crashing parts and of repeated requests started their endpoints, and three tests stopped their entries, by the same lines. No check changes; functional/fleet_test passes.

--- a/test/functional/fleet_test.c
+++ b/test/functional/fleet_test.c
@@ -634,6 +634,32 @@
 	fake_endpoint_stop(&endpoints[1]);
 }
 
+/* Starts endpoints and waits until the entry knows them. */
+static void start_endpoints(fake_endpoint_t *endpoints, int count,
+			    const char *service, fake_endpoint_mode_t mode)
+{
+	static unsigned started;
+
+	for (int i = 0; i < count; i++) {
+		const char *id =
+			harness_string(&harness, "i-many-%u", ++started);
+
+		fake_endpoint_start(&endpoints[i], id, service, harness.ip,
+				    control_address, mode);
+		CU_ASSERT(harness_wait_log(
+			entry, harness_string(&harness, "endpoint=%s ", id),
+			HARNESS_WAIT_MS));
+	}
+}
+
+static void stop_entries(harness_process_t *const *entries, size_t count)
+{
+	for (size_t i = 0; i < count; i++) {
+		harness_signal(entries[i], SIGTERM);
+		CU_ASSERT(harness_wait_exit(entries[i], HARNESS_WAIT_MS));
+	}
+}
+
 #define CRASHING_ENDPOINTS 6
 #define BAD_REQUESTS 12
 /* The crashes after which a part must be known, and the requests beyond. */
@@ -700,16 +726,10 @@
 	harness_process_t *others[2];
 	unsigned crashes;
 
-	for (int i = 0; i < CRASHING_ENDPOINTS; i++) {
-		const char *id = harness_string(&harness, "i-crash-%d", i);
-
-		fake_endpoint_start(&endpoints[i], id, "writer", harness.ip,
-				    control_address, FAKE_ENDPOINT_SERVE);
+	start_endpoints(endpoints, CRASHING_ENDPOINTS, "writer",
+			FAKE_ENDPOINT_SERVE);
+	for (int i = 0; i < CRASHING_ENDPOINTS; i++)
 		endpoints[i].crashes_on_bad_part = true;
-		CU_ASSERT(harness_wait_log(
-			entry, harness_string(&harness, "endpoint=%s ", id),
-			HARNESS_WAIT_MS));
-	}
 	others[0] = start_entry("entry-2", addresses[1], peer_address);
 	CU_ASSERT(harness_wait_until(serves_sound_parts, (void *)addresses[1],
 				     HARNESS_WAIT_MS));
@@ -731,10 +751,7 @@
 	CU_ASSERT_EQUAL(count_crashes(endpoints), crashes);
 	expect_row_in_list(metrics_address, "part",
 			   FAKE_ENDPOINT_BAD_PART "  refused");
-	for (size_t i = 0; i < ARRAY_SIZE(others); i++) {
-		harness_signal(others[i], SIGTERM);
-		CU_ASSERT(harness_wait_exit(others[i], HARNESS_WAIT_MS));
-	}
+	stop_entries(others, ARRAY_SIZE(others));
 	for (int i = 0; i < CRASHING_ENDPOINTS; i++)
 		fake_endpoint_stop(&endpoints[i]);
 }
@@ -781,16 +798,10 @@
 	harness_process_t *others[2];
 	unsigned ends;
 
-	for (int i = 0; i < ENDING_ENDPOINTS; i++) {
-		const char *id = harness_string(&harness, "i-end-%d", i);
-
-		fake_endpoint_start(&endpoints[i], id, "orders", harness.ip,
-				    control_address, FAKE_ENDPOINT_JSON);
+	start_endpoints(endpoints, ENDING_ENDPOINTS, "orders",
+			FAKE_ENDPOINT_JSON);
+	for (int i = 0; i < ENDING_ENDPOINTS; i++)
 		endpoints[i].ends_on_bad_body = true;
-		CU_ASSERT(harness_wait_log(
-			entry, harness_string(&harness, "endpoint=%s ", id),
-			HARNESS_WAIT_MS));
-	}
 	others[0] = start_entry("entry-end-1", addresses[1], peer_address);
 	for (int i = 0; i < REPETITIONS; i++) {
 		const char *address = addresses[i % 2];
@@ -813,10 +824,7 @@
 			503);
 	}
 	CU_ASSERT_EQUAL(count_ends(endpoints), ends);
-	for (size_t i = 0; i < ARRAY_SIZE(others); i++) {
-		harness_signal(others[i], SIGTERM);
-		CU_ASSERT(harness_wait_exit(others[i], HARNESS_WAIT_MS));
-	}
+	stop_entries(others, ARRAY_SIZE(others));
 	for (int i = 0; i < ENDING_ENDPOINTS; i++)
 		fake_endpoint_stop(&endpoints[i]);
 }
@@ -907,10 +915,7 @@
 		CU_ASSERT(harness_wait_until(serves_without_limit,
 					     (void *)addresses[i],
 					     HARNESS_WAIT_MS));
-	for (size_t i = 0; i < ARRAY_SIZE(others); i++) {
-		harness_signal(others[i], SIGTERM);
-		CU_ASSERT(harness_wait_exit(others[i], HARNESS_WAIT_MS));
-	}
+	stop_entries(others, ARRAY_SIZE(others));
 	fake_endpoint_stop(&endpoint);
 }
 
