--- a/src/wisteria/codec/msg_defs.h
+++ b/src/wisteria/codec/msg_defs.h
@@ -737,11 +737,11 @@
 	double per_s; /* below 0: it names none */
 	/* Age of the newest answer that says so; -1: none reached the sender. */
 	int64_t seen_ago_ms;
-	/* From an entry: that it would send; from the leader: that it may. */
+	/* From an entry: its demand since the last report; else its permits. */
 	uint32_t requests;
 } msg_fleet_limit_t;
 
-/* From an entry to the leader, and back. */
+/* A report of an entry to the leader, or the leader's answer to it. */
 typedef struct {
 	/* By the entry's clock; the leader returns that of the last report. */
 	int64_t report_sent_ms;
--- a/src/wisteria/fleet/dialect.h
+++ b/src/wisteria/fleet/dialect.h
@@ -78,7 +78,7 @@
 	 * entries together; REQUEST_LIMIT_NONE: it names no limit.
 	 */
 	double request_limit;
-	const char *unreadable_limit; /* a limit that has no sense, or NULL */
+	const char *unreadable_limit; /* one that is no decimal, or NULL */
 } endpoint_answer_t;
 
 /* An order that places a range of layers on an endpoint. */
--- a/src/wisteria/fleet/permit_issuer.c
+++ b/src/wisteria/fleet/permit_issuer.c
@@ -3,8 +3,9 @@
  * for an endpoint are issued at the rate of its limit and go to the entries in
  * proportion to their demand; they are whole requests, since a hundred entries
  * may share one request per second, and they expire, so that entries cannot save
- * them up and use them together.  Within 4 s the holders of all permits send at
- * most the limit times 4 s, PERMIT_CREDIT_MAX_MS and the validity of a permit.
+ * them up and use them together.  Within any time all entries together send at
+ * most the limit times that time, PERMIT_CREDIT_MAX_MS, the validity of a permit
+ * and its time in transit.
  * No clock, no I/O.
  */
 #include "wisteria/fleet/permit_issuer.h"
--- a/src/wisteria/gateway/endpoint_limits.c
+++ b/src/wisteria/gateway/endpoint_limits.c
@@ -220,9 +220,9 @@
 	}
 }
 
-static gboolean has_no_limit(gpointer id, gpointer purse, gpointer limits)
+static gboolean has_no_limit(gpointer id, gpointer balance, gpointer limits)
 {
-	(void)purse;
+	(void)balance;
 	return !g_hash_table_contains(limits, id);
 }
 
@@ -232,7 +232,7 @@
 	confirm_own(gateway);
 	request_limits_expire(&gateway->limits, &gateway->registry,
 			      LIMIT_UNCONFIRMED_MS, now);
-	g_hash_table_foreach_remove(gateway->permits.purses, has_no_limit,
+	g_hash_table_foreach_remove(gateway->permits.balances, has_no_limit,
 				    gateway->limits.by_id);
 	counter_set(GAUGE_ENDPOINTS_LIMITED,
 		    request_limits_count(&gateway->limits));
--- a/src/wisteria/gateway/permits.c
+++ b/src/wisteria/gateway/permits.c
@@ -17,7 +17,7 @@
 /* Initializes a table without permits; "random" must outlive it. */
 void permits_init(permits_t *permits, GRand *random)
 {
-	permits->purses =
+	permits->balances =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	permits->random = random;
 }
@@ -25,81 +25,81 @@
 /* Frees the table's contents. */
 void permits_finish(permits_t *permits)
 {
-	g_hash_table_destroy(permits->purses);
+	g_hash_table_destroy(permits->balances);
 }
 
-static permit_purse_t *find_or_add(permits_t *permits, const char *id)
+static permit_balance_t *find_or_add(permits_t *permits, const char *id)
 {
-	permit_purse_t *purse = g_hash_table_lookup(permits->purses, id);
+	permit_balance_t *balance = g_hash_table_lookup(permits->balances, id);
 
-	if (purse == NULL) {
-		purse = g_new0(permit_purse_t, 1);
-		g_hash_table_insert(permits->purses, g_strdup(id), purse);
+	if (balance == NULL) {
+		balance = g_new0(permit_balance_t, 1);
+		g_hash_table_insert(permits->balances, g_strdup(id), balance);
 	}
-	return purse;
+	return balance;
 }
 
 /* Records that the leader issues permits for the endpoint. */
 void permits_hear(permits_t *permits, const char *id, clock_ms_t now)
 {
-	permit_purse_t *purse = find_or_add(permits, id);
+	permit_balance_t *balance = find_or_add(permits, id);
 
-	purse->heard_ms = now;
-	purse->own_filled_ms = 0;
+	balance->heard_ms = now;
+	balance->own_filled_ms = 0;
 }
 
-static void drop_batch(permit_purse_t *purse)
+static void drop_batch(permit_balance_t *balance)
 {
-	purse->batch_count--;
-	memmove(&purse->batches[0], &purse->batches[1],
-		purse->batch_count * sizeof(purse->batches[0]));
+	balance->batch_count--;
+	memmove(&balance->batches[0], &balance->batches[1],
+		balance->batch_count * sizeof(balance->batches[0]));
 }
 
-static double received_per_s(const permit_purse_t *purse, clock_ms_t now)
+static double received_per_s(const permit_balance_t *balance, clock_ms_t now)
 {
-	return purse->received *
-	       exp(-(double)(now - purse->received_ms) / RECEIVED_MS);
+	return balance->received *
+	       exp(-(double)(now - balance->received_ms) / RECEIVED_MS);
 }
 
 /* Adds permits of the leader for an endpoint with this limit. */
 void permits_add(permits_t *permits, const char *id, uint32_t count,
 		 double per_s, clock_ms_t now)
 {
-	permit_purse_t *purse = find_or_add(permits, id);
+	permit_balance_t *balance = find_or_add(permits, id);
 
 	if (count == 0)
 		return;
-	if (purse->batch_count == PERMITS_BATCHES_MAX)
-		drop_batch(purse);
-	purse->batches[purse->batch_count++] = (permit_batch_t){
+	if (balance->batch_count == PERMITS_BATCHES_MAX)
+		drop_batch(balance);
+	balance->batches[balance->batch_count++] = (permit_batch_t){
 		.count = count,
 		.expires_ms = now + permit_valid_ms(per_s),
 	};
-	purse->received = received_per_s(purse, now) + count;
-	purse->received_ms = now;
+	balance->received = received_per_s(balance, now) + count;
+	balance->received_ms = now;
 }
 
-static bool is_leader_silent(const permit_purse_t *purse, clock_ms_t now)
+static bool is_leader_silent(const permit_balance_t *balance, clock_ms_t now)
 {
-	return purse->heard_ms == 0 ||
-	       now - purse->heard_ms >= PERMITS_LEADER_SILENT_MS;
+	return balance->heard_ms == 0 ||
+	       now - balance->heard_ms >= PERMITS_LEADER_SILENT_MS;
 }
 
 /*
  * Adds this entry's own permits since the last call.  It begins with a random
  * part of one, so that the entries do not all send at the same moment.
  */
-static void fill_own(permits_t *permits, permit_purse_t *purse,
+static void fill_own(permits_t *permits, permit_balance_t *balance,
 		     double own_per_s, clock_ms_t now)
 {
-	if (purse->own_filled_ms == 0) {
-		purse->own_credit = g_rand_double(permits->random);
-		purse->own_filled_ms = now;
+	if (balance->own_filled_ms == 0) {
+		balance->own_credit = g_rand_double(permits->random);
+		balance->own_filled_ms = now;
 	}
-	purse->own_credit +=
-		own_per_s * (double)(now - purse->own_filled_ms) / 1000;
-	purse->own_credit = MIN(purse->own_credit, 1);
-	purse->own_filled_ms = now;
+	balance->own_credit +=
+		own_per_s * (double)(now - balance->own_filled_ms) / 1000;
+	balance->own_credit = MIN(balance->own_credit, 1);
+	balance->own_filled_ms = now;
 }
 
 /*
@@ -109,40 +109,41 @@
 bool permits_allow(permits_t *permits, const char *id, double own_per_s,
 		   clock_ms_t now)
 {
-	permit_purse_t *purse = find_or_add(permits, id);
+	permit_balance_t *balance = find_or_add(permits, id);
 
-	while (purse->batch_count > 0 && now >= purse->batches[0].expires_ms)
-		drop_batch(purse);
-	if (purse->batch_count > 0)
+	while (balance->batch_count > 0 &&
+	       now >= balance->batches[0].expires_ms)
+		drop_batch(balance);
+	if (balance->batch_count > 0)
 		return true;
-	if (!is_leader_silent(purse, now))
+	if (!is_leader_silent(balance, now))
 		return false;
-	fill_own(permits, purse, own_per_s, now);
-	return purse->own_credit >= 1;
+	fill_own(permits, balance, own_per_s, now);
+	return balance->own_credit >= 1;
 }
 
 /* Uses a permit, after permits_allow(). */
 void permits_use(permits_t *permits, const char *id, clock_ms_t now)
 {
-	permit_purse_t *purse = find_or_add(permits, id);
+	permit_balance_t *balance = find_or_add(permits, id);
 
-	if (purse->batch_count == 0) {
-		if (is_leader_silent(purse, now))
-			purse->own_credit -= 1;
+	if (balance->batch_count == 0) {
+		if (is_leader_silent(balance, now))
+			balance->own_credit -= 1;
 		return;
 	}
-	if (--purse->batches[0].count == 0)
-		drop_batch(purse);
+	if (--balance->batches[0].count == 0)
+		drop_batch(balance);
 }
 
 /* Returns how many permits per second this entry can count on. */
 double permits_rate(permits_t *permits, const char *id, double own_per_s,
 		    clock_ms_t now)
 {
-	const permit_purse_t *purse = find_or_add(permits, id);
+	const permit_balance_t *balance = find_or_add(permits, id);
 
-	return is_leader_silent(purse, now) ? own_per_s
-					    : received_per_s(purse, now);
+	return is_leader_silent(balance, now) ? own_per_s
+					      : received_per_s(balance, now);
 }
 
 /* Records that a request would be sent to the endpoint. */
@@ -154,16 +155,16 @@
 /* Returns the requests that permits_want() recorded since the last call. */
 uint32_t permits_collect_wanted(permits_t *permits, const char *id)
 {
-	permit_purse_t *purse = g_hash_table_lookup(permits->purses, id);
-	uint32_t wanted = purse == NULL ? 0 : purse->wanted;
+	permit_balance_t *balance = g_hash_table_lookup(permits->balances, id);
+	uint32_t wanted = balance == NULL ? 0 : balance->wanted;
 
-	if (purse != NULL)
-		purse->wanted = 0;
+	if (balance != NULL)
+		balance->wanted = 0;
 	return wanted;
 }
 
 /* Forgets an endpoint that has no limit any more. */
 void permits_forget(permits_t *permits, const char *id)
 {
-	g_hash_table_remove(permits->purses, id);
+	g_hash_table_remove(permits->balances, id);
 }
--- a/src/wisteria/gateway/permits.h
+++ b/src/wisteria/gateway/permits.h
@@ -29,11 +29,11 @@
 	double own_credit;	  /* while the leader is silent */
 	clock_ms_t own_filled_ms; /* 0: it is not */
 	uint32_t wanted;	  /* requests since the last report */
-} permit_purse_t;
+} permit_balance_t;
 
 /* What this entry may send to endpoints that have named a limit. */
 typedef struct {
-	GHashTable *purses; /* endpoint id -> permit_purse_t */
+	GHashTable *balances; /* endpoint id -> permit_balance_t */
 	GRand *random;
 } permits_t;
 
--- a/test/unit/permits_test.c
+++ b/test/unit/permits_test.c
@@ -381,7 +381,7 @@
 	permits_use(&permits, ENDPOINT, 61000);
 	CU_ASSERT_FALSE(permits_allow(&permits, ENDPOINT, 1, 61000));
 	permits_forget(&permits, ENDPOINT);
-	CU_ASSERT_EQUAL(g_hash_table_size(permits.purses), 0);
+	CU_ASSERT_EQUAL(g_hash_table_size(permits.balances), 0);
 	permits_finish(&permits);
 	g_rand_free(random);
 }
