--- a/src/wisteria/codec/msg_defs.h
+++ b/src/wisteria/codec/msg_defs.h
@@ -725,7 +725,7 @@
 	size_t part_count;
 	uint64_t digest;	      /* of the whole request; 0: not given */
 	int64_t digest_passed_ago_ms; /* -1: not known */
-	/* The endpoint, if it may only have closed the connection; or "". */
+	/* The endpoint, if its crash has to be confirmed; otherwise "". */
 	const char *suspected_id;
 	uint64_t suspected_incarnation;
 } msg_fleet_parts_t;
--- a/src/wisteria/fleet/crash_reports.h
+++ b/src/wisteria/fleet/crash_reports.h
@@ -12,7 +12,7 @@
 
 /* Most reports that are kept; a new one replaces the oldest. */
 #define CRASH_REPORTS_MAX 64
-/* An endpoint that still lives by then has not crashed: its silence shows. */
+/* Above REGISTRY_SILENCE_MS, after which a crashed endpoint is silent. */
 #define CRASH_REPORT_MAX_AGE_MS 4000
 
 /* A request whose endpoint closed the connection without a whole answer. */
--- a/src/wisteria/fleet/dialect.h
+++ b/src/wisteria/fleet/dialect.h
@@ -19,7 +19,7 @@
 #define REQUEST_LIMIT_NONE (-1.0)
 /* Most parts of a prompt that are read; further ones are ignored. */
 #define PROMPT_PARTS_MAX 16
-/* These, and the whole request. */
+/* The parts of a prompt and, as the last one, the whole request. */
 #define REQUEST_PARTS_MAX (PROMPT_PARTS_MAX + 1)
 
 /* Metadata of a caller's request; strings point into the message. */
--- a/src/wisteria/fleet/part_guard.c
+++ b/src/wisteria/fleet/part_guard.c
@@ -198,7 +198,7 @@
 	if (refused == NULL)
 		return NULL;
 	refused->refused_until_ms = crash->at_ms + PART_GUARD_REFUSAL_MS;
-	/* That one request is refused explains no crash of other requests. */
+	/* Refusing one request does not account for crashes under others. */
 	for (uint32_t i = 0; !refuses_whole && i < count; i++) {
 		part_record_t *record = find_record(guard, parts[i].part);
 
