Wait until control knows the order that its agent has logged

The agent reports it with its next renewal of the lease, so the check could come before it.

Change: the test waits until the order is shown as done, up to the same limit as its other waits; an order that is never done still fails it.

--- a/test/functional/operate_test.c
+++ b/test/functional/operate_test.c
@@ -342,12 +342,24 @@
 
 #define LOAD_ORDER "{\"load\":\"modelo\",\"version\":2}"
 
+/* Returns whether order "id" is shown with "state" at the engine. */
+static bool order_has_state(const char *id, const char *state)
+{
+	return run_ctl(cluster.entries[0].admin,
+		       harness_string(&harness, "order show %s", id)) == 0 &&
+	       strstr(output, harness_string(&harness, "at the engine  %s\n",
+					     state)) != NULL;
+}
+
 /* Returns whether order "once" has the state named by "user" at the engine. */
 static bool engine_order_is_in_state(void *user)
 {
-	return run_ctl(cluster.entries[0].admin, "order show once") == 0 &&
-	       strstr(output, harness_string(&harness, "at the engine  %s\n",
-					     (const char *)user)) != NULL;
+	return order_has_state("once", user);
+}
+
+static bool next_order_is_in_state(void *user)
+{
+	return order_has_state("next", user);
 }
 
 /* Returns how many orders the engine of "endpoint" has run. */
@@ -419,7 +431,9 @@
 				   "event=engine_order endpoint",
 				   HARNESS_WAIT_MS));
 	CU_ASSERT(count_orders_run(endpoint) <= 2);
-	expect_ctl(0, "order show next", 0, "at the engine  done");
+	/* The agent reports what it logs with its next renewal. */
+	CU_ASSERT(harness_wait_until(next_order_is_in_state, (void *)"done",
+				     HARNESS_WAIT_MS));
 	stop_cluster();
 }
 
