Send endpoints the priority of a request

Endpoints admit and read the more urgent requests first, but no request named a priority, so all were served in the order of arrival. A customer's priority was parsed and not used.

Change: a request's rank is the priority of its customer and, among equals, that of its route, over the priorities that the configuration states; at most ten ranks are told apart. It goes to the endpoint, orders the wait queue of an entry, and is logged. Nothing is sent where all priorities are equal.

--- a/src/wisteria/fleet/dialect.h
+++ b/src/wisteria/fleet/dialect.h
@@ -58,6 +58,7 @@
 	int64_t last_event_id; /* -1: keep the caller's header */
 	const forward_hop_t *hops;
 	uint32_t hop_count; /* 0: a plain service */
+	int32_t rank;	    /* REQUEST_RANK_NONE: none is sent */
 } forward_t;
 
 /* Metadata of an endpoint's answer; strings point into the message. */
--- a/src/wisteria/fleet/routes.c
+++ b/src/wisteria/fleet/routes.c
@@ -53,6 +53,8 @@
 	table->routes = g_ptr_array_new_with_free_func(free_route);
 	table->services = g_ptr_array_new_with_free_func(free_service);
 	table->customers = g_ptr_array_new_with_free_func(free_customer);
+	table->customer_priorities = g_array_new(FALSE, FALSE, sizeof(int32_t));
+	table->route_priorities = g_array_new(FALSE, FALSE, sizeof(int32_t));
 	table->customers_by_key =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	return table;
@@ -74,6 +76,8 @@
 	g_ptr_array_unref(table->services);
 	g_hash_table_destroy(table->customers_by_key);
 	g_ptr_array_unref(table->customers);
+	g_array_unref(table->customer_priorities);
+	g_array_unref(table->route_priorities);
 	g_free(table);
 }
 
@@ -208,6 +212,54 @@
 	return ok;
 }
 
+static void add_priority(GArray *priorities, int32_t priority)
+{
+	guint i = 0;
+
+	while (i < priorities->len &&
+	       g_array_index(priorities, int32_t, i) < priority)
+		i++;
+	if (i == priorities->len ||
+	    g_array_index(priorities, int32_t, i) != priority)
+		g_array_insert_val(priorities, i, priority);
+}
+
+static bool leads_to_engine(const route_table_t *table, const route_t *route)
+{
+	for (guint i = 0; i < route->targets->len; i++) {
+		const char *name =
+			g_array_index(route->targets, route_target_t, i)
+				.service;
+
+		if (route_table_find_service(table, name)->has_engine)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Collects the priorities of customers and of the routes that lead to engines;
+ * plain services do not order their requests.
+ */
+static void collect_priorities(route_table_t *table)
+{
+	for (guint i = 0; i < table->customers->len; i++) {
+		const customer_config_t *customer =
+			g_ptr_array_index(table->customers, i);
+
+		if (customer->priority >= 0)
+			add_priority(table->customer_priorities,
+				     customer->priority);
+	}
+	for (guint i = 0; i < table->routes->len; i++) {
+		const route_t *route = g_ptr_array_index(table->routes, i);
+
+		if (leads_to_engine(table, route))
+			add_priority(table->route_priorities,
+				     (int32_t)route->priority);
+	}
+}
+
 /*
  * Validates a filled table and sorts its routes for lookups.  Returns false
  * with "err" naming the invalid route.
@@ -221,9 +273,46 @@
 	if (!check_no_duplicate_routes(table, err))
 		return false;
 	g_ptr_array_sort(table->routes, compare_routes);
+	collect_priorities(table);
 	return true;
 }
 
+/* Returns the index of "priority" in "priorities", or of the last one. */
+static guint priority_index(const GArray *priorities, int32_t priority)
+{
+	guint i = 0;
+
+	while (i + 1 < priorities->len &&
+	       g_array_index(priorities, int32_t, i) != priority)
+		i++;
+	return i;
+}
+
+/*
+ * Returns the rank of a request, 0 to REQUEST_RANKS - 1, 0 is the most urgent:
+ * by the priority of its customer and, among equals, by that of its route.
+ * Requests without a customer, or whose customer has no priority, rank with
+ * those of the least urgent customers.  Returns
+ * REQUEST_RANK_NONE if the configuration gives all requests the same priority.
+ */
+int32_t route_table_rank(const route_table_t *table, const route_t *route,
+			 const customer_config_t *customer)
+{
+	guint routes = table->route_priorities->len;
+	guint ranks = MAX(table->customer_priorities->len, 1) * routes;
+	guint rank = priority_index(table->route_priorities,
+				    (int32_t)route->priority);
+
+	if (ranks <= 1)
+		return REQUEST_RANK_NONE;
+	rank += routes *
+		priority_index(table->customer_priorities,
+			       customer == NULL ? -1 : customer->priority);
+	if (ranks > REQUEST_RANKS)
+		rank = rank * REQUEST_RANKS / ranks;
+	return (int32_t)rank;
+}
+
 static bool host_matches(const char *route_host, const char *host)
 {
 	size_t len = strlen(route_host);
--- a/src/wisteria/fleet/routes.h
+++ b/src/wisteria/fleet/routes.h
@@ -26,6 +26,8 @@
 const customer_config_t *
 route_table_find_customer(const route_table_t *table,
 			  const char *key) ATTR_NONNULL_ALL;
+int32_t route_table_rank(const route_table_t *table, const route_t *route,
+			 const customer_config_t *customer) ATTR_NONNULL(1, 2);
 const service_t *route_table_find_service(const route_table_t *table,
 					  const char *name) ATTR_NONNULL_ALL;
 const char *route_pick_service(const route_t *route,
--- a/src/wisteria/fleet/routes_defs.h
+++ b/src/wisteria/fleet/routes_defs.h
@@ -75,9 +75,14 @@
 
 typedef struct {
 	char *name;
-	int32_t priority; /* not used: the route's priority applies */
+	int32_t priority; /* 0 is the most urgent; -1: none */
 } customer_config_t;
 
+/* Number of ranks that endpoints tell apart; 0 is the most urgent. */
+#define REQUEST_RANKS 10
+/* All requests of the configuration have the same priority. */
+#define REQUEST_RANK_NONE (-1)
+
 /* Limits on requests and connections of callers. */
 typedef struct {
 	size_t header_bytes;
@@ -98,6 +103,9 @@
 	GPtrArray *customers;	      /* of customer_config_t */
 	GHashTable *customers_by_key; /* API key -> customer_config_t */
 	bool has_customers;	      /* requests need an API key */
+	/* Distinct priorities of customers and routes, ascending; int32_t. */
+	GArray *customer_priorities;
+	GArray *route_priorities;
 	route_limits_t limits;
 } route_table_t;
 
--- a/src/wisteria/gateway/exchange.c
+++ b/src/wisteria/gateway/exchange.c
@@ -129,6 +129,7 @@
 	const forward_t forward = {
 		.endpoint_id = target->ids[0],
 		.customer = exchange->customer,
+		.rank = exchange->rank,
 		.time_limit_ms = exchange->deadline_ms - now,
 		.last_event_id = exchange->headers_sent
 					 ? exchange->event_stream.last_id
@@ -172,13 +173,14 @@
 	LOG_INFO("request_sent",
 		 "request=%s send=%u endpoint=%s hops=%u tokens=%u+%u "
 		 "hint=%u cost_ms=%.1f "
-		 "left_ms=%" G_GINT64_FORMAT " behind_event=%" G_GINT64_FORMAT
+		 "rank=%d left_ms=%" G_GINT64_FORMAT
+		 " behind_event=%" G_GINT64_FORMAT
 		 " registry=%" G_GUINT64_FORMAT,
 		 id_of(exchange), exchange->send_count, target->ids[0],
 		 target->count, exchange->caller.prompt_tokens,
 		 exchange->caller.answer_tokens_max,
 		 exchange->caller.answer_tokens_hint, target->cost_ms,
-		 forward.time_limit_ms, forward.last_event_id,
+		 forward.rank, forward.time_limit_ms, forward.last_event_id,
 		 gateway->registry.version);
 }
 
@@ -312,7 +314,8 @@
 
 	/* Every revision has its own pools, as it has its own services. */
 	wait->pool = exchange->service;
-	wait->priority = exchange->route->priority;
+	wait->priority = exchange->rank < 0 ? exchange->route->priority
+					    : (uint32_t)exchange->rank;
 	must_wait = wait_queue_must_wait(&gateway->waiting, wait->pool,
 					 wait->priority);
 	if (!must_wait || gateway->drain_since_ms != 0)
@@ -599,6 +602,10 @@
 	}
 	exchange = exchange_new(gateway, conn, &caller, route, arrived_ms);
 	exchange->customer = customer == NULL ? NULL : customer->name;
+	exchange->rank =
+		exchange->service->has_engine
+			? route_table_rank(gateway->table, route, customer)
+			: REQUEST_RANK_NONE;
 	send_or_queue(exchange);
 }
 
--- a/src/wisteria/gateway/gateway_defs.h
+++ b/src/wisteria/gateway/gateway_defs.h
@@ -147,6 +147,7 @@
 	const service_t *service;
 	caller_request_t caller;
 	const char *customer;
+	int32_t rank; /* see route_table_rank() */
 	clock_ms_t started_ms;
 	clock_ms_t deadline_ms;
 	http_call_t *call;	     /* of the current attempt, or NULL */
--- a/test/unit/platform_test.c
+++ b/test/unit/platform_test.c
@@ -289,12 +289,13 @@
 {
 	static const forward_hop_t hops[] = { { "10.0.0.1:80", 0, 20 },
 					      { "10.0.0.2:80", 20, 80 } };
-	const forward_t forward = { .endpoint_id = "i-1",
-				    .customer = "t1",
-				    .time_limit_ms = 900,
-				    .last_event_id = 4,
-				    .hops = hops,
-				    .hop_count = 2 };
+	forward_t forward = { .endpoint_id = "i-1",
+			      .customer = "t1",
+			      .time_limit_ms = 900,
+			      .last_event_id = 4,
+			      .hops = hops,
+			      .hop_count = 2,
+			      .rank = REQUEST_RANK_NONE };
 	GString *out = g_string_new(NULL);
 
 	platform_dialect.write_forward(
@@ -318,6 +319,18 @@
 			  "X-Wisteriadrift-Hop-Count: 10.0.0.1:80=0-20,"
 			  "10.0.0.2:80=20-80\r\n"
 			  "Content-Length: 3\r\nConnection: close\r\n\r\nabc");
+	g_string_truncate(out, 0);
+	forward.rank = 3;
+	platform_dialect.write_forward(
+		parse_message(HTTP_REQUEST,
+			      "GET /a/ HTTP/1.1\r\nHost: h\r\n"
+			      "X-Wisteriadrift-Request-Priority: 0\r\n\r\n"),
+		&forward, out);
+	http_reader_finish(&reader);
+	CU_ASSERT_PTR_NOT_NULL(
+		strstr(out->str, "X-Wisteriadrift-Request-Priority: 3\r\n"));
+	CU_ASSERT_PTR_NULL(
+		strstr(out->str, "X-Wisteriadrift-Request-Priority: 0\r\n"));
 	g_string_free(out, TRUE);
 }
 
--- a/test/unit/routes_test.c
+++ b/test/unit/routes_test.c
@@ -180,7 +180,93 @@
 			       3900 / 0.04425, 1);
 }
 
+static customer_config_t *add_customer(route_table_t *table, const char *name,
+				       int32_t priority)
+{
+	customer_config_t *customer = route_table_add_customer(table, name);
+
+	customer->priority = priority;
+	return customer;
+}
+
+/* The customer's priority goes before the route's; plain services have none. */
+static void test_rank(void)
+{
+	route_table_t *table = new_table_with_service();
+	route_t *urgent = add_route(table, "urgent", "a.example", "/u/");
+	route_t *late = add_route(table, "late", "a.example", "/l/");
+	route_t *plain = add_route(table, "plain", "a.example", "/p/");
+	const customer_config_t *first = add_customer(table, "first", 0);
+	const customer_config_t *second = add_customer(table, "second", 4);
+	const customer_config_t *unstated = add_customer(table, "other", -1);
+	err_t err = ERR_INIT;
+
+	route_table_add_service(table, "modelo")->has_engine = true;
+	route_add_target(urgent, "modelo", 1);
+	route_add_target(late, "modelo", 1);
+	late->priority = 2;
+	plain->priority = 1;
+	CU_ASSERT_TRUE(route_table_seal(table, &err));
+	CU_ASSERT_EQUAL(route_table_rank(table, urgent, first), 0);
+	CU_ASSERT_EQUAL(route_table_rank(table, late, first), 1);
+	CU_ASSERT_EQUAL(route_table_rank(table, urgent, second), 2);
+	CU_ASSERT_EQUAL(route_table_rank(table, late, second), 3);
+	CU_ASSERT_EQUAL(route_table_rank(table, late, unstated), 3);
+	CU_ASSERT_EQUAL(route_table_rank(table, urgent, NULL), 2);
+	route_table_unref(table);
+}
+
+/* Without differences nothing is sent to endpoints, as before. */
+static void test_rank_without_priorities(void)
+{
+	route_table_t *table = new_table_with_service();
+	route_t *route = add_route(table, "only", "a.example", "/");
+	err_t err = ERR_INIT;
+
+	route_table_add_service(table, "modelo")->has_engine = true;
+	route_add_target(route, "modelo", 1);
+	CU_ASSERT_TRUE(route_table_seal(table, &err));
+	CU_ASSERT_EQUAL(route_table_rank(table, route, NULL),
+			REQUEST_RANK_NONE);
+	route_table_unref(table);
+}
+
+/* Endpoints tell ten ranks apart; the order must survive the scaling. */
+static void test_many_ranks(void)
+{
+	route_table_t *table = new_table_with_service();
+	const customer_config_t *customers[6];
+	route_t *routes[4];
+	err_t err = ERR_INIT;
+	int32_t last = 0;
+
+	route_table_add_service(table, "modelo")->has_engine = true;
+	for (int32_t i = 0; i < 6; i++)
+		customers[i] = add_customer(table, "c", i);
+	for (uint32_t i = 0; i < 4; i++) {
+		const char prefix[] = { '/', (char)('a' + i), '/', '\0' };
+
+		routes[i] = add_route(table, "r", "a.example", prefix);
+		routes[i]->priority = i;
+		route_add_target(routes[i], "modelo", 1);
+	}
+	CU_ASSERT_TRUE(route_table_seal(table, &err));
+	for (int i = 0; i < 6; i++)
+		for (int j = 0; j < 4; j++) {
+			int32_t rank = route_table_rank(table, routes[j],
+							customers[i]);
+
+			CU_ASSERT(rank >= last && rank < REQUEST_RANKS);
+			last = rank;
+		}
+	CU_ASSERT_EQUAL(last, REQUEST_RANKS - 1);
+	route_table_unref(table);
+}
+
 static const unit_test_t tests[] = {
+	{ "rank", test_rank },
+	{ "rank without priorities", test_rank_without_priorities },
+	{ "many ranks", test_many_ranks },
 	{ "longest prefix", test_longest_prefix },
 	{ "invalid tables", test_invalid_tables },
 	{ "API keys", test_api_keys },
