Plan at the leader which pipelines serve which requests

All entries sent most requests through the fastest pipeline: its cost counted the time of a step and the fill of memory, while what it lacked was prefill. An engine reads one chunk of prompts in a pass, so the 3 hops read 87 tokens a ms by the configuration's figures; 90 were seen, with 0.6 to 1.1 s to the first event, beside pipelines that answered in 0.05 s.

Change: the leader fills the pipelines in the order of their time, for each failure domain, up to what their engines read and hold, every 0.5 s from the reported demand; entries divide their requests in these parts. Without a plan that is younger than 2 s an entry searches as before.

--- a/src/wisteria/codec/msg.c
+++ b/src/wisteria/codec/msg.c
@@ -535,19 +535,72 @@
 static const field_desc_t fleet_use_fields[] = {
 	FIELD(FIELD_STR, msg_fleet_use_t, id),
 	FIELD(FIELD_F64, msg_fleet_use_t, tokens),
+	FIELD(FIELD_F64, msg_fleet_use_t, unread_tokens),
+	FIELD(FIELD_F64, msg_fleet_use_t, sequences),
 };
 static const record_desc_t msg_fleet_use_desc =
 	RECORD_DESC(msg_fleet_use_t, fleet_use_fields);
 
+static const field_desc_t fleet_demand_fields[] = {
+	FIELD(FIELD_STR, msg_fleet_demand_t, service),
+	FIELD(FIELD_U32, msg_fleet_demand_t, rank),
+	FIELD(FIELD_F64, msg_fleet_demand_t, arrived_tokens),
+	FIELD(FIELD_F64, msg_fleet_demand_t, waiting_tokens),
+};
+static const record_desc_t msg_fleet_demand_desc =
+	RECORD_DESC(msg_fleet_demand_t, fleet_demand_fields);
+
 static const field_desc_t fleet_load_fields[] = {
 	FIELD(FIELD_STR, msg_fleet_load_t, entry),
 	FIELD(FIELD_U64, msg_fleet_load_t, sequence),
 	FIELD_LIST_OF(msg_fleet_load_t, uses, use_count, &msg_fleet_use_desc),
 	FIELD(FIELD_BOOL, msg_fleet_load_t, slow),
+	FIELD(FIELD_I64, msg_fleet_load_t, sent_ms),
+	FIELD_LIST_OF(msg_fleet_load_t, demands, demand_count,
+		      &msg_fleet_demand_desc),
 };
 static const record_desc_t msg_fleet_load_desc =
 	RECORD_DESC(msg_fleet_load_t, fleet_load_fields);
 
+static const field_desc_t fleet_hop_fields[] = {
+	FIELD(FIELD_STR, msg_fleet_hop_t, endpoint),
+	FIELD(FIELD_U64, msg_fleet_hop_t, incarnation),
+	FIELD(FIELD_U32, msg_fleet_hop_t, first_layer),
+	FIELD(FIELD_U32, msg_fleet_hop_t, end_layer),
+};
+static const record_desc_t msg_fleet_hop_desc =
+	RECORD_DESC(msg_fleet_hop_t, fleet_hop_fields);
+
+static const field_desc_t fleet_flow_fields[] = {
+	FIELD(FIELD_F64, msg_fleet_flow_t, tokens_per_s),
+	FIELD(FIELD_F64, msg_fleet_flow_t, first_event_ms),
+	FIELD(FIELD_F64, msg_fleet_flow_t, pause_ms),
+	FIELD_LIST_OF(msg_fleet_flow_t, hops, hop_count, &msg_fleet_hop_desc),
+};
+static const record_desc_t msg_fleet_flow_desc =
+	RECORD_DESC(msg_fleet_flow_t, fleet_flow_fields);
+
+static const field_desc_t fleet_service_plan_fields[] = {
+	FIELD(FIELD_STR, msg_fleet_service_plan_t, service),
+	FIELD(FIELD_F64, msg_fleet_service_plan_t, share_per_s),
+	FIELD(FIELD_F64, msg_fleet_service_plan_t, capacity_per_s),
+	FIELD(FIELD_U32, msg_fleet_service_plan_t, level),
+	FIELD_LIST_OF(msg_fleet_service_plan_t, flows, flow_count,
+		      &msg_fleet_flow_desc),
+};
+static const record_desc_t msg_fleet_service_plan_desc =
+	RECORD_DESC(msg_fleet_service_plan_t, fleet_service_plan_fields);
+
+static const field_desc_t fleet_plan_fields[] = {
+	FIELD(FIELD_U64, msg_fleet_plan_t, term),
+	FIELD(FIELD_U64, msg_fleet_plan_t, sequence),
+	FIELD(FIELD_I64, msg_fleet_plan_t, report_sent_ms),
+	FIELD_LIST_OF(msg_fleet_plan_t, services, service_count,
+		      &msg_fleet_service_plan_desc),
+};
+static const record_desc_t msg_fleet_plan_desc =
+	RECORD_DESC(msg_fleet_plan_t, fleet_plan_fields);
+
 static const field_desc_t fleet_pace_fields[] = {
 	FIELD(FIELD_STR, msg_fleet_pace_t, id),
 	FIELD(FIELD_F64, msg_fleet_pace_t, pace),
@@ -652,6 +705,7 @@
 	[MSG_FLEET_SILENT] = { "fleet_silent", &msg_fleet_silent_desc },
 	[MSG_FLEET_PARTS] = { "fleet_parts", &msg_fleet_parts_desc },
 	[MSG_FLEET_LIMITS] = { "fleet_limits", &msg_fleet_limits_desc },
+	[MSG_FLEET_PLAN] = { "fleet_plan", &msg_fleet_plan_desc },
 };
 
 /* Returns the description of the body of "type"; NULL: unknown type. */
--- a/src/wisteria/codec/msg_defs.h
+++ b/src/wisteria/codec/msg_defs.h
@@ -67,6 +67,7 @@
 	MSG_FLEET_SILENT = 91,
 	MSG_FLEET_PARTS = 92,
 	MSG_FLEET_LIMITS = 93,
+	MSG_FLEET_PLAN = 94,
 
 	MSG_TYPE_COUNT = 96
 } msg_type_t;
@@ -677,12 +678,22 @@
 	size_t part_count;
 } msg_fleet_endpoints_t;
 
-/* The number of tokens of the requests in flight at an endpoint. */
+/* The requests in flight at an endpoint. */
 typedef struct {
 	const char *id;
 	double tokens;
+	double unread_tokens; /* prompts of those without a first event */
+	double sequences;
 } msg_fleet_use_t;
 
+/* What callers of one entry asked of a service since its last report. */
+typedef struct {
+	const char *service;
+	uint32_t rank;	       /* of the requests; see route_table_rank() */
+	double arrived_tokens; /* prompts of new requests */
+	double waiting_tokens; /* prompts of those that wait unsent */
+} msg_fleet_demand_t;
+
 /*
  * The usage of endpoints by one entry, sent to the leader, or by all entries,
  * sent by the leader with an empty "entry".  Endpoints not listed are unused.
@@ -693,8 +704,48 @@
 	const msg_fleet_use_t *uses;
 	size_t use_count;
 	bool slow; /* the entry's streams have many long pauses */
+	/* Only from entries: */
+	int64_t sent_ms; /* sender's clock; copied into the plan */
+	const msg_fleet_demand_t *demands;
+	size_t demand_count;
 } msg_fleet_load_t;
 
+/* Layers [first_layer, end_layer), run by one incarnation of an endpoint. */
+typedef struct {
+	const char *endpoint;
+	uint64_t incarnation;
+	uint32_t first_layer;
+	uint32_t end_layer;
+} msg_fleet_hop_t;
+
+/* A pipeline and what the receiver may send through it. */
+typedef struct {
+	double tokens_per_s; /* of prompts */
+	double first_event_ms;
+	double pause_ms;
+	const msg_fleet_hop_t *hops;
+	size_t hop_count;
+} msg_fleet_flow_t;
+
+/* The part of a service's capacity that the receiver may use. */
+typedef struct {
+	const char *service;
+	double share_per_s;    /* prompt tokens that it may begin */
+	double capacity_per_s; /* of all entries */
+	uint32_t level;	       /* least urgent rank that is begun in full */
+	const msg_fleet_flow_t *flows;
+	size_t flow_count;
+} msg_fleet_service_plan_t;
+
+/* From the leader to one entry; see docs/design/demand.md. */
+typedef struct {
+	uint64_t term; /* of the leader */
+	uint64_t sequence;
+	int64_t report_sent_ms; /* of the receiver's report that it answers */
+	const msg_fleet_service_plan_t *services;
+	size_t service_count;
+} msg_fleet_plan_t;
+
 /* Sent to the leader: endpoints of pipelines whose streams are silent. */
 typedef struct {
 	const msg_name_t *endpoints; /* their ids */
--- a/src/wisteria/fleet/fleet_control.c
+++ b/src/wisteria/fleet/fleet_control.c
@@ -151,9 +151,10 @@
 static void handle_load(fleet_control_t *control, conn_t *conn,
 			const void *body)
 {
-	(void)conn;
 	record_slow_report(control, body);
 	load_sum_set_report(&control->load, body, now_of(control));
+	demand_sum_set_report(&control->demand, body, conn->peer_failure_domain,
+			      now_of(control));
 }
 
 /*
@@ -703,6 +704,7 @@
 	control->reads = g_array_new(FALSE, FALSE, sizeof(fleet_read_t));
 	control->writes = g_array_new(FALSE, FALSE, sizeof(fleet_write_t));
 	load_sum_init(&control->load);
+	demand_sum_init(&control->demand);
 	part_guard_init(&control->parts);
 	fleet_limits_init(&control->limits);
 	prober_init(&control->prober, net->loop, dialect, &control->registry,
@@ -768,6 +770,7 @@
 	placer_finish(&control->placer);
 	prober_finish(&control->prober);
 	load_sum_finish(&control->load);
+	demand_sum_finish(&control->demand);
 	fleet_limits_finish(&control->limits);
 	if (control->has_replica) {
 		replica_finish(&control->replica);
--- a/src/wisteria/fleet/fleet_control_defs.h
+++ b/src/wisteria/fleet/fleet_control_defs.h
@@ -5,6 +5,7 @@
 
 #include "wisteria/control/replica_defs.h"
 #include "wisteria/fleet/crash_reports.h"
+#include "wisteria/fleet/demand_sum.h"
 #include "wisteria/fleet/dialect.h"
 #include "wisteria/fleet/fleet_update.h"
 #include "wisteria/fleet/load_sum.h"
@@ -117,6 +118,8 @@
 	placer_t placer;
 	load_sum_t load;
 	clock_ms_t load_sent_ms;
+	demand_sum_t demand; /* by entry, for the traffic plan */
+	uint64_t plan_sequence;
 	part_guard_t parts;	       /* decides while this instance leads */
 	clock_ms_t parts_sent_ms;      /* to the subscribers */
 	size_t parts_sent;	       /* length of the last list */
--- a/src/wisteria/fleet/fleet_load.c
+++ b/src/wisteria/fleet/fleet_load.c
@@ -1,6 +1,7 @@
 /* What the leader tells its subscribers of the load and speed of engines. */
 #include "wisteria/fleet/fleet_load.h"
 
+#include "wisteria/fleet/fleet_plan.h"
 #include "wisteria/fleet/load_sum.h"
 #include "wisteria/fleet/prober.h"
 #include "wisteria/net/conn.h"
@@ -13,7 +14,7 @@
 	GHashTableIter iter;
 	GHashTable *total;
 	gpointer id;
-	gpointer tokens;
+	gpointer use;
 
 	if (now - control->load_sent_ms < FLEET_LOAD_INTERVAL_MS)
 		return;
@@ -22,10 +23,10 @@
 	uses = g_new(msg_fleet_use_t, g_hash_table_size(total) + 1);
 	load.uses = uses;
 	g_hash_table_iter_init(&iter, total);
-	while (g_hash_table_iter_next(&iter, &id, &tokens))
+	while (g_hash_table_iter_next(&iter, &id, &use))
 		uses[load.use_count++] = (msg_fleet_use_t){
 			.id = id,
-			.tokens = *(double *)tokens,
+			.tokens = ((load_use_t *)use)->tokens,
 		};
 	for (guint i = 0; i < control->subscribers->len; i++) {
 		conn_t *conn = g_ptr_array_index(control->subscribers, i);
@@ -34,6 +35,7 @@
 			conn_send(conn, MSG_FLEET_LOAD, &load);
 	}
 	g_free(uses);
+	fleet_plan_send(control, total, now);
 	g_hash_table_destroy(total);
 }
 
--- a/src/wisteria/fleet/load_sum.c
+++ b/src/wisteria/fleet/load_sum.c
@@ -7,12 +7,12 @@
 
 typedef struct {
 	clock_ms_t received_ms;
-	GHashTable *tokens; /* endpoint id -> double * */
+	GHashTable *uses; /* endpoint id -> load_use_t * */
 } load_report_t;
 
 static void free_report(gpointer data)
 {
-	g_hash_table_destroy(((load_report_t *)data)->tokens);
+	g_hash_table_destroy(((load_report_t *)data)->uses);
 	g_free(data);
 }
 
@@ -29,15 +29,17 @@
 	g_hash_table_destroy(sum->reports);
 }
 
-static void add_tokens(GHashTable *tokens, const char *id, double amount)
+static void add_use(GHashTable *uses, const char *id, const load_use_t *added)
 {
-	double *value = g_hash_table_lookup(tokens, id);
+	load_use_t *use = g_hash_table_lookup(uses, id);
 
-	if (value == NULL) {
-		value = g_new0(double, 1);
-		g_hash_table_insert(tokens, g_strdup(id), value);
+	if (use == NULL) {
+		use = g_new0(load_use_t, 1);
+		g_hash_table_insert(uses, g_strdup(id), use);
 	}
-	*value += amount;
+	use->tokens += added->tokens;
+	use->unread_tokens += added->unread_tokens;
+	use->sequences += added->sequences;
 }
 
 /* Stores an entry's report and drops its previous one. */
@@ -47,11 +49,17 @@
 	load_report_t *report = g_new0(load_report_t, 1);
 
 	report->received_ms = now;
-	report->tokens =
+	report->uses =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	for (size_t i = 0; i < load->use_count; i++)
-		add_tokens(report->tokens, load->uses[i].id,
-			   load->uses[i].tokens);
+	for (size_t i = 0; i < load->use_count; i++) {
+		const load_use_t use = {
+			.tokens = load->uses[i].tokens,
+			.unread_tokens = load->uses[i].unread_tokens,
+			.sequences = load->uses[i].sequences,
+		};
+
+		add_use(report->uses, load->uses[i].id, &use);
+	}
 	g_hash_table_replace(sum->reports, g_strdup(load->entry), report);
 }
 
@@ -64,8 +72,8 @@
 }
 
 /*
- * Returns the tokens in use at each endpoint, id -> double *; the caller
- * destroys the table.  Removes expired reports.
+ * Returns what runs at each endpoint, id -> load_use_t *; the caller destroys
+ * the table.  Removes expired reports.
  */
 GHashTable *load_sum_total(load_sum_t *sum, clock_ms_t now)
 {
@@ -79,11 +87,11 @@
 	while (g_hash_table_iter_next(&reports, NULL, &report)) {
 		GHashTableIter ids;
 		gpointer id;
-		gpointer tokens;
+		gpointer use;
 
-		g_hash_table_iter_init(&ids, ((load_report_t *)report)->tokens);
-		while (g_hash_table_iter_next(&ids, &id, &tokens))
-			add_tokens(total, id, *(double *)tokens);
+		g_hash_table_iter_init(&ids, ((load_report_t *)report)->uses);
+		while (g_hash_table_iter_next(&ids, &id, &use))
+			add_use(total, id, use);
 	}
 	return total;
 }
--- a/src/wisteria/fleet/load_sum.h
+++ b/src/wisteria/fleet/load_sum.h
@@ -10,6 +10,13 @@
 /* Age at which an entry's report expires: four report intervals. */
 #define LOAD_SUM_REPORT_TTL_MS 2000
 
+/* What runs at an endpoint, over all entries. */
+typedef struct {
+	double tokens;
+	double unread_tokens; /* prompts of requests without a first event */
+	double sequences;
+} load_use_t;
+
 /* Token usage of endpoints, as reported by the entries to the leader. */
 typedef struct {
 	GHashTable *reports; /* entry -> load_report_t */
--- a/src/wisteria/fleet/routes_defs.h
+++ b/src/wisteria/fleet/routes_defs.h
@@ -43,23 +43,24 @@
 	char name[32];
 	double size_mb;	       /* memory */
 	double pace;	       /* relative time of a step; above 1: slower */
-	double prefill_factor; /* relative time of prefill; not used */
+	double prefill_factor; /* relative time of prefill */
 } accelerator_t;
 
 /* Memory and time needs of a model, and the kinds of accelerator it runs on. */
 typedef struct {
 	uint32_t layers;
 	double layer_mb;
-	double kv_token_bytes;	     /* KV cache per token, all layers */
-	uint32_t slots;		     /* concurrent requests per engine */
-	uint32_t stride;	     /* steps in one pass; not used */
-	double step_ms;		     /* for all layers, at pace 1 */
-	double per_sequence_ms;	     /* not used */
-	double context_per_k_ms;     /* not used */
-	double prefill_tokens_per_s; /* not used */
-	double activation_bytes;     /* per token, between two endpoints */
-	double domain_link_mbps;     /* Mbit/s between two failure domains */
-	double load_s;		     /* to load all layers; not used */
+	double kv_token_bytes;	 /* KV cache per token, all layers */
+	uint32_t slots;		 /* concurrent requests per engine */
+	uint32_t stride;	 /* decode steps in one pass */
+	uint32_t chunk_tokens;	 /* prompt tokens in one pass; 0: not stated */
+	double step_ms;		 /* for all layers, at pace 1 */
+	double per_sequence_ms;	 /* added to a step for each sequence */
+	double context_per_k_ms; /* added for 1,000 tokens of context */
+	double prefill_tokens_per_s;
+	double activation_bytes; /* per token, between two endpoints */
+	double domain_link_mbps; /* Mbit/s between two failure domains */
+	double load_s;		 /* to load all layers; not used */
 	uint32_t mean_prompt_tokens;
 	uint32_t mean_answer_tokens;
 	GArray *accelerators; /* of accelerator_t */
--- a/src/wisteria/fleet/subscription.c
+++ b/src/wisteria/fleet/subscription.c
@@ -118,6 +118,9 @@
 	else if (msg->type == MSG_FLEET_LIMITS &&
 		 subscription->handler->limits != NULL)
 		subscription->handler->limits(subscription->handler, msg->body);
+	else if (msg->type == MSG_FLEET_PLAN &&
+		 subscription->handler->plan != NULL)
+		subscription->handler->plan(subscription->handler, msg->body);
 }
 
 static subscription_control_t *find_control(const subscription_t *subscription,
--- a/src/wisteria/fleet/subscription_defs.h
+++ b/src/wisteria/fleet/subscription_defs.h
@@ -45,6 +45,9 @@
 	/* Limits of endpoints and permits were received; may be NULL. */
 	void (*limits)(struct subscription_handler_t *self,
 		       const msg_fleet_limits_t *limits);
+	/* The traffic plan of this entry was received; may be NULL. */
+	void (*plan)(struct subscription_handler_t *self,
+		     const msg_fleet_plan_t *plan);
 	/* Another instance sent the control instances it knows; may be NULL. */
 	void (*control_list)(struct subscription_handler_t *self,
 			     const msg_fleet_meet_t *control_list);
--- a/src/wisteria/gateway/exchange.c
+++ b/src/wisteria/gateway/exchange.c
@@ -56,11 +56,25 @@
 	g_string_free(headers, TRUE);
 }
 
+/* The prompt of the current attempt has been read, or no longer needs to be. */
+void exchange_prompt_read(exchange_t *exchange)
+{
+	const target_t *target = &exchange->target;
+
+	if (!exchange->is_unread)
+		return;
+	exchange->is_unread = false;
+	for (uint32_t i = 0; i < target->count; i++)
+		usage_add_unread(&exchange->gateway->usage, target->ids[i],
+				 -(double)exchange->caller.prompt_tokens);
+}
+
 static void end_attempt(exchange_t *exchange)
 {
 	const target_t *target = &exchange->target;
 
 	answer_hold(exchange, 0);
+	exchange_prompt_read(exchange);
 	if (exchange->call != NULL)
 		http_call_cancel(exchange->call);
 	exchange->call = NULL;
@@ -150,6 +164,8 @@
 		hops[i].first_layer = target->first_layers[i];
 		hops[i].end_layer = target->end_layers[i];
 		usage_begin(&gateway->usage, target->ids[i], target->tokens);
+		usage_add_unread(&gateway->usage, target->ids[i],
+				 exchange->caller.prompt_tokens);
 	}
 	usage_count_begun(&gateway->usage, target->tokens);
 	endpoint_limits_use(gateway, target->ids[0]);
@@ -157,6 +173,7 @@
 	exchange->sent_ms = now;
 	exchange->target = *target;
 	exchange->incarnation = first == NULL ? 0 : first->incarnation;
+	exchange->is_unread = true;
 	exchange->is_streaming = false;
 	exchange->answer_framing = HTTP_FRAMING_NONE;
 	exchange->request_limit = REQUEST_LIMIT_NONE;
@@ -606,6 +623,9 @@
 		exchange->service->has_engine
 			? route_table_rank(gateway->table, route, customer)
 			: REQUEST_RANK_NONE;
+	if (exchange->service->has_engine)
+		demand_add(&gateway->demand, exchange->service->name,
+			   MAX(exchange->rank, 0), caller.prompt_tokens);
 	send_or_queue(exchange);
 }
 
--- /dev/null
+++ b/src/wisteria/gateway/flow_plan.c
@@ -0,0 +1,204 @@
+/*
+ * Keeps the leader's traffic plan and divides this entry's requests among its
+ * pipelines, in proportion to their rates.  Each request goes to the usable
+ * pipeline that is furthest behind its part, so that the parts hold also over a
+ * few requests, which random draws would not do.  No clock, no I/O.
+ */
+#include "wisteria/gateway/flow_plan.h"
+
+#include <math.h>
+#include <string.h>
+
+/*
+ * Most credit of a flow, in prompt tokens: a few requests, so that a pipeline
+ * that was not usable for a while does not get all requests afterwards.
+ */
+#define CREDIT_MAX_TOKENS 4000.0
+
+static void free_service(gpointer data)
+{
+	service_flows_t *service = data;
+
+	g_array_unref(service->flows);
+	g_free(service);
+}
+
+/* Initializes an empty plan, which is not valid. */
+void flow_plan_init(flow_plan_t *plan)
+{
+	memset(plan, 0, sizeof(*plan));
+	plan->services = g_ptr_array_new_with_free_func(free_service);
+}
+
+/* Frees the plan's contents. */
+void flow_plan_finish(flow_plan_t *plan)
+{
+	g_ptr_array_unref(plan->services);
+}
+
+static void read_flow(const msg_fleet_flow_t *message, planned_flow_t *flow)
+{
+	*flow = (planned_flow_t){
+		.hop_count = (uint32_t)message->hop_count,
+		.weight = message->tokens_per_s,
+		.first_event_ms = message->first_event_ms,
+		.pause_ms = message->pause_ms,
+	};
+	for (uint32_t i = 0; i < flow->hop_count; i++) {
+		planned_hop_t *hop = &flow->hops[i];
+
+		g_strlcpy(hop->endpoint, message->hops[i].endpoint,
+			  sizeof(hop->endpoint));
+		hop->incarnation = message->hops[i].incarnation;
+		hop->first_layer = message->hops[i].first_layer;
+		hop->end_layer = message->hops[i].end_layer;
+	}
+}
+
+static bool is_same_pipeline(const planned_flow_t *a, const planned_flow_t *b)
+{
+	if (a->hop_count != b->hop_count)
+		return false;
+	for (uint32_t i = 0; i < a->hop_count; i++)
+		if (a->hops[i].first_layer != b->hops[i].first_layer ||
+		    strcmp(a->hops[i].endpoint, b->hops[i].endpoint) != 0)
+			return false;
+	return true;
+}
+
+/* Returns the credit that a pipeline had in the previous plan. */
+static double previous_credit(const service_flows_t *previous,
+			      const planned_flow_t *flow)
+{
+	for (guint i = 0; previous != NULL && i < previous->flows->len; i++) {
+		const planned_flow_t *other =
+			&g_array_index(previous->flows, planned_flow_t, i);
+
+		if (is_same_pipeline(other, flow))
+			return other->credit;
+	}
+	return 0;
+}
+
+static service_flows_t *find_service(const GPtrArray *services,
+				     const char *name)
+{
+	for (guint i = 0; i < services->len; i++) {
+		service_flows_t *service = g_ptr_array_index(services, i);
+
+		if (strcmp(service->service, name) == 0)
+			return service;
+	}
+	return NULL;
+}
+
+static service_flows_t *read_service(const msg_fleet_service_plan_t *message,
+				     const service_flows_t *previous)
+{
+	service_flows_t *service = g_new0(service_flows_t, 1);
+
+	g_strlcpy(service->service, message->service, sizeof(service->service));
+	service->share_per_s = message->share_per_s;
+	service->capacity_per_s = message->capacity_per_s;
+	service->level = message->level;
+	service->flows = g_array_new(FALSE, FALSE, sizeof(planned_flow_t));
+	for (size_t i = 0; i < message->flow_count; i++) {
+		planned_flow_t flow;
+
+		if (message->flows[i].hop_count == 0 ||
+		    message->flows[i].hop_count > PIPELINE_HOPS_MAX ||
+		    !(message->flows[i].tokens_per_s > 0))
+			continue;
+		read_flow(&message->flows[i], &flow);
+		flow.credit = previous_credit(previous, &flow);
+		g_array_append_val(service->flows, flow);
+	}
+	return service;
+}
+
+/*
+ * Takes over a plan, unless it comes from an earlier leader, is older than the
+ * last one or answers a report of long ago, as that of a leader that was frozen.
+ * Returns whether it is in force.
+ */
+bool flow_plan_follow(flow_plan_t *plan, const msg_fleet_plan_t *message,
+		      clock_ms_t now)
+{
+	clock_ms_t valid_until_ms =
+		message->report_sent_ms + FLOW_PLAN_MAX_AGE_MS;
+	GPtrArray *services;
+
+	if (message->term < plan->term ||
+	    (message->term == plan->term &&
+	     message->sequence <= plan->sequence) ||
+	    message->report_sent_ms > now || now >= valid_until_ms)
+		return false;
+	services = g_ptr_array_new_with_free_func(free_service);
+	for (size_t i = 0; i < message->service_count; i++) {
+		const msg_fleet_service_plan_t *service = &message->services[i];
+
+		g_ptr_array_add(
+			services,
+			read_service(service, find_service(plan->services,
+							   service->service)));
+	}
+	g_ptr_array_unref(plan->services);
+	plan->services = services;
+	plan->term = message->term;
+	plan->sequence = message->sequence;
+	plan->valid_until_ms = valid_until_ms;
+	return true;
+}
+
+/* Returns the plan of a service, or NULL if there is none that is valid. */
+service_flows_t *flow_plan_find(flow_plan_t *plan, const char *service,
+				clock_ms_t now)
+{
+	return now < plan->valid_until_ms
+		       ? find_service(plan->services, service)
+		       : NULL;
+}
+
+/* Marks the flows that the request may use; returns the sum of their weights. */
+static double mark_usable(service_flows_t *service, flow_usable_t usable,
+			  void *user)
+{
+	double weight = 0;
+
+	for (guint i = 0; i < service->flows->len; i++) {
+		planned_flow_t *flow =
+			&g_array_index(service->flows, planned_flow_t, i);
+
+		flow->is_usable = usable(flow, user);
+		if (flow->is_usable)
+			weight += flow->weight;
+	}
+	return weight;
+}
+
+/*
+ * Chooses the pipeline for a request with a prompt of "tokens" tokens and counts
+ * it there.  Returns NULL if no flow is usable.
+ */
+planned_flow_t *flow_plan_choose(service_flows_t *service, double tokens,
+				 flow_usable_t usable, void *user)
+{
+	double weight = mark_usable(service, usable, user);
+	planned_flow_t *best = NULL;
+
+	for (guint i = 0; i < service->flows->len; i++) {
+		planned_flow_t *flow =
+			&g_array_index(service->flows, planned_flow_t, i);
+
+		if (!flow->is_usable)
+			continue;
+		flow->credit =
+			MIN(flow->credit + tokens * flow->weight / weight,
+			    CREDIT_MAX_TOKENS);
+		if (best == NULL || flow->credit > best->credit)
+			best = flow;
+	}
+	if (best != NULL)
+		best->credit -= tokens;
+	return best;
+}
--- a/src/wisteria/gateway/gateway.c
+++ b/src/wisteria/gateway/gateway.c
@@ -206,6 +206,20 @@
 	usage_update(&gateway->usage, load, clock_now(gateway->clock));
 }
 
+static void on_plan(subscription_handler_t *handler,
+		    const msg_fleet_plan_t *plan)
+{
+	gateway_t *gateway = gateway_of_subscription(handler);
+	clock_ms_t now = clock_now(gateway->clock);
+
+	if (!flow_plan_follow(&gateway->plan, plan, now))
+		LOG_INFO(
+			"plan_ignored",
+			"term=%" G_GUINT64_FORMAT " sequence=%" G_GUINT64_FORMAT
+			" age_ms=%" G_GINT64_FORMAT,
+			plan->term, plan->sequence, now - plan->report_sent_ms);
+}
+
 static void on_slow_engines(subscription_handler_t *handler,
 			    const msg_fleet_paces_t *slow_engines)
 {
@@ -404,8 +418,12 @@
 		.sequence = ++gateway->report_sequence,
 	};
 	msg_fleet_use_t *uses;
+	msg_fleet_demand_t *demands;
 
 	gateway->last_report_ms = now;
+	load.sent_ms = now;
+	demands = demand_report(&gateway->demand, &load.demand_count);
+	load.demands = demands;
 	uses = usage_report(&gateway->usage, &load.use_count);
 	load.uses = uses;
 	load.slow = gateway->long_pause_count >= GATEWAY_SLOW_EVENTS_MIN &&
@@ -416,6 +434,7 @@
 	subscription_send_to_leader(&gateway->subscription, MSG_FLEET_LOAD,
 				    &load);
 	g_free(uses);
+	g_free(demands);
 }
 
 /* Reports the endpoints of silent streams to the leader. */
@@ -569,6 +588,7 @@
 	gateway->subscription_handler.slow_engines = on_slow_engines;
 	gateway->subscription_handler.parts = on_parts;
 	gateway->subscription_handler.limits = on_limits;
+	gateway->subscription_handler.plan = on_plan;
 	gateway->subscription_handler.held = on_held;
 }
 
@@ -609,6 +629,8 @@
 	registry_init(&gateway->registry);
 	part_guard_init(&gateway->parts);
 	usage_init(&gateway->usage);
+	flow_plan_init(&gateway->plan);
+	demand_init(&gateway->demand);
 	endpoint_notices_init(&gateway->notices);
 	request_limits_init(&gateway->limits);
 	request_limits_init(&gateway->own_limits);
@@ -682,6 +704,8 @@
 	subscription_finish(&gateway->subscription);
 	registry_finish(&gateway->registry);
 	usage_finish(&gateway->usage);
+	flow_plan_finish(&gateway->plan);
+	demand_finish(&gateway->demand);
 	endpoint_notices_finish(&gateway->notices);
 	request_limits_finish(&gateway->limits);
 	request_limits_finish(&gateway->own_limits);
--- a/src/wisteria/gateway/gateway_defs.h
+++ b/src/wisteria/gateway/gateway_defs.h
@@ -9,7 +9,9 @@
 #include "wisteria/fleet/registry_defs.h"
 #include "wisteria/fleet/request_limits.h"
 #include "wisteria/fleet/subscription_defs.h"
+#include "wisteria/gateway/demand.h"
 #include "wisteria/gateway/endpoint_notices.h"
+#include "wisteria/gateway/flow_plan.h"
 #include "wisteria/gateway/outcome.h"
 #include "wisteria/gateway/permits.h"
 #include "wisteria/gateway/shortage.h"
@@ -125,6 +127,8 @@
 	 * to the endpoints that are at their limit.
 	 */
 	double limited_per_s;
+	/* Pipeline of a plan: expected time to the first event; else 0. */
+	double first_event_ms;
 } target_t;
 
 struct gateway_t;
@@ -154,6 +158,7 @@
 	target_t target;	     /* of the current attempt */
 	uint64_t incarnation;	     /* of its first endpoint */
 	clock_ms_t sent_ms;	     /* of the current attempt */
+	bool is_unread;		     /* its prompt, as far as known */
 	clock_ms_t last_progress_ms; /* last send or received data */
 	GPtrArray *failed_ids;	     /* endpoints that are not tried again */
 	bool demand_counted;	     /* of the next attempt, at limited ones */
@@ -218,6 +223,8 @@
 	bool limits_report_due;	     /* a limit has changed */
 	clock_ms_t limits_reported_ms;
 	usage_t usage;
+	flow_plan_t plan; /* of the leader */
+	demand_t demand;  /* since the last report */
 	uint64_t report_sequence;
 	clock_ms_t last_report_ms;
 	/* Of all streams since the last report; counted by record_event(). */
--- a/src/wisteria/gateway/target.c
+++ b/src/wisteria/gateway/target.c
@@ -15,6 +15,8 @@
 
 /* Leaves room for requests that other entries began since their last report. */
 #define MEMORY_USED_MAX 0.95
+/* Longest time of a token in a loaded pipeline against the planned one. */
+#define LOADED_PAUSE_FACTOR 2.0
 /* Transfer within a failure domain and wait for the engine's current pass. */
 #define HOP_OVERHEAD_MS 1.0
 /*
@@ -403,6 +405,103 @@
 			     target);
 }
 
+/* A request that is being placed on the flows of the leader's plan. */
+typedef struct {
+	exchange_t *exchange;
+	target_t *target;
+	double tokens; /* that it holds */
+} placing_t;
+
+/* Returns the endpoint of a planned hop if it may run it now, or NULL. */
+static const endpoint_t *find_planned_endpoint(const placing_t *placing,
+					       const planned_hop_t *hop)
+{
+	const exchange_t *exchange = placing->exchange;
+	const gateway_t *gateway = exchange->gateway;
+	const endpoint_t *endpoint =
+		registry_find(&gateway->registry, hop->endpoint);
+
+	if (endpoint == NULL || endpoint->incarnation != hop->incarnation ||
+	    endpoint->first_layer > hop->first_layer ||
+	    endpoint->end_layer < hop->end_layer ||
+	    !is_candidate(exchange, endpoint, placing->target) ||
+	    gateway_is_suspect(gateway, endpoint->id))
+		return NULL;
+	return endpoint;
+}
+
+static bool has_memory(const placing_t *placing, const endpoint_t *endpoint)
+{
+	const gateway_t *gateway = placing->exchange->gateway;
+	const engine_model_t *engine = &placing->exchange->service->engine;
+	const accelerator_t *accelerator =
+		engine_find_accelerator(engine, endpoint->accelerator);
+
+	return accelerator != NULL &&
+	       usage_tokens(&gateway->usage, endpoint->id,
+			    clock_now(gateway->clock)) +
+			       placing->tokens <=
+		       engine_token_capacity(engine, accelerator,
+					     endpoint->end_layer -
+						     endpoint->first_layer) *
+			       MEMORY_USED_MAX;
+}
+
+/* A flow_usable_t. */
+static bool is_flow_usable(const planned_flow_t *flow, void *user)
+{
+	const placing_t *placing = user;
+
+	for (uint32_t i = 0; i < flow->hop_count; i++) {
+		const endpoint_t *endpoint =
+			find_planned_endpoint(placing, &flow->hops[i]);
+
+		if (endpoint == NULL || !has_memory(placing, endpoint))
+			return false;
+		if (i == 0 && !endpoint_limits_allow(placing->exchange->gateway,
+						     endpoint)) {
+			endpoint_limits_want(placing->exchange->gateway,
+					     endpoint, true);
+			return false;
+		}
+	}
+	return true;
+}
+
+/*
+ * Chooses a pipeline of the leader's plan; returns false if there is no valid
+ * plan or none of its pipelines is usable.
+ */
+static bool choose_planned(exchange_t *exchange, target_t *target)
+{
+	gateway_t *gateway = exchange->gateway;
+	service_flows_t *service =
+		flow_plan_find(&gateway->plan, exchange->service->name,
+			       clock_now(gateway->clock));
+	placing_t placing = { exchange, target, request_tokens(exchange) };
+	const planned_flow_t *flow = NULL;
+
+	if (service != NULL)
+		flow = flow_plan_choose(service, exchange->caller.prompt_tokens,
+					is_flow_usable, &placing);
+	if (flow == NULL)
+		return false;
+	for (uint32_t i = 0; i < flow->hop_count; i++)
+		append_hop(target,
+			   registry_find(&gateway->registry,
+					 flow->hops[i].endpoint),
+			   flow->hops[i].first_layer, flow->hops[i].end_layer);
+	endpoint_limits_want(gateway,
+			     registry_find(&gateway->registry, target->ids[0]),
+			     false);
+	target->is_pipeline = true;
+	target->tokens = placing.tokens;
+	target->cost_ms = flow->pause_ms * LOADED_PAUSE_FACTOR /
+			  MAX(exchange->service->engine.stride, 1);
+	target->first_event_ms = flow->first_event_ms;
+	return true;
+}
+
 static target_result_t choose_pipeline(exchange_t *exchange, target_t *target)
 {
 	static const target_result_t results[] = {
@@ -467,9 +566,12 @@
 
 	memset(target, 0, sizeof(*target));
 	target->limited_per_s = REQUEST_LIMIT_NONE;
-	result = exchange->service->has_engine
-			 ? choose_pipeline(exchange, target)
-			 : choose_plain(exchange, target);
+	if (!exchange->service->has_engine)
+		result = choose_plain(exchange, target);
+	else if (choose_planned(exchange, target))
+		result = TARGET_FOUND;
+	else
+		result = choose_pipeline(exchange, target);
 	if (result != TARGET_FOUND && target->pause_end_ms != 0)
 		return TARGET_PAUSED;
 	return result;
--- a/src/wisteria/gateway/usage.c
+++ b/src/wisteria/gateway/usage.c
@@ -59,6 +59,18 @@
 		g_hash_table_remove(usage->own, id);
 }
 
+/*
+ * Adds the prompt of a request that has begun at endpoint "id" to what the
+ * endpoint has not read yet; a negative number takes it off again.
+ */
+void usage_add_unread(usage_t *usage, const char *id, double prompt_tokens)
+{
+	usage_own_t *own = g_hash_table_lookup(usage->own, id);
+
+	if (own != NULL)
+		own->unread_tokens += prompt_tokens;
+}
+
 /* Returns the number of requests of this entry that run at endpoint "id". */
 unsigned usage_requests(const usage_t *usage, const char *id)
 {
@@ -153,6 +165,8 @@
 		list[(*count)++] = (msg_fleet_use_t){
 			.id = key,
 			.tokens = own->tokens,
+			.unread_tokens = MAX(own->unread_tokens, 0),
+			.sequences = own->requests,
 		};
 	}
 	return list;
--- a/src/wisteria/gateway/usage.h
+++ b/src/wisteria/gateway/usage.h
@@ -24,9 +24,10 @@
 
 /* What this entry uses of one endpoint. */
 typedef struct {
-	double tokens;		/* estimated; 0 for services without a model */
-	double reported_tokens; /* "tokens" at the time of the last report */
+	double tokens;	      /* estimated; 0 for services without a model */
+	double unread_tokens; /* prompts of requests without a first event */
 	unsigned requests;
+	double reported_tokens; /* "tokens" at the time of the last report */
 } usage_own_t;
 
 void usage_init(usage_t *usage) ATTR_NONNULL_ALL;
@@ -34,6 +35,8 @@
 void usage_begin(usage_t *usage, const char *id,
 		 double tokens) ATTR_NONNULL_ALL;
 void usage_end(usage_t *usage, const char *id, double tokens) ATTR_NONNULL_ALL;
+void usage_add_unread(usage_t *usage, const char *id,
+		      double prompt_tokens) ATTR_NONNULL_ALL;
 unsigned usage_requests(const usage_t *usage, const char *id) ATTR_NONNULL_ALL;
 double usage_tokens(const usage_t *usage, const char *id,
 		    clock_ms_t now) ATTR_NONNULL_ALL;
--- a/test/unit/load_sum_test.c
+++ b/test/unit/load_sum_test.c
@@ -6,8 +6,8 @@
 static double tokens_at(load_sum_t *sum, const char *id, clock_ms_t now)
 {
 	GHashTable *total = load_sum_total(sum, now);
-	const double *tokens = g_hash_table_lookup(total, id);
-	double value = tokens == NULL ? 0 : *tokens;
+	const load_use_t *use = g_hash_table_lookup(total, id);
+	double value = use == NULL ? 0 : use->tokens;
 
 	g_hash_table_destroy(total);
 	return value;
@@ -15,8 +15,9 @@
 
 static void test_sum(void)
 {
-	const msg_fleet_use_t first[] = { { "i-1", 500 }, { "i-2", 300 } };
-	const msg_fleet_use_t second[] = { { "i-1", 200 } };
+	const msg_fleet_use_t first[] = { { .id = "i-1", .tokens = 500 },
+					  { .id = "i-2", .tokens = 300 } };
+	const msg_fleet_use_t second[] = { { .id = "i-1", .tokens = 200 } };
 	msg_fleet_load_t a = { .entry = "a", .uses = first, .use_count = 2 };
 	msg_fleet_load_t b = { .entry = "b", .uses = second, .use_count = 1 };
 	load_sum_t sum;
