Bound the prompts that an entry sends a pipeline ahead of its prefill

Change: an entry sends a flow of the plan no more unread prompts than its first endpoint reads in 0.8 of the goal for the first event; less urgent requests do not use up the window of more urgent ones. The rest waits at the entry, as long as the caller does. The leader plans again at once when an endpoint is lost.

--- a/src/wisteria/fleet/fleet_control.c
+++ b/src/wisteria/fleet/fleet_control.c
@@ -15,6 +15,7 @@
 #include "wisteria/fleet/fleet_limits.h"
 #include "wisteria/fleet/fleet_load.h"
 #include "wisteria/fleet/fleet_parts.h"
+#include "wisteria/fleet/fleet_plan.h"
 #include "wisteria/fleet/fleet_update.h"
 #include "wisteria/fleet/part_guard.h"
 #include "wisteria/fleet/placer.h"
@@ -559,6 +560,7 @@
 	g_hash_table_add(control->updated_ids, g_strdup(id));
 	send_updates(control);
 	fleet_parts_confirm(control, now_of(control));
+	fleet_plan_send(control, now_of(control));
 }
 
 static void subscribe_to_members(fleet_control_t *control)
--- a/src/wisteria/fleet/fleet_load.c
+++ b/src/wisteria/fleet/fleet_load.c
@@ -35,7 +35,7 @@
 			conn_send(conn, MSG_FLEET_LOAD, &load);
 	}
 	g_free(uses);
-	fleet_plan_send(control, total, now);
+	fleet_plan_send(control, now);
 	g_hash_table_destroy(total);
 }
 
--- a/src/wisteria/fleet/fleet_plan.c
+++ b/src/wisteria/fleet/fleet_plan.c
@@ -23,6 +23,8 @@
 /* Assumed if the configuration states no mean lengths. */
 #define PROMPT_TOKENS_DEFAULT 800
 #define ANSWER_TOKENS_DEFAULT 200
+/* Least part of a domain's flows for an entry that has hardly any callers. */
+#define PART_MIN 0.001
 
 /* The endpoints and domains of one service, as the planning numbers them. */
 typedef struct {
@@ -208,6 +210,33 @@
 	g_free((gpointer)described->flows);
 }
 
+/*
+ * Scales the flows of a domain to the part of them that is for "entry": its part
+ * of the domain's demand, or an equal part of an entry without demand.
+ */
+static void scale_to_entry(const planned_service_t *planned,
+			   const entry_demand_t *entry,
+			   msg_fleet_service_plan_t *described)
+{
+	const service_demand_t *demand =
+		demand_sum_find_service(entry, planned->service->name);
+	uint32_t index =
+		registry_domain_index(planned->domains, entry->failure_domain);
+	double total = index < planned->demand->len
+			       ? g_array_index(planned->demand, double, index)
+			       : 0;
+	double part = 0;
+
+	if (demand != NULL && total > 0)
+		part = demand_total_rate(demand) / total;
+	for (size_t i = 0; i < described->flow_count; i++) {
+		msg_fleet_flow_t *flow =
+			(msg_fleet_flow_t *)&described->flows[i];
+
+		flow->tokens_per_s *= MAX(part, PART_MIN);
+	}
+}
+
 static void send_to_entry(fleet_control_t *control, const GArray *planned,
 			  conn_t *conn, const entry_demand_t *entry)
 {
@@ -224,6 +253,9 @@
 	for (guint i = 0; i < planned->len; i++)
 		describe_service(&g_array_index(planned, planned_service_t, i),
 				 entry->failure_domain, &services[i]);
+	for (guint i = 0; i < planned->len; i++)
+		scale_to_entry(&g_array_index(planned, planned_service_t, i),
+			       entry, &services[i]);
 	conn_send(conn, MSG_FLEET_PLAN, &message);
 	for (guint i = 0; i < planned->len; i++)
 		free_service_plan(&services[i]);
@@ -244,11 +276,11 @@
 
 /*
  * Plans all services whose engines are described well enough and sends the plan
- * to the entries; does nothing at an instance that does not lead.  "uses" is the
- * load of the endpoints over all entries.
+ * to the entries; does nothing at an instance that does not lead.
  */
-void fleet_plan_send(fleet_control_t *control, GHashTable *uses, clock_ms_t now)
+void fleet_plan_send(fleet_control_t *control, clock_ms_t now)
 {
+	GHashTable *uses = load_sum_total(&control->load, now);
 	GArray *planned = g_array_new(FALSE, FALSE, sizeof(planned_service_t));
 
 	demand_sum_expire(&control->demand, now);
@@ -274,4 +306,5 @@
 	for (guint i = 0; i < planned->len; i++)
 		finish_planned(&g_array_index(planned, planned_service_t, i));
 	g_array_unref(planned);
+	g_hash_table_destroy(uses);
 }
--- a/src/wisteria/fleet/fleet_plan.h
+++ b/src/wisteria/fleet/fleet_plan.h
@@ -4,7 +4,6 @@
 #include "wisteria/base/macros_defs.h"
 #include "wisteria/fleet/fleet_control_defs.h"
 
-void fleet_plan_send(fleet_control_t *control, GHashTable *uses,
-		     clock_ms_t now) ATTR_NONNULL_ALL;
+void fleet_plan_send(fleet_control_t *control, clock_ms_t now) ATTR_NONNULL_ALL;
 
 #endif
--- a/src/wisteria/gateway/exchange.c
+++ b/src/wisteria/gateway/exchange.c
@@ -32,6 +32,8 @@
 #define RETRY_AFTER_PAUSED_MIN_MS 50
 /* Retry-After during a stop: other entries are ready; 0 would omit it. */
 #define RETRY_AFTER_STOPPING_MS 50
+/* Kept of a caller's patience for the prompt of a request that has waited. */
+#define LATE_MARGIN_MS 600
 
 static clock_ms_t now_of(const exchange_t *exchange)
 {
@@ -66,6 +68,7 @@
 	exchange->is_unread = false;
 	for (uint32_t i = 0; i < target->count; i++)
 		usage_add_unread(&exchange->gateway->usage, target->ids[i],
+				 exchange->rank,
 				 -(double)exchange->caller.prompt_tokens);
 }
 
@@ -165,6 +168,7 @@
 		hops[i].end_layer = target->end_layers[i];
 		usage_begin(&gateway->usage, target->ids[i], target->tokens);
 		usage_add_unread(&gateway->usage, target->ids[i],
+				 exchange->rank,
 				 exchange->caller.prompt_tokens);
 	}
 	usage_count_begun(&gateway->usage, target->tokens);
@@ -238,6 +242,14 @@
 		wait_queue_dispatch(&gateway->waiting, start_queued);
 }
 
+/* Returns the silence after which a caller gives a stream up, in ms. */
+static clock_ms_t patience_ms(const route_t *route)
+{
+	clock_ms_t longest = MAX(4 * route->goal_ms, 8 * route->gap_goal_ms);
+
+	return MAX(longest, 2000);
+}
+
 /*
  * Returns how long after its arrival a request may wait for capacity: just
  * after a start, when some endpoints may not be known, GATEWAY_HOLD_TIMEOUT_MS;
@@ -255,6 +267,10 @@
 	if (gateway->first_endpoint_ms == 0 ||
 	    now - gateway->first_endpoint_ms < GATEWAY_WARM_UP_MS)
 		return GATEWAY_HOLD_TIMEOUT_MS;
+	if (result == TARGET_FULL &&
+	    flow_plan_find((flow_plan_t *)&gateway->plan,
+			   exchange->service->name, now) != NULL)
+		return patience_ms(exchange->route) - LATE_MARGIN_MS;
 	queue_ms = (clock_ms_t)((double)exchange->route->goal_ms *
 				GATEWAY_QUEUE_TIME_RATIO);
 	if (result == TARGET_FULL || result == TARGET_LIMITED)
--- a/src/wisteria/gateway/flow_plan.c
+++ b/src/wisteria/gateway/flow_plan.c
@@ -92,6 +92,24 @@
 	return NULL;
 }
 
+/* Adds up the rates of the flows that begin at the same endpoint. */
+static void sum_first_rates(GArray *flows)
+{
+	for (guint i = 0; i < flows->len; i++) {
+		planned_flow_t *flow = &g_array_index(flows, planned_flow_t, i);
+
+		flow->first_rate = 0;
+		for (guint j = 0; j < flows->len; j++) {
+			const planned_flow_t *other =
+				&g_array_index(flows, planned_flow_t, j);
+
+			if (strcmp(flow->hops[0].endpoint,
+				   other->hops[0].endpoint) == 0)
+				flow->first_rate += other->weight;
+		}
+	}
+}
+
 static service_flows_t *read_service(const msg_fleet_service_plan_t *message,
 				     const service_flows_t *previous)
 {
@@ -113,6 +131,7 @@
 		flow.credit = previous_credit(previous, &flow);
 		g_array_append_val(service->flows, flow);
 	}
+	sum_first_rates(service->flows);
 	return service;
 }
 
--- a/src/wisteria/gateway/flow_plan.h
+++ b/src/wisteria/gateway/flow_plan.h
@@ -27,7 +27,8 @@
 typedef struct {
 	planned_hop_t hops[PIPELINE_HOPS_MAX];
 	uint32_t hop_count;
-	double weight; /* prompt tokens per s */
+	double weight;	   /* prompt tokens per s */
+	double first_rate; /* of all flows with the same first endpoint */
 	double first_event_ms;
 	double pause_ms;
 	double credit;	/* prompt tokens that it is behind the others */
--- a/src/wisteria/gateway/target.c
+++ b/src/wisteria/gateway/target.c
@@ -15,6 +15,11 @@
 
 /* Leaves room for requests that other entries began since their last report. */
 #define MEMORY_USED_MAX 0.95
+/*
+ * Part of the goal for the first event in which an endpoint should read what an
+ * entry has sent it; the rest is for the other hops.
+ */
+#define UNREAD_GOAL_RATIO 0.8
 /* Longest time of a token in a loaded pipeline against the planned one. */
 #define LOADED_PAUSE_FACTOR 2.0
 /* Transfer within a failure domain and wait for the engine's current pass. */
@@ -447,11 +452,30 @@
 			       MEMORY_USED_MAX;
 }
 
+/*
+ * Returns whether this entry may send the flow's first endpoint another prompt:
+ * what it has sent, is at least as urgent and is not read yet must be read
+ * within a part of the goal for the first event.
+ */
+static bool has_window(const placing_t *placing, const planned_flow_t *flow)
+{
+	const exchange_t *exchange = placing->exchange;
+	double unread =
+		usage_own_unread(&exchange->gateway->usage,
+				 flow->hops[0].endpoint, exchange->rank);
+	double window = flow->first_rate / 1000 *
+			(double)exchange->route->goal_ms * UNREAD_GOAL_RATIO;
+
+	return unread <= 0 || unread + exchange->caller.prompt_tokens <= window;
+}
+
 /* A flow_usable_t. */
 static bool is_flow_usable(const planned_flow_t *flow, void *user)
 {
 	const placing_t *placing = user;
 
+	if (!has_window(placing, flow))
+		return false;
 	for (uint32_t i = 0; i < flow->hop_count; i++) {
 		const endpoint_t *endpoint =
 			find_planned_endpoint(placing, &flow->hops[i]);
@@ -469,10 +493,10 @@
 }
 
 /*
- * Chooses a pipeline of the leader's plan; returns false if there is no valid
- * plan or none of its pipelines is usable.
+ * Chooses a pipeline of the leader's plan.  Returns TARGET_FULL if none of them
+ * takes the request now, and TARGET_NONE without a valid plan.
  */
-static bool choose_planned(exchange_t *exchange, target_t *target)
+static target_result_t choose_planned(exchange_t *exchange, target_t *target)
 {
 	gateway_t *gateway = exchange->gateway;
 	service_flows_t *service =
@@ -481,11 +505,12 @@
 	placing_t placing = { exchange, target, request_tokens(exchange) };
 	const planned_flow_t *flow = NULL;
 
-	if (service != NULL)
-		flow = flow_plan_choose(service, exchange->caller.prompt_tokens,
-					is_flow_usable, &placing);
+	if (service == NULL || service->flows->len == 0)
+		return TARGET_NONE;
+	flow = flow_plan_choose(service, exchange->caller.prompt_tokens,
+				is_flow_usable, &placing);
 	if (flow == NULL)
-		return false;
+		return TARGET_FULL;
 	for (uint32_t i = 0; i < flow->hop_count; i++)
 		append_hop(target,
 			   registry_find(&gateway->registry,
@@ -499,7 +524,7 @@
 	target->cost_ms = flow->pause_ms * LOADED_PAUSE_FACTOR /
 			  MAX(exchange->service->engine.stride, 1);
 	target->first_event_ms = flow->first_event_ms;
-	return true;
+	return TARGET_FOUND;
 }
 
 static target_result_t choose_pipeline(exchange_t *exchange, target_t *target)
@@ -566,12 +591,13 @@
 
 	memset(target, 0, sizeof(*target));
 	target->limited_per_s = REQUEST_LIMIT_NONE;
-	if (!exchange->service->has_engine)
+	if (!exchange->service->has_engine) {
 		result = choose_plain(exchange, target);
-	else if (choose_planned(exchange, target))
-		result = TARGET_FOUND;
-	else
-		result = choose_pipeline(exchange, target);
+	} else {
+		result = choose_planned(exchange, target);
+		if (result == TARGET_NONE)
+			result = choose_pipeline(exchange, target);
+	}
 	if (result != TARGET_FOUND && target->pause_end_ms != 0)
 		return TARGET_PAUSED;
 	return result;
--- a/src/wisteria/gateway/usage.c
+++ b/src/wisteria/gateway/usage.c
@@ -61,14 +61,30 @@
 
 /*
  * Adds the prompt of a request that has begun at endpoint "id" to what the
- * endpoint has not read yet; a negative number takes it off again.
+ * endpoint has not read yet; a negative number takes it off again.  Requests
+ * without a rank count as the most urgent.
  */
-void usage_add_unread(usage_t *usage, const char *id, double prompt_tokens)
+void usage_add_unread(usage_t *usage, const char *id, int32_t rank,
+		      double prompt_tokens)
 {
 	usage_own_t *own = g_hash_table_lookup(usage->own, id);
 
 	if (own != NULL)
-		own->unread_tokens += prompt_tokens;
+		own->unread_tokens[MAX(rank, 0)] += prompt_tokens;
+}
+
+/*
+ * Returns the tokens of this entry's prompts that endpoint "id" has not read yet
+ * and that are at least as urgent as "rank".
+ */
+double usage_own_unread(const usage_t *usage, const char *id, int32_t rank)
+{
+	const usage_own_t *own = g_hash_table_lookup(usage->own, id);
+	double tokens = 0;
+
+	for (int32_t i = 0; own != NULL && i <= MAX(rank, 0); i++)
+		tokens += own->unread_tokens[i];
+	return tokens;
 }
 
 /* Returns the number of requests of this entry that run at endpoint "id". */
@@ -165,7 +181,9 @@
 		list[(*count)++] = (msg_fleet_use_t){
 			.id = key,
 			.tokens = own->tokens,
-			.unread_tokens = MAX(own->unread_tokens, 0),
+			.unread_tokens = MAX(
+				usage_own_unread(usage, key, REQUEST_RANKS - 1),
+				0),
 			.sequences = own->requests,
 		};
 	}
--- a/src/wisteria/gateway/usage.h
+++ b/src/wisteria/gateway/usage.h
@@ -6,6 +6,7 @@
 #include "wisteria/base/clock_defs.h"
 #include "wisteria/base/macros_defs.h"
 #include "wisteria/codec/msg_defs.h"
+#include "wisteria/fleet/routes_defs.h"
 
 /* The sum over all entries expires after this: four report intervals. */
 #define USAGE_MAX_AGE_MS 2000
@@ -24,8 +25,9 @@
 
 /* What this entry uses of one endpoint. */
 typedef struct {
-	double tokens;	      /* estimated; 0 for services without a model */
-	double unread_tokens; /* prompts of requests without a first event */
+	double tokens; /* estimated; 0 for services without a model */
+	/* Prompts of requests without a first event, by rank. */
+	double unread_tokens[REQUEST_RANKS];
 	unsigned requests;
 	double reported_tokens; /* "tokens" at the time of the last report */
 } usage_own_t;
@@ -35,8 +37,10 @@
 void usage_begin(usage_t *usage, const char *id,
 		 double tokens) ATTR_NONNULL_ALL;
 void usage_end(usage_t *usage, const char *id, double tokens) ATTR_NONNULL_ALL;
-void usage_add_unread(usage_t *usage, const char *id,
+void usage_add_unread(usage_t *usage, const char *id, int32_t rank,
 		      double prompt_tokens) ATTR_NONNULL_ALL;
+double usage_own_unread(const usage_t *usage, const char *id,
+			int32_t rank) ATTR_NONNULL_ALL;
 unsigned usage_requests(const usage_t *usage, const char *id) ATTR_NONNULL_ALL;
 double usage_tokens(const usage_t *usage, const char *id,
 		    clock_ms_t now) ATTR_NONNULL_ALL;
