Count only decoding requests in the time of a pass; report what waits

Requests without a first event were counted as if they decoded, so that a backlog made an engine look slow and the plan sent it less than it reads.

Change: sequences and context exclude unread prompts; a hop costs 1.5 passes and no fixed time, as measured pauses show (3 hops 30 to 36 ms for 4 tokens, 10 hops 42 to 49 ms); entries report what waits; each plan is logged with its demand and capacity.

--- a/src/wisteria/fleet/fleet_control.c
+++ b/src/wisteria/fleet/fleet_control.c
@@ -707,6 +707,7 @@
 	control->writes = g_array_new(FALSE, FALSE, sizeof(fleet_write_t));
 	load_sum_init(&control->load);
 	demand_sum_init(&control->demand);
+
 	part_guard_init(&control->parts);
 	fleet_limits_init(&control->limits);
 	prober_init(&control->prober, net->loop, dialect, &control->registry,
--- a/src/wisteria/fleet/fleet_plan.c
+++ b/src/wisteria/fleet/fleet_plan.c
@@ -29,16 +29,18 @@
 /* The endpoints and domains of one service, as the planning numbers them. */
 typedef struct {
 	const service_t *service;
-	GArray *stages;	      /* of traffic_stage_t */
-	GPtrArray *endpoints; /* of const endpoint_t */
-	GPtrArray *domains;   /* names */
-	GArray *demand;	      /* of double, by domain */
+	GArray *stages;	       /* of traffic_stage_t */
+	GPtrArray *endpoints;  /* of const endpoint_t */
+	GPtrArray *domains;    /* names */
+	GArray *demand;	       /* of double, by domain */
+	double waiting_tokens; /* of requests that wait at entries */
 	traffic_plan_t plan;
 } planned_service_t;
 
 static void init_planned(planned_service_t *planned, const service_t *service)
 {
 	planned->service = service;
+	planned->waiting_tokens = 0;
 	planned->stages = g_array_new(FALSE, FALSE, sizeof(traffic_stage_t));
 	planned->endpoints = g_ptr_array_new();
 	planned->domains = g_ptr_array_new();
@@ -76,6 +78,7 @@
 	const load_use_t *use = g_hash_table_lookup(uses, endpoint->id);
 	const load_use_t none = { 0 };
 	engine_load_t load;
+	double unread_requests;
 	traffic_stage_t stage = {
 		.first_layer = endpoint->first_layer,
 		.end_layer = endpoint->end_layer,
@@ -90,9 +93,11 @@
 		return;
 	if (use == NULL)
 		use = &none;
+	/* Requests without a first event do not decode yet. */
+	unread_requests = use->unread_tokens / prompt_tokens(engine);
 	load = (engine_load_t){
-		.sequences = use->sequences,
-		.context_tokens = use->tokens,
+		.sequences = MAX(use->sequences - unread_requests, 0),
+		.context_tokens = MAX(use->tokens - use->unread_tokens, 0),
 		.slowdown = prober_pace(&control->prober, endpoint->id),
 	};
 	stage.domain = registry_domain_index(planned->domains,
@@ -120,6 +125,8 @@
 	if (demand != NULL)
 		g_array_index(planned->demand, double, domain) +=
 			demand_total_rate(demand);
+	for (int rank = 0; demand != NULL && rank < REQUEST_RANKS; rank++)
+		planned->waiting_tokens += demand->waiting_tokens[rank];
 }
 
 static void plan_service(const fleet_control_t *control, GHashTable *uses,
@@ -133,6 +140,7 @@
 	};
 	GHashTableIter iter;
 	gpointer value;
+	double demand = 0;
 
 	g_hash_table_iter_init(&iter, control->registry.by_id);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
@@ -148,6 +156,15 @@
 	input.demand = (const double *)(void *)planned->demand->data;
 	input.domain_count = planned->domains->len;
 	traffic_plan_make(&planned->plan, &input);
+	for (guint i = 0; i < planned->demand->len; i++)
+		demand += g_array_index(planned->demand, double, i);
+	LOG_INFO("plan_made",
+		 "service=%s sequence=%" G_GUINT64_FORMAT
+		 " flows=%u demand_per_s=%.0f capacity_per_s=%.0f"
+		 " waiting=%.0f",
+		 planned->service->name, control->plan_sequence + 1,
+		 planned->plan.flows->len, demand * 1000,
+		 planned->plan.capacity * 1000, planned->waiting_tokens);
 }
 
 /* Fills "described", with memory that the caller frees with its hops. */
@@ -210,6 +227,19 @@
 	g_free((gpointer)described->flows);
 }
 
+/* Returns the part of all demand for a service that is an entry's "demand". */
+static double entry_part(const planned_service_t *planned,
+			 const service_demand_t *demand)
+{
+	double total = 0;
+
+	for (guint i = 0; i < planned->demand->len; i++)
+		total += g_array_index(planned->demand, double, i);
+	return demand == NULL || total <= 0
+		       ? PART_MIN
+		       : MAX(demand_total_rate(demand) / total, PART_MIN);
+}
+
 /*
  * Scales the flows of a domain to the part of them that is for "entry": its part
  * of the domain's demand, or an equal part of an entry without demand.
@@ -229,6 +259,8 @@
 
 	if (demand != NULL && total > 0)
 		part = demand_total_rate(demand) / total;
+	described->share_per_s =
+		planned->plan.capacity * 1000 * entry_part(planned, demand);
 	for (size_t i = 0; i < described->flow_count; i++) {
 		msg_fleet_flow_t *flow =
 			(msg_fleet_flow_t *)&described->flows[i];
--- a/src/wisteria/fleet/pipeline_time.c
+++ b/src/wisteria/fleet/pipeline_time.c
@@ -13,8 +13,6 @@
 
 /* A request reaches an engine in the middle of a pass, on average. */
 #define PASSES_PER_HOP 1.5
-/* Forwarding to the next hop. */
-#define HOP_MS 1.0
 
 /* Returns whether the configuration states what the estimates need. */
 bool pipeline_time_is_known(const engine_model_t *engine)
@@ -63,7 +61,7 @@
 	double slowest_ms = 0;
 
 	for (uint32_t i = 0; i < count; i++) {
-		double hop_ms = hops[i].pass_ms * PASSES_PER_HOP + HOP_MS;
+		double hop_ms = hops[i].pass_ms * PASSES_PER_HOP;
 
 		time.first_event_ms += hop_ms + hops[i].backlog_ms;
 		time.pause_ms += hop_ms;
--- a/src/wisteria/fleet/pipeline_time.h
+++ b/src/wisteria/fleet/pipeline_time.h
@@ -9,7 +9,7 @@
 
 /* What an engine runs, as far as it is known. */
 typedef struct {
-	double sequences;      /* requests that run */
+	double sequences;      /* requests that decode */
 	double context_tokens; /* that they hold */
 	double slowdown;       /* 1: normal speed */
 } engine_load_t;
--- a/src/wisteria/fleet/traffic_plan.c
+++ b/src/wisteria/fleet/traffic_plan.c
@@ -23,7 +23,7 @@
 /* What exceeds the normal backlog is worked off in this time. */
 #define BACKLOG_DRAIN_MS 1000
 /* Part of the KV cache that is planned; the rest is for longer answers. */
-#define MEMORY_FILL 0.8
+#define MEMORY_FILL 0.9
 /* Cost of forwarding a hop, and of serving callers of another domain. */
 #define HOP_MS 1.0
 #define ENTRY_CROSSING_MS 12.0
--- a/src/wisteria/gateway/exchange.c
+++ b/src/wisteria/gateway/exchange.c
@@ -87,11 +87,28 @@
 	exchange->target.count = 0;
 }
 
+static void count_waiting(exchange_t *exchange, int sign)
+{
+	if (exchange->service->has_engine)
+		demand_add_waiting(
+			&exchange->gateway->demand, exchange->service->name,
+			MAX(exchange->rank, 0),
+			sign * (double)exchange->caller.prompt_tokens);
+}
+
+static void stop_waiting(exchange_t *exchange)
+{
+	if (!exchange->wait.queued)
+		return;
+	count_waiting(exchange, -1);
+	wait_queue_remove(&exchange->gateway->waiting, &exchange->wait);
+}
+
 /* Ends and frees an exchange without sending anything to its caller. */
 void exchange_discard(exchange_t *exchange)
 {
 	end_attempt(exchange);
-	wait_queue_remove(&exchange->gateway->waiting, &exchange->wait);
+	stop_waiting(exchange);
 	if (exchange->conn != NULL)
 		exchange->conn->user = NULL;
 	LIST_REMOVE(exchange, entry);
@@ -228,7 +245,7 @@
 		return false;
 	}
 	start(exchange, &target);
-	wait_queue_remove(&exchange->gateway->waiting, item);
+	stop_waiting(exchange);
 	shortage_wait_ended(shortage, true);
 	histogram_add(LATENCY_QUEUE, now_of(exchange) - exchange->started_ms);
 	return true;
@@ -376,6 +393,7 @@
 	}
 	wait->expires_ms = exchange->started_ms + wait_ms;
 	wait_queue_push(&gateway->waiting, wait);
+	count_waiting(exchange, 1);
 	LOG_INFO("request_queued",
 		 "request=%s waiting=%u for_ms=%" G_GINT64_FORMAT,
 		 id_of(exchange), gateway->waiting.count, wait_ms);
