Compute which share of its demand each priority gets

Under a lasting shortage, engines prefill the more urgent requests first and never reach the least urgent ones; no part computed how much each rank may send.

Change: admission_shares divides the capacity of a service. Not called yet.

--- /dev/null
+++ b/src/wisteria/fleet/admission_shares.c
@@ -0,0 +1,81 @@
+/*
+ * Divides the capacity of a service among the ranks of its requests.  Each rank
+ * gets a minimum in proportion to its demand; the rest is given to the ranks in
+ * order.  Engines prefill the more urgent requests first, so a rank that gets no
+ * more than the minimum would get nothing under a lasting shortage; the minimum
+ * of its requests is promoted to rank 0 instead.  No clock, no I/O.
+ */
+#include "wisteria/fleet/admission_shares.h"
+
+#include <glib.h>
+
+/* Waiting requests are to be started in this time, as the plan drains backlog. */
+#define WAITING_DRAIN_MS 1000
+
+static void admit_all(admission_shares_t *shares)
+{
+	for (int32_t rank = 0; rank < REQUEST_RANKS; rank++) {
+		shares->admitted[rank] = 1;
+		shares->promoted[rank] = 0;
+	}
+	shares->level = REQUEST_RANKS - 1;
+}
+
+/*
+ * Gives the ranks the minimum, which is "floor" of what arrives, and "rest" in
+ * order.  A rank without demand gets the fraction that its first request would.
+ */
+static void admit_in_order(const double demand[REQUEST_RANKS],
+			   const double waiting_tokens[REQUEST_RANKS],
+			   double floor, double rest,
+			   admission_shares_t *shares)
+{
+	shares->level = REQUEST_RANK_NONE;
+	for (int32_t rank = 0; rank < REQUEST_RANKS; rank++) {
+		double arriving = MAX(demand[rank], 0);
+		double wanted = arriving +
+				MAX(waiting_tokens[rank], 0) / WAITING_DRAIN_MS;
+		double kept = floor * arriving;
+
+		shares->promoted[rank] = 0;
+		if (rest > 0 && rest >= wanted - kept) {
+			shares->admitted[rank] = 1;
+			shares->level = rank;
+			rest -= wanted - kept;
+			continue;
+		}
+		shares->admitted[rank] = floor;
+		if (rest > 0)
+			shares->admitted[rank] =
+				MAX((kept + rest) / wanted, floor);
+		else if (rank > 0)
+			shares->promoted[rank] = floor;
+		rest = 0;
+	}
+}
+
+/*
+ * Divides "capacity" among the ranks.  "demand" and "capacity" are in prompt
+ * tokens per ms, "demand" being what arrives; "waiting_tokens" are the prompt
+ * tokens of requests that wait unsent.  If the capacity suffices for what
+ * arrives, all ranks are admitted in full, and what waits gets the rest.
+ * Otherwise what waits also counts as demand, but not for the minimum: a rank
+ * whose requests are refused at once would get too little of it.
+ */
+void admission_shares_compute(const double demand[REQUEST_RANKS],
+			      const double waiting_tokens[REQUEST_RANKS],
+			      double capacity, admission_shares_t *shares)
+{
+	double total = 0;
+	double served;
+
+	for (int32_t rank = 0; rank < REQUEST_RANKS; rank++)
+		total += MAX(demand[rank], 0);
+	if (total <= capacity || total <= 0) {
+		admit_all(shares);
+		return;
+	}
+	served = MAX(capacity, 0) / total;
+	admit_in_order(demand, waiting_tokens, ADMISSION_SHARES_FLOOR * served,
+		       (1 - ADMISSION_SHARES_FLOOR) * MAX(capacity, 0), shares);
+}
