--- a/test/unit/shared_admission_test.c
+++ b/test/unit/shared_admission_test.c
@@ -1,7 +1,8 @@
 /*
  * Property tests of shared admission: plays loads above the capacity through the
  * shares of the ranks, the plan, the windows and the queues of several entries,
- * and checks what callers get.  Fixed seeds, simulated time.
+ * and checks what callers get.  Simulated time; the seed is fixed, or the first
+ * argument.
  */
 #include "unit.h"
 
@@ -17,7 +18,6 @@
 #include "wisteria/gateway/usage.h"
 #include "wisteria/gateway/wait_queue.h"
 
-#define SEED 20261204
 #define ENTRIES 4
 #define ENGINES 2
 #define CLASSES 3
@@ -116,6 +116,7 @@
 	double waiting_tokens[REQUEST_RANKS];	/* at the last report */
 } entry_t;
 
+static uint32_t seed = 20261204;
 static scenario_t scenario;
 static clock_ms_t now_ms;
 static GRand *generator;
@@ -421,7 +422,7 @@
 	double capacity = 0;
 
 	scenario = *played;
-	generator = g_rand_new_with_seed(SEED);
+	generator = g_rand_new_with_seed(seed);
 	requests = g_ptr_array_new_with_free_func(g_free);
 	memset(entries, 0, sizeof(entries));
 	for (unsigned i = 0; i < ENTRIES; i++) {
@@ -661,7 +662,9 @@
 	  test_more_capacity_serves_no_class_less },
 };
 
-int main(void)
+int main(int argc, char **argv)
 {
+	if (argc > 1)
+		seed = (uint32_t)strtoul(argv[1], NULL, 10);
 	return unit_run("shared_admission", tests, ARRAY_SIZE(tests));
 }
