Admit by rank over all entries: windows, promotion, an ordered queue

Change: the leader divides the capacity among the ranks and sends with each plan what more urgent arrivals leave for a rank and which fraction of it is promoted for its minimum. Entries scale the windows by it, order what waits by rank, time and customer, refuse at once what would not start before its caller gives up, and displace the last of the least urgent. Where each pipeline of the plan has an endpoint that can't be used, the search is used.

--- a/src/wisteria/base/counters.c
+++ b/src/wisteria/base/counters.c
@@ -92,6 +92,12 @@
 					    "Requests refused since they, or "
 					    "a part of their prompt, crash "
 					    "endpoints." },
+	[COUNTER_GATEWAY_PROMOTED] = { "gateway_promoted_total", "counter",
+				       "requests sent with the most urgent "
+				       "rank, for the minimum of their own" },
+	[COUNTER_GATEWAY_DISPLACED] = { "gateway_displaced_total", "counter",
+					"waiting requests refused for more "
+					"urgent ones" },
 	[COUNTER_GATEWAY_LIMITED] = { "gateway_limited_total", "counter",
 				      "Requests whose best endpoint was at "
 				      "the limit that it names." },
--- a/src/wisteria/codec/msg.c
+++ b/src/wisteria/codec/msg.c
@@ -580,13 +580,22 @@
 static const record_desc_t msg_fleet_flow_desc =
 	RECORD_DESC(msg_fleet_flow_t, fleet_flow_fields);
 
+static const field_desc_t fleet_rank_fields[] = {
+	FIELD(FIELD_F64, msg_fleet_rank_t, promoted),
+	FIELD(FIELD_F64, msg_fleet_rank_t, left),
+};
+static const record_desc_t msg_fleet_rank_desc =
+	RECORD_DESC(msg_fleet_rank_t, fleet_rank_fields);
+
 static const field_desc_t fleet_service_plan_fields[] = {
 	FIELD(FIELD_STR, msg_fleet_service_plan_t, service),
 	FIELD(FIELD_F64, msg_fleet_service_plan_t, share_per_s),
 	FIELD(FIELD_F64, msg_fleet_service_plan_t, capacity_per_s),
-	FIELD(FIELD_U32, msg_fleet_service_plan_t, level),
+	FIELD(FIELD_I64, msg_fleet_service_plan_t, level),
 	FIELD_LIST_OF(msg_fleet_service_plan_t, flows, flow_count,
 		      &msg_fleet_flow_desc),
+	FIELD_LIST_OF(msg_fleet_service_plan_t, ranks, rank_count,
+		      &msg_fleet_rank_desc),
 };
 static const record_desc_t msg_fleet_service_plan_desc =
 	RECORD_DESC(msg_fleet_service_plan_t, fleet_service_plan_fields);
--- a/src/wisteria/codec/msg_defs.h
+++ b/src/wisteria/codec/msg_defs.h
@@ -727,14 +727,22 @@
 	size_t hop_count;
 } msg_fleet_flow_t;
 
+/* How the requests of one rank are admitted under a shortage. */
+typedef struct {
+	double promoted; /* fraction that is sent with rank 0 */
+	double left;	 /* part of the capacity after more urgent ranks */
+} msg_fleet_rank_t;
+
 /* The part of a service's capacity that the receiver may use. */
 typedef struct {
 	const char *service;
 	double share_per_s;    /* prompt tokens that it may begin */
 	double capacity_per_s; /* of all entries */
-	uint32_t level;	       /* least urgent rank that is begun in full */
+	int64_t level; /* least urgent rank admitted in full; -1: none */
 	const msg_fleet_flow_t *flows;
 	size_t flow_count;
+	const msg_fleet_rank_t *ranks; /* by rank; empty: no shortage */
+	size_t rank_count;
 } msg_fleet_service_plan_t;
 
 /* From the leader to one entry; see docs/design/demand.md. */
--- a/src/wisteria/fleet/admission_shares.c
+++ b/src/wisteria/fleet/admission_shares.c
@@ -23,12 +23,15 @@
  * shared_admission_test (seed 3).
  */
 #define FLOOR_MARGIN 1.1
+/* Least part of the capacity that a rank is taken to have. */
+#define LEFT_MIN 0.05
 
 static void admit_all(admission_shares_t *shares)
 {
 	for (int32_t rank = 0; rank < REQUEST_RANKS; rank++) {
 		shares->admitted[rank] = 1;
 		shares->promoted[rank] = 0;
+		shares->left[rank] = 1;
 	}
 	shares->level = REQUEST_RANKS - 1;
 }
@@ -71,6 +74,21 @@
 	}
 }
 
+/* What arrives with more urgent ranks is prefilled first. */
+static void count_left(const double demand[REQUEST_RANKS], double capacity,
+		       admission_shares_t *shares)
+{
+	double urgent = 0;
+
+	for (int32_t rank = 0; rank < REQUEST_RANKS; rank++) {
+		shares->left[rank] = LEFT_MIN;
+		if (capacity > 0)
+			shares->left[rank] = MAX(
+				1 - PLANNED_PART * urgent / capacity, LEFT_MIN);
+		urgent += MAX(demand[rank], 0);
+	}
+}
+
 /*
  * Divides "capacity", that of the traffic plan, among the ranks.  "demand" and
  * "capacity" are in prompt tokens per ms, "demand" being what arrives;
@@ -97,6 +115,7 @@
 		MIN(capacity / PLANNED_PART / total, 1);
 	admit_in_order(demand, waiting_tokens, floor, capacity - floor * total,
 		       shares);
+	count_left(demand, capacity, shares);
 }
 
 /*
--- a/src/wisteria/fleet/admission_shares.h
+++ b/src/wisteria/fleet/admission_shares.h
@@ -19,6 +19,8 @@
 	double admitted[REQUEST_RANKS];
 	/* Fraction of the requests of a rank that are sent with rank 0. */
 	double promoted[REQUEST_RANKS];
+	/* Part of the capacity that the more urgent ranks leave for a rank. */
+	double left[REQUEST_RANKS];
 	/* Least urgent rank that is admitted in full, or REQUEST_RANK_NONE. */
 	int32_t level;
 } admission_shares_t;
--- a/src/wisteria/fleet/fleet_plan.c
+++ b/src/wisteria/fleet/fleet_plan.c
@@ -10,6 +10,7 @@
 #include <string.h>
 
 #include "wisteria/base/log.h"
+#include "wisteria/fleet/admission_shares.h"
 #include "wisteria/fleet/demand_sum.h"
 #include "wisteria/fleet/fleet_group.h"
 #include "wisteria/fleet/load_sum.h"
@@ -29,18 +30,22 @@
 /* The endpoints and domains of one service, as the planning numbers them. */
 typedef struct {
 	const service_t *service;
-	GArray *stages;	       /* of traffic_stage_t */
-	GPtrArray *endpoints;  /* of const endpoint_t */
-	GPtrArray *domains;    /* names */
-	GArray *demand;	       /* of double, by domain */
-	double waiting_tokens; /* of requests that wait at entries */
+	GArray *stages;	      /* of traffic_stage_t */
+	GPtrArray *endpoints; /* of const endpoint_t */
+	GPtrArray *domains;   /* names */
+	GArray *demand;	      /* of double, by domain */
+	/* Of all entries, by rank: prompt tokens per ms, and what waits. */
+	double rank_demand[REQUEST_RANKS];
+	double rank_waiting[REQUEST_RANKS];
+	admission_shares_t shares;
 	traffic_plan_t plan;
 } planned_service_t;
 
 static void init_planned(planned_service_t *planned, const service_t *service)
 {
 	planned->service = service;
-	planned->waiting_tokens = 0;
+	memset(planned->rank_demand, 0, sizeof(planned->rank_demand));
+	memset(planned->rank_waiting, 0, sizeof(planned->rank_waiting));
 	planned->stages = g_array_new(FALSE, FALSE, sizeof(traffic_stage_t));
 	planned->endpoints = g_ptr_array_new();
 	planned->domains = g_ptr_array_new();
@@ -125,8 +130,10 @@
 	if (demand != NULL)
 		g_array_index(planned->demand, double, domain) +=
 			demand_total_rate(demand);
-	for (int rank = 0; demand != NULL && rank < REQUEST_RANKS; rank++)
-		planned->waiting_tokens += demand->waiting_tokens[rank];
+	for (int rank = 0; demand != NULL && rank < REQUEST_RANKS; rank++) {
+		planned->rank_demand[rank] += demand->tokens_per_ms[rank];
+		planned->rank_waiting[rank] += demand->waiting_tokens[rank];
+	}
 }
 
 static void plan_service(const fleet_control_t *control, GHashTable *uses,
@@ -141,6 +148,7 @@
 	GHashTableIter iter;
 	gpointer value;
 	double demand = 0;
+	double waiting = 0;
 
 	g_hash_table_iter_init(&iter, control->registry.by_id);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
@@ -156,15 +164,19 @@
 	input.demand = (const double *)(void *)planned->demand->data;
 	input.domain_count = planned->domains->len;
 	traffic_plan_make(&planned->plan, &input);
+	admission_shares_compute(planned->rank_demand, planned->rank_waiting,
+				 planned->plan.capacity, &planned->shares);
+	for (int rank = 0; rank < REQUEST_RANKS; rank++)
+		waiting += planned->rank_waiting[rank];
 	for (guint i = 0; i < planned->demand->len; i++)
 		demand += g_array_index(planned->demand, double, i);
 	LOG_INFO("plan_made",
 		 "service=%s sequence=%" G_GUINT64_FORMAT
 		 " flows=%u demand_per_s=%.0f capacity_per_s=%.0f"
-		 " waiting=%.0f",
+		 " waiting=%.0f level=%d",
 		 planned->service->name, control->plan_sequence + 1,
 		 planned->plan.flows->len, demand * 1000,
-		 planned->plan.capacity * 1000, planned->waiting_tokens);
+		 planned->plan.capacity * 1000, waiting, planned->shares.level);
 }
 
 /* Fills "described", with memory that the caller frees with its hops. */
@@ -204,12 +216,23 @@
 	uint32_t index = registry_domain_index(planned->domains, domain);
 	const GArray *flows = planned->plan.flows;
 	msg_fleet_flow_t *list = g_new(msg_fleet_flow_t, flows->len + 1);
+	msg_fleet_rank_t *ranks = g_new(msg_fleet_rank_t, REQUEST_RANKS);
 
 	*described = (msg_fleet_service_plan_t){
 		.service = planned->service->name,
 		.capacity_per_s = planned->plan.capacity * 1000,
+		.level = planned->shares.level,
 		.flows = list,
+		.ranks = ranks,
+		.rank_count = planned->shares.level == REQUEST_RANKS - 1
+				      ? 0
+				      : REQUEST_RANKS,
 	};
+	for (int rank = 0; rank < REQUEST_RANKS; rank++)
+		ranks[rank] = (msg_fleet_rank_t){
+			.promoted = planned->shares.promoted[rank],
+			.left = planned->shares.left[rank],
+		};
 	for (guint i = 0; i < flows->len; i++) {
 		const traffic_flow_t *flow =
 			&g_array_index(flows, traffic_flow_t, i);
@@ -225,6 +248,7 @@
 	for (size_t i = 0; i < described->flow_count; i++)
 		g_free((gpointer)described->flows[i].hops);
 	g_free((gpointer)described->flows);
+	g_free((gpointer)described->ranks);
 }
 
 /* Returns the part of all demand for a service that is an entry's "demand". */
--- a/src/wisteria/gateway/exchange.c
+++ b/src/wisteria/gateway/exchange.c
@@ -255,8 +255,10 @@
 void exchange_start_queued(gateway_t *gateway)
 {
 	if (gateway->waiting.count > 0 &&
-	    subscription_has_lease(&gateway->subscription))
+	    subscription_has_lease(&gateway->subscription)) {
+		wait_queue_update(&gateway->waiting, clock_now(gateway->clock));
 		wait_queue_dispatch(&gateway->waiting, start_queued);
+	}
 }
 
 /* Returns the silence after which a caller gives a stream up, in ms. */
@@ -285,8 +287,8 @@
 	    now - gateway->first_endpoint_ms < GATEWAY_WARM_UP_MS)
 		return GATEWAY_HOLD_TIMEOUT_MS;
 	if (result == TARGET_FULL &&
-	    flow_plan_find((flow_plan_t *)&gateway->plan,
-			   exchange->service->name, now) != NULL)
+	    flow_plan_find(&gateway->plan, exchange->service->name, now) !=
+		    NULL)
 		return patience_ms(exchange->route) - LATE_MARGIN_MS;
 	queue_ms = (clock_ms_t)((double)exchange->route->goal_ms *
 				GATEWAY_QUEUE_TIME_RATIO);
@@ -351,6 +353,53 @@
 					target->cost_ms);
 }
 
+/* Returns the valid plan of the request's service, or NULL. */
+static service_flows_t *find_plan(const exchange_t *exchange)
+{
+	return flow_plan_find(&exchange->gateway->plan, exchange->service->name,
+			      now_of(exchange));
+}
+
+static bool has_plan(const exchange_t *exchange)
+{
+	return find_plan(exchange) != NULL;
+}
+
+/*
+ * Queues a request; another one that can no longer start because of it is
+ * refused.  Returns false if the request itself would not start in time.
+ */
+static bool queue_request(exchange_t *exchange)
+{
+	static const target_t none = { 0 };
+	wait_queue_t *queue = &exchange->gateway->waiting;
+	wait_item_t *wait = &exchange->wait;
+	const service_flows_t *plan = find_plan(exchange);
+	wait_item_t *displaced = NULL;
+	double rate = 0;
+
+	if (plan != NULL) {
+		rate = flow_plan_start_rate(plan, exchange->rank);
+		wait->customer = exchange->customer;
+		wait->prompt_tokens = exchange->caller.prompt_tokens;
+		wait->on_time_until_ms =
+			exchange->started_ms +
+			(clock_ms_t)((double)exchange->route->goal_ms *
+				     GATEWAY_QUEUE_TIME_RATIO);
+	}
+	if (wait_queue_offer(queue, wait, rate, now_of(exchange), &displaced) ==
+	    WAIT_REFUSED)
+		return false;
+	count_waiting(exchange, 1);
+	if (displaced != NULL) {
+		exchange_t *other = CONTAINER_OF(displaced, exchange_t, wait);
+
+		counter_add(COUNTER_GATEWAY_DISPLACED, 1);
+		refuse_without_target(other, TARGET_FULL, &none);
+	}
+	return true;
+}
+
 static void send_or_queue(exchange_t *exchange)
 {
 	gateway_t *gateway = exchange->gateway;
@@ -384,16 +433,19 @@
 	if (!must_wait)
 		shortage_expect_starts(shortage, target.limited_per_s, wait_ms);
 	if (wait_ms <= 0 ||
-	    !shortage_allows_wait(
-		    shortage,
-		    must_wait ? wait_queue_count(&gateway->waiting, wait->pool)
-			      : 0)) {
+	    (!has_plan(exchange) &&
+	     !shortage_allows_wait(
+		     shortage,
+		     must_wait ? wait_queue_count(&gateway->waiting, wait->pool)
+			       : 0))) {
 		refuse_without_target(exchange, found, &target);
 		return;
 	}
 	wait->expires_ms = exchange->started_ms + wait_ms;
-	wait_queue_push(&gateway->waiting, wait);
-	count_waiting(exchange, 1);
+	if (!queue_request(exchange)) {
+		refuse_without_target(exchange, found, &target);
+		return;
+	}
 	LOG_INFO("request_queued",
 		 "request=%s waiting=%u for_ms=%" G_GINT64_FORMAT,
 		 id_of(exchange), gateway->waiting.count, wait_ms);
@@ -613,6 +665,24 @@
 	return exchange;
 }
 
+/*
+ * Counts a new request as demand of its rank, and promotes it to rank 0 if its
+ * rank would otherwise get less than the minimum.
+ */
+static void count_arrival(exchange_t *exchange)
+{
+	double tokens = exchange->caller.prompt_tokens;
+	service_flows_t *plan = find_plan(exchange);
+
+	demand_add(&exchange->gateway->demand, exchange->service->name,
+		   MAX(exchange->rank, 0), tokens);
+	if (plan == NULL || exchange->rank <= 0 ||
+	    !flow_plan_promotes(plan, exchange->rank, tokens))
+		return;
+	counter_add(COUNTER_GATEWAY_PROMOTED, 1);
+	exchange->rank = 0;
+}
+
 /* Admits or rejects a request that arrived completely at "arrived_ms". */
 void exchange_begin(gateway_t *gateway, http_conn_t *conn,
 		    clock_ms_t arrived_ms)
@@ -658,8 +728,7 @@
 			? route_table_rank(gateway->table, route, customer)
 			: REQUEST_RANK_NONE;
 	if (exchange->service->has_engine)
-		demand_add(&gateway->demand, exchange->service->name,
-			   MAX(exchange->rank, 0), caller.prompt_tokens);
+		count_arrival(exchange);
 	send_or_queue(exchange);
 }
 
--- a/src/wisteria/gateway/flow_plan.c
+++ b/src/wisteria/gateway/flow_plan.c
@@ -9,11 +9,20 @@
 #include <math.h>
 #include <string.h>
 
+#include "wisteria/fleet/admission_shares.h"
+
 /*
  * Most credit of a flow, in prompt tokens: a few requests, so that a pipeline
  * that was not usable for a while does not get all requests afterwards.
  */
 #define CREDIT_MAX_TOKENS 4000.0
+/*
+ * Part of the goal for the first event in which an endpoint should prefill what
+ * an entry has sent it; the rest is for the other hops.
+ */
+#define WINDOW_GOAL_RATIO 0.8
+/* Plans fill engines to 0.85 of what they prefill under a shortage. */
+#define START_RATE_MARGIN 1.2
 
 static void free_service(gpointer data)
 {
@@ -118,7 +127,17 @@
 	g_strlcpy(service->service, message->service, sizeof(service->service));
 	service->share_per_s = message->share_per_s;
 	service->capacity_per_s = message->capacity_per_s;
-	service->level = message->level;
+	service->level = (int32_t)message->level;
+	for (size_t i = 0; i < REQUEST_RANKS; i++) {
+		bool is_stated = i < message->rank_count;
+
+		service->promoted[i] =
+			is_stated ? message->ranks[i].promoted : 0;
+		service->left[i] = is_stated ? message->ranks[i].left : 1;
+		if (previous != NULL)
+			service->promotion_credit[i] =
+				previous->promotion_credit[i];
+	}
 	service->flows = g_array_new(FALSE, FALSE, sizeof(planned_flow_t));
 	for (size_t i = 0; i < message->flow_count; i++) {
 		planned_flow_t flow;
@@ -170,7 +189,7 @@
 }
 
 /* Returns the plan of a service, or NULL if there is none that is valid. */
-service_flows_t *flow_plan_find(flow_plan_t *plan, const char *service,
+service_flows_t *flow_plan_find(const flow_plan_t *plan, const char *service,
 				clock_ms_t now)
 {
 	return now < plan->valid_until_ms
@@ -178,6 +197,42 @@
 		       : NULL;
 }
 
+/*
+ * Returns whether a new request is sent with rank 0, so that its rank gets the
+ * minimum of the capacity, and counts it.
+ */
+bool flow_plan_promotes(service_flows_t *service, int32_t rank, double tokens)
+{
+	int32_t i = MAX(rank, 0);
+
+	return admission_shares_promote(&service->promotion_credit[i],
+					service->promoted[i], tokens);
+}
+
+/*
+ * Returns the prompt tokens per ms of "rank" that this entry is expected to
+ * start.  It errs on the high side: a request that might start in time must not
+ * be refused.
+ */
+double flow_plan_start_rate(const service_flows_t *service, int32_t rank)
+{
+	return service->share_per_s / 1000 * service->left[MAX(rank, 0)] *
+	       START_RATE_MARGIN;
+}
+
+/*
+ * Returns how many prompt tokens, at least as urgent as "rank", this entry may
+ * have sent to the first endpoint of a flow without their being prefilled: what
+ * the endpoint prefills for that rank in a part of the goal for the first event.
+ */
+double flow_plan_window(const service_flows_t *service,
+			const planned_flow_t *flow, int32_t rank,
+			clock_ms_t goal_ms)
+{
+	return flow->first_rate / 1000 * (double)goal_ms * WINDOW_GOAL_RATIO *
+	       service->left[MAX(rank, 0)];
+}
+
 /* Marks the flows that the request may use; returns the sum of their weights. */
 static double mark_usable(service_flows_t *service, flow_usable_t usable,
 			  void *user)
--- a/src/wisteria/gateway/flow_plan.h
+++ b/src/wisteria/gateway/flow_plan.h
@@ -11,6 +11,7 @@
 #include "wisteria/codec/msg_defs.h"
 #include "wisteria/fleet/pipeline_defs.h"
 #include "wisteria/fleet/registry_defs.h"
+#include "wisteria/fleet/routes_defs.h"
 
 /* A plan expires this long after the report that it answers was sent. */
 #define FLOW_PLAN_MAX_AGE_MS 2000
@@ -41,7 +42,10 @@
 	GArray *flows; /* of planned_flow_t */
 	double share_per_s;
 	double capacity_per_s;
-	uint32_t level;
+	int32_t level; /* least urgent rank admitted in full; -1: none */
+	double promoted[REQUEST_RANKS]; /* fraction sent with rank 0 */
+	double left[REQUEST_RANKS];	/* of the capacity, for a rank */
+	double promotion_credit[REQUEST_RANKS];
 } service_flows_t;
 
 /* The leader's last plan, as far as it concerns this entry. */
@@ -59,8 +63,15 @@
 void flow_plan_finish(flow_plan_t *plan) ATTR_NONNULL_ALL;
 bool flow_plan_follow(flow_plan_t *plan, const msg_fleet_plan_t *message,
 		      clock_ms_t now) ATTR_NONNULL_ALL;
-service_flows_t *flow_plan_find(flow_plan_t *plan, const char *service,
+service_flows_t *flow_plan_find(const flow_plan_t *plan, const char *service,
 				clock_ms_t now) ATTR_NONNULL_ALL;
+bool flow_plan_promotes(service_flows_t *service, int32_t rank,
+			double tokens) ATTR_NONNULL_ALL;
+double flow_plan_start_rate(const service_flows_t *service,
+			    int32_t rank) ATTR_NONNULL_ALL;
+double flow_plan_window(const service_flows_t *service,
+			const planned_flow_t *flow, int32_t rank,
+			clock_ms_t goal_ms) ATTR_NONNULL_ALL;
 planned_flow_t *flow_plan_choose(service_flows_t *service, double tokens,
 				 flow_usable_t usable, void *user)
 	ATTR_NONNULL(1, 3);
--- a/src/wisteria/gateway/gateway.c
+++ b/src/wisteria/gateway/gateway.c
@@ -705,6 +705,7 @@
 	registry_finish(&gateway->registry);
 	usage_finish(&gateway->usage);
 	flow_plan_finish(&gateway->plan);
+	wait_queue_finish(&gateway->waiting);
 	demand_finish(&gateway->demand);
 	endpoint_notices_finish(&gateway->notices);
 	request_limits_finish(&gateway->limits);
--- a/src/wisteria/gateway/target.c
+++ b/src/wisteria/gateway/target.c
@@ -15,11 +15,6 @@
 
 /* Leaves room for requests that other entries began since their last report. */
 #define MEMORY_USED_MAX 0.95
-/*
- * Part of the goal for the first event in which an endpoint should read what an
- * entry has sent it; the rest is for the other hops.
- */
-#define UNREAD_GOAL_RATIO 0.8
 /* Longest time of a token in a loaded pipeline against the planned one. */
 #define LOADED_PAUSE_FACTOR 2.0
 /* Transfer within a failure domain and wait for the engine's current pass. */
@@ -414,7 +409,9 @@
 typedef struct {
 	exchange_t *exchange;
 	target_t *target;
-	double tokens; /* that it holds */
+	const service_flows_t *service;
+	double tokens;	    /* that it holds */
+	bool has_endpoints; /* of at least one flow */
 } placing_t;
 
 /* Returns the endpoint of a planned hop if it may run it now, or NULL. */
@@ -463,8 +460,8 @@
 	double unread =
 		usage_own_unread(&exchange->gateway->usage,
 				 flow->hops[0].endpoint, exchange->rank);
-	double window = flow->first_rate / 1000 *
-			(double)exchange->route->goal_ms * UNREAD_GOAL_RATIO;
+	double window = flow_plan_window(placing->service, flow, exchange->rank,
+					 exchange->route->goal_ms);
 
 	return unread <= 0 || unread + exchange->caller.prompt_tokens <= window;
 }
@@ -472,15 +469,21 @@
 /* A flow_usable_t. */
 static bool is_flow_usable(const planned_flow_t *flow, void *user)
 {
-	const placing_t *placing = user;
+	placing_t *placing = user;
+	const endpoint_t *endpoints[PIPELINE_HOPS_MAX];
 
+	for (uint32_t i = 0; i < flow->hop_count; i++) {
+		endpoints[i] = find_planned_endpoint(placing, &flow->hops[i]);
+		if (endpoints[i] == NULL)
+			return false;
+	}
+	placing->has_endpoints = true;
 	if (!has_window(placing, flow))
 		return false;
 	for (uint32_t i = 0; i < flow->hop_count; i++) {
-		const endpoint_t *endpoint =
-			find_planned_endpoint(placing, &flow->hops[i]);
+		const endpoint_t *endpoint = endpoints[i];
 
-		if (endpoint == NULL || !has_memory(placing, endpoint))
+		if (!has_memory(placing, endpoint))
 			return false;
 		if (i == 0 && !endpoint_limits_allow(placing->exchange->gateway,
 						     endpoint)) {
@@ -494,7 +497,8 @@
 
 /*
  * Chooses a pipeline of the leader's plan.  Returns TARGET_FULL if none of them
- * takes the request now, and TARGET_NONE without a valid plan.
+ * takes the request now, and TARGET_NONE without a valid plan or if each of its
+ * pipelines has an endpoint that can't be used.
  */
 static target_result_t choose_planned(exchange_t *exchange, target_t *target)
 {
@@ -502,7 +506,12 @@
 	service_flows_t *service =
 		flow_plan_find(&gateway->plan, exchange->service->name,
 			       clock_now(gateway->clock));
-	placing_t placing = { exchange, target, request_tokens(exchange) };
+	placing_t placing = {
+		.exchange = exchange,
+		.target = target,
+		.service = service,
+		.tokens = request_tokens(exchange),
+	};
 	const planned_flow_t *flow = NULL;
 
 	if (service == NULL || service->flows->len == 0)
@@ -510,7 +519,7 @@
 	flow = flow_plan_choose(service, exchange->caller.prompt_tokens,
 				is_flow_usable, &placing);
 	if (flow == NULL)
-		return TARGET_FULL;
+		return placing.has_endpoints ? TARGET_FULL : TARGET_NONE;
 	for (uint32_t i = 0; i < flow->hop_count; i++)
 		append_hop(target,
 			   registry_find(&gateway->registry,
