Add the order to continue a request over another path

The repair of a pipeline needs an order to the pipeline's first endpoint.

The dialect writes it and reads which hop was the reason that it was refused. The order names the only endpoint that may carry it out, as forwarded requests do, so that a process that replaced it at its address refuses it (421).

--- a/src/wisteria/fleet/dialect.h
+++ b/src/wisteria/fleet/dialect.h
@@ -90,6 +90,17 @@
 	uint32_t end_layer;
 } place_order_t;
 
+/*
+ * An order to the first endpoint of a running request to continue it over
+ * another path, which begins with the same hop.
+ */
+typedef struct {
+	const char *endpoint_id; /* the only endpoint that may carry it out */
+	const char *request_id;	 /* as the caller sent it */
+	const forward_hop_t *hops;
+	uint32_t hop_count;
+} repath_order_t;
+
 /* An engine's answer to a probe. */
 typedef struct {
 	double pace; /* step time, 1 is nominal; above 1: slower */
@@ -109,6 +120,15 @@
 	bool (*read_leave)(const http_message_t *request,
 			   char id[ENDPOINT_ID_BYTES]);
 	void (*write_place_order)(const place_order_t *order, GString *request);
+	/* Returns false if the request's id cannot be written. */
+	bool (*write_repath_order)(const repath_order_t *order,
+				   GString *request);
+	/*
+	 * Copies the address of the hop for which an order was refused; false:
+	 * the answer names none.
+	 */
+	bool (*read_order_fault)(const http_message_t *answer,
+				 char address[ENDPOINT_ADDRESS_BYTES]);
 	void (*write_probe)(const char *address, GString *request);
 	bool (*read_probe)(const http_message_t *answer,
 			   engine_report_t *report);
--- a/test/unit/platform_test.c
+++ b/test/unit/platform_test.c
@@ -526,6 +526,70 @@
 	g_string_free(out, TRUE);
 }
 
+/*
+ * Guards against an order that the endpoint cannot read, that another endpoint
+ * carries out, or that the id of a request breaks.
+ */
+static void test_repath_order(void)
+{
+	static const forward_hop_t hops[] = {
+		{ "10.0.0.9:80", 0, 20 },
+		{ "10.0.0.7:81", 20, 80 },
+	};
+	repath_order_t order = { .endpoint_id = "i-9",
+				 .request_id = "9c\"x",
+				 .hops = hops,
+				 .hop_count = ARRAY_SIZE(hops) };
+	GString *out = g_string_new(NULL);
+
+	CU_ASSERT_TRUE(platform_dialect.write_repath_order(&order, out));
+	CU_ASSERT_STRING_EQUAL(
+		out->str, "POST /wisteriadrift/order HTTP/1.1\r\n"
+			  "Host: 10.0.0.9:80\r\n"
+			  "X-Wisteriadrift-Expect-Instance: i-9\r\n"
+			  "Content-Type: application/json\r\n"
+			  "Connection: close\r\n"
+			  "Content-Length: 72\r\n\r\n"
+			  "{\"op\":\"repath\",\"id\":\"9c\\\"x\","
+			  "\"path\":\"10.0.0.9:80=0-20,10.0.0.7:81=20-80\"}");
+	g_string_truncate(out, 0);
+	order.request_id = "\xff";
+	CU_ASSERT_FALSE(platform_dialect.write_repath_order(&order, out));
+	CU_ASSERT_EQUAL(out->len, 0);
+	g_string_free(out, TRUE);
+}
+
+static bool read_order_fault(const char *body, char *address)
+{
+	char *text = g_strdup_printf("HTTP/1.1 409 Conflict\r\n"
+				     "Content-Length: %zu\r\n\r\n%s",
+				     strlen(body), body);
+	bool found = platform_dialect.read_order_fault(
+		parse_message(HTTP_RESPONSE, text), address);
+
+	http_reader_finish(&reader);
+	g_free(text);
+	return found;
+}
+
+/* Guards against the use of an answer without an address, or with a bad one. */
+static void test_order_fault(void)
+{
+	char address[ENDPOINT_ADDRESS_BYTES];
+
+	CU_ASSERT_TRUE(
+		read_order_fault("{\"address\":\"10.0.0.7:81\"}", address));
+	CU_ASSERT_STRING_EQUAL(address, "10.0.0.7:81");
+	CU_ASSERT_FALSE(read_order_fault("", address));
+	CU_ASSERT_FALSE(read_order_fault("no room", address));
+	CU_ASSERT_FALSE(read_order_fault("[1]", address));
+	CU_ASSERT_FALSE(read_order_fault("{\"address\":7}", address));
+	CU_ASSERT_FALSE(read_order_fault(
+		"{\"address\":\"0123456789012345678901234567890123456789"
+		"01234567\"}",
+		address));
+}
+
 static void test_reports(void)
 {
 	engine_report_t report;
@@ -558,6 +622,8 @@
 	{ "request limits of endpoints", test_request_limits_of_endpoints },
 	{ "leaving endpoint", test_leaving_endpoint },
 	{ "own headers and orders", test_own_headers_and_orders },
+	{ "repath order", test_repath_order },
+	{ "order fault", test_order_fault },
 	{ "reports", test_reports },
 };
 
