Repair the pipeline of a running stream at the entry

When an endpoint in the middle of a pipeline was lost, each of its streams was resumed at another pipeline: a new run, a use of the retry budget, and a prefill of the prompt through all layers.

The new endpoints count as used from the order on, so that streams that lose the same endpoint do not all choose one replacement. A stream whose order fails, or that has had no event of the attempt yet, is resumed elsewhere as before.

--- a/src/cli/explain_file.c
+++ b/src/cli/explain_file.c
@@ -35,6 +35,13 @@
 	  "The stream made no progress for {silent_ms} ms after {events} "
 	  "events, so the attempt was cancelled and another one was started "
 	  "at newly chosen endpoints." },
+	{ "pipeline_repaired",
+	  "Lost endpoints {lost} were replaced by {new} in the running "
+	  "pipeline after {events} events; the first endpoint accepted that "
+	  "with {status} after {took_ms} ms, and the attempt went on." },
+	{ "pipeline_repair_failed",
+	  "Lost endpoints {lost} could not be replaced by {new} in the running "
+	  "pipeline: {reason}, status {status} (0: none) after {took_ms} ms." },
 	{ "request_answered",
 	  "Answered with {status} after {sends} attempts: first event after "
 	  "{first_ms} ms (-1: none), longest pause {gap_ms} ms, {all_ms} ms "
--- a/src/wisteria/base/counters.c
+++ b/src/wisteria/base/counters.c
@@ -73,6 +73,14 @@
 					   "Sends without a good answer." },
 	[COUNTER_GATEWAY_STALLS] = { "gateway_stalls_total", "counter",
 				     "Silent streams taken up elsewhere." },
+	[COUNTER_PIPELINES_REPAIRED] = { "pipelines_repaired_total", "counter",
+					 "Lost endpoints replaced in the "
+					 "pipelines of running streams." },
+	[COUNTER_PIPELINE_REPAIRS_FAILED] = { "pipeline_repairs_failed_total",
+					      "counter",
+					      "Repairs of pipelines that were "
+					      "refused, not answered or not "
+					      "possible." },
 	[COUNTER_ENDPOINTS_LEAVING] = { "endpoints_leaving_total", "counter",
 					"Endpoints that said in an answer that "
 					"they leave." },
--- a/src/wisteria/gateway/exchange.c
+++ b/src/wisteria/gateway/exchange.c
@@ -18,6 +18,7 @@
 #include "wisteria/gateway/endpoint_limits.h"
 #include "wisteria/gateway/gateway.h"
 #include "wisteria/gateway/prompt_parts.h"
+#include "wisteria/gateway/repair.h"
 #include "wisteria/gateway/stop_margin.h"
 #include "wisteria/gateway/target.h"
 #include "wisteria/http/http_message.h"
@@ -77,6 +78,7 @@
 	const target_t *target = &exchange->target;
 
 	answer_hold(exchange, 0);
+	repair_end_attempt(exchange);
 	exchange_prompt_read(exchange);
 	if (exchange->call != NULL)
 		http_call_cancel(exchange->call);
@@ -708,7 +710,9 @@
 		const endpoint_t *endpoint = registry_find(
 			&exchange->gateway->registry, target->ids[i]);
 
-		if (endpoint != NULL && endpoint->unreachable)
+		if (endpoint != NULL &&
+		    (endpoint->unreachable ||
+		     (exchange->repair_failed && endpoint->gone)))
 			return true;
 	}
 	return false;
@@ -744,16 +748,18 @@
 }
 
 /*
- * Resumes a silent stream at other endpoints if they have capacity: early if an
- * endpoint is known to be lost, otherwise later and without any of its current
- * endpoints.
+ * Repairs the pipeline of a silent stream if an endpoint is known to be lost.
+ * If that fails, or if none is, resumes the stream at other endpoints if they
+ * have capacity: early if an endpoint is known to be lost, otherwise later and
+ * without any of its current endpoints.
  */
 void exchange_check_stall(exchange_t *exchange, clock_ms_t now)
 {
 	clock_ms_t silent_ms = now - exchange->last_progress_ms;
 	guint failed_before = exchange->failed_ids->len;
 
-	if (silent_ms < GATEWAY_LOST_ENDPOINT_STALL_MS || !can_resume(exchange))
+	if (repair_check(exchange, now) ||
+	    silent_ms < GATEWAY_LOST_ENDPOINT_STALL_MS || !can_resume(exchange))
 		return;
 	if (has_lost_endpoint(exchange) && resume_elsewhere(exchange, now))
 		return;
--- a/src/wisteria/gateway/gateway_defs.h
+++ b/src/wisteria/gateway/gateway_defs.h
@@ -132,6 +132,7 @@
 } target_t;
 
 struct gateway_t;
+struct repair_t;
 
 /* A request that is held until there is a lease. */
 typedef struct {
@@ -157,6 +158,8 @@
 	http_call_t *call;	     /* of the current attempt, or NULL */
 	target_t target;	     /* of the current attempt */
 	uint64_t incarnation;	     /* of its first endpoint */
+	struct repair_t *repair;     /* order under way, or NULL */
+	bool repair_failed;	     /* of the current attempt */
 	clock_ms_t sent_ms;	     /* of the current attempt */
 	bool is_unread;		     /* its prompt, as far as known */
 	clock_ms_t last_progress_ms; /* last send or received data */
--- a/src/wisteria/gateway/target.c
+++ b/src/wisteria/gateway/target.c
@@ -12,6 +12,7 @@
 #include "wisteria/gateway/capacity_share.h"
 #include "wisteria/gateway/endpoint_limits.h"
 #include "wisteria/gateway/gateway.h"
+#include "wisteria/gateway/pipeline_repair.h"
 
 /* Leaves room for requests that other entries began since their last report. */
 #define MEMORY_USED_MAX 0.95
@@ -527,14 +528,10 @@
 	return TARGET_FOUND;
 }
 
-static target_result_t choose_pipeline(exchange_t *exchange, target_t *target)
+/* Returns lists without entries, which free_candidates() frees. */
+static candidates_t create_candidates(const exchange_t *exchange)
 {
-	static const target_result_t results[] = {
-		[PIPELINE_FOUND] = TARGET_FOUND,
-		[PIPELINE_NO_LAYERS] = TARGET_NONE,
-		[PIPELINE_NO_MEMORY] = TARGET_FULL,
-	};
-	candidates_t candidates = {
+	return (candidates_t){
 		.stages = g_array_new(FALSE, FALSE, sizeof(pipeline_stage_t)),
 		.endpoints = g_ptr_array_new(),
 		.domains = g_ptr_array_new(),
@@ -547,6 +544,25 @@
 				request_tokens(exchange)),
 		},
 	};
+}
+
+static void free_candidates(candidates_t *candidates)
+{
+	g_array_unref(candidates->stages);
+	g_array_unref(candidates->odds);
+	g_ptr_array_unref(candidates->endpoints);
+	g_ptr_array_unref(candidates->domains);
+	g_ptr_array_unref(candidates->blocked);
+}
+
+static target_result_t choose_pipeline(exchange_t *exchange, target_t *target)
+{
+	static const target_result_t results[] = {
+		[PIPELINE_FOUND] = TARGET_FOUND,
+		[PIPELINE_NO_LAYERS] = TARGET_NONE,
+		[PIPELINE_NO_MEMORY] = TARGET_FULL,
+	};
+	candidates_t candidates = create_candidates(exchange);
 	pipeline_query_t query = {
 		.layers = exchange->service->engine.layers,
 		.request_tokens = request_tokens(exchange),
@@ -571,11 +587,7 @@
 	target->is_pipeline = true;
 	target->tokens = query.request_tokens;
 	target->cost_ms = pipeline.cost_ms;
-	g_array_unref(candidates.stages);
-	g_array_unref(candidates.odds);
-	g_ptr_array_unref(candidates.endpoints);
-	g_ptr_array_unref(candidates.domains);
-	g_ptr_array_unref(candidates.blocked);
+	free_candidates(&candidates);
 	if (result == PIPELINE_NO_MEMORY && target->limited_per_s >= 0)
 		return TARGET_LIMITED;
 	return results[result];
@@ -602,3 +614,108 @@
 		return TARGET_PAUSED;
 	return result;
 }
+
+/* Describes the hops of the current pipeline for the search of a repair. */
+static void describe_hops(const exchange_t *exchange,
+			  const bool is_lost[PIPELINE_HOPS_MAX],
+			  const candidates_t *candidates,
+			  running_hop_t hops[PIPELINE_HOPS_MAX])
+{
+	const target_t *target = &exchange->target;
+	uint32_t domain = 0;
+
+	for (uint32_t i = 0; i < target->count; i++) {
+		const endpoint_t *endpoint = registry_find(
+			&exchange->gateway->registry, target->ids[i]);
+
+		/* One that is no longer known: as the hop before. */
+		if (endpoint != NULL)
+			domain = domain_number(candidates,
+					       endpoint->failure_domain);
+		hops[i] = (running_hop_t){
+			.endpoint = target->ids[i],
+			.first_layer = target->first_layers[i],
+			.end_layer = target->end_layers[i],
+			.domain = domain,
+			.is_lost = is_lost[i],
+		};
+	}
+}
+
+static void copy_hop(const target_t *from, uint32_t i, target_t *target)
+{
+	uint32_t to = target->count++;
+
+	memcpy(target->ids[to], from->ids[i], ENDPOINT_ID_BYTES);
+	memcpy(target->addresses[to], from->addresses[i],
+	       ENDPOINT_ADDRESS_BYTES);
+	target->first_layers[to] = from->first_layers[i];
+	target->end_layers[to] = from->end_layers[i];
+}
+
+static void apply_plan(const exchange_t *exchange,
+		       const candidates_t *candidates,
+		       const pipeline_repair_t *plan, target_repair_t *repair)
+{
+	repair->target = exchange->target;
+	repair->target.count = 0;
+	repair->new_layers = plan->new_layers;
+	for (uint32_t i = 0; i < plan->count; i++) {
+		const repaired_hop_t *hop = &plan->hops[i];
+
+		repair->is_new[i] = hop->is_new;
+		if (hop->is_new)
+			append_hop(&repair->target,
+				   g_ptr_array_index(candidates->endpoints,
+						     hop->index),
+				   hop->first_layer, hop->end_layer);
+		else
+			copy_hop(&exchange->target, hop->index,
+				 &repair->target);
+	}
+}
+
+/*
+ * Finds endpoints that replace the lost hops of the current pipeline of
+ * "exchange"; all others stay as they are.  Returns false if there are none.
+ * Transfers between failure domains are not deducted from the pipe budget: a
+ * repair that needs them still transfers less than a new attempt would.
+ */
+bool target_replace_lost(const exchange_t *exchange,
+			 const bool is_lost[PIPELINE_HOPS_MAX],
+			 target_repair_t *repair)
+{
+	candidates_t candidates = create_candidates(exchange);
+	running_hop_t hops[PIPELINE_HOPS_MAX];
+	target_t ignored = { 0 };
+	pipeline_repair_t plan;
+	repair_query_t query;
+	const char **ids;
+	bool found;
+
+	memset(repair, 0, sizeof(*repair));
+	collect_candidates(exchange, &candidates, &ignored);
+	describe_hops(exchange, is_lost, &candidates, hops);
+	ids = g_new(const char *, candidates.endpoints->len + 1);
+	for (guint i = 0; i < candidates.endpoints->len; i++)
+		ids[i] = ((const endpoint_t *)g_ptr_array_index(
+				  candidates.endpoints, i))
+				 ->id;
+	query = (repair_query_t){
+		.hops = hops,
+		.hop_count = exchange->target.count,
+		.stages = (const pipeline_stage_t *)(void *)
+				  candidates.stages->data,
+		.stage_endpoints = ids,
+		.stage_count = candidates.stages->len,
+		.request_tokens = exchange->target.tokens,
+		.hop_ms = HOP_OVERHEAD_MS,
+		.cross_ms = DOMAIN_CROSSING_MS,
+	};
+	found = pipeline_repair_plan(&query, &plan);
+	if (found)
+		apply_plan(exchange, &candidates, &plan, repair);
+	free_candidates(&candidates);
+	g_free(ids);
+	return found;
+}
--- a/src/wisteria/gateway/target.h
+++ b/src/wisteria/gateway/target.h
@@ -13,7 +13,17 @@
 	TARGET_LIMITED /* as TARGET_FULL, and some are at a limit they name */
 } target_result_t;
 
+/* The current pipeline of a request with its lost hops replaced. */
+typedef struct {
+	target_t target;
+	bool is_new[PIPELINE_HOPS_MAX]; /* of its hops */
+	uint32_t new_layers;		/* of all new hops */
+} target_repair_t;
+
 target_result_t target_choose(exchange_t *exchange, target_t *target)
 	ATTR_NONNULL_ALL ATTR_WARN_UNUSED;
+bool target_replace_lost(
+	const exchange_t *exchange, const bool is_lost[PIPELINE_HOPS_MAX],
+	target_repair_t *repair) ATTR_NONNULL_ALL ATTR_WARN_UNUSED;
 
 #endif
