Count prompt tokens that are prefilled again, by cause

Nothing showed how much of the engines' prefill repeats earlier work, or why.

Each attempt after the first of a request to a model adds its prompt tokens under one of the causes not run, lost endpoint, silent and error; a repair adds the new layers' share under lost endpoint. An attempt after one that no endpoint received adds nothing.

--- a/src/wisteria/base/counters.c
+++ b/src/wisteria/base/counters.c
@@ -81,6 +81,32 @@
 					      "Repairs of pipelines that were "
 					      "refused, not answered or not "
 					      "possible." },
+	[COUNTER_PREFILLED_AGAIN_NOT_RUN] = { "prefilled_again_not_run_tokens_"
+					      "total",
+					      "counter",
+					      "Prompt tokens prefilled again "
+					      "since "
+					      "an endpoint rejected or "
+					      "preempted the request." },
+	[COUNTER_PREFILLED_AGAIN_LOST_ENDPOINT] = { "prefilled_again_lost_"
+						    "endpoint_tokens_total",
+						    "counter",
+						    "Prompt tokens prefilled "
+						    "again since "
+						    "an endpoint was lost." },
+	[COUNTER_PREFILLED_AGAIN_SILENT] = { "prefilled_again_silent_tokens_"
+					     "total",
+					     "counter",
+					     "Prompt tokens prefilled again "
+					     "since "
+					     "a stream was silent." },
+	[COUNTER_PREFILLED_AGAIN_ERROR] = { "prefilled_again_error_tokens_"
+					    "total",
+					    "counter",
+					    "Prompt tokens prefilled again "
+					    "since "
+					    "an endpoint answered with an "
+					    "error or not completely." },
 	[COUNTER_ENDPOINTS_LEAVING] = { "endpoints_leaving_total", "counter",
 					"Endpoints that said in an answer that "
 					"they leave." },
--- a/src/wisteria/gateway/exchange.c
+++ b/src/wisteria/gateway/exchange.c
@@ -186,6 +186,9 @@
 	event_stream_begin_attempt(&exchange->event_stream);
 	exchange->send_count++;
 	counter_add(COUNTER_GATEWAY_SENDS, 1);
+	if (exchange->send_count > 1 && exchange->service->has_engine)
+		prefill_again_count(exchange->again_cause,
+				    exchange->caller.prompt_tokens);
 	exchange->last_progress_ms = now;
 	gateway->dialect->write_forward(&exchange->conn->reader.message,
 					&forward, request);
@@ -494,6 +497,9 @@
 		 exchange->request_limit, parts);
 	g_free(parts);
 	outcome = outcome_decide(&attempt);
+	exchange->again_cause = prefill_again_cause(
+		failure,
+		faulty_address != NULL || repair_has_lost_hop(exchange));
 	end_attempt(exchange);
 	if (outcome == OUTCOME_RETRY) {
 		if (retry_attempt(exchange, &attempt, &come_back_ms))
@@ -722,7 +728,8 @@
  * Cancels the attempt and resumes the stream at other endpoints; returns false
  * if there is no capacity or no retry budget.
  */
-static bool resume_elsewhere(exchange_t *exchange, clock_ms_t now)
+static bool resume_elsewhere(exchange_t *exchange, clock_ms_t now,
+			     prefill_again_cause_t cause)
 {
 	const target_t *target = &exchange->target;
 	retry_window_t *window = gateway_retry_window(exchange->gateway,
@@ -742,6 +749,7 @@
 	counter_add(COUNTER_GATEWAY_STALLS, 1);
 	exchange->possible_runs++;
 	exchange->possible_arrivals++;
+	exchange->again_cause = cause;
 	end_attempt(exchange);
 	send_attempt(exchange, &other);
 	return true;
@@ -761,7 +769,8 @@
 	if (repair_check(exchange, now) ||
 	    silent_ms < GATEWAY_LOST_ENDPOINT_STALL_MS || !can_resume(exchange))
 		return;
-	if (has_lost_endpoint(exchange) && resume_elsewhere(exchange, now))
+	if (has_lost_endpoint(exchange) &&
+	    resume_elsewhere(exchange, now, PREFILL_AGAIN_LOST_ENDPOINT))
 		return;
 	if (silent_ms < GATEWAY_STALL_TIMEOUT_MS)
 		return;
@@ -769,7 +778,10 @@
 	for (uint32_t i = 0; i < exchange->target.count; i++)
 		g_ptr_array_add(exchange->failed_ids,
 				g_strdup(exchange->target.ids[i]));
-	if (!resume_elsewhere(exchange, now))
+	if (!resume_elsewhere(exchange, now,
+			      repair_has_lost_hop(exchange)
+				      ? PREFILL_AGAIN_LOST_ENDPOINT
+				      : PREFILL_AGAIN_SILENT))
 		g_ptr_array_set_size(exchange->failed_ids, (gint)failed_before);
 }
 
--- a/src/wisteria/gateway/gateway_defs.h
+++ b/src/wisteria/gateway/gateway_defs.h
@@ -14,6 +14,7 @@
 #include "wisteria/gateway/flow_plan.h"
 #include "wisteria/gateway/outcome.h"
 #include "wisteria/gateway/permits.h"
+#include "wisteria/gateway/prefill_again.h"
 #include "wisteria/gateway/shortage.h"
 #include "wisteria/gateway/silence.h"
 #include "wisteria/gateway/usage.h"
@@ -166,9 +167,10 @@
 	GPtrArray *failed_ids;	     /* endpoints that are not tried again */
 	bool demand_counted;	     /* of the next attempt, at limited ones */
 	unsigned send_count;
-	unsigned possible_runs;	    /* attempts that may have run */
-	unsigned possible_arrivals; /* attempts possibly received */
-	bool is_streaming;	    /* the answer is forwarded as it arrives */
+	prefill_again_cause_t again_cause; /* of attempts but the first */
+	unsigned possible_runs;		   /* attempts that may have run */
+	unsigned possible_arrivals;	   /* attempts possibly received */
+	bool is_streaming; /* the answer is forwarded as it arrives */
 	bool headers_sent;
 	event_stream_t event_stream;
 	http_framing_t answer_framing; /* of the current attempt */
--- a/src/wisteria/gateway/repair.c
+++ b/src/wisteria/gateway/repair.c
@@ -140,6 +140,10 @@
 		if (repair->is_lost[i])
 			usage_end(&exchange->gateway->usage, before->ids[i],
 				  before->tokens);
+	prefill_again_count(PREFILL_AGAIN_LOST_ENDPOINT,
+			    (double)exchange->caller.prompt_tokens *
+				    repair->replacement.new_layers /
+				    exchange->service->engine.layers);
 	exchange->target = repair->replacement.target;
 	exchange->last_progress_ms =
 		MAX(exchange->last_progress_ms, repair->sent_ms);
@@ -238,6 +242,15 @@
 	return endpoint != NULL && (endpoint->unreachable || endpoint->gone);
 }
 
+/* Returns whether an endpoint of the current attempt is known to be lost. */
+bool repair_has_lost_hop(const exchange_t *exchange)
+{
+	for (uint32_t i = 0; i < exchange->target.count; i++)
+		if (is_hop_lost(exchange, i))
+			return true;
+	return false;
+}
+
 /*
  * Whether the attempt may be repaired.  Without an event of it, its first
  * endpoint may not have begun it and then knows no such request.
