--- a/src/wisteria/gateway/exchange.c
+++ b/src/wisteria/gateway/exchange.c
@@ -18,6 +18,7 @@
 #include "wisteria/gateway/endpoint_limits.h"
 #include "wisteria/gateway/gateway.h"
 #include "wisteria/gateway/prompt_parts.h"
+#include "wisteria/gateway/repair.h"
 #include "wisteria/gateway/stop_margin.h"
 #include "wisteria/gateway/target.h"
 #include "wisteria/http/http_message.h"
@@ -77,6 +78,7 @@
 	const target_t *target = &exchange->target;
 
 	answer_hold(exchange, 0);
+	repair_end_attempt(exchange);
 	exchange_prompt_read(exchange);
 	if (exchange->call != NULL)
 		http_call_cancel(exchange->call);
@@ -201,6 +203,9 @@
 	event_stream_begin_attempt(&exchange->event_stream);
 	exchange->send_count++;
 	counter_add(COUNTER_GATEWAY_SENDS, 1);
+	if (exchange->send_count > 1 && exchange->service->has_engine)
+		prefill_again_count(exchange->again_cause,
+				    exchange->caller.prompt_tokens);
 	exchange->last_progress_ms = now;
 	gateway->dialect->write_forward(&exchange->conn->reader.message,
 					&forward, request);
@@ -562,6 +567,9 @@
 		 exchange->request_limit, parts);
 	g_free(parts);
 	outcome = outcome_decide(&attempt);
+	exchange->again_cause = prefill_again_cause(
+		failure,
+		faulty_address != NULL || repair_has_lost_hop(exchange));
 	end_attempt(exchange);
 	if (outcome == OUTCOME_RETRY) {
 		if (retry_attempt(exchange, &attempt, &come_back_ms))
@@ -795,7 +803,9 @@
 		const endpoint_t *endpoint = registry_find(
 			&exchange->gateway->registry, target->ids[i]);
 
-		if (endpoint != NULL && endpoint->unreachable)
+		if (endpoint != NULL &&
+		    (endpoint->unreachable ||
+		     (exchange->repair_failed && endpoint->gone)))
 			return true;
 	}
 	return false;
@@ -805,7 +815,8 @@
  * Cancels the attempt and resumes the stream at other endpoints; returns false
  * if there is no capacity or no retry budget.
  */
-static bool resume_elsewhere(exchange_t *exchange, clock_ms_t now)
+static bool resume_elsewhere(exchange_t *exchange, clock_ms_t now,
+			     prefill_again_cause_t cause)
 {
 	const target_t *target = &exchange->target;
 	retry_window_t *window = gateway_retry_window(exchange->gateway,
@@ -825,24 +836,28 @@
 	counter_add(COUNTER_GATEWAY_STALLS, 1);
 	exchange->possible_runs++;
 	exchange->possible_arrivals++;
+	exchange->again_cause = cause;
 	end_attempt(exchange);
 	send_attempt(exchange, &other);
 	return true;
 }
 
 /*
- * Resumes a silent stream at other endpoints if they have capacity: early if an
- * endpoint is known to be lost, otherwise later and without any of its current
- * endpoints.
+ * Repairs the pipeline of a silent stream if an endpoint is known to be lost.
+ * If that fails, or if none is, resumes the stream at other endpoints if they
+ * have capacity: early if an endpoint is known to be lost, otherwise later and
+ * without any of its current endpoints.
  */
 void exchange_check_stall(exchange_t *exchange, clock_ms_t now)
 {
 	clock_ms_t silent_ms = now - exchange->last_progress_ms;
 	guint failed_before = exchange->failed_ids->len;
 
-	if (silent_ms < GATEWAY_LOST_ENDPOINT_STALL_MS || !can_resume(exchange))
+	if (repair_check(exchange, now) ||
+	    silent_ms < GATEWAY_LOST_ENDPOINT_STALL_MS || !can_resume(exchange))
 		return;
-	if (has_lost_endpoint(exchange) && resume_elsewhere(exchange, now))
+	if (has_lost_endpoint(exchange) &&
+	    resume_elsewhere(exchange, now, PREFILL_AGAIN_LOST_ENDPOINT))
 		return;
 	if (silent_ms < GATEWAY_STALL_TIMEOUT_MS)
 		return;
@@ -850,7 +865,10 @@
 	for (uint32_t i = 0; i < exchange->target.count; i++)
 		g_ptr_array_add(exchange->failed_ids,
 				g_strdup(exchange->target.ids[i]));
-	if (!resume_elsewhere(exchange, now))
+	if (!resume_elsewhere(exchange, now,
+			      repair_has_lost_hop(exchange)
+				      ? PREFILL_AGAIN_LOST_ENDPOINT
+				      : PREFILL_AGAIN_SILENT))
 		g_ptr_array_set_size(exchange->failed_ids, (gint)failed_before);
 }
 
--- a/src/wisteria/gateway/gateway_defs.h
+++ b/src/wisteria/gateway/gateway_defs.h
@@ -14,6 +14,7 @@
 #include "wisteria/gateway/flow_plan.h"
 #include "wisteria/gateway/outcome.h"
 #include "wisteria/gateway/permits.h"
+#include "wisteria/gateway/prefill_again.h"
 #include "wisteria/gateway/shortage.h"
 #include "wisteria/gateway/silence.h"
 #include "wisteria/gateway/usage.h"
@@ -132,6 +133,7 @@
 } target_t;
 
 struct gateway_t;
+struct repair_t;
 
 /* A request that is held until there is a lease. */
 typedef struct {
@@ -157,15 +159,18 @@
 	http_call_t *call;	     /* of the current attempt, or NULL */
 	target_t target;	     /* of the current attempt */
 	uint64_t incarnation;	     /* of its first endpoint */
+	struct repair_t *repair;     /* order under way, or NULL */
+	bool repair_failed;	     /* of the current attempt */
 	clock_ms_t sent_ms;	     /* of the current attempt */
 	bool is_unread;		     /* its prompt, as far as known */
 	clock_ms_t last_progress_ms; /* last send or received data */
 	GPtrArray *failed_ids;	     /* endpoints that are not tried again */
 	bool demand_counted;	     /* of the next attempt, at limited ones */
 	unsigned send_count;
-	unsigned possible_runs;	    /* attempts that may have run */
-	unsigned possible_arrivals; /* attempts possibly received */
-	bool is_streaming;	    /* the answer is forwarded as it arrives */
+	prefill_again_cause_t again_cause; /* of attempts but the first */
+	unsigned possible_runs;		   /* attempts that may have run */
+	unsigned possible_arrivals;	   /* attempts possibly received */
+	bool is_streaming; /* the answer is forwarded as it arrives */
 	bool headers_sent;
 	event_stream_t event_stream;
 	http_framing_t answer_framing; /* of the current attempt */
