Repair around an endpoint that has deregistered only if its stream pauses

An endpoint may deregister first and serve its streams for some seconds more; with pauses of 0.1 s between events each of these streams was repaired at once.

Change: such an endpoint counts as lost once the stream pauses for longer than its goal.

--- a/src/wisteria/gateway/repair.c
+++ b/src/wisteria/gateway/repair.c
@@ -231,15 +231,20 @@
 }
 
 /*
- * Whether the hop's endpoint is known to be lost.  Its silence alone does not
- * count, as the endpoint may be cut off from control instances only.
+ * Whether the hop's endpoint is known to be lost.  Missing heartbeats alone do
+ * not count, as the endpoint may be cut off from control instances only.  One
+ * that has deregistered serves its streams for some seconds, so it is lost only
+ * if the stream pauses for longer than its goal.
  */
 static bool is_hop_lost(const exchange_t *exchange, uint32_t hop)
 {
+	clock_ms_t silent_ms = now_of(exchange) - exchange->last_progress_ms;
 	const endpoint_t *endpoint = registry_find(&exchange->gateway->registry,
 						   exchange->target.ids[hop]);
 
-	return endpoint != NULL && (endpoint->unreachable || endpoint->gone);
+	return endpoint != NULL &&
+	       (endpoint->unreachable ||
+		(endpoint->gone && silent_ms > exchange->route->gap_goal_ms));
 }
 
 /* Returns whether an endpoint of the current attempt is known to be lost. */
