Test that no caller gets the answer of another one

Operators of similar systems saw a late second copy of an answer reach the next caller on a connection that was in use again. Connections to endpoints are not reused here, and an answer that names another request is refused.

Adds functional/fleet_faults_test with three tests: an endpoint that sends a second answer behind a complete one, an endpoint that answers another request, and callers that leave before their answer.

--- /dev/null
+++ b/test/functional/fleet_faults_test.c
@@ -0,0 +1,330 @@
+/*
+ * Failures that operators of similar systems reported, played against the fleet
+ * roles: answers of others, planned stops under load, slow and stalled streams,
+ * restarts, paused processes and hand-overs between leaders.
+ */
+#include "../unit/unit.h"
+
+#include <netinet/in.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "harness/fake_endpoint.h"
+#include "harness/fleet_rig.h"
+#include "harness/harness.h"
+#include "harness/http.h"
+
+#include "wisteria/net/net.h"
+
+#define ANSWER_BYTES 65536
+
+static harness_t harness;
+static http_client_t client;
+static fleet_rig_t rig;
+static const char *control_address;
+static const char *entry_address;
+static harness_process_t *control;
+static harness_process_t *entry;
+
+/*
+ * The least patience of a caller is 2 s: "quick" has goals that keep it there.
+ * "secret" needs a key.
+ */
+static const char configuration_format[] =
+	"{\"version\":%u,\"tenants\":[{\"name\":\"acme\",\"apiKeys\":[%s]}],"
+	"\"routes\":["
+	"{\"name\":\"quick\",\"host\":\"shop.example\",\"pathPrefix\":"
+	"\"/quick/\",\"kind\":\"stream\",\"timeoutMs\":9000,\"goalMs\":500,"
+	"\"priority\":1,\"service\":\"writer\",\"maxAttempts\":3,"
+	"\"allowAnonymous\":true,\"streamResume\":true,\"gapGoalMs\":250},"
+	"{\"name\":\"chat\",\"host\":\"shop.example\",\"pathPrefix\":"
+	"\"/chat/\",\"kind\":\"stream\",\"timeoutMs\":9000,\"goalMs\":3000,"
+	"\"priority\":1,\"service\":\"writer\",\"maxAttempts\":3,"
+	"\"allowAnonymous\":true,\"streamResume\":false,\"gapGoalMs\":500},"
+	"{\"name\":\"look\",\"host\":\"shop.example\",\"pathPrefix\":"
+	"\"/look/\",\"kind\":\"idempotent\",\"timeoutMs\":5000,"
+	"\"goalMs\":3000,\"priority\":1,\"service\":\"orders\","
+	"\"maxAttempts\":2,\"allowAnonymous\":true},"
+	"{\"name\":\"secret\",\"host\":\"shop.example\",\"pathPrefix\":"
+	"\"/secret/\",\"kind\":\"non_idempotent\",\"timeoutMs\":9000,"
+	"\"goalMs\":3000,\"priority\":1,\"service\":\"orders\","
+	"\"maxAttempts\":1,\"allowAnonymous\":false},"
+	"{\"name\":\"book\",\"host\":\"shop.example\",\"pathPrefix\":"
+	"\"/book/\",\"kind\":\"non_idempotent\",\"timeoutMs\":5000,"
+	"\"goalMs\":3000,\"priority\":0,\"service\":\"orders\","
+	"\"maxAttempts\":2,\"allowAnonymous\":true}],\"services\":["
+	"{\"name\":\"writer\",\"healthPath\":\"/health\",\"maxConns\":50,"
+	"\"protocol\":\"h1\",\"tls\":false},"
+	"{\"name\":\"orders\",\"healthPath\":\"/health\",\"maxConns\":50,"
+	"\"protocol\":\"h1\",\"tls\":false}],"
+	"\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":1000000,"
+	"\"headerTimeoutMs\":5000,\"idleTimeoutMs\":30000}}";
+
+#define KEYS_BOTH "\"key-old\",\"key-new\""
+#define KEYS_NEW "\"key-new\""
+
+static unsigned version;
+
+static http_request_t *send_request(const char *address, const char *path,
+				    const char *request_id, const char *body)
+{
+	const char *headers[] = {
+		"Host: shop.example",
+		harness_string(&harness, "X-Wisteriadrift-Request-Id: %s",
+			       request_id),
+		"X-Wisteriadrift-Deadline-Ms: 9000",
+		NULL,
+	};
+	const http_params_t params = {
+		.url = harness_string(&harness, "http://%s%s", address, path),
+		.body = body,
+		.headers = headers,
+	};
+
+	return http_send(&client, &params);
+}
+
+static http_request_t *send_and_wait(const char *address, const char *path,
+				     const char *request_id, const char *body)
+{
+	http_request_t *request = send_request(address, path, request_id, body);
+
+	CU_ASSERT_FATAL(http_wait(&client, request, HARNESS_WAIT_MS));
+	return request;
+}
+
+static long request_status(const char *address, const char *path,
+			   const char *request_id, const char *body)
+{
+	http_request_t *request =
+		send_and_wait(address, path, request_id, body);
+	long status = request->status;
+
+	http_request_free(&client, request);
+	return status;
+}
+
+static bool accepts_configuration(void *user)
+{
+	return request_status(control_address, "/wisteriadrift/config/replace",
+			      "c0", user) == 200;
+}
+
+/* Puts the next version of the configuration, with these API keys. */
+static void configure(const char *keys)
+{
+	char *text = g_strdup_printf(configuration_format, ++version, keys);
+
+	CU_ASSERT_FATAL(harness_wait_until(accepts_configuration, text,
+					   HARNESS_WAIT_MS));
+	g_free(text);
+}
+
+/* Starts an endpoint and waits until "process", an entry, knows it. */
+static void start_known(fake_endpoint_t *endpoint, const char *id,
+			const char *service, fake_endpoint_mode_t mode)
+{
+	fake_endpoint_start(endpoint, id, service, harness.ip, control_address,
+			    mode);
+	CU_ASSERT(harness_wait_log(entry,
+				   harness_string(&harness, "endpoint=%s ", id),
+				   HARNESS_WAIT_MS));
+}
+
+/* Starts the processes that the tests below share. */
+static void test_fleet_starts(void)
+{
+	fleet_rig_init(&rig, &harness, 1);
+	control_address = rig.control_addresses[0];
+	entry_address = harness_address(&harness);
+	control = fleet_rig_start_control(&rig, 0, "control");
+	entry = fleet_rig_start_entry(&rig, "entry", entry_address);
+	configure(KEYS_BOTH);
+	CU_ASSERT(
+		harness_wait_log(entry, "event=lease_gained", HARNESS_WAIT_MS));
+}
+
+/* Plain connections, for what a caller's library would not do. */
+
+/* Returns a connection to "address", or -1. */
+static int open_connection(const char *address)
+{
+	const struct timeval limit = { .tv_sec = HARNESS_WAIT_MS / 1000 };
+	struct sockaddr_storage to;
+	int fd;
+
+	if (!net_parse_address(address, &to, NULL))
+		return -1;
+	fd = socket(to.ss_family, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+	if (connect(fd, (struct sockaddr *)&to, sizeof(struct sockaddr_in)) ==
+	    0)
+		return fd;
+	close(fd);
+	return -1;
+}
+
+/* Returns whether the whole request was handed to the kernel. */
+static bool write_request(int fd, const char *path, const char *request_id,
+			  const char *key)
+{
+	char *text = g_strdup_printf(
+		"POST %s HTTP/1.1\r\nHost: shop.example\r\n"
+		"X-Wisteriadrift-Request-Id: %s\r\n%s%s%s"
+		"Content-Length: 2\r\n\r\nhi",
+		path, request_id, key == NULL ? "" : "Authorization: Bearer ",
+		key == NULL ? "" : key, key == NULL ? "" : "\r\n");
+	size_t len = strlen(text);
+	bool ok = send(fd, text, len, MSG_NOSIGNAL) == (ssize_t)len;
+
+	g_free(text);
+	return ok;
+}
+
+/*
+ * Reads one answer with a Content-Length into "answer"; returns its status, or
+ * 0 if the connection ended before it.
+ */
+static unsigned read_answer(int fd, char answer[ANSWER_BYTES])
+{
+	size_t used = 0;
+
+	for (;;) {
+		ssize_t got;
+		char *end;
+		const char *length;
+
+		answer[used] = '\0';
+		end = strstr(answer, "\r\n\r\n");
+		length = strcasestr(answer, "\r\ncontent-length:");
+		if (end != NULL && length != NULL && length < end &&
+		    used - (size_t)(end + 4 - answer) >=
+			    strtoul(strchr(length, ':') + 1, NULL, 10))
+			return (unsigned)atoi(answer + strlen("HTTP/1.1 "));
+		/* One byte at a time: the next answer may follow. */
+		if (used == ANSWER_BYTES - 1)
+			return 0;
+		got = recv(fd, answer + used, 1, 0);
+		if (got <= 0)
+			return 0;
+		used++;
+	}
+}
+
+/* 1. Answers of others. */
+
+/* Expects the own answer, whole, and no word of another. */
+static void expect_own(const char *answer, unsigned status,
+		       const char *request_id)
+{
+	const char *own = harness_string(&harness, "word0 of %s", request_id);
+
+	CU_ASSERT_EQUAL(status, 200);
+	CU_ASSERT_PTR_NOT_NULL(strstr(answer, own));
+	CU_ASSERT_PTR_NULL(strstr(answer, FAKE_ENDPOINT_OTHER_ID));
+}
+
+/*
+ * Failure: an endpoint sends a second answer behind a complete one, and the
+ * caller whose request follows on a connection in use again gets it.
+ */
+static void test_second_answer_reaches_nobody(void)
+{
+	static char answer[ANSWER_BYTES];
+	fake_endpoint_t endpoint;
+	int fd;
+
+	start_known(&endpoint, "twice", "orders", FAKE_ENDPOINT_TWICE);
+	fd = open_connection(entry_address);
+	CU_ASSERT_FATAL(fd >= 0);
+	for (int i = 0; i < 20; i++) {
+		const char *id = harness_string(&harness, "kept%d", i);
+
+		CU_ASSERT(write_request(fd, "/book/1", id, NULL));
+		expect_own(answer, read_answer(fd, answer), id);
+	}
+	CU_ASSERT_EQUAL(endpoint.runs, 20);
+	close(fd);
+	fake_endpoint_stop(&endpoint);
+}
+
+/* Failure: an answer that names another request is passed on. */
+static void test_answer_of_another_request_is_not_passed_on(void)
+{
+	static const char *const services[] = { "orders", "writer" };
+	static const char *const paths[] = { "/book/1", "/chat/1" };
+
+	for (size_t i = 0; i < ARRAY_SIZE(services); i++) {
+		fake_endpoint_t endpoint;
+		http_request_t *request;
+
+		start_known(&endpoint,
+			    harness_string(&harness, "foreign%zu", i),
+			    services[i], FAKE_ENDPOINT_FOREIGN);
+		request = send_and_wait(entry_address, paths[i],
+					harness_string(&harness, "mine%zu", i),
+					"hi");
+		CU_ASSERT_EQUAL(request->status, 502);
+		CU_ASSERT_PTR_NULL(
+			strstr(request->body->str, FAKE_ENDPOINT_OTHER_ID));
+		CU_ASSERT_EQUAL(endpoint.runs, 1);
+		http_request_free(&client, request);
+		fake_endpoint_stop(&endpoint);
+	}
+}
+
+/*
+ * Failure: the answer to a caller who has gone reaches the next one.  Two
+ * requests are also sent at once on one connection, and answered in order.
+ */
+static void test_answer_to_a_caller_who_has_gone_reaches_nobody(void)
+{
+	static char answer[ANSWER_BYTES];
+	fake_endpoint_t endpoint;
+
+	start_known(&endpoint, "late", "orders", FAKE_ENDPOINT_SERVE);
+	for (int i = 0; i < 5; i++) {
+		const char *gone = harness_string(&harness, "gone%d", i);
+		const char *first = harness_string(&harness, "first%d", i);
+		const char *second = harness_string(&harness, "second%d", i);
+		int fd = open_connection(entry_address);
+
+		CU_ASSERT(write_request(fd, "/look/1", gone, NULL));
+		/* An answer takes 0.24 s. */
+		g_usleep(60000);
+		close(fd);
+		fd = open_connection(entry_address);
+		CU_ASSERT(write_request(fd, "/look/1", first, NULL));
+		CU_ASSERT(write_request(fd, "/look/1", second, NULL));
+		expect_own(answer, read_answer(fd, answer), first);
+		CU_ASSERT_PTR_NULL(strstr(answer, gone));
+		expect_own(answer, read_answer(fd, answer), second);
+		close(fd);
+	}
+	fake_endpoint_stop(&endpoint);
+}
+
+static const unit_test_t tests[] = {
+	{ "fleet starts", test_fleet_starts },
+	{ "second answer reaches nobody", test_second_answer_reaches_nobody },
+	{ "answer of another request is not passed on",
+	  test_answer_of_another_request_is_not_passed_on },
+	{ "answer to a caller who has gone reaches nobody",
+	  test_answer_to_a_caller_who_has_gone_reaches_nobody },
+};
+
+int main(void)
+{
+	int status;
+
+	harness_init(&harness, "fleet_faults");
+	http_client_init(&client);
+	status = unit_run("fleet_faults", tests, ARRAY_SIZE(tests));
+	http_client_finish(&client);
+	harness_finish(&harness, status == EXIT_SUCCESS);
+	return status;
+}
--- a/test/functional/fleet_test.c
+++ b/test/functional/fleet_test.c
@@ -10,16 +10,17 @@
 #include <string.h>
 
 #include "harness/fake_endpoint.h"
+#include "harness/fleet_rig.h"
 #include "harness/harness.h"
 #include "harness/http.h"
 
 #define REQUESTS_MAX 100
 
 static harness_t harness;
+static fleet_rig_t rig;
 static http_client_t client;
 static const char *control_address;
 static const char *entry_address;
-static const char *peer_address;
 static const char *metrics_address; /* of the process started last */
 static harness_process_t *control;
 static harness_process_t *entry;
@@ -53,68 +54,21 @@
 	"\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":1000000,"
 	"\"headerTimeoutMs\":5000,\"idleTimeoutMs\":30000}}";
 
-static const char *write_settings(const char *name, const char *role,
-				  const char *addresses, const char *peer)
+static harness_process_t *start_entry(const char *name, const char *address)
 {
-	metrics_address = harness_address(&harness);
-	return harness_write_file(&harness, name,
-				  harness_string(&harness,
-						 "instance: %s\n"
-						 "failure_domain: z1\n"
-						 "region: here\n"
-						 "log_level: info\n"
-						 "metrics_listen: \"%s\"\n"
-						 "roles: [%s]\n"
-						 "fleet:\n%s"
-						 "  peer_listen: \"%s\"\n"
-						 "  seeds:\n"
-						 "    - \"%s\"\n"
-						 "  stop_s: 8\n",
-						 name, metrics_address, role,
-						 addresses, peer,
-						 control_address));
-}
-
-static harness_process_t *start_daemon(const char *name, const char *settings)
-{
-	const char *argv[] = { harness_program(&harness, "wisteriad"),
-			       "--config", settings, NULL };
+	harness_process_t *process = fleet_rig_start_entry(&rig, name, address);
 
-	return harness_start(&harness, name, argv);
-}
-
-static harness_process_t *start_entry(const char *name, const char *address,
-				      const char *peer)
-{
-	const char *addresses =
-		harness_string(&harness,
-			       "  front_listen: \"%s\"\n"
-			       "  ready_listen: \"%s\"\n",
-			       address, harness_address(&harness));
-
-	peer_address = peer;
-	return start_daemon(
-		name, write_settings(harness_string(&harness, "%s.yaml", name),
-				     "fleet_entry", addresses, peer));
+	metrics_address = rig.metrics_address;
+	return process;
 }
 
 static void start_fleet(void)
 {
-	const char *peer = harness_address(&harness);
-
-	control_address = harness_address(&harness);
+	fleet_rig_init(&rig, &harness, 1);
+	control_address = rig.control_addresses[0];
 	entry_address = harness_address(&harness);
-	control = start_daemon(
-		"control",
-		write_settings("control.yaml", "fleet_control",
-			       harness_string(&harness,
-					      "  control_listen: \"%s\"\n"
-					      "  data_dir: \"%s\"\n"
-					      "  bootstrap: true\n",
-					      control_address,
-					      harness_path(&harness, "data")),
-			       peer));
-	entry = start_entry("entry", entry_address, peer);
+	control = fleet_rig_start_control(&rig, 0, "control");
+	entry = start_entry("entry", entry_address);
 }
 
 /* Sends a request whose prompt has "parts"; NULL: it does not say. */
@@ -730,7 +684,7 @@
 			FAKE_ENDPOINT_SERVE);
 	for (int i = 0; i < CRASHING_ENDPOINTS; i++)
 		endpoints[i].crashes_on_bad_part = true;
-	others[0] = start_entry("entry-2", addresses[1], peer_address);
+	others[0] = start_entry("entry-2", addresses[1]);
 	CU_ASSERT(harness_wait_until(serves_sound_parts, (void *)addresses[1],
 				     HARNESS_WAIT_MS));
 	for (int i = 0; i < BAD_REQUESTS; i++)
@@ -740,7 +694,7 @@
 
 	harness_kill(control);
 	harness_restart(control);
-	others[1] = start_entry("entry-3", addresses[2], peer_address);
+	others[1] = start_entry("entry-3", addresses[2]);
 	CU_ASSERT(harness_wait_until(serves_sound_parts, (void *)addresses[2],
 				     HARNESS_WAIT_MS));
 	for (size_t i = 0; i < ARRAY_SIZE(addresses); i++) {
@@ -802,7 +756,7 @@
 			FAKE_ENDPOINT_JSON);
 	for (int i = 0; i < ENDING_ENDPOINTS; i++)
 		endpoints[i].ends_on_bad_body = true;
-	others[0] = start_entry("entry-end-1", addresses[1], peer_address);
+	others[0] = start_entry("entry-end-1", addresses[1]);
 	for (int i = 0; i < REPETITIONS; i++) {
 		const char *address = addresses[i % 2];
 
@@ -814,7 +768,7 @@
 	ends = count_ends(endpoints);
 	CU_ASSERT(ends <= REPEATED_RUNS_MAX);
 
-	others[1] = start_entry("entry-end-2", addresses[2], peer_address);
+	others[1] = start_entry("entry-end-2", addresses[2]);
 	for (size_t i = 0; i < ARRAY_SIZE(addresses); i++) {
 		CU_ASSERT(harness_wait_until(serves_sound_lookups,
 					     (void *)addresses[i],
@@ -895,12 +849,12 @@
 			    control_address, FAKE_ENDPOINT_JSON);
 	CU_ASSERT(
 		harness_wait_log(entry, "endpoint=i-limit ", HARNESS_WAIT_MS));
-	others[0] = start_entry("entry-limit-1", addresses[1], peer_address);
+	others[0] = start_entry("entry-limit-1", addresses[1]);
 	CU_ASSERT(harness_wait_until(serves_booking, (void *)addresses[1],
 				     HARNESS_WAIT_MS));
 	endpoint.request_limit = REQUEST_LIMIT;
 	CU_ASSERT(serves_booking((void *)entry_address));
-	others[1] = start_entry("entry-limit-2", addresses[2], peer_address);
+	others[1] = start_entry("entry-limit-2", addresses[2]);
 	CU_ASSERT(harness_wait_until(serves_booking, (void *)addresses[2],
 				     HARNESS_WAIT_MS));
 	since_us = g_get_monotonic_time();
--- a/test/functional/harness/fake_endpoint.c
+++ b/test/functional/harness/fake_endpoint.c
@@ -21,6 +21,8 @@
 #define REQUEST_BYTES 8192
 #define EVENT_INTERVAL_US 20000
 #define ENDLESS_BLOCK_BYTES 16384
+/* Less than any silence after which the gateway acts. */
+#define NOW_AND_THEN_US 200000
 /* The timeout of each receive and send on a connection. */
 #define IO_TIMEOUT_S 1
 
@@ -136,11 +138,15 @@
  * FAKE_ENDPOINT_TRUNCATE_AFTER.
  */
 static void send_events(int fd, const char *request_id, unsigned long id,
-			bool chunked, bool is_truncated)
+			bool chunked, int mode, bool is_truncated)
 {
 	for (; id < FAKE_ENDPOINT_EVENTS; id++) {
 		if (is_truncated && id > FAKE_ENDPOINT_TRUNCATE_AFTER)
 			return;
+		if (mode == FAKE_ENDPOINT_SLOW &&
+		    id < FAKE_ENDPOINT_SLOW_EVENTS)
+			g_usleep(FAKE_ENDPOINT_SLOW_MS *
+				 G_TIME_SPAN_MILLISECOND);
 		send_event(fd, chunked, request_id, id);
 		g_usleep(EVENT_INTERVAL_US);
 	}
@@ -184,7 +190,7 @@
 	if (mode == FAKE_ENDPOINT_JSON)
 		send_text(fd, FAKE_ENDPOINT_JSON_BODY);
 	else if (!is_empty)
-		send_events(fd, request_id, id, chunked, is_truncated);
+		send_events(fd, request_id, id, chunked, mode, is_truncated);
 	if (is_truncated && mode != FAKE_ENDPOINT_TRUNCATE)
 		send_body(fd, chunked, "id: 6\ndata: wor");
 	if (chunked && !is_empty &&
@@ -252,6 +258,70 @@
 	g_free(request_id);
 }
 
+/* Sends a whole answer that names "request_id". */
+static void send_whole(int fd, const char *request_id)
+{
+	char *body =
+		g_strdup_printf("id: 0\ndata: word0 of %s\n\n", request_id);
+	char *text = g_strdup_printf(
+		"HTTP/1.1 200 OK\r\nX-Wisteriadrift-Request-Id: %s\r\n"
+		"X-Wisteriadrift-Response-Stamp: 1.2.3\r\n"
+		"Content-Length: %zu\r\n\r\n%s",
+		request_id, strlen(body), body);
+
+	send_text(fd, text);
+	g_free(text);
+	g_free(body);
+}
+
+static void send_twice(int fd, const char *request)
+{
+	char *request_id = copy_header(request, "X-Wisteriadrift-Request-Id");
+
+	send_whole(fd, request_id);
+	send_whole(fd, FAKE_ENDPOINT_OTHER_ID);
+	g_free(request_id);
+}
+
+/* Returns whether the peer has closed the connection. */
+static bool is_closed(int fd)
+{
+	char byte;
+
+	return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
+/* Begins a stream, unless "unit" is NULL, and sends the unit now and then. */
+static void send_now_and_then(const fake_endpoint_t *fake_endpoint, int fd,
+			      const char *request, const char *unit)
+{
+	char *request_id = copy_header(request, "X-Wisteriadrift-Request-Id");
+	char *head = g_strdup_printf(
+		"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+		"X-Wisteriadrift-Request-Id: %s\r\n"
+		"X-Wisteriadrift-Response-Stamp: 1.2.3\r\n"
+		"Transfer-Encoding: chunked\r\n\r\n",
+		request_id);
+
+	if (unit != NULL)
+		send_text(fd, head);
+	while (!fake_endpoint->stopping && !is_closed(fd)) {
+		if (unit != NULL)
+			send_body(fd, true, unit);
+		g_usleep(NOW_AND_THEN_US);
+	}
+	g_free(head);
+	g_free(request_id);
+}
+
+/* Returns what the mode sends now and then; NULL: nothing. */
+static const char *rare_unit(int mode)
+{
+	if (mode == FAKE_ENDPOINT_COMMENTS)
+		return ": wait\n\n";
+	return mode == FAKE_ENDPOINT_DRIBBLE ? "d" : NULL;
+}
+
 /* Initializes an empty journal. */
 void fake_endpoint_journal_init(fake_endpoint_journal_t *journal)
 {
@@ -457,6 +527,12 @@
 			       : FAKE_ENDPOINT_CHUNKED_EMPTY;
 	if (endless_unit(mode) != NULL)
 		send_without_end(fake_endpoint, fd, request, mode);
+	else if (rare_unit(mode) != NULL || mode == FAKE_ENDPOINT_SILENT)
+		send_now_and_then(fake_endpoint, fd, request, rare_unit(mode));
+	else if (mode == FAKE_ENDPOINT_TWICE)
+		send_twice(fd, request);
+	else if (mode == FAKE_ENDPOINT_FOREIGN)
+		send_whole(fd, FAKE_ENDPOINT_OTHER_ID);
 	else if (mode != FAKE_ENDPOINT_DROP)
 		send_stream(fake_endpoint, fd, request, mode);
 }
--- a/test/functional/harness/fake_endpoint.h
+++ b/test/functional/harness/fake_endpoint.h
@@ -20,6 +20,10 @@
 #define FAKE_ENDPOINT_BAD_BODY "666 bolts"
 /* How long an endpoint that ended under such a body is down. */
 #define FAKE_ENDPOINT_DOWN_MS 800
+#define FAKE_ENDPOINT_OTHER_ID "of-another-caller"
+/* Longer than GATEWAY_STALL_TIMEOUT_MS, less than the least patience of 2 s. */
+#define FAKE_ENDPOINT_SLOW_MS 1200
+#define FAKE_ENDPOINT_SLOW_EVENTS 3
 /* Longer than any test that uses it. */
 #define FAKE_ENDPOINT_PAUSE_S 40
 
@@ -55,7 +59,20 @@
 	/* Serves, and starts each stream with event 0. */
 	FAKE_ENDPOINT_RESTART,
 	FAKE_ENDPOINT_LEAVE, /* serves, and says that it leaves */
-	FAKE_ENDPOINT_DROP   /* runs it and closes without an answer */
+	/*
+	 * Sends its answer twice on one connection, whole both times; the
+	 * second one names FAKE_ENDPOINT_OTHER_ID.
+	 */
+	FAKE_ENDPOINT_TWICE,
+	/* Answers at once with the answer to FAKE_ENDPOINT_OTHER_ID. */
+	FAKE_ENDPOINT_FOREIGN,
+	/* The first events of a stream come after FAKE_ENDPOINT_SLOW_MS each. */
+	FAKE_ENDPOINT_SLOW,
+	/* Until the connection is closed, sends now and then in a stream: */
+	FAKE_ENDPOINT_COMMENTS, /* a comment */
+	FAKE_ENDPOINT_DRIBBLE,	/* a byte of an event that never ends */
+	FAKE_ENDPOINT_SILENT,	/* runs it and never answers */
+	FAKE_ENDPOINT_DROP	/* runs it and closes without an answer */
 } fake_endpoint_mode_t;
 
 /* How often each request has run on the fake endpoints that share it. */
--- /dev/null
+++ b/test/functional/harness/fleet_rig.h
@@ -0,0 +1,25 @@
+#ifndef TEST_FUNCTIONAL_HARNESS_FLEET_RIG_H
+#define TEST_FUNCTIONAL_HARNESS_FLEET_RIG_H
+
+#include "harness/harness.h"
+
+#define FLEET_RIG_CONTROLS_MAX 3
+
+/* The addresses that the processes of a fleet share. */
+typedef struct {
+	harness_t *harness;
+	/* For operators and endpoints; of each control instance. */
+	const char *control_addresses[FLEET_RIG_CONTROLS_MAX];
+	size_t control_count;
+	const char *peer_port;	     /* of all processes */
+	const char *metrics_address; /* of the process started last */
+} fleet_rig_t;
+
+void fleet_rig_init(fleet_rig_t *rig, harness_t *harness,
+		    size_t control_count) ATTR_NONNULL_ALL;
+harness_process_t *fleet_rig_start_control(fleet_rig_t *rig, size_t index,
+					   const char *name) ATTR_NONNULL_ALL;
+harness_process_t *fleet_rig_start_entry(fleet_rig_t *rig, const char *name,
+					 const char *address) ATTR_NONNULL_ALL;
+
+#endif
