Answer the requests that arrive during a planned stop

An entry that stopped cut requests without an answer: a connection that was just opened counted as idle, connections that waited in the kernel and bytes that were not read yet were reset, a response whose head had promised to keep the connection was followed by its end, and what still waited when the stop time was over was dropped.

Now a new connection has 1 s for its first request, waiting connections are accepted before the listening socket closes, connections with unread bytes or a promise are kept, and a request whose answer has not begun is refused at the end: 503, or 502 if an endpoint may have run it. A stream that has waited is checked against the end of the stop again when it starts.

A client that sends on a kept connection in the moment in which it is closed as idle still gets no answer; HTTP/1.1 has no way to avoid that. In unit/http_server_test, the check of "draining" that a connection without a request is closed at once contradicts the above; it now checks that it is open before 1 s and closed at 1 s.

--- a/src/wisteria/gateway/exchange.c
+++ b/src/wisteria/gateway/exchange.c
@@ -214,6 +214,21 @@
 	send_attempt(exchange, target);
 }
 
+/* Returns whether the answer might be truncated by the planned stop. */
+static bool might_outlast_stop(const exchange_t *exchange,
+			       const target_t *target)
+{
+	const gateway_t *gateway = exchange->gateway;
+	const caller_request_t *caller = &exchange->caller;
+
+	return gateway->drain_since_ms != 0 &&
+	       exchange->route->kind == ROUTE_STREAM &&
+	       stop_margin_is_too_short(gateway->stop_ms - now_of(exchange),
+					MAX(caller->answer_tokens_max,
+					    caller->answer_tokens_hint),
+					target->cost_ms);
+}
+
 /* A wait_start_t; returns false if no usable endpoint has capacity. */
 static bool start_queued(wait_item_t *item)
 {
@@ -227,6 +242,11 @@
 				       item->expires_ms - exchange->started_ms);
 		return false;
 	}
+	if (might_outlast_stop(exchange, &target)) {
+		shortage_wait_ended(shortage, false);
+		refuse(exchange, RETRY_AFTER_STOPPING_MS, "stopping");
+		return true;
+	}
 	start(exchange, &target);
 	wait_queue_remove(&exchange->gateway->waiting, item);
 	shortage_wait_ended(shortage, true);
@@ -319,21 +339,6 @@
 	       reasons[result]);
 }
 
-/* Returns whether the answer might be truncated by the planned stop. */
-static bool might_outlast_stop(const exchange_t *exchange,
-			       const target_t *target)
-{
-	const gateway_t *gateway = exchange->gateway;
-	const caller_request_t *caller = &exchange->caller;
-
-	return gateway->drain_since_ms != 0 &&
-	       exchange->route->kind == ROUTE_STREAM &&
-	       stop_margin_is_too_short(gateway->stop_ms - now_of(exchange),
-					MAX(caller->answer_tokens_max,
-					    caller->answer_tokens_hint),
-					target->cost_ms);
-}
-
 static void send_or_queue(exchange_t *exchange)
 {
 	gateway_t *gateway = exchange->gateway;
@@ -660,11 +665,17 @@
 }
 
 /*
- * Aborts a request that is not complete when the planned stop takes effect.
- * Its connection is closed later, by http_server_close().
+ * Ends a request that is not complete when the planned stop takes effect: it is
+ * refused, or cut if its answer has begun.  Its connection is closed later, by
+ * http_server_close().
  */
 void exchange_abort(exchange_t *exchange)
 {
+	if (!exchange->headers_sent) {
+		exchange->possible_runs += exchange->call != NULL;
+		refuse(exchange, RETRY_AFTER_STOPPING_MS, "stopping");
+		return;
+	}
 	LOG_WARN("request_cut",
 		 "request=%s reason=stopped sends=%u events=%" G_GUINT64_FORMAT
 		 " after_ms=%" G_GINT64_FORMAT,
--- a/src/wisteria/gateway/gateway.c
+++ b/src/wisteria/gateway/gateway.c
@@ -663,8 +663,8 @@
 
 /*
  * Prepares for a stop in "remaining_ms": reports not ready, lets open requests
- * complete, and refuses new streams that might not complete in time.  Streams
- * that are queued already are not checked again when they start.
+ * complete, and refuses streams that might not complete in time when they
+ * start.
  */
 void gateway_drain(gateway_t *gateway, clock_ms_t remaining_ms)
 {
@@ -686,9 +686,23 @@
 	       gateway->http.conn_count == 0;
 }
 
-/* Aborts all requests and closes all connections. */
+/* Refuses the held requests, or begins them if there is a lease. */
+static void release_held_requests(gateway_t *gateway)
+{
+	while (gateway->held_requests->len > 0) {
+		const held_request_t held = g_array_index(
+			gateway->held_requests, held_request_t, 0);
+
+		g_array_remove_index(gateway->held_requests, 0);
+		held.conn->user = NULL;
+		exchange_begin(gateway, held.conn, held.since_ms);
+	}
+}
+
+/* Refuses or aborts all requests and closes all connections. */
 void gateway_close(gateway_t *gateway)
 {
+	release_held_requests(gateway);
 	while (!LIST_EMPTY(&gateway->exchanges))
 		exchange_abort(LIST_FIRST(&gateway->exchanges));
 	gateway->closed = true;
--- a/src/wisteria/http/http_server.c
+++ b/src/wisteria/http/http_server.c
@@ -8,6 +8,7 @@
 #include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include "wisteria/base/clock.h"
 #include "wisteria/base/err.h"
@@ -20,6 +21,8 @@
 #define SERVER_TICK_MS 250
 /* Time for the peer to read the last response and close the connection. */
 #define LINGER_MS 1000
+/* In a stop, time for a client to send its first request: a few round trips. */
+#define FIRST_REQUEST_MS 1000
 /* Maximum time between two reads of a request body. */
 #define BODY_IDLE_MS 10000
 /* Number of pipelined bytes at which reading from the connection pauses. */
@@ -125,6 +128,7 @@
 
 	conn->state = HTTP_CONN_RESPONDING;
 	conn->request_started = false;
+	conn->head_sent = false;
 	conn->close_after =
 		!conn->reader.message.keep_alive || server->draining;
 	server->handler->request(server->handler, conn);
@@ -249,13 +253,14 @@
 	return conn->state == HTTP_CONN_RESPONDING;
 }
 
-static void append_head(const http_conn_t *conn, GString *head, unsigned status,
+static void append_head(http_conn_t *conn, GString *head, unsigned status,
 			const char *headers)
 {
 	g_string_append_printf(head, "HTTP/1.1 %u %s\r\n%s", status,
 			       http_reason_phrase(status), headers);
 	if (conn->close_after)
 		g_string_append(head, "Connection: close\r\n");
+	conn->head_sent = true;
 }
 
 /*
@@ -367,27 +372,26 @@
 	close_conn(conn);
 }
 
-static void on_connection(uv_stream_t *listener, int status)
+static http_conn_t *conn_new(http_server_t *server)
 {
-	http_server_t *server = listener->data;
-	http_conn_t *conn;
+	http_conn_t *conn = g_new0(http_conn_t, 1);
 
-	if (status < 0) {
-		LOG_WARN("accept_failed", "reason=%s", uv_err_name(status));
-		return;
-	}
-	conn = g_new0(http_conn_t, 1);
 	conn->server = server;
 	conn->pending = g_byte_array_new();
 	conn->since_ms = conn_now(conn);
 	http_reader_init(&conn->reader, HTTP_REQUEST,
 			 server->limits.header_bytes,
 			 server->limits.body_bytes);
-	uv_tcp_init(listener->loop, &conn->tcp);
+	uv_tcp_init(server->tcp.loop, &conn->tcp);
 	conn->tcp.data = conn;
 	LIST_INSERT_HEAD(&server->conns, conn, entry);
 	server->conn_count++;
-	status = uv_accept(listener, (uv_stream_t *)&conn->tcp);
+	return conn;
+}
+
+/* Reads from a connection whose acceptance returned "status". */
+static void start_conn(http_conn_t *conn, int status)
+{
 	if (status == 0)
 		status = uv_read_start((uv_stream_t *)&conn->tcp, on_alloc,
 				       on_read);
@@ -399,6 +403,18 @@
 	uv_tcp_nodelay(&conn->tcp, 1);
 }
 
+static void on_connection(uv_stream_t *listener, int status)
+{
+	http_conn_t *conn;
+
+	if (status < 0) {
+		LOG_WARN("accept_failed", "reason=%s", uv_err_name(status));
+		return;
+	}
+	conn = conn_new(listener->data);
+	start_conn(conn, uv_accept(listener, (uv_stream_t *)&conn->tcp));
+}
+
 static void check_timeouts(http_conn_t *conn, clock_ms_t now)
 {
 	const http_limits_t *limits = &conn->server->limits;
@@ -471,25 +487,78 @@
 	return false;
 }
 
-/* From now on, closes each connection after its next response. */
+/*
+ * From now on, closes each connection after the next response that can say so.
+ * A client that has read the head of a response without "Connection: close" may
+ * send its next request as soon as the response is complete; that one is
+ * answered, too.
+ */
 void http_server_drain(http_server_t *server)
 {
 	http_conn_t *conn;
 
 	server->draining = true;
 	LIST_FOREACH(conn, &server->conns, entry)
-	if (conn->state == HTTP_CONN_RESPONDING)
+	if (conn->state == HTTP_CONN_RESPONDING && !conn->head_sent)
 		conn->close_after = true;
 }
 
+/*
+ * Accepts the connections that wait in the kernel; closing the listening socket
+ * would reset them, and the requests that were already sent on them.
+ */
+static void accept_waiting(http_server_t *server)
+{
+	uv_os_fd_t listener;
+	int fd;
+
+	if (uv_fileno((const uv_handle_t *)&server->tcp, &listener) != 0)
+		return;
+	while ((fd = accept4(listener, NULL, NULL,
+			     SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
+		http_conn_t *conn = conn_new(server);
+		int status = uv_tcp_open(&conn->tcp, fd);
+
+		if (status != 0)
+			close(fd);
+		start_conn(conn, status);
+	}
+}
+
 /* Stops accepting connections; open ones continue. */
 void http_server_stop_listening(http_server_t *server)
 {
-	if (!uv_is_closing((uv_handle_t *)&server->tcp))
-		uv_close((uv_handle_t *)&server->tcp, NULL);
+	if (uv_is_closing((uv_handle_t *)&server->tcp))
+		return;
+	accept_waiting(server);
+	uv_close((uv_handle_t *)&server->tcp, NULL);
 }
 
-/* Closes the connections that are idle between requests. */
+/* Returns whether bytes of the client have arrived that were not read yet. */
+static bool has_unread_bytes(const http_conn_t *conn)
+{
+	uv_os_fd_t fd;
+	char byte;
+
+	return uv_fileno((const uv_handle_t *)&conn->tcp, &fd) == 0 &&
+	       recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+/* Returns whether the client cannot expect an answer on the connection. */
+static bool is_idle(const http_conn_t *conn)
+{
+	bool is_new = conn->requests_served == 0 &&
+		      conn_now(conn) - conn->since_ms < FIRST_REQUEST_MS;
+
+	return conn->state == HTTP_CONN_READING && !conn->request_started &&
+	       !is_new && !has_unread_bytes(conn);
+}
+
+/*
+ * Closes the connections that are idle between requests.  One without a request
+ * so far is kept for FIRST_REQUEST_MS: its client has just opened it to send
+ * one.
+ */
 void http_server_close_idle(http_server_t *server)
 {
 	http_conn_t *conn = LIST_FIRST(&server->conns);
@@ -497,7 +566,7 @@
 	while (conn != NULL) {
 		http_conn_t *next = LIST_NEXT(conn, entry);
 
-		if (conn->state == HTTP_CONN_READING && !conn->request_started)
+		if (is_idle(conn))
 			close_conn(conn);
 		conn = next;
 	}
--- a/src/wisteria/http/http_server.h
+++ b/src/wisteria/http/http_server.h
@@ -52,6 +52,7 @@
 	GByteArray *pending;  /* bytes read after the current request */
 	clock_ms_t since_ms;  /* start of the interval for timeouts */
 	bool request_started; /* a byte of the next request was read */
+	bool head_sent;	      /* of the current response */
 	bool chunked;
 	bool ends_with_close; /* the response has no other end */
 	bool close_after;
--- a/test/functional/fleet_faults_test.c
+++ b/test/functional/fleet_faults_test.c
@@ -308,6 +308,146 @@
 	fake_endpoint_stop(&endpoint);
 }
 
+/* 2. Planned stops. */
+
+/* How long callers go on after SIGTERM; the entry listens for 2.6 s of it. */
+#define STOP_LOAD_MS 4000
+#define KEPT_CALLERS 4
+#define NEW_CALLERS 4
+/* Between the opening of a connection and the request: a slow network. */
+#define SLOW_CALLER_US 300000
+
+/* One caller thread, and what became of its requests. */
+typedef struct {
+	unsigned index;
+	bool keeps; /* its connection, as long as the entry does */
+	bool is_slow;
+	const char *address;
+	atomic_bool *stopping;
+	unsigned answered;
+	unsigned cut; /* written whole, and no answer */
+	pthread_t thread;
+} load_caller_t;
+
+static void *call_under_load(void *user)
+{
+	static _Thread_local char answer[ANSWER_BYTES];
+	load_caller_t *caller = user;
+	unsigned sent = 0;
+	int fd = -1;
+
+	while (!*caller->stopping) {
+		char id[64];
+		unsigned status;
+
+		if (fd < 0)
+			fd = open_connection(caller->address);
+		if (fd < 0) {
+			g_usleep(5000); /* nothing listens any more */
+			continue;
+		}
+		if (caller->is_slow)
+			g_usleep(SLOW_CALLER_US);
+		g_snprintf(id, sizeof(id), "load-%u-%u", caller->index, sent++);
+		status = write_request(fd, "/look/1", id, NULL)
+				 ? read_answer(fd, answer)
+				 : 0;
+		caller->answered += status != 0;
+		caller->cut += status == 0;
+		if (!caller->keeps || status == 0 ||
+		    strcasestr(answer, "connection: close") != NULL) {
+			close(fd);
+			fd = -1;
+		}
+	}
+	if (fd >= 0)
+		close(fd);
+	return NULL;
+}
+
+/*
+ * Failure: requests that were just accepted are cut without an answer while an
+ * entry stops, on kept connections, on new ones, and on new ones whose request
+ * comes a little later.
+ */
+static void test_stop_under_load_answers_all(void)
+{
+	static load_caller_t callers[KEPT_CALLERS + 2 * NEW_CALLERS];
+	const char *address = harness_address(&harness);
+	harness_process_t *stopped =
+		fleet_rig_start_entry(&rig, "entry-stop", address);
+	atomic_bool stopping = false;
+	fake_endpoint_t endpoint;
+	unsigned answered = 0;
+	unsigned cut = 0;
+
+	start_known(&endpoint, "stop-load", "orders", FAKE_ENDPOINT_JSON);
+	CU_ASSERT(harness_wait_log(stopped, "endpoint=stop-load ",
+				   HARNESS_WAIT_MS));
+	CU_ASSERT(harness_wait_log(stopped, "event=lease_gained",
+				   HARNESS_WAIT_MS));
+	for (unsigned i = 0; i < ARRAY_SIZE(callers); i++) {
+		callers[i] = (load_caller_t){
+			.index = i,
+			.keeps = i < KEPT_CALLERS,
+			.is_slow = i >= KEPT_CALLERS + NEW_CALLERS,
+			.address = address,
+			.stopping = &stopping,
+		};
+		CU_ASSERT_EQUAL_FATAL(pthread_create(&callers[i].thread, NULL,
+						     call_under_load,
+						     &callers[i]),
+				      0);
+	}
+	g_usleep(500 * G_TIME_SPAN_MILLISECOND);
+	harness_signal(stopped, SIGTERM);
+	g_usleep(STOP_LOAD_MS * G_TIME_SPAN_MILLISECOND);
+	stopping = true;
+	for (unsigned i = 0; i < ARRAY_SIZE(callers); i++) {
+		pthread_join(callers[i].thread, NULL);
+		answered += callers[i].answered;
+		cut += callers[i].cut;
+	}
+	printf(" [%u answered, %u cut] ", answered, cut);
+	CU_ASSERT(answered > 0);
+	CU_ASSERT_EQUAL(cut, 0);
+	CU_ASSERT(harness_wait_exit(stopped, HARNESS_WAIT_MS));
+	CU_ASSERT_EQUAL(stopped->exit_status, 0);
+	fake_endpoint_stop(&endpoint);
+}
+
+/*
+ * Failure: requests that still wait when the time for a planned stop is over
+ * are cut without an answer.  No endpoint has begun to answer them.
+ */
+static void test_stop_refuses_what_still_waits(void)
+{
+	static char answer[ANSWER_BYTES];
+	const char *address = harness_address(&harness);
+	harness_process_t *stopped =
+		fleet_rig_start_entry(&rig, "entry-wait", address);
+	fake_endpoint_t endpoint;
+	int fd;
+
+	start_known(&endpoint, "stop-wait", "writer", FAKE_ENDPOINT_SILENT);
+	CU_ASSERT(harness_wait_log(stopped, "endpoint=stop-wait ",
+				   HARNESS_WAIT_MS));
+	CU_ASSERT(harness_wait_log(stopped, "event=lease_gained",
+				   HARNESS_WAIT_MS));
+	harness_signal(stopped, SIGTERM);
+	CU_ASSERT(
+		harness_wait_log(stopped, "event=stop_begun", HARNESS_WAIT_MS));
+	fd = open_connection(address);
+	CU_ASSERT_FATAL(fd >= 0);
+	CU_ASSERT(write_request(fd, "/chat/1", "waits", NULL));
+	/* It may have run: the endpoint has read it. */
+	CU_ASSERT_EQUAL(read_answer(fd, answer), 502);
+	close(fd);
+	CU_ASSERT(harness_wait_exit(stopped, HARNESS_WAIT_MS));
+	CU_ASSERT_EQUAL(stopped->exit_status, 0);
+	fake_endpoint_stop(&endpoint);
+}
+
 static const unit_test_t tests[] = {
 	{ "fleet starts", test_fleet_starts },
 	{ "second answer reaches nobody", test_second_answer_reaches_nobody },
@@ -315,6 +455,8 @@
 	  test_answer_of_another_request_is_not_passed_on },
 	{ "answer to a caller who has gone reaches nobody",
 	  test_answer_to_a_caller_who_has_gone_reaches_nobody },
+	{ "stop under load answers all", test_stop_under_load_answers_all },
+	{ "stop refuses what still waits", test_stop_refuses_what_still_waits },
 };
 
 int main(void)
--- a/test/unit/http_server_test.c
+++ b/test/unit/http_server_test.c
@@ -311,6 +311,12 @@
 	http_server_stop_listening(&fixture.server);
 	http_server_close_idle(&fixture.server);
 	run_loop(&fixture);
+	/* Its client may be about to send the first request. */
+	(void)received(idle, &ended);
+	CU_ASSERT_FALSE(ended);
+	clock_now_ms += 1000;
+	http_server_close_idle(&fixture.server);
+	run_loop(&fixture);
 	(void)received(idle, &ended);
 	CU_ASSERT_TRUE(ended);
 	(void)received(fd, &ended);
@@ -325,6 +331,66 @@
 	stop(&fixture);
 }
 
+#define SHORT_REQUEST "GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+
+/*
+ * Failure: a stop resets connections whose requests have arrived and were not
+ * read yet: one that was not accepted, and one that was idle between requests.
+ */
+static void test_stop_answers_unread_requests(void)
+{
+	fixture_t fixture;
+	uint16_t port = start(&fixture);
+	int kept = send_request(port, SHORT_REQUEST);
+	int waiting;
+	bool ended;
+
+	fixture.responds_immediately = true;
+	run_loop(&fixture);
+	CU_ASSERT_PTR_NOT_NULL(strstr(received(kept, &ended), "200"));
+	clock_now_ms += 1000;
+	CU_ASSERT(write(kept, SHORT_REQUEST, strlen(SHORT_REQUEST)) > 0);
+	waiting = send_request(port, SHORT_REQUEST);
+	http_server_drain(&fixture.server);
+	http_server_stop_listening(&fixture.server);
+	http_server_close_idle(&fixture.server);
+	run_loop(&fixture);
+	CU_ASSERT_EQUAL(fixture.requests, 3);
+	CU_ASSERT_PTR_NOT_NULL(strstr(received(kept, &ended), "200"));
+	CU_ASSERT_TRUE(ended);
+	CU_ASSERT_PTR_NOT_NULL(strstr(received(waiting, &ended), "200"));
+	CU_ASSERT_TRUE(ended);
+	close(kept);
+	close(waiting);
+	stop(&fixture);
+}
+
+/*
+ * Failure: a stop closes a connection behind a response whose head, sent before
+ * the stop, had promised to keep it, and the client's next request is lost.
+ */
+static void test_stop_keeps_a_promised_connection(void)
+{
+	fixture_t fixture;
+	uint16_t port = start(&fixture);
+	int fd = send_request(port, SHORT_REQUEST);
+	bool ended;
+
+	run_loop(&fixture);
+	http_conn_begin(fixture.open, 200, "", -1);
+	http_server_drain(&fixture.server);
+	http_conn_end(fixture.open);
+	fixture.responds_immediately = true;
+	CU_ASSERT(write(fd, SHORT_REQUEST, strlen(SHORT_REQUEST)) > 0);
+	run_loop(&fixture);
+	CU_ASSERT_EQUAL(fixture.requests, 2);
+	CU_ASSERT_PTR_NOT_NULL(
+		strstr(received(fd, &ended), "Connection: close"));
+	CU_ASSERT_TRUE(ended);
+	close(fd);
+	stop(&fixture);
+}
+
 static const unit_test_t tests[] = {
 	{ "requests on one connection", test_requests_on_one_connection },
 	{ "responses keep the order of requests",
@@ -332,6 +398,9 @@
 	{ "client disconnects", test_client_disconnects },
 	{ "large body is rejected", test_large_body_is_rejected },
 	{ "100-continue is sent", test_100_continue_is_sent },
+	{ "stop answers unread requests", test_stop_answers_unread_requests },
+	{ "stop keeps a promised connection",
+	  test_stop_keeps_a_promised_connection },
 	{ "aborted response", test_aborted_response },
 	{ "aborted response of HTTP/1.0 is not complete",
 	  test_aborted_response_of_http_1_0_is_not_complete },
