Tell slow streams from stalled ones

A stream was resumed elsewhere after 900 ms without a byte. Comments counted as bytes, so that a stream which sent one now and then was never resumed, and with no other endpoint it lasted to its deadline. A slow but sound stream was cut and its prompt processed again where the other endpoints were as slow, and after a pause of the entry itself all its streams counted as silent.

Now an attempt is also resumed when only comments or parts of an event have come for the caller's patience less 1.1 s, and ended when no event has come for the patience (routes with goals only). The entry records long pauses by endpoint (gateway/long_pauses) and doesn't resume a stream at endpoints with pauses of their own until its silence is twice as long. Time in which the entry did not run is left out, and a stream is resumed only under a lease.

--- a/src/wisteria/gateway/answer.c
+++ b/src/wisteria/gateway/answer.c
@@ -140,6 +140,8 @@
 	double pause_ms = (double)(now - exchange->last_event_ms);
 
 	exchange->last_progress_ms = now;
+	exchange_record_long_pause(exchange, now);
+	exchange->event_due_since_ms = now;
 	gateway->event_count++;
 	if (exchange->first_event_ms != 0 && exchange->route->gap_goal_ms > 0 &&
 	    pause_ms > (double)exchange->route->gap_goal_ms *
--- a/src/wisteria/gateway/exchange.c
+++ b/src/wisteria/gateway/exchange.c
@@ -185,6 +185,7 @@
 	exchange->send_count++;
 	counter_add(COUNTER_GATEWAY_SENDS, 1);
 	exchange->last_progress_ms = now;
+	exchange->event_due_since_ms = now;
 	gateway->dialect->write_forward(&exchange->conn->reader.message,
 					&forward, request);
 	exchange->call =
@@ -725,19 +726,53 @@
 	return false;
 }
 
+/*
+ * Records the pause of a stream that ends now, if it is long and shows that the
+ * endpoints are slow, not that this process was paused.
+ */
+void exchange_record_long_pause(exchange_t *exchange, clock_ms_t now)
+{
+	gateway_t *gateway = exchange->gateway;
+	clock_ms_t pause_ms = now - exchange->event_due_since_ms;
+
+	if (pause_ms < GATEWAY_STALL_TIMEOUT_MS ||
+	    now - gateway->last_tick_ms >= GATEWAY_LATE_TICK_MS)
+		return;
+	for (uint32_t i = 0; i < exchange->target.count; i++)
+		long_pauses_add(&gateway->long_pauses, exchange->target.ids[i],
+				pause_ms, now);
+}
+
+/*
+ * Returns whether the current silence is no longer than pauses through "other",
+ * so that the stream would not go on sooner there.
+ */
+static bool is_as_slow(const exchange_t *exchange, const target_t *other,
+		       clock_ms_t now)
+{
+	clock_ms_t expected_ms = long_pauses_expected(
+		&exchange->gateway->long_pauses, other->ids, other->count, now);
+
+	return now - exchange->event_due_since_ms <
+	       GATEWAY_LONG_PAUSE_FACTOR * expected_ms;
+}
+
 /*
  * Cancels the attempt and resumes the stream at other endpoints; returns false
- * if there is no capacity or no retry budget.
+ * if there is no lease, no capacity or no retry budget, or if the endpoints may
+ * only be slow ("is_lost": they are not) and the others are as slow.
  */
-static bool resume_elsewhere(exchange_t *exchange, clock_ms_t now)
+static bool resume_elsewhere(exchange_t *exchange, bool is_lost, clock_ms_t now)
 {
 	const target_t *target = &exchange->target;
 	retry_window_t *window = gateway_retry_window(exchange->gateway,
 						      exchange->service->name);
 	target_t other;
 
-	if (!retry_window_allows(window, now) ||
+	if (!subscription_has_lease(&exchange->gateway->subscription) ||
+	    !retry_window_allows(window, now) ||
 	    target_choose(exchange, &other) != TARGET_FOUND ||
+	    (!is_lost && is_as_slow(exchange, &other, now)) ||
 	    !retry_window_take(window, now))
 		return false;
 	LOG_INFO("stream_stalled",
@@ -747,6 +782,7 @@
 		 now - exchange->last_progress_ms,
 		 exchange->event_stream.event_count);
 	counter_add(COUNTER_GATEWAY_STALLS, 1);
+	exchange_record_long_pause(exchange, now);
 	exchange->possible_runs++;
 	exchange->possible_arrivals++;
 	end_attempt(exchange);
@@ -754,6 +790,17 @@
 	return true;
 }
 
+/*
+ * Returns whether the attempt has sent nothing for GATEWAY_STALL_TIMEOUT_MS, or
+ * only comments or parts of an event for so long that its caller gives up soon.
+ */
+static bool is_stalled(const exchange_t *exchange, clock_ms_t now)
+{
+	return now - exchange->last_progress_ms >= GATEWAY_STALL_TIMEOUT_MS ||
+	       now - exchange->event_due_since_ms >=
+		       patience_ms(exchange->route) - GATEWAY_RESUME_MS;
+}
+
 /*
  * Resumes a silent stream at other endpoints if they have capacity: early if an
  * endpoint is known to be lost, otherwise later and without any of its current
@@ -764,17 +811,19 @@
 	clock_ms_t silent_ms = now - exchange->last_progress_ms;
 	guint failed_before = exchange->failed_ids->len;
 
-	if (silent_ms < GATEWAY_LOST_ENDPOINT_STALL_MS || !can_resume(exchange))
+	if (!can_resume(exchange))
 		return;
-	if (has_lost_endpoint(exchange) && resume_elsewhere(exchange, now))
+	if (silent_ms >= GATEWAY_LOST_ENDPOINT_STALL_MS &&
+	    has_lost_endpoint(exchange) &&
+	    resume_elsewhere(exchange, true, now))
 		return;
-	if (silent_ms < GATEWAY_STALL_TIMEOUT_MS)
+	if (!is_stalled(exchange, now))
 		return;
 	suspect_without_heartbeat(exchange, now);
 	for (uint32_t i = 0; i < exchange->target.count; i++)
 		g_ptr_array_add(exchange->failed_ids,
 				g_strdup(exchange->target.ids[i]));
-	if (!resume_elsewhere(exchange, now))
+	if (!resume_elsewhere(exchange, false, now))
 		g_ptr_array_set_size(exchange->failed_ids, (gint)failed_before);
 }
 
@@ -821,8 +870,22 @@
 }
 
 /*
- * Refuses a queued request whose waiting time has expired, ends an exchange
- * whose deadline has passed, and checks others for a silent stream.
+ * Returns whether an attempt of a stream has sent no event for as long as its
+ * caller waits for one, whatever bytes it has sent.  Without goals that is not
+ * known.
+ */
+static bool has_outlasted_patience(const exchange_t *exchange, clock_ms_t now)
+{
+	const route_t *route = exchange->route;
+
+	return route->kind == ROUTE_STREAM && exchange->call != NULL &&
+	       (route->goal_ms > 0 || route->gap_goal_ms > 0) &&
+	       now - exchange->event_due_since_ms >= patience_ms(route);
+}
+
+/*
+ * Refuses a queued request whose waiting time has expired, ends a stream without
+ * events and an exchange whose deadline has passed, and checks others for a silent stream.
  */
 void exchange_tick(exchange_t *exchange, clock_ms_t now)
 {
@@ -842,6 +905,11 @@
 		refuse_without_target(exchange, result, &target);
 		return;
 	}
+	if (has_outlasted_patience(exchange, now)) {
+		exchange->possible_runs++;
+		refuse(exchange, 0, "no_event");
+		return;
+	}
 	if (now < exchange->deadline_ms) {
 		exchange_check_stall(exchange, now);
 		return;
--- a/src/wisteria/gateway/exchange.h
+++ b/src/wisteria/gateway/exchange.h
@@ -7,6 +7,8 @@
 void exchange_begin(gateway_t *gateway, http_conn_t *conn,
 		    clock_ms_t arrived_ms) ATTR_NONNULL_ALL;
 void exchange_caller_left(exchange_t *exchange) ATTR_NONNULL_ALL;
+void exchange_record_long_pause(exchange_t *exchange,
+				clock_ms_t now) ATTR_NONNULL_ALL;
 void exchange_check_stall(exchange_t *exchange,
 			  clock_ms_t now) ATTR_NONNULL_ALL;
 void exchange_collect_silent(const exchange_t *exchange, clock_ms_t now,
--- a/src/wisteria/gateway/gateway.c
+++ b/src/wisteria/gateway/gateway.c
@@ -51,6 +51,9 @@
 {
 	exchange_t *exchange;
 
+	/* After a pause of this process, the next tick leaves it out first. */
+	if (now - gateway->last_tick_ms >= GATEWAY_LATE_TICK_MS)
+		return;
 	LIST_FOREACH(exchange, &gateway->exchanges, entry)
 	exchange_check_stall(exchange, now);
 }
@@ -526,6 +529,25 @@
 		exchange_caller_left(conn->user);
 }
 
+/*
+ * Leaves the last "pause_ms", in which this process did not run, out of the
+ * silence of all streams: what was sent meanwhile may not be read yet.
+ */
+static void excuse_pause(gateway_t *gateway, clock_ms_t pause_ms,
+			 clock_ms_t now)
+{
+	exchange_t *exchange;
+
+	LOG_INFO("process_paused", "for_ms=%" G_GINT64_FORMAT, pause_ms);
+	LIST_FOREACH(exchange, &gateway->exchanges, entry)
+	{
+		exchange->last_progress_ms =
+			MIN(exchange->last_progress_ms + pause_ms, now);
+		exchange->event_due_since_ms =
+			MIN(exchange->event_due_since_ms + pause_ms, now);
+	}
+}
+
 static void on_tick(uv_timer_t *timer)
 {
 	gateway_t *gateway = timer->data;
@@ -533,6 +555,8 @@
 	bool is_late = now - gateway->last_tick_ms >= GATEWAY_LATE_TICK_MS;
 	exchange_t *exchange = LIST_FIRST(&gateway->exchanges);
 
+	if (is_late && gateway->last_tick_ms > 0)
+		excuse_pause(gateway, now - gateway->last_tick_ms, now);
 	gateway->last_tick_ms = now;
 	if (!is_late && now - gateway->last_silence_report_ms >=
 				GATEWAY_SILENCE_REPORT_INTERVAL_MS)
@@ -549,6 +573,7 @@
 	g_hash_table_foreach_remove(gateway->suspects, is_suspicion_expired,
 				    &now);
 	registry_remove_expired(&gateway->registry, now);
+	long_pauses_expire(&gateway->long_pauses, now);
 	endpoint_notices_expire(&gateway->notices, &gateway->registry, now);
 	endpoint_limits_tick(gateway, now);
 	if (now - gateway->last_report_ms >= GATEWAY_REPORT_INTERVAL_MS) {
@@ -629,6 +654,7 @@
 	registry_init(&gateway->registry);
 	part_guard_init(&gateway->parts);
 	usage_init(&gateway->usage);
+	long_pauses_init(&gateway->long_pauses);
 	flow_plan_init(&gateway->plan);
 	demand_init(&gateway->demand);
 	endpoint_notices_init(&gateway->notices);
@@ -718,6 +744,7 @@
 	subscription_finish(&gateway->subscription);
 	registry_finish(&gateway->registry);
 	usage_finish(&gateway->usage);
+	long_pauses_finish(&gateway->long_pauses);
 	flow_plan_finish(&gateway->plan);
 	demand_finish(&gateway->demand);
 	endpoint_notices_finish(&gateway->notices);
--- a/src/wisteria/gateway/gateway_defs.h
+++ b/src/wisteria/gateway/gateway_defs.h
@@ -12,6 +12,7 @@
 #include "wisteria/gateway/demand.h"
 #include "wisteria/gateway/endpoint_notices.h"
 #include "wisteria/gateway/flow_plan.h"
+#include "wisteria/gateway/long_pauses.h"
 #include "wisteria/gateway/outcome.h"
 #include "wisteria/gateway/permits.h"
 #include "wisteria/gateway/shortage.h"
@@ -38,6 +39,13 @@
  * endpoint needs to process the prompt.
  */
 #define GATEWAY_STALL_TIMEOUT_MS 900
+/*
+ * Least multiple of the long pauses elsewhere after which a stream is resumed
+ * there: a shorter silence may be a pause of the same kind.
+ */
+#define GATEWAY_LONG_PAUSE_FACTOR 2
+/* Time that another endpoint needs until the first event of a resumed stream. */
+#define GATEWAY_RESUME_MS 1100
 /*
  * The same for a stream one of whose endpoints is known to be lost: long enough
  * for events that are still in transit to arrive.
@@ -160,8 +168,13 @@
 	clock_ms_t sent_ms;	     /* of the current attempt */
 	bool is_unread;		     /* its prompt, as far as known */
 	clock_ms_t last_progress_ms; /* last send or received data */
-	GPtrArray *failed_ids;	     /* endpoints that are not tried again */
-	bool demand_counted;	     /* of the next attempt, at limited ones */
+	/*
+	 * Since when the attempt owes an event; comments don't count.  Time in
+	 * which this process was paused is left out, here and above.
+	 */
+	clock_ms_t event_due_since_ms;
+	GPtrArray *failed_ids; /* endpoints that are not tried again */
+	bool demand_counted;   /* of the next attempt, at limited ones */
 	unsigned send_count;
 	unsigned possible_runs;	    /* attempts that may have run */
 	unsigned possible_arrivals; /* attempts possibly received */
@@ -231,6 +244,7 @@
 	unsigned event_count;
 	unsigned long_pause_count; /* of those, the ones after a long pause */
 	silence_t silence;
+	long_pauses_t long_pauses;
 	clock_ms_t last_silence_report_ms;
 	clock_ms_t last_tick_ms;
 	double pipe_budget_ms; /* transfer time that this entry may use now */
--- a/test/functional/fleet_faults_test.c
+++ b/test/functional/fleet_faults_test.c
@@ -448,6 +448,125 @@
 	fake_endpoint_stop(&endpoint);
 }
 
+/* 3. Slow and stalled streams. */
+
+/* Expects each event once and in order. */
+static void expect_complete_stream(const http_request_t *request,
+				   const char *request_id)
+{
+	GString *expected = g_string_new(NULL);
+
+	for (unsigned i = 0; i < FAKE_ENDPOINT_EVENTS; i++)
+		g_string_append_printf(expected,
+				       "id: %u\ndata: word%u of %s\n\n", i, i,
+				       request_id);
+	CU_ASSERT_EQUAL(request->status, 200);
+	CU_ASSERT_EQUAL(request->result, CURLE_OK);
+	CU_ASSERT_STRING_EQUAL(request->body->str, expected->str);
+	g_string_free(expected, TRUE);
+}
+
+static bool has_run(void *user)
+{
+	const fake_endpoint_t *endpoint = user;
+
+	http_client_poll(&client, 1);
+	return endpoint->runs > 0;
+}
+
+/* The least patience of a caller, and that of route "quick". */
+#define PATIENCE_MS 2000
+
+/*
+ * Failure: a stream that sends comments or single bytes now and then counts as
+ * alive, and its caller waits for an event in vain although another endpoint
+ * would serve it.
+ */
+static void test_stalled_stream_goes_on_elsewhere(void)
+{
+	static const fake_endpoint_mode_t modes[] = { FAKE_ENDPOINT_COMMENTS,
+						      FAKE_ENDPOINT_DRIBBLE };
+
+	for (size_t i = 0; i < ARRAY_SIZE(modes); i++) {
+		const char *id = harness_string(&harness, "stalled%zu", i);
+		fake_endpoint_t endpoints[2];
+		http_request_t *request;
+
+		start_known(&endpoints[0],
+			    harness_string(&harness, "stall-%zu", i), "writer",
+			    modes[i]);
+		request = send_request(entry_address, "/quick/1", id, "hi");
+		CU_ASSERT(harness_wait_until(has_run, &endpoints[0],
+					     HARNESS_WAIT_MS));
+		start_known(&endpoints[1],
+			    harness_string(&harness, "sound-%zu", i), "writer",
+			    FAKE_ENDPOINT_SERVE);
+		CU_ASSERT(http_wait(&client, request, HARNESS_WAIT_MS));
+		expect_complete_stream(request, id);
+		/* The last event is sent 0.24 s after the first. */
+		CU_ASSERT(request->ended_us - request->started_us <
+			  (PATIENCE_MS + 240) * G_TIME_SPAN_MILLISECOND);
+		CU_ASSERT_EQUAL(endpoints[0].runs, 1);
+		http_request_free(&client, request);
+		fake_endpoint_stop(&endpoints[0]);
+		fake_endpoint_stop(&endpoints[1]);
+	}
+}
+
+/* Failure: such a stream never ends where no other endpoint can serve it. */
+static void test_stalled_stream_ends(void)
+{
+	static const fake_endpoint_mode_t modes[] = { FAKE_ENDPOINT_COMMENTS,
+						      FAKE_ENDPOINT_DRIBBLE };
+
+	for (size_t i = 0; i < ARRAY_SIZE(modes); i++) {
+		fake_endpoint_t endpoint;
+		http_request_t *request;
+
+		start_known(&endpoint,
+			    harness_string(&harness, "endless-%zu", i),
+			    "writer", modes[i]);
+		request = send_and_wait(entry_address, "/quick/1",
+					harness_string(&harness, "ends%zu", i),
+					"hi");
+		CU_ASSERT_EQUAL(request->status, 502);
+		/* Twice the patience; the deadline is at 9 s. */
+		CU_ASSERT(request->ended_us - request->started_us <
+			  2 * PATIENCE_MS * G_TIME_SPAN_MILLISECOND);
+		http_request_free(&client, request);
+		fake_endpoint_stop(&endpoint);
+	}
+}
+
+/*
+ * Failure: a slow but sound stream, with pauses below its caller's patience, is
+ * cut although the other endpoint is as slow.  The first stream shows that.
+ */
+static void test_slow_stream_is_not_cut(void)
+{
+	fake_endpoint_t endpoints[2];
+	http_request_t *request;
+	unsigned runs;
+
+	start_known(&endpoints[0], "slow-0", "writer", FAKE_ENDPOINT_SLOW);
+	start_known(&endpoints[1], "slow-1", "writer", FAKE_ENDPOINT_SLOW);
+	request = send_and_wait(entry_address, "/quick/1", "slow-first", "hi");
+	expect_complete_stream(request, "slow-first");
+	http_request_free(&client, request);
+	runs = endpoints[0].runs + endpoints[1].runs;
+	for (unsigned i = 0; i < 2; i++) {
+		const char *id = harness_string(&harness, "slow%u", i);
+
+		request = send_and_wait(entry_address, "/quick/1", id, "hi");
+		expect_complete_stream(request, id);
+		http_request_free(&client, request);
+		CU_ASSERT_EQUAL(endpoints[0].runs + endpoints[1].runs,
+				runs + i + 1);
+	}
+	fake_endpoint_stop(&endpoints[0]);
+	fake_endpoint_stop(&endpoints[1]);
+}
+
 static const unit_test_t tests[] = {
 	{ "fleet starts", test_fleet_starts },
 	{ "second answer reaches nobody", test_second_answer_reaches_nobody },
@@ -457,6 +576,10 @@
 	  test_answer_to_a_caller_who_has_gone_reaches_nobody },
 	{ "stop under load answers all", test_stop_under_load_answers_all },
 	{ "stop refuses what still waits", test_stop_refuses_what_still_waits },
+	{ "stalled stream goes on elsewhere",
+	  test_stalled_stream_goes_on_elsewhere },
+	{ "stalled stream ends", test_stalled_stream_ends },
+	{ "slow stream is not cut", test_slow_stream_is_not_cut },
 };
 
 int main(void)
--- a/test/functional/harness/fake_endpoint.c
+++ b/test/functional/harness/fake_endpoint.c
@@ -133,6 +133,21 @@
 	       mode != FAKE_ENDPOINT_JSON;
 }
 
+/* Returns whether the peer has closed the connection. */
+static bool is_closed(int fd)
+{
+	char byte;
+
+	return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
+/* Waits before an event of a slow stream; returns false if nobody reads it. */
+static bool wait_slowly(int fd)
+{
+	g_usleep(FAKE_ENDPOINT_SLOW_MS * G_TIME_SPAN_MILLISECOND);
+	return !is_closed(fd);
+}
+
 /*
  * Sends the events after "Last-Event-Id", or those up to
  * FAKE_ENDPOINT_TRUNCATE_AFTER.
@@ -144,9 +159,8 @@
 		if (is_truncated && id > FAKE_ENDPOINT_TRUNCATE_AFTER)
 			return;
 		if (mode == FAKE_ENDPOINT_SLOW &&
-		    id < FAKE_ENDPOINT_SLOW_EVENTS)
-			g_usleep(FAKE_ENDPOINT_SLOW_MS *
-				 G_TIME_SPAN_MILLISECOND);
+		    id < FAKE_ENDPOINT_SLOW_EVENTS && !wait_slowly(fd))
+			return;
 		send_event(fd, chunked, request_id, id);
 		g_usleep(EVENT_INTERVAL_US);
 	}
@@ -283,14 +297,6 @@
 	g_free(request_id);
 }
 
-/* Returns whether the peer has closed the connection. */
-static bool is_closed(int fd)
-{
-	char byte;
-
-	return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
-}
-
 /* Begins a stream, unless "unit" is NULL, and sends the unit now and then. */
 static void send_now_and_then(const fake_endpoint_t *fake_endpoint, int fd,
 			      const char *request, const char *unit)
@@ -495,6 +501,12 @@
 	g_free(ip);
 }
 
+/* Returns whether the leader asks for a report, as while streams pause. */
+static bool is_probe(const char *request)
+{
+	return strstr(request, " /wisteriadrift/report ") != NULL;
+}
+
 static void serve_request(fake_endpoint_t *fake_endpoint, int fd)
 {
 	char request[REQUEST_BYTES];
@@ -514,6 +526,11 @@
 		send_rejection(fake_endpoint, fd);
 		return;
 	}
+	if (mode == FAKE_ENDPOINT_SLOW && is_probe(request)) {
+		send_text(fd, "HTTP/1.1 404 Not Found\r\n"
+			      "Content-Length: 0\r\nConnection: close\r\n\r\n");
+		return;
+	}
 	record_run(fake_endpoint, request);
 	if (fake_endpoint->ends_on_bad_body && has_bad_body(request)) {
 		fake_endpoint->crashes++;
