Write the registry at once when an endpoint leaves

The copy of the registry on disk was written 0.5 s after a change. An endpoint that had left, or had begun to, less than that before all control instances lost power was in use again afterwards, also by heartbeats of its own that were late. The same held where the copy was written more than 3.6 s after it had left, since such endpoints were not loaded.

A leave, or the start of one, is now written at once, and endpoints that have left are loaded whatever their age. A power loss within the time of the write itself (a sync, after the acknowledgement) can still bring one back.

--- a/src/wisteria/fleet/fleet_api.c
+++ b/src/wisteria/fleet/fleet_api.c
@@ -42,6 +42,14 @@
 	http_conn_reply(conn, 200, JSON_HEADER, "{}", 2);
 }
 
+/* An endpoint leaves: what is on disk must not bring it back. */
+static void write_registry(fleet_control_t *control)
+{
+	if (control->has_replica)
+		registry_file_write_now(&control->registry_file,
+					&control->registry, now_of(control));
+}
+
 static void handle_heartbeat(fleet_control_t *control, http_conn_t *conn)
 {
 	endpoint_t endpoint;
@@ -68,6 +76,8 @@
 			 endpoint.first_layer, endpoint.end_layer,
 			 endpoint.draining, endpoint.incarnation,
 			 endpoint.sequence);
+	if (result == REGISTRY_CHANGED && endpoint.draining)
+		write_registry(control);
 	acknowledge(conn);
 }
 
@@ -81,6 +91,7 @@
 	}
 	if (registry_mark_gone(&control->registry, id, now_of(control)) != NULL)
 		g_hash_table_add(control->updated_ids, g_strdup(id));
+	write_registry(control);
 	LOG_INFO("endpoint_left", "endpoint=%s", id);
 	acknowledge(conn);
 }
--- a/src/wisteria/fleet/registry_file.c
+++ b/src/wisteria/fleet/registry_file.c
@@ -180,6 +180,17 @@
 		start_write(file, registry, now);
 }
 
+/*
+ * Writes the copy at once, or after the write in progress: an endpoint leaves,
+ * and must not be in use again after a power loss.
+ */
+void registry_file_write_now(registry_file_t *file, const registry_t *registry,
+			     clock_ms_t now)
+{
+	file->changed_ms = now - REGISTRY_FILE_WRITE_DELAY_MS;
+	registry_file_write_if_changed(file, registry, now);
+}
+
 /* The time since the copy was written counts for no refusal. */
 static void load_parts(registry_file_t *file,
 		       const msg_fleet_endpoints_t *message, clock_ms_t now)
@@ -199,8 +210,18 @@
 }
 
 /*
- * Loads the copy into the registry, except for endpoints that had sent
- * nothing for REGISTRY_SILENCE_MS when it was written.  Loaded endpoints count
+ * Whether an endpoint had sent nothing for REGISTRY_SILENCE_MS when the copy was
+ * written.  One that has left is loaded all the same: a late heartbeat would
+ * bring it back otherwise.
+ */
+static bool was_silent(const msg_fleet_endpoint_t *endpoint)
+{
+	return endpoint->age_ms > REGISTRY_SILENCE_MS && !endpoint->gone;
+}
+
+/*
+ * Loads the copy into the registry, except for endpoints that were silent when
+ * it was written.  Loaded endpoints count
  * as heard at "now".  Returns how many it loaded, and sets file->entries.
  */
 unsigned registry_file_load(registry_file_t *file, registry_t *registry,
@@ -232,7 +253,7 @@
 		     i++) {
 			endpoint_t endpoint;
 
-			if (message->endpoints[i].age_ms > REGISTRY_SILENCE_MS)
+			if (was_silent(&message->endpoints[i]))
 				continue;
 			fleet_update_read_endpoint(&message->endpoints[i], now,
 						   &endpoint);
--- a/src/wisteria/fleet/registry_file.h
+++ b/src/wisteria/fleet/registry_file.h
@@ -34,6 +34,8 @@
 void registry_file_write_if_changed(registry_file_t *file,
 				    const registry_t *registry,
 				    clock_ms_t now) ATTR_NONNULL_ALL;
+void registry_file_write_now(registry_file_t *file, const registry_t *registry,
+			     clock_ms_t now) ATTR_NONNULL_ALL;
 
 bool registry_file_write(const char *folder, const void *data, size_t len,
 			 err_t *err) ATTR_WARN_UNUSED;
--- a/test/functional/fleet_faults_test.c
+++ b/test/functional/fleet_faults_test.c
@@ -567,6 +567,121 @@
 	fake_endpoint_stop(&endpoints[1]);
 }
 
+/* 4. Restarts. */
+
+/* Power is lost this long after an endpoint was told that its leave is known. */
+#define LEAVE_TO_LOSS_US 200000
+#define REQUESTS_AFTER_LOSS 10
+
+static void restart_control(void)
+{
+	harness_kill(control);
+	harness_restart(control);
+}
+
+static void leave(const char *id)
+{
+	CU_ASSERT_EQUAL(
+		request_status(control_address,
+			       harness_string(&harness,
+					      "/wisteriadrift/instances/%s/"
+					      "deregister",
+					      id),
+			       "leave", "{}"),
+		200);
+}
+
+static bool serves_look(void *user)
+{
+	return request_status(user, "/look/1", "look", "hi") == 200;
+}
+
+/*
+ * Failure: an endpoint that has left is in use again after a power loss of all
+ * control instances, at an entry that starts then: by the copy on disk, or by
+ * its own late heartbeats, which go on here.
+ */
+static void test_left_endpoint_stays_left(void)
+{
+	const char *address = harness_address(&harness);
+	harness_process_t *late_entry;
+	fake_endpoint_t leaver;
+	fake_endpoint_t stayer;
+	unsigned runs;
+
+	start_known(&leaver, "leaver", "orders", FAKE_ENDPOINT_JSON);
+	start_known(&stayer, "stayer", "orders", FAKE_ENDPOINT_JSON);
+	/* The copy on disk then has both. */
+	g_usleep(G_USEC_PER_SEC);
+	leave("leaver");
+	g_usleep(LEAVE_TO_LOSS_US);
+	restart_control();
+	runs = leaver.runs;
+	late_entry = fleet_rig_start_entry(&rig, "entry-late", address);
+	CU_ASSERT(harness_wait_until(serves_look, (void *)address,
+				     HARNESS_WAIT_MS));
+	for (int i = 0; i < REQUESTS_AFTER_LOSS; i++) {
+		CU_ASSERT(serves_look((void *)address));
+		CU_ASSERT(serves_look((void *)entry_address));
+		g_usleep(LEAVE_TO_LOSS_US);
+	}
+	CU_ASSERT_EQUAL(leaver.runs, runs);
+	harness_signal(late_entry, SIGTERM);
+	CU_ASSERT(harness_wait_exit(late_entry, HARNESS_WAIT_MS));
+	fake_endpoint_stop(&leaver);
+	fake_endpoint_stop(&stayer);
+}
+
+/* Returns the status of a request with an API key; 0: no answer. */
+static unsigned secret_status(const char *address, const char *key)
+{
+	static char answer[ANSWER_BYTES];
+	int fd = open_connection(address);
+	unsigned status = 0;
+
+	if (fd >= 0 && write_request(fd, "/secret/1", "secret", key))
+		status = read_answer(fd, answer);
+	if (fd >= 0)
+		close(fd);
+	return status;
+}
+
+static bool serves_new_key(void *user)
+{
+	CU_ASSERT_NOT_EQUAL(secret_status(user, "key-old"), 200);
+	return secret_status(user, "key-new") == 200;
+}
+
+/*
+ * Failure: a key whose withdrawal was acknowledged is in use again after the
+ * control instance and an entry have restarted.
+ */
+static void test_withdrawn_key_stays_withdrawn(void)
+{
+	const char *address = harness_address(&harness);
+	harness_process_t *late_entry =
+		fleet_rig_start_entry(&rig, "entry-keys", address);
+	fake_endpoint_t endpoint;
+
+	start_known(&endpoint, "keys", "orders", FAKE_ENDPOINT_JSON);
+	CU_ASSERT(harness_wait_log(late_entry, "endpoint=keys ",
+				   HARNESS_WAIT_MS));
+	CU_ASSERT(harness_wait_log(late_entry, "event=lease_gained",
+				   HARNESS_WAIT_MS));
+	CU_ASSERT_EQUAL(secret_status(address, "key-old"), 200);
+	configure(KEYS_NEW);
+	harness_kill(late_entry);
+	restart_control();
+	harness_restart(late_entry);
+	CU_ASSERT(harness_wait_until(serves_new_key, (void *)address,
+				     HARNESS_WAIT_MS));
+	CU_ASSERT_EQUAL(secret_status(address, "key-old"), 401);
+	configure(KEYS_BOTH);
+	harness_signal(late_entry, SIGTERM);
+	CU_ASSERT(harness_wait_exit(late_entry, HARNESS_WAIT_MS));
+	fake_endpoint_stop(&endpoint);
+}
+
 static const unit_test_t tests[] = {
 	{ "fleet starts", test_fleet_starts },
 	{ "second answer reaches nobody", test_second_answer_reaches_nobody },
@@ -580,6 +695,8 @@
 	  test_stalled_stream_goes_on_elsewhere },
 	{ "stalled stream ends", test_stalled_stream_ends },
 	{ "slow stream is not cut", test_slow_stream_is_not_cut },
+	{ "left endpoint stays left", test_left_endpoint_stays_left },
+	{ "withdrawn key stays withdrawn", test_withdrawn_key_stays_withdrawn },
 };
 
 int main(void)
--- a/test/unit/registry_file_test.c
+++ b/test/unit/registry_file_test.c
@@ -191,7 +191,37 @@
 	registry_finish(&registry);
 }
 
+/*
+ * Failure: an endpoint that left just before a power loss is in use again, also
+ * when the copy was written long after it had left, by a late heartbeat.
+ */
+static void test_left_endpoint_is_remembered(void)
+{
+	static const clock_ms_t written_ms[] = {
+		200, 200 + 2 * REGISTRY_SILENCE_MS
+	};
+
+	for (size_t i = 0; i < ARRAY_SIZE(written_ms); i++) {
+		registry_t registry = registry_with_endpoint();
+		endpoint_t first = { 0 };
+		registry_file_t file;
+
+		write_text("", 0);
+		registry_file_init(&file, uv_default_loop(), folder, &parts);
+		CU_ASSERT_PTR_NOT_NULL(
+			registry_mark_gone(&registry, "i-1", 200));
+		registry_file_write_now(&file, &registry, written_ms[i]);
+		CU_ASSERT_TRUE(file.writing);
+		uv_run(uv_default_loop(), UV_RUN_DEFAULT);
+		CU_ASSERT_EQUAL(load_copy(0, &first), 1);
+		CU_ASSERT_TRUE(first.gone);
+		registry_file_finish(&file);
+		registry_finish(&registry);
+	}
+}
+
 static const unit_test_t tests[] = {
+	{ "left endpoint is remembered", test_left_endpoint_is_remembered },
 	{ "refused parts outlast a power loss",
 	  test_refused_parts_outlast_a_power_loss },
 	{ "loads what was written", test_loads_what_was_written },
