Act on nothing that ran out while the process was paused

After a pause, a process may read its sockets before its timers run. A call that was connecting then sent its request or order although its connect timeout was long over, and with it the lease or the leadership that had allowed it. A leader that was paused for longer than an election counted as leader until its replica had ticked, and longer if late answers of its followers came first. A request that had waited started although its key was withdrawn meanwhile.

A call whose connection comes up behind its connect timeout now fails as unsent. The key of a request that has waited is looked up again.

--- a/src/wisteria/fleet/fleet_control.c
+++ b/src/wisteria/fleet/fleet_control.c
@@ -419,6 +419,7 @@
 	fleet_control_t *control = of_machine(machine);
 	guint i = 0;
 
+	fleet_group_confirm(control, ticket);
 	while (i < control->reads->len) {
 		fleet_read_t read =
 			g_array_index(control->reads, fleet_read_t, i);
@@ -443,6 +444,7 @@
 {
 	fleet_control_t *control = of_machine(machine);
 
+	control->in_doubt = false;
 	if (!replica_is_leader(&control->replica))
 		fleet_api_expire(control, now_of(control), true);
 }
@@ -592,6 +594,7 @@
 	clock_ms_t now = now_of(control);
 
 	fleet_group_try_start(control, now);
+	fleet_group_check_pause(control, now);
 	if (control->table_is_stale)
 		rebuild_table(control);
 	send_updates(control);
@@ -601,10 +604,13 @@
 					       &control->registry, now);
 	}
 	fleet_api_expire(control, now, false);
-	fleet_parts_tick(control, now);
-	fleet_limits_tick(control, now);
 	subscribe_to_members(control);
 	registry_remove_expired(&control->registry, now);
+	/* What a leader knows is kept until it is clear whether it still leads. */
+	if (control->in_doubt)
+		return;
+	fleet_parts_tick(control, now);
+	fleet_limits_tick(control, now);
 	if (fleet_group_leads(control) && control->table != NULL &&
 	    !control->draining) {
 		/*
@@ -693,6 +699,7 @@
 	control->settings = settings;
 	control->dialect = dialect;
 	control->started_ms = clock_now(net->clock);
+	control->last_tick_ms = control->started_ms;
 	control->known_controls =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	fleet_group_add_control(control, settings->fleet->peer_listen,
--- a/src/wisteria/fleet/fleet_control_defs.h
+++ b/src/wisteria/fleet/fleet_control_defs.h
@@ -24,6 +24,11 @@
 
 /* Interval at which received heartbeats are forwarded in one batch. */
 #define FLEET_UPDATE_INTERVAL_MS 200
+/*
+ * A process that has not run for this long may have lost the leadership without
+ * knowing it: the others elect a leader after as much silence.
+ */
+#define FLEET_PAUSE_MS RAFT_ELECTION_TIMEOUT_MS
 /* Interval of the load totals to entries; entries report at the same rate. */
 #define FLEET_LOAD_INTERVAL_MS 500
 /* Engines are probed for this long after an entry reported slow streams. */
@@ -130,6 +135,13 @@
 	size_t slow_engines_sent;    /* length of the last list sent */
 	clock_ms_t slow_engines_sent_ms;
 	uv_timer_t tick;
+	clock_ms_t last_tick_ms;
+	/*
+	 * Whether this process was paused and no quorum has confirmed since that
+	 * it leads; the read that will, or 0.
+	 */
+	bool in_doubt;
+	uint64_t doubt_ticket;
 	uint64_t calls_open; /* not used */
 	bool draining;
 	bool closed;
--- a/src/wisteria/fleet/fleet_group.c
+++ b/src/wisteria/fleet/fleet_group.c
@@ -7,6 +7,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "wisteria/base/clock.h"
 #include "wisteria/base/err.h"
 #include "wisteria/base/log.h"
 #include "wisteria/base/log_sink.h"
@@ -121,11 +122,50 @@
 	control->recalled_entries = control->registry_file.entries;
 }
 
-/* Returns whether this instance leads and has applied the log so far. */
+/*
+ * Notices that this process was paused, at each tick.  If it still believes that
+ * it leads, it asks a quorum; until that confirms, it does not act as leader.
+ */
+void fleet_group_check_pause(fleet_control_t *control, clock_ms_t now)
+{
+	clock_ms_t since_ms = now - control->last_tick_ms;
+
+	control->last_tick_ms = now;
+	if (!control->has_replica || !replica_is_leader(&control->replica)) {
+		control->in_doubt = false;
+		return;
+	}
+	if (since_ms >= FLEET_PAUSE_MS) {
+		LOG_WARN("leadership_in_doubt",
+			 "paused_ms=%" G_GINT64_FORMAT
+			 " term=%" G_GUINT64_FORMAT,
+			 since_ms, control->replica.raft.term);
+		control->in_doubt = true;
+		control->doubt_ticket = 0;
+	}
+	if (control->in_doubt && control->doubt_ticket == 0)
+		control->doubt_ticket = replica_read(&control->replica);
+}
+
+/* A quorum has confirmed all reads up to "ticket". */
+void fleet_group_confirm(fleet_control_t *control, uint64_t ticket)
+{
+	if (control->doubt_ticket != 0 && ticket >= control->doubt_ticket)
+		control->in_doubt = false;
+}
+
+/*
+ * Returns whether this instance leads, has applied the log so far, and was not
+ * paused since a quorum last showed that it leads.  After a pause, sockets may
+ * be read before the first tick.
+ */
 bool fleet_group_leads(const fleet_control_t *control)
 {
 	return control->has_replica &&
-	       replica_is_ready_leader(&control->replica);
+	       replica_is_ready_leader(&control->replica) &&
+	       !control->in_doubt &&
+	       clock_now(control->net->clock) - control->last_tick_ms <
+		       FLEET_PAUSE_MS;
 }
 
 /* Returns the leader's address for frames, or NULL if it is not known. */
--- a/src/wisteria/fleet/fleet_group.h
+++ b/src/wisteria/fleet/fleet_group.h
@@ -8,6 +8,10 @@
 			     bool has_disk) ATTR_NONNULL_ALL;
 void fleet_group_try_start(fleet_control_t *control,
 			   clock_ms_t now) ATTR_NONNULL_ALL;
+void fleet_group_check_pause(fleet_control_t *control,
+			     clock_ms_t now) ATTR_NONNULL_ALL;
+void fleet_group_confirm(fleet_control_t *control,
+			 uint64_t ticket) ATTR_NONNULL_ALL;
 bool fleet_group_leads(const fleet_control_t *control) ATTR_NONNULL_ALL;
 const char *
 fleet_group_leader_address(const fleet_control_t *control) ATTR_NONNULL_ALL;
--- a/src/wisteria/gateway/exchange.c
+++ b/src/wisteria/gateway/exchange.c
@@ -230,6 +230,16 @@
 					target->cost_ms);
 }
 
+/* Returns whether the key of a request is still in force where one is needed. */
+static bool is_key_valid(const exchange_t *exchange)
+{
+	const gateway_t *gateway = exchange->gateway;
+
+	return exchange->customer == NULL || exchange->route->allow_anonymous ||
+	       route_table_find_customer(gateway->table,
+					 exchange->caller.api_key) != NULL;
+}
+
 /* A wait_start_t; returns false if no usable endpoint has capacity. */
 static bool start_queued(wait_item_t *item)
 {
@@ -238,6 +248,11 @@
 		gateway_shortage(exchange->gateway, exchange->service->name);
 	target_t target;
 
+	if (!is_key_valid(exchange)) {
+		shortage_wait_ended(shortage, false);
+		give_up(exchange, 401, 0, "unknown_api_key");
+		return true;
+	}
 	if (target_choose(exchange, &target) != TARGET_FOUND) {
 		shortage_expect_starts(shortage, target.limited_per_s,
 				       item->expires_ms - exchange->started_ms);
--- a/src/wisteria/http/http_call.c
+++ b/src/wisteria/http/http_call.c
@@ -8,6 +8,7 @@
 
 #include <sys/socket.h>
 
+#include "wisteria/base/clock.h"
 #include "wisteria/base/err.h"
 #include "wisteria/http/http_message.h"
 #include "wisteria/http/http_write.h"
@@ -19,6 +20,7 @@
 	uv_tcp_t tcp;
 	uv_connect_t connect;
 	uv_timer_t timer; /* connect timeout */
+	clock_ms_t connect_until_ms;
 	http_call_handler_t *handler;
 	http_reader_t reader;
 	GByteArray *request;
@@ -144,6 +146,10 @@
 	report_progress(call);
 }
 
+/*
+ * The connect timeout also holds if this process was paused and the connection
+ * is reported before the timer: what allowed the request may have run out.
+ */
 static void on_connected(uv_connect_t *connect, int status)
 {
 	http_call_t *call = CONTAINER_OF(connect, http_call_t, connect);
@@ -156,6 +162,10 @@
 		fail(call, "connect_refused");
 		return;
 	}
+	if (clock_now(&clock_boottime) >= call->connect_until_ms) {
+		fail(call, "connect_timeout");
+		return;
+	}
 	uv_timer_stop(&call->timer);
 	uv_tcp_nodelay(&call->tcp, 1);
 	call->stage = HTTP_CALL_SENT;
@@ -181,6 +191,8 @@
 	bool started;
 
 	call->handler = handler;
+	call->connect_until_ms =
+		clock_now(&clock_boottime) + limits->connect_ms;
 	call->open_handles = 2;
 	call->request = g_byte_array_sized_new((guint)request->len);
 	g_byte_array_append(call->request, (const guint8 *)request->str,
--- a/test/functional/fleet_faults_test.c
+++ b/test/functional/fleet_faults_test.c
@@ -682,6 +682,49 @@
 	fake_endpoint_stop(&endpoint);
 }
 
+/* 5. Paused processes. */
+
+/* Longer than the lease of 3 s. */
+#define PAUSE_US 4500000
+#define PAUSED_REQUESTS 6
+
+/*
+ * Failure: an entry that was paused for longer than its lease serves what has
+ * arrived meanwhile, on kept connections and on new ones, under a key that was
+ * withdrawn in that time.
+ */
+static void test_paused_entry_serves_nothing_old(void)
+{
+	static char answer[ANSWER_BYTES];
+	int fds[PAUSED_REQUESTS];
+	fake_endpoint_t endpoint;
+
+	start_known(&endpoint, "paused", "orders", FAKE_ENDPOINT_JSON);
+	for (size_t i = 0; i < ARRAY_SIZE(fds) / 2; i++) {
+		fds[i] = open_connection(entry_address);
+		CU_ASSERT(
+			write_request(fds[i], "/secret/1", "kept", "key-old"));
+		CU_ASSERT_EQUAL(read_answer(fds[i], answer), 200);
+	}
+	CU_ASSERT_EQUAL(endpoint.runs, ARRAY_SIZE(fds) / 2);
+	harness_signal(entry, SIGSTOP);
+	for (size_t i = 0; i < ARRAY_SIZE(fds); i++) {
+		if (i >= ARRAY_SIZE(fds) / 2)
+			fds[i] = open_connection(entry_address);
+		CU_ASSERT(write_request(fds[i], "/secret/1", "old", "key-old"));
+	}
+	configure(KEYS_NEW);
+	g_usleep(PAUSE_US);
+	harness_signal(entry, SIGCONT);
+	for (size_t i = 0; i < ARRAY_SIZE(fds); i++) {
+		CU_ASSERT_EQUAL(read_answer(fds[i], answer), 401);
+		close(fds[i]);
+	}
+	CU_ASSERT_EQUAL(endpoint.runs, ARRAY_SIZE(fds) / 2);
+	configure(KEYS_BOTH);
+	fake_endpoint_stop(&endpoint);
+}
+
 static const unit_test_t tests[] = {
 	{ "fleet starts", test_fleet_starts },
 	{ "second answer reaches nobody", test_second_answer_reaches_nobody },
@@ -697,6 +740,8 @@
 	{ "slow stream is not cut", test_slow_stream_is_not_cut },
 	{ "left endpoint stays left", test_left_endpoint_stays_left },
 	{ "withdrawn key stays withdrawn", test_withdrawn_key_stays_withdrawn },
+	{ "paused entry serves nothing old",
+	  test_paused_entry_serves_nothing_old },
 };
 
 int main(void)
--- a/test/unit/http_call_test.c
+++ b/test/unit/http_call_test.c
@@ -10,6 +10,7 @@
 #include "wisteria/http/http_call.h"
 
 #define CONNECT_MS 2000
+#define SHORT_CONNECT_MS 50
 #define BODY_BYTES 100
 
 /* A peer that sends one response and then closes or resets the connection. */
@@ -185,6 +186,57 @@
 	CU_ASSERT_EQUAL(result.stage, HTTP_CALL_SENT);
 }
 
+static void sleep_past_timeout(uv_prepare_t *prepare)
+{
+	g_usleep(2 * SHORT_CONNECT_MS * G_TIME_SPAN_MILLISECOND);
+	uv_prepare_stop(prepare);
+}
+
+/*
+ * Failure: a process that was paused while it connected sends the request
+ * afterwards, when what allowed it has run out.  The pause is between the
+ * timers and the sockets of one loop iteration.
+ */
+static void test_pause_while_connecting(void)
+{
+	call_result_t result = { .handler = { on_headers, on_body, on_complete,
+					      on_failed } };
+	const http_call_limits_t limits = { .connect_ms = SHORT_CONNECT_MS,
+					    .body_bytes = BODY_BYTES };
+	struct sockaddr_in address = { .sin_family = AF_INET };
+	GString *request = g_string_new("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+	socklen_t len = sizeof(address);
+	int listener = socket(AF_INET, SOCK_STREAM, 0);
+	uv_prepare_t prepare;
+	uv_loop_t loop;
+	char text[64];
+	char byte;
+	int fd;
+
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	CU_ASSERT_EQUAL(bind(listener, (struct sockaddr *)&address, len), 0);
+	CU_ASSERT_EQUAL(listen(listener, 1), 0);
+	getsockname(listener, (struct sockaddr *)&address, &len);
+	g_snprintf(text, sizeof(text), "127.0.0.1:%u", ntohs(address.sin_port));
+	uv_loop_init(&loop);
+	uv_prepare_init(&loop, &prepare);
+	uv_prepare_start(&prepare, sleep_past_timeout);
+	CU_ASSERT_PTR_NOT_NULL(
+		http_call_new(&loop, text, request, &limits, &result.handler));
+	fd = accept(listener, NULL, NULL);
+	for (int i = 0; i < 3; i++)
+		uv_run(&loop, UV_RUN_NOWAIT);
+	CU_ASSERT_TRUE(result.failed);
+	CU_ASSERT_EQUAL(result.stage, HTTP_CALL_UNSENT);
+	CU_ASSERT(recv(fd, &byte, 1, MSG_DONTWAIT) <= 0);
+	uv_close((uv_handle_t *)&prepare, NULL);
+	close(fd);
+	close(listener);
+	uv_run(&loop, UV_RUN_DEFAULT);
+	CU_ASSERT_EQUAL(uv_loop_close(&loop), 0);
+	g_string_free(request, TRUE);
+}
+
 int main(void)
 {
 	CU_pSuite suite;
@@ -199,6 +251,7 @@
 	CU_ADD_TEST(suite, test_truncated_response);
 	CU_ADD_TEST(suite, test_body_over_the_limit);
 	CU_ADD_TEST(suite, test_no_response);
+	CU_ADD_TEST(suite, test_pause_while_connecting);
 	CU_basic_set_mode(CU_BRM_VERBOSE);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures();
