--- a/src/wisteria/gateway/exchange.c
+++ b/src/wisteria/gateway/exchange.c
@@ -33,6 +33,8 @@
 #define RETRY_AFTER_PAUSED_MIN_MS 50
 /* Retry-After during a stop: other entries are ready; 0 would omit it. */
 #define RETRY_AFTER_STOPPING_MS 50
+/* The caller, whose clock starts later, is to give up first. */
+#define PATIENCE_MARGIN_MS 500
 /* Kept of a caller's patience for the prompt of a request that has waited. */
 #define LATE_MARGIN_MS 600
 
@@ -207,6 +209,7 @@
 		prefill_again_count(exchange->again_cause,
 				    exchange->caller.prompt_tokens);
 	exchange->last_progress_ms = now;
+	exchange->event_due_since_ms = now;
 	gateway->dialect->write_forward(&exchange->conn->reader.message,
 					&forward, request);
 	exchange->call =
@@ -236,6 +239,31 @@
 	send_attempt(exchange, target);
 }
 
+/* Returns whether the answer might be truncated by the planned stop. */
+static bool might_outlast_stop(const exchange_t *exchange,
+			       const target_t *target)
+{
+	const gateway_t *gateway = exchange->gateway;
+	const caller_request_t *caller = &exchange->caller;
+
+	return gateway->drain_since_ms != 0 &&
+	       exchange->route->kind == ROUTE_STREAM &&
+	       stop_margin_is_too_short(gateway->stop_ms - now_of(exchange),
+					MAX(caller->answer_tokens_max,
+					    caller->answer_tokens_hint),
+					target->cost_ms);
+}
+
+/* Returns whether the key of a request is still in force where one is needed. */
+static bool is_key_valid(const exchange_t *exchange)
+{
+	const gateway_t *gateway = exchange->gateway;
+
+	return exchange->customer == NULL || exchange->route->allow_anonymous ||
+	       route_table_find_customer(gateway->table,
+					 exchange->caller.api_key) != NULL;
+}
+
 /* A wait_start_t; returns false if no usable endpoint has capacity. */
 static bool start_queued(wait_item_t *item)
 {
@@ -244,11 +272,21 @@
 		gateway_shortage(exchange->gateway, exchange->service->name);
 	target_t target;
 
+	if (!is_key_valid(exchange)) {
+		shortage_wait_ended(shortage, false);
+		give_up(exchange, 401, 0, "unknown_api_key");
+		return true;
+	}
 	if (target_choose(exchange, &target) != TARGET_FOUND) {
 		shortage_expect_starts(shortage, target.limited_per_s,
 				       item->expires_ms - exchange->started_ms);
 		return false;
 	}
+	if (might_outlast_stop(exchange, &target)) {
+		shortage_wait_ended(shortage, false);
+		refuse(exchange, RETRY_AFTER_STOPPING_MS, "stopping");
+		return true;
+	}
 	start(exchange, &target);
 	stop_waiting(exchange);
 	shortage_wait_ended(shortage, true);
@@ -343,21 +381,6 @@
 	       reasons[result]);
 }
 
-/* Returns whether the answer might be truncated by the planned stop. */
-static bool might_outlast_stop(const exchange_t *exchange,
-			       const target_t *target)
-{
-	const gateway_t *gateway = exchange->gateway;
-	const caller_request_t *caller = &exchange->caller;
-
-	return gateway->drain_since_ms != 0 &&
-	       exchange->route->kind == ROUTE_STREAM &&
-	       stop_margin_is_too_short(gateway->stop_ms - now_of(exchange),
-					MAX(caller->answer_tokens_max,
-					    caller->answer_tokens_hint),
-					target->cost_ms);
-}
-
 /* Returns the valid plan of the request's service, or NULL. */
 static service_flows_t *find_plan(const exchange_t *exchange)
 {
@@ -755,11 +778,17 @@
 }
 
 /*
- * Aborts a request that is not complete when the planned stop takes effect.
- * Its connection is closed later, by http_server_close().
+ * Ends a request that is not complete when the planned stop takes effect: it is
+ * refused, or cut if its answer has begun.  Its connection is closed later, by
+ * http_server_close().
  */
 void exchange_abort(exchange_t *exchange)
 {
+	if (!exchange->headers_sent) {
+		exchange->possible_runs += exchange->call != NULL;
+		refuse(exchange, RETRY_AFTER_STOPPING_MS, "stopping");
+		return;
+	}
 	LOG_WARN("request_cut",
 		 "request=%s reason=stopped sends=%u events=%" G_GUINT64_FORMAT
 		 " after_ms=%" G_GINT64_FORMAT,
@@ -811,11 +840,43 @@
 	return false;
 }
 
+/*
+ * Records the pause of a stream that ends now, if it is long and shows that the
+ * endpoints are slow, not that this process was paused.
+ */
+void exchange_record_long_pause(exchange_t *exchange, clock_ms_t now)
+{
+	gateway_t *gateway = exchange->gateway;
+	clock_ms_t pause_ms = now - exchange->event_due_since_ms;
+
+	if (pause_ms < GATEWAY_STALL_TIMEOUT_MS ||
+	    now - gateway->last_tick_ms >= GATEWAY_LATE_TICK_MS)
+		return;
+	for (uint32_t i = 0; i < exchange->target.count; i++)
+		long_pauses_add(&gateway->long_pauses, exchange->target.ids[i],
+				pause_ms, now);
+}
+
+/*
+ * Returns whether the current silence is no longer than pauses through "other",
+ * so that the stream would not go on sooner there.
+ */
+static bool is_as_slow(const exchange_t *exchange, const target_t *other,
+		       clock_ms_t now)
+{
+	clock_ms_t expected_ms = long_pauses_expected(
+		&exchange->gateway->long_pauses, other->ids, other->count, now);
+
+	return now - exchange->event_due_since_ms <
+	       GATEWAY_LONG_PAUSE_FACTOR * expected_ms;
+}
+
 /*
  * Cancels the attempt and resumes the stream at other endpoints; returns false
- * if there is no capacity or no retry budget.
+ * if there is no lease, no capacity or no retry budget, or if the endpoints may
+ * only be slow ("is_lost": they are not) and the others are as slow.
  */
-static bool resume_elsewhere(exchange_t *exchange, clock_ms_t now,
+static bool resume_elsewhere(exchange_t *exchange, bool is_lost, clock_ms_t now,
 			     prefill_again_cause_t cause)
 {
 	const target_t *target = &exchange->target;
@@ -823,8 +884,10 @@
 						      exchange->service->name);
 	target_t other;
 
-	if (!retry_window_allows(window, now) ||
+	if (!subscription_has_lease(&exchange->gateway->subscription) ||
+	    !retry_window_allows(window, now) ||
 	    target_choose(exchange, &other) != TARGET_FOUND ||
+	    (!is_lost && is_as_slow(exchange, &other, now)) ||
 	    !retry_window_take(window, now))
 		return false;
 	LOG_INFO("stream_stalled",
@@ -834,6 +897,7 @@
 		 now - exchange->last_progress_ms,
 		 exchange->event_stream.event_count);
 	counter_add(COUNTER_GATEWAY_STALLS, 1);
+	exchange_record_long_pause(exchange, now);
 	exchange->possible_runs++;
 	exchange->possible_arrivals++;
 	exchange->again_cause = cause;
@@ -842,6 +906,17 @@
 	return true;
 }
 
+/*
+ * Returns whether the attempt has sent nothing for GATEWAY_STALL_TIMEOUT_MS, or
+ * only comments or parts of an event for so long that its caller gives up soon.
+ */
+static bool is_stalled(const exchange_t *exchange, clock_ms_t now)
+{
+	return now - exchange->last_progress_ms >= GATEWAY_STALL_TIMEOUT_MS ||
+	       now - exchange->event_due_since_ms >=
+		       patience_ms(exchange->route) - GATEWAY_RESUME_MS;
+}
+
 /*
  * Repairs the pipeline of a silent stream if an endpoint is known to be lost.
  * If that fails, or if none is, resumes the stream at other endpoints if they
@@ -853,19 +928,19 @@
 	clock_ms_t silent_ms = now - exchange->last_progress_ms;
 	guint failed_before = exchange->failed_ids->len;
 
-	if (repair_check(exchange, now) ||
-	    silent_ms < GATEWAY_LOST_ENDPOINT_STALL_MS || !can_resume(exchange))
+	if (repair_check(exchange, now) || !can_resume(exchange))
 		return;
-	if (has_lost_endpoint(exchange) &&
-	    resume_elsewhere(exchange, now, PREFILL_AGAIN_LOST_ENDPOINT))
+	if (silent_ms >= GATEWAY_LOST_ENDPOINT_STALL_MS &&
+	    has_lost_endpoint(exchange) &&
+	    resume_elsewhere(exchange, true, now, PREFILL_AGAIN_LOST_ENDPOINT))
 		return;
-	if (silent_ms < GATEWAY_STALL_TIMEOUT_MS)
+	if (!is_stalled(exchange, now))
 		return;
 	suspect_without_heartbeat(exchange, now);
 	for (uint32_t i = 0; i < exchange->target.count; i++)
 		g_ptr_array_add(exchange->failed_ids,
 				g_strdup(exchange->target.ids[i]));
-	if (!resume_elsewhere(exchange, now,
+	if (!resume_elsewhere(exchange, false, now,
 			      repair_has_lost_hop(exchange)
 				      ? PREFILL_AGAIN_LOST_ENDPOINT
 				      : PREFILL_AGAIN_SILENT))
@@ -915,8 +990,23 @@
 }
 
 /*
- * Refuses a queued request whose waiting time has expired, ends an exchange
- * whose deadline has passed, and checks others for a silent stream.
+ * Returns whether an attempt of a stream has sent no event for as long as its
+ * caller waits for one, whatever bytes it has sent.  Without goals that is not
+ * known.
+ */
+static bool has_outlasted_patience(const exchange_t *exchange, clock_ms_t now)
+{
+	const route_t *route = exchange->route;
+
+	return route->kind == ROUTE_STREAM && exchange->call != NULL &&
+	       (route->goal_ms > 0 || route->gap_goal_ms > 0) &&
+	       now - exchange->event_due_since_ms >=
+		       patience_ms(route) + PATIENCE_MARGIN_MS;
+}
+
+/*
+ * Refuses a queued request whose waiting time has expired, ends a stream without
+ * events and an exchange whose deadline has passed, and checks others for a silent stream.
  */
 void exchange_tick(exchange_t *exchange, clock_ms_t now)
 {
@@ -936,6 +1026,11 @@
 		refuse_without_target(exchange, result, &target);
 		return;
 	}
+	if (has_outlasted_patience(exchange, now)) {
+		exchange->possible_runs++;
+		refuse(exchange, 0, "no_event");
+		return;
+	}
 	if (now < exchange->deadline_ms) {
 		exchange_check_stall(exchange, now);
 		return;
