Test the repair of a pipeline with fake endpoints

Nothing ran the repair end to end.

The fakes can hold layers of a model: such an endpoint serves its requests at the same time, takes orders to repath, and as the first of a pipeline sends nothing while another endpoint of the pipeline accepts no connections. Three cases lose the second endpoint while three streams run: the order is accepted, refused (409), or not answered.

--- a/src/wisteria/gateway/exchange.c
+++ b/src/wisteria/gateway/exchange.c
@@ -140,6 +140,24 @@
 
 /* Attempts. */
 
+static void count_attempt(exchange_t *exchange, const target_t *target)
+{
+	usage_t *usage = &exchange->gateway->usage;
+	const caller_request_t *caller = &exchange->caller;
+
+	for (uint32_t i = 0; i < target->count; i++) {
+		usage_begin(usage, target->ids[i], target->tokens);
+		usage_add_unread(usage, target->ids[i], exchange->rank,
+				 caller->prompt_tokens);
+	}
+	usage_count_begun(usage, target->tokens);
+	exchange->send_count++;
+	counter_add(COUNTER_GATEWAY_SENDS, 1);
+	if (exchange->send_count > 1 && exchange->service->has_engine)
+		prefill_again_count(exchange->again_cause,
+				    caller->prompt_tokens);
+}
+
 static void send_attempt(exchange_t *exchange, const target_t *target)
 {
 	gateway_t *gateway = exchange->gateway;
@@ -164,16 +182,12 @@
 	};
 	GString *request = g_string_sized_new(2048);
 
+	count_attempt(exchange, target);
 	for (uint32_t i = 0; i < target->count; i++) {
 		hops[i].address = target->addresses[i];
 		hops[i].first_layer = target->first_layers[i];
 		hops[i].end_layer = target->end_layers[i];
-		usage_begin(&gateway->usage, target->ids[i], target->tokens);
-		usage_add_unread(&gateway->usage, target->ids[i],
-				 exchange->rank,
-				 exchange->caller.prompt_tokens);
 	}
-	usage_count_begun(&gateway->usage, target->tokens);
 	endpoint_limits_use(gateway, target->ids[0]);
 	exchange->demand_counted = false;
 	exchange->sent_ms = now;
@@ -184,11 +198,6 @@
 	exchange->answer_framing = HTTP_FRAMING_NONE;
 	exchange->request_limit = REQUEST_LIMIT_NONE;
 	event_stream_begin_attempt(&exchange->event_stream);
-	exchange->send_count++;
-	counter_add(COUNTER_GATEWAY_SENDS, 1);
-	if (exchange->send_count > 1 && exchange->service->has_engine)
-		prefill_again_count(exchange->again_cause,
-				    exchange->caller.prompt_tokens);
 	exchange->last_progress_ms = now;
 	gateway->dialect->write_forward(&exchange->conn->reader.message,
 					&forward, request);
--- a/test/functional/fleet_test.c
+++ b/test/functional/fleet_test.c
@@ -21,6 +21,7 @@
 static const char *entry_address;
 static const char *peer_address;
 static const char *metrics_address; /* of the process started last */
+static const char *entry_metrics_address;
 static harness_process_t *control;
 static harness_process_t *entry;
 
@@ -41,6 +42,11 @@
 	"\"kind\":\"idempotent\",\"timeoutMs\":5000,\"goalMs\":3000,"
 	"\"priority\":1,\"service\":\"orders\",\"maxAttempts\":2,"
 	"\"allowAnonymous\":true},"
+	"{\"name\":\"model\",\"host\":\"shop.example\",\"pathPrefix\":"
+	"\"/model/\",\"kind\":\"stream\",\"timeoutMs\":9000,"
+	"\"goalMs\":3000,\"priority\":1,\"service\":\"llm\","
+	"\"maxAttempts\":3,\"allowAnonymous\":true,\"streamResume\":true,"
+	"\"gapGoalMs\":500},"
 	"{\"name\":\"book\",\"host\":\"shop.example\",\"pathPrefix\":\"/book/"
 	"\","
 	"\"kind\":\"non_idempotent\",\"timeoutMs\":5000,\"goalMs\":3000,"
@@ -48,6 +54,12 @@
 	"\"allowAnonymous\":true}],\"services\":["
 	"{\"name\":\"writer\",\"healthPath\":\"/health\",\"maxConns\":50,"
 	"\"protocol\":\"h1\",\"tls\":false},"
+	"{\"name\":\"llm\",\"maxConns\":50,\"engine\":{\"slots\":64,"
+	"\"kvTokenBytes\":800000,\"step_ms\":1,\"layers\":80,"
+	"\"layerMb\":100,\"usual\":{\"prompt\":100,\"answer\":12},"
+	"\"kinds\":[{\"name\":\"fast\",\"sizeMb\":72000,\"pace\":1},"
+	"{\"name\":\"slow\",\"sizeMb\":72000,\"pace\":20},"
+	"{\"name\":\"slowest\",\"sizeMb\":72000,\"pace\":100}]}},"
 	"{\"name\":\"orders\",\"healthPath\":\"/health\",\"maxConns\":50,"
 	"\"protocol\":\"h1\",\"tls\":false}],"
 	"\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":1000000,"
@@ -115,6 +127,7 @@
 					      harness_path(&harness, "data")),
 			       peer));
 	entry = start_entry("entry", entry_address, peer);
+	entry_metrics_address = metrics_address;
 }
 
 /* Sends a request whose prompt has "parts"; NULL: it does not say. */
@@ -127,6 +140,7 @@
 		harness_string(&harness, "X-Wisteriadrift-Request-Id: %s",
 			       request_id),
 		"X-Wisteriadrift-Deadline-Ms: 9000",
+		"X-Wisteriadrift-Token-Count: 100,12",
 		parts == NULL ? NULL
 			      : harness_string(&harness,
 					       "X-Wisteriadrift-Prefix-Hash: "
@@ -919,6 +933,199 @@
 	fake_endpoint_stop(&endpoint);
 }
 
+static bool has_received_data(void *user)
+{
+	const http_request_t *request = user;
+
+	http_client_poll(&client, 1);
+	return request->body->len > 0;
+}
+
+#define MODEL_STREAMS 3
+
+/* The fakes of a model service; the last is known in one test only. */
+typedef struct {
+	fake_endpoint_t first;	/* layers 0 to 40 */
+	fake_endpoint_t last;	/* layers 40 to 80 */
+	fake_endpoint_t spare;	/* the same, slower */
+	fake_endpoint_t single; /* all layers, slowest */
+	fake_endpoint_journal_t journal;
+	http_request_t *streams[MODEL_STREAMS];
+} model_fleet_t;
+
+static void start_model(fake_endpoint_t *endpoint, const char *id,
+			unsigned first_layer, unsigned end_layer,
+			const char *accelerator,
+			fake_endpoint_journal_t *journal)
+{
+	fake_endpoint_listen(endpoint, id, "llm", harness.ip, control_address,
+			     FAKE_ENDPOINT_SERVE);
+	endpoint->first_layer = first_layer;
+	endpoint->end_layer = end_layer;
+	endpoint->accelerator = accelerator;
+	endpoint->journal = journal;
+	endpoint->order_status = 202;
+	fake_endpoint_start_threads(endpoint);
+	CU_ASSERT(harness_wait_log(entry,
+				   harness_string(&harness, "endpoint=%s ", id),
+				   HARNESS_WAIT_MS));
+}
+
+/* Starts the pipeline and its spare, and waits until all streams run. */
+static void start_model_streams(model_fleet_t *fleet, const char *name)
+{
+	fake_endpoint_journal_init(&fleet->journal);
+	start_model(&fleet->first, harness_string(&harness, "%s-first", name),
+		    0, 40, "fast", &fleet->journal);
+	start_model(&fleet->last, harness_string(&harness, "%s-last", name), 40,
+		    80, "fast", NULL);
+	start_model(&fleet->spare, harness_string(&harness, "%s-spare", name),
+		    40, 80, "slow", NULL);
+	for (size_t i = 0; i < MODEL_STREAMS; i++)
+		fleet->streams[i] = send_request(
+			entry_address, "/model/1",
+			harness_string(&harness, "%s%zu", name, i), "hi");
+	for (size_t i = 0; i < MODEL_STREAMS; i++)
+		CU_ASSERT_FATAL(harness_wait_until(
+			has_received_data, fleet->streams[i], HARNESS_WAIT_MS));
+}
+
+/* Expects all streams whole, each of them run "runs" times by "first". */
+static void expect_model_streams(model_fleet_t *fleet, const char *name,
+				 unsigned runs)
+{
+	CU_ASSERT(http_client_run(&client, HARNESS_WAIT_MS));
+	for (size_t i = 0; i < MODEL_STREAMS; i++) {
+		const char *id = harness_string(&harness, "%s%zu", name, i);
+
+		expect_complete_stream(fleet->streams[i], id);
+		CU_ASSERT_EQUAL(fake_endpoint_journal_runs(&fleet->journal, id),
+				runs);
+		http_request_free(&client, fleet->streams[i]);
+	}
+}
+
+/* Expects the values of some metrics of the entry, a line each. */
+static void expect_metrics(const char *const lines[])
+{
+	http_request_t *request =
+		send_and_wait(entry_metrics_address, "/metrics", "metrics", "");
+
+	CU_ASSERT_EQUAL(request->status, 200);
+	for (size_t i = 0; lines[i] != NULL; i++) {
+		CU_ASSERT_PTR_NOT_NULL(strstr(request->body->str, lines[i]));
+		if (strstr(request->body->str, lines[i]) == NULL)
+			printf("\n  \"%s\" is not in the metrics", lines[i]);
+	}
+	http_request_free(&client, request);
+}
+
+static void stop_model(model_fleet_t *fleet)
+{
+	fake_endpoint_stop(&fleet->first);
+	fake_endpoint_stop(&fleet->spare);
+	fake_endpoint_journal_finish(&fleet->journal);
+}
+
+/*
+ * Guards against a new run, and a second prefill of the whole prompt, of each
+ * stream whose pipeline loses an endpoint that another one can replace.
+ */
+static void test_pipeline_is_repaired(void)
+{
+	model_fleet_t fleet;
+
+	start_model_streams(&fleet, "repaired");
+	fake_endpoint_crash(&fleet.last);
+	expect_model_streams(&fleet, "repaired", 1);
+	CU_ASSERT_EQUAL(fleet.first.orders, MODEL_STREAMS);
+	CU_ASSERT_EQUAL(fleet.first.runs, MODEL_STREAMS);
+	CU_ASSERT_EQUAL(fleet.spare.runs, 0);
+	for (size_t i = 0; i < MODEL_STREAMS; i++)
+		CU_ASSERT(harness_wait_log(
+			entry,
+			harness_string(&harness,
+				       "event=pipeline_repaired "
+				       "request=repaired%zu "
+				       "lost=repaired-last new=repaired-spare "
+				       "status=202",
+				       i),
+			HARNESS_WAIT_MS));
+	/* Half of the layers read the 100 prompt tokens of each again. */
+	expect_metrics((const char *const[]){
+		"\nwisteria_pipelines_repaired_total 3\n",
+		"\nwisteria_pipeline_repairs_failed_total 0\n",
+		"\nwisteria_prefilled_again_lost_endpoint_tokens_total 150\n",
+		"\nwisteria_prefilled_again_silent_tokens_total 0\n", NULL });
+	stop_model(&fleet);
+}
+
+/* Expects that the spare, which a refusal has named, was not tried again. */
+static void expect_spare_left_out(model_fleet_t *fleet, const char *name)
+{
+	for (size_t i = 0; i < MODEL_STREAMS; i++) {
+		char *path = fake_endpoint_copy_path(
+			&fleet->first,
+			harness_string(&harness, "%s%zu", name, i));
+
+		CU_ASSERT(path != NULL &&
+			  strstr(path, fleet->spare.address) == NULL);
+		CU_ASSERT(path != NULL &&
+			  strstr(path, fleet->single.address) != NULL);
+		g_free(path);
+	}
+}
+
+/*
+ * Guards against streams that are lost, or get events twice, when the first
+ * endpoint refuses the repair ("status" 409) or does not answer (0): they are
+ * resumed elsewhere, after one order each.  The new pipelines begin at the first
+ * endpoint again, as it is the fastest for its layers.
+ */
+static void expect_resumed_without_repair(const char *name, unsigned status,
+					  const char *logged)
+{
+	model_fleet_t fleet;
+
+	start_model_streams(&fleet, name);
+	fleet.first.order_status = status;
+	fake_endpoint_crash(&fleet.last);
+	start_model(&fleet.single, harness_string(&harness, "%s-single", name),
+		    0, 80, "slowest", NULL);
+	expect_model_streams(&fleet, name, 2);
+	CU_ASSERT_EQUAL(fleet.first.orders, MODEL_STREAMS);
+	if (status == 409)
+		expect_spare_left_out(&fleet, name);
+	for (size_t i = 0; i < MODEL_STREAMS; i++)
+		CU_ASSERT(harness_wait_log(
+			entry,
+			harness_string(&harness,
+				       "event=pipeline_repair_failed "
+				       "request=%s%zu lost=%s-last "
+				       "new=%s-spare %s",
+				       name, i, name, name, logged),
+			HARNESS_WAIT_MS));
+	stop_model(&fleet);
+	fake_endpoint_stop(&fleet.single);
+}
+
+static void test_refused_repair_is_resumed_elsewhere(void)
+{
+	expect_resumed_without_repair("refused", 409,
+				      "status=409 reason=refused");
+	expect_metrics((const char *const[]){
+		"\nwisteria_pipelines_repaired_total 3\n",
+		"\nwisteria_pipeline_repairs_failed_total 3\n",
+		"\nwisteria_prefilled_again_lost_endpoint_tokens_total 450\n",
+		"\nwisteria_prefilled_again_silent_tokens_total 0\n", NULL });
+}
+
+static void test_unanswered_repair_is_resumed_elsewhere(void)
+{
+	expect_resumed_without_repair("unanswered", 0,
+				      "status=0 reason=no_answer");
+}
+
 static bool control_has_configuration(void *user)
 {
 	http_request_t *request = send_and_wait(
@@ -1034,14 +1241,6 @@
 	g_free(large);
 }
 
-static bool has_received_data(void *user)
-{
-	const http_request_t *request = user;
-
-	http_client_poll(&client, 1);
-	return request->body->len > 0;
-}
-
 /* A planned stop during a stream doesn't cut it. */
 static void test_planned_stop(void)
 {
@@ -1098,6 +1297,11 @@
 	  test_repeated_request_that_ends_endpoints_is_refused_everywhere },
 	{ "all entries share the request limit of an endpoint",
 	  test_all_entries_share_the_request_limit_of_an_endpoint },
+	{ "pipeline is repaired", test_pipeline_is_repaired },
+	{ "refused repair is resumed elsewhere",
+	  test_refused_repair_is_resumed_elsewhere },
+	{ "unanswered repair is resumed elsewhere",
+	  test_unanswered_repair_is_resumed_elsewhere },
 	{ "accepted change survives", test_accepted_change_survives },
 	{ "bad reload changes nothing", test_bad_reload_changes_nothing },
 	{ "large configuration", test_large_configuration },
--- a/test/functional/harness/fake_endpoint.c
+++ b/test/functional/harness/fake_endpoint.c
@@ -1,7 +1,7 @@
 /*
  * A fake endpoint on the users' platform.  It sends heartbeats to the control
- * instance and answers one request at a time with a stream of events.  Uses
- * blocking sockets and two threads.
+ * instance and answers requests with a stream of events: one at a time, or, for
+ * a model service, each in a thread of its own.  Uses blocking sockets.
  */
 #include "fake_endpoint.h"
 
@@ -13,6 +13,7 @@
 #include <unistd.h>
 
 #include <glib.h>
+#include <jansson.h>
 
 #include "wisteria/net/net.h"
 
@@ -131,19 +132,98 @@
 	       mode != FAKE_ENDPOINT_JSON;
 }
 
+static int connect_to(const char *address)
+{
+	struct sockaddr_storage to;
+	socklen_t len = sizeof(struct sockaddr_in);
+	int fd;
+
+	if (!net_parse_address(address, &to, NULL))
+		return -1;
+	fd = socket(to.ss_family, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	if (fd >= 0 && connect(fd, (struct sockaddr *)&to, len) != 0) {
+		close(fd);
+		return -1;
+	}
+	return fd;
+}
+
+/*
+ * Returns the pipeline of a request's last run, as the entry sent or ordered it;
+ * NULL if there is none.  The caller frees it.
+ */
+char *fake_endpoint_copy_path(fake_endpoint_t *fake_endpoint,
+			      const char *request_id)
+{
+	char *path;
+
+	pthread_mutex_lock(&fake_endpoint->paths_lock);
+	path = g_strdup(g_hash_table_lookup(fake_endpoint->paths, request_id));
+	pthread_mutex_unlock(&fake_endpoint->paths_lock);
+	return path;
+}
+
+/* Whether all endpoints of a path but this one accept connections. */
+static bool is_path_whole(const fake_endpoint_t *fake_endpoint,
+			  const char *path)
+{
+	char **parts = g_strsplit(path, ",", 0);
+	bool whole = true;
+
+	for (size_t i = 0; whole && parts[i] != NULL; i++) {
+		int fd;
+
+		*strchrnul(parts[i], '=') = '\0';
+		if (strcmp(parts[i], fake_endpoint->address) == 0)
+			continue;
+		fd = connect_to(parts[i]);
+		whole = fd >= 0;
+		if (whole)
+			close(fd);
+	}
+	g_strfreev(parts);
+	return whole;
+}
+
+/*
+ * Waits until the pipeline of a request, if it has one, is whole.  Returns false
+ * if it is not in time.
+ */
+static bool wait_for_path(fake_endpoint_t *fake_endpoint,
+			  const char *request_id)
+{
+	int64_t until_us = g_get_monotonic_time() +
+			   FAKE_ENDPOINT_STALL_MS * G_TIME_SPAN_MILLISECOND;
+
+	while (!fake_endpoint->stopping && g_get_monotonic_time() < until_us) {
+		char *path = fake_endpoint_copy_path(fake_endpoint, request_id);
+		bool whole = path == NULL || is_path_whole(fake_endpoint, path);
+
+		g_free(path);
+		if (whole)
+			return true;
+		g_usleep(EVENT_INTERVAL_US);
+	}
+	return false;
+}
+
 /*
  * Sends the events after "Last-Event-Id", or those up to
- * FAKE_ENDPOINT_TRUNCATE_AFTER.
+ * FAKE_ENDPOINT_TRUNCATE_AFTER.  Returns false if the pipeline stays broken.
  */
-static void send_events(int fd, const char *request_id, unsigned long id,
-			bool chunked, bool is_truncated)
+static bool send_events(fake_endpoint_t *fake_endpoint, int fd,
+			const char *request_id, unsigned long id, bool chunked,
+			bool is_truncated)
 {
 	for (; id < FAKE_ENDPOINT_EVENTS; id++) {
 		if (is_truncated && id > FAKE_ENDPOINT_TRUNCATE_AFTER)
-			return;
+			return true;
+		if (!wait_for_path(fake_endpoint, request_id))
+			return false;
 		send_event(fd, chunked, request_id, id);
 		g_usleep(EVENT_INTERVAL_US);
 	}
+	return true;
 }
 
 /* Returns the header line of the limit, or ""; the caller frees it. */
@@ -155,7 +235,7 @@
 			     : g_strdup_printf("Server-Limit: %s\r\n", limit);
 }
 
-static void send_stream(const fake_endpoint_t *fake_endpoint, int fd,
+static void send_stream(fake_endpoint_t *fake_endpoint, int fd,
 			const char *request, int mode)
 {
 	char *request_id = copy_header(request, "X-Wisteriadrift-Request-Id");
@@ -167,6 +247,7 @@
 	bool is_empty = mode == FAKE_ENDPOINT_UNFRAMED_EMPTY ||
 			mode == FAKE_ENDPOINT_CHUNKED_EMPTY;
 	bool chunked = is_chunked(mode);
+	bool is_broken = false;
 	char *limit = describe_limit(fake_endpoint);
 	char *head = g_strdup_printf(
 		"HTTP/1.1 200 OK\r\n"
@@ -184,10 +265,11 @@
 	if (mode == FAKE_ENDPOINT_JSON)
 		send_text(fd, FAKE_ENDPOINT_JSON_BODY);
 	else if (!is_empty)
-		send_events(fd, request_id, id, chunked, is_truncated);
+		is_broken = !send_events(fake_endpoint, fd, request_id, id,
+					 chunked, is_truncated);
 	if (is_truncated && mode != FAKE_ENDPOINT_TRUNCATE)
 		send_body(fd, chunked, "id: 6\ndata: wor");
-	if (chunked && !is_empty &&
+	if (chunked && !is_empty && !is_broken &&
 	    (!is_truncated || mode == FAKE_ENDPOINT_CHUNKED_CUT))
 		send_text(fd, "0\r\n\r\n");
 	g_free(limit);
@@ -425,6 +507,95 @@
 	g_free(ip);
 }
 
+static void send_answer(int fd, const char *status, const char *body)
+{
+	char *text = g_strdup_printf("HTTP/1.1 %s\r\nContent-Length: %zu\r\n"
+				     "Connection: close\r\n\r\n%s",
+				     status, strlen(body), body);
+
+	send_text(fd, text);
+	g_free(text);
+}
+
+/* Refuses an order for want of the last endpoint of "path". */
+static void refuse_order(int fd, const char *path)
+{
+	const char *last = strrchr(path, ',');
+	char *address = g_strdup(last == NULL ? path : last + 1);
+	char *body;
+
+	*strchrnul(address, '=') = '\0';
+	body = g_strdup_printf("{\"address\":\"%s\"}", address);
+	send_answer(fd, "409 Conflict", body);
+	g_free(body);
+	g_free(address);
+}
+
+/* Replaces the path of a request; returns false if it is unknown. */
+static bool change_path(fake_endpoint_t *fake_endpoint, const char *request_id,
+			const char *path)
+{
+	bool known;
+
+	pthread_mutex_lock(&fake_endpoint->paths_lock);
+	known = g_hash_table_contains(fake_endpoint->paths, request_id);
+	if (known)
+		g_hash_table_replace(fake_endpoint->paths, g_strdup(request_id),
+				     g_strdup(path));
+	pthread_mutex_unlock(&fake_endpoint->paths_lock);
+	return known;
+}
+
+/* Refuses all orders but those to repath. */
+static void serve_order(fake_endpoint_t *fake_endpoint, int fd,
+			const char *request)
+{
+	json_t *root = json_loads(strstr(request, "\r\n\r\n") + 4, 0, NULL);
+	const char *op = json_string_value(json_object_get(root, "op"));
+	const char *id = json_string_value(json_object_get(root, "id"));
+	const char *path = json_string_value(json_object_get(root, "path"));
+	unsigned status = fake_endpoint->order_status;
+
+	if (g_strcmp0(op, "repath") != 0 || id == NULL || path == NULL) {
+		send_answer(fd, "409 Conflict", "{}");
+	} else {
+		fake_endpoint->orders++;
+		if (status == 409)
+			refuse_order(fd, path);
+		else if (status == 202 && change_path(fake_endpoint, id, path))
+			send_answer(fd, "202 Accepted", "{}");
+		else if (status == 202)
+			send_answer(fd, "404 Not Found", "{}");
+		else
+			g_usleep(FAKE_ENDPOINT_ORDER_HELD_MS *
+				 G_TIME_SPAN_MILLISECOND);
+	}
+	json_decref(root);
+}
+
+/* Answers a call that is no request of a caller; false: it is one. */
+static bool serve_platform_call(fake_endpoint_t *fake_endpoint, int fd,
+				const char *request)
+{
+	if (g_str_has_prefix(request, "POST /wisteriadrift/order "))
+		serve_order(fake_endpoint, fd, request);
+	else if (g_str_has_prefix(request, "GET /wisteriadrift/report "))
+		send_answer(fd, "200 OK", "{\"pace\":1.0}");
+	else
+		return false;
+	return true;
+}
+
+static void record_path(fake_endpoint_t *fake_endpoint, const char *request)
+{
+	pthread_mutex_lock(&fake_endpoint->paths_lock);
+	/* Despite its name, it lists the hops of the pipeline. */
+	g_hash_table_replace(fake_endpoint->paths,
+			     copy_header(request, "X-Wisteriadrift-Request-Id"),
+			     copy_header(request, "X-Wisteriadrift-Hop-Count"));
+	pthread_mutex_unlock(&fake_endpoint->paths_lock);
+}
+
 static void serve_request(fake_endpoint_t *fake_endpoint, int fd)
 {
 	char request[REQUEST_BYTES];
@@ -438,6 +609,10 @@
 			      "Content-Length: 0\r\nConnection: close\r\n\r\n");
 		return;
 	}
+	if (serve_platform_call(fake_endpoint, fd, request))
+		return;
+	if (fake_endpoint->end_layer > 0)
+		record_path(fake_endpoint, request);
 	/* The test may change it at any time. */
 	mode = fake_endpoint->mode;
 	if (mode == FAKE_ENDPOINT_REJECT || mode == FAKE_ENDPOINT_PAUSE) {
@@ -461,6 +636,36 @@
 		send_stream(fake_endpoint, fd, request, mode);
 }
 
+/* A connection of a model endpoint. */
+typedef struct {
+	fake_endpoint_t *fake_endpoint;
+	int fd;
+} fake_connection_t;
+
+static void *serve_connection(void *user)
+{
+	fake_connection_t *connection = user;
+
+	serve_request(connection->fake_endpoint, connection->fd);
+	close(connection->fd);
+	connection->fake_endpoint->open_connections--;
+	g_free(connection);
+	return NULL;
+}
+
+static void start_connection(fake_endpoint_t *fake_endpoint, int fd)
+{
+	fake_connection_t *connection = g_new(fake_connection_t, 1);
+	pthread_t thread;
+
+	*connection = (fake_connection_t){ fake_endpoint, fd };
+	fake_endpoint->open_connections++;
+	if (pthread_create(&thread, NULL, serve_connection, connection) != 0)
+		g_error("fake endpoint %s cannot start a thread",
+			fake_endpoint->id);
+	pthread_detach(thread);
+}
+
 static void *serve(void *user)
 {
 	fake_endpoint_t *fake_endpoint = user;
@@ -471,6 +676,10 @@
 		if (fd < 0)
 			continue;
 		set_io_timeouts(fd);
+		if (fake_endpoint->end_layer > 0) {
+			start_connection(fake_endpoint, fd);
+			continue;
+		}
 		serve_request(fake_endpoint, fd);
 		close(fd);
 		if (fake_endpoint->is_down)
@@ -479,22 +688,6 @@
 	return NULL;
 }
 
-static int connect_to(const char *address)
-{
-	struct sockaddr_storage to;
-	socklen_t len = sizeof(struct sockaddr_in);
-	int fd;
-
-	if (!net_parse_address(address, &to, NULL))
-		return -1;
-	fd = socket(to.ss_family, SOCK_STREAM | SOCK_CLOEXEC, 0);
-	if (fd >= 0 && connect(fd, (struct sockaddr *)&to, len) != 0) {
-		close(fd);
-		return -1;
-	}
-	return fd;
-}
-
 /*
  * Posts "body" to the path "action" of this endpoint at one control instance;
  * returns whether it was accepted.
@@ -540,17 +733,25 @@
 static void send_heartbeat(const fake_endpoint_t *fake_endpoint,
 			   unsigned sequence)
 {
+	char *layers = fake_endpoint->end_layer == 0
+			       ? g_strdup("")
+			       : g_strdup_printf("\"kind\":\"%s\",\"layers\":"
+						 "{\"from\":%u,\"to\":%u},",
+						 fake_endpoint->accelerator,
+						 fake_endpoint->first_layer,
+						 fake_endpoint->end_layer);
 	char *body = g_strdup_printf(
 		"{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"z1\","
-		"\"version\":\"v1\",\"slots\":8,\"state\":\"ready\","
+		"\"version\":\"v1\",\"slots\":8,\"state\":\"ready\",%s"
 		"\"coldLeftMs\":0,\"seq\":%u,\"born\":%u}",
 		fake_endpoint->service,
 		fake_endpoint->advertised_address == NULL
 			? fake_endpoint->address
 			: fake_endpoint->advertised_address,
-		sequence, fake_endpoint->born);
+		layers, sequence, fake_endpoint->born);
 
 	post_to_any_control(fake_endpoint, "heartbeat", body);
+	g_free(layers);
 	g_free(body);
 }
 
@@ -582,6 +783,9 @@
 		.born = FIRST_BORN_MS,
 		.listener = -1,
 	};
+	pthread_mutex_init(&fake_endpoint->paths_lock, NULL);
+	fake_endpoint->paths =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	pthread_mutex_init(&fake_endpoint->times_lock, NULL);
 	fake_endpoint->run_times_us = g_array_new(FALSE, FALSE, sizeof(gint64));
 	listen_at(fake_endpoint, ip);
@@ -619,7 +823,11 @@
 	shutdown(fake_endpoint->listener, SHUT_RDWR);
 	pthread_join(fake_endpoint->server_thread, NULL);
 	pthread_join(fake_endpoint->heartbeat_thread, NULL);
+	while (fake_endpoint->open_connections > 0)
+		g_usleep(EVENT_INTERVAL_US);
 	close(fake_endpoint->listener);
+	g_hash_table_destroy(fake_endpoint->paths);
+	pthread_mutex_destroy(&fake_endpoint->paths_lock);
 	g_array_unref(fake_endpoint->run_times_us);
 	pthread_mutex_destroy(&fake_endpoint->times_lock);
 }
--- a/test/functional/harness/fake_endpoint.h
+++ b/test/functional/harness/fake_endpoint.h
@@ -23,6 +23,11 @@
 /* Longer than any test that uses it. */
 #define FAKE_ENDPOINT_PAUSE_S 40
 
+/* How long a model endpoint waits for a broken pipeline to be repaired. */
+#define FAKE_ENDPOINT_STALL_MS 5000
+/* How long it holds an order that it does not answer. */
+#define FAKE_ENDPOINT_ORDER_HELD_MS 1000
+
 /* How a fake endpoint handles a request that it has read. */
 typedef enum {
 	FAKE_ENDPOINT_SERVE,
@@ -65,8 +70,10 @@
 } fake_endpoint_journal_t;
 
 /*
- * A fake of a plain service's endpoint on the users' platform, served by
- * threads of the test process.
+ * A fake of an endpoint on the users' platform, served by threads of the test
+ * process.  One of a model service (end_layer over 0) serves its requests at
+ * the same time; as the first of a pipeline it sends no event while another
+ * endpoint of the pipeline accepts no connections.
  */
 typedef struct {
 	const char *id;
@@ -96,6 +103,16 @@
 	atomic_bool is_down;
 	/* The limit that its answers name; NULL: none. */
 	_Atomic(const char *) request_limit;
+	/* Set between fake_endpoint_listen() and fake_endpoint_start_threads(). */
+	unsigned first_layer;
+	unsigned end_layer;
+	const char *accelerator;
+	/* Answer to orders to repath: 202, 409, or 0: none */
+	atomic_uint order_status;
+	atomic_uint orders; /* to repath */
+	pthread_mutex_t paths_lock;
+	GHashTable *paths; /* request id -> its pipeline */
+	atomic_uint open_connections;
 	pthread_mutex_t times_lock;
 	GArray *run_times_us; /* of gint64, monotonic */
 	atomic_bool stopping;
@@ -124,5 +141,7 @@
 				 gint64 window_us) ATTR_NONNULL_ALL;
 unsigned fake_endpoint_journal_runs(fake_endpoint_journal_t *journal,
 				    const char *request_id) ATTR_NONNULL_ALL;
+char *fake_endpoint_copy_path(fake_endpoint_t *fake_endpoint,
+			      const char *request_id) ATTR_NONNULL_ALL;
 
 #endif
