Do not plan the placement of a service without endpoints

UBSan ended the control instance in functional/fleet_test, whose configuration now has a model service that has no endpoint at first: place_service() passed the null pointer of an empty array to placement_plan().

--- a/src/wisteria/fleet/placer.c
+++ b/src/wisteria/fleet/placer.c
@@ -297,10 +297,15 @@
 	const placement_node_t *nodes =
 		(const placement_node_t *)(void *)input->nodes->data;
 	uint32_t count = input->nodes->len;
-	placement_range_t *ranges = g_new0(placement_range_t, count + 1);
+	placement_range_t *ranges;
 	clock_ms_t now = clock_now(placer->clock);
 	bool all_complete = true;
 
+	if (count == 0) { /* the list of nodes is a null pointer */
+		placer->incomplete_since_ms = 0;
+		return;
+	}
+	ranges = g_new0(placement_range_t, count);
 	if (no_layers_placed(input))
 		placement_plan(engine, nodes, count, ranges);
 	else
