--- a/test/functional/fleet_test.c
+++ b/test/functional/fleet_test.c
@@ -1126,6 +1126,45 @@
 				      "status=0 reason=no_answer");
 }
 
+static bool has_all_orders(void *user)
+{
+	const model_fleet_t *fleet = user;
+
+	http_client_poll(&client, 1);
+	return fleet->first.orders == MODEL_STREAMS;
+}
+
+/*
+ * Guards against the use of a freed request whose caller leaves while the answer
+ * to its order is awaited (seen with sanitizers), and against memory of the
+ * spare that stays reserved: the entry serves on over it.
+ */
+static void test_caller_leaves_during_a_repair(void)
+{
+	model_fleet_t fleet;
+
+	start_model_streams(&fleet, "left");
+	fleet.first.order_status = 0;
+	fake_endpoint_crash(&fleet.last);
+	CU_ASSERT(harness_wait_until(has_all_orders, &fleet, HARNESS_WAIT_MS));
+	for (size_t i = 0; i < MODEL_STREAMS; i++)
+		http_request_free(&client, fleet.streams[i]);
+	for (size_t i = 0; i < MODEL_STREAMS; i++)
+		CU_ASSERT(harness_wait_log(
+			entry,
+			harness_string(&harness,
+				       "event=caller_left request=left%zu "
+				       "sends=1",
+				       i),
+			HARNESS_WAIT_MS));
+	/* The answers would come within this time. */
+	g_usleep(FAKE_ENDPOINT_ORDER_HELD_MS * G_TIME_SPAN_MILLISECOND);
+	CU_ASSERT_EQUAL(
+		request_status(entry_address, "/model/1", "left-after", "hi"),
+		200);
+	stop_model(&fleet);
+}
+
 static bool control_has_configuration(void *user)
 {
 	http_request_t *request = send_and_wait(
@@ -1302,6 +1341,7 @@
 	  test_refused_repair_is_resumed_elsewhere },
 	{ "unanswered repair is resumed elsewhere",
 	  test_unanswered_repair_is_resumed_elsewhere },
+	{ "caller leaves during a repair", test_caller_leaves_during_a_repair },
 	{ "accepted change survives", test_accepted_change_survives },
 	{ "bad reload changes nothing", test_bad_reload_changes_nothing },
 	{ "large configuration", test_large_configuration },
