Test that a short path without memory is not taken

Of eight faults put into pipeline_repair.c for a trial and taken out again, the test found six. It missed the one where the shortest path ignores the memory of its endpoints, which it finds now, and one without effect (the search ignores layers behind the end of the gap by itself).

--- a/test/unit/pipeline_repair_test.c
+++ b/test/unit/pipeline_repair_test.c
@@ -332,6 +332,8 @@
 	}
 	add_stage(&test, "e", 10, 11);
 	add_stage(&test, "f", 11, 12);
+	/* One without room is not taken for being short either. */
+	add_stage(&test, "full", 10, 12)->used_tokens = 10000;
 	CU_ASSERT_FALSE(plan(&test));
 	add_stage(&test, "slow", 10, 12)->pace = 50;
 	CU_ASSERT_TRUE_FATAL(plan(&test));
