--- a/src/wisteria/fleet/fleet_group.c
+++ b/src/wisteria/fleet/fleet_group.c
@@ -90,6 +90,22 @@
 	control->replica_settings.control = group;
 }
 
+/*
+ * Sends the endpoints that have left, according to the copy on disk, with the
+ * next update: a late heartbeat of one may have been passed on before.
+ */
+static void announce_gone(fleet_control_t *control)
+{
+	GHashTableIter iter;
+	gpointer id;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, control->registry.by_id);
+	while (g_hash_table_iter_next(&iter, &id, &value))
+		if (((const endpoint_t *)value)->gone)
+			g_hash_table_add(control->updated_ids, g_strdup(id));
+}
+
 /*
  * Starts the replica if there is a data folder and it is not running: at once
  * when joining a group, or FLEET_DISCOVERY_MS after the start in a new fleet.
@@ -120,6 +136,7 @@
 		 registry_file_load(&control->registry_file, &control->registry,
 				    now));
 	control->recalled_entries = control->registry_file.entries;
+	announce_gone(control);
 }
 
 /*
--- a/src/wisteria/gateway/exchange.c
+++ b/src/wisteria/gateway/exchange.c
@@ -138,6 +138,15 @@
 
 /* Attempts. */
 
+/* The next bytes come from the start of another answer. */
+static void reset_answer(exchange_t *exchange)
+{
+	exchange->is_streaming = false;
+	exchange->answer_framing = HTTP_FRAMING_NONE;
+	exchange->request_limit = REQUEST_LIMIT_NONE;
+	event_stream_begin_attempt(&exchange->event_stream);
+}
+
 static void send_attempt(exchange_t *exchange, const target_t *target)
 {
 	gateway_t *gateway = exchange->gateway;
@@ -174,16 +183,13 @@
 	usage_count_begun(&gateway->usage, target->tokens);
 	endpoint_limits_use(gateway, target->ids[0]);
 	exchange->demand_counted = false;
-	exchange->sent_ms = now;
 	exchange->target = *target;
 	exchange->incarnation = first == NULL ? 0 : first->incarnation;
 	exchange->is_unread = true;
-	exchange->is_streaming = false;
-	exchange->answer_framing = HTTP_FRAMING_NONE;
-	exchange->request_limit = REQUEST_LIMIT_NONE;
-	event_stream_begin_attempt(&exchange->event_stream);
+	reset_answer(exchange);
 	exchange->send_count++;
 	counter_add(COUNTER_GATEWAY_SENDS, 1);
+	exchange->sent_ms = now;
 	exchange->last_progress_ms = now;
 	exchange->event_due_since_ms = now;
 	gateway->dialect->write_forward(&exchange->conn->reader.message,
--- a/test/functional/fleet_faults_test.c
+++ b/test/functional/fleet_faults_test.c
@@ -124,6 +124,22 @@
 	g_free(text);
 }
 
+/* Waits until the last version is in force at the entry. */
+static void wait_in_force(void)
+{
+	CU_ASSERT(harness_wait_log(
+		entry,
+		harness_string(&harness, "event=revision_in_force revision=%u ",
+			       version),
+		HARNESS_WAIT_MS));
+}
+
+static void restore_keys(void)
+{
+	configure(KEYS_BOTH);
+	wait_in_force();
+}
+
 /* Starts an endpoint and waits until "process", an entry, knows it. */
 static void start_known(fake_endpoint_t *endpoint, const char *id,
 			const char *service, fake_endpoint_mode_t mode)
@@ -676,7 +692,7 @@
 	CU_ASSERT(harness_wait_until(serves_new_key, (void *)address,
 				     HARNESS_WAIT_MS));
 	CU_ASSERT_EQUAL(secret_status(address, "key-old"), 401);
-	configure(KEYS_BOTH);
+	restore_keys();
 	harness_signal(late_entry, SIGTERM);
 	CU_ASSERT(harness_wait_exit(late_entry, HARNESS_WAIT_MS));
 	fake_endpoint_stop(&endpoint);
@@ -721,10 +737,209 @@
 		close(fds[i]);
 	}
 	CU_ASSERT_EQUAL(endpoint.runs, ARRAY_SIZE(fds) / 2);
-	configure(KEYS_BOTH);
+	restore_keys();
+	fake_endpoint_stop(&endpoint);
+}
+
+/* One permit in 1.7 s; a request waits for one up to 1.8 s. */
+#define SLOW_LIMIT "0.6"
+#define WAITING_REQUESTS 2
+
+/*
+ * Failure: a request that waits starts although its key was withdrawn
+ * meanwhile.  An endpoint that takes few requests a second makes it wait.
+ */
+static void test_waiting_request_of_a_withdrawn_key_does_not_start(void)
+{
+	static char answer[ANSWER_BYTES];
+	int fds[WAITING_REQUESTS];
+	fake_endpoint_t endpoint;
+	unsigned refused = 0;
+	unsigned runs;
+
+	start_known(&endpoint, "limited", "orders", FAKE_ENDPOINT_JSON);
+	endpoint.request_limit = SLOW_LIMIT;
+	CU_ASSERT_EQUAL(secret_status(entry_address, "key-old"), 200);
+	for (size_t i = 0; i < ARRAY_SIZE(fds); i++) {
+		fds[i] = open_connection(entry_address);
+		CU_ASSERT(
+			write_request(fds[i], "/secret/1", "waits", "key-old"));
+	}
+	CU_ASSERT(harness_wait_log(entry, "event=request_queued request=waits",
+				   HARNESS_WAIT_MS));
+	configure(KEYS_NEW);
+	wait_in_force();
+	runs = endpoint.runs;
+	for (size_t i = 0; i < ARRAY_SIZE(fds); i++) {
+		refused += read_answer(fds[i], answer) == 401;
+		close(fds[i]);
+	}
+	CU_ASSERT(refused > 0);
+	CU_ASSERT_EQUAL(endpoint.runs, runs);
+	restore_keys();
 	fake_endpoint_stop(&endpoint);
 }
 
+/* 6. Hand-overs between leaders. */
+
+#define ENGINES 2
+/* Longer than PLACER_RESEND_MS, in which a leader repeats its orders. */
+#define RESEND_WAIT_US 4000000
+
+static const char model_configuration[] =
+	"{\"version\":1,\"routes\":[{\"name\":\"model\",\"host\":"
+	"\"shop.example\",\"pathPrefix\":\"/model/\",\"kind\":\"stream\","
+	"\"timeoutMs\":9000,\"goalMs\":3000,\"gapGoalMs\":500,\"priority\":1,"
+	"\"service\":\"model\",\"maxAttempts\":2,\"allowAnonymous\":true,"
+	"\"streamResume\":true}],\"services\":[{\"name\":\"model\","
+	"\"maxConns\":50,\"engine\":{\"layers\":20,\"layerMb\":100,"
+	"\"kvTokenBytes\":1000,\"slots\":8,\"stride\":4,\"step_ms\":5,"
+	"\"per_seq_ms\":0.1,\"context_per_k\":0.1,\"read_per_s\":20000,"
+	"\"chunk\":512,\"kinds\":[{\"name\":\"a\",\"sizeMb\":2400,"
+	"\"pace\":1,\"readFactor\":1}]}}],\"limits\":{}}";
+
+/* Three control instances, and endpoints that take orders of the leader. */
+typedef struct {
+	fleet_rig_t rig;
+	harness_process_t *controls[FLEET_RIG_CONTROLS_MAX];
+	fake_endpoint_t engines[ENGINES];
+	const char *fallbacks[FLEET_RIG_CONTROLS_MAX]; /* ends with NULL */
+	guint64 fence;				       /* to be exceeded */
+	harness_process_t *leader;
+} trio_t;
+
+static bool trio_accepts_configuration(void *user)
+{
+	const trio_t *trio = user;
+
+	for (size_t i = 0; i < trio->rig.control_count; i++)
+		if (request_status(trio->rig.control_addresses[i],
+				   "/wisteriadrift/config/replace", "c0",
+				   model_configuration) == 200)
+			return true;
+	return false;
+}
+
+/* Returns whether all engines have got an order of a later leader. */
+static bool has_later_orders(void *user)
+{
+	trio_t *trio = user;
+	bool was_lowered;
+
+	for (size_t i = 0; i < ENGINES; i++)
+		if (fake_endpoint_highest_fence(&trio->engines[i],
+						&was_lowered) <= trio->fence)
+			return false;
+	return true;
+}
+
+/* Waits for orders of a leader behind the one that has given orders so far. */
+static void wait_for_orders(trio_t *trio)
+{
+	bool was_lowered;
+
+	for (size_t i = 0; i < ENGINES; i++)
+		trio->fence = MAX(trio->fence,
+				  fake_endpoint_highest_fence(&trio->engines[i],
+							      &was_lowered));
+	CU_ASSERT_FATAL(
+		harness_wait_until(has_later_orders, trio, HARNESS_WAIT_MS));
+}
+
+static void expect_no_older_orders(trio_t *trio)
+{
+	bool was_lowered;
+
+	for (size_t i = 0; i < ENGINES; i++) {
+		fake_endpoint_highest_fence(&trio->engines[i], &was_lowered);
+		CU_ASSERT_FALSE(was_lowered);
+	}
+}
+
+static void start_trio(trio_t *trio)
+{
+	memset(trio, 0, sizeof(*trio));
+	fleet_rig_init(&trio->rig, &harness, ARRAY_SIZE(trio->controls));
+	for (size_t i = 0; i < ARRAY_SIZE(trio->controls); i++)
+		trio->controls[i] = fleet_rig_start_control(
+			&trio->rig, i, harness_string(&harness, "trio-%zu", i));
+	for (size_t i = 0; i < ENGINES; i++) {
+		fake_endpoint_listen(&trio->engines[i],
+				     harness_string(&harness, "engine-%zu", i),
+				     "model", harness.ip,
+				     trio->rig.control_addresses[0],
+				     FAKE_ENDPOINT_SERVE);
+		trio->engines[i].accelerator = "a";
+		trio->fallbacks[0] = trio->rig.control_addresses[1];
+		trio->fallbacks[1] = trio->rig.control_addresses[2];
+		trio->engines[i].fallback_controls = trio->fallbacks;
+		fake_endpoint_start_threads(&trio->engines[i]);
+	}
+	CU_ASSERT_FATAL(harness_wait_until(trio_accepts_configuration, trio,
+					   HARNESS_WAIT_MS));
+}
+
+/* Looks for the instance whose log shows orders with the highest fence. */
+static bool finds_leader(void *user)
+{
+	trio_t *trio = user;
+	bool was_lowered;
+	const char *text = harness_string(
+		&harness, "fence=%" G_GUINT64_FORMAT "\n",
+		fake_endpoint_highest_fence(&trio->engines[0], &was_lowered));
+
+	for (size_t i = 0; i < ARRAY_SIZE(trio->controls); i++) {
+		char *log = harness_read_file(trio->controls[i]->log_path);
+
+		if (strstr(log, text) != NULL)
+			trio->leader = trio->controls[i];
+		g_free(log);
+	}
+	return trio->leader != NULL;
+}
+
+/* Returns the process that gave the last orders. */
+static harness_process_t *leader_of(trio_t *trio)
+{
+	trio->leader = NULL;
+	CU_ASSERT_FATAL(
+		harness_wait_until(finds_leader, trio, HARNESS_WAIT_MS));
+	return trio->leader;
+}
+
+static void stop_trio(trio_t *trio)
+{
+	for (size_t i = 0; i < ENGINES; i++)
+		fake_endpoint_stop(&trio->engines[i]);
+	for (size_t i = 0; i < ARRAY_SIZE(trio->controls); i++)
+		harness_kill(trio->controls[i]);
+}
+
+/*
+ * Failure: two leaders act at once, and orders go out twice.  A leader that was
+ * paused until another one gave orders, and one that hands over as it stops,
+ * give none behind them.
+ */
+static void test_only_one_leader_gives_orders(void)
+{
+	static trio_t trio;
+	harness_process_t *leader;
+
+	start_trio(&trio);
+	wait_for_orders(&trio);
+	leader = leader_of(&trio);
+	harness_signal(leader, SIGSTOP);
+	wait_for_orders(&trio);
+	harness_signal(leader, SIGCONT);
+	g_usleep(RESEND_WAIT_US);
+	expect_no_older_orders(&trio);
+	harness_signal(leader_of(&trio), SIGTERM);
+	wait_for_orders(&trio);
+	g_usleep(RESEND_WAIT_US);
+	expect_no_older_orders(&trio);
+	stop_trio(&trio);
+}
+
 static const unit_test_t tests[] = {
 	{ "fleet starts", test_fleet_starts },
 	{ "second answer reaches nobody", test_second_answer_reaches_nobody },
@@ -742,6 +957,9 @@
 	{ "withdrawn key stays withdrawn", test_withdrawn_key_stays_withdrawn },
 	{ "paused entry serves nothing old",
 	  test_paused_entry_serves_nothing_old },
+	{ "waiting request of a withdrawn key does not start",
+	  test_waiting_request_of_a_withdrawn_key_does_not_start },
+	{ "only one leader gives orders", test_only_one_leader_gives_orders },
 };
 
 int main(void)
--- a/test/functional/harness/fake_endpoint.c
+++ b/test/functional/harness/fake_endpoint.c
@@ -402,6 +402,43 @@
 	return most;
 }
 
+/* Records an order to hold layers and accepts it. */
+static void take_order(fake_endpoint_t *fake_endpoint, int fd,
+		       const char *request)
+{
+	const char *at = strstr(request, "\"fence\":");
+	guint64 fence =
+		at == NULL ? 0 : strtoull(at + strlen("\"fence\":"), NULL, 10);
+
+	pthread_mutex_lock(&fake_endpoint->times_lock);
+	g_array_append_val(fake_endpoint->order_fences, fence);
+	pthread_mutex_unlock(&fake_endpoint->times_lock);
+	send_text(fd, "HTTP/1.1 202 Accepted\r\n"
+		      "Content-Length: 0\r\nConnection: close\r\n\r\n");
+}
+
+/*
+ * Returns the highest fencing number of all orders so far, 0: there was none;
+ * "was_lowered": an order came behind one with a higher number.
+ */
+guint64 fake_endpoint_highest_fence(fake_endpoint_t *fake_endpoint,
+				    bool *was_lowered)
+{
+	guint64 highest = 0;
+
+	*was_lowered = false;
+	pthread_mutex_lock(&fake_endpoint->times_lock);
+	for (guint i = 0; i < fake_endpoint->order_fences->len; i++) {
+		guint64 fence =
+			g_array_index(fake_endpoint->order_fences, guint64, i);
+
+		*was_lowered |= fence < highest;
+		highest = MAX(highest, fence);
+	}
+	pthread_mutex_unlock(&fake_endpoint->times_lock);
+	return highest;
+}
+
 /* Returns whether the request expects another endpoint at this address. */
 static bool expects_another_endpoint(const fake_endpoint_t *fake_endpoint,
 				     const char *request)
@@ -514,6 +551,11 @@
 
 	if (!read_request(fd, request))
 		return;
+	if (fake_endpoint->accelerator != NULL &&
+	    strstr(request, " /wisteriadrift/order ") != NULL) {
+		take_order(fake_endpoint, fd, request);
+		return;
+	}
 	if (expects_another_endpoint(fake_endpoint, request)) {
 		send_text(fd, "HTTP/1.1 421 Misdirected Request\r\n"
 			      "X-Wisteriadrift-Not-Executed: other\r\n"
@@ -636,12 +678,16 @@
 	char *body = g_strdup_printf(
 		"{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"z1\","
 		"\"version\":\"v1\",\"slots\":8,\"state\":\"ready\","
-		"\"coldLeftMs\":0,\"seq\":%u,\"born\":%u}",
+		"\"coldLeftMs\":0,\"seq\":%u,\"born\":%u%s%s%s}",
 		fake_endpoint->service,
 		fake_endpoint->advertised_address == NULL
 			? fake_endpoint->address
 			: fake_endpoint->advertised_address,
-		sequence, fake_endpoint->born);
+		sequence, fake_endpoint->born,
+		fake_endpoint->accelerator == NULL ? "" : ",\"kind\":\"",
+		fake_endpoint->accelerator == NULL ? ""
+						   : fake_endpoint->accelerator,
+		fake_endpoint->accelerator == NULL ? "" : "\"");
 
 	post_to_any_control(fake_endpoint, "heartbeat", body);
 	g_free(body);
@@ -677,6 +723,8 @@
 	};
 	pthread_mutex_init(&fake_endpoint->times_lock, NULL);
 	fake_endpoint->run_times_us = g_array_new(FALSE, FALSE, sizeof(gint64));
+	fake_endpoint->order_fences =
+		g_array_new(FALSE, FALSE, sizeof(guint64));
 	listen_at(fake_endpoint, ip);
 }
 
@@ -714,6 +762,7 @@
 	pthread_join(fake_endpoint->heartbeat_thread, NULL);
 	close(fake_endpoint->listener);
 	g_array_unref(fake_endpoint->run_times_us);
+	g_array_unref(fake_endpoint->order_fences);
 	pthread_mutex_destroy(&fake_endpoint->times_lock);
 }
 
--- a/test/functional/harness/fake_endpoint.h
+++ b/test/functional/harness/fake_endpoint.h
@@ -111,6 +111,12 @@
 	atomic_uint crashes;
 	atomic_uint born; /* when its incarnation started */
 	atomic_bool is_down;
+	/*
+	 * Accelerator in heartbeats; NULL: none.  An endpoint with one takes
+	 * orders to hold layers and never carries them out.
+	 */
+	const char *accelerator;
+	GArray *order_fences; /* of guint64, in order; under "times_lock" */
 	/* The limit that its answers name; NULL: none. */
 	_Atomic(const char *) request_limit;
 	pthread_mutex_t times_lock;
@@ -136,6 +142,8 @@
 	ATTR_NONNULL_ALL;
 void fake_endpoint_journal_finish(fake_endpoint_journal_t *journal)
 	ATTR_NONNULL_ALL;
+guint64 fake_endpoint_highest_fence(fake_endpoint_t *fake_endpoint,
+				    bool *was_lowered) ATTR_NONNULL_ALL;
 unsigned fake_endpoint_most_runs(fake_endpoint_t *fake_endpoint,
 				 gint64 since_us,
 				 gint64 window_us) ATTR_NONNULL_ALL;
--- a/test/unit/fleet_group_test.c
+++ b/test/unit/fleet_group_test.c
@@ -36,7 +36,7 @@
 static void test_paused_leader_does_not_lead(void)
 {
 	static fleet_control_t control;
-	net_t net;
+	static net_t net;
 
 	make_leader(&control, &net);
 	CU_ASSERT_TRUE(fleet_group_leads(&control));
@@ -53,7 +53,7 @@
 static void test_paused_leader_is_confirmed_first(void)
 {
 	static fleet_control_t control;
-	net_t net;
+	static net_t net;
 
 	make_leader(&control, &net);
 	control.in_doubt = true;
