--- a/src/wisteria/gateway/exchange.c
+++ b/src/wisteria/gateway/exchange.c
@@ -139,8 +139,11 @@
 /* Attempts. */
 
 /* The next bytes come from the start of another answer. */
-static void reset_answer(exchange_t *exchange)
+static void reset_answer(exchange_t *exchange, clock_ms_t now)
 {
+	exchange->sent_ms = now;
+	exchange->last_progress_ms = now;
+	exchange->event_due_since_ms = now;
 	exchange->is_streaming = false;
 	exchange->answer_framing = HTTP_FRAMING_NONE;
 	exchange->request_limit = REQUEST_LIMIT_NONE;
@@ -186,12 +189,9 @@
 	exchange->target = *target;
 	exchange->incarnation = first == NULL ? 0 : first->incarnation;
 	exchange->is_unread = true;
-	reset_answer(exchange);
+	reset_answer(exchange, now);
 	exchange->send_count++;
 	counter_add(COUNTER_GATEWAY_SENDS, 1);
-	exchange->sent_ms = now;
-	exchange->last_progress_ms = now;
-	exchange->event_due_since_ms = now;
 	gateway->dialect->write_forward(&exchange->conn->reader.message,
 					&forward, request);
 	exchange->call =
--- a/src/wisteria/gateway/long_pauses.h
+++ b/src/wisteria/gateway/long_pauses.h
@@ -8,10 +8,11 @@
 #include "wisteria/fleet/registry_defs.h"
 
 /*
- * For how long a pause tells about an endpoint: a few streams with such pauses
- * end in this time.
+ * For how long a pause tells about an endpoint.  With 10 s, a stream was cut
+ * again when the endpoint that served none meanwhile was forgotten; three
+ * streams with such pauses take 12 s.
  */
-#define LONG_PAUSES_AGE_MS 10000
+#define LONG_PAUSES_AGE_MS 30000
 
 /* The last long pause of a stream at each endpoint. */
 typedef struct {
