--- a/src/wisteria/fleet/fleet_plan.c
+++ b/src/wisteria/fleet/fleet_plan.c
@@ -348,7 +348,7 @@
 			g_ptr_array_index(control->table->services, i);
 		planned_service_t added;
 
-		if (!service->has_engine ||
+		if (!service->has_ranks ||
 		    !pipeline_time_is_known(&service->engine))
 			continue;
 		init_planned(&added, service);
--- a/src/wisteria/fleet/routes.c
+++ b/src/wisteria/fleet/routes.c
@@ -260,6 +260,42 @@
 	}
 }
 
+/* Returns whether a route leads to "service" and states a goal. */
+static bool serves_with_goal(const route_t *route, const service_t *service)
+{
+	for (guint i = 0; route->goal_ms > 0 && i < route->targets->len; i++)
+		if (strcmp(g_array_index(route->targets, route_target_t, i)
+				   .service,
+			   service->name) == 0)
+			return true;
+	return false;
+}
+
+/*
+ * Marks the services with an engine for which requests of different priority
+ * compete; the others are served in the order of arrival.
+ */
+static void mark_ranked_services(route_table_t *table)
+{
+	for (guint i = 0; i < table->services->len; i++) {
+		service_t *service = g_ptr_array_index(table->services, i);
+		const route_t *first = NULL;
+
+		for (guint j = 0; service->has_engine && !service->has_ranks &&
+				  j < table->routes->len;
+		     j++) {
+			const route_t *route =
+				g_ptr_array_index(table->routes, j);
+
+			if (!serves_with_goal(route, service))
+				continue;
+			if (first == NULL)
+				first = route;
+			service->has_ranks = route->priority != first->priority;
+		}
+	}
+}
+
 /*
  * Validates a filled table and sorts its routes for lookups.  Returns false
  * with "err" naming the invalid route.
@@ -274,6 +310,7 @@
 		return false;
 	g_ptr_array_sort(table->routes, compare_routes);
 	collect_priorities(table);
+	mark_ranked_services(table);
 	return true;
 }
 
--- a/src/wisteria/fleet/routes_defs.h
+++ b/src/wisteria/fleet/routes_defs.h
@@ -71,6 +71,8 @@
 	/* Per endpoint, over all callers; not enforced. */
 	uint32_t max_connections;
 	bool has_engine;
+	/* Routes of different priority lead to it and have a goal. */
+	bool has_ranks;
 	engine_model_t engine;
 } service_t;
 
--- a/src/wisteria/gateway/exchange.c
+++ b/src/wisteria/gateway/exchange.c
@@ -93,7 +93,7 @@
 
 static void count_waiting(exchange_t *exchange, int sign)
 {
-	if (exchange->service->has_engine)
+	if (exchange->service->has_ranks)
 		demand_add_waiting(
 			&exchange->gateway->demand, exchange->service->name,
 			MAX(exchange->rank, 0),
@@ -177,6 +177,18 @@
 				    caller->prompt_tokens);
 }
 
+/* The next bytes come from the start of another answer. */
+static void reset_answer(exchange_t *exchange, clock_ms_t now)
+{
+	exchange->sent_ms = now;
+	exchange->last_progress_ms = now;
+	exchange->event_due_since_ms = now;
+	exchange->is_streaming = false;
+	exchange->answer_framing = HTTP_FRAMING_NONE;
+	exchange->request_limit = REQUEST_LIMIT_NONE;
+	event_stream_begin_attempt(&exchange->event_stream);
+}
+
 static void send_attempt(exchange_t *exchange, const target_t *target)
 {
 	gateway_t *gateway = exchange->gateway;
@@ -209,16 +221,10 @@
 	}
 	endpoint_limits_use(gateway, target->ids[0]);
 	exchange->demand_counted = false;
-	exchange->sent_ms = now;
 	exchange->target = *target;
 	exchange->incarnation = first == NULL ? 0 : first->incarnation;
 	exchange->is_unread = true;
-	exchange->is_streaming = false;
-	exchange->answer_framing = HTTP_FRAMING_NONE;
-	exchange->request_limit = REQUEST_LIMIT_NONE;
-	event_stream_begin_attempt(&exchange->event_stream);
-	exchange->last_progress_ms = now;
-	exchange->event_due_since_ms = now;
+	reset_answer(exchange, now);
 	gateway->dialect->write_forward(&exchange->conn->reader.message,
 					&forward, request);
 	exchange->call =
@@ -764,10 +770,10 @@
 	exchange = exchange_new(gateway, conn, &caller, route, arrived_ms);
 	exchange->customer = customer == NULL ? NULL : customer->name;
 	exchange->rank =
-		exchange->service->has_engine
+		exchange->service->has_ranks
 			? route_table_rank(gateway->table, route, customer)
 			: REQUEST_RANK_NONE;
-	if (exchange->service->has_engine)
+	if (exchange->service->has_ranks)
 		count_arrival(exchange);
 	send_or_queue(exchange);
 }
--- a/test/functional/harness/fake_endpoint.h
+++ b/test/functional/harness/fake_endpoint.h
@@ -118,12 +118,17 @@
 	atomic_uint crashes;
 	atomic_uint born; /* when its incarnation started */
 	atomic_bool is_down;
+	/*
+	 * Accelerator in heartbeats; NULL: none.  An endpoint with one takes
+	 * orders to hold layers and never carries them out.
+	 */
+	const char *accelerator;
+	GArray *order_fences; /* of guint64, in order; under "times_lock" */
 	/* The limit that its answers name; NULL: none. */
 	_Atomic(const char *) request_limit;
 	/* Set between fake_endpoint_listen() and fake_endpoint_start_threads(). */
 	unsigned first_layer;
 	unsigned end_layer;
-	const char *accelerator;
 	/* Answer to orders to repath: 202, 409, or 0: none */
 	atomic_uint order_status;
 	atomic_uint orders; /* to repath */
@@ -153,6 +158,8 @@
 	ATTR_NONNULL_ALL;
 void fake_endpoint_journal_finish(fake_endpoint_journal_t *journal)
 	ATTR_NONNULL_ALL;
+guint64 fake_endpoint_highest_fence(fake_endpoint_t *fake_endpoint,
+				    bool *was_lowered) ATTR_NONNULL_ALL;
 unsigned fake_endpoint_most_runs(fake_endpoint_t *fake_endpoint,
 				 gint64 since_us,
 				 gint64 window_us) ATTR_NONNULL_ALL;
