Split the decisions on a request from what they count

An explanation before sending needs the decisions that place a request, but they also add credits of flows and promotions, and create permits.

The choice of a flow, the promotion and the check of permits each get a part without effects: flow_plan_preview(), flow_plan_would_promote(), permits_would_allow(), endpoint_limits_would_allow() and target_preview(). The choice of a flow, its check and the promotion are shared with requests; the check of permits is a second function, because permits_allow() drops expired batches and fills the entry's own credit. exchange.c makes public the longest wait, the reason of a refusal and the fields of a queued request.

--- a/src/wisteria/fleet/admission_shares.c
+++ b/src/wisteria/fleet/admission_shares.c
@@ -118,6 +118,12 @@
 	count_left(demand, capacity, shares);
 }
 
+/* Returns whether the next request would be promoted; counts nothing. */
+bool admission_shares_would_promote(double credit, double fraction)
+{
+	return fraction > 0 && credit >= 0;
+}
+
 /*
  * Returns whether a request of "tokens" prompt tokens is promoted, given the
  * fraction of its rank, and counts it.  "credit" is kept by the caller for each
@@ -127,7 +133,7 @@
  */
 bool admission_shares_promote(double *credit, double fraction, double tokens)
 {
-	bool is_promoted = fraction > 0 && *credit >= 0;
+	bool is_promoted = admission_shares_would_promote(*credit, fraction);
 
 	*credit += (fraction - is_promoted) * tokens;
 	return is_promoted;
--- a/src/wisteria/fleet/admission_shares.h
+++ b/src/wisteria/fleet/admission_shares.h
@@ -29,6 +29,8 @@
 			      const double waiting_tokens[REQUEST_RANKS],
 			      double capacity,
 			      admission_shares_t *shares) ATTR_NONNULL_ALL;
+bool admission_shares_would_promote(double credit,
+				    double fraction) ATTR_WARN_UNUSED;
 bool admission_shares_promote(double *credit, double fraction,
 			      double tokens) ATTR_NONNULL_ALL ATTR_WARN_UNUSED;
 
--- a/src/wisteria/gateway/endpoint_limits.c
+++ b/src/wisteria/gateway/endpoint_limits.c
@@ -41,6 +41,17 @@
 			     own_share(gateway, per_s), now_of(gateway));
 }
 
+/* Returns what endpoint_limits_allow() would; changes nothing. */
+bool endpoint_limits_would_allow(const gateway_t *gateway,
+				 const endpoint_t *endpoint)
+{
+	double per_s = request_limits_rate(&gateway->limits, endpoint);
+
+	return per_s < 0 ||
+	       permits_would_allow(&gateway->permits, endpoint->id,
+				   own_share(gateway, per_s), now_of(gateway));
+}
+
 /*
  * Records that the endpoint is the one to send a request to; "is_short": its
  * limit does not allow that now.
--- a/src/wisteria/gateway/endpoint_limits.h
+++ b/src/wisteria/gateway/endpoint_limits.h
@@ -6,6 +6,8 @@
 
 bool endpoint_limits_allow(gateway_t *gateway,
 			   const endpoint_t *endpoint) ATTR_NONNULL_ALL;
+bool endpoint_limits_would_allow(const gateway_t *gateway,
+				 const endpoint_t *endpoint) ATTR_NONNULL_ALL;
 void endpoint_limits_want(gateway_t *gateway, const endpoint_t *endpoint,
 			  bool is_short) ATTR_NONNULL_ALL;
 double endpoint_limits_rate(gateway_t *gateway,
--- a/src/wisteria/gateway/exchange.c
+++ b/src/wisteria/gateway/exchange.c
@@ -281,9 +281,9 @@
  * of the goal for the first event that leaves time to process the prompt; if no
  * known endpoint serves the request, 0.
  */
-static clock_ms_t max_wait_ms(const exchange_t *exchange,
-			      target_result_t result, const target_t *target,
-			      clock_ms_t now)
+clock_ms_t exchange_max_wait_ms(const exchange_t *exchange,
+				target_result_t result, const target_t *target,
+				clock_ms_t now)
 {
 	const gateway_t *gateway = exchange->gateway;
 	clock_ms_t queue_ms;
@@ -328,8 +328,8 @@
 		&refusal, now);
 }
 
-static void refuse_without_target(exchange_t *exchange, target_result_t result,
-				  const target_t *target)
+/* Returns why a request without a target is refused, as callers are told. */
+const char *exchange_refusal_reason(target_result_t result)
 {
 	static const char *const reasons[] = {
 		[TARGET_FOUND] = "no_endpoint",
@@ -339,13 +339,19 @@
 		[TARGET_LIMITED] = "endpoints_limited",
 	};
 
+	return reasons[result];
+}
+
+static void refuse_without_target(exchange_t *exchange, target_result_t result,
+				  const target_t *target)
+{
 	refuse(exchange, retry_after_ms(exchange, result, target),
-	       reasons[result]);
+	       exchange_refusal_reason(result));
 }
 
 /* Returns whether the answer might be truncated by the planned stop. */
-static bool might_outlast_stop(const exchange_t *exchange,
-			       const target_t *target)
+bool exchange_might_outlast_stop(const exchange_t *exchange,
+				 const target_t *target)
 {
 	const gateway_t *gateway = exchange->gateway;
 	const caller_request_t *caller = &exchange->caller;
@@ -370,6 +376,25 @@
 	return find_plan(exchange) != NULL;
 }
 
+/* Sets which requests "wait", of the exchange, competes with, and its rank. */
+void exchange_set_pool(const exchange_t *exchange, wait_item_t *wait)
+{
+	/* Every revision has its own pools, as it has its own services. */
+	wait->pool = exchange->service;
+	wait->priority = exchange->rank < 0 ? exchange->route->priority
+					    : (uint32_t)exchange->rank;
+}
+
+/* Sets what decides, under a valid plan, when "wait" is expected to start. */
+void exchange_describe_wait(const exchange_t *exchange, wait_item_t *wait)
+{
+	wait->customer = exchange->customer;
+	wait->prompt_tokens = exchange->caller.prompt_tokens;
+	wait->on_time_until_ms = exchange->started_ms +
+				 (clock_ms_t)((double)exchange->route->goal_ms *
+					      GATEWAY_QUEUE_TIME_RATIO);
+}
+
 /*
  * Queues a request; another one that can no longer start because of it is
  * refused.  Returns false if the request itself would not start in time.
@@ -385,12 +410,7 @@
 
 	if (plan != NULL) {
 		rate = flow_plan_start_rate(plan, exchange->rank);
-		wait->customer = exchange->customer;
-		wait->prompt_tokens = exchange->caller.prompt_tokens;
-		wait->on_time_until_ms =
-			exchange->started_ms +
-			(clock_ms_t)((double)exchange->route->goal_ms *
-				     GATEWAY_QUEUE_TIME_RATIO);
+		exchange_describe_wait(exchange, wait);
 	}
 	if (wait_queue_offer(queue, wait, rate, now_of(exchange), &displaced) ==
 	    WAIT_REFUSED)
@@ -416,15 +436,13 @@
 	clock_ms_t wait_ms;
 	bool must_wait;
 
-	/* Every revision has its own pools, as it has its own services. */
-	wait->pool = exchange->service;
-	wait->priority = exchange->rank < 0 ? exchange->route->priority
-					    : (uint32_t)exchange->rank;
+	exchange_set_pool(exchange, wait);
 	must_wait = wait_queue_must_wait(&gateway->waiting, wait->pool,
 					 wait->priority);
 	if (!must_wait || gateway->drain_since_ms != 0)
 		found = target_choose(exchange, &target);
-	if (found == TARGET_FOUND && might_outlast_stop(exchange, &target)) {
+	if (found == TARGET_FOUND &&
+	    exchange_might_outlast_stop(exchange, &target)) {
 		refuse(exchange, RETRY_AFTER_STOPPING_MS, "stopping");
 		return;
 	}
@@ -434,7 +452,8 @@
 	}
 	if (must_wait) /* requests ahead still wait */
 		found = shortage->places > 0 ? TARGET_LIMITED : TARGET_FULL;
-	wait_ms = max_wait_ms(exchange, found, &target, now_of(exchange));
+	wait_ms = exchange_max_wait_ms(exchange, found, &target,
+				       now_of(exchange));
 	if (!must_wait)
 		shortage_expect_starts(shortage, target.limited_per_s, wait_ms);
 	if (wait_ms <= 0 ||
--- a/src/wisteria/gateway/exchange.h
+++ b/src/wisteria/gateway/exchange.h
@@ -3,6 +3,7 @@
 
 #include "wisteria/base/macros_defs.h"
 #include "wisteria/gateway/gateway_defs.h"
+#include "wisteria/gateway/target.h"
 
 void exchange_begin(gateway_t *gateway, http_conn_t *conn,
 		    clock_ms_t arrived_ms) ATTR_NONNULL_ALL;
@@ -21,5 +22,15 @@
 void exchange_discard(exchange_t *exchange) ATTR_NONNULL_ALL;
 void exchange_abort(exchange_t *exchange) ATTR_NONNULL_ALL;
 void exchange_start_queued(gateway_t *gateway) ATTR_NONNULL_ALL;
+clock_ms_t exchange_max_wait_ms(const exchange_t *exchange,
+				target_result_t result, const target_t *target,
+				clock_ms_t now) ATTR_NONNULL_ALL;
+bool exchange_might_outlast_stop(const exchange_t *exchange,
+				 const target_t *target) ATTR_NONNULL_ALL;
+const char *exchange_refusal_reason(target_result_t result);
+void exchange_set_pool(const exchange_t *exchange,
+		       wait_item_t *wait) ATTR_NONNULL_ALL;
+void exchange_describe_wait(const exchange_t *exchange,
+			    wait_item_t *wait) ATTR_NONNULL_ALL;
 
 #endif
--- a/src/wisteria/gateway/flow_plan.c
+++ b/src/wisteria/gateway/flow_plan.c
@@ -197,6 +197,15 @@
 		       : NULL;
 }
 
+/* Returns whether flow_plan_promotes() would hold now; counts nothing. */
+bool flow_plan_would_promote(const service_flows_t *service, int32_t rank)
+{
+	int32_t i = MAX(rank, 0);
+
+	return admission_shares_would_promote(service->promotion_credit[i],
+					      service->promoted[i]);
+}
+
 /*
  * Returns whether a new request is sent with rank 0, so that its rank gets the
  * minimum of the capacity, and counts it.
@@ -233,17 +242,15 @@
 	       service->left[MAX(rank, 0)];
 }
 
-/* Marks the flows that the request may use; returns the sum of their weights. */
-static double mark_usable(service_flows_t *service, flow_usable_t usable,
-			  void *user)
+/* Returns the sum of the weights of the usable flows. */
+static double sum_usable_weights(const GArray *flows)
 {
 	double weight = 0;
 
-	for (guint i = 0; i < service->flows->len; i++) {
-		planned_flow_t *flow =
-			&g_array_index(service->flows, planned_flow_t, i);
+	for (guint i = 0; i < flows->len; i++) {
+		const planned_flow_t *flow =
+			&g_array_index(flows, planned_flow_t, i);
 
-		flow->is_usable = usable(flow, user);
 		if (flow->is_usable)
 			weight += flow->weight;
 	}
@@ -251,28 +258,83 @@
 }
 
 /*
- * Chooses the pipeline for a request with a prompt of "tokens" tokens and counts
- * it there.  Returns NULL if no flow is usable.
+ * Returns the credit of a usable flow with its part of a request of "tokens"
+ * tokens; "weight" is that of all usable flows.
  */
-planned_flow_t *flow_plan_choose(service_flows_t *service, double tokens,
-				 flow_usable_t usable, void *user)
+static double next_credit(const planned_flow_t *flow, double tokens,
+			  double weight)
 {
-	double weight = mark_usable(service, usable, user);
-	planned_flow_t *best = NULL;
+	return MIN(flow->credit + tokens * flow->weight / weight,
+		   CREDIT_MAX_TOKENS);
+}
 
-	for (guint i = 0; i < service->flows->len; i++) {
-		planned_flow_t *flow =
-			&g_array_index(service->flows, planned_flow_t, i);
+/* Returns the index of the usable flow that is furthest behind, or -1. */
+static int find_best(const GArray *flows, double tokens)
+{
+	double weight = sum_usable_weights(flows);
+	double best_credit = 0;
+	int best = -1;
+
+	for (guint i = 0; i < flows->len; i++) {
+		const planned_flow_t *flow =
+			&g_array_index(flows, planned_flow_t, i);
+		double credit;
 
 		if (!flow->is_usable)
 			continue;
-		flow->credit =
-			MIN(flow->credit + tokens * flow->weight / weight,
-			    CREDIT_MAX_TOKENS);
-		if (best == NULL || flow->credit > best->credit)
-			best = flow;
+		credit = next_credit(flow, tokens, weight);
+		if (best < 0 || credit > best_credit) {
+			best = (int)i;
+			best_credit = credit;
+		}
 	}
-	if (best != NULL)
-		best->credit -= tokens;
 	return best;
 }
+
+/*
+ * Returns the pipeline that flow_plan_choose() would choose if the flows with
+ * "usable" set, one for each in their order, were usable.  Changes nothing.
+ */
+const planned_flow_t *flow_plan_preview(const service_flows_t *service,
+					double tokens, const bool *usable)
+{
+	GArray *flows = g_array_copy(service->flows);
+	int best;
+
+	for (guint i = 0; i < flows->len; i++)
+		g_array_index(flows, planned_flow_t, i).is_usable = usable[i];
+	best = find_best(flows, tokens);
+	g_array_unref(flows);
+	return best < 0 ? NULL
+			: &g_array_index(service->flows, planned_flow_t, best);
+}
+
+/*
+ * Chooses the pipeline for a request with a prompt of "tokens" tokens and counts
+ * it there.  Returns NULL if no flow is usable.
+ */
+planned_flow_t *flow_plan_choose(service_flows_t *service, double tokens,
+				 flow_usable_t usable, void *user)
+{
+	GArray *flows = service->flows;
+	planned_flow_t *flow;
+	double weight;
+	int best;
+
+	for (guint i = 0; i < flows->len; i++) {
+		flow = &g_array_index(flows, planned_flow_t, i);
+		flow->is_usable = usable(flow, user);
+	}
+	best = find_best(flows, tokens);
+	if (best < 0)
+		return NULL;
+	weight = sum_usable_weights(flows);
+	for (guint i = 0; i < flows->len; i++) {
+		flow = &g_array_index(flows, planned_flow_t, i);
+		if (flow->is_usable)
+			flow->credit = next_credit(flow, tokens, weight);
+	}
+	flow = &g_array_index(flows, planned_flow_t, best);
+	flow->credit -= tokens;
+	return flow;
+}
--- a/src/wisteria/gateway/flow_plan.h
+++ b/src/wisteria/gateway/flow_plan.h
@@ -65,6 +65,8 @@
 		      clock_ms_t now) ATTR_NONNULL_ALL;
 service_flows_t *flow_plan_find(const flow_plan_t *plan, const char *service,
 				clock_ms_t now) ATTR_NONNULL_ALL;
+bool flow_plan_would_promote(const service_flows_t *service,
+			     int32_t rank) ATTR_NONNULL_ALL;
 bool flow_plan_promotes(service_flows_t *service, int32_t rank,
 			double tokens) ATTR_NONNULL_ALL;
 double flow_plan_start_rate(const service_flows_t *service,
@@ -72,6 +74,9 @@
 double flow_plan_window(const service_flows_t *service,
 			const planned_flow_t *flow, int32_t rank,
 			clock_ms_t goal_ms) ATTR_NONNULL_ALL;
+const planned_flow_t *flow_plan_preview(const service_flows_t *service,
+					double tokens,
+					const bool *usable) ATTR_NONNULL_ALL;
 planned_flow_t *flow_plan_choose(service_flows_t *service, double tokens,
 				 flow_usable_t usable, void *user)
 	ATTR_NONNULL(1, 3);
--- a/src/wisteria/gateway/permits.c
+++ b/src/wisteria/gateway/permits.c
@@ -122,6 +122,28 @@
 	return balance->own_credit >= 1;
 }
 
+/*
+ * Returns what permits_allow() would; changes nothing.  The random part with
+ * which own permits begin is less than one, so that the first call never allows.
+ */
+bool permits_would_allow(const permits_t *permits, const char *id,
+			 double own_per_s, clock_ms_t now)
+{
+	const permit_balance_t *balance =
+		g_hash_table_lookup(permits->balances, id);
+	double filled;
+
+	if (balance == NULL)
+		return false;
+	for (uint32_t i = 0; i < balance->batch_count; i++)
+		if (now < balance->batches[i].expires_ms)
+			return true;
+	if (!is_leader_silent(balance, now) || balance->own_filled_ms == 0)
+		return false;
+	filled = own_per_s * (double)(now - balance->own_filled_ms) / 1000;
+	return MIN(balance->own_credit + filled, 1) >= 1;
+}
+
 /* Uses a permit, after permits_allow(). */
 void permits_use(permits_t *permits, const char *id, clock_ms_t now)
 {
--- a/src/wisteria/gateway/permits.h
+++ b/src/wisteria/gateway/permits.h
@@ -45,6 +45,8 @@
 		 double per_s, clock_ms_t now) ATTR_NONNULL_ALL;
 bool permits_allow(permits_t *permits, const char *id, double own_per_s,
 		   clock_ms_t now) ATTR_NONNULL_ALL;
+bool permits_would_allow(const permits_t *permits, const char *id,
+			 double own_per_s, clock_ms_t now) ATTR_NONNULL_ALL;
 void permits_use(permits_t *permits, const char *id,
 		 clock_ms_t now) ATTR_NONNULL_ALL;
 double permits_rate(permits_t *permits, const char *id, double own_per_s,
--- a/src/wisteria/gateway/target.c
+++ b/src/wisteria/gateway/target.c
@@ -408,11 +408,12 @@
 
 /* A request that is being placed on the flows of the leader's plan. */
 typedef struct {
-	exchange_t *exchange;
+	const exchange_t *exchange;
 	target_t *target;
 	const service_flows_t *service;
 	double tokens;	    /* that it holds */
 	bool has_endpoints; /* of at least one flow */
+	bool is_preview;    /* nothing may be changed or counted */
 } placing_t;
 
 /* Returns the endpoint of a planned hop if it may run it now, or NULL. */
@@ -467,33 +468,69 @@
 	return unread <= 0 || unread + exchange->caller.prompt_tokens <= window;
 }
 
-/* A flow_usable_t. */
-static bool is_flow_usable(const planned_flow_t *flow, void *user)
+static bool is_limit_open(const placing_t *placing, const endpoint_t *endpoint)
+{
+	gateway_t *gateway = placing->exchange->gateway;
+
+	return placing->is_preview
+		       ? endpoint_limits_would_allow(gateway, endpoint)
+		       : endpoint_limits_allow(gateway, endpoint);
+}
+
+/* Returns whether the flow takes the request now, or what it lacks. */
+static flow_state_t check_flow(const placing_t *placing,
+			       const planned_flow_t *flow)
 {
-	placing_t *placing = user;
 	const endpoint_t *endpoints[PIPELINE_HOPS_MAX];
 
 	for (uint32_t i = 0; i < flow->hop_count; i++) {
 		endpoints[i] = find_planned_endpoint(placing, &flow->hops[i]);
 		if (endpoints[i] == NULL)
-			return false;
+			return FLOW_NO_ENDPOINT;
 	}
-	placing->has_endpoints = true;
 	if (!has_window(placing, flow))
-		return false;
+		return FLOW_NO_WINDOW;
 	for (uint32_t i = 0; i < flow->hop_count; i++) {
-		const endpoint_t *endpoint = endpoints[i];
-
-		if (!has_memory(placing, endpoint))
-			return false;
-		if (i == 0 && !endpoint_limits_allow(placing->exchange->gateway,
-						     endpoint)) {
-			endpoint_limits_want(placing->exchange->gateway,
-					     endpoint, true);
-			return false;
-		}
+		if (!has_memory(placing, endpoints[i]))
+			return FLOW_NO_MEMORY;
+		if (i == 0 && !is_limit_open(placing, endpoints[i]))
+			return FLOW_LIMITED;
 	}
-	return true;
+	return FLOW_USABLE;
+}
+
+/* A flow_usable_t. */
+static bool is_flow_usable(const planned_flow_t *flow, void *user)
+{
+	placing_t *placing = user;
+	gateway_t *gateway = placing->exchange->gateway;
+	flow_state_t state = check_flow(placing, flow);
+
+	if (state != FLOW_NO_ENDPOINT)
+		placing->has_endpoints = true;
+	if (state == FLOW_LIMITED)
+		endpoint_limits_want(gateway,
+				     registry_find(&gateway->registry,
+						   flow->hops[0].endpoint),
+				     true);
+	return state == FLOW_USABLE;
+}
+
+/* Makes the flow the target of a request that holds "tokens" tokens. */
+static void take_flow(const exchange_t *exchange, const planned_flow_t *flow,
+		      double tokens, target_t *target)
+{
+	const registry_t *registry = &exchange->gateway->registry;
+
+	for (uint32_t i = 0; i < flow->hop_count; i++)
+		append_hop(target,
+			   registry_find(registry, flow->hops[i].endpoint),
+			   flow->hops[i].first_layer, flow->hops[i].end_layer);
+	target->is_pipeline = true;
+	target->tokens = tokens;
+	target->cost_ms = flow->pause_ms * LOADED_PAUSE_FACTOR /
+			  MAX(exchange->service->engine.stride, 1);
+	target->first_event_ms = flow->first_event_ms;
 }
 
 /*
@@ -521,22 +558,56 @@
 				is_flow_usable, &placing);
 	if (flow == NULL)
 		return placing.has_endpoints ? TARGET_FULL : TARGET_NONE;
-	for (uint32_t i = 0; i < flow->hop_count; i++)
-		append_hop(target,
-			   registry_find(&gateway->registry,
-					 flow->hops[i].endpoint),
-			   flow->hops[i].first_layer, flow->hops[i].end_layer);
+	take_flow(exchange, flow, placing.tokens, target);
 	endpoint_limits_want(gateway,
 			     registry_find(&gateway->registry, target->ids[0]),
 			     false);
-	target->is_pipeline = true;
-	target->tokens = placing.tokens;
-	target->cost_ms = flow->pause_ms * LOADED_PAUSE_FACTOR /
-			  MAX(exchange->service->engine.stride, 1);
-	target->first_event_ms = flow->first_event_ms;
 	return TARGET_FOUND;
 }
 
+/*
+ * Returns what target_choose() would do with the flows of "service", the valid
+ * plan of the exchange's service, and changes nothing.  Stores the state of each
+ * flow, in their order, and the flow that would be chosen, or NULL.  TARGET_NONE:
+ * the pipeline search would follow.
+ */
+target_result_t target_preview(const exchange_t *exchange,
+			       const service_flows_t *service,
+			       flow_state_t *states,
+			       const planned_flow_t **chosen, target_t *target)
+{
+	guint count = service->flows->len;
+	bool *usable = g_new0(bool, count + 1);
+	bool has_endpoints = false;
+	const placing_t placing = {
+		.exchange = exchange,
+		.target = target,
+		.service = service,
+		.tokens = request_tokens(exchange),
+		.is_preview = true,
+	};
+
+	memset(target, 0, sizeof(*target));
+	target->limited_per_s = REQUEST_LIMIT_NONE;
+	for (guint i = 0; i < count; i++) {
+		states[i] =
+			check_flow(&placing, &g_array_index(service->flows,
+							    planned_flow_t, i));
+		usable[i] = states[i] == FLOW_USABLE;
+		has_endpoints |= states[i] != FLOW_NO_ENDPOINT;
+	}
+	*chosen = flow_plan_preview(service, exchange->caller.prompt_tokens,
+				    usable);
+	g_free(usable);
+	if (*chosen != NULL) {
+		take_flow(exchange, *chosen, placing.tokens, target);
+		return TARGET_FOUND;
+	}
+	if (!has_endpoints)
+		return TARGET_NONE;
+	return target->pause_end_ms != 0 ? TARGET_PAUSED : TARGET_FULL;
+}
+
 /* Returns lists without entries, which free_candidates() frees. */
 static candidates_t create_candidates(const exchange_t *exchange)
 {
--- a/src/wisteria/gateway/target.h
+++ b/src/wisteria/gateway/target.h
@@ -13,6 +13,15 @@
 	TARGET_LIMITED /* as TARGET_FULL, and some are at a limit they name */
 } target_result_t;
 
+/* Whether a flow of the plan takes a request now, or what it lacks. */
+typedef enum {
+	FLOW_USABLE,
+	FLOW_NO_ENDPOINT, /* one of its endpoints can't be used */
+	FLOW_NO_WINDOW,
+	FLOW_NO_MEMORY,
+	FLOW_LIMITED /* its first endpoint is at a limit that it names */
+} flow_state_t;
+
 /* The current pipeline of a request with its lost hops replaced. */
 typedef struct {
 	target_t target;
@@ -22,6 +31,10 @@
 
 target_result_t target_choose(exchange_t *exchange, target_t *target)
 	ATTR_NONNULL_ALL ATTR_WARN_UNUSED;
+target_result_t
+target_preview(const exchange_t *exchange, const service_flows_t *service,
+	       flow_state_t *states, const planned_flow_t **chosen,
+	       target_t *target) ATTR_NONNULL_ALL ATTR_WARN_UNUSED;
 bool target_replace_lost(
 	const exchange_t *exchange, const bool is_lost[PIPELINE_HOPS_MAX],
 	target_repair_t *repair) ATTR_NONNULL_ALL ATTR_WARN_UNUSED;
