Tell where a request would go before it is sent

Section 7 of docs/design/demand.md: operators could only read afterwards why a request went as it did.

wisteriactl where asks an entry for GET /where at its metrics address. The answer, as JSON or as a table, holds the plan, the flows with their state, the flow that would be chosen, and the outcome. gateway/where.c decides by the parts of the decisions that change nothing; the page runs on the event loop of the gateway, as the other pages of fleet_metrics do, so nothing is shared between threads. An unknown route or customer gives 404, a number that can't be read 400; wisteriactl then exits with 1.

--- a/src/cli/cli_defs.h
+++ b/src/cli/cli_defs.h
@@ -31,6 +31,11 @@
 	char order_id[129]; /* from --order-id, or generated */
 	bool has_order_id;
 	long timeout_ms;
+	const char *route;    /* for "where"; NULL: not stated */
+	const char *customer; /* likewise */
+	bool has_tokens;      /* for "where" */
+	uint32_t prompt_tokens;
+	uint32_t answer_tokens;
 	char *args[CLI_ARGS_MAX];
 	unsigned arg_count;
 } cli_options_t;
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -26,5 +26,6 @@
 CLI_COMMAND(cli_explain_file);
 CLI_COMMAND(cli_key_hash);
 CLI_COMMAND(cli_trace);
+CLI_COMMAND(cli_where);
 
 #endif
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -21,7 +21,11 @@
 	OPTION_ORDER_ID,
 	OPTION_OPERATOR,
 	OPTION_TIMEOUT,
-	OPTION_JSON
+	OPTION_JSON,
+	OPTION_ENTRY,
+	OPTION_ROUTE,
+	OPTION_CUSTOMER,
+	OPTION_TOKENS
 };
 
 const char *argp_program_version = "wisteriactl 0.1.0";
@@ -46,6 +50,11 @@
 	"  limit list                 requests per second that endpoints "
 	"take;\n"
 	"                             --server as for part list\n"
+	"  where                      where a request of --route would go "
+	"now,\n"
+	"                             and why; nothing is sent; --entry is "
+	"the\n"
+	"                             metrics address of an entry\n"
 	"  config history             accepted changes\n"
 	"  order show ID              outcome of an order\n"
 	"  order engine NAME JSON     an order to the engine of an endpoint\n"
@@ -84,6 +93,14 @@
 	  "Who gives the order; the user's name by default", 0 },
 	{ "timeout-ms", OPTION_TIMEOUT, "MS", 0,
 	  "Give up after this time; 10000 by default", 0 },
+	{ "entry", OPTION_ENTRY, "IP:PORT", 0,
+	  "where: metrics address of the entry; as --server", 0 },
+	{ "route", OPTION_ROUTE, "NAME", 0, "where: route of the request", 0 },
+	{ "customer", OPTION_CUSTOMER, "NAME", 0,
+	  "where: customer of the request; none by default", 0 },
+	{ "tokens", OPTION_TOKENS, "PROMPT,ANSWER", 0,
+	  "where: its tokens; those of the service's mean request by default",
+	  0 },
 	{ NULL, 0, NULL, 0, NULL, 0 },
 };
 
@@ -111,6 +128,7 @@
 	  cli_endpoint_return },
 	{ { "part", "list" }, 0, 0, "", false, true, cli_part_list },
 	{ { "limit", "list" }, 0, 0, "", false, true, cli_limit_list },
+	{ { "where", NULL }, 0, 0, "", false, true, cli_where },
 	{ { "config", "history" }, 0, 0, "", false, true, cli_config_history },
 	{ { "order", "show" }, 1, 1, "ID", false, true, cli_order_show },
 	{ { "order", "engine" },
@@ -180,6 +198,22 @@
 	return value;
 }
 
+/* Parses "PROMPT,ANSWER"; the metrics page checks that they are not too great. */
+static void set_tokens(cli_options_t *options, const char *text,
+		       struct argp_state *state)
+{
+	char **numbers = g_strsplit(text, ",", 2);
+
+	if (g_strv_length(numbers) != 2)
+		argp_error(state, "--tokens: expected PROMPT,ANSWER");
+	options->prompt_tokens = (uint32_t)parse_number("tokens", numbers[0], 1,
+							G_MAXINT32, state);
+	options->answer_tokens = (uint32_t)parse_number("tokens", numbers[1], 1,
+							G_MAXINT32, state);
+	options->has_tokens = true;
+	g_strfreev(numbers);
+}
+
 static void add_arg(cli_options_t *options, char *arg, struct argp_state *state)
 {
 	if (options->arg_count == CLI_ARGS_MAX)
@@ -193,6 +227,7 @@
 
 	switch (key) {
 	case 's':
+	case OPTION_ENTRY:
 		add_servers(options, arg, state);
 		break;
 	case OPTION_TOKEN_FILE:
@@ -216,6 +251,15 @@
 		options->timeout_ms = (long)parse_number(
 			"timeout-ms", arg, 1, CLI_TIMEOUT_MS_MAX, state);
 		break;
+	case OPTION_ROUTE:
+		options->route = arg;
+		break;
+	case OPTION_CUSTOMER:
+		options->customer = arg;
+		break;
+	case OPTION_TOKENS:
+		set_tokens(options, arg, state);
+		break;
 	case ARGP_KEY_ARG:
 		add_arg(options, arg, state);
 		break;
@@ -274,6 +318,12 @@
 	    (options->has_expected || options->has_order_id))
 		return usage_error(
 			"--expect and --order-id are for orders only", "");
+	if ((command->run == cli_where) != (options->route != NULL))
+		return usage_error("--route is for where, which needs it", "");
+	if (command->run != cli_where &&
+	    (options->customer != NULL || options->has_tokens))
+		return usage_error("--customer and --tokens are for where only",
+				   "");
 	if (command->needs_server && options->server_count == 0)
 		return usage_error(
 			"no server: give --server or set WISTERIACTL_SERVER",
--- a/src/wisteria/daemon/fleet_daemon.c
+++ b/src/wisteria/daemon/fleet_daemon.c
@@ -129,6 +129,7 @@
 	const fleet_views_t entry = {
 		.parts = &daemon->gateway.parts,
 		.limits = &daemon->gateway.limits,
+		.gateway = &daemon->gateway,
 		.clock = &clock_boottime,
 	};
 	const fleet_views_t control = {
--- a/src/wisteria/daemon/fleet_metrics.c
+++ b/src/wisteria/daemon/fleet_metrics.c
@@ -1,7 +1,7 @@
 /*
  * What a fleet process tells operators: counters and histograms in the
- * Prometheus text format, the parts of prompts that are refused, and the limits
- * that endpoints name.
+ * Prometheus text format, the parts of prompts that are refused, the limits that
+ * endpoints name and, at an entry, where a request would go.
  */
 #include "wisteria/daemon/fleet_metrics.h"
 
@@ -16,9 +16,11 @@
 #include "wisteria/base/counters.h"
 #include "wisteria/base/histogram.h"
 #include "wisteria/base/log.h"
+#include "wisteria/daemon/fleet_where.h"
 #include "wisteria/fleet/part_guard.h"
 #include "wisteria/http/http_message.h"
 
+#define WHERE_PATH "/where"
 #define METRICS_TYPE "Content-Type: text/plain; version=0.0.4\r\n"
 
 static const http_limits_t limits = {
@@ -113,6 +115,8 @@
 static void on_request(http_server_handler_t *handler, http_conn_t *conn)
 {
 	const char *target = http_message_target(&conn->reader.message);
+	const gateway_t *gateway =
+		CONTAINER_OF(handler, fleet_metrics_t, handler)->views.gateway;
 
 	if (strcmp(target, "/metrics") == 0)
 		show_metrics(conn);
@@ -124,6 +128,11 @@
 	else if (strcmp(target, "/v1/limits") == 0)
 		show_limits(CONTAINER_OF(handler, fleet_metrics_t, handler),
 			    conn);
+	else if (gateway != NULL && strcmp(target, WHERE_PATH) == 0)
+		fleet_where_reply(gateway, "", conn);
+	else if (gateway != NULL && g_str_has_prefix(target, WHERE_PATH "?"))
+		fleet_where_reply(gateway, target + strlen(WHERE_PATH "?"),
+				  conn);
 	else
 		http_conn_reply(conn, 404, "", "no such page\n", 13);
 }
--- a/src/wisteria/daemon/fleet_metrics.h
+++ b/src/wisteria/daemon/fleet_metrics.h
@@ -5,12 +5,14 @@
 #include "wisteria/base/macros_defs.h"
 #include "wisteria/fleet/part_guard_defs.h"
 #include "wisteria/fleet/request_limits.h"
+#include "wisteria/gateway/gateway_defs.h"
 #include "wisteria/http/http_server.h"
 
 /* What a fleet process shows to operators, and the clock by which it is kept. */
 typedef struct {
 	const part_guard_t *parts;
 	const request_limits_t *limits;
+	const gateway_t *gateway; /* NULL: the process is no entry */
 	const clock_source_t *clock;
 } fleet_views_t;
 
--- a/test/functional/cli_test.c
+++ b/test/functional/cli_test.c
@@ -231,6 +231,13 @@
 		"endpoint leave e1 -s host:1",
 		"status --expect 3",
 		"trace 00",
+		"where",
+		"where chat --route chat",
+		"where --route chat --tokens 5",
+		"where --route chat --tokens 5,x",
+		"where --route chat --tokens 0,5",
+		"status --route chat",
+		"status --customer gold",
 	};
 	harness_process_t *admin = start_admin(0);
 
--- a/test/functional/fleet_test.c
+++ b/test/functional/fleet_test.c
@@ -8,6 +8,7 @@
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/wait.h>
 
 #include "harness/fake_endpoint.h"
 #include "harness/harness.h"
@@ -253,6 +254,61 @@
 	fake_endpoint_stop(&fake_endpoint);
 }
 
+/* Expects that "wisteriactl where" ends with "status" and prints "text". */
+static void expect_where(const char *route, const char *tokens, int status,
+			 const char *text)
+{
+	const char *argv[] = { harness_program(&harness, "wisteriactl"),
+			       "where",
+			       "--entry",
+			       metrics_address,
+			       "--route",
+			       route,
+			       "--tokens",
+			       tokens,
+			       NULL };
+	harness_process_t *process = harness_start(
+		&harness,
+		harness_string(&harness, "where-%s-%s", route, tokens), argv);
+	char *printed;
+
+	CU_ASSERT(harness_wait_exit(process, HARNESS_WAIT_MS));
+	CU_ASSERT(WIFEXITED(process->exit_status));
+	CU_ASSERT_EQUAL(WEXITSTATUS(process->exit_status), status);
+	printed = harness_read_file(process->log_path);
+	CU_ASSERT_PTR_NOT_NULL(strstr(printed, text));
+	if (strstr(printed, text) == NULL)
+		printf("\n  \"%s\" is not in:\n%s", text, printed);
+	g_free(printed);
+}
+
+static long where_status(const char *query)
+{
+	return request_status(metrics_address,
+			      harness_string(&harness, "/where%s", query),
+			      "where", NULL);
+}
+
+/*
+ * Guards against a question that is not answered by the entry, or that is
+ * answered although its names or numbers are wrong.
+ */
+static void test_where_of_an_entry(void)
+{
+	expect_where("chat", "900,200", 0, "no_model");
+	expect_where("none", "900,200", 1, "no such route");
+	expect_where("chat", "900,200000000", 1, "numbers from 1 to 100000000");
+	CU_ASSERT_EQUAL(where_status("?route=chat"), 200);
+	CU_ASSERT_EQUAL(where_status("?route=ch%61t"), 200);
+	CU_ASSERT_EQUAL(where_status("?route=none"), 404);
+	CU_ASSERT_EQUAL(where_status("?route=chat&customer=none"), 404);
+	CU_ASSERT_EQUAL(where_status("?route=chat&prompt=-1"), 400);
+	CU_ASSERT_EQUAL(where_status("?route=chat&answer=x"), 400);
+	CU_ASSERT_EQUAL(where_status("?route"), 400);
+	CU_ASSERT_EQUAL(where_status(""), 400);
+	CU_ASSERT_EQUAL(where_status("abouts"), 404);
+}
+
 /*
  * The only endpoint refuses the request: it doesn't run, and the caller gets
  * 503 with Retry-After.
@@ -1070,6 +1126,7 @@
 
 static const unit_test_t tests[] = {
 	{ "stream without faults", test_stream_without_faults },
+	{ "where of an entry", test_where_of_an_entry },
 	{ "explain: refused", test_explain_refused },
 	{ "explain: cut in the middle", test_explain_cut_in_the_middle },
 	{ "explain: lost answer", test_explain_lost_answer },
