--- a/src/wisteria/gateway/flow_plan.c
+++ b/src/wisteria/gateway/flow_plan.c
@@ -21,8 +21,12 @@
  * an entry has sent it; the rest is for the other hops.
  */
 #define WINDOW_GOAL_RATIO 0.8
-/* Plans fill engines to 0.85 of what they prefill under a shortage. */
-#define START_RATE_MARGIN 1.2
+/*
+ * The plan's capacity errs on the low side: after losses, engines were seen to
+ * start up to three times as much.  A request that might start in time must not
+ * be refused.
+ */
+#define START_RATE_MARGIN 3.0
 
 static void free_service(gpointer data)
 {
