--- a/src/wisteria/fleet/traffic_plan.c
+++ b/src/wisteria/fleet/traffic_plan.c
@@ -50,11 +50,18 @@
 	double *demand;	     /* of each domain, not yet planned */
 	double rate_min;     /* of a flow */
 	/* One for each domain and, as the last one, across domains. */
-	candidate_pipeline_t *candidates;
+	GArray *candidates;	  /* of candidate_pipeline_t */
 	pipeline_stage_t *search; /* stages of a search and their numbers */
 	uint32_t *numbers;
 } planner_t;
 
+static candidate_pipeline_t *candidate_at(const planner_t *planner,
+					  uint32_t domain)
+{
+	return &g_array_index(planner->candidates, candidate_pipeline_t,
+			      domain);
+}
+
 /* Initializes a plan without flows. */
 void traffic_plan_init(traffic_plan_t *plan)
 {
@@ -97,7 +104,7 @@
 			planner->rates[i] -= MAX(excess, 0) / BACKLOG_DRAIN_MS;
 	}
 	for (uint32_t i = 0; i <= input->domain_count; i++)
-		planner->candidates[i].known = false;
+		candidate_at(planner, i)->known = false;
 }
 
 static void init_planner(planner_t *planner, const traffic_input_t *input)
@@ -112,7 +119,8 @@
 	planner->demand =
 		g_memdup2(input->demand, input->domain_count * sizeof(double));
 	planner->candidates =
-		g_new0(candidate_pipeline_t, input->domain_count + 1);
+		g_array_new(FALSE, TRUE, sizeof(candidate_pipeline_t));
+	g_array_set_size(planner->candidates, input->domain_count + 1);
 	planner->search = g_new0(pipeline_stage_t, input->stage_count + 1);
 	planner->numbers = g_new0(uint32_t, input->stage_count + 1);
 	for (uint32_t i = 0; i < input->stage_count; i++) {
@@ -136,7 +144,7 @@
 	g_free(planner->memory);
 	g_free(planner->first_rates);
 	g_free(planner->demand);
-	g_free(planner->candidates);
+	g_array_unref(planner->candidates);
 	g_free(planner->search);
 	g_free(planner->numbers);
 }
@@ -173,7 +181,7 @@
 static void find_candidate(planner_t *planner, uint32_t domain)
 {
 	const traffic_input_t *input = planner->input;
-	candidate_pipeline_t *candidate = &planner->candidates[domain];
+	candidate_pipeline_t *candidate = candidate_at(planner, domain);
 	bool all = domain == input->domain_count;
 	const pipeline_query_t query = {
 		.layers = input->engine->layers,
@@ -273,11 +281,11 @@
 
 		planner->rates[hop->stage] -= rate * share;
 		planner->memory[hop->stage] -= rate * share * held;
-		planner->candidates[input->stages[hop->stage].domain].known =
+		candidate_at(planner, input->stages[hop->stage].domain)->known =
 			false;
 	}
 	planner->first_rates[pipeline->hops[0].stage] -= rate;
-	planner->candidates[input->domain_count].known = false;
+	candidate_at(planner, input->domain_count)->known = false;
 	planner->pipe_rate -= rate * crossings;
 }
 
@@ -290,7 +298,7 @@
 	uint32_t limiting = pipeline->hops[0].stage;
 	double least = INFINITY;
 
-	planner->candidates[input->domain_count].known = false;
+	candidate_at(planner, input->domain_count)->known = false;
 	if (crossings > 0 &&
 	    planner->pipe_rate / crossings <= planner->rate_min) {
 		planner->pipe_rate = 0;
@@ -311,13 +319,13 @@
 		planner->rates[limiting] = 0;
 	else
 		planner->memory[limiting] = 0;
-	planner->candidates[input->stages[limiting].domain].known = false;
+	candidate_at(planner, input->stages[limiting].domain)->known = false;
 }
 
 static double candidate_cost(planner_t *planner, uint32_t callers,
 			     uint32_t domain)
 {
-	candidate_pipeline_t *candidate = &planner->candidates[domain];
+	candidate_pipeline_t *candidate = candidate_at(planner, domain);
 
 	if (!candidate->known)
 		find_candidate(planner, domain);
@@ -389,7 +397,7 @@
 	       choose_next(planner, &callers, &domain)) {
 		traffic_flow_t flow = {
 			.domain = callers,
-			.pipeline = planner->candidates[domain].pipeline,
+			.pipeline = candidate_at(planner, domain)->pipeline,
 		};
 		double held;
 		double rate;
@@ -423,7 +431,7 @@
 			domain++;
 		if (domain > planner->input->domain_count)
 			return;
-		pipeline = &planner->candidates[domain].pipeline;
+		pipeline = &candidate_at(planner, domain)->pipeline;
 		held = held_tokens(planner->input,
 				   estimate(planner->input, pipeline));
 		rate = pipeline_rate(planner, pipeline, held);
--- a/src/wisteria/gateway/flow_plan.c
+++ b/src/wisteria/gateway/flow_plan.c
@@ -223,14 +223,13 @@
 }
 
 /*
- * Returns the prompt tokens per ms of "rank" that this entry is expected to
+ * Returns the prompt tokens per ms that this entry is expected to
  * start.  It errs on the high side: a request that might start in time must not
  * be refused.
  */
-double flow_plan_start_rate(const service_flows_t *service, int32_t rank)
+double flow_plan_start_rate(const service_flows_t *service)
 {
-	return service->share_per_s / 1000 * service->left[MAX(rank, 0)] *
-	       START_RATE_MARGIN;
+	return service->share_per_s / 1000 * START_RATE_MARGIN;
 }
 
 /*
--- a/src/wisteria/gateway/flow_plan.h
+++ b/src/wisteria/gateway/flow_plan.h
@@ -69,8 +69,7 @@
 			     int32_t rank) ATTR_NONNULL_ALL;
 bool flow_plan_promotes(service_flows_t *service, int32_t rank,
 			double tokens) ATTR_NONNULL_ALL;
-double flow_plan_start_rate(const service_flows_t *service,
-			    int32_t rank) ATTR_NONNULL_ALL;
+double flow_plan_start_rate(const service_flows_t *service) ATTR_NONNULL_ALL;
 double flow_plan_window(const service_flows_t *service,
 			const planned_flow_t *flow, int32_t rank,
 			clock_ms_t goal_ms) ATTR_NONNULL_ALL;
--- a/src/wisteria/gateway/where.c
+++ b/src/wisteria/gateway/where.c
@@ -124,7 +124,7 @@
 {
 	clock_ms_t now = probe->started_ms;
 	clock_ms_t wait_ms = exchange_max_wait_ms(probe, found, target, now);
-	double rate = flow_plan_start_rate(answer->plan, probe->rank);
+	double rate = flow_plan_start_rate(answer->plan);
 	clock_ms_t start_ms = wait_queue_expected_start(
 		&probe->gateway->waiting, wait, rate, now);
 
--- a/test/unit/shared_admission_test.c
+++ b/test/unit/shared_admission_test.c
@@ -223,10 +223,9 @@
 				  wait->priority) &&
 	    start(wait))
 		return;
-	if (wait_queue_offer(
-		    &entry->waiting, wait,
-		    flow_plan_start_rate(service, (int32_t)wait->priority),
-		    now_ms, &displaced) == WAIT_REFUSED)
+	if (wait_queue_offer(&entry->waiting, wait,
+			     flow_plan_start_rate(service), now_ms,
+			     &displaced) == WAIT_REFUSED)
 		refuse(request);
 	if (displaced == NULL)
 		return;
