--- a/review/stand/stand.c
+++ b/review/stand/stand.c
@@ -585,9 +585,7 @@
 	int fd;
 } runner_channel_t;
 
-/* Finds the value of a header of a request. */
-static bool find_header(const char *head, const char *name, char *out,
-			size_t size)
+bool find_header(const char *head, const char *name, char *out, size_t size)
 {
 	answer_t request;
 
@@ -595,6 +593,46 @@
 	return answer_header(&request, name, out, size);
 }
 
+/* Takes an order to hold layers, or reports; returns false if it is neither. */
+static bool serve_platform_call(runner_t *runner, int fd, const char *head,
+				const char *body)
+{
+	static const char accepted[] =
+		"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n"
+		"Connection: close\r\n\r\n";
+	const char *from = strstr(body, "\"from\":");
+	const char *to = strstr(body, "\"to\":");
+	char text[500];
+	char report[300];
+
+	if (runner->kind == NULL)
+		return false;
+	if (strncmp(head, "POST /wisteriadrift/order ", 26) == 0) {
+		channel_send(fd, accepted, strlen(accepted));
+		if (from != NULL && to != NULL) {
+			sleep_ms(200); /* loads the layers */
+			runner->first_layer = atoi(from + 7);
+			runner->end_layer = atoi(to + 5);
+			record("runner %s: holds layers %d-%d", runner->id,
+			       (int)runner->first_layer,
+			       (int)runner->end_layer);
+		}
+		return true;
+	}
+	if (strncmp(head, "GET /wisteriadrift/report ", 26) != 0)
+		return false;
+	snprintf(report, sizeof(report),
+		 "{\"stage\":\"colocated\",\"models\":[],\"busy\":false,"
+		 "\"seq\":1,\"queued\":0,\"running\":1,\"kvUsed\":0,"
+		 "\"kvTotal\":100000,\"handles\":0,\"pace\":1}");
+	snprintf(text, sizeof(text),
+		 "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+		 "Content-Length: %zu\r\nConnection: close\r\n\r\n%s",
+		 strlen(report), report);
+	channel_send(fd, text, strlen(text));
+	return true;
+}
+
 static void *serve_channel(void *data)
 {
 	runner_channel_t channel = *(runner_channel_t *)data;
@@ -624,6 +662,8 @@
 			if (!read_more(channel.fd, &buffer, &len, until))
 				goto out;
 	}
+	if (serve_platform_call(runner, channel.fd, buffer, end + 4))
+		goto out;
 	if (strcmp(expected, runner->id) != 0) {
 		snprintf(text, sizeof(text),
 			 "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n"
@@ -642,6 +682,10 @@
 		record("runner %s: runs %s, %lld ms after it must get nothing",
 		       runner->id, id, (long long)(now_ms() - from));
 	}
+	if (runner->run != NULL) {
+		runner->run(runner, channel.fd, buffer, id);
+		goto out;
+	}
 	sleep_ms(runner->work_ms);
 	snprintf(text, sizeof(text),
 		 "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
@@ -692,19 +736,28 @@
 
 	while (runner->beats) {
 		char path[128];
-		char body[512];
+		char body[768];
+		char layers[300] = "";
 		int first = (int)(rand_r(&seed) % (unsigned)control_count);
 
 		snprintf(path, sizeof(path),
 			 "/wisteriadrift/instances/%s/heartbeat", runner->id);
+		if (runner->kind != NULL)
+			snprintf(layers, sizeof(layers),
+				 ",\"stage\":\"colocated\",\"kind\":\"%s\","
+				 "\"models\":[{\"name\":\"daka510000\","
+				 "\"version\":1,\"adapters\":[]}],\"layers\":"
+				 "{\"from\":%d,\"to\":%d,\"version\":1}",
+				 runner->kind, (int)runner->first_layer,
+				 (int)runner->end_layer);
 		snprintf(body, sizeof(body),
 			 "{\"service\":\"%s\",\"address\":\"%s:%d\","
 			 "\"zone\":\"%s\",\"version\":\"v1\",\"slots\":6,"
 			 "\"state\":\"ready\",\"coldLeftMs\":0,\"seq\":%d,"
-			 "\"born\":%lld}",
+			 "\"born\":%lld%s}",
 			 runner->service, runner->ip, ports.runner,
 			 runner->zone, (int)++runner->seq,
-			 (long long)runner->born);
+			 (long long)runner->born, layers);
 		for (int i = 0; i < 3 && runner->beats; i++) {
 			const char *ip =
 				control_ips[(first + i) % control_count];
@@ -725,8 +778,8 @@
 	return NULL;
 }
 
-runner_t *runner_start(const char *id, const char *service, const char *ip,
-		       const char *zone, int work_ms)
+runner_t *runner_new(const char *id, const char *service, const char *ip,
+		     const char *zone, int work_ms)
 {
 	runner_t *runner = calloc(1, sizeof(*runner));
 	struct sockaddr_in address = {
@@ -753,9 +806,23 @@
 		 sizeof(address)) != 0 ||
 	    listen(runner->listener, 256) != 0)
 		finish(EXIT_NOT_RUN, "runner %s cannot listen", id);
+	return runner;
+}
+
+void runner_begin(runner_t *runner)
+{
 	pthread_create(&runner->server, NULL, serve, runner);
 	pthread_create(&runner->beater, NULL, beat, runner);
-	record("runner %s of %s at %s:%d", id, service, ip, ports.runner);
+	record("runner %s of %s at %s:%d", runner->id, runner->service,
+	       runner->ip, ports.runner);
+}
+
+runner_t *runner_start(const char *id, const char *service, const char *ip,
+		       const char *zone, int work_ms)
+{
+	runner_t *runner = runner_new(id, service, ip, zone, work_ms);
+
+	runner_begin(runner);
 	return runner;
 }
 
--- a/review/stand/stand.h
+++ b/review/stand/stand.h
@@ -72,6 +72,8 @@
 int channel_open(const char *ip, int port, int64_t timeout_ms);
 bool channel_send(int fd, const char *data, size_t len);
 void channel_read_answer(int fd, int64_t timeout_ms, answer_t *answer);
+/* Finds the value of a header of a request. */
+bool find_header(const char *head, const char *name, char *out, size_t size);
 bool answer_header(const answer_t *answer, const char *name, char *out,
 		   size_t size);
 /* One call on a connection of its own. */
@@ -87,7 +89,7 @@
 bool wait_entry_ready(const char *ip, int64_t timeout_ms);
 
 /* A runner of a plain service. */
-typedef struct {
+typedef struct runner_t {
 	char id[32];
 	char service[32];
 	char ip[32];
@@ -103,10 +105,20 @@
 	atomic_bool serves;
 	atomic_int seq;
 	pthread_t server, beater;
+	/* Of a runner of a model: holds layers, and streams its answers. */
+	const char *kind; /* NULL: a plain service */
+	atomic_int first_layer, end_layer;
+	/* Runs a request whose head is "head", on "fd"; NULL: answers "ok". */
+	void (*run)(struct runner_t *runner, int fd, const char *head,
+		    const char *id);
 } runner_t;
 
 extern const char *control_ips[NODES_MAX]; /* the operator's list */
 extern int control_count;
+runner_t *runner_new(const char *id, const char *service, const char *ip,
+		     const char *zone, int work_ms);
+void runner_begin(runner_t *runner);
+/* Both of these. */
 runner_t *runner_start(const char *id, const char *service, const char *ip,
 		       const char *zone, int work_ms);
 /* Sends the deregistration to "ip"; returns the status. */
