--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
 # See claim.txt.  TROUBLE=0 leaves the disruption out.
-cd "$(dirname "$0")/../.." && exec target/review/last_tenant review/2
+cd "$(dirname "$0")/../.." && exec target/review/lost_voter review/2
