--- a/review/stand/last_tenant.c
+++ b/review/stand/last_tenant.c
@@ -48,8 +48,9 @@
 	snprintf(headers, sizeof(headers),
 		 "X-Wisteriadrift-Request-Id: %016x\r\n"
 		 "X-Wisteriadrift-Deadline-Ms: 1500\r\n%s%s%s",
-		 ++request_count, key[0] == '\0' ? "" : "Authorization: Bearer ",
-		 key, key[0] == '\0' ? "" : "\r\n");
+		 ++request_count,
+		 key[0] == '\0' ? "" : "Authorization: Bearer ", key,
+		 key[0] == '\0' ? "" : "\r\n");
 	memset(&answer, 0, sizeof(answer));
 	{
 		int fd = channel_open(ip, ports.front, 1000);
@@ -109,8 +110,9 @@
 		foreign += book(ips[i], FOREIGN_KEY, runner);
 	}
 	if (allowed != 3 || foreign != 0)
-		finish(EXIT_NOT_RUN, "before the change: %d of 3 allowed, %d "
-				     "with a foreign key",
+		finish(EXIT_NOT_RUN,
+		       "before the change: %d of 3 allowed, %d "
+		       "with a foreign key",
 		       allowed, foreign);
 	/* Without trouble the tenant keeps an entry, but no key. */
 	put(8, trouble ? "[]"
--- a/review/stand/lost_founder.c
+++ b/review/stand/lost_founder.c
@@ -79,8 +79,9 @@
 		       "three instances up and undisturbed for 60 s",
 		       ACK_MS + PERSISTS_MS);
 	if (ack_ms > ACK_MS + PER_ROUTE_MS)
-		finish(EXIT_BROKEN, "the first manifest has its ack after %lld "
-				    "ms, later than ackMs",
+		finish(EXIT_BROKEN,
+		       "the first manifest has its ack after %lld "
+		       "ms, later than ackMs",
 		       (long long)ack_ms);
 	finish(EXIT_HELD, "the first manifest has its ack after %lld ms",
 	       (long long)ack_ms);
--- a/review/stand/lost_voter.c
+++ b/review/stand/lost_voter.c
@@ -123,13 +123,15 @@
 		if (!node_is_running(controls[i]))
 			finish(EXIT_NOT_RUN, "%s has ended", controls[i]->name);
 	if (version == 0)
-		finish(EXIT_BROKEN, "%d ms after the machine is back no "
-				    "instance answers a read of the manifest",
+		finish(EXIT_BROKEN,
+		       "%d ms after the machine is back no "
+		       "instance answers a read of the manifest",
 		       2 * RECOVERY_MS);
 	if (version < 9)
 		finish(EXIT_BROKEN, "version %lld is read back",
 		       (long long)version);
-	finish(EXIT_HELD, "version 9 is read back %lld ms after the machine "
-			  "is back",
+	finish(EXIT_HELD,
+	       "version 9 is read back %lld ms after the machine "
+	       "is back",
 	       (long long)(now_ms() - back_ms));
 }
--- a/review/stand/preempted.c
+++ b/review/stand/preempted.c
@@ -190,8 +190,8 @@
 
 		snprintf(id, sizeof(id), "i-%d", i + 1);
 		snprintf(ip, sizeof(ip), "127.0.81.%d", i + 11);
-		runners[i] = runner_new(id, "huvo11a", ip,
-					i == 0 ? "z1" : "z2", 0);
+		runners[i] =
+			runner_new(id, "huvo11a", ip, i == 0 ? "z1" : "z2", 0);
 		runners[i]->kind = "h100";
 		runners[i]->run = i == 0 ? run_stream : reject;
 		runner_begin(runners[i]);
--- a/review/stand/stand.c
+++ b/review/stand/stand.c
@@ -431,15 +431,14 @@
 	}
 	memcpy(answer->headers, buffer, head);
 	answer->headers[head] = '\0';
-	answer->closes = answer_header(answer, "Connection", value,
-				       sizeof(value)) &&
-			 strcasecmp(value, "close") == 0;
+	answer->closes =
+		answer_header(answer, "Connection", value, sizeof(value)) &&
+		strcasecmp(value, "close") == 0;
 	answer->body = calloc(1, 1);
 	if (answer_header(answer, "Content-Length", value, sizeof(value))) {
 		size_t want = strtoul(value, NULL, 10);
 
-		while (len - head < want &&
-		       read_more(fd, &buffer, &len, until))
+		while (len - head < want && read_more(fd, &buffer, &len, until))
 			;
 		answer->is_complete = len - head >= want;
 		answer->body_len = len - head < want ? len - head : want;
@@ -454,8 +453,9 @@
 			char *line_end;
 			size_t size;
 
-			while ((line_end = len > at ? strstr(buffer + at, "\r\n")
-						    : NULL) == NULL)
+			while ((line_end = len > at
+						   ? strstr(buffer + at, "\r\n")
+						   : NULL) == NULL)
 				if (!read_more(fd, &buffer, &len, until))
 					goto out;
 			size = strtoul(buffer + at, NULL, 16);
@@ -655,8 +655,8 @@
 		    sizeof(expected));
 	find_header(buffer, "X-Wisteriadrift-Request-Id", id, sizeof(id));
 	if (find_header(buffer, "Content-Length", value, sizeof(value))) {
-		size_t want = (size_t)(end - buffer) + 4 +
-			      strtoul(value, NULL, 10);
+		size_t want =
+			(size_t)(end - buffer) + 4 + strtoul(value, NULL, 10);
 
 		while (len < want)
 			if (!read_more(channel.fd, &buffer, &len, until))
@@ -856,6 +856,5 @@
 	pthread_join(runner->server, NULL);
 	if (had_beats)
 		pthread_join(runner->beater, NULL);
-	record("runner %s ends, ran %lld", runner->id,
-	       (long long)runner->ran);
+	record("runner %s ends, ran %lld", runner->id, (long long)runner->ran);
 }
--- a/review/stand/stand.h
+++ b/review/stand/stand.h
@@ -18,7 +18,11 @@
 #define NODES_MAX 24
 #define RUNNERS_MAX 16
 
-enum { EXIT_HELD = 0, EXIT_BROKEN = 1, EXIT_NOT_RUN = 2 };
+enum {
+	EXIT_HELD = 0,
+	EXIT_BROKEN = 1,
+	EXIT_NOT_RUN = 2
+};
 
 /* Ports, alike on all machines. */
 typedef struct {
