--- a/review/stand/two_groups.c
+++ b/review/stand/two_groups.c
@@ -10,7 +10,7 @@
 
 #define CONFIG_APPLY_MS 2000
 #define TRAFFIC_FROM_MS 10000
-#define FREEZE_AT_MS 150
+#define FREEZE_AT_MS 200
 #define FREEZE_MS 4000
 /* All machines start within 0.3 s of each other. */
 #define OTHERS_START_MS 250
