fleet: require a key where the list of customers is empty

Cause: route_table_add_customer() set has_customers, so an empty list looked like no list, which asks for no keys. The same question was asked in three places in three ways: a request that waited was checked again only if it had a customer, and "wisteriactl where" promised what was then allowed.

Change: a configuration with a list of customers requires keys; one function, route_table_allows(), answers for requests that arrive, requests that wait and "where". A list of API keys that is no list is refused as invalid instead of read as empty. revision_in_force logs requires_key.

--- a/src/wisteria/fleet/revisions.c
+++ b/src/wisteria/fleet/revisions.c
@@ -98,8 +98,10 @@
 	route_table_unref(*table);
 	*table = read;
 	LOG_INFO("revision_in_force",
-		 "revision=%" G_GUINT64_FORMAT " routes=%u customers=%u",
-		 read->revision, read->routes->len, read->customers->len);
+		 "revision=%" G_GUINT64_FORMAT
+		 " routes=%u customers=%u requires_key=%d",
+		 read->revision, read->routes->len, read->customers->len,
+		 read->requires_key);
 }
 
 /*
--- a/src/wisteria/fleet/routes.c
+++ b/src/wisteria/fleet/routes.c
@@ -113,10 +113,19 @@
 	customer->name = g_strdup(name);
 	customer->priority = -1;
 	g_ptr_array_add(table->customers, customer);
-	table->has_customers = true;
 	return customer;
 }
 
+/*
+ * Makes routes that do not allow anonymous callers require an API key.  To be
+ * called for a configuration with a list of customers, also for an empty one:
+ * nobody has a valid key then.
+ */
+void route_table_require_keys(route_table_t *table)
+{
+	table->requires_key = true;
+}
+
 /*
  * Adds an API key of "customer".  Returns false with "err" set if another
  * customer has the same key.
@@ -372,11 +381,20 @@
 	return NULL;
 }
 
-/* Returns the customer with the API key "key", or NULL. */
+/* Returns the customer with the API key "key", which may be NULL, or NULL. */
 const customer_config_t *route_table_find_customer(const route_table_t *table,
 						   const char *key)
 {
-	return g_hash_table_lookup(table->customers_by_key, key);
+	return key == NULL ? NULL
+			   : g_hash_table_lookup(table->customers_by_key, key);
+}
+
+/* Returns whether "customer", NULL for an unknown caller, may use "route". */
+bool route_table_allows(const route_table_t *table, const route_t *route,
+			const customer_config_t *customer)
+{
+	return customer != NULL || route->allow_anonymous ||
+	       !table->requires_key;
 }
 
 /* Returns the service named "name", or NULL. */
--- a/src/wisteria/fleet/routes.h
+++ b/src/wisteria/fleet/routes.h
@@ -13,6 +13,7 @@
 				   const char *name) ATTR_NONNULL_ALL;
 customer_config_t *route_table_add_customer(route_table_t *table,
 					    const char *name) ATTR_NONNULL_ALL;
+void route_table_require_keys(route_table_t *table) ATTR_NONNULL_ALL;
 bool route_table_add_key(route_table_t *table, const char *key,
 			 customer_config_t *customer,
 			 err_t *err) ATTR_WARN_UNUSED;
@@ -23,9 +24,11 @@
 const route_t *route_table_find_route(const route_table_t *table,
 				      const char *host,
 				      const char *target) ATTR_NONNULL_ALL;
-const customer_config_t *
-route_table_find_customer(const route_table_t *table,
-			  const char *key) ATTR_NONNULL_ALL;
+const customer_config_t *route_table_find_customer(const route_table_t *table,
+						   const char *key)
+	ATTR_NONNULL(1);
+bool route_table_allows(const route_table_t *table, const route_t *route,
+			const customer_config_t *customer) ATTR_NONNULL(1, 2);
 int32_t route_table_rank(const route_table_t *table, const route_t *route,
 			 const customer_config_t *customer) ATTR_NONNULL(1, 2);
 const service_t *route_table_find_service(const route_table_t *table,
--- a/src/wisteria/fleet/routes_defs.h
+++ b/src/wisteria/fleet/routes_defs.h
@@ -105,7 +105,8 @@
 	GPtrArray *services;	      /* of service_t */
 	GPtrArray *customers;	      /* of customer_config_t */
 	GHashTable *customers_by_key; /* API key -> customer_config_t */
-	bool has_customers;	      /* requests need an API key */
+	/* Callers need an API key, unless their route allows anonymous ones. */
+	bool requires_key;
 	/* Distinct priorities of customers and routes, ascending; int32_t. */
 	GArray *customer_priorities;
 	GArray *route_priorities;
--- a/src/wisteria/gateway/exchange_begin.c
+++ b/src/wisteria/gateway/exchange_begin.c
@@ -39,16 +39,12 @@
 				const caller_request_t *caller,
 				const customer_config_t **customer)
 {
-	*customer = caller->api_key == NULL
-			    ? NULL
-			    : route_table_find_customer(gateway->table,
-							caller->api_key);
+	*customer = route_table_find_customer(gateway->table, caller->api_key);
 	if (caller->id == NULL)
 		return (rejection_t){ 400, 0, "no_request_id" };
 	if (caller->has_time_limit && caller->time_limit_ms <= 0)
 		return (rejection_t){ 400, 0, "bad_time_limit" };
-	if (gateway->table->has_customers && !route->allow_anonymous &&
-	    *customer == NULL)
+	if (!route_table_allows(gateway->table, route, *customer))
 		return (rejection_t){ 401, 0, "unknown_api_key" };
 	return (rejection_t){ 0 };
 }
--- a/src/wisteria/gateway/exchange_wait.c
+++ b/src/wisteria/gateway/exchange_wait.c
@@ -61,14 +61,14 @@
 					target->cost_ms);
 }
 
-/* Returns whether the key of a request is still in force where one is needed. */
-static bool is_key_valid(const exchange_t *exchange)
+/* Returns whether the configuration in force still allows the caller. */
+static bool is_caller_allowed(const exchange_t *exchange)
 {
-	const gateway_t *gateway = exchange->gateway;
+	const route_table_t *table = exchange->gateway->table;
 
-	return exchange->customer == NULL || exchange->route->allow_anonymous ||
-	       route_table_find_customer(gateway->table,
-					 exchange->caller.api_key) != NULL;
+	return route_table_allows(
+		table, exchange->route,
+		route_table_find_customer(table, exchange->caller.api_key));
 }
 
 /* A wait_start_t; returns false if no usable endpoint has capacity. */
@@ -79,7 +79,7 @@
 		gateway_shortage(exchange->gateway, exchange->service->name);
 	target_t target;
 
-	if (!is_key_valid(exchange)) {
+	if (!is_caller_allowed(exchange)) {
 		shortage_wait_ended(shortage, false);
 		exchange_give_up(exchange, 401, 0, "unknown_api_key");
 		return true;
--- a/src/wisteria/gateway/where.c
+++ b/src/wisteria/gateway/where.c
@@ -173,7 +173,8 @@
 	}
 }
 
-static void decide(const exchange_t *probe, where_answer_t *answer)
+static void decide(const exchange_t *probe, const customer_config_t *customer,
+		   where_answer_t *answer)
 {
 	const gateway_t *gateway = probe->gateway;
 
@@ -186,8 +187,7 @@
 	}
 	if (!subscription_has_lease(&gateway->subscription))
 		refuse(answer, "no_lease");
-	else if (gateway->table->has_customers &&
-		 !probe->route->allow_anonymous && probe->customer == NULL)
+	else if (!route_table_allows(gateway->table, probe->route, customer))
 		refuse(answer, "unknown_api_key");
 }
 
@@ -241,7 +241,7 @@
 	describe_plan(&probe, now, answer);
 	if (answer->is_promoted)
 		probe.rank = 0;
-	decide(&probe, answer);
+	decide(&probe, customer, answer);
 	g_ptr_array_unref(probe.failed_ids);
 	return WHERE_FOUND;
 }
--- a/test/functional/fleet_faults_test.c
+++ b/test/functional/fleet_faults_test.c
@@ -35,7 +35,7 @@
  * "secret" needs a key.
  */
 static const char configuration_format[] =
-	"{\"version\":%u,\"tenants\":[{\"name\":\"acme\",\"apiKeys\":[%s]}],"
+	"{\"version\":%u,\"tenants\":[%s],"
 	"\"routes\":["
 	"{\"name\":\"quick\",\"host\":\"shop.example\",\"pathPrefix\":"
 	"\"/quick/\",\"kind\":\"stream\",\"timeoutMs\":9000,\"goalMs\":500,"
@@ -64,8 +64,11 @@
 	"\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":1000000,"
 	"\"headerTimeoutMs\":5000,\"idleTimeoutMs\":30000}}";
 
-#define KEYS_BOTH "\"key-old\",\"key-new\""
-#define KEYS_NEW "\"key-new\""
+#define CUSTOMER(keys) "{\"name\":\"acme\",\"apiKeys\":[" keys "]}"
+#define KEYS_BOTH CUSTOMER("\"key-old\",\"key-new\"")
+#define KEYS_NEW CUSTOMER("\"key-new\"")
+#define KEYS_NONE CUSTOMER("")
+#define NO_CUSTOMERS ""
 
 static unsigned version;
 
@@ -114,10 +117,11 @@
 			      "c0", user) == 200;
 }
 
-/* Puts the next version of the configuration, with these API keys. */
-static void configure(const char *keys)
+/* Puts the next version of the configuration, with these customers. */
+static void configure(const char *customers)
 {
-	char *text = g_strdup_printf(configuration_format, ++version, keys);
+	char *text =
+		g_strdup_printf(configuration_format, ++version, customers);
 
 	CU_ASSERT_FATAL(harness_wait_until(accepts_configuration, text,
 					   HARNESS_WAIT_MS));
@@ -771,6 +775,47 @@
 	fake_endpoint_stop(&endpoint);
 }
 
+/*
+ * Failure: the removal of the last key, or of the last customer, lets in
+ * requests with that key, with unknown keys and with none.
+ */
+static void test_removal_of_the_last_key_lets_nobody_in(void)
+{
+	static const char *const customers[] = { KEYS_NONE, NO_CUSTOMERS };
+	static const char *const keys[] = { "key-old", "key-new", "key-odd",
+					    NULL };
+	const char *address = harness_address(&harness);
+	harness_process_t *late_entry;
+	fake_endpoint_t endpoint;
+	unsigned runs;
+
+	start_known(&endpoint, "last-key", "orders", FAKE_ENDPOINT_JSON);
+	CU_ASSERT_EQUAL(secret_status(entry_address, "key-old"), 200);
+	runs = endpoint.runs;
+	for (size_t i = 0; i < ARRAY_SIZE(customers); i++) {
+		configure(customers[i]);
+		wait_in_force();
+		for (size_t j = 0; j < ARRAY_SIZE(keys); j++)
+			CU_ASSERT_EQUAL(secret_status(entry_address, keys[j]),
+					401);
+	}
+	restart_control();
+	late_entry = fleet_rig_start_entry(&rig, "entry-last-key", address);
+	CU_ASSERT(harness_wait_log(late_entry, "event=revision_in_force ",
+				   HARNESS_WAIT_MS));
+	for (size_t j = 0; j < ARRAY_SIZE(keys); j++)
+		CU_ASSERT_EQUAL(secret_status(address, keys[j]), 401);
+	CU_ASSERT_EQUAL(endpoint.runs, runs);
+	/* Routes that allow anonymous callers are served as before. */
+	CU_ASSERT(harness_wait_until(serves_look, (void *)address,
+				     HARNESS_WAIT_MS));
+	harness_signal(late_entry, SIGTERM);
+	CU_ASSERT(harness_wait_exit(late_entry, HARNESS_WAIT_MS));
+	restore_keys();
+	CU_ASSERT_EQUAL(secret_status(entry_address, "key-old"), 200);
+	fake_endpoint_stop(&endpoint);
+}
+
 /* 5. Paused processes. */
 
 /* Longer than the lease of 3 s. */
@@ -1032,6 +1077,8 @@
 	  test_pausing_stream_outlives_a_freeze_of_the_entry },
 	{ "left endpoint stays left", test_left_endpoint_stays_left },
 	{ "withdrawn key stays withdrawn", test_withdrawn_key_stays_withdrawn },
+	{ "removal of the last key lets nobody in",
+	  test_removal_of_the_last_key_lets_nobody_in },
 	{ "paused entry serves nothing old",
 	  test_paused_entry_serves_nothing_old },
 	{ "waiting request of a withdrawn key does not start",
--- a/test/unit/platform_test.c
+++ b/test/unit/platform_test.c
@@ -75,6 +75,35 @@
 	route_table_unref(table);
 }
 
+/* Guards against a list without customers that lets every caller in. */
+static void test_empty_list_of_customers_requires_keys(void)
+{
+	static const struct {
+		const char *tenants;
+		bool requires_key;
+	} cases[] = {
+		{ "", false },
+		{ ",\"tenants\":[]", true },
+		{ ",\"tenants\":[{\"name\":\"t1\"}]", true },
+		{ ",\"tenants\":[{\"name\":\"t1\",\"apiKeys\":[]}]", true },
+		{ "," TENANTS, true },
+	};
+
+	for (size_t i = 0; i < ARRAY_SIZE(cases); i++) {
+		char *text = g_strdup_printf(
+			"{\"version\":7,\"routes\":[]," SERVICES "%s}",
+			cases[i].tenants);
+		err_t err = ERR_INIT;
+		route_table_t *table = read_table(text, &err);
+
+		CU_ASSERT_PTR_NOT_NULL_FATAL(table);
+		CU_ASSERT_EQUAL(table->requires_key, cases[i].requires_key);
+		CU_ASSERT_PTR_NULL(route_table_find_customer(table, "k3"));
+		route_table_unref(table);
+		g_free(text);
+	}
+}
+
 static void test_refused_configurations(void)
 {
 	static const char *const refused[] = {
@@ -111,6 +140,12 @@
 		("{\"version\":7,\"routes\":[]," SERVICES ",\"tenants\":["
 		 "{\"name\":\"a\",\"apiKeys\":[\"k\"]},"
 		 "{\"name\":\"b\",\"apiKeys\":[\"k\"]}]}"),
+		"{\"version\":7,\"routes\":[]," SERVICES ",\"tenants\":null}",
+		"{\"version\":7,\"routes\":[]," SERVICES ",\"tenants\":{}}",
+		"{\"version\":7,\"routes\":[]," SERVICES ",\"tenants\":["
+		"{\"name\":\"a\",\"apiKeys\":\"k\"}]}",
+		"{\"version\":7,\"routes\":[]," SERVICES ",\"tenants\":["
+		"{\"name\":\"a\",\"apiKeys\":null}]}",
 	};
 
 	for (size_t i = 0; i < ARRAY_SIZE(refused); i++) {
@@ -781,6 +816,8 @@
 
 static const unit_test_t tests[] = {
 	{ "configuration", test_configuration },
+	{ "empty list of customers requires keys",
+	  test_empty_list_of_customers_requires_keys },
 	{ "refused configurations", test_refused_configurations },
 	{ "heartbeats", test_heartbeats },
 	{ "numbers out of range", test_numbers_out_of_range },
--- a/test/unit/where_test.c
+++ b/test/unit/where_test.c
@@ -392,7 +392,7 @@
 	where_answer_t answer;
 
 	add_plan(fixture, RATE_PER_S, 0);
-	fixture->gateway.table->has_customers = true;
+	fixture->gateway.table->requires_key = true;
 	check_outcome(fixture, WHERE_START, NULL);
 	answer = ask(fixture, &anonymous);
 	CU_ASSERT_EQUAL(answer.outcome, WHERE_REFUSE);
