agent, cli: accept no response whose head breaks off

What callers saw: a service that closed the connection inside the head of its response; the caller got a 200 with an empty body, framed as complete.

Cause: libcurl reports success if a connection closes behind a header line, with the status read so far and no body. Agents (calls, health checks, orders) and wisteriactl relied on its result. Ruled out: the fleet's entry, which parses heads itself; 16 broken answers on two routes got 502 before and after.

Change: http/head_watch.c tells from the header lines whether a head is complete. curl_loop.c ends requests without one with CURLE_PARTIAL_FILE, for all callers, and wisteriactl counts no outcome of an order from them.

Tests, on and now: functional/agent_test "a call with a broken response is unknown" 5 of 16 cases failed, now 0; functional/cli_test "broken head is no outcome" 3 of 4 failed, now 0; functional/fleet_reports_test "answer that breaks off in its head is none" passes on both. agent_test 1,348 and cli_test 203 assertions pass.

--- a/src/cli/client.c
+++ b/src/cli/client.c
@@ -13,6 +13,7 @@
 
 #include "cli/output.h"
 #include "wisteria/base/clock.h"
+#include "wisteria/http/head_watch.h"
 
 #define CLIENT_CONNECT_TIMEOUT_MS 1000
 #define CLIENT_RETRY_PAUSE_MS 200
@@ -24,6 +25,12 @@
 	return size * count;
 }
 
+static size_t watch_head(char *data, size_t size, size_t count, void *head)
+{
+	head_watch_line(head, data, size * count);
+	return size * count;
+}
+
 static struct curl_slist *make_headers(const cli_options_t *options)
 {
 	struct curl_slist *headers =
@@ -58,13 +65,18 @@
 }
 
 /*
- * Returns whether the body of a 200 is JSON, as all of them are.  Without a
- * length or chunks, one that was cut looks complete to libcurl.
+ * Returns whether the head of a response is complete and the body of a 200 is
+ * JSON, as all of them are.  Without a length or chunks, a body that was cut
+ * looks complete to libcurl.
  */
-static bool is_readable(const char *server, client_response_t *response)
+static bool is_readable(const char *server, const head_watch_t *head,
+			client_response_t *response)
 {
-	if (response->status != 200 || response->body != NULL)
+	if (head->is_complete &&
+	    (response->status != 200 || response->body != NULL))
 		return true;
+	json_decref(response->body);
+	response->body = NULL;
 	response->status = 0;
 	snprintf(response->error_text, sizeof(response->error_text),
 		 "%s: the response is not complete", server);
@@ -79,19 +91,22 @@
 	CURL *curl = curl_easy_init();
 	char *url = g_strdup_printf("http://%s%s", server, path);
 	GString *received = g_string_new(NULL);
+	head_watch_t head = { 0 };
 	bool complete = false;
 	CURLcode code;
 
 	set_options(curl, url, method, body, timeout_ms);
 	curl_easy_setopt(curl, CURLOPT_HTTPHEADER, headers);
 	curl_easy_setopt(curl, CURLOPT_WRITEDATA, received);
+	curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, watch_head);
+	curl_easy_setopt(curl, CURLOPT_HEADERDATA, &head);
 	code = curl_easy_perform(curl);
 	if (code == CURLE_OK) {
 		curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE,
 				  &response->status);
 		response->body =
 			json_loadb(received->str, received->len, 0, NULL);
-		complete = is_readable(server, response);
+		complete = is_readable(server, &head, response);
 	} else {
 		snprintf(response->error_text, sizeof(response->error_text),
 			 "%s: %s", server, curl_easy_strerror(code));
--- a/src/wisteria/agent/agent_call.c
+++ b/src/wisteria/agent/agent_call.c
@@ -227,21 +227,24 @@
 		call->is_event_stream = event_stream_is_named_by(value);
 }
 
-static size_t on_header_line(char *data, size_t size, size_t count, void *user)
+static void on_header_line(curl_done_t *self, const char *data, size_t len,
+			   bool begins_head)
 {
-	agent_call_t *call = user;
-	char *line = g_strndup(data, size * count);
-	char *colon = strchr(line, ':');
-
-	if (colon == NULL) {
-		/* A status line: drop the headers of an interim response. */
-		if (g_str_has_prefix(line, "HTTP/")) {
-			g_ptr_array_set_size(call->header_names, 0);
-			g_ptr_array_set_size(call->header_values, 0);
-			call->has_length = false;
-			call->is_event_stream = false;
-		}
-	} else {
+	agent_call_t *call = CONTAINER_OF(self, agent_call_t, done);
+	char *line;
+	char *colon;
+
+	if (begins_head) {
+		/* Drops the headers of an interim response. */
+		g_ptr_array_set_size(call->header_names, 0);
+		g_ptr_array_set_size(call->header_values, 0);
+		call->has_length = false;
+		call->is_event_stream = false;
+		return;
+	}
+	line = g_strndup(data, len);
+	colon = strchr(line, ':');
+	if (colon != NULL) {
 		*colon = '\0';
 		g_strstrip(colon + 1);
 		read_header(call, line, colon + 1);
@@ -252,7 +255,6 @@
 		}
 	}
 	g_free(line);
-	return size * count;
 }
 
 /* Called by libcurl when it has connected, before it sends the request. */
@@ -387,8 +389,6 @@
 	curl_easy_setopt(call->handle, CURLOPT_PREREQDATA, call);
 	curl_easy_setopt(call->handle, CURLOPT_WRITEFUNCTION, on_response_data);
 	curl_easy_setopt(call->handle, CURLOPT_WRITEDATA, call);
-	curl_easy_setopt(call->handle, CURLOPT_HEADERFUNCTION, on_header_line);
-	curl_easy_setopt(call->handle, CURLOPT_HEADERDATA, call);
 	curl_loop_start(&agent->curl, call->handle, &call->done);
 }
 
@@ -434,6 +434,7 @@
 	}
 	call->ended = false;
 	call->done.done = on_call_done;
+	call->done.header = on_header_line;
 	call->conn = conn;
 	conn_mark_busy(conn);
 	endpoint->in_flight++;
--- a/src/wisteria/agent/curl_loop.c
+++ b/src/wisteria/agent/curl_loop.c
@@ -5,6 +5,8 @@
 
 #include <glib.h>
 
+#include "wisteria/http/head_watch.h"
+
 /* Timeout of connecting to an engine or service. */
 #define CURL_LOOP_CONNECT_TIMEOUT_MS 500L
 
@@ -21,6 +23,7 @@
 	struct curl_transfer_t **prev_next; /* points to this transfer */
 	CURL *handle;
 	curl_done_t *done;
+	head_watch_t head;
 } curl_transfer_t;
 
 static void unlink_transfer(curl_transfer_t *transfer)
@@ -44,6 +47,8 @@
 	curl_transfer_t *transfer = transfer_of(handle);
 	curl_done_t *done = transfer->done;
 
+	if (code == CURLE_OK && !transfer->head.is_complete)
+		code = CURLE_PARTIAL_FILE;
 	curl_multi_remove_handle(client->multi, handle);
 	unlink_transfer(transfer);
 	done->done(done, handle, code);
@@ -227,7 +232,21 @@
 	curl_easy_setopt(handle, CURLOPT_EXPECT_100_TIMEOUT_MS, 1L);
 }
 
-/* Starts a request; "done" must stay valid until it is called. */
+static size_t on_header_line(char *data, size_t size, size_t count, void *user)
+{
+	curl_transfer_t *transfer = user;
+	curl_done_t *done = transfer->done;
+	bool begins_head = head_watch_line(&transfer->head, data, size * count);
+
+	if (done->header != NULL)
+		done->header(done, data, size * count, begins_head);
+	return size * count;
+}
+
+/*
+ * Starts a request; "done" must stay valid until it is called.  A response whose
+ * head breaks off ends with CURLE_PARTIAL_FILE.
+ */
 void curl_loop_start(curl_loop_t *client, CURL *handle, curl_done_t *done)
 {
 	curl_transfer_t *transfer = g_new0(curl_transfer_t, 1);
@@ -240,6 +259,8 @@
 		transfer->next->prev_next = &transfer->next;
 	client->transfers = transfer;
 	curl_easy_setopt(handle, CURLOPT_PRIVATE, transfer);
+	curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, on_header_line);
+	curl_easy_setopt(handle, CURLOPT_HEADERDATA, transfer);
 	curl_multi_add_handle(client->multi, handle);
 }
 
--- a/src/wisteria/agent/curl_loop.h
+++ b/src/wisteria/agent/curl_loop.h
@@ -1,6 +1,8 @@
 #ifndef WISTERIA_AGENT_CURL_LOOP_H
 #define WISTERIA_AGENT_CURL_LOOP_H
 
+#include <stdbool.h>
+
 #include <curl/curl.h>
 #include <uv.h>
 
@@ -24,11 +26,18 @@
 } curl_body_t;
 
 /*
- * Callback for the end of a request, called exactly once; embedded in the
- * owner's struct.  "handle" is valid only during the call.
+ * Callbacks of a request, embedded in the owner's struct.  done() is called
+ * exactly once, at its end; "handle" is valid only during the call.
  */
 typedef struct curl_done_t {
 	void (*done)(struct curl_done_t *self, CURL *handle, CURLcode code);
+	/*
+	 * NULL, or gets each line of the response's head and trailers.
+	 * "begins_head": it is a status line, so earlier ones were those of an
+	 * interim response.
+	 */
+	void (*header)(struct curl_done_t *self, const char *line, size_t len,
+		       bool begins_head);
 } curl_done_t;
 
 void curl_loop_init(curl_loop_t *client, uv_loop_t *loop) ATTR_NONNULL_ALL;
--- a/test/functional/agent_test.c
+++ b/test/functional/agent_test.c
@@ -643,6 +643,61 @@
 	finish();
 }
 
+#define OK_LINE "HTTP/1.1 200 OK\r\n"
+#define CHUNKED_HEAD OK_LINE "Transfer-Encoding: chunked\r\n\r\n"
+
+/* Responses that end with their connection before they are complete. */
+static const char *const broken_responses[] = {
+	"HTTP/1.1 200 OK",
+	OK_LINE,
+	OK_LINE "Content-Type: application/json\r\n",
+	OK_LINE "Content-Type: application/json\r\nContent-Len",
+	OK_LINE "Content-Length: 2\r\n",
+	OK_LINE "Content-Length: 2\r\n\r",
+	OK_LINE "Transfer-Encoding: chunked\r\n",
+	OK_LINE "Transfer-Encoding: chunked\r\n\r",
+	"HTTP/1.1 100 Continue\r\n\r\n",
+	"HTTP/1.1 100 Continue\r\n\r\n" OK_LINE,
+	"HTTP/1.1 103 Early Hints\r\nLink: <a>\r\n\r\n" OK_LINE
+	"Content-Type: text/plain\r\n",
+	OK_LINE "Content-Length: 9\r\n\r\nshort",
+	CHUNKED_HEAD,
+	CHUNKED_HEAD "5\r\nshort\r\n",
+	CHUNKED_HEAD "5\r\nshort\r\n0\r\n",
+	CHUNKED_HEAD "5\r\nshort\r\n0\r\nX-Trailer: a\r\n",
+};
+
+/*
+ * Guards against a response that broke off, in its head or later, as a
+ * complete one: the caller would get a 200 with an empty or a short body.
+ */
+static void test_call_with_a_broken_response_is_unknown(void)
+{
+	fake_endpoint_t fake_endpoint;
+	uint64_t id = 20;
+
+	start_service();
+	fake_endpoint_start(&fake_endpoint, "i-1", "orders", harness.ip,
+			    rig.agents[0].role.listen, FAKE_ENDPOINT_TEXT);
+	rig.agents[0].endpoints[0].url = (char *)harness_string(
+		&harness, "http://%s", fake_endpoint.address);
+	for (size_t i = 0; i < ARRAY_SIZE(broken_responses); i++) {
+		fake_endpoint.answer_text = broken_responses[i];
+		send_call(id++, "", 0);
+		CU_ASSERT_EQUAL(rig.call_reply.outcome, CALL_UNKNOWN);
+		if (rig.call_reply.outcome != CALL_UNKNOWN)
+			printf("\n  case %zu: %u %s", i, rig.call_reply.status,
+			       rig.call_body);
+	}
+	CU_ASSERT_EQUAL(fake_endpoint.runs, ARRAY_SIZE(broken_responses));
+	fake_endpoint.answer_text = OK_LINE "Content-Length: 5\r\n\r\nwhole";
+	send_call(id++, "", 0);
+	CU_ASSERT_EQUAL(rig.call_reply.outcome, CALL_DONE);
+	CU_ASSERT_STRING_EQUAL(rig.call_body, "whole");
+	fake_endpoint_crash(&fake_endpoint);
+	finish();
+}
+
 /* Four responses together exceed the limit: one is unknown. */
 static void test_unfinished_responses_fit_in_memory(void)
 {
@@ -743,6 +798,8 @@
 	  test_call_with_stream_ended_inside_event_is_unknown },
 	{ "a call with heads without end is unknown",
 	  test_call_with_heads_without_end_is_unknown },
+	{ "a call with a broken response is unknown",
+	  test_call_with_a_broken_response_is_unknown },
 	{ "unfinished responses fit in memory",
 	  test_unfinished_responses_fit_in_memory },
 	{ "a call that is not run", test_call_not_run },
--- a/test/functional/cli_test.c
+++ b/test/functional/cli_test.c
@@ -167,6 +167,36 @@
 	fake_endpoint_crash(&server);
 }
 
+/*
+ * Guards against a refusal whose head breaks off as the outcome of an order:
+ * its body would tell whether the order had applied before.
+ */
+static void test_broken_head_is_no_outcome(void)
+{
+	static const char *const heads[] = {
+		"HTTP/1.1 200 OK\r\n",
+		"HTTP/1.1 409 Conflict\r\n",
+		"HTTP/1.1 404 Not Found\r\nContent-Type: application/json\r\n",
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 400 Bad Request\r\n",
+	};
+	fake_endpoint_t server;
+
+	fake_endpoint_start(&server, "i-1", "admin", harness.ip, "127.0.0.1:1",
+			    FAKE_ENDPOINT_TEXT);
+	for (size_t i = 0; i < ARRAY_SIZE(heads); i++) {
+		server.answer_text = heads[i];
+		CU_ASSERT_EQUAL(
+			run_ctl(harness_string(&harness,
+					       "-s %s --timeout-ms 500 "
+					       "endpoint leave e1 --order-id "
+					       "head",
+					       server.address)),
+			4);
+	}
+	CU_ASSERT(server.runs >= ARRAY_SIZE(heads));
+	fake_endpoint_crash(&server);
+}
+
 /* The server reports an unknown outcome twice; the order applies once. */
 static void test_lost_answers(void)
 {
@@ -333,6 +363,7 @@
 	{ "lost answers", test_lost_answers },
 	{ "incomplete response is not taken for success",
 	  test_incomplete_response_is_not_taken_for_success },
+	{ "broken head is no outcome", test_broken_head_is_no_outcome },
 	{ "unknown outcome", test_unknown_outcome },
 	{ "servers are tried in turn", test_servers_are_tried_in_turn },
 	{ "usage errors change nothing", test_usage_errors_change_nothing },
--- a/test/functional/fleet_reports_test.c
+++ b/test/functional/fleet_reports_test.c
@@ -516,6 +516,67 @@
 		fake_endpoint_stop(&endpoints[i]);
 }
 
+/* 4. Answers that break off in their head. */
+
+#define OK_LINE "HTTP/1.1 200 OK\r\n"
+#define INTERIM "HTTP/1.1 100 Continue\r\n\r\n"
+
+/* Answers that end with their connection before they are complete. */
+static const char *const broken_heads[] = {
+	"HTTP/1.1 200 OK",
+	OK_LINE,
+	OK_LINE OWN_ID STAMP,
+	OK_LINE OWN_ID STAMP "Content-Length: 2",
+	OK_LINE OWN_ID STAMP "Content-Length: 2\r\n",
+	OK_LINE OWN_ID STAMP "Content-Length: 2\r\n\r",
+	OK_LINE OWN_ID STAMP EVENTS "Transfer-Encoding: chu",
+	OK_LINE OWN_ID STAMP EVENTS "Transfer-Encoding: chunked\r\n",
+	OK_LINE OWN_ID STAMP EVENTS CHUNKED,
+	OK_LINE OWN_ID STAMP EVENTS CHUNKED "0\r\n",
+	OK_LINE OWN_ID STAMP EVENTS CHUNKED "0\r\nX-Trailer: a\r\n",
+	OK_LINE OWN_ID STAMP LENGTH(9) "short",
+	INTERIM,
+	INTERIM OK_LINE OWN_ID STAMP,
+	"HTTP/1.1 503 No\r\n" OWN_ID NOT_RUN,
+	"HTTP/1.1 503 No\r\n" OWN_ID NOT_RUN "Content-Length: 0\r\n",
+};
+
+/*
+ * Guards against an answer whose head breaks off as a complete one, with an
+ * empty or a short body, and against a refusal of which the end is not known.
+ */
+static void test_answer_that_breaks_off_in_its_head_is_none(void)
+{
+	static const char *const services[] = { "orders", "writer" };
+	static const char *const paths[] = { "/book/1", "/chat/1" };
+	fake_endpoint_t endpoints[ARRAY_SIZE(services)];
+	fake_endpoint_journal_t journal;
+
+	fake_endpoint_journal_init(&journal);
+	for (size_t i = 0; i < ARRAY_SIZE(services); i++) {
+		listen_as(&endpoints[i],
+			  harness_string(&harness, "header-%zu", i),
+			  services[i], FAKE_ENDPOINT_TEXT);
+		endpoints[i].journal = &journal;
+		endpoints[i].answer_text = broken_heads[0];
+		start_known(&endpoints[i]);
+	}
+	for (size_t i = 0; i < ARRAY_SIZE(broken_heads); i++)
+		for (size_t j = 0; j < ARRAY_SIZE(services); j++) {
+			const char *id = next_id();
+
+			endpoints[j].answer_text = broken_heads[i];
+			CU_ASSERT_EQUAL(request_status(entry_address, paths[j],
+						       id, "hi"),
+					502);
+			CU_ASSERT_EQUAL(
+				fake_endpoint_journal_runs(&journal, id), 1);
+		}
+	for (size_t i = 0; i < ARRAY_SIZE(services); i++)
+		fake_endpoint_stop(&endpoints[i]);
+	fake_endpoint_journal_finish(&journal);
+}
+
 static const unit_test_t tests[] = {
 	{ "the fleet starts", test_fleet_starts },
 	{ "odd entries name no endpoint", test_odd_entries_name_no_endpoint },
@@ -523,6 +584,8 @@
 	  test_refusal_of_another_request_is_not_believed },
 	{ "error does not continue a stream",
 	  test_error_does_not_continue_a_stream },
+	{ "answer that breaks off in its head is none",
+	  test_answer_that_breaks_off_in_its_head_is_none },
 };
 
 int main(void)
