gateway: pass on nothing in a planned stop that it would cut

What callers saw: a booking that was complete shortly before the end of a planned stop was sent to a service that takes longer than the time left, and got 502 at the end: it may have run, and may not be repeated.

Cause: whether an answer fits into the rest of the stop was asked only for streams, by the tokens of a model's answer. Services without an engine have none, so their calls were passed on until the end; retries did not ask at all. Evidence: request_sent, then request_given_up status=502 reason=stopping after_ms=859, for 4 of 4 late requests.

Change: an entry records the longest recent answer of each service without an engine, and refuses in a stop, as not run, a call that may take twice as long unless its deadline ends it before. Without a recent answer the goal of the route stands for it, so that an entry that has just started serves on. Ruled out: refusing everything after the balancer has left, which would turn away calls that take 60 ms of the 5 s that remain. Retries pass the same check.

--- a/src/wisteria/gateway/answer.c
+++ b/src/wisteria/gateway/answer.c
@@ -13,6 +13,7 @@
 #include "wisteria/base/counters.h"
 #include "wisteria/base/histogram.h"
 #include "wisteria/base/log.h"
+#include "wisteria/gateway/answer_times.h"
 #include "wisteria/gateway/endpoint_limits.h"
 #include "wisteria/gateway/exchange.h"
 #include "wisteria/gateway/gateway.h"
@@ -75,12 +76,24 @@
 		 exchange->target.ids[0], exchange->request_limit);
 }
 
+/* Records how long a service without an engine took for its answer. */
+static void record_answer_time(exchange_t *exchange)
+{
+	clock_ms_t now = now_of(exchange);
+
+	if (!exchange->service->has_engine)
+		answer_times_add(gateway_answer_times(exchange->gateway,
+						      exchange->service->name),
+				 now - exchange->sent_ms, now);
+}
+
 /* Forwards a complete answer unchanged. */
 void answer_forward(exchange_t *exchange, const http_message_t *answer)
 {
 	GString *headers = g_string_sized_new(256);
 
 	log_answered(exchange, answer->status);
+	record_answer_time(exchange);
 	if (answer->status / 100 == 2)
 		prompt_parts_passed(exchange->gateway, &exchange->caller);
 	exchange->gateway->dialect->write_answer_headers(answer, headers);
@@ -240,6 +253,7 @@
 		http_conn_send(exchange->conn, answer->body->data,
 			       answer->body->len);
 	log_answered(exchange, answer->status);
+	record_answer_time(exchange);
 	http_conn_end(exchange->conn);
 	exchange->conn = NULL;
 	exchange_discard(exchange);
--- a/src/wisteria/gateway/exchange.c
+++ b/src/wisteria/gateway/exchange.c
@@ -286,6 +286,11 @@
 			exchange_retry_after_ms(exchange, found, &target);
 		return log_retry_not_made(exchange, "no_other_endpoint");
 	}
+	if (!exchange->headers_sent &&
+	    exchange_might_outlast_stop(exchange, &target)) {
+		*come_back_ms = RETRY_AFTER_STOPPING_MS;
+		return log_retry_not_made(exchange, "stopping");
+	}
 	if (uses_budget && !retries_take(exchange)) {
 		retries_log_denied(exchange);
 		return false;
--- a/src/wisteria/gateway/exchange_wait.c
+++ b/src/wisteria/gateway/exchange_wait.c
@@ -10,6 +10,7 @@
 #include "wisteria/base/log.h"
 #include "wisteria/fleet/routes.h"
 #include "wisteria/fleet/subscription.h"
+#include "wisteria/gateway/answer_times.h"
 #include "wisteria/gateway/exchange_internal.h"
 #include "wisteria/gateway/flow_plan.h"
 #include "wisteria/gateway/gateway.h"
@@ -45,20 +46,42 @@
 	wait_queue_remove(&exchange->gateway->waiting, &exchange->wait);
 }
 
-/* Returns whether the answer might be truncated by the planned stop. */
+/*
+ * Returns how long an answer of a service without an engine may take: as long as
+ * the longest recent one, or while there is none, as long as the route wants or
+ * allows.
+ */
+static clock_ms_t longest_call_ms(const exchange_t *exchange)
+{
+	const answer_times_t *times = gateway_answer_times(
+		exchange->gateway, exchange->service->name);
+	clock_ms_t longest_ms =
+		answer_times_longest(times, exchange_now(exchange));
+
+	if (longest_ms > 0)
+		return longest_ms;
+	return exchange->route->goal_ms > 0 ? exchange->route->goal_ms
+					    : exchange->route->timeout_ms;
+}
+
+/* Returns whether the answer might be cut by the planned stop. */
 bool exchange_might_outlast_stop(const exchange_t *exchange,
 				 const target_t *target)
 {
 	const gateway_t *gateway = exchange->gateway;
 	const caller_request_t *caller = &exchange->caller;
+	clock_ms_t now = exchange_now(exchange);
 
-	return gateway->drain_since_ms != 0 &&
-	       exchange->route->kind == ROUTE_STREAM &&
-	       stop_margin_is_too_short(gateway->stop_ms -
-						exchange_now(exchange),
-					MAX(caller->answer_tokens_max,
-					    caller->answer_tokens_hint),
-					target->cost_ms);
+	if (gateway->drain_since_ms == 0)
+		return false;
+	if (exchange->service->has_engine)
+		return stop_margin_is_too_short(gateway->stop_ms - now,
+						MAX(caller->answer_tokens_max,
+						    caller->answer_tokens_hint),
+						target->cost_ms);
+	return stop_margin_is_too_short_for_call(gateway->stop_ms - now,
+						 exchange->deadline_ms - now,
+						 longest_call_ms(exchange));
 }
 
 /* Returns whether the configuration in force still allows the caller. */
--- a/src/wisteria/gateway/gateway.c
+++ b/src/wisteria/gateway/gateway.c
@@ -279,6 +279,20 @@
 	return shortage;
 }
 
+/* Returns how long the answers of "service" take. */
+answer_times_t *gateway_answer_times(gateway_t *gateway, const char *service)
+{
+	answer_times_t *times =
+		g_hash_table_lookup(gateway->answer_times, service);
+
+	if (times == NULL) {
+		times = g_new0(answer_times_t, 1);
+		g_hash_table_insert(gateway->answer_times, g_strdup(service),
+				    times);
+	}
+	return times;
+}
+
 /* Returns whether endpoint "id" has failed recently. */
 bool gateway_is_suspect(const gateway_t *gateway, const char *id)
 {
@@ -645,6 +659,8 @@
 	retries_init(gateway);
 	gateway->shortages =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	gateway->answer_times =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	gateway->slowdowns =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	gateway->suspects =
@@ -669,8 +685,7 @@
 
 /*
  * Prepares for a stop in "remaining_ms": reports not ready, lets open requests
- * complete, and refuses streams that might not complete in time when they
- * start.
+ * complete, and refuses requests whose answers might not be complete in time.
  */
 void gateway_drain(gateway_t *gateway, clock_ms_t remaining_ms)
 {
@@ -737,6 +752,7 @@
 	g_array_unref(gateway->held_requests);
 	retries_finish(gateway);
 	g_hash_table_destroy(gateway->shortages);
+	g_hash_table_destroy(gateway->answer_times);
 	g_hash_table_destroy(gateway->suspects);
 	g_hash_table_destroy(gateway->slowdowns);
 	g_rand_free(gateway->random);
--- a/src/wisteria/gateway/gateway.h
+++ b/src/wisteria/gateway/gateway.h
@@ -20,6 +20,8 @@
 			const char *id) ATTR_NONNULL_ALL;
 double gateway_slowdown(const gateway_t *gateway,
 			const char *id) ATTR_NONNULL_ALL;
+answer_times_t *gateway_answer_times(gateway_t *gateway,
+				     const char *service) ATTR_NONNULL_ALL;
 shortage_t *gateway_shortage(gateway_t *gateway,
 			     const char *service) ATTR_NONNULL_ALL;
 void gateway_obey_endpoint(gateway_t *gateway, const char *id,
--- a/src/wisteria/gateway/gateway_defs.h
+++ b/src/wisteria/gateway/gateway_defs.h
@@ -9,6 +9,7 @@
 #include "wisteria/fleet/registry_defs.h"
 #include "wisteria/fleet/request_limits.h"
 #include "wisteria/fleet/subscription_defs.h"
+#include "wisteria/gateway/answer_times.h"
 #include "wisteria/gateway/demand.h"
 #include "wisteria/gateway/endpoint_notices.h"
 #include "wisteria/gateway/flow_plan.h"
@@ -232,7 +233,8 @@
 	bool has_slack_share;	   /* at the last renewal */
 	GHashTable *retry_windows; /* service -> retry_window_t */
 	GHashTable *shortages;	   /* service -> shortage_t */
-	GHashTable *suspects;	   /* endpoint id -> clock_ms_t, expiry */
+	GHashTable *answer_times; /* service without engine -> answer_times_t */
+	GHashTable *suspects;	  /* endpoint id -> clock_ms_t, expiry */
 	endpoint_notices_t notices;
 	GHashTable *slowdowns;	 /* id of a slow engine -> double * */
 	clock_ms_t slowdowns_ms; /* when they were received */
--- a/src/wisteria/gateway/stop_margin.c
+++ b/src/wisteria/gateway/stop_margin.c
@@ -1,8 +1,9 @@
 /*
- * Decides which streams an entry still accepts while it is stopping.  The load
- * balancer sends new requests for some seconds after a stop has begun; a long
- * answer would be truncated when the entry exits, while another entry can serve
- * it completely.  No clock, no I/O.
+ * Decides which requests an entry still passes on while it is stopping.  The
+ * load balancer sends new requests for some seconds after a stop has begun, and
+ * on open connections they come until its end.  An answer that is not complete
+ * when the entry exits is cut, and whether the request has run is then unknown;
+ * another entry can serve it completely.  No clock, no I/O.
  */
 #include "wisteria/gateway/stop_margin.h"
 
@@ -11,6 +12,8 @@
  * 99th percentile is 0.9 in the scenario everything-restarts.
  */
 #define STOP_MARGIN_PASSES 1.0
+/* An answer may take this many times as long as the longest recent one. */
+#define STOP_MARGIN_LONGEST 2
 
 /*
  * Returns whether an answer of up to "answer_tokens_max" tokens that starts now
@@ -24,3 +27,17 @@
 	return answer_tokens_max * pass_ms * STOP_MARGIN_PASSES >
 	       (double)remaining_ms;
 }
+
+/*
+ * Returns whether the answer to a call of a service without an engine, sent now,
+ * might not be complete in "remaining_ms".  "longest_ms" is the time of the
+ * service's longest recent answer; "left_ms" is left until the request's
+ * deadline, which ends it in any case.
+ */
+bool stop_margin_is_too_short_for_call(clock_ms_t remaining_ms,
+				       clock_ms_t left_ms,
+				       clock_ms_t longest_ms)
+{
+	return left_ms > remaining_ms &&
+	       longest_ms * STOP_MARGIN_LONGEST > remaining_ms;
+}
--- a/src/wisteria/gateway/stop_margin.h
+++ b/src/wisteria/gateway/stop_margin.h
@@ -8,5 +8,8 @@
 
 bool stop_margin_is_too_short(clock_ms_t remaining_ms,
 			      uint32_t answer_tokens_max, double pass_ms);
+bool stop_margin_is_too_short_for_call(clock_ms_t remaining_ms,
+				       clock_ms_t left_ms,
+				       clock_ms_t longest_ms);
 
 #endif
--- a/test/functional/fleet_faults_test.c
+++ b/test/functional/fleet_faults_test.c
@@ -468,6 +468,93 @@
 	fake_endpoint_stop(&endpoint);
 }
 
+/* Longer than what is left of the stop when the late requests arrive. */
+#define LATE_ANSWER_MS 1500
+
+/* Connects and writes a request but for the last byte of its body, or -1. */
+static int begin_request(const char *address, const char *path,
+			 const char *request_id)
+{
+	int fd = open_connection(address);
+	char *text =
+		g_strdup_printf("POST %s HTTP/1.1\r\nHost: shop.example\r\n"
+				"X-Wisteriadrift-Request-Id: %s\r\n"
+				"Content-Length: 2\r\n\r\nh",
+				path, request_id);
+	bool ok = fd >= 0 && send(fd, text, strlen(text), MSG_NOSIGNAL) ==
+				     (ssize_t)strlen(text);
+
+	g_free(text);
+	return ok ? fd : -1;
+}
+
+/*
+ * Failure: a request that is complete only late in a planned stop is passed on
+ * though its answer can't be ready in time, and is cut at the end of the stop;
+ * whether it has run is then unknown to its caller.
+ */
+static void test_stop_passes_on_nothing_that_it_would_cut(void)
+{
+	static const struct {
+		const char *path;
+		int64_t at_ms; /* since SIGTERM; the stop takes 7,750 */
+		bool is_served;
+	} requests[] = {
+		{ "/book/1", 1000, true },  { "/look/1", 4000, true },
+		{ "/book/1", 6900, false }, { "/book/1", 7100, false },
+		{ "/look/1", 7300, false }, { "/book/1", 7500, false },
+	};
+	static char answer[ANSWER_BYTES];
+	const char *address = harness_address(&harness);
+	harness_process_t *stopped =
+		fleet_rig_start_entry(&rig, "entry-late-stop", address);
+	fake_endpoint_journal_t journal;
+	fake_endpoint_t endpoint;
+	int fds[ARRAY_SIZE(requests)];
+	gint64 since_us;
+
+	fake_endpoint_journal_init(&journal);
+	start_known(&endpoint, "stop-late", "orders", FAKE_ENDPOINT_JSON);
+	endpoint.answer_ms = LATE_ANSWER_MS;
+	endpoint.journal = &journal;
+	CU_ASSERT(harness_wait_log(stopped, "endpoint=stop-late ",
+				   HARNESS_WAIT_MS));
+	CU_ASSERT(harness_wait_log(stopped, "event=lease_gained",
+				   HARNESS_WAIT_MS));
+	CU_ASSERT_EQUAL(request_status(address, "/book/1", "stop-first", "hi"),
+			200);
+	for (size_t i = 0; i < ARRAY_SIZE(requests); i++) {
+		fds[i] = begin_request(
+			address, requests[i].path,
+			harness_string(&harness, "stop-late-%zu", i));
+		CU_ASSERT_FATAL(fds[i] >= 0);
+	}
+	harness_signal(stopped, SIGTERM);
+	since_us = g_get_monotonic_time();
+	for (size_t i = 0; i < ARRAY_SIZE(requests); i++) {
+		gint64 wait_us = since_us +
+				 requests[i].at_ms * G_TIME_SPAN_MILLISECOND -
+				 g_get_monotonic_time();
+
+		if (wait_us > 0)
+			g_usleep((gulong)wait_us);
+		CU_ASSERT_EQUAL(send(fds[i], "i", 1, MSG_NOSIGNAL), 1);
+	}
+	for (size_t i = 0; i < ARRAY_SIZE(requests); i++) {
+		const char *id = harness_string(&harness, "stop-late-%zu", i);
+
+		CU_ASSERT_EQUAL(read_answer(fds[i], answer),
+				requests[i].is_served ? 200 : 503);
+		CU_ASSERT_EQUAL(fake_endpoint_journal_runs(&journal, id),
+				requests[i].is_served);
+		close(fds[i]);
+	}
+	CU_ASSERT(harness_wait_exit(stopped, HARNESS_WAIT_MS));
+	CU_ASSERT_EQUAL(stopped->exit_status, 0);
+	fake_endpoint_stop(&endpoint);
+	fake_endpoint_journal_finish(&journal);
+}
+
 /* 3. Slow and stalled streams. */
 
 /* Expects each event once and in order. */
@@ -1067,6 +1154,8 @@
 	  test_answer_to_a_caller_who_has_gone_reaches_nobody },
 	{ "stop under load answers all", test_stop_under_load_answers_all },
 	{ "stop refuses what still waits", test_stop_refuses_what_still_waits },
+	{ "stop passes on nothing that it would cut",
+	  test_stop_passes_on_nothing_that_it_would_cut },
 	{ "stalled stream goes on elsewhere",
 	  test_stalled_stream_goes_on_elsewhere },
 	{ "stalled stream ends", test_stalled_stream_ends },
--- a/test/functional/harness/fake_endpoint.c
+++ b/test/functional/harness/fake_endpoint.c
@@ -837,6 +837,8 @@
 		mode = fake_endpoint->crashes++ % 2 == 0
 			       ? FAKE_ENDPOINT_UNFRAMED_EMPTY
 			       : FAKE_ENDPOINT_CHUNKED_EMPTY;
+	if (mode == FAKE_ENDPOINT_JSON)
+		g_usleep(fake_endpoint->answer_ms * G_TIME_SPAN_MILLISECOND);
 	if (endless_unit(mode) != NULL)
 		send_without_end(fake_endpoint, fd, request, mode);
 	else if (rare_unit(mode) != NULL || mode == FAKE_ENDPOINT_SILENT)
--- a/test/functional/harness/fake_endpoint.h
+++ b/test/functional/harness/fake_endpoint.h
@@ -119,6 +119,8 @@
 	 */
 	_Atomic(const char *) answer_text;
 	atomic_bool breaks_first;
+	/* The time that FAKE_ENDPOINT_JSON takes to answer */
+	atomic_uint answer_ms;
 	/* The wait before event 0 in FAKE_ENDPOINT_SLOW; 0: as before others */
 	atomic_uint slow_first_ms;
 	atomic_uint runs;
--- a/test/unit/stop_margin_test.c
+++ b/test/unit/stop_margin_test.c
@@ -3,6 +3,7 @@
 
 #include <glib.h>
 
+#include "wisteria/gateway/answer_times.h"
 #include "wisteria/gateway/stop_margin.h"
 
 #define STOP_MS 7750
@@ -53,7 +54,78 @@
 	CU_ASSERT(accepted > 0);
 }
 
+static void test_calls_that_end_in_time_are_accepted(void)
+{
+	CU_ASSERT_FALSE(stop_margin_is_too_short_for_call(STOP_MS, 9000, 1500));
+	CU_ASSERT_TRUE(stop_margin_is_too_short_for_call(2900, 9000, 1500));
+	/* Its deadline ends it before the stop does. */
+	CU_ASSERT_FALSE(stop_margin_is_too_short_for_call(2900, 2900, 1500));
+	CU_ASSERT_TRUE(stop_margin_is_too_short_for_call(0, 1, 1));
+}
+
+/*
+ * Calls arrive until the end of a stop, on connections that stay open.  One
+ * answer in a hundred takes five times as long as most.  Without the decision
+ * some are cut; with it none is, and most of the stop's time is used.
+ */
+static void test_calls_during_a_stop(void)
+{
+	GRand *random = g_rand_new_with_seed(20261205);
+	answer_times_t times = { 0 };
+	unsigned cut = 0, cut_without = 0, refused = 0, arrived = 0;
+
+	for (clock_ms_t now = 1; now < 60000 + STOP_MS; now += 20) {
+		clock_ms_t remaining_ms = 60000 + STOP_MS - now;
+		clock_ms_t answer_ms = g_rand_int_range(random, 30, 90) *
+				       (g_rand_int(random) % 100 == 0 ? 5 : 1);
+		bool in_time = answer_ms <= remaining_ms;
+
+		if (remaining_ms > STOP_MS) {
+			answer_times_add(&times, answer_ms, now);
+			continue;
+		}
+		arrived++;
+		cut_without += !in_time;
+		if (stop_margin_is_too_short_for_call(
+			    remaining_ms, 1500,
+			    answer_times_longest(&times, now)))
+			refused++;
+		else
+			cut += !in_time;
+	}
+	g_rand_free(random);
+	CU_ASSERT(cut_without > 0);
+	CU_ASSERT_EQUAL(cut, 0);
+	CU_ASSERT(refused > 0);
+	CU_ASSERT(refused < arrived / 5);
+}
+
+/* Guards against a longest answer that is forgotten at once, or never. */
+static void test_longest_answer_is_kept_for_a_window(void)
+{
+	answer_times_t times = { 0 };
+
+	CU_ASSERT_EQUAL(answer_times_longest(&times, 5), 0);
+	answer_times_add(&times, 700, 1000);
+	answer_times_add(&times, 50, 2000);
+	CU_ASSERT_EQUAL(answer_times_longest(&times, 2000), 700);
+	answer_times_add(&times, 60, 1000 + ANSWER_TIMES_WINDOW_MS);
+	CU_ASSERT_EQUAL(answer_times_longest(&times, 40000), 700);
+	answer_times_add(&times, 40, 1000 + 2 * ANSWER_TIMES_WINDOW_MS);
+	CU_ASSERT_EQUAL(answer_times_longest(&times, 62000), 60);
+	CU_ASSERT_EQUAL(
+		answer_times_longest(&times, 1000 + 4 * ANSWER_TIMES_WINDOW_MS),
+		0);
+	answer_times_add(&times, 0, 400000);
+	CU_ASSERT_EQUAL(answer_times_longest(&times, 400000), 1);
+}
+
 static const unit_test_t tests[] = {
+	{ "calls that end in time are accepted",
+	  test_calls_that_end_in_time_are_accepted },
+	{ "calls during a stop", test_calls_during_a_stop },
+	{ "longest answer is kept for a window",
+	  test_longest_answer_is_kept_for_a_window },
 	{ "short answers are accepted", test_short_answers_are_accepted },
 	{ "stop under load", test_stop_under_load },
 };
