fleet: repeat a failed write of the copy of the endpoints

What callers could see: an endpoint that left while the disk of a control instance was full is used again after a power loss of all, as that instance recalls it from its old copy.

Cause: the version was recorded as written when the write began, so after a failure the next write waited for the next change.

Change: a copy whose last write failed is not up to date. Repeated at REGISTRY_FILE_WRITE_DELAY_MS or more.

Test: unit/registry_file_test "failed write is repeated": 3 of its assertions failed before, all 129 of the program pass now.

--- a/src/wisteria/fleet/registry_file.c
+++ b/src/wisteria/fleet/registry_file.c
@@ -160,19 +160,25 @@
 	file->changed_ms = 0;
 }
 
+/* Returns whether the copy on disk has the present state. */
+static bool is_up_to_date(const registry_file_t *file,
+			  const registry_t *registry, clock_ms_t now)
+{
+	return !file->failing && registry->version == file->written_version &&
+	       count_silent(registry) == file->written_silent_count &&
+	       part_guard_refused_count(file->parts, now) ==
+		       file->written_part_count;
+}
+
 /*
  * Starts a write of the copy REGISTRY_FILE_WRITE_DELAY_MS after the registry,
- * the number of silent endpoints or that of refused parts has changed.  Must be
- * called periodically.
+ * the number of silent endpoints or that of refused parts has changed, or after
+ * a write has failed.  Must be called periodically.
  */
 void registry_file_write_if_changed(registry_file_t *file,
 				    const registry_t *registry, clock_ms_t now)
 {
-	if (file->writing ||
-	    (registry->version == file->written_version &&
-	     count_silent(registry) == file->written_silent_count &&
-	     part_guard_refused_count(file->parts, now) ==
-		     file->written_part_count))
+	if (file->writing || is_up_to_date(file, registry, now))
 		return;
 	if (file->changed_ms == 0)
 		file->changed_ms = now;
--- a/src/wisteria/fleet/registry_file.h
+++ b/src/wisteria/fleet/registry_file.h
@@ -22,7 +22,7 @@
 	clock_ms_t changed_ms;	       /* 0: the file is up to date */
 	uint32_t entries; /* of the fleet: loaded, or to be written */
 	bool writing;
-	bool failing;
+	bool failing; /* the last write failed */
 } registry_file_t;
 
 void registry_file_init(registry_file_t *file, uv_loop_t *loop,
--- a/test/unit/registry_file_test.c
+++ b/test/unit/registry_file_test.c
@@ -177,6 +177,41 @@
 	registry_finish(&registry);
 }
 
+/*
+ * Guards against a copy that stays old after a full disk: an endpoint that left
+ * meanwhile would be in use again after a power loss.
+ */
+static void test_failed_write_is_repeated(void)
+{
+	char *late_folder = g_build_filename(folder, "late", NULL);
+	char *path = g_build_filename(late_folder, "endpoints", NULL);
+	registry_t registry = registry_with_endpoint();
+	registry_file_t file;
+
+	registry_file_init(&file, uv_default_loop(), late_folder, &parts);
+	registry_file_write_now(&file, &registry, 1000);
+	uv_run(uv_default_loop(), UV_RUN_DEFAULT);
+	CU_ASSERT_TRUE(file.failing);
+	CU_ASSERT_EQUAL_FATAL(g_mkdir(late_folder, 0700), 0);
+	registry_file_write_if_changed(&file, &registry, 1100);
+	CU_ASSERT_FALSE(file.writing);
+	registry_file_write_if_changed(&file, &registry,
+				       1100 + REGISTRY_FILE_WRITE_DELAY_MS);
+	CU_ASSERT_TRUE(file.writing);
+	uv_run(uv_default_loop(), UV_RUN_DEFAULT);
+	CU_ASSERT_FALSE(file.failing);
+	CU_ASSERT_TRUE(g_file_test(path, G_FILE_TEST_EXISTS));
+	registry_file_write_if_changed(&file, &registry, 9000);
+	registry_file_write_if_changed(&file, &registry, 10000);
+	CU_ASSERT_FALSE(file.writing);
+	g_unlink(path);
+	g_rmdir(late_folder);
+	registry_file_finish(&file);
+	registry_finish(&registry);
+	g_free(path);
+	g_free(late_folder);
+}
+
 /*
  * An endpoint that becomes silent does not change the registry's version, but
  * must cause a write: loading an older copy would make the endpoint usable
@@ -254,6 +289,7 @@
 	{ "a folder that cannot be written",
 	  test_folder_that_cannot_be_written },
 	{ "writes a changed registry", test_writes_changed_registry },
+	{ "failed write is repeated", test_failed_write_is_repeated },
 	{ "silent endpoints are not loaded",
 	  test_silent_endpoints_are_not_loaded },
 };
