fleet: keep the votes on the first members on disk

Cause: a seed kept its promises in memory, so a restarted one abstained, and there was no majority of votes.

Change: a seed with a disk saves its votes and the seeds that vote before it answers, and goes on with them when it is started again, as long as its log is empty. A seed that is no candidate by its settings but has votes is one. Rounds begin above the promise, so that no ballot is used twice. Ruled out: writing on another thread (the file is written a few times in the first seconds only); removing the file later (nobody reads it once there is a log). The replacement of small files moves from registry_file.c to storage/file_replace.c.

--- a/src/wisteria/control/founding.c
+++ b/src/wisteria/control/founding.c
@@ -7,8 +7,9 @@
  * Lamport, "Paxos made simple" (2001).  So there is one list at most, whatever
  * is frozen, late or lost.
  *
- * What a seed has promised is kept in memory only: a process that is started
- * again must not vote.  Does no I/O and reads no clock.
+ * A seed with a disk saves its votes before it answers, and is bound by them when
+ * it is started again.  One without a disk must not vote then.  Does no I/O of
+ * its own and reads no clock.
  */
 #include "wisteria/control/founding.h"
 
@@ -74,6 +75,16 @@
 	reply->ballot = founding->promised;
 }
 
+/*
+ * Returns whether the votes of this seed outlast the process, if they have to.
+ * Without that it does not answer: it might vote otherwise after a restart.
+ */
+static bool save_votes(founding_t *founding)
+{
+	return founding->store == NULL ||
+	       founding->store->save(founding->store, founding);
+}
+
 static void on_prepare(founding_t *founding, const founding_msg_t *request,
 		       clock_ms_t now, founding_msg_t *reply)
 {
@@ -82,6 +93,8 @@
 		return;
 	}
 	founding->promised = request->ballot;
+	if (!save_votes(founding))
+		return;
 	reply->kind = FOUNDING_MSG_PROMISE;
 	reply->ballot = request->ballot;
 	reply->accepted = founding->accepted;
@@ -102,6 +115,8 @@
 	founding->promised = request->ballot;
 	founding->accepted = request->ballot;
 	founding->accepted_members = request->members;
+	if (!save_votes(founding))
+		return;
 	reply->kind = FOUNDING_MSG_ACCEPTED;
 	reply->ballot = request->ballot;
 }
@@ -472,6 +487,29 @@
 	founding->seed_count++;
 }
 
+/* Removes all seeds. */
+void founding_clear_seeds(founding_t *founding)
+{
+	founding->seed_count = 0;
+	founding->own_seed = -1;
+}
+
+/*
+ * Takes up the votes of an earlier process of this seed; "members" is the list
+ * accepted in "accepted".  From now on it votes, bound by them, and proposes in
+ * later rounds only.
+ */
+void founding_restore(founding_t *founding, const founding_ballot_t *promised,
+		      const founding_ballot_t *accepted,
+		      const raft_members_t *members)
+{
+	founding->promised = *promised;
+	founding->accepted = *accepted;
+	founding->accepted_members = *members;
+	founding->round_seen = promised->round;
+	founding->votes = true;
+}
+
 /*
  * Makes this instance a candidate under this id and address; NULL: it is none
  * any more, as it has no disk or belongs to a group.
--- a/src/wisteria/control/founding.h
+++ b/src/wisteria/control/founding.h
@@ -9,6 +9,10 @@
 void founding_finish(founding_t *founding) ATTR_NONNULL_ALL;
 void founding_add_seed(founding_t *founding, const char *own_address,
 		       const char *address) ATTR_NONNULL_ALL;
+void founding_clear_seeds(founding_t *founding) ATTR_NONNULL_ALL;
+void founding_restore(founding_t *founding, const founding_ballot_t *promised,
+		      const founding_ballot_t *accepted,
+		      const raft_members_t *members) ATTR_NONNULL_ALL;
 void founding_set_candidate(founding_t *founding, const raft_member_t *self)
 	ATTR_NONNULL(1);
 void founding_tick(founding_t *founding, clock_ms_t now) ATTR_NONNULL_ALL;
--- a/src/wisteria/control/founding_defs.h
+++ b/src/wisteria/control/founding_defs.h
@@ -66,8 +66,18 @@
 	FOUNDING_ACCEPTING
 } founding_phase_t;
 
+struct founding_t;
+
+/* Where a seed keeps its votes; embedded in the owner's struct. */
+typedef struct founding_store_t {
+	/* Returns whether the votes of "founding" are on disk. */
+	bool (*save)(struct founding_store_t *self,
+		     const struct founding_t *founding);
+} founding_store_t;
+
 /* The agreement as one instance takes part in it. */
-typedef struct {
+typedef struct founding_t {
+	founding_store_t *store; /* NULL: votes are kept in memory */
 	founding_seed_t seeds[FOUNDING_SEEDS_MAX];
 	uint32_t seed_count;
 	int own_seed; /* -1: this instance is no seed */
--- a/src/wisteria/fleet/fleet_control.c
+++ b/src/wisteria/fleet/fleet_control.c
@@ -858,6 +858,7 @@
 	fleet_control_set_seeds(control, settings->fleet);
 	fleet_founding_init(control);
 	fleet_group_try_start(control, control->started_ms);
+	fleet_founding_restore(control);
 	uv_timer_init(net->loop, &control->tick);
 	control->tick.data = control;
 	uv_timer_start(&control->tick, on_tick, CONTROL_TICK_MS,
--- a/src/wisteria/fleet/fleet_control_defs.h
+++ b/src/wisteria/fleet/fleet_control_defs.h
@@ -104,8 +104,10 @@
 	replica_t replica;
 	bool has_replica; /* started; never without a data folder */
 	founding_t founding;
-	bool may_found;		/* "bootstrap" in the settings of the start */
-	bool founding_is_known; /* its decision was passed on */
+	founding_store_t founding_store;
+	/* It has started first as one of a new fleet, and may be a member. */
+	bool may_found;
+	bool founding_is_known;	       /* its decision was passed on */
 	clock_ms_t founding_log_at_ms; /* when to log next that it waits */
 	control_list_t known_controls; /* this instance included */
 	clock_ms_t started_ms;
--- a/src/wisteria/fleet/fleet_founding.c
+++ b/src/wisteria/fleet/fleet_founding.c
@@ -12,6 +12,7 @@
 #include "wisteria/base/err.h"
 #include "wisteria/base/log.h"
 #include "wisteria/control/founding.h"
+#include "wisteria/control/founding_file.h"
 #include "wisteria/control/replica_group.h"
 #include "wisteria/fleet/subscription.h"
 #include "wisteria/net/conn.h"
@@ -209,3 +210,52 @@
 		g_free(address);
 	}
 }
+
+static bool save_votes(founding_store_t *store, const founding_t *founding)
+{
+	const fleet_control_t *control =
+		CONTAINER_OF(store, fleet_control_t, founding_store);
+	err_t err = ERR_INIT;
+
+	if (founding_file_save(control->settings->fleet->data_dir, founding,
+			       &err))
+		return true;
+	log_err(G_LOG_LEVEL_WARNING, "votes_not_saved", &err);
+	return false;
+}
+
+/*
+ * Takes up the votes of an earlier process of this seed, if there is no log yet,
+ * or begins to keep them at the first start.  One that does not know what it has
+ * promised does not vote.  To be called once the data folder is open.
+ */
+void fleet_founding_restore(fleet_control_t *control)
+{
+	const settings_fleet_t *fleet = control->settings->fleet;
+	founding_t *founding = &control->founding;
+	err_t err = ERR_INIT;
+	bool found = false;
+
+	if (!control->has_replica || !replica_has_empty_log(&control->replica))
+		return;
+	if (!founding_file_load(fleet->data_dir, fleet->peer_listen, founding,
+				&found, &err)) {
+		log_err(G_LOG_LEVEL_WARNING, "votes_unreadable", &err);
+		control->may_found = false;
+		founding->votes = false;
+		return;
+	}
+	control->may_found |= found;
+	if (found)
+		LOG_INFO("votes_recalled",
+			 "promised=%" G_GUINT64_FORMAT
+			 " accepted=%" G_GUINT64_FORMAT " seeds=%u",
+			 founding->promised.round, founding->accepted.round,
+			 founding->seed_count);
+	if (!control->may_found || founding->own_seed < 0)
+		return;
+	control->founding_store.save = save_votes;
+	founding->store = &control->founding_store;
+	if (!found && !save_votes(&control->founding_store, founding))
+		LOG_WARN("founding_not_kept", "folder=%s", fleet->data_dir);
+}
--- a/src/wisteria/fleet/fleet_founding.h
+++ b/src/wisteria/fleet/fleet_founding.h
@@ -5,6 +5,7 @@
 #include "wisteria/fleet/fleet_control_defs.h"
 
 void fleet_founding_init(fleet_control_t *control) ATTR_NONNULL_ALL;
+void fleet_founding_restore(fleet_control_t *control) ATTR_NONNULL_ALL;
 void fleet_founding_tick(fleet_control_t *control,
 			 clock_ms_t now) ATTR_NONNULL_ALL;
 void fleet_founding_on_request(fleet_control_t *control, conn_t *conn,
--- a/src/wisteria/fleet/registry_file.c
+++ b/src/wisteria/fleet/registry_file.c
@@ -7,11 +7,7 @@
  */
 #include "wisteria/fleet/registry_file.h"
 
-#include <errno.h>
-#include <fcntl.h>
-#include <stdio.h>
 #include <string.h>
-#include <unistd.h>
 
 #include "wisteria/base/err.h"
 #include "wisteria/base/log.h"
@@ -19,9 +15,9 @@
 #include "wisteria/fleet/fleet_update.h"
 #include "wisteria/fleet/part_guard.h"
 #include "wisteria/fleet/registry.h"
+#include "wisteria/storage/file_replace.h"
 
 #define FILE_NAME "endpoints"
-#define TEMPORARY_NAME "endpoints.new"
 #define FILE_BYTES_MAX (4u << 20)
 
 typedef struct {
@@ -52,32 +48,6 @@
 	g_free(file->folder);
 }
 
-static bool write_all(int fd, const char *data, size_t len)
-{
-	while (len > 0) {
-		ssize_t written = write(fd, data, len);
-
-		if (written <= 0)
-			return false;
-		data += written;
-		len -= (size_t)written;
-	}
-	return true;
-}
-
-static bool write_synced(int folder, const char *name, const void *data,
-			 size_t len)
-{
-	int fd = openat(folder, name, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC,
-			0644);
-	bool ok;
-
-	if (fd < 0)
-		return false;
-	ok = write_all(fd, data, len) && fdatasync(fd) == 0;
-	return close(fd) == 0 && ok;
-}
-
 /*
  * Replaces the copy in "folder"; the old one remains until the new one is
  * synced.
@@ -85,17 +55,7 @@
 bool registry_file_write(const char *folder, const void *data, size_t len,
 			 err_t *err)
 {
-	int fd = open(folder, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
-	bool ok = fd >= 0 && write_synced(fd, TEMPORARY_NAME, data, len) &&
-		  renameat(fd, TEMPORARY_NAME, fd, FILE_NAME) == 0 &&
-		  fsync(fd) == 0;
-
-	if (!ok)
-		err_set(err, ERR_IO, "write_endpoints", folder, "%s",
-			g_strerror(errno));
-	if (fd >= 0)
-		close(fd);
-	return ok;
+	return file_replace(folder, FILE_NAME, data, len, err);
 }
 
 static void on_work(uv_work_t *work)
--- a/src/wisteria/storage/record_defs.h
+++ b/src/wisteria/storage/record_defs.h
@@ -10,6 +10,7 @@
 	RECORD_ENTRY,
 	RECORD_SNAPSHOT,
 	RECORD_IDENTITY,
+	RECORD_FOUNDING, /* votes on the first members of a group */
 	RECORD_TYPE_COUNT
 } record_type_t;
 
--- a/test/functional/fleet_founding_kill_test.c
+++ b/test/functional/fleet_founding_kill_test.c
@@ -1,7 +1,7 @@
 /*
  * The first start of a fleet of three control instances as processes, of which
- * two or all are killed before they have founded a group and come back as ones
- * that found none: there must be a control group afterwards.
+ * some or all are killed before they have founded a group and come back as ones
+ * that do not start first: there must be a control group afterwards.
  */
 #include "../unit/unit.h"
 
@@ -13,7 +13,9 @@
 
 #define CONTROLS 3
 /* From the start of all; they look for each other for 1.6 s. */
-#define START_TO_KILL_US 1000000
+#define START_TO_KILL_MS 1000
+/* The moments of the agreement, and of the first entries of the log. */
+static const unsigned agreement_ms[] = { 1580, 1620, 1660, 1720, 1900 };
 #define KILL_TO_RESTART_US 800000
 
 static harness_t harness;
@@ -57,11 +59,26 @@
 	};
 }
 
+static void kill_and_restart(fleet_rig_t *rig, const char *name,
+			     harness_process_t *controls[CONTROLS], int kills)
+{
+	for (int i = 0; i < kills; i++)
+		harness_kill(controls[i]);
+	g_usleep(KILL_TO_RESTART_US);
+	for (int i = 0; i < kills; i++) {
+		const fleet_rig_control_t settings = control_of(name, i, false);
+
+		fleet_rig_write_settings(rig, &settings);
+		harness_restart(controls[i]);
+	}
+}
+
 /*
- * Kills the first "kills" instances at the first start, starts them again, and
- * expects a group that accepts a change.
+ * Kills the first "kills" instances "kill_ms" after the first start, "times"
+ * times, starts them again, and expects a group that accepts a change.
  */
-static void play_first_start(const char *name, int kills)
+static void play_first_start(const char *name, int kills, unsigned kill_ms,
+			     unsigned times)
 {
 	harness_process_t *controls[CONTROLS];
 	fleet_rig_t rig;
@@ -75,15 +92,9 @@
 	for (int i = 0; i < CONTROLS; i++)
 		CU_ASSERT(harness_wait_log(controls[i], "event=started",
 					   HARNESS_WAIT_MS));
-	g_usleep(START_TO_KILL_US);
-	for (int i = 0; i < kills; i++)
-		harness_kill(controls[i]);
-	g_usleep(KILL_TO_RESTART_US);
-	for (int i = 0; i < kills; i++) {
-		const fleet_rig_control_t settings = control_of(name, i, false);
-
-		fleet_rig_write_settings(&rig, &settings);
-		harness_restart(controls[i]);
+	for (unsigned i = 0; i < times; i++) {
+		g_usleep(kill_ms * G_TIME_SPAN_MILLISECOND);
+		kill_and_restart(&rig, name, controls, kills);
 	}
 	CU_ASSERT(
 		harness_wait_until(is_change_accepted, &rig, HARNESS_WAIT_MS));
@@ -93,12 +104,24 @@
 
 static void test_all_instances_killed_during_the_first_start_found_a_group(void)
 {
-	play_first_start("all", CONTROLS);
+	play_first_start("all", CONTROLS, START_TO_KILL_MS, 1);
 }
 
 static void test_two_instances_killed_during_the_first_start_found_a_group(void)
 {
-	play_first_start("two", CONTROLS - 1);
+	play_first_start("two", CONTROLS - 1, START_TO_KILL_MS, 1);
+}
+
+static void test_instances_killed_again_and_again_found_a_group(void)
+{
+	play_first_start("again", CONTROLS, START_TO_KILL_MS, 3);
+}
+
+static void test_instances_killed_while_they_agree_found_a_group(void)
+{
+	for (size_t i = 0; i < ARRAY_SIZE(agreement_ms); i++)
+		play_first_start(harness_string(&harness, "agree%zu", i),
+				 CONTROLS, agreement_ms[i], 1);
 }
 
 static const unit_test_t tests[] = {
@@ -106,6 +129,10 @@
 	  test_all_instances_killed_during_the_first_start_found_a_group },
 	{ "two instances killed during the first start found a group",
 	  test_two_instances_killed_during_the_first_start_found_a_group },
+	{ "instances killed again and again found a group",
+	  test_instances_killed_again_and_again_found_a_group },
+	{ "instances killed while they agree found a group",
+	  test_instances_killed_while_they_agree_found_a_group },
 };
 
 int main(void)
--- a/test/unit/founding_test.c
+++ b/test/unit/founding_test.c
@@ -1,10 +1,10 @@
 /*
  * The agreement on the first members of a control group: single steps, and
  * seeded random walks over instances with and without disks that are frozen,
- * killed, late or cut off while messages are lost.  A walk fails if two lists
- * are started, or if no member of the list has started the group within
- * FOUNDED_BOUND_MS after the faults, with more than half of the seeds never
- * restarted.
+ * killed, late or cut off while messages are lost and disks refuse writes.  A
+ * walk fails if two lists are started, or if no member of the list has started
+ * the group within FOUNDED_BOUND_MS after the faults, with more than half of the
+ * seeds running that have a disk or were never restarted.
  */
 #include "unit.h"
 
@@ -30,13 +30,25 @@
 	FAULT_NONE,
 	FAULT_OWN_VOTE_ONLY, /* each candidate is its only seed */
 	FAULT_NO_ACCEPT,     /* a list is started as soon as it is proposed */
-	FAULT_NO_ADOPTION    /* promises do not tell what was accepted */
+	FAULT_NO_ADOPTION,   /* promises do not tell what was accepted */
+	FAULT_NO_DISK	     /* a seed forgets its votes, and votes again */
 } fault_t;
 
+/* What a seed has saved. */
+typedef struct {
+	founding_store_t store;
+	bool is_full;
+	bool has_votes;
+	founding_ballot_t promised;
+	founding_ballot_t accepted;
+	raft_members_t members;
+} disk_t;
+
 typedef struct {
 	founding_t founding;
 	uint64_t id;
 	bool has_disk;
+	disk_t disk;
 	bool is_up;
 	bool is_frozen;
 	bool was_restarted;
@@ -107,6 +119,52 @@
 		g_array_append_val(walk->packets, packet);
 }
 
+static bool save_to_disk(founding_store_t *store, const founding_t *founding)
+{
+	disk_t *disk = CONTAINER_OF(store, disk_t, store);
+
+	if (disk->is_full)
+		return false;
+	disk->has_votes = true;
+	disk->promised = founding->promised;
+	disk->accepted = founding->accepted;
+	disk->members = founding->accepted_members;
+	return true;
+}
+
+static bool is_seed(const walk_t *walk, int at)
+{
+	for (int i = 0; i < walk->seed_count; i++)
+		if (walk->seeds[i] == at)
+			return true;
+	return false;
+}
+
+/*
+ * Lets a seed with a disk keep its votes.  One that is started again reads them,
+ * unless it has a log.  Returns whether it may take part.
+ */
+static bool restore_votes(walk_t *walk, int at)
+{
+	static const disk_t empty;
+	node_t *node = &walk->nodes[at];
+	const disk_t *disk =
+		walk->fault == FAULT_NO_DISK ? &empty : &node->disk;
+
+	if (!node->has_disk || node->has_started || !is_seed(walk, at))
+		return !node->was_restarted;
+	if (node->was_restarted && !node->disk.has_votes)
+		return false;
+	node->disk.store.save = save_to_disk;
+	node->founding.store = &node->disk.store;
+	if (node->was_restarted)
+		founding_restore(&node->founding, &disk->promised,
+				 &disk->accepted, &disk->members);
+	else
+		(void)save_to_disk(&node->disk.store, &node->founding);
+	return true;
+}
+
 /* Starts the process of a node; one that is started again has no bootstrap. */
 static void start_node(walk_t *walk, int at)
 {
@@ -126,7 +184,7 @@
 						     ? at
 						     : walk->seeds[i]));
 	node->founding.votes = !node->was_restarted;
-	if (!node->has_disk || node->was_restarted)
+	if (!restore_votes(walk, at) || !node->has_disk || node->has_started)
 		return;
 	g_strlcpy(self.instance, address_of(at), sizeof(self.instance));
 	g_strlcpy(self.address, address_of(at), sizeof(self.address));
@@ -222,12 +280,19 @@
 	}
 }
 
+/* At its first start a process ends if it can't create its data folder. */
+static bool cannot_start(const node_t *node)
+{
+	return node->run == 0 && node->has_disk && node->disk.is_full;
+}
+
 static void tick_node(walk_t *walk, int at)
 {
 	node_t *node = &walk->nodes[at];
 	const raft_members_t *decision;
 
-	if (node->start_at_ms >= 0 && walk->now_ms >= node->start_at_ms)
+	if (node->start_at_ms >= 0 && walk->now_ms >= node->start_at_ms &&
+	    !cannot_start(node))
 		start_node(walk, at);
 	if (!node->is_up || node->is_frozen)
 		return;
@@ -395,7 +460,7 @@
 }
 
 /* Without a majority of votes there is no group, however long it takes. */
-static void test_restarted_seeds_do_not_vote(void)
+static void test_restarted_seeds_without_votes_on_disk_do_not_vote(void)
 {
 	walk_t walk;
 
@@ -403,6 +468,7 @@
 	run_for(&walk, 1000);
 	for (int i = 0; i < 2; i++) {
 		kill_node(&walk, i);
+		walk.nodes[i].disk.has_votes = false;
 		start_node(&walk, i);
 	}
 	run_for(&walk, 60000);
@@ -413,6 +479,57 @@
 	end(&walk);
 }
 
+/* Guards against a new fleet that never gets a group if its seeds restart. */
+static void test_restarted_seeds_vote_as_on_disk(void)
+{
+	for (int kills = 1; kills <= SEEDS_MAX; kills++) {
+		walk_t walk;
+
+		begin_trio(&walk);
+		run_for(&walk, 1000);
+		for (int i = 0; i < kills; i++) {
+			kill_node(&walk, i);
+			start_node(&walk, i);
+		}
+		run_for(&walk, FOUNDED_BOUND_MS);
+		CU_ASSERT_PTR_NULL(walk.violation);
+		CU_ASSERT_TRUE(is_founded(&walk));
+		end(&walk);
+	}
+}
+
+/* Guards against a vote that is lost with the process that has given it. */
+static void test_votes_that_cannot_be_saved_are_not_given(void)
+{
+	founding_t founding;
+	founding_msg_t reply;
+	disk_t disk = { .store.save = save_to_disk, .is_full = true };
+	const founding_msg_t prepare = {
+		.kind = FOUNDING_MSG_PREPARE,
+		.ballot = { 2, 5 },
+	};
+	const founding_msg_t accept = {
+		.kind = FOUNDING_MSG_ACCEPT,
+		.ballot = { 2, 5 },
+		.members = { .items = { { .id = 5, .voter = true } },
+			     .count = 1 },
+	};
+
+	founding_init(&founding, MEMBERS_MAX, 1, 0);
+	founding.votes = true;
+	founding.store = &disk.store;
+	CU_ASSERT_FALSE(founding_on_request(&founding, &prepare, 0, &reply));
+	CU_ASSERT_FALSE(founding_on_request(&founding, &accept, 0, &reply));
+	disk.is_full = false;
+	CU_ASSERT_TRUE(founding_on_request(&founding, &prepare, 0, &reply));
+	CU_ASSERT_EQUAL(reply.kind, FOUNDING_MSG_PROMISE);
+	/* It may have been accepted elsewhere too. */
+	CU_ASSERT_EQUAL(reply.accepted.round, 2);
+	CU_ASSERT_EQUAL(disk.accepted.round, 2);
+	CU_ASSERT_EQUAL(disk.members.items[0].id, 5);
+	founding_finish(&founding);
+}
+
 static void test_only_seed_decides_alone(void)
 {
 	walk_t walk;
@@ -463,32 +580,41 @@
 	return g_rand_int_range(walk->random, 0, walk->count);
 }
 
-static bool is_seed(const walk_t *walk, int at)
+/* Seeds with disks may be killed again and again, the others once. */
+#define RUNS_MAX 5
+
+static bool keeps_votes(const walk_t *walk, int at)
 {
-	for (int i = 0; i < walk->seed_count; i++)
-		if (walk->seeds[i] == at)
-			return true;
-	return false;
+	return is_seed(walk, at) && walk->nodes[at].has_disk;
 }
 
-/* A minority of the seeds, and any other instance but the last candidate. */
-static bool may_be_killed(const walk_t *walk, int at)
+/*
+ * A minority of the seeds for good or without their votes, and any other
+ * instance but the last candidate.
+ */
+static bool may_be_killed(const walk_t *walk, int at, bool for_good)
 {
-	int killed_seeds = 0;
+	int lost_seeds = 0;
 	int candidates = 0;
 
 	for (int i = 0; i < walk->count; i++) {
 		const node_t *node = &walk->nodes[i];
-		bool is_first_run =
-			node->run == 0 || (node->run == 1 && node->is_up);
-
-		killed_seeds += is_seed(walk, i) && !is_first_run;
-		candidates += node->has_disk && is_first_run && i != at;
+		bool is_lost =
+			node->run > 0 && !node->is_up && node->start_at_ms < 0;
+		bool takes_part = keeps_votes(walk, i)
+					  ? !is_lost
+					  : node->run == 0 || (node->run == 1 &&
+							       node->is_up);
+
+		lost_seeds += is_seed(walk, i) && !takes_part;
+		candidates += node->has_disk && takes_part && i != at;
 	}
+	if (keeps_votes(walk, at) && !for_good)
+		return walk->nodes[at].is_up && walk->nodes[at].run < RUNS_MAX;
 	return walk->nodes[at].run == 1 && walk->nodes[at].is_up &&
 	       candidates >= 1 &&
 	       (!is_seed(walk, at) ||
-		killed_seeds + 1 <= (walk->seed_count - 1) / 2);
+		lost_seeds + 1 <= (walk->seed_count - 1) / 2);
 }
 
 static void event_freeze(walk_t *walk, int at)
@@ -499,11 +625,13 @@
 
 static void event_kill(walk_t *walk, int at)
 {
-	if (!may_be_killed(walk, at))
+	bool for_good = draw_percent(walk, 50);
+
+	if (!may_be_killed(walk, at, for_good))
 		return;
 	kill_node(walk, at);
 	walk->kills++;
-	if (draw_percent(walk, 50))
+	if (!for_good)
 		walk->nodes[at].start_at_ms =
 			walk->now_ms + g_rand_int_range(walk->random, 20, 2000);
 }
@@ -531,13 +659,18 @@
 	walk->latency_max_ms = SLOW_LATENCY_MAX_MS;
 }
 
+static void event_fill_disk(walk_t *walk, int at)
+{
+	walk->nodes[at].disk.is_full = true;
+}
+
 static void heal(walk_t *walk)
 {
 	memset(walk->cut, 0, sizeof(walk->cut));
 	walk->loss_percent = 0;
 	walk->latency_max_ms = LATENCY_MAX_MS;
 	for (int i = 0; i < walk->count; i++)
-		walk->nodes[i].is_frozen = false;
+		walk->nodes[i].is_frozen = walk->nodes[i].disk.is_full = false;
 }
 
 static void event_heal(walk_t *walk, int at)
@@ -550,7 +683,8 @@
 	event_freeze,	     event_freeze,	  event_freeze,
 	event_kill,	     event_kill,	  event_cut_one_way,
 	event_cut,	     event_lose_messages, event_slow_messages,
-	event_slow_messages, event_heal,
+	event_slow_messages, event_heal,	  event_kill,
+	event_kill,	     event_fill_disk,
 };
 
 /* Draws three to seven nodes, their disks, the seeds and who starts late. */
@@ -577,23 +711,39 @@
 					 draw_percent(walk, 15) ? 5000 : 300);
 }
 
-/* Returns whether an instance is left that belongs to the list, if any is. */
+/* Returns whether an instance is left that may start the group of "list". */
+static bool is_member_left(const walk_t *walk, const raft_members_t *list)
+{
+	for (int i = 0; i < walk->count; i++) {
+		const node_t *node = &walk->nodes[i];
+
+		if (node->is_up && node->has_disk &&
+		    (node->run == 1 || keeps_votes(walk, i)) &&
+		    raft_members_find(list, node->id) != NULL)
+			return true;
+	}
+	return false;
+}
+
+/* A list that was or may have been agreed on needs a member that is left. */
 static bool can_be_founded(const walk_t *walk)
 {
-	const raft_members_t *list = NULL;
-	bool left = false;
+	bool has_candidate = false;
 
-	for (int i = 0; i < walk->count && list == NULL; i++)
-		if (walk->nodes[i].is_up)
-			list = founding_decision(&walk->nodes[i].founding);
 	for (int i = 0; i < walk->count; i++) {
 		const node_t *node = &walk->nodes[i];
+		const raft_members_t *list;
 
-		left |= node->is_up && node->run == 1 && node->has_disk &&
-			(list == NULL ||
-			 raft_members_find(list, node->id) != NULL);
+		if (!node->is_up)
+			continue;
+		list = founding_decision(&node->founding);
+		if (list == NULL && node->founding.accepted.round > 0)
+			list = &node->founding.accepted_members;
+		if (list != NULL && !is_member_left(walk, list))
+			return false;
+		has_candidate |= node->founding.self.id != 0 || list != NULL;
 	}
-	return left;
+	return has_candidate;
 }
 
 /* Plays one walk; returns what failed, or NULL. */
@@ -644,8 +794,7 @@
 
 static void test_walks_detect_rules_that_are_left_out(void)
 {
-	for (int fault = FAULT_OWN_VOTE_ONLY; fault <= FAULT_NO_ADOPTION;
-	     fault++) {
+	for (int fault = FAULT_OWN_VOTE_ONLY; fault <= FAULT_NO_DISK; fault++) {
 		uint32_t kills = 0;
 		int found = 0;
 
@@ -667,7 +816,12 @@
 	{ "loss of the first delays the group by its rank",
 	  test_loss_of_the_first_delays_the_group_by_its_rank },
 	{ "seeds without disks vote", test_seeds_without_disks_vote },
-	{ "restarted seeds do not vote", test_restarted_seeds_do_not_vote },
+	{ "restarted seeds without votes on disk do not vote",
+	  test_restarted_seeds_without_votes_on_disk_do_not_vote },
+	{ "restarted seeds vote as on disk",
+	  test_restarted_seeds_vote_as_on_disk },
+	{ "votes that cannot be saved are not given",
+	  test_votes_that_cannot_be_saved_are_not_given },
 	{ "only seed decides alone", test_only_seed_decides_alone },
 	{ "list that was accepted is adopted",
 	  test_list_that_was_accepted_is_adopted },
