--- a/test/functional/fleet_faults_test.c
+++ b/test/functional/fleet_faults_test.c
@@ -956,33 +956,43 @@
  */
 static void test_waiting_request_of_a_withdrawn_key_does_not_start(void)
 {
+	static const char *const customers[] = { KEYS_NEW, NO_CUSTOMERS };
 	static char answer[ANSWER_BYTES];
-	int fds[WAITING_REQUESTS];
-	fake_endpoint_t endpoint;
-	unsigned refused = 0;
-	unsigned runs;
 
-	start_known(&endpoint, "limited", "orders", FAKE_ENDPOINT_JSON);
-	endpoint.request_limit = SLOW_LIMIT;
-	CU_ASSERT_EQUAL(secret_status(entry_address, "key-old"), 200);
-	for (size_t i = 0; i < ARRAY_SIZE(fds); i++) {
-		fds[i] = open_connection(entry_address);
-		CU_ASSERT(
-			write_request(fds[i], "/secret/1", "waits", "key-old"));
-	}
-	CU_ASSERT(harness_wait_log(entry, "event=request_queued request=waits",
-				   HARNESS_WAIT_MS));
-	configure(KEYS_NEW);
-	wait_in_force();
-	runs = endpoint.runs;
-	for (size_t i = 0; i < ARRAY_SIZE(fds); i++) {
-		refused += read_answer(fds[i], answer) == 401;
-		close(fds[i]);
+	for (size_t i = 0; i < ARRAY_SIZE(customers); i++) {
+		const char *id = harness_string(&harness, "waits%zu", i);
+		int fds[WAITING_REQUESTS];
+		fake_endpoint_t endpoint;
+		unsigned refused = 0;
+		unsigned runs;
+
+		start_known(&endpoint,
+			    harness_string(&harness, "limited-%zu", i),
+			    "orders", FAKE_ENDPOINT_JSON);
+		endpoint.request_limit = SLOW_LIMIT;
+		CU_ASSERT_EQUAL(secret_status(entry_address, "key-old"), 200);
+		for (size_t j = 0; j < ARRAY_SIZE(fds); j++) {
+			fds[j] = open_connection(entry_address);
+			CU_ASSERT(write_request(fds[j], "/secret/1", id,
+						"key-old"));
+		}
+		CU_ASSERT(harness_wait_log(
+			entry,
+			harness_string(&harness,
+				       "event=request_queued request=%s ", id),
+			HARNESS_WAIT_MS));
+		configure(customers[i]);
+		wait_in_force();
+		runs = endpoint.runs;
+		for (size_t j = 0; j < ARRAY_SIZE(fds); j++) {
+			refused += read_answer(fds[j], answer) == 401;
+			close(fds[j]);
+		}
+		CU_ASSERT(refused > 0);
+		CU_ASSERT_EQUAL(endpoint.runs, runs);
+		restore_keys();
+		fake_endpoint_stop(&endpoint);
 	}
-	CU_ASSERT(refused > 0);
-	CU_ASSERT_EQUAL(endpoint.runs, runs);
-	restore_keys();
-	fake_endpoint_stop(&endpoint);
 }
 
 /* 6. Hand-overs between leaders. */
--- a/test/unit/routes_test.c
+++ b/test/unit/routes_test.c
@@ -180,6 +180,24 @@
 			       3900 / 0.04425, 1);
 }
 
+/* Guards against callers without a key where only the last customer is gone. */
+static void test_callers_without_a_key(void)
+{
+	route_table_t *table = new_table_with_service();
+	route_t *route = add_route(table, "a", "h", "/a/");
+	const customer_config_t *customer =
+		route_table_add_customer(table, "first");
+
+	CU_ASSERT_PTR_NULL(route_table_find_customer(table, NULL));
+	CU_ASSERT_TRUE(route_table_allows(table, route, NULL));
+	route_table_require_keys(table);
+	CU_ASSERT_FALSE(route_table_allows(table, route, NULL));
+	CU_ASSERT_TRUE(route_table_allows(table, route, customer));
+	route->allow_anonymous = true;
+	CU_ASSERT_TRUE(route_table_allows(table, route, NULL));
+	route_table_unref(table);
+}
+
 static customer_config_t *add_customer(route_table_t *table, const char *name,
 				       int32_t priority)
 {
@@ -270,6 +288,7 @@
 	{ "longest prefix", test_longest_prefix },
 	{ "invalid tables", test_invalid_tables },
 	{ "API keys", test_api_keys },
+	{ "callers without a key", test_callers_without_a_key },
 	{ "pick service by weight", test_pick_service_by_weight },
 	{ "reference count", test_reference_count },
 	{ "token capacity", test_token_capacity },
