--- a/test/unit/platform_test.c
+++ b/test/unit/platform_test.c
@@ -96,11 +96,13 @@
 		err_t err = ERR_INIT;
 		route_table_t *table = read_table(text, &err);
 
-		CU_ASSERT_PTR_NOT_NULL_FATAL(table);
+		g_free(text);
+		CU_ASSERT_PTR_NOT_NULL(table);
+		if (table == NULL)
+			continue;
 		CU_ASSERT_EQUAL(table->requires_key, cases[i].requires_key);
 		CU_ASSERT_PTR_NULL(route_table_find_customer(table, "k3"));
 		route_table_unref(table);
-		g_free(text);
 	}
 }
 
