demo: ask the entry which endpoint serves a stream

Change: the first event names the request, and the entry explains which endpoints were chosen for it; curl no longer buffers the events.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -158,7 +158,7 @@
 }
 
 send_prompt () {
-	curl -sS --max-time 30 -H "Authorization: Bearer $key" \
+	curl -sSN --max-time 30 -H "Authorization: Bearer $key" \
 		-H 'Content-Type: application/json' \
 		-d "{\"model\":\"modelo\",\"prompt\":\"$2\",\"max_tokens\":$3,\"stream\":$4}" \
 		"http://$ip:$((port + 40 + $1))/v1/completions"
@@ -186,10 +186,6 @@
 	test -z "$(busy_endpoint "$1")"
 }
 
-range_is_busy () {
-	test -n "$(busy_endpoint "$1")"
-}
-
 # Prints the chain of request $2, from the explanation of entry $1.
 show_chain () {
 	ctl $((port + 40 + $1)) explain "$2" | grep 'was chosen' ||
@@ -264,15 +260,23 @@
 test -n "$expected" || fail "no streamed answer"
 grep -q '^data: \[DONE\]' "$dir/expected.sse" || fail "the stream did not end"
 
+# Sets $served to the endpoint of range $3 that serves the stream that entry $1
+# writes to file $2, as the entry explains it.
+is_explained () {
+	request=$(id_of "$2")
+	test -n "$request" || return 1
+	served=$(ctl $((port + 40 + $1)) explain "$request" |
+		grep 'was chosen' | grep -o "$3-[a-z]*" | head -n 1)
+	test -n "$served"
+}
+
 # Starts a stream through entry $1 that writes to file $2.  Sets $served to the
 # endpoint of range $3 that serves it, and $stream to the id of its process.
 start_stream () {
 	wait_for "range $3 does not fall idle" range_is_idle "$3"
 	send_prompt "$1" "Summarise the counter order" 60 true >"$2" &
 	stream=$!
-	wait_for "no endpoint of range $3 is busy" range_is_busy "$3"
-	served=$(busy_endpoint "$3")
-	test -n "$served" || fail "the stream ended too early"
+	wait_for "the stream is not explained" is_explained "$1" "$2" "$3"
 }
 
 check_stream () {
