fleet: a seed that has moved does not take part in the founding

Its votes name the seeds of the first start, and it is none of them at its new address; a candidate that is no seed does not keep its rounds, and might use a ballot twice. Found by reading; founding tests pass as before.

--- a/src/wisteria/fleet/fleet_founding.c
+++ b/src/wisteria/fleet/fleet_founding.c
@@ -245,6 +245,12 @@
 		founding->votes = false;
 		return;
 	}
+	if (found && founding->own_seed < 0) {
+		/* Its address was another then; its rounds are not kept. */
+		control->may_found = false;
+		founding->votes = false;
+		return;
+	}
 	control->may_found |= found;
 	if (found)
 		LOG_INFO("votes_recalled",
