--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -277,6 +277,7 @@
 	send_prompt "$1" "Summarise the counter order" 60 true >"$2" &
 	stream=$!
 	wait_for "the stream is not explained" is_explained "$1" "$2" "$3"
+	kill -0 "$stream" 2>/dev/null || fail "the stream ended too early"
 }
 
 check_stream () {
