--- a/test/functional/fleet_faults_test.c
+++ b/test/functional/fleet_faults_test.c
@@ -155,6 +155,16 @@
 				   HARNESS_WAIT_MS));
 }
 
+/* Waits until an entry that has just started knows "endpoint" and serves. */
+static void wait_ready(const harness_process_t *process, const char *endpoint)
+{
+	CU_ASSERT(harness_wait_log(
+		process, harness_string(&harness, "endpoint=%s ", endpoint),
+		HARNESS_WAIT_MS));
+	CU_ASSERT(harness_wait_log(process, "event=lease_gained",
+				   HARNESS_WAIT_MS));
+}
+
 /* Starts the processes that the tests below share. */
 static void test_fleet_starts(void)
 {
@@ -402,10 +412,7 @@
 	unsigned cut = 0;
 
 	start_known(&endpoint, "stop-load", "orders", FAKE_ENDPOINT_JSON);
-	CU_ASSERT(harness_wait_log(stopped, "endpoint=stop-load ",
-				   HARNESS_WAIT_MS));
-	CU_ASSERT(harness_wait_log(stopped, "event=lease_gained",
-				   HARNESS_WAIT_MS));
+	wait_ready(stopped, "stop-load");
 	for (unsigned i = 0; i < ARRAY_SIZE(callers); i++) {
 		callers[i] = (load_caller_t){
 			.index = i,
@@ -450,10 +457,7 @@
 	int fd;
 
 	start_known(&endpoint, "stop-wait", "writer", FAKE_ENDPOINT_SILENT);
-	CU_ASSERT(harness_wait_log(stopped, "endpoint=stop-wait ",
-				   HARNESS_WAIT_MS));
-	CU_ASSERT(harness_wait_log(stopped, "event=lease_gained",
-				   HARNESS_WAIT_MS));
+	wait_ready(stopped, "stop-wait");
 	harness_signal(stopped, SIGTERM);
 	CU_ASSERT(
 		harness_wait_log(stopped, "event=stop_begun", HARNESS_WAIT_MS));
@@ -517,10 +521,7 @@
 	start_known(&endpoint, "stop-late", "orders", FAKE_ENDPOINT_JSON);
 	endpoint.answer_ms = LATE_ANSWER_MS;
 	endpoint.journal = &journal;
-	CU_ASSERT(harness_wait_log(stopped, "endpoint=stop-late ",
-				   HARNESS_WAIT_MS));
-	CU_ASSERT(harness_wait_log(stopped, "event=lease_gained",
-				   HARNESS_WAIT_MS));
+	wait_ready(stopped, "stop-late");
 	CU_ASSERT_EQUAL(request_status(address, "/book/1", "stop-first", "hi"),
 			200);
 	for (size_t i = 0; i < ARRAY_SIZE(requests); i++) {
@@ -844,10 +845,7 @@
 	fake_endpoint_t endpoint;
 
 	start_known(&endpoint, "keys", "orders", FAKE_ENDPOINT_JSON);
-	CU_ASSERT(harness_wait_log(late_entry, "endpoint=keys ",
-				   HARNESS_WAIT_MS));
-	CU_ASSERT(harness_wait_log(late_entry, "event=lease_gained",
-				   HARNESS_WAIT_MS));
+	wait_ready(late_entry, "keys");
 	CU_ASSERT_EQUAL(secret_status(address, "key-old"), 200);
 	configure(KEYS_NEW);
 	harness_kill(late_entry);
--- a/test/functional/full_disk_test.c
+++ b/test/functional/full_disk_test.c
@@ -108,7 +108,7 @@
 		harness_kill(fleet->controls[i]);
 }
 
-/* Lets files of a process grow up to "bytes"; 0 for the test itself. */
+/* Lets files of process "pid", 0 for this one, grow up to "bytes". */
 static void limit_files(pid_t pid, rlim_t bytes)
 {
 	struct rlimit limit;
@@ -209,13 +209,18 @@
 	CU_ASSERT(harness_wait_until(is_change_accepted, &fleet,
 				     HARNESS_WAIT_MS));
 	for (size_t i = 0; i < CONTROLS; i++) {
+		off_t size;
+
 		harness_kill(fleet.controls[i]);
+		size = log_size(&fleet, i);
 		limit_files(0, 0);
 		harness_restart(fleet.controls[i]);
 		limit_files(0, RLIM_INFINITY);
 		change_while_full(&fleet);
+		CU_ASSERT(log_size(&fleet, i) <= size);
 		free_disk(&fleet, i);
 		g_usleep(RECOVERY_US);
+		CU_ASSERT(log_size(&fleet, i) > size);
 	}
 	expect_all_is_well(&fleet);
 	stop_fleet(&fleet);
