--- a/src/wisteria/agent/curl_loop.h
+++ b/src/wisteria/agent/curl_loop.h
@@ -32,9 +32,9 @@
 typedef struct curl_done_t {
 	void (*done)(struct curl_done_t *self, CURL *handle, CURLcode code);
 	/*
-	 * NULL, or gets each line of the response's head and trailers.
-	 * "begins_head": it is a status line, so earlier ones were those of an
-	 * interim response.
+	 * Gets each line of the head and the trailers of a response; may be
+	 * NULL.  "begins_head": it is a status line, so the lines before it
+	 * were those of an interim response.
 	 */
 	void (*header)(struct curl_done_t *self, const char *line, size_t len,
 		       bool begins_head);
--- a/src/wisteria/gateway/answer_times.h
+++ b/src/wisteria/gateway/answer_times.h
@@ -4,7 +4,7 @@
 #include "wisteria/base/clock_defs.h"
 #include "wisteria/base/macros_defs.h"
 
-/* Answers of this time tell how long the next ones may take. */
+/* Length of a window: also a service with few calls has some in this time. */
 #define ANSWER_TIMES_WINDOW_MS 30000
 
 /* The longest answers of a service; initialized with zeros. */
--- a/src/wisteria/gateway/gateway.c
+++ b/src/wisteria/gateway/gateway.c
@@ -279,7 +279,7 @@
 	return shortage;
 }
 
-/* Returns how long the answers of "service" take. */
+/* Returns the record of how long answers of "service" take. */
 answer_times_t *gateway_answer_times(gateway_t *gateway, const char *service)
 {
 	answer_times_t *times =
--- a/src/wisteria/gateway/stop_margin.c
+++ b/src/wisteria/gateway/stop_margin.c
@@ -12,7 +12,11 @@
  * 99th percentile is 0.9 in the scenario everything-restarts.
  */
 #define STOP_MARGIN_PASSES 1.0
-/* An answer may take this many times as long as the longest recent one. */
+/*
+ * An answer may take this many times as long as the longest recent one.  Too many
+ * refusals cost their callers another attempt; a call that is cut may not be
+ * repeated.
+ */
 #define STOP_MARGIN_LONGEST 2
 
 /*
