--- a/src/wisteria/fleet/subscription.c
+++ b/src/wisteria/fleet/subscription.c
@@ -413,8 +413,11 @@
 	return subscription->lease_until_ms > now_of(subscription);
 }
 
-/* Sends a message to the leader, if it is known and connected. */
-void subscription_send_to_leader(subscription_t *subscription, msg_type_t type,
+/*
+ * Sends a message to the leader; returns false if it is not known or not
+ * connected.
+ */
+bool subscription_send_to_leader(subscription_t *subscription, msg_type_t type,
 				 const void *body)
 {
 	subscription_control_t *control =
@@ -422,8 +425,7 @@
 			? NULL
 			: find_control(subscription, subscription->leader);
 
-	if (control != NULL)
-		link_send(&control->link, type, body);
+	return control != NULL && link_send(&control->link, type, body);
 }
 
 /* Sends a message to the control instance at "address", if it is connected. */
--- a/src/wisteria/fleet/subscription.h
+++ b/src/wisteria/fleet/subscription.h
@@ -23,7 +23,7 @@
 void subscription_finish(subscription_t *subscription) ATTR_NONNULL_ALL;
 bool subscription_has_lease(const subscription_t *subscription)
 	ATTR_NONNULL_ALL;
-void subscription_send_to_leader(subscription_t *subscription, msg_type_t type,
+bool subscription_send_to_leader(subscription_t *subscription, msg_type_t type,
 				 const void *body) ATTR_NONNULL_ALL;
 void subscription_send_to(subscription_t *subscription, const char *address,
 			  msg_type_t type, const void *body) ATTR_NONNULL_ALL;
--- a/src/wisteria/gateway/prompt_parts.c
+++ b/src/wisteria/gateway/prompt_parts.c
@@ -63,8 +63,8 @@
 }
 
 /*
- * Returns the shared parts of the prompt and the digest of the request for logs;
- * the caller frees it.
+ * Returns the parts of the prompt and the digest of the request for logs; the
+ * caller frees it.
  */
 char *prompt_parts_describe(const caller_request_t *caller)
 {
@@ -74,7 +74,9 @@
 		g_string_append_printf(text, "%s%" G_GINT64_MODIFIER "x",
 				       i == 0 ? "" : ",",
 				       caller->shared_parts[i]);
-	g_string_append_printf(text, " digest=" PART_FORMAT, caller->digest);
+	g_string_append_printf(text,
+			       " own_part=" PART_FORMAT " digest=" PART_FORMAT,
+			       caller->own_part, caller->digest);
 	return g_string_free(text, FALSE);
 }
 
@@ -127,6 +129,7 @@
 		.suspected_id = is_certain ? "" : endpoint_id,
 		.suspected_incarnation = incarnation,
 	};
+	bool is_reported;
 
 	for (uint32_t i = 0; i < caller->shared_part_count; i++)
 		parts[i] = (msg_fleet_part_t){
@@ -136,14 +139,16 @@
 		};
 	if (is_certain)
 		counter_add(COUNTER_GATEWAY_CRASHES, 1);
+	is_reported = subscription_send_to_leader(&gateway->subscription,
+						  MSG_FLEET_PARTS, &report);
 	LOG_INFO(is_certain ? "endpoint_crashed_at_begin"
 			    : "endpoint_crash_suspected",
 		 "request=%s endpoint=%s incarnation=%" G_GUINT64_FORMAT
-		 " parts=%u digest=" PART_FORMAT,
+		 " parts=%u own_part=" PART_FORMAT " digest=" PART_FORMAT
+		 " reported=%d",
 		 caller->id, endpoint_id, incarnation,
-		 caller->shared_part_count, caller->digest);
-	subscription_send_to_leader(&gateway->subscription, MSG_FLEET_PARTS,
-				    &report);
+		 caller->shared_part_count, caller->own_part, caller->digest,
+		 is_reported);
 }
 
 /*
