gateway: compare the last part of a prompt, too

Shown by fleet_test "last part that crashes plain endpoints is refused everywhere", which failed before in 8 asserts: every such request ended endpoints. The last part now counts as one more part, between the shared ones and the request itself; one that only its request has is never in two requests, so it is not refused by itself.

--- a/src/wisteria/fleet/dialect.h
+++ b/src/wisteria/fleet/dialect.h
@@ -19,8 +19,8 @@
 #define REQUEST_LIMIT_NONE (-1.0)
 /* Most parts of a prompt that are read; further ones are ignored. */
 #define PROMPT_PARTS_MAX 16
-/* The parts of a prompt and, as the last one, the whole request. */
-#define REQUEST_PARTS_MAX (PROMPT_PARTS_MAX + 1)
+/* Those parts and, as the last two, the request's own part and itself. */
+#define REQUEST_PARTS_MAX (PROMPT_PARTS_MAX + 2)
 
 /* Metadata of a caller's request; strings point into the message. */
 typedef struct {
--- a/src/wisteria/fleet/fleet_parts.c
+++ b/src/wisteria/fleet/fleet_parts.c
@@ -87,7 +87,8 @@
 			.at_ms = now,
 		},
 		.part_count =
-			(uint32_t)MIN(message->part_count, PROMPT_PARTS_MAX),
+			(uint32_t)MIN(message->part_count,
+				      REQUEST_PARTS_MAX - 1),
 	};
 	g_strlcpy(report->endpoint_id, message->suspected_id,
 		  sizeof(report->endpoint_id));
--- a/src/wisteria/gateway/prompt_parts.c
+++ b/src/wisteria/gateway/prompt_parts.c
@@ -82,14 +82,18 @@
 
 /*
  * Fills "parts", of REQUEST_PARTS_MAX items, with what the request may be refused
- * for: its shared parts, and itself.  Returns their number.
+ * for: the parts of its prompt, of which its session may have the last one too,
+ * and itself.  Returns their number.
  */
 static uint32_t list_parts(const caller_request_t *caller, uint64_t *parts)
 {
-	memcpy(parts, caller->shared_parts,
-	       caller->shared_part_count * sizeof(*parts));
-	parts[caller->shared_part_count] = caller->digest;
-	return caller->shared_part_count + 1;
+	uint32_t count = caller->shared_part_count;
+
+	memcpy(parts, caller->shared_parts, count * sizeof(*parts));
+	if (caller->own_part != 0)
+		parts[count++] = caller->own_part;
+	parts[count++] = caller->digest;
+	return count;
 }
 
 /* Records that an endpoint has begun to answer a request and runs on. */
@@ -116,13 +120,15 @@
 			  bool is_certain)
 {
 	clock_ms_t now = clock_now(gateway->clock);
-	msg_fleet_part_t parts[PROMPT_PARTS_MAX];
+	uint64_t ids[REQUEST_PARTS_MAX];
+	uint32_t prompt_part_count = list_parts(caller, ids) - 1;
+	msg_fleet_part_t parts[REQUEST_PARTS_MAX];
 	const msg_fleet_parts_t report = {
 		.endpoint = XXH3_64bits_withSeed(
 			endpoint_id, strlen(endpoint_id), incarnation),
 		.request = XXH3_64bits(caller->id, strlen(caller->id)),
 		.parts = parts,
-		.part_count = caller->shared_part_count,
+		.part_count = prompt_part_count,
 		.digest = caller->digest,
 		.digest_passed_ago_ms =
 			passed_ago_ms(gateway, caller->digest, now),
@@ -131,11 +137,10 @@
 	};
 	bool is_reported;
 
-	for (uint32_t i = 0; i < caller->shared_part_count; i++)
+	for (uint32_t i = 0; i < prompt_part_count; i++)
 		parts[i] = (msg_fleet_part_t){
-			.part = caller->shared_parts[i],
-			.passed_ago_ms = passed_ago_ms(
-				gateway, caller->shared_parts[i], now),
+			.part = ids[i],
+			.passed_ago_ms = passed_ago_ms(gateway, ids[i], now),
 		};
 	if (is_certain)
 		counter_add(COUNTER_GATEWAY_CRASHES, 1);
@@ -147,7 +152,7 @@
 		 " parts=%u own_part=" PART_FORMAT " digest=" PART_FORMAT
 		 " reported=%d",
 		 caller->id, endpoint_id, incarnation,
-		 caller->shared_part_count, caller->own_part, caller->digest,
+		 prompt_part_count, caller->own_part, caller->digest,
 		 is_reported);
 }
 
--- a/test/functional/fleet_test.c
+++ b/test/functional/fleet_test.c
@@ -825,7 +825,7 @@
 	start_endpoints(endpoints, ENDING_ENDPOINTS, "orders",
 			FAKE_ENDPOINT_JSON);
 	for (int i = 0; i < ENDING_ENDPOINTS; i++)
-		endpoints[i].ends_on_bad_body = true;
+		endpoints[i].ends_on_bad_request = true;
 	others[0] = start_entry("entry-end-1", addresses[1]);
 	for (int i = 0; i < REPETITIONS; i++) {
 		const char *address = addresses[i % 2];
@@ -853,6 +853,61 @@
 		fake_endpoint_stop(&endpoints[i]);
 }
 
+/* Sends a lookup of its own with this prompt; returns its status. */
+static long prompt_status(const char *address, const char *parts)
+{
+	static unsigned count;
+	const char *id = harness_string(&harness, "prompt%u", ++count);
+	http_request_t *request =
+		send_parts(address, "/look/6", id,
+			   harness_string(&harness, "%u bolts", count), parts);
+	long status;
+
+	CU_ASSERT_FATAL(http_wait(&client, request, HARNESS_WAIT_MS));
+	status = request->status;
+	http_request_free(&client, request);
+	return status;
+}
+
+static void
+test_last_part_that_crashes_plain_endpoints_is_refused_everywhere(void)
+{
+	const char *bad = FAKE_ENDPOINT_BAD_PART ":9";
+	const char *addresses[] = { entry_address, harness_address(&harness),
+				    harness_address(&harness) };
+	fake_endpoint_t endpoints[ENDING_ENDPOINTS];
+	harness_process_t *others[2];
+	unsigned ends;
+
+	start_endpoints(endpoints, ENDING_ENDPOINTS, "orders",
+			FAKE_ENDPOINT_JSON);
+	for (int i = 0; i < ENDING_ENDPOINTS; i++)
+		endpoints[i].ends_on_bad_request = true;
+	others[0] = start_entry("entry-last-1", addresses[1]);
+	for (int i = 0; i < BAD_REQUESTS; i++) {
+		const char *address = addresses[i % 2];
+
+		CU_ASSERT(harness_wait_until(serves_sound_lookups,
+					     (void *)address, HARNESS_WAIT_MS));
+		CU_ASSERT_NOT_EQUAL(prompt_status(address, bad), 200);
+	}
+	ends = count_ends(endpoints);
+	CU_ASSERT(ends <= CRASHES_MAX + LATE_REQUESTS_MAX);
+
+	others[1] = start_entry("entry-last-2", addresses[2]);
+	for (size_t i = 0; i < ARRAY_SIZE(addresses); i++) {
+		CU_ASSERT(harness_wait_until(serves_sound_lookups,
+					     (void *)addresses[i],
+					     HARNESS_WAIT_MS));
+		CU_ASSERT_EQUAL(prompt_status(addresses[i], bad), 503);
+		CU_ASSERT_EQUAL(prompt_status(addresses[i], "cc:9"), 200);
+	}
+	CU_ASSERT_EQUAL(count_ends(endpoints), ends);
+	stop_entries(others, ARRAY_SIZE(others));
+	for (int i = 0; i < ENDING_ENDPOINTS; i++)
+		fake_endpoint_stop(&endpoints[i]);
+}
+
 /* Requests per second that the limited endpoint takes, and what is tolerated. */
 #define REQUEST_LIMIT "2"
 #define LIMIT_WINDOW_US (4 * G_USEC_PER_SEC)
@@ -1370,6 +1425,8 @@
 	{ "leaving endpoint gets nothing new",
 	  test_leaving_endpoint_gets_nothing_new },
 	{ "paused endpoint gets nothing", test_paused_endpoint_gets_nothing },
+	{ "last part that crashes plain endpoints is refused everywhere",
+	  test_last_part_that_crashes_plain_endpoints_is_refused_everywhere },
 	{ "part that crashes endpoints is refused everywhere",
 	  test_part_that_crashes_endpoints_is_refused_everywhere },
 	{ "repeated request that ends endpoints is refused everywhere",
--- a/test/functional/harness/fake_endpoint.c
+++ b/test/functional/harness/fake_endpoint.c
@@ -939,7 +939,8 @@
 	if (fake_endpoint->end_layer > 0)
 		record_path(fake_endpoint, request);
 	record_run(fake_endpoint, request);
-	if (fake_endpoint->ends_on_bad_body && has_bad_body(request)) {
+	if (fake_endpoint->ends_on_bad_request &&
+	    (has_bad_body(request) || has_bad_part(request))) {
 		fake_endpoint->crashes++;
 		fake_endpoint->is_down = true;
 		return;
--- a/test/functional/harness/fake_endpoint.h
+++ b/test/functional/harness/fake_endpoint.h
@@ -143,10 +143,11 @@
 	 */
 	atomic_bool crashes_on_bad_part;
 	/*
-	 * Whether it ends under a request with FAKE_ENDPOINT_BAD_BODY: closes
-	 * all connections, and is back after a while as a new incarnation.
+	 * Whether it ends under a request with FAKE_ENDPOINT_BAD_BODY, or whose
+	 * prompt has FAKE_ENDPOINT_BAD_PART: closes all connections, and is
+	 * back after a while as a new incarnation.
 	 */
-	atomic_bool ends_on_bad_body;
+	atomic_bool ends_on_bad_request;
 	atomic_uint crashes;
 	atomic_uint born; /* when its incarnation started */
 	atomic_bool is_down;
--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -290,7 +290,7 @@
 	endpoint->fake_endpoint.fallback_controls = soak->control_addresses;
 	endpoint->fake_endpoint.journal = &soak->journal;
 	endpoint->fake_endpoint.crashes_on_bad_part = i < WRITER_ENDPOINTS;
-	endpoint->fake_endpoint.ends_on_bad_body = i >= WRITER_ENDPOINTS;
+	endpoint->fake_endpoint.ends_on_bad_request = i >= WRITER_ENDPOINTS;
 	endpoint->born = endpoint->fake_endpoint.born;
 	fake_endpoint_start_threads(&endpoint->fake_endpoint);
 	endpoint->is_running = true;
