fleet: keep the evidence of crashes over a change of the leader

Reports that found no leader were lost, and what a leader had counted ended with it.

Entries now keep the last 32 crashes that they saw and tell a leader that is new, or connected again, of them; a crash that is told again counts once, one before a pass or before the end of a refusal not at all.

Ruled out: telling all control instances, which leaves the seconds in which none runs.

--- a/src/wisteria/codec/msg.c
+++ b/src/wisteria/codec/msg.c
@@ -655,6 +655,7 @@
 	FIELD(FIELD_I64, msg_fleet_parts_t, digest_passed_ago_ms),
 	FIELD(FIELD_STR, msg_fleet_parts_t, suspected_id),
 	FIELD(FIELD_U64, msg_fleet_parts_t, suspected_incarnation),
+	FIELD(FIELD_I64, msg_fleet_parts_t, crashed_ago_ms),
 };
 static const record_desc_t msg_fleet_parts_desc =
 	RECORD_DESC(msg_fleet_parts_t, fleet_parts_fields);
--- a/src/wisteria/codec/msg_defs.h
+++ b/src/wisteria/codec/msg_defs.h
@@ -814,6 +814,7 @@
 	/* The endpoint, if its crash has to be confirmed; otherwise "". */
 	const char *suspected_id;
 	uint64_t suspected_incarnation;
+	int64_t crashed_ago_ms;
 } msg_fleet_parts_t;
 
 /* The requests per second that an endpoint takes from all entries together. */
--- a/src/wisteria/fleet/crash_reports.c
+++ b/src/wisteria/fleet/crash_reports.c
@@ -24,9 +24,21 @@
 		(reports->count - i) * sizeof(reports->reports[0]));
 }
 
+static bool is_held(const crash_reports_t *reports,
+		    const crash_report_t *report)
+{
+	for (uint32_t i = 0; i < reports->count; i++)
+		if (reports->reports[i].crash.endpoint ==
+			    report->crash.endpoint &&
+		    reports->reports[i].crash.repetition ==
+			    report->crash.repetition)
+			return true;
+	return false;
+}
+
 /*
- * Adds a report, unless its endpoint is not known or leaves.  Returns whether it
- * was added.
+ * Adds a report, unless it is held already, or its endpoint is not known or
+ * leaves.  Returns whether it was added.
  */
 bool crash_reports_add(crash_reports_t *reports, const crash_report_t *report,
 		       const registry_t *registry)
@@ -34,7 +46,8 @@
 	const endpoint_t *endpoint =
 		registry_find(registry, report->endpoint_id);
 
-	if (endpoint == NULL || endpoint->draining || endpoint->gone)
+	if (endpoint == NULL || endpoint->draining || endpoint->gone ||
+	    is_held(reports, report))
 		return false;
 	if (reports->count == CRASH_REPORTS_MAX)
 		remove_report(reports, 0);
@@ -69,7 +82,7 @@
 			remove_report(reports, i);
 			return true;
 		}
-		if (now - report->crash.at_ms >= CRASH_REPORT_MAX_AGE_MS)
+		if (now - report->heard_ms >= CRASH_REPORT_MAX_AGE_MS)
 			remove_report(reports, i);
 		else
 			i++;
--- a/src/wisteria/fleet/crash_reports.h
+++ b/src/wisteria/fleet/crash_reports.h
@@ -17,6 +17,7 @@
 
 /* A request whose endpoint closed the connection without a whole answer. */
 typedef struct {
+	clock_ms_t heard_ms; /* when it was received */
 	char endpoint_id[ENDPOINT_ID_BYTES];
 	uint64_t incarnation;
 	part_crash_t crash;
--- a/src/wisteria/fleet/fleet_parts.c
+++ b/src/wisteria/fleet/fleet_parts.c
@@ -78,13 +78,15 @@
 			crash_report_t *report)
 {
 	*report = (crash_report_t){
+		.heard_ms = now,
 		.incarnation = message->suspected_incarnation,
 		.crash = {
 			.endpoint = message->endpoint,
 			.request = message->digest == 0 ? message->request
 							: message->digest,
 			.repetition = message->request,
-			.at_ms = now,
+			.at_ms = now - CLAMP(message->crashed_ago_ms, 0,
+					     PART_GUARD_MEMORY_MS),
 		},
 		.part_count =
 			(uint32_t)MIN(message->part_count,
@@ -103,13 +105,27 @@
 	report->parts[report->part_count++].is_whole = true;
 }
 
+static bool is_counted(const fleet_control_t *control,
+		       const crash_report_t *report)
+{
+	for (uint32_t i = 0; i < report->part_count; i++)
+		if (!part_guard_has_crash(&control->parts,
+					  report->parts[i].part,
+					  &report->crash))
+			return false;
+	return true;
+}
+
+/* Counts a crash, unless an entry has told it again. */
 static void count_crash(fleet_control_t *control, const crash_report_t *report,
 			clock_ms_t now)
 {
-	const part_record_t *refused =
-		part_guard_crash(&control->parts, report->parts,
-				 report->part_count, &report->crash);
+	const part_record_t *refused;
 
+	if (is_counted(control, report))
+		return;
+	refused = part_guard_crash(&control->parts, report->parts,
+				   report->part_count, &report->crash, now);
 	for (uint32_t i = 0; i < report->part_count; i++)
 		log_suspected(control, report->parts[i].part, now);
 	if (refused == NULL)
--- a/src/wisteria/fleet/part_guard.c
+++ b/src/wisteria/fleet/part_guard.c
@@ -159,21 +159,41 @@
 	return record->position > other->position;
 }
 
+/* Whether the crash says something that is not known from what came later. */
+static bool is_news(const part_record_t *record, const part_crash_t *crash)
+{
+	return (!record->has_passed || crash->at_ms >= record->passed_ms) &&
+	       crash->at_ms >= record->refused_until_ms;
+}
+
+/* Whether this crash is recorded under "part" already. */
+bool part_guard_has_crash(const part_guard_t *guard, uint64_t part,
+			  const part_crash_t *crash)
+{
+	const part_record_t *record = part_guard_find(guard, part);
+
+	for (uint32_t i = 0; record != NULL && i < record->crash_count; i++)
+		if (record->crashes[i].endpoint == crash->endpoint &&
+		    record->crashes[i].repetition == crash->repetition)
+			return true;
+	return false;
+}
+
 /*
  * Records that an endpoint crashed as it began the answer to a request with
- * these shared parts.  Returns the part that is refused from now on, or NULL if
- * none is, or if one of them was refused already.
+ * these parts.  The crash may be an earlier one, and may be recorded already.
+ * Returns the part that is refused from "now" on, or NULL if none is, or if one
+ * of them was refused already.
  */
 const part_record_t *part_guard_crash(part_guard_t *guard,
 				      const part_seen_t *parts, uint32_t count,
-				      const part_crash_t *crash)
+				      const part_crash_t *crash, clock_ms_t now)
 {
 	part_record_t *refused = NULL;
 	bool refuses_whole = false;
 
 	for (uint32_t i = 0; i < count; i++)
-		if (part_guard_refused_ms(guard, parts[i].part, crash->at_ms) >
-		    0)
+		if (part_guard_refused_ms(guard, parts[i].part, now) > 0)
 			return NULL;
 	for (uint32_t i = 0; i < count; i++) {
 		part_record_t *record = find_or_add(guard, parts[i].part);
@@ -184,12 +204,14 @@
 		record->position = i;
 		if (parts[i].has_passed)
 			add_pass(record, parts[i].passed_ms);
-		add_crash(record, &counted);
+		if (is_news(record, crash))
+			add_crash(record, &counted);
 	}
 	for (uint32_t i = 0; i < count; i++) {
 		part_record_t *record = find_record(guard, parts[i].part);
 
-		if (record == NULL || !is_responsible(record, crash->at_ms) ||
+		if (record == NULL || !is_news(record, crash) ||
+		    !is_responsible(record, now) ||
 		    !is_preferred(record, refused))
 			continue;
 		refused = record;
@@ -197,7 +219,7 @@
 	}
 	if (refused == NULL)
 		return NULL;
-	refused->refused_until_ms = crash->at_ms + PART_GUARD_REFUSAL_MS;
+	refused->refused_until_ms = now + PART_GUARD_REFUSAL_MS;
 	/* Refusing one request does not account for crashes under others. */
 	for (uint32_t i = 0; !refuses_whole && i < count; i++) {
 		part_record_t *record = find_record(guard, parts[i].part);
--- a/src/wisteria/fleet/subscription.c
+++ b/src/wisteria/fleet/subscription.c
@@ -38,6 +38,7 @@
 	LOG_INFO("control_regained", "peer=%s address=%s", conn->peer_instance,
 		 conn->peer_address);
 	conn_send(conn, MSG_FLEET_SUBSCRIBE, &subscribe);
+	subscription->leader_epoch++;
 	if (subscription->handler->opened != NULL)
 		subscription->handler->opened(subscription->handler, conn);
 }
@@ -65,6 +66,18 @@
 	g_free(addresses);
 }
 
+/* Takes over the address of the leader; empty: it is not known. */
+static void set_leader(subscription_t *subscription, const char *address)
+{
+	const char *leader = address[0] == '\0' ? NULL : address;
+
+	if (g_strcmp0(subscription->leader, leader) == 0)
+		return;
+	g_free(subscription->leader);
+	subscription->leader = g_strdup(leader);
+	subscription->leader_epoch++;
+}
+
 static void on_renew_reply(subscription_t *subscription,
 			   const msg_fleet_renew_reply_t *reply)
 {
@@ -74,9 +87,7 @@
 
 	if (reply->request_sent_ms == subscription->request_sent_ms)
 		subscription->awaiting_reply = false;
-	g_free(subscription->leader);
-	subscription->leader =
-		reply->leader[0] == '\0' ? NULL : g_strdup(reply->leader);
+	set_leader(subscription, reply->leader);
 	set_controls_from_reply(subscription, reply);
 	if (subscription->handler->renew_reply(subscription->handler, reply))
 		subscription_extend_lease(subscription, reply->request_sent_ms);
--- a/src/wisteria/fleet/subscription_defs.h
+++ b/src/wisteria/fleet/subscription_defs.h
@@ -82,6 +82,8 @@
 	control_list_t discovered;
 	GPtrArray *wanted; /* next "controls"; NULL: unchanged */
 	char *leader;	   /* last reported address; NULL: not known */
+	/* Counts changes of the leader and of connections. */
+	uint64_t leader_epoch;
 	char *own_address; /* excluded from "controls"; may be NULL */
 	uv_timer_t tick;
 	guint next_index;	    /* in "controls": next renewal */
--- a/src/wisteria/gateway/gateway_defs.h
+++ b/src/wisteria/gateway/gateway_defs.h
@@ -124,6 +124,26 @@
 	clock_ms_t at_ms; /* 0: never */
 } part_pass_t;
 
+/* Most crashes of endpoints that are kept for a new leader, the last ones. */
+#define GATEWAY_CRASHES_MAX 32
+/*
+ * For how long a leader is told of earlier crashes; one that has just been
+ * elected may be known before it leads.
+ */
+#define GATEWAY_CRASHES_TOLD_MS 3000
+
+/* A request of this entry under which an endpoint crashed, or may have. */
+typedef struct {
+	clock_ms_t at_ms; /* 0: none */
+	char endpoint_id[ENDPOINT_ID_BYTES];
+	uint64_t incarnation;
+	bool is_certain;
+	uint64_t request;
+	uint64_t digest;
+	uint64_t parts[REQUEST_PARTS_MAX]; /* of the prompt */
+	uint32_t part_count;
+} seen_crash_t;
+
 /* The endpoints that one attempt uses: a single one or a pipeline. */
 typedef struct {
 	char ids[PIPELINE_HOPS_MAX][ENDPOINT_ID_BYTES];
@@ -266,6 +286,10 @@
 	part_guard_t parts;	 /* as the leader decides */
 	clock_ms_t parts_reported_ms;
 	part_pass_t part_passes[GATEWAY_PART_PASSES_MAX]; /* by hash */
+	seen_crash_t crashes[GATEWAY_CRASHES_MAX];
+	uint32_t next_crash;	       /* in "crashes" */
+	uint64_t crashes_leader_epoch; /* of the leader that is told of them */
+	clock_ms_t crashes_told_until_ms;
 	request_limits_t limits;     /* that endpoints name */
 	request_limits_t own_limits; /* of them, in answers to this entry */
 	permits_t permits;	     /* to send to limited endpoints */
--- a/src/wisteria/gateway/prompt_parts.c
+++ b/src/wisteria/gateway/prompt_parts.c
@@ -110,50 +110,91 @@
 		};
 }
 
+/* Tells the leader of a crash; returns false if there is no leader. */
+static bool report_crash(gateway_t *gateway, const seen_crash_t *crash,
+			 clock_ms_t now)
+{
+	msg_fleet_part_t parts[REQUEST_PARTS_MAX];
+	const msg_fleet_parts_t report = {
+		.endpoint = XXH3_64bits_withSeed(crash->endpoint_id,
+						 strlen(crash->endpoint_id),
+						 crash->incarnation),
+		.request = crash->request,
+		.parts = parts,
+		.part_count = crash->part_count,
+		.digest = crash->digest,
+		.digest_passed_ago_ms =
+			passed_ago_ms(gateway, crash->digest, now),
+		.suspected_id = crash->is_certain ? "" : crash->endpoint_id,
+		.suspected_incarnation = crash->incarnation,
+		.crashed_ago_ms = now - crash->at_ms,
+	};
+
+	for (uint32_t i = 0; i < crash->part_count; i++)
+		parts[i] = (msg_fleet_part_t){
+			.part = crash->parts[i],
+			.passed_ago_ms =
+				passed_ago_ms(gateway, crash->parts[i], now),
+		};
+	return subscription_send_to_leader(&gateway->subscription,
+					   MSG_FLEET_PARTS, &report);
+}
+
+/*
+ * Tells a leader that is new, or connected again, of the crashes that this entry
+ * saw: a leader keeps what it counts in memory only.
+ */
+static void report_earlier_crashes(gateway_t *gateway, clock_ms_t now)
+{
+	uint64_t epoch = gateway->subscription.leader_epoch;
+
+	if (epoch != gateway->crashes_leader_epoch) {
+		gateway->crashes_leader_epoch = epoch;
+		gateway->crashes_told_until_ms = now + GATEWAY_CRASHES_TOLD_MS;
+	}
+	if (now >= gateway->crashes_told_until_ms)
+		return;
+	for (uint32_t i = 0; i < GATEWAY_CRASHES_MAX; i++) {
+		const seen_crash_t *crash = &gateway->crashes[i];
+
+		if (crash->at_ms != 0 &&
+		    now - crash->at_ms < PART_GUARD_MEMORY_MS)
+			(void)report_crash(gateway, crash, now);
+	}
+}
+
 /*
  * Reports to the leader that an endpoint crashed under a request or, if
- * "is_certain" is false, that it may have: it closed the connection.  A report
- * that finds no leader is lost; the next crash counts.
+ * "is_certain" is false, that it may have: it closed the connection.
  */
 void prompt_parts_crashed(gateway_t *gateway, const caller_request_t *caller,
 			  const char *endpoint_id, uint64_t incarnation,
 			  bool is_certain)
 {
 	clock_ms_t now = clock_now(gateway->clock);
-	uint64_t ids[REQUEST_PARTS_MAX];
-	uint32_t prompt_part_count = list_parts(caller, ids) - 1;
-	msg_fleet_part_t parts[REQUEST_PARTS_MAX];
-	const msg_fleet_parts_t report = {
-		.endpoint = XXH3_64bits_withSeed(
-			endpoint_id, strlen(endpoint_id), incarnation),
+	seen_crash_t *crash = &gateway->crashes[gateway->next_crash];
+	bool is_reported;
+
+	gateway->next_crash = (gateway->next_crash + 1) % GATEWAY_CRASHES_MAX;
+	*crash = (seen_crash_t){
+		.at_ms = now,
+		.incarnation = incarnation,
+		.is_certain = is_certain,
 		.request = XXH3_64bits(caller->id, strlen(caller->id)),
-		.parts = parts,
-		.part_count = prompt_part_count,
 		.digest = caller->digest,
-		.digest_passed_ago_ms =
-			passed_ago_ms(gateway, caller->digest, now),
-		.suspected_id = is_certain ? "" : endpoint_id,
-		.suspected_incarnation = incarnation,
 	};
-	bool is_reported;
-
-	for (uint32_t i = 0; i < prompt_part_count; i++)
-		parts[i] = (msg_fleet_part_t){
-			.part = ids[i],
-			.passed_ago_ms = passed_ago_ms(gateway, ids[i], now),
-		};
+	g_strlcpy(crash->endpoint_id, endpoint_id, sizeof(crash->endpoint_id));
+	crash->part_count = list_parts(caller, crash->parts) - 1;
 	if (is_certain)
 		counter_add(COUNTER_GATEWAY_CRASHES, 1);
-	is_reported = subscription_send_to_leader(&gateway->subscription,
-						  MSG_FLEET_PARTS, &report);
+	is_reported = report_crash(gateway, crash, now);
 	LOG_INFO(is_certain ? "endpoint_crashed_at_begin"
 			    : "endpoint_crash_suspected",
 		 "request=%s endpoint=%s incarnation=%" G_GUINT64_FORMAT
 		 " parts=%u own_part=" PART_FORMAT " digest=" PART_FORMAT
 		 " reported=%d",
-		 caller->id, endpoint_id, incarnation,
-		 prompt_part_count, caller->own_part, caller->digest,
-		 is_reported);
+		 caller->id, endpoint_id, incarnation, crash->part_count,
+		 caller->own_part, caller->digest, is_reported);
 }
 
 /*
@@ -241,4 +282,5 @@
 	if (report.part_count > 0)
 		subscription_send_to_leader(&gateway->subscription,
 					    MSG_FLEET_PARTS, &report);
+	report_earlier_crashes(gateway, now);
 }
--- a/test/functional/harness/fake_endpoint.h
+++ b/test/functional/harness/fake_endpoint.h
@@ -19,6 +19,8 @@
 /* Less than GATEWAY_EVENT_BYTES_MAX. */
 #define FAKE_ENDPOINT_LINE_BYTES 250000u
 #define FAKE_ENDPOINT_BAD_PART "bad0"
+/* The others begin so, too. */
+#define FAKE_ENDPOINT_BAD_PREFIX "bad"
 #define FAKE_ENDPOINT_BAD_BODY "666 bolts"
 /* How long an endpoint that ended under such a body is down. */
 #define FAKE_ENDPOINT_DOWN_MS 800
@@ -139,13 +141,13 @@
 	atomic_uint rejections;
 	/*
 	 * Whether, in any mode that runs requests, it closes the connection of
-	 * one whose prompt has FAKE_ENDPOINT_BAD_PART as it begins the answer.
+	 * one whose prompt has a bad part as it begins the answer.
 	 */
 	atomic_bool crashes_on_bad_part;
 	/*
 	 * Whether it ends under a request with FAKE_ENDPOINT_BAD_BODY, or whose
-	 * prompt has FAKE_ENDPOINT_BAD_PART: closes all connections, and is
-	 * back after a while as a new incarnation.
+	 * prompt has a bad part: closes all connections, and is back after a
+	 * while as a new incarnation.
 	 */
 	atomic_bool ends_on_bad_request;
 	atomic_uint crashes;
