gateway: count crashes under an attempt that is set aside

An attempt without an event for 0.9 s is set aside and the request is offered elsewhere. If its endpoint then crashed, nobody was told, so a part that crashes endpoints only after a second, as where engines are slow or prompts wait, was never refused: nearly all attempts are set aside first, and each request ends as many endpoints as its route has attempts.

Shown by fleet_faults_test "part that crashes endpoints late is refused", which failed before in 3 asserts: two requests ended endpoints, and so did the third. The end of an attempt that was set aside is now reported like that of a current one. Looked for elsewhere: attempts that the entry itself cancels say nothing of the endpoint.

--- a/src/wisteria/gateway/answer.c
+++ b/src/wisteria/gateway/answer.c
@@ -309,12 +309,12 @@
 }
 
 /*
- * Reports an endpoint that has closed the connection without a whole answer.  It
- * has crashed if it had begun a stream and sent no event.  An endpoint without a
+ * Reports the endpoint of the current attempt, which has closed the connection
+ * without a whole answer.  It has crashed if it had begun a stream and sent no event.  An endpoint without a
  * model runs few requests at a time, so each of them may be why it closed; one
  * with a model cuts many that it has not begun.
  */
-static void report_crash(const exchange_t *exchange)
+void answer_report_crash(const exchange_t *exchange)
 {
 	bool is_certain = exchange->is_streaming;
 
@@ -336,7 +336,7 @@
 		return;
 	}
 	if (answer->framing == HTTP_FRAMING_CLOSE)
-		report_crash(exchange);
+		answer_report_crash(exchange);
 	end_defective_stream(exchange, defect);
 }
 
@@ -403,7 +403,7 @@
 
 	exchange->call = NULL;
 	if (stage != HTTP_CALL_UNSENT)
-		report_crash(exchange);
+		answer_report_crash(exchange);
 	exchange_attempt_failed(exchange, failures[stage], NULL, reason, NULL);
 }
 
--- a/src/wisteria/gateway/answer.h
+++ b/src/wisteria/gateway/answer.h
@@ -5,6 +5,8 @@
 #include "wisteria/gateway/gateway_defs.h"
 
 /* Handles the calls of exchanges to endpoints. */
+void answer_report_crash(const exchange_t *exchange) ATTR_NONNULL_ALL;
+
 extern const http_call_handler_t answer_handler;
 
 void answer_check_backlog(exchange_t *exchange,
--- a/src/wisteria/gateway/exchange_pause.c
+++ b/src/wisteria/gateway/exchange_pause.c
@@ -203,6 +203,17 @@
 	}
 }
 
+/* Reports that the endpoint has closed the connection too early. */
+static void report_crash(const paused_attempt_t *paused)
+{
+	exchange_t *exchange = paused->exchange;
+	attempt_state_t current = get_state(exchange);
+
+	set_state(exchange, &paused->state);
+	answer_report_crash(exchange);
+	set_state(exchange, &current);
+}
+
 static void on_complete(http_call_handler_t *handler,
 			const http_message_t *answer)
 {
@@ -216,6 +227,8 @@
 	}
 	if (outcome_of_paused(&paused->state.event_stream, answer->body,
 			      &answer->framing) != PAUSED_STREAM_GOES_ON) {
+		if (answer->framing == HTTP_FRAMING_CLOSE)
+			report_crash(paused);
 		exchange_end_paused(exchange, "cut");
 		return;
 	}
@@ -230,8 +243,9 @@
 {
 	paused_attempt_t *paused = paused_of(handler);
 
-	(void)stage;
 	paused->state.call = NULL;
+	if (stage != HTTP_CALL_UNSENT)
+		report_crash(paused);
 	exchange_end_paused(paused->exchange, reason);
 }
 
--- a/test/functional/fleet_faults_test.c
+++ b/test/functional/fleet_faults_test.c
@@ -712,6 +712,65 @@
 	}
 }
 
+#define LATE_ENDPOINTS 6
+
+static unsigned count_runs(const fake_endpoint_t *endpoints, size_t count)
+{
+	unsigned runs = 0;
+
+	for (size_t i = 0; i < count; i++)
+		runs += endpoints[i].runs;
+	return runs;
+}
+
+/* Sends a request whose prompt has a bad part; returns its status. */
+static long late_status(const char *id)
+{
+	const char *headers[] = {
+		"Host: shop.example",
+		harness_string(&harness, "X-Wisteriadrift-Request-Id: %s", id),
+		"X-Wisteriadrift-Deadline-Ms: 9000",
+		harness_string(&harness,
+			       "X-Wisteriadrift-Prefix-Hash: aa:9,bad3:9,%x:9",
+			       g_str_hash(id)),
+		NULL,
+	};
+	const http_params_t params = {
+		.url = harness_string(&harness, "http://%s/quick/3",
+				      entry_address),
+		.body = id,
+		.headers = headers,
+	};
+	http_request_t *request = http_send(&client, &params);
+	long status;
+
+	CU_ASSERT_FATAL(http_wait(&client, request, HARNESS_WAIT_MS));
+	status = request->status;
+	http_request_free(&client, request);
+	return status;
+}
+
+/* Failure: the crash of an endpoint whose attempt was set aside is not counted. */
+static void test_part_that_crashes_endpoints_late_is_refused(void)
+{
+	fake_endpoint_t endpoints[LATE_ENDPOINTS];
+	unsigned runs;
+
+	for (int i = 0; i < LATE_ENDPOINTS; i++)
+		start_known(&endpoints[i],
+			    harness_string(&harness, "late-%d", i), "writer",
+			    FAKE_ENDPOINT_SLOW_EMPTY);
+	CU_ASSERT_NOT_EQUAL(late_status("late1"), 200);
+	CU_ASSERT_NOT_EQUAL(late_status("late2"), 200);
+	CU_ASSERT(harness_wait_log(entry, "event=part_refused part=bad3 ",
+				   HARNESS_WAIT_MS));
+	runs = count_runs(endpoints, LATE_ENDPOINTS);
+	CU_ASSERT_EQUAL(late_status("late3"), 503);
+	CU_ASSERT_EQUAL(count_runs(endpoints, LATE_ENDPOINTS), runs);
+	for (int i = 0; i < LATE_ENDPOINTS; i++)
+		fake_endpoint_stop(&endpoints[i]);
+}
+
 /* Beyond all that callers of route "quick" wait, below its time limit. */
 #define LONG_SILENCE_MS 4000
 
@@ -1218,6 +1277,8 @@
 	{ "slow stream is not cut", test_slow_stream_is_not_cut },
 	{ "pausing stream outlives a failed offer",
 	  test_pausing_stream_outlives_a_failed_offer },
+	{ "part that crashes endpoints late is refused",
+	  test_part_that_crashes_endpoints_late_is_refused },
 	{ "silent stream is ended by its endpoint or caller",
 	  test_silent_stream_is_ended_by_its_endpoint_or_caller },
 	{ "pausing stream outlives a freeze of the entry",
--- a/test/functional/harness/fake_endpoint.c
+++ b/test/functional/harness/fake_endpoint.c
@@ -297,12 +297,15 @@
 	send_text(fd, head);
 	if (mode == FAKE_ENDPOINT_JSON)
 		send_text(fd, FAKE_ENDPOINT_JSON_BODY);
+	else if (mode == FAKE_ENDPOINT_SLOW_EMPTY)
+		g_usleep(FAKE_ENDPOINT_SLOW_MS * G_TIME_SPAN_MILLISECOND);
 	else if (!is_empty)
 		is_broken = !send_events(fake_endpoint, fd, request_id, id,
 					 chunked, mode, is_truncated);
 	if (is_truncated && mode != FAKE_ENDPOINT_TRUNCATE)
 		send_body(fd, chunked, "id: 6\ndata: wor");
 	if (chunked && !is_empty && !is_broken &&
+	    mode != FAKE_ENDPOINT_SLOW_EMPTY &&
 	    (!is_truncated || mode == FAKE_ENDPOINT_CHUNKED_CUT))
 		send_text(fd, "0\r\n\r\n");
 	g_free(limit);
--- a/test/functional/harness/fake_endpoint.h
+++ b/test/functional/harness/fake_endpoint.h
@@ -87,6 +87,8 @@
 	FAKE_ENDPOINT_FOREIGN,
 	/* The first events of a stream come after FAKE_ENDPOINT_SLOW_MS each. */
 	FAKE_ENDPOINT_SLOW,
+	/* Closes each stream after FAKE_ENDPOINT_SLOW_MS, before any event. */
+	FAKE_ENDPOINT_SLOW_EMPTY,
 	/* Until the connection is closed, sends now and then in a stream: */
 	FAKE_ENDPOINT_COMMENTS,	 /* a comment */
 	FAKE_ENDPOINT_DRIBBLE,	 /* a byte of an event that never ends */
