gateway: a first event does not clear a part that crashes endpoints

The first event of an answer counted as a pass of its parts, which clears what was held against them. An endpoint that crashes just behind that event was reported by nobody, and each crash cleared the part: it was never refused.

An attempt now passes with the events that follow the first ones, or with its end; one that is closed before is reported, and counts once the endpoint is found gone, so that endpoints which only break off streams have no parts refused.

--- a/src/wisteria/gateway/answer.c
+++ b/src/wisteria/gateway/answer.c
@@ -88,6 +88,18 @@
 				 now - exchange->sent_ms, now);
 }
 
+/*
+ * Records that the endpoint runs on.  A crash as it begins an answer may come
+ * just behind the first events, so these do not show it.
+ */
+static void record_pass(exchange_t *exchange)
+{
+	if (exchange->has_passed)
+		return;
+	exchange->has_passed = true;
+	prompt_parts_passed(exchange->gateway, &exchange->caller);
+}
+
 /* Forwards a complete answer unchanged. */
 void answer_forward(exchange_t *exchange, const http_message_t *answer)
 {
@@ -267,9 +279,8 @@
 	if (complete_len > 0) {
 		exchange_end_paused(exchange, "overtaken");
 		exchange_prompt_read(exchange);
-		if (is_first)
-			prompt_parts_passed(exchange->gateway,
-					    &exchange->caller);
+		if (!is_first)
+			record_pass(exchange);
 		record_event(exchange);
 		begin_stream(exchange, http_call_response(exchange->call));
 		http_conn_send(exchange->conn, body->data, complete_len);
@@ -298,6 +309,7 @@
 static void finish_stream(exchange_t *exchange, const http_message_t *answer)
 {
 	begin_stream(exchange, answer);
+	record_pass(exchange);
 	if (answer->body->len > 0)
 		http_conn_send(exchange->conn, answer->body->data,
 			       answer->body->len);
@@ -310,16 +322,19 @@
 
 /*
  * Reports the endpoint of the current attempt, which has closed the connection
- * without a whole answer.  It has crashed if it had begun a stream and sent no event.  An endpoint without a
- * model runs few requests at a time, so each of them may be why it closed; one
- * with a model cuts many that it has not begun.
+ * without a whole answer.  It has crashed if it had begun a stream and sent no
+ * event, and may have behind the first events.  An endpoint without a model runs
+ * few requests at a time, so each of them may be why it closed; one with a model
+ * cuts many that it has not begun.
  */
 void answer_report_crash(const exchange_t *exchange)
 {
-	bool is_certain = exchange->is_streaming;
+	bool has_begun = exchange->is_streaming;
+	bool is_certain =
+		has_begun && exchange->event_stream.attempt_event_count == 0;
 
-	if (exchange->event_stream.attempt_event_count == 0 &&
-	    (is_certain || !exchange->service->has_engine))
+	if (!exchange->has_passed &&
+	    (has_begun || !exchange->service->has_engine))
 		prompt_parts_crashed(exchange->gateway, &exchange->caller,
 				     exchange->target.ids[0],
 				     exchange->incarnation, is_certain);
--- a/src/wisteria/gateway/exchange.c
+++ b/src/wisteria/gateway/exchange.c
@@ -171,6 +171,7 @@
 	exchange->event_due_since_ms = now;
 	exchange->filler_ms = now;
 	exchange->is_streaming = false;
+	exchange->has_passed = false;
 	exchange->is_held_back = false;
 	exchange->answer_framing = HTTP_FRAMING_NONE;
 	exchange->request_limit = REQUEST_LIMIT_NONE;
--- a/src/wisteria/gateway/exchange_pause.c
+++ b/src/wisteria/gateway/exchange_pause.c
@@ -21,6 +21,7 @@
 	bool is_counted;
 	bool awaits_arrival;
 	bool is_streaming;
+	bool has_passed;
 	clock_ms_t sent_ms;
 	clock_ms_t last_progress_ms;
 	clock_ms_t event_due_since_ms;
@@ -53,6 +54,7 @@
 		.is_counted = exchange->is_counted,
 		.awaits_arrival = exchange->awaits_arrival,
 		.is_streaming = exchange->is_streaming,
+		.has_passed = exchange->has_passed,
 		.sent_ms = exchange->sent_ms,
 		.last_progress_ms = exchange->last_progress_ms,
 		.event_due_since_ms = exchange->event_due_since_ms,
@@ -74,6 +76,7 @@
 	exchange->is_counted = state->is_counted;
 	exchange->awaits_arrival = state->awaits_arrival;
 	exchange->is_streaming = state->is_streaming;
+	exchange->has_passed = state->has_passed;
 	exchange->sent_ms = state->sent_ms;
 	exchange->last_progress_ms = state->last_progress_ms;
 	exchange->event_due_since_ms = state->event_due_since_ms;
--- a/src/wisteria/gateway/gateway_defs.h
+++ b/src/wisteria/gateway/gateway_defs.h
@@ -231,6 +231,7 @@
 	unsigned possible_runs;		   /* attempts that may have run */
 	unsigned possible_arrivals;	   /* attempts possibly received */
 	bool is_streaming; /* the answer is forwarded as it arrives */
+	bool has_passed;   /* the endpoint has outlived the first events */
 	bool is_held_back; /* until the caller takes more of it */
 	bool headers_sent;
 	event_stream_t event_stream;
--- a/test/functional/fleet_test.c
+++ b/test/functional/fleet_test.c
@@ -822,6 +822,34 @@
 		fake_endpoint_stop(&endpoints[i]);
 }
 
+/* Failure: the first event of an answer clears a part that crashes endpoints. */
+static void test_part_that_crashes_behind_an_event_is_refused(void)
+{
+	const char *bad = "aa:10,bad4:5,";
+	fake_endpoint_t endpoints[CRASHING_ENDPOINTS];
+	unsigned crashes;
+
+	start_endpoints(endpoints, CRASHING_ENDPOINTS, "writer",
+			FAKE_ENDPOINT_SERVE);
+	for (int i = 0; i < CRASHING_ENDPOINTS; i++) {
+		endpoints[i].ends_on_bad_request = true;
+		endpoints[i].ends_behind_event = true;
+	}
+	for (int i = 0; i < BAD_REQUESTS; i++) {
+		CU_ASSERT(harness_wait_until(serves_sound_parts,
+					     (void *)entry_address,
+					     HARNESS_WAIT_MS));
+		(void)parts_status(entry_address, bad);
+	}
+	crashes = count_crashes(endpoints);
+	CU_ASSERT(crashes >= 3 && crashes <= CRASHES_MAX + LATE_REQUESTS_MAX);
+	CU_ASSERT_EQUAL(parts_status(entry_address, bad), 503);
+	CU_ASSERT(serves_sound_parts((void *)entry_address));
+	CU_ASSERT_EQUAL(count_crashes(endpoints), crashes);
+	for (int i = 0; i < CRASHING_ENDPOINTS; i++)
+		fake_endpoint_stop(&endpoints[i]);
+}
+
 #define ENDING_ENDPOINTS 3
 /* Repetitions, and the runs of them that are tolerated: three, and three late. */
 #define REPETITIONS 5
@@ -1473,6 +1501,8 @@
 	  test_part_that_crashes_endpoints_is_refused_everywhere },
 	{ "crashes without a leader count for the next one",
 	  test_crashes_without_a_leader_count_for_the_next_one },
+	{ "part that crashes behind an event is refused",
+	  test_part_that_crashes_behind_an_event_is_refused },
 	{ "repeated request that ends endpoints is refused everywhere",
 	  test_repeated_request_that_ends_endpoints_is_refused_everywhere },
 	{ "all entries share the request limit of an endpoint",
--- a/test/functional/harness/fake_endpoint.c
+++ b/test/functional/harness/fake_endpoint.c
@@ -247,6 +247,8 @@
 	for (; id < FAKE_ENDPOINT_EVENTS; id++) {
 		if (is_truncated && id > FAKE_ENDPOINT_TRUNCATE_AFTER)
 			return true;
+		if (mode == FAKE_ENDPOINT_ONE_EVENT && id > 0)
+			return false;
 		if (mode == FAKE_ENDPOINT_SLOW &&
 		    id < FAKE_ENDPOINT_SLOW_EVENTS &&
 		    !wait_slowly(fake_endpoint, fd, id))
@@ -944,6 +946,9 @@
 	record_run(fake_endpoint, request);
 	if (fake_endpoint->ends_on_bad_request &&
 	    (has_bad_body(request) || has_bad_part(request))) {
+		if (fake_endpoint->ends_behind_event)
+			send_stream(fake_endpoint, fd, request,
+				    FAKE_ENDPOINT_ONE_EVENT);
 		fake_endpoint->crashes++;
 		fake_endpoint->is_down = true;
 		return;
--- a/test/functional/harness/fake_endpoint.h
+++ b/test/functional/harness/fake_endpoint.h
@@ -87,6 +87,8 @@
 	FAKE_ENDPOINT_FOREIGN,
 	/* The first events of a stream come after FAKE_ENDPOINT_SLOW_MS each. */
 	FAKE_ENDPOINT_SLOW,
+	/* Closes each stream behind its first event. */
+	FAKE_ENDPOINT_ONE_EVENT,
 	/* Closes each stream after FAKE_ENDPOINT_SLOW_MS, before any event. */
 	FAKE_ENDPOINT_SLOW_EMPTY,
 	/* Until the connection is closed, sends now and then in a stream: */
@@ -152,6 +154,8 @@
 	 * while as a new incarnation.
 	 */
 	atomic_bool ends_on_bad_request;
+	/* Whether it first sends FAKE_ENDPOINT_ONE_EVENT then. */
+	atomic_bool ends_behind_event;
 	atomic_uint crashes;
 	atomic_uint born; /* when its incarnation started */
 	atomic_bool is_down;
