fleet: keep room for all that was beside a crashing request

The leader keeps what is held against 64 parts and replaces the oldest. Each request that an endpoint had begun, or may have crashed under, brings two or three; 22 of them beside the bad one make the leader forget it before the next crash, so a part that crashes endpoints is never refused where many requests begin at once.

Shown by part_guard_test "bystanders of a crash do not hide the bad part", with the 192 slots that an engine has; it failed before. 1,024 records hold those of two endpoints.

--- a/src/wisteria/fleet/part_guard_defs.h
+++ b/src/wisteria/fleet/part_guard_defs.h
@@ -6,8 +6,12 @@
 
 #include "wisteria/base/clock_defs.h"
 
-/* Most parts that are watched or refused at a time. */
-#define PART_GUARD_PARTS_MAX 64
+/*
+ * Most parts that are watched or refused at a time: those of all requests at two
+ * endpoints with 192 slots, so that they do not displace what the next crash
+ * needs.
+ */
+#define PART_GUARD_PARTS_MAX 1024
 /*
  * A part is refused after it was in requests that crashed this many endpoints.
  * Fewer crashes can be a coincidence; each ends the streams of many callers.
--- a/test/unit/part_guard_test.c
+++ b/test/unit/part_guard_test.c
@@ -249,6 +249,23 @@
 	CU_ASSERT_TRUE(part_guard_refused_ms(&guard, BAD, 2000) > 0);
 }
 
+/* Parts that other requests at one endpoint may have: its slots, two each. */
+#define BYSTANDERS 192
+
+/* Failure: the requests beside the bad one push it out of memory. */
+static void test_bystanders_of_a_crash_do_not_hide_the_bad_part(void)
+{
+	init();
+	for (clock_ms_t now = 1000; now <= 3000; now += 1000) {
+		(void)!crash_of(SYSTEM, BAD, now);
+		for (uint64_t i = 0; i < BYSTANDERS; i++)
+			(void)!crash_of((uint64_t)now << 16 | 2 * i,
+					(uint64_t)now << 16 | (2 * i + 1),
+					now + 1);
+	}
+	CU_ASSERT_TRUE(part_guard_refused_ms(&guard, BAD, 3000) > 0);
+}
+
 static void test_refusal_of_another_process_is_taken_over(void)
 {
 	init();
@@ -345,6 +362,8 @@
 	  test_request_without_repetition_is_not_refused },
 	{ "repetitions do not hide a bad part",
 	  test_repetitions_do_not_hide_a_bad_part },
+	{ "bystanders of a crash do not hide the bad part",
+	  test_bystanders_of_a_crash_do_not_hide_the_bad_part },
 	{ "refusal of another process is taken over",
 	  test_refusal_of_another_process_is_taken_over },
 };
