http: bound what clients make a server hold, over all connections

Clients that keep to no limit ended an entry: it ran out of memory. Each connection was bounded, all together were not, in three forms that one crowd can show:

- 60 clients with chunked bodies that stop short of their end: 246 MB in large chunks, 261 MB in small ones; 257 MB of bodies over the limit, whose memory was kept while the connection lingered.
Machines have 160 MB and more.
- 40 clients with requests sent ahead and no answer read: an ordinary request was not served.
Responses piled up without end, each request copied all that was buffered behind it, and one connection's requests were all parsed before any other was read.
- 600 idle connections: 620 descriptors, no bound.

A server now counts what its connections hold of requests (24 MiB, setting front_held_mb; never less than one largest request). Beyond it, the request that has made no progress for longest is refused with 503, which is true as it was not read. Above half of it connections are read in small pieces. The next request of a connection waits until its client has taken the last answers but 16 KiB, and others take their turn after 32. Above 3,000 connections (setting front_connections) the one that was idle longest is closed. Large bodies are freed with their request.

--- a/src/wisteria/base/counters.c
+++ b/src/wisteria/base/counters.c
@@ -163,6 +163,11 @@
 					     "Connections closed with a "
 					     "request or response that was "
 					     "not complete." },
+	[COUNTER_HTTP_REFUSED_UNREAD] = { "http_refused_unread_total",
+					  "counter",
+					  "Requests refused before they were "
+					  "read, as clients together sent too "
+					  "much." },
 	[COUNTER_PERMITS_ISSUED] = { "permits_issued_total", "counter",
 				     "Permits for requests to endpoints that "
 				     "name a limit." },
--- a/src/wisteria/gateway/gateway.c
+++ b/src/wisteria/gateway/gateway.c
@@ -108,6 +108,8 @@
 		.body_bytes = limits->body_bytes,
 		.header_ms = limits->header_ms,
 		.idle_ms = limits->idle_ms,
+		.held_bytes = gateway->http.limits.held_bytes,
+		.connections = gateway->http.limits.connections,
 	};
 }
 
@@ -682,6 +684,8 @@
 			      gateway->clock, &ready_limits,
 			      &gateway->ready_handler, err))
 		return false;
+	gateway->http.limits.connections = fleet->front_connections;
+	gateway->http.limits.held_bytes = (size_t)fleet->front_held_mb << 20;
 	subscription_init(&gateway->subscription, net, gateway->clock, true,
 			  NULL, &gateway->subscription_handler);
 	gateway->subscription.is_entry = true;
--- a/src/wisteria/http/http_message.c
+++ b/src/wisteria/http/http_message.c
@@ -3,6 +3,9 @@
 
 #include <strings.h>
 
+/* A message keeps the memory of a body up to this size for the next one. */
+#define BODY_KEPT_BYTES_MAX (16u << 10)
+
 /* Initializes an empty message. */
 void http_message_init(http_message_t *message)
 {
@@ -23,11 +26,15 @@
 	g_byte_array_unref(message->body);
 }
 
-/* Clears a message for reuse. */
+/* Clears a message for reuse; the memory of a large body is freed. */
 void http_message_reset(http_message_t *message)
 {
 	static const guint8 nul = 0;
 
+	if (message->body->len > BODY_KEPT_BYTES_MAX) {
+		g_byte_array_unref(message->body);
+		message->body = g_byte_array_new();
+	}
 	g_byte_array_set_size(message->text, 0);
 	g_byte_array_append(message->text, &nul, 1);
 	g_array_set_size(message->fields, 0);
--- a/src/wisteria/http/http_server.c
+++ b/src/wisteria/http/http_server.c
@@ -39,6 +39,25 @@
 /* Number of pipelined bytes at which reading from the connection pauses. */
 #define PENDING_BYTES_MAX (64u << 10)
 #define READ_BYTES (64u << 10)
+/* Both, once half of what all connections may hold is held. */
+#define SCARCE_READ_BYTES (4u << 10)
+/*
+ * With more bytes of responses that its client has not taken, a connection's
+ * next request waits.  The kernel holds far more before.
+ */
+#define UNTAKEN_BYTES_MAX (16u << 10)
+/*
+ * Most bytes of requests that are held over all connections: six of the usual
+ * largest body, a fraction of the least memory of a machine, since a body takes
+ * up to three times its length until it is answered.
+ */
+#define HELD_BYTES_DEFAULT (24u << 20)
+/* Three quarters of the descriptors that a process usually has. */
+#define CONNECTIONS_DEFAULT 3000
+/* Requests of one connection that are read before others take their turn. */
+#define PIPELINED_AT_ONCE 32
+/* For a client whose request was not read, in seconds. */
+#define REFUSAL_HEADERS "Retry-After: 1\r\n"
 /*
  * Most bytes of responses that clients have not taken, over all connections of a
  * server; one with fewer than BACKLOG_LARGE_BYTES is not closed for them.
@@ -51,6 +70,39 @@
 	return clock_now(conn->server->clock);
 }
 
+static size_t held_bytes_max(const http_server_t *server)
+{
+	size_t held_bytes = server->limits.held_bytes > 0
+				    ? server->limits.held_bytes
+				    : HELD_BYTES_DEFAULT;
+
+	return MAX(held_bytes, server->limits.header_bytes +
+				       server->limits.body_bytes + READ_BYTES);
+}
+
+static unsigned connections_max(const http_server_t *server)
+{
+	return server->limits.connections > 0 ? server->limits.connections
+					      : CONNECTIONS_DEFAULT;
+}
+
+/* Counts what the connection holds of requests; to be called when it changes. */
+static void count_held(http_conn_t *conn)
+{
+	size_t held = 0;
+
+	if (conn->state < HTTP_CONN_LINGERING)
+		held = conn->reader.message.text->len +
+		       conn->reader.message.body->len + conn->pending->len;
+	conn->server->held_bytes += held - conn->held_bytes;
+	conn->held_bytes = held;
+}
+
+static bool is_memory_scarce(const http_server_t *server)
+{
+	return server->held_bytes > held_bytes_max(server) / 2;
+}
+
 static void on_conn_closed(uv_handle_t *handle)
 {
 	http_conn_t *conn = handle->data;
@@ -121,6 +173,7 @@
 	if (reason != NULL)
 		report_close(conn, reason);
 	conn->state = HTTP_CONN_CLOSED;
+	count_held(conn);
 	LIST_REMOVE(conn, entry);
 	server->conn_count--;
 	if (was_responding && conn->user != NULL &&
@@ -163,6 +216,9 @@
 	uv_shutdown_t *request = g_new0(uv_shutdown_t, 1);
 
 	conn->state = HTTP_CONN_LINGERING;
+	count_held(conn);
+	http_reader_reset(&conn->reader);
+	g_byte_array_set_size(conn->pending, 0);
 	conn->since_ms = conn_now(conn);
 	if (uv_shutdown(request, (uv_stream_t *)&conn->tcp, on_shutdown) == 0)
 		return;
@@ -171,26 +227,33 @@
 }
 
 /*
- * If the clients together have taken too little, gives up the one that has taken
- * least of its response.
+ * If the clients together have taken too little, gives up those that have taken
+ * least of their responses.
  */
 static void limit_backlog(http_server_t *server)
 {
-	http_conn_t *largest = NULL;
-	http_conn_t *conn;
-	size_t total = 0;
+	http_conn_t *largest;
+	size_t total;
 
-	LIST_FOREACH(conn, &server->conns, entry)
-	{
-		if (conn->failure != NULL)
-			continue;
-		total += http_conn_unsent_bytes(conn);
-		if (largest == NULL || http_conn_unsent_bytes(conn) >
-					       http_conn_unsent_bytes(largest))
-			largest = conn;
-	}
-	if (total > BACKLOG_BYTES_MAX)
-		largest->failure = "backlog_full";
+	do {
+		http_conn_t *conn;
+
+		largest = NULL;
+		total = 0;
+		LIST_FOREACH(conn, &server->conns, entry)
+		{
+			size_t unsent = http_conn_unsent_bytes(conn);
+
+			if (conn->failure != NULL)
+				continue;
+			total += unsent;
+			if (largest == NULL ||
+			    unsent > http_conn_unsent_bytes(largest))
+				largest = conn;
+		}
+		if (total > BACKLOG_BYTES_MAX)
+			largest->failure = "backlog_full";
+	} while (total > BACKLOG_BYTES_MAX);
 }
 
 /*
@@ -268,38 +331,113 @@
 {
 	static char read_buffer[READ_BYTES];
 
-	(void)handle;
+	const http_conn_t *conn = handle->data;
+
 	(void)suggested;
-	*buf = uv_buf_init(read_buffer, sizeof(read_buffer));
+	*buf = uv_buf_init(read_buffer, is_memory_scarce(conn->server)
+						? SCARCE_READ_BYTES
+						: sizeof(read_buffer));
+}
+
+/* Whether the client has to take more of the last response first. */
+static bool is_untaken(const http_conn_t *conn)
+{
+	return http_conn_unsent_bytes(conn) > UNTAKEN_BYTES_MAX;
 }
 
 static void buffer_pending(http_conn_t *conn, const char *data, size_t len)
 {
 	g_byte_array_append(conn->pending, (const guint8 *)data, (guint)len);
-	if (conn->pending->len < PENDING_BYTES_MAX)
+	if (conn->pending->len < (is_memory_scarce(conn->server)
+					  ? SCARCE_READ_BYTES
+					  : PENDING_BYTES_MAX))
 		return;
 	uv_read_stop((uv_stream_t *)&conn->tcp);
 	conn->read_stopped = true;
 }
 
-/* Parses the requests that were buffered while responding. */
+/* Whether a buffered request can be parsed now. */
+static bool has_next_request(const http_conn_t *conn)
+{
+	return conn->state == HTTP_CONN_READING && conn->pending->len > 0 &&
+	       !is_untaken(conn);
+}
+
+static void on_idle(uv_idle_t *idle);
+
+/*
+ * Parses requests that were buffered while responding.  If there are many, other
+ * connections take their turn in between.
+ */
 static void process_pending(http_conn_t *conn)
 {
-	if (conn->processing_pending)
+	GByteArray *batch = conn->pending;
+	size_t consumed = 0;
+
+	if (conn->processing_pending || !has_next_request(conn))
 		return;
 	conn->processing_pending = true;
-	while (conn->state == HTTP_CONN_READING && conn->pending->len > 0) {
-		GByteArray *batch = conn->pending;
-		size_t consumed;
-
-		conn->pending = g_byte_array_new();
-		consumed = read_request(conn, (const char *)batch->data,
-					batch->len);
-		g_byte_array_append(conn->pending, batch->data + consumed,
-				    batch->len - (guint)consumed);
-		g_byte_array_unref(batch);
-	}
+	conn->pending = g_byte_array_new();
+	for (int i = 0; i < PIPELINED_AT_ONCE && consumed < batch->len &&
+			conn->state == HTTP_CONN_READING && !is_untaken(conn);
+	     i++)
+		consumed +=
+			read_request(conn, (const char *)batch->data + consumed,
+				     batch->len - consumed);
+	g_byte_array_append(conn->pending, batch->data + consumed,
+			    batch->len - (guint)consumed);
+	g_byte_array_unref(batch);
 	conn->processing_pending = false;
+	if (has_next_request(conn))
+		uv_idle_start(&conn->server->idle, on_idle);
+}
+
+/*
+ * Returns the connection that has made no progress for longest among those that
+ * read a request, or among those between requests; NULL: there is none.
+ */
+static http_conn_t *find_slowest(const http_server_t *server,
+				 bool reads_request)
+{
+	http_conn_t *slowest = NULL;
+	http_conn_t *conn;
+
+	LIST_FOREACH(conn, &server->conns, entry)
+	{
+		if (conn->state != HTTP_CONN_READING ||
+		    conn->request_started != reads_request)
+			continue;
+		if (slowest == NULL || conn->since_ms < slowest->since_ms)
+			slowest = conn;
+	}
+	return slowest;
+}
+
+/* Refuses a request that is being read, and has not run. */
+static void refuse_unread(http_conn_t *conn, const char *reason)
+{
+	LOG_INFO("request_not_read",
+		 "reason=%s held_bytes=%zu waited_ms=%" G_GINT64_FORMAT, reason,
+		 conn->held_bytes, conn_now(conn) - conn->since_ms);
+	counter_add(COUNTER_HTTP_REFUSED_UNREAD, 1);
+	conn->close_after = true;
+	conn->state = HTTP_CONN_RESPONDING;
+	http_conn_reply(conn, 503, REFUSAL_HEADERS, NULL, 0);
+}
+
+/*
+ * If the clients together have sent too much, refuses those that have made no
+ * progress for longest.
+ */
+static void limit_held(http_server_t *server)
+{
+	while (server->held_bytes > held_bytes_max(server)) {
+		http_conn_t *slowest = find_slowest(server, true);
+
+		if (slowest == NULL)
+			return;
+		refuse_unread(slowest, "memory");
+	}
 }
 
 static void on_read(uv_stream_t *stream, ssize_t len, const uv_buf_t *buf)
@@ -312,12 +450,45 @@
 		return;
 	}
 	conn->read_bytes += (uint64_t)len;
-	if (conn->state == HTTP_CONN_READING)
+	if (conn->state == HTTP_CONN_READING && conn->pending->len == 0 &&
+	    !is_untaken(conn))
 		consumed = read_request(conn, buf->base, (size_t)len);
-	if (conn->state >= HTTP_CONN_LINGERING || consumed == (size_t)len)
+	if (conn->state < HTTP_CONN_LINGERING && consumed < (size_t)len) {
+		buffer_pending(conn, buf->base + consumed,
+			       (size_t)len - consumed);
+		process_pending(conn);
+	}
+	if (conn->state == HTTP_CONN_CLOSED)
 		return;
-	buffer_pending(conn, buf->base + consumed, (size_t)len - consumed);
+	count_held(conn);
+	limit_held(conn->server);
+}
+
+/* Parses what is buffered, and reads on once little of it is left. */
+static void go_on_reading(http_conn_t *conn)
+{
 	process_pending(conn);
+	if (!conn->read_stopped || conn->state >= HTTP_CONN_LINGERING ||
+	    is_untaken(conn) || conn->pending->len >= SCARCE_READ_BYTES)
+		return;
+	conn->read_stopped = false;
+	uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read);
+}
+
+/* Goes on with the requests that were left for others to take their turn. */
+static void on_idle(uv_idle_t *idle)
+{
+	http_server_t *server = idle->data;
+	http_conn_t *conn = LIST_FIRST(&server->conns);
+
+	uv_idle_stop(idle);
+	while (conn != NULL) {
+		http_conn_t *next = LIST_NEXT(conn, entry);
+
+		if (has_next_request(conn))
+			go_on_reading(conn);
+		conn = next;
+	}
 }
 
 /* Starts reading the next request, which may already be buffered. */
@@ -327,11 +498,8 @@
 	conn->since_ms = conn_now(conn);
 	conn->requests_served++;
 	http_reader_reset(&conn->reader);
-	if (conn->read_stopped) {
-		conn->read_stopped = false;
-		uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read);
-	}
-	process_pending(conn);
+	count_held(conn);
+	go_on_reading(conn);
 }
 
 static void finish_response(http_conn_t *conn)
@@ -503,6 +671,28 @@
 	uv_tcp_nodelay(&conn->tcp, 1);
 }
 
+/*
+ * Closes a connection if there are too many: one that is idle, or else the one
+ * whose request makes no progress, or else the new one.
+ */
+static void limit_connections(http_server_t *server, http_conn_t *new_conn)
+{
+	http_conn_t *slowest;
+
+	if (server->conn_count <= connections_max(server))
+		return;
+	slowest = find_slowest(server, false);
+	if (slowest != NULL && slowest != new_conn) {
+		close_conn(slowest, "connections_full");
+		return;
+	}
+	slowest = find_slowest(server, true);
+	if (slowest != NULL)
+		refuse_unread(slowest, "connections");
+	else
+		close_conn(new_conn, "connections_full");
+}
+
 static void on_connection(uv_stream_t *listener, int status)
 {
 	http_conn_t *conn;
@@ -513,6 +703,7 @@
 	}
 	conn = conn_new(listener->data);
 	start_conn(conn, uv_accept(listener, (uv_stream_t *)&conn->tcp));
+	limit_connections(listener->data, conn);
 }
 
 /* Returns whether the peer still accepts queued bytes of a response. */
@@ -552,6 +743,9 @@
 	age = now - conn->since_ms;
 	if (conn->state == HTTP_CONN_LINGERING && age >= LINGER_MS)
 		close_conn(conn, "linger_over");
+	if (conn->state == HTTP_CONN_READING && is_untaken(conn) &&
+	    now - conn->unsent_since_ms >= SEND_IDLE_MS)
+		close_conn(conn, "untaken");
 	if (conn->state != HTTP_CONN_READING || age < read_limit_ms(conn) ||
 	    has_unread_bytes(conn))
 		return;
@@ -642,8 +836,11 @@
 			close_conn(conn, conn->failure);
 		else
 			check_timeouts(conn, now);
+		if (conn->state == HTTP_CONN_READING)
+			go_on_reading(conn);
 		conn = next;
 	}
+	limit_backlog(server);
 }
 
 /* Listens on "address"; returns false if it cannot be bound. */
@@ -665,6 +862,8 @@
 	uv_timer_init(loop, &server->tick);
 	server->tick.data = server;
 	uv_timer_start(&server->tick, on_tick, SERVER_TICK_MS, SERVER_TICK_MS);
+	uv_idle_init(loop, &server->idle);
+	server->idle.data = server;
 	uv_tcp_init(loop, &server->tcp);
 	server->tcp.data = server;
 	status = uv_tcp_bind(&server->tcp, (const struct sockaddr *)&parsed, 0);
@@ -754,4 +953,6 @@
 		uv_close((uv_handle_t *)&server->tcp, NULL);
 	if (!uv_is_closing((uv_handle_t *)&server->tick))
 		uv_close((uv_handle_t *)&server->tick, NULL);
+	if (!uv_is_closing((uv_handle_t *)&server->idle))
+		uv_close((uv_handle_t *)&server->idle, NULL);
 }
--- a/src/wisteria/http/http_server.h
+++ b/src/wisteria/http/http_server.h
@@ -32,6 +32,9 @@
 	size_t body_bytes;
 	clock_ms_t header_ms; /* first byte to end of the headers */
 	clock_ms_t idle_ms;   /* between requests */
+	/* Of all connections of the server; 0: the default */
+	size_t held_bytes; /* of requests until they are answered */
+	unsigned connections;
 } http_limits_t;
 
 typedef enum {
@@ -53,6 +56,7 @@
 	clock_ms_t opened_ms; /* when it was accepted */
 	clock_ms_t since_ms;  /* start of the interval for timeouts */
 	uint64_t read_bytes;  /* of all requests */
+	size_t held_bytes;    /* of "reader" and "pending", when last counted */
 	size_t unsent_bytes;  /* of responses, since "unsent_since_ms" */
 	clock_ms_t unsent_since_ms;
 	bool request_started; /* a byte of the next request was read */
@@ -72,11 +76,13 @@
 typedef struct http_server_t {
 	uv_tcp_t tcp;
 	uv_timer_t tick;
+	uv_idle_t idle; /* runs while buffered requests wait */
 	http_server_handler_t *handler;
 	const clock_source_t *clock;
 	http_limits_t limits;
 	http_conn_list_t conns;
 	unsigned conn_count;
+	size_t held_bytes; /* of all connections */
 	uint64_t accept_count;
 	clock_ms_t last_accept_ms;
 	bool draining;
--- a/src/wisteria/settings/settings.c
+++ b/src/wisteria/settings/settings.c
@@ -125,6 +125,10 @@
 			 retry_slack),
 	CYAML_FIELD_FLOAT("retry_window_s", CYAML_FLAG_OPTIONAL,
 			  settings_fleet_t, retry_window_s),
+	CYAML_FIELD_UINT("front_connections", CYAML_FLAG_OPTIONAL,
+			 settings_fleet_t, front_connections),
+	CYAML_FIELD_UINT("front_held_mb", CYAML_FLAG_OPTIONAL, settings_fleet_t,
+			 front_held_mb),
 	CYAML_FIELD_END,
 };
 
--- a/src/wisteria/settings/settings_defs.h
+++ b/src/wisteria/settings/settings_defs.h
@@ -53,6 +53,9 @@
 	double retry_ratio;    /* retries per original request */
 	uint32_t retry_slack;  /* additional retries, all entries together */
 	double retry_window_s; /* sliding window of both limits */
+	/* Of all clients of an entry together; 0: as http_server.c says */
+	uint32_t front_connections;
+	uint32_t front_held_mb; /* of requests until they are answered */
 } settings_fleet_t;
 
 typedef enum {
--- a/test/functional/endless_answers_test.c
+++ b/test/functional/endless_answers_test.c
@@ -148,37 +148,6 @@
 	}
 }
 
-/* Returns the most memory that the entry has had, in MB; 0: it has ended. */
-static unsigned entry_peak_mb(void)
-{
-	char *path = g_strdup_printf("/proc/%d/status", (int)entry->pid);
-	char *text = NULL;
-	const char *peak;
-	unsigned kb = 0;
-
-	if (g_file_get_contents(path, &text, NULL, NULL)) {
-		peak = strstr(text, "VmHWM:");
-		if (peak != NULL)
-			kb = (unsigned)strtoul(peak + strlen("VmHWM:"), NULL,
-					       10);
-	}
-	g_free(text);
-	g_free(path);
-	return kb / 1024;
-}
-
-/* The next peak is that since this call, see proc(5), "clear_refs". */
-static void forget_entry_peak(void)
-{
-	char *path = g_strdup_printf("/proc/%d/clear_refs", (int)entry->pid);
-	FILE *file = fopen(path, "w");
-
-	CU_ASSERT_FATAL(file != NULL);
-	CU_ASSERT(fputs("5", file) >= 0);
-	CU_ASSERT(fclose(file) == 0);
-	g_free(path);
-}
-
 /*
  * Lets "count" callers send a request to an endpoint of "mode", one every
  * "interval_us", and read nothing of its answer; expects that the entry has
@@ -199,14 +168,14 @@
 	CU_ASSERT_FATAL(harness_wait_log(
 		entry, harness_string(&harness, "endpoint=%s ", name),
 		HARNESS_WAIT_MS));
-	forget_entry_peak();
+	harness_forget_peak(entry);
 	open_callers(count, interval_us, path, name);
 	until_us = g_get_monotonic_time() + FLOOD_MS * G_TIME_SPAN_MILLISECOND;
 	while (g_get_monotonic_time() < until_us) {
 		CU_ASSERT(serves_look(NULL));
 		g_usleep(SOUND_INTERVAL_MS * G_TIME_SPAN_MILLISECOND);
 	}
-	peak_mb = entry_peak_mb();
+	peak_mb = harness_peak_mb(entry);
 	printf("%u MB ", peak_mb);
 	CU_ASSERT(peak_mb > 0);
 	CU_ASSERT(HARNESS_HAS_ASAN || peak_mb < MEMORY_MAX_MB);
--- a/test/functional/harness/harness.c
+++ b/test/functional/harness/harness.c
@@ -429,3 +429,33 @@
 	g_free(url);
 	return matched;
 }
+
+/* Returns the most memory that the process has had, in MB; 0: it has ended. */
+unsigned harness_peak_mb(const harness_process_t *process)
+{
+	char *path = g_strdup_printf("/proc/%d/status", (int)process->pid);
+	char *text = NULL;
+	const char *peak;
+	unsigned kb = 0;
+
+	if (g_file_get_contents(path, &text, NULL, NULL)) {
+		peak = strstr(text, "VmHWM:");
+		if (peak != NULL)
+			kb = (unsigned)strtoul(peak + strlen("VmHWM:"), NULL,
+					       10);
+	}
+	g_free(text);
+	g_free(path);
+	return kb / 1024;
+}
+
+/* The next peak is that since this call, see proc(5), "clear_refs". */
+void harness_forget_peak(const harness_process_t *process)
+{
+	char *path = g_strdup_printf("/proc/%d/clear_refs", (int)process->pid);
+	FILE *file = fopen(path, "w");
+
+	if (file == NULL || fputs("5", file) < 0 || fclose(file) != 0)
+		g_error("cannot write %s", path);
+	g_free(path);
+}
--- a/test/functional/harness/harness.h
+++ b/test/functional/harness/harness.h
@@ -78,6 +78,8 @@
 		       clock_ms_t limit_ms) ATTR_NONNULL_ALL ATTR_WARN_UNUSED;
 bool harness_wait_until(bool (*condition)(void *user), void *user,
 			clock_ms_t limit_ms) ATTR_NONNULL(1) ATTR_WARN_UNUSED;
+unsigned harness_peak_mb(const harness_process_t *process) ATTR_NONNULL_ALL;
+void harness_forget_peak(const harness_process_t *process) ATTR_NONNULL_ALL;
 char *harness_read_file(const char *path) ATTR_NONNULL_ALL;
 void harness_remove_tree(const char *path) ATTR_NONNULL_ALL;
 
