http: take a response with an invalid status for none

A response whose status is not between 100 and 599 (RFC 9110, 15) is now unreadable: the caller gets 502 or, where the request may be repeated, another endpoint's answer.

--- a/src/wisteria/agent/agent_call.c
+++ b/src/wisteria/agent/agent_call.c
@@ -13,6 +13,7 @@
 #include "wisteria/base/log.h"
 #include "wisteria/codec/msg.h"
 #include "wisteria/http/event_stream.h"
+#include "wisteria/http/http_message.h"
 #include "wisteria/net/conn.h"
 
 /* How long an outcome is stored after the caller's deadline. */
@@ -285,10 +286,13 @@
 }
 
 /* Returns why the response is not complete; NULL if it is. */
-static const char *find_defect(const agent_call_t *call, CURLcode code)
+static const char *find_defect(const agent_call_t *call, CURLcode code,
+			       long status)
 {
 	if (code != CURLE_OK)
 		return curl_easy_strerror(code);
+	if (!http_status_is_valid((unsigned)status))
+		return "invalid status";
 	if (!call->is_event_stream)
 		return NULL;
 	return event_stream_find_defect(call->response_body,
@@ -299,11 +303,12 @@
 static void on_call_done(curl_done_t *self, CURL *handle, CURLcode code)
 {
 	agent_call_t *call = CONTAINER_OF(self, agent_call_t, done);
-	const char *defect = find_defect(call, code);
+	const char *defect;
 	long status = 0;
 
 	call->agent->receiving_bytes -= call->response_body->len;
 	curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
+	defect = find_defect(call, code, status);
 	if (defect == NULL) {
 		call->outcome = CALL_DONE;
 		call->status = (uint32_t)status;
--- a/src/wisteria/http/http_message.c
+++ b/src/wisteria/http/http_message.c
@@ -3,6 +3,8 @@
 
 #include <strings.h>
 
+#define STATUS_MIN 100
+#define STATUS_MAX 599
 /* A message keeps the memory of a body up to this size for the next one. */
 #define BODY_KEPT_BYTES_MAX (16u << 10)
 
@@ -46,6 +48,12 @@
 	message->keep_alive = false;
 }
 
+/* Whether "status" is one of a response, see RFC 9110, 15. */
+bool http_status_is_valid(unsigned status)
+{
+	return status >= STATUS_MIN && status <= STATUS_MAX;
+}
+
 /* Returns the target of a request: its path and query. */
 const char *http_message_target(const http_message_t *message)
 {
--- a/src/wisteria/http/http_reader.c
+++ b/src/wisteria/http/http_reader.c
@@ -100,6 +100,9 @@
 {
 	http_reader_t *reader = parser->data;
 
+	if (parser->type == HTTP_RESPONSE &&
+	    !http_status_is_valid(parser->status_code))
+		return fail(reader, HTTP_BAD_SYNTAX);
 	terminate_string(reader);
 	if (parser->type == HTTP_REQUEST)
 		reader->message.method =
--- a/test/functional/agent_test.c
+++ b/test/functional/agent_test.c
@@ -647,7 +647,10 @@
 #define OK_LINE "HTTP/1.1 200 OK\r\n"
 #define CHUNKED_HEAD OK_LINE "Transfer-Encoding: chunked\r\n\r\n"
 
-/* Responses that end with their connection before they are complete. */
+/*
+ * Responses that end with their connection before they are complete, or whose
+ * status is none.
+ */
 static const char *const broken_responses[] = {
 	"HTTP/1.1 200 OK",
 	OK_LINE,
@@ -666,6 +669,10 @@
 	CHUNKED_HEAD "5\r\nshort\r\n",
 	CHUNKED_HEAD "5\r\nshort\r\n0\r\n",
 	CHUNKED_HEAD "5\r\nshort\r\n0\r\nX-Trailer: a\r\n",
+	"HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\nhi",
+	"HTTP/1.1 099 X\r\nContent-Length: 2\r\n\r\nhi",
+	"HTTP/1.1 600 X\r\nContent-Length: 2\r\n\r\nhi",
+	"HTTP/1.1 999 X\r\nContent-Length: 2\r\n\r\nhi",
 };
 
 /*
--- a/test/functional/fleet_reports_test.c
+++ b/test/functional/fleet_reports_test.c
@@ -577,6 +577,47 @@
 	fake_endpoint_journal_finish(&journal);
 }
 
+/* 5. Answers whose status is none, see RFC 9110, 15. */
+
+static const char *const odd_statuses[] = { "000", "0",	  "001", "099",
+					    "600", "999", "1000" };
+
+static void test_answer_with_an_invalid_status_is_none(void)
+{
+	static const char *const paths[] = { "/chat/1", "/book/1" };
+	static const char *const services[] = { "writer", "orders" };
+	static const char *const headers[] = { STAMP EVENTS LENGTH(2) "hi",
+					       STAMP LENGTH(2) "hi" };
+	fake_endpoint_t endpoints[ARRAY_SIZE(services)];
+	fake_endpoint_journal_t journal;
+
+	fake_endpoint_journal_init(&journal);
+	for (size_t i = 0; i < ARRAY_SIZE(services); i++) {
+		listen_as(&endpoints[i],
+			  harness_string(&harness, "odd-status-%zu", i),
+			  services[i], FAKE_ENDPOINT_TEXT);
+		endpoints[i].journal = &journal;
+		endpoints[i].answer_text = broken_heads[0];
+		start_known(&endpoints[i]);
+	}
+	for (size_t i = 0; i < ARRAY_SIZE(odd_statuses); i++)
+		for (size_t j = 0; j < ARRAY_SIZE(services); j++) {
+			const char *id = next_id();
+
+			endpoints[j].answer_text = harness_string(
+				&harness, "HTTP/1.1 %s X\r\n" OWN_ID "%s",
+				odd_statuses[i], headers[j]);
+			CU_ASSERT_EQUAL(request_status(entry_address, paths[j],
+						       id, "hi"),
+					502);
+			CU_ASSERT_EQUAL(
+				fake_endpoint_journal_runs(&journal, id), 1);
+		}
+	for (size_t i = 0; i < ARRAY_SIZE(services); i++)
+		fake_endpoint_stop(&endpoints[i]);
+	fake_endpoint_journal_finish(&journal);
+}
+
 static const unit_test_t tests[] = {
 	{ "the fleet starts", test_fleet_starts },
 	{ "odd entries name no endpoint", test_odd_entries_name_no_endpoint },
@@ -586,6 +627,8 @@
 	  test_error_does_not_continue_a_stream },
 	{ "answer that breaks off in its head is none",
 	  test_answer_that_breaks_off_in_its_head_is_none },
+	{ "answer with an invalid status is none",
+	  test_answer_with_an_invalid_status_is_none },
 };
 
 int main(void)
