--- a/src/wisteria/http/http_server.c
+++ b/src/wisteria/http/http_server.c
@@ -60,7 +60,7 @@
 #define REFUSAL_HEADERS "Retry-After: 1\r\n"
 /*
  * Most bytes of responses that clients have not taken, over all connections of a
- * server; one with fewer than BACKLOG_LARGE_BYTES is not closed for them.
+ * server.  Checked by each tick, and as one has BACKLOG_LARGE_BYTES or more.
  */
 #define BACKLOG_BYTES_MAX (32u << 20)
 #define BACKLOG_LARGE_BYTES (256u << 10)
@@ -330,7 +330,6 @@
 static void on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
 {
 	static char read_buffer[READ_BYTES];
-
 	const http_conn_t *conn = handle->data;
 
 	(void)suggested;
