--- a/src/wisteria/http/http_server.c
+++ b/src/wisteria/http/http_server.c
@@ -54,8 +54,6 @@
 #define HELD_BYTES_DEFAULT (24u << 20)
 /* Three quarters of the descriptors that a process usually has. */
 #define CONNECTIONS_DEFAULT 3000
-/* Requests of one connection that are read before others take their turn. */
-#define PIPELINED_AT_ONCE 32
 /* For a client whose request was not read, in seconds. */
 #define REFUSAL_HEADERS "Retry-After: 1\r\n"
 /*
@@ -364,33 +362,24 @@
 
 static void on_idle(uv_idle_t *idle);
 
-/*
- * Parses requests that were buffered while responding.  If there are many, other
- * connections take their turn in between.
- */
-static void process_pending(http_conn_t *conn)
+/* Lets the next buffered request be parsed when the others have had their turn. */
+static void schedule_next_request(http_conn_t *conn)
 {
-	GByteArray *batch = conn->pending;
-	size_t consumed = 0;
-
-	if (conn->processing_pending || !has_next_request(conn))
-		return;
-	conn->processing_pending = true;
-	conn->pending = g_byte_array_new();
-	for (int i = 0; i < PIPELINED_AT_ONCE && consumed < batch->len &&
-			conn->state == HTTP_CONN_READING && !is_untaken(conn);
-	     i++)
-		consumed +=
-			read_request(conn, (const char *)batch->data + consumed,
-				     batch->len - consumed);
-	g_byte_array_append(conn->pending, batch->data + consumed,
-			    batch->len - (guint)consumed);
-	g_byte_array_unref(batch);
-	conn->processing_pending = false;
 	if (has_next_request(conn))
 		uv_idle_start(&conn->server->idle, on_idle);
 }
 
+/* Parses one request that was buffered while responding. */
+static void parse_next_request(http_conn_t *conn)
+{
+	size_t consumed = read_request(conn, (const char *)conn->pending->data,
+				       conn->pending->len);
+
+	/* Nothing is pending if the connection is being closed. */
+	if (consumed <= conn->pending->len)
+		g_byte_array_remove_range(conn->pending, 0, (guint)consumed);
+}
+
 /*
  * Returns the connection that has made no progress for longest among those that
  * read a request, or among those between requests; NULL: there is none.
@@ -455,7 +444,7 @@
 	if (conn->state < HTTP_CONN_LINGERING && consumed < (size_t)len) {
 		buffer_pending(conn, buf->base + consumed,
 			       (size_t)len - consumed);
-		process_pending(conn);
+		schedule_next_request(conn);
 	}
 	if (conn->state == HTTP_CONN_CLOSED)
 		return;
@@ -463,10 +452,10 @@
 	limit_held(conn->server);
 }
 
-/* Parses what is buffered, and reads on once little of it is left. */
+/* Goes on with what is buffered, and reads on once little of it is left. */
 static void go_on_reading(http_conn_t *conn)
 {
-	process_pending(conn);
+	schedule_next_request(conn);
 	if (!conn->read_stopped || conn->state >= HTTP_CONN_LINGERING ||
 	    is_untaken(conn) || conn->pending->len >= SCARCE_READ_BYTES)
 		return;
@@ -474,7 +463,10 @@
 	uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read);
 }
 
-/* Goes on with the requests that were left for others to take their turn. */
+/*
+ * Parses one buffered request of each connection, so that one with many leaves
+ * the others their turn.
+ */
 static void on_idle(uv_idle_t *idle)
 {
 	http_server_t *server = idle->data;
@@ -484,8 +476,11 @@
 	while (conn != NULL) {
 		http_conn_t *next = LIST_NEXT(conn, entry);
 
-		if (has_next_request(conn))
+		if (has_next_request(conn)) {
+			parse_next_request(conn);
+			count_held(conn);
 			go_on_reading(conn);
+		}
 		conn = next;
 	}
 }
--- a/src/wisteria/http/http_server.h
+++ b/src/wisteria/http/http_server.h
@@ -65,7 +65,6 @@
 	bool ends_with_close; /* the response has no other end */
 	bool close_after;
 	bool read_stopped;
-	bool processing_pending;
 	const char *failure; /* why the next tick closes it; NULL: it stays */
 	unsigned requests_served;
 } http_conn_t;
