--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -17,6 +17,10 @@
 rm -rf build/results
 mkdir -p build/results
 
+# Tests that flood a process and then ask it for an answer run one at a time,
+# apart from the others.
+alone='functional/client_crowd_test functional/endless_answers_test'
+
 # Adds check $1 with command $2 to the list of the current phase.
 add () {
 	number=$((number + 1))
@@ -31,12 +35,19 @@
 	rm build/results/list
 }
 
+# Adds test $3 of build folder $1, named with prefix $2.
+add_test () {
+	add "$2$3" "ctest --test-dir $1 -R ^$3\$ --output-on-failure"
+}
+
 add_tests () {
 	for test_name in $(ctest --test-dir "$1" -N |
 		sed -n 's/^ *Test *#[0-9]*: //p' | grep "^$3")
 	do
-		add "$2$test_name" \
-			"ctest --test-dir $1 -R ^$test_name\$ --output-on-failure"
+		case " $alone " in
+		*" $test_name "*) continue ;;
+		esac
+		add_test "$1" "$2" "$test_name"
 	done
 }
 
@@ -80,6 +91,13 @@
 add_tests build/release '' unit/
 run_list "$jobs"
 
+for test_name in $alone
+do
+	add_test build/release '' "$test_name"
+	add_test build/sanitize sanitize/ "$test_name"
+done
+run_list 1
+
 while read -r name rest
 do
 	count_result "$name"
