fleet: do not take an unreadable file of grants for a missing one

A control instance that could not read its file of granted retries, for any reason, took it for missing; at a first start it then granted its whole share of the reserve (BUDGET). A file that is too long was reported without an error. Only a file that does not exist counts as none now; anything else is reported, and the instance settles like one that has lost its disk.

--- a/src/wisteria/fleet/fleet_retries.c
+++ b/src/wisteria/fleet/fleet_retries.c
@@ -94,15 +94,28 @@
 	const settings_fleet_t *fleet = control->settings->fleet;
 	char *path = g_build_filename(fleet->data_dir, FILE_NAME, NULL);
 	err_t err = ERR_INIT;
+	GError *read_error = NULL;
 	gchar *data = NULL;
 	gsize len = 0;
 
-	if (!g_file_get_contents(path, &data, &len, NULL)) {
-		if (fleet->bootstrap &&
-		    replica_has_empty_log(&control->replica))
+	if (!g_file_get_contents(path, &data, &len, &read_error)) {
+		if (!g_error_matches(read_error, G_FILE_ERROR,
+				     G_FILE_ERROR_NOENT)) {
+			err_set(&err, ERR_IO, "read", path, "%s",
+				read_error->message);
+			log_err(G_LOG_LEVEL_WARNING,
+				"granted_retries_unreadable", &err);
+		} else if (fleet->bootstrap &&
+			   replica_has_empty_log(&control->replica)) {
 			retry_reserve_continue(&retries->reserve);
-	} else if (len > FILE_BYTES_MAX ||
-		   !retry_reserve_restore(&retries->reserve, data, len, now,
+		}
+		g_error_free(read_error);
+	} else if (len > FILE_BYTES_MAX) {
+		err_set(&err, ERR_CORRUPT, "read", path,
+			"the file is too large");
+		log_err(G_LOG_LEVEL_WARNING, "granted_retries_unreadable",
+			&err);
+	} else if (!retry_reserve_restore(&retries->reserve, data, len, now,
 					  &err)) {
 		log_err(G_LOG_LEVEL_WARNING, "granted_retries_unreadable",
 			&err);
--- a/test/functional/retry_budget_test.c
+++ b/test/functional/retry_budget_test.c
@@ -470,6 +470,25 @@
 	CU_ASSERT(most <= MAX_ATTEMPTS);
 }
 
+static void test_unreadable_grants_are_not_taken_for_none(void)
+{
+	const char *name = "control-unreadable";
+	fleet_rig_t other;
+	harness_process_t *process;
+	char *path;
+
+	fleet_rig_init(&other, &harness, 1);
+	path = g_build_filename(fleet_rig_data_dir(&other, name), "retries",
+				NULL);
+	CU_ASSERT_EQUAL_FATAL(g_mkdir_with_parents(path, 0700), 0);
+	process = fleet_rig_start_control(&other, 0, name);
+	CU_ASSERT(harness_wait_log(process, "event=granted_retries_unreadable",
+				   HARNESS_WAIT_MS));
+	harness_signal(process, SIGTERM);
+	CU_ASSERT(harness_wait_exit(process, HARNESS_WAIT_MS));
+	g_free(path);
+}
+
 static const unit_test_t tests[] = {
 	{ "fleet starts", test_fleet_starts },
 	{ "entries started first in turn share one budget",
@@ -497,6 +516,8 @@
 	  test_restarted_control_instances_leave_the_shares },
 	{ "no request runs more often than its route allows",
 	  test_no_request_runs_more_often_than_its_route_allows },
+	{ "unreadable grants are not taken for none",
+	  test_unreadable_grants_are_not_taken_for_none },
 };
 
 int main(void)
