--- a/test/functional/client_crowd_test.c
+++ b/test/functional/client_crowd_test.c
@@ -118,7 +118,7 @@
 	CU_ASSERT_FATAL(harness_wait_until(serves_look, NULL, HARNESS_WAIT_MS));
 }
 
-/* Returns how many descriptors the entry has open. */
+/* Returns how many descriptors the entry has open; 0: it has ended. */
 static unsigned entry_descriptors(void)
 {
 	char *path = g_strdup_printf("/proc/%d/fd", (int)entry->pid);
@@ -189,7 +189,7 @@
 }
 
 /* Expects that the entry lives within its bounds and serves a caller. */
-static void expect_entry_holds(void)
+static void expect_entry_within_limits(void)
 {
 	unsigned peak_mb = harness_peak_mb(entry);
 	unsigned descriptors = entry_descriptors();
@@ -197,16 +197,17 @@
 	printf("%u MB, %u descriptors ", peak_mb, descriptors);
 	CU_ASSERT(peak_mb > 0);
 	CU_ASSERT(HARNESS_HAS_ASAN || peak_mb < MEMORY_MAX_MB);
+	CU_ASSERT(descriptors > 0);
 	CU_ASSERT(descriptors <= CONNECTIONS_MAX + OTHER_DESCRIPTORS_MAX);
 	CU_ASSERT(serves_look(NULL));
 }
 
-/* Sends the bytes of the crowd and expects that the entry holds out. */
-static void expect_crowd_is_borne(crowd_t *crowd)
+/* Sends the bytes of the crowd and expects that the entry survives them. */
+static void expect_entry_survives(crowd_t *crowd)
 {
 	harness_forget_peak(entry);
 	send_crowd(crowd);
-	expect_entry_holds();
+	expect_entry_within_limits();
 	close_crowd(crowd);
 	CU_ASSERT(serves_look(NULL));
 }
@@ -230,7 +231,7 @@
 	g_free(chunk);
 }
 
-static void bear_unfinished_bodies(size_t chunk_len)
+static void send_unfinished_bodies(size_t chunk_len)
 {
 	crowd_t crowd;
 
@@ -238,18 +239,18 @@
 	append_head(crowd.bytes, "Transfer-Encoding: chunked\r\n");
 	append_chunks(crowd.bytes, BODY_BYTES_MAX - chunk_len, chunk_len);
 	g_string_truncate(crowd.bytes, crowd.bytes->len - BODY_MISSING_BYTES);
-	expect_crowd_is_borne(&crowd);
+	expect_entry_survives(&crowd);
 }
 
 /* Failure: the request bodies of many clients have no bound together. */
 static void test_unfinished_bodies_in_large_chunks_fit_in_memory(void)
 {
-	bear_unfinished_bodies(LARGE_CHUNK_BYTES);
+	send_unfinished_bodies(LARGE_CHUNK_BYTES);
 }
 
 static void test_unfinished_bodies_in_small_chunks_fit_in_memory(void)
 {
-	bear_unfinished_bodies(SMALL_CHUNK_BYTES);
+	send_unfinished_bodies(SMALL_CHUNK_BYTES);
 }
 
 static void test_bodies_far_over_the_limit_fit_in_memory(void)
@@ -259,11 +260,11 @@
 	open_crowd(&crowd, BODY_CLIENTS);
 	append_head(crowd.bytes, "Content-Length: 1000000000\r\n");
 	g_string_set_size(crowd.bytes, EXCESS_BYTES);
-	expect_crowd_is_borne(&crowd);
+	expect_entry_survives(&crowd);
 	open_crowd(&crowd, BODY_CLIENTS);
 	append_head(crowd.bytes, "Transfer-Encoding: chunked\r\n");
 	append_chunks(crowd.bytes, EXCESS_BYTES, LARGE_CHUNK_BYTES);
-	expect_crowd_is_borne(&crowd);
+	expect_entry_survives(&crowd);
 }
 
 /* Failure: an entry answers requests whose client takes none of the answers. */
@@ -275,7 +276,7 @@
 	for (int i = 0; i < PIPELINE_REQUESTS; i++)
 		g_string_append(crowd.bytes,
 				"GET /none HTTP/1.1\r\nHost: a\r\n\r\n");
-	expect_crowd_is_borne(&crowd);
+	expect_entry_survives(&crowd);
 }
 
 /* Failure: idle connections take the descriptors that other callers need. */
@@ -284,7 +285,7 @@
 	crowd_t crowd;
 
 	open_crowd(&crowd, IDLE_CLIENTS);
-	expect_crowd_is_borne(&crowd);
+	expect_entry_survives(&crowd);
 }
 
 /* What a single client may send in calm is read to its end. */
