--- a/test/functional/retry_budget_test.c
+++ b/test/functional/retry_budget_test.c
@@ -491,6 +491,8 @@
 
 static const unit_test_t tests[] = {
 	{ "fleet starts", test_fleet_starts },
+	{ "unreadable grants are not taken for none",
+	  test_unreadable_grants_are_not_taken_for_none },
 	{ "entries started first in turn share one budget",
 	  test_entries_started_first_in_turn_share_one_budget },
 	{ "calm fleet uses its budget", test_calm_fleet_uses_its_budget },
@@ -516,8 +518,6 @@
 	  test_restarted_control_instances_leave_the_shares },
 	{ "no request runs more often than its route allows",
 	  test_no_request_runs_more_often_than_its_route_allows },
-	{ "unreadable grants are not taken for none",
-	  test_unreadable_grants_are_not_taken_for_none },
 };
 
 int main(void)
