http: see a reset of which a write took the report

Callers got a part of an answer as a whole one (MIXED): an endpoint answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written.

Cause: the kernel returns the error of a reset socket once. A write of the request took it, and its result was dropped in the belief that the read callback would report the loss; there, recv() then returns the end of the stream, which completes a body without a length. libuv does not help: it reports a hang-up as the end of the stream.

Whether the connection was reset is now read from its state, which poll() returns as often as it is asked: POLLHUP stands for both directions being closed, and after the end of the stream alone this side is still open. The result of writing the request is looked at; a failed write no longer ends the call, since a response with a length that came before the reset is complete. The call writes from its own copy of the request, so nothing is copied once more.

--- a/src/wisteria/http/http_call.c
+++ b/src/wisteria/http/http_call.c
@@ -6,12 +6,11 @@
  */
 #include "wisteria/http/http_call.h"
 
-#include <sys/socket.h>
+#include <poll.h>
 
 #include "wisteria/base/clock.h"
 #include "wisteria/base/err.h"
 #include "wisteria/http/http_message.h"
-#include "wisteria/http/http_write.h"
 #include "wisteria/net/net.h"
 
 /*
@@ -23,6 +22,7 @@
 struct http_call_t {
 	uv_tcp_t tcp;
 	uv_connect_t connect;
+	uv_write_t write;
 	uv_timer_t timer; /* connect timeout */
 	clock_ms_t connect_until_ms;
 	http_call_handler_t *handler;
@@ -121,45 +121,64 @@
 }
 
 /*
- * Returns whether the peer has reset the connection.  If data and a reset
- * arrive together, libuv reads the data and then reports the hang-up as the end
- * of the stream without checking the socket error.
+ * Returns whether the peer has reset the connection.  libuv may report a reset as
+ * the end of the stream, and the kernel returns the socket's error only once,
+ * possibly to a write.  That neither direction is open any more can be seen at
+ * any time; after the end of the stream alone, this side can still send.
  */
 static bool was_reset(const http_call_t *call)
 {
-	uv_os_fd_t fd;
-	char byte;
+	struct pollfd state = { 0 };
 
-	if (uv_fileno((const uv_handle_t *)&call->tcp, &fd) != 0)
+	if (uv_fileno((const uv_handle_t *)&call->tcp, &state.fd) != 0)
 		return true;
-	return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0;
+	return poll(&state, 1, 0) < 0 ||
+	       (state.revents & (POLLERR | POLLHUP)) != 0;
+}
+
+/*
+ * Returns why the end of the stream does not complete the response; NULL if it
+ * does.
+ */
+static const char *finish_reading(http_call_t *call)
+{
+	if (was_reset(call))
+		return "reset";
+	if (!call->headers_reported)
+		return "closed_unanswered";
+	http_reader_eof(&call->reader);
+	return call->reader.state == HTTP_READ_FAILED ? "closed_midway" : NULL;
 }
 
 static void on_read(uv_stream_t *stream, ssize_t len, const uv_buf_t *buf)
 {
 	http_call_t *call = stream->data;
+	const char *defect = NULL;
 
 	if (len == 0)
 		return;
-	if (len < 0 && (len != UV_EOF || was_reset(call))) {
-		fail(call, "reset");
-		return;
-	}
-	if (len == UV_EOF) {
-		if (!call->headers_reported) {
-			fail(call, "closed_unanswered");
-			return;
-		}
-		http_reader_eof(&call->reader);
-		if (call->reader.state == HTTP_READ_FAILED) {
-			fail(call, "closed_midway");
-			return;
-		}
-	} else if (http_reader_feed(&call->reader, buf->base, (size_t)len) ==
-		   0) {
+	if (len == UV_EOF)
+		defect = finish_reading(call);
+	else if (len < 0)
+		defect = "reset";
+	else if (http_reader_feed(&call->reader, buf->base, (size_t)len) == 0)
 		call->reader.state = HTTP_READ_FAILED;
-	}
-	report_progress(call);
+	if (defect != NULL)
+		fail(call, defect);
+	else
+		report_progress(call);
+}
+
+/*
+ * After a reset, the response may still be complete: the call goes on until all
+ * that the peer had sent was read.
+ */
+static void on_request_written(uv_write_t *write, int status)
+{
+	http_call_t *call = CONTAINER_OF(write, http_call_t, write);
+
+	if (status != 0 && !was_reset(call))
+		fail(call, "write_failed");
 }
 
 /*
@@ -186,7 +205,7 @@
 	uv_tcp_nodelay(&call->tcp, 1);
 	call->stage = HTTP_CALL_SENT;
 	buf = uv_buf_init((char *)call->request->data, call->request->len);
-	if (!http_write(stream, &buf, 1) ||
+	if (uv_write(&call->write, stream, &buf, 1, on_request_written) != 0 ||
 	    uv_read_start(stream, on_alloc, on_read) != 0)
 		fail(call, "reset");
 }
--- a/test/functional/fleet_reports_test.c
+++ b/test/functional/fleet_reports_test.c
@@ -53,7 +53,7 @@
 	"\"protocol\":\"h1\",\"tls\":false},"
 	"{\"name\":\"orders\",\"healthPath\":\"/health\",\"maxConns\":50,"
 	"\"protocol\":\"h1\",\"tls\":false}],"
-	"\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":1000000,"
+	"\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4000000,"
 	"\"headerTimeoutMs\":5000,\"idleTimeoutMs\":30000}}";
 
 static http_request_t *send_and_wait(const char *address, const char *path,
@@ -618,6 +618,61 @@
 	fake_endpoint_journal_finish(&journal);
 }
 
+/* 6. Answers that end while the request is still sent. */
+
+#define UPLOAD_BYTES 3500000
+#define EARLY_ANSWERS 60 /* to each service */
+#define PART ANSWER("200", STAMP) "\r\npart"
+#define FIRST_EVENT ANSWER("200", STAMP EVENTS) "\r\nid: 0\ndata: word0\n\n"
+
+/* Whether the entry passes the answer on as a complete one. */
+static bool is_answer_complete(const char *path, const char *body)
+{
+	http_request_t *request =
+		send_and_wait(entry_address, path, next_id(), body);
+	bool is_complete =
+		request->result == CURLE_OK && request->status == 200;
+
+	http_request_free(&client, request);
+	return is_complete;
+}
+
+/* Counts the early answers that are passed on as complete. */
+static unsigned count_complete_answers(fake_endpoint_mode_t mode)
+{
+	static const char *const services[] = { "orders", "writer" };
+	static const char *const paths[] = { "/book/1", "/chat/1" };
+	static const char *const texts[] = { PART, FIRST_EVENT };
+	char *upload = g_strnfill(UPLOAD_BYTES, 'x');
+	fake_endpoint_t endpoints[ARRAY_SIZE(services)];
+	unsigned count = 0;
+
+	for (size_t i = 0; i < ARRAY_SIZE(services); i++) {
+		listen_as(&endpoints[i],
+			  harness_string(&harness, "early-%d-%zu", mode, i),
+			  services[i], mode);
+		endpoints[i].answer_text = texts[i];
+		start_known(&endpoints[i]);
+	}
+	for (size_t i = 0; i < ARRAY_SIZE(services); i++) {
+		for (unsigned j = 0; j < EARLY_ANSWERS; j++)
+			count += is_answer_complete(paths[i], upload);
+		CU_ASSERT(endpoints[i].runs >= EARLY_ANSWERS);
+		fake_endpoint_stop(&endpoints[i]);
+	}
+	g_free(upload);
+	return count;
+}
+
+/*
+ * Failure: an endpoint answers a long upload at once, without a length, and
+ * resets the connection; the part of its answer reaches the caller as whole.
+ */
+static void test_answer_reset_during_upload_is_none(void)
+{
+	CU_ASSERT_EQUAL(count_complete_answers(FAKE_ENDPOINT_EARLY_RESET), 0);
+}
+
 static const unit_test_t tests[] = {
 	{ "the fleet starts", test_fleet_starts },
 	{ "odd entries name no endpoint", test_odd_entries_name_no_endpoint },
@@ -629,6 +684,8 @@
 	  test_answer_that_breaks_off_in_its_head_is_none },
 	{ "answer with an invalid status is none",
 	  test_answer_with_an_invalid_status_is_none },
+	{ "answer reset during the upload is none",
+	  test_answer_reset_during_upload_is_none },
 };
 
 int main(void)
--- a/test/functional/harness/fake_endpoint.c
+++ b/test/functional/harness/fake_endpoint.c
@@ -63,8 +63,18 @@
 	(void)!try_send_text(fd, text);
 }
 
-/* Reads the headers and a body of Content-Length bytes, if there is one. */
-static bool read_request(int fd, char request[REQUEST_BYTES])
+static bool answers_early(int mode)
+{
+	return mode == FAKE_ENDPOINT_EARLY_RESET ||
+	       mode == FAKE_ENDPOINT_EARLY_END;
+}
+
+/*
+ * Reads the headers and, unless "is_head_enough", a body of Content-Length
+ * bytes, if there is one.
+ */
+static bool read_request(int fd, char request[REQUEST_BYTES],
+			 bool is_head_enough)
 {
 	size_t used = 0;
 
@@ -82,7 +92,7 @@
 		if (end == NULL)
 			continue;
 		length = strcasestr(request, "\r\ncontent-length:");
-		if (length == NULL ||
+		if (is_head_enough || length == NULL ||
 		    used - (size_t)(end + 4 - request) >=
 			    strtoul(strchr(length, ':') + 1, NULL, 10))
 			return true;
@@ -714,6 +724,20 @@
 	g_free(request_id);
 }
 
+/* Sends the set text and ends the connection while the request arrives. */
+static void answer_early(fake_endpoint_t *fake_endpoint, int fd,
+			 const char *request, int mode)
+{
+	send_set_text(fake_endpoint, fd, request);
+	if (mode == FAKE_ENDPOINT_EARLY_RESET) {
+		reset_when_closed(fd);
+		return;
+	}
+	/* As it leaves bytes unread, closing the connection resets it, too. */
+	shutdown(fd, SHUT_WR);
+	g_usleep(EVENT_INTERVAL_US);
+}
+
 /* Refuses a request that expects another endpoint at this address. */
 static void send_misdirected(int fd, const char *request)
 {
@@ -910,6 +934,8 @@
 		reset_when_closed(fd);
 	else if (mode == FAKE_ENDPOINT_TEXT)
 		send_set_text(fake_endpoint, fd, request);
+	else if (answers_early(mode))
+		answer_early(fake_endpoint, fd, request, mode);
 	else if (mode != FAKE_ENDPOINT_DROP)
 		send_stream(fake_endpoint, fd, request, mode);
 }
@@ -919,7 +945,7 @@
 	char request[REQUEST_BYTES];
 	int mode;
 
-	if (!read_request(fd, request))
+	if (!read_request(fd, request, answers_early(fake_endpoint->mode)))
 		return;
 	if (fake_endpoint->accelerator != NULL &&
 	    fake_endpoint->end_layer == 0 &&
--- a/test/functional/harness/fake_endpoint.h
+++ b/test/functional/harness/fake_endpoint.h
@@ -102,7 +102,10 @@
 	 * Runs it and sends "answer_text"; a stream that begins with event 0 is
 	 * truncated first, as by FAKE_ENDPOINT_TRUNCATE, if "breaks_first".
 	 */
-	FAKE_ENDPOINT_TEXT
+	FAKE_ENDPOINT_TEXT,
+	/* Sends "answer_text" to the head of a request, whose body it leaves: */
+	FAKE_ENDPOINT_EARLY_RESET, /* and resets the connection */
+	FAKE_ENDPOINT_EARLY_END	   /* and ends its side of the connection */
 } fake_endpoint_mode_t;
 
 /* What the fake endpoints that share it have received and run. */
@@ -131,8 +134,9 @@
 	int listener;
 	_Atomic int mode; /* fake_endpoint_mode_t */
 	/*
-	 * The bytes that it sends in FAKE_ENDPOINT_TEXT; FAKE_ENDPOINT_OWN_ID
-	 * in them stands for the id of the request.
+	 * The bytes that it sends in FAKE_ENDPOINT_TEXT and in the modes of
+	 * early answers; FAKE_ENDPOINT_OWN_ID in them stands for the id of the
+	 * request.
 	 */
 	_Atomic(const char *) answer_text;
 	atomic_bool breaks_first;
--- a/test/unit/http_call_test.c
+++ b/test/unit/http_call_test.c
@@ -13,6 +13,10 @@
 #define CONNECT_MS 2000
 #define SHORT_CONNECT_MS 50
 #define BODY_BYTES 100
+/* More than the kernel takes of a request that its peer does not read. */
+#define UPLOAD_BYTES (8u << 20)
+/* Iterations of the loop in which all that is pending is handled. */
+#define LOOP_ITERATIONS 10
 
 /* A peer that sends one response and then closes or resets the connection. */
 typedef struct {
@@ -228,6 +232,120 @@
 	g_string_free(request, TRUE);
 }
 
+/* A call whose peer is played step by step. */
+typedef struct {
+	call_result_t result;
+	uv_loop_t loop;
+	http_call_t *call;
+	GString *request;
+	int listener;
+	int fd; /* the peer's end of the connection */
+} upload_t;
+
+static void hold_call(http_call_handler_t *self, GByteArray *body)
+{
+	upload_t *upload = CONTAINER_OF(self, upload_t, result.handler);
+
+	(void)body;
+	http_call_hold(upload->call, true);
+}
+
+static void run_loop(upload_t *upload)
+{
+	for (int i = 0; i < LOOP_ITERATIONS; i++)
+		uv_run(&upload->loop, UV_RUN_NOWAIT);
+}
+
+/*
+ * Starts a call with a body of "bytes"; its peer receives at most
+ * "receive_bytes" that it does not read, 0: as many as usual.
+ */
+static void start_upload(upload_t *upload, size_t bytes, int receive_bytes)
+{
+	const http_call_limits_t limits = { .connect_ms = CONNECT_MS,
+					    .body_bytes = BODY_BYTES };
+	char text[64];
+
+	*upload = (upload_t){ .result.handler = { on_headers, on_body,
+						  on_complete, on_failed } };
+	upload->listener = listen_on_loopback(text);
+	if (receive_bytes > 0)
+		setsockopt(upload->listener, SOL_SOCKET, SO_RCVBUF,
+			   &receive_bytes, sizeof(receive_bytes));
+	upload->request = g_string_new(NULL);
+	g_string_printf(upload->request,
+			"POST / HTTP/1.1\r\nHost: x\r\n"
+			"Content-Length: %zu\r\n\r\n%0*d",
+			bytes, (int)bytes, 0);
+	uv_loop_init(&upload->loop);
+	upload->call = http_call_new(&upload->loop, text, upload->request,
+				     &limits, &upload->result.handler);
+	run_loop(upload);
+	upload->fd = accept(upload->listener, NULL, NULL);
+	CU_ASSERT_FATAL(upload->fd >= 0);
+}
+
+static void respond(upload_t *upload, const char *response)
+{
+	CU_ASSERT(send(upload->fd, response, strlen(response), MSG_NOSIGNAL) ==
+		  (ssize_t)strlen(response));
+}
+
+static void reset_connection(upload_t *upload)
+{
+	const struct linger reset = { .l_onoff = 1, .l_linger = 0 };
+
+	setsockopt(upload->fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+	close(upload->fd);
+	upload->fd = -1;
+}
+
+/* Runs the call to its end. */
+static void finish_upload(upload_t *upload)
+{
+	uv_run(&upload->loop, UV_RUN_DEFAULT);
+	CU_ASSERT_EQUAL(uv_loop_close(&upload->loop), 0);
+	CU_ASSERT(upload->result.complete != upload->result.failed);
+	if (upload->fd >= 0)
+		close(upload->fd);
+	close(upload->listener);
+	g_string_free(upload->request, TRUE);
+}
+
+/*
+ * Failure: the kernel reports a reset once, to a write of the request; the read
+ * behind it gets the end of the stream, and a part of a response without a
+ * length counts as complete.
+ */
+static void test_reset_reported_to_a_write(void)
+{
+	upload_t upload;
+
+	start_upload(&upload, UPLOAD_BYTES, 0);
+	upload.result.handler.body = hold_call;
+	respond(&upload, "HTTP/1.1 200 OK\r\n\r\npart");
+	run_loop(&upload);
+	reset_connection(&upload);
+	run_loop(&upload); /* writes; does not read */
+	http_call_hold(upload.call, false);
+	finish_upload(&upload);
+	CU_ASSERT_FALSE(upload.result.complete);
+	CU_ASSERT_EQUAL(upload.result.stage, HTTP_CALL_TRUNCATED);
+}
+
+/* A length shows that a response is complete, also before a reset. */
+static void test_early_response_with_length(void)
+{
+	upload_t upload;
+
+	start_upload(&upload, UPLOAD_BYTES, 0);
+	respond(&upload, "HTTP/1.1 503 No\r\nContent-Length: 4\r\n\r\nfull");
+	reset_connection(&upload);
+	finish_upload(&upload);
+	CU_ASSERT_TRUE(upload.result.complete);
+	CU_ASSERT_EQUAL(upload.result.body_len, 4);
+}
+
 static void sleep_past_timeout(uv_prepare_t *prepare)
 {
 	g_usleep(2 * SHORT_CONNECT_MS * G_TIME_SPAN_MILLISECOND);
@@ -288,6 +406,8 @@
 	CU_ADD_TEST(suite, test_no_response);
 	CU_ADD_TEST(suite, test_cancelled_call_is_reset);
 	CU_ADD_TEST(suite, test_pause_while_connecting);
+	CU_ADD_TEST(suite, test_reset_reported_to_a_write);
+	CU_ADD_TEST(suite, test_early_response_with_length);
 	CU_basic_set_mode(CU_BRM_VERBOSE);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures();
