http: take no response that ends before its request was received

Callers got a part of an answer as a whole one (MIXED) also where the endpoint did not reset the connection, but ended its side of it while the upload was unread and unfinished; its reset comes later.

Cause: a body without a length is complete at the end of the stream, whatever is left of the request. A response that ends before its peer can have read the request is not told from a part of one, and a 2xx counts only with its whole body.

Such a response now ends the call with "closed_early" (502; not run is never claimed) unless the peer's system has acknowledged the whole request. The end of the stream acknowledges what its sender had received before, so an endpoint that has read the request passes. That the kernel has taken the request is not enough: it holds a few MB for a peer that does not read. Responses with a length or chunks are unchanged.

--- a/src/wisteria/http/http_call.c
+++ b/src/wisteria/http/http_call.c
@@ -6,7 +6,9 @@
  */
 #include "wisteria/http/http_call.h"
 
+#include <linux/sockios.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 
 #include "wisteria/base/clock.h"
 #include "wisteria/base/err.h"
@@ -30,6 +32,7 @@
 	GByteArray *request;
 	http_call_stage_t stage;
 	bool headers_reported;
+	bool request_written; /* the kernel has taken all of it */
 	bool ended;
 	unsigned open_handles;
 };
@@ -136,9 +139,25 @@
 	       (state.revents & (POLLERR | POLLHUP)) != 0;
 }
 
+/*
+ * Returns whether the peer's system has acknowledged all of the request.  The
+ * end of a stream acknowledges all that its sender has received, so a peer that
+ * has read the whole request before it ended its response passes.
+ */
+static bool was_request_received(const http_call_t *call)
+{
+	uv_os_fd_t fd;
+	int unacknowledged;
+
+	return call->request_written &&
+	       uv_fileno((const uv_handle_t *)&call->tcp, &fd) == 0 &&
+	       ioctl(fd, SIOCOUTQ, &unacknowledged) == 0 && unacknowledged == 0;
+}
+
 /*
  * Returns why the end of the stream does not complete the response; NULL if it
- * does.
+ * does.  A response that only the end of the stream delimits is not told from a
+ * part of one if it ends before the peer can have read the request.
  */
 static const char *finish_reading(http_call_t *call)
 {
@@ -147,7 +166,9 @@
 	if (!call->headers_reported)
 		return "closed_unanswered";
 	http_reader_eof(&call->reader);
-	return call->reader.state == HTTP_READ_FAILED ? "closed_midway" : NULL;
+	if (call->reader.state == HTTP_READ_FAILED)
+		return "closed_midway";
+	return was_request_received(call) ? NULL : "closed_early";
 }
 
 static void on_read(uv_stream_t *stream, ssize_t len, const uv_buf_t *buf)
@@ -177,6 +198,7 @@
 {
 	http_call_t *call = CONTAINER_OF(write, http_call_t, write);
 
+	call->request_written = status == 0;
 	if (status != 0 && !was_reset(call))
 		fail(call, "write_failed");
 }
--- a/test/functional/fleet_reports_test.c
+++ b/test/functional/fleet_reports_test.c
@@ -673,6 +673,12 @@
 	CU_ASSERT_EQUAL(count_complete_answers(FAKE_ENDPOINT_EARLY_RESET), 0);
 }
 
+/* Failure: the same, but the endpoint ends its side of the connection first. */
+static void test_answer_ended_during_upload_is_none(void)
+{
+	CU_ASSERT_EQUAL(count_complete_answers(FAKE_ENDPOINT_EARLY_END), 0);
+}
+
 static const unit_test_t tests[] = {
 	{ "the fleet starts", test_fleet_starts },
 	{ "odd entries name no endpoint", test_odd_entries_name_no_endpoint },
@@ -686,6 +692,8 @@
 	  test_answer_with_an_invalid_status_is_none },
 	{ "answer reset during the upload is none",
 	  test_answer_reset_during_upload_is_none },
+	{ "answer ended during the upload is none",
+	  test_answer_ended_during_upload_is_none },
 };
 
 int main(void)
--- a/test/unit/http_call_test.c
+++ b/test/unit/http_call_test.c
@@ -15,6 +15,9 @@
 #define BODY_BYTES 100
 /* More than the kernel takes of a request that its peer does not read. */
 #define UPLOAD_BYTES (8u << 20)
+/* Fits in the send buffer, but not in a receive buffer of this size. */
+#define SMALL_UPLOAD_BYTES (256u << 10)
+#define SMALL_RECEIVE_BYTES 4096
 /* Iterations of the loop in which all that is pending is handled. */
 #define LOOP_ITERATIONS 10
 
@@ -285,6 +288,23 @@
 	CU_ASSERT_FATAL(upload->fd >= 0);
 }
 
+/* Reads all of the request and returns how many bytes that were. */
+static size_t read_upload(upload_t *upload)
+{
+	char bytes[65536];
+	size_t total = 0;
+
+	while (total < upload->request->len) {
+		ssize_t got = recv(upload->fd, bytes, sizeof(bytes), 0);
+
+		if (got <= 0)
+			break;
+		total += (size_t)got;
+		uv_run(&upload->loop, UV_RUN_NOWAIT);
+	}
+	return total;
+}
+
 static void respond(upload_t *upload, const char *response)
 {
 	CU_ASSERT(send(upload->fd, response, strlen(response), MSG_NOSIGNAL) ==
@@ -346,6 +366,47 @@
 	CU_ASSERT_EQUAL(upload.result.body_len, 4);
 }
 
+/*
+ * Failure: a peer ends its response before it has received the request, and a
+ * part counts as complete.  The rest of the request is still queued here, or
+ * held by the kernel.
+ */
+static void test_response_ended_during_upload(void)
+{
+	static const struct {
+		size_t bytes;
+		int receive_bytes;
+	} uploads[] = {
+		{ UPLOAD_BYTES, 0 },
+		{ SMALL_UPLOAD_BYTES, SMALL_RECEIVE_BYTES },
+	};
+
+	for (size_t i = 0; i < ARRAY_SIZE(uploads); i++) {
+		upload_t upload;
+
+		start_upload(&upload, uploads[i].bytes,
+			     uploads[i].receive_bytes);
+		respond(&upload, "HTTP/1.1 200 OK\r\n\r\npart");
+		CU_ASSERT_EQUAL(shutdown(upload.fd, SHUT_WR), 0);
+		finish_upload(&upload);
+		CU_ASSERT_FALSE(upload.result.complete);
+		CU_ASSERT_EQUAL(upload.result.stage, HTTP_CALL_TRUNCATED);
+	}
+}
+
+static void test_response_ended_after_upload(void)
+{
+	upload_t upload;
+
+	start_upload(&upload, UPLOAD_BYTES, 0);
+	CU_ASSERT_EQUAL(read_upload(&upload), upload.request->len);
+	respond(&upload, "HTTP/1.1 200 OK\r\n\r\nwhole");
+	CU_ASSERT_EQUAL(shutdown(upload.fd, SHUT_WR), 0);
+	finish_upload(&upload);
+	CU_ASSERT_TRUE(upload.result.complete);
+	CU_ASSERT_EQUAL(upload.result.body_len, 5);
+}
+
 static void sleep_past_timeout(uv_prepare_t *prepare)
 {
 	g_usleep(2 * SHORT_CONNECT_MS * G_TIME_SPAN_MILLISECOND);
@@ -408,6 +469,8 @@
 	CU_ADD_TEST(suite, test_pause_while_connecting);
 	CU_ADD_TEST(suite, test_reset_reported_to_a_write);
 	CU_ADD_TEST(suite, test_early_response_with_length);
+	CU_ADD_TEST(suite, test_response_ended_during_upload);
+	CU_ADD_TEST(suite, test_response_ended_after_upload);
 	CU_basic_set_mode(CU_BRM_VERBOSE);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures();
