http: write what the kernel takes of a request at once

uv_write() reports its end in a further iteration of the loop even if it has written everything, which is the usual case.

--- a/src/wisteria/http/http_call.c
+++ b/src/wisteria/http/http_call.c
@@ -203,6 +203,25 @@
 		fail(call, "write_failed");
 }
 
+/*
+ * Writes the request; what the kernel does not take at once is queued.  Returns
+ * false if it cannot be written.
+ */
+static bool write_request(http_call_t *call)
+{
+	uv_stream_t *stream = (uv_stream_t *)&call->tcp;
+	uv_buf_t buf =
+		uv_buf_init((char *)call->request->data, call->request->len);
+	int status = uv_try_write(stream, &buf, 1);
+	size_t written = status < 0 ? 0 : (size_t)status;
+
+	buf.base += written;
+	buf.len -= written;
+	call->request_written = buf.len == 0;
+	return call->request_written ||
+	       uv_write(&call->write, stream, &buf, 1, on_request_written) == 0;
+}
+
 /*
  * The connect timeout also holds if this process was paused and the connection
  * is reported before the timer: what allowed the request may have run out.
@@ -210,8 +229,6 @@
 static void on_connected(uv_connect_t *connect, int status)
 {
 	http_call_t *call = CONTAINER_OF(connect, http_call_t, connect);
-	uv_stream_t *stream = (uv_stream_t *)&call->tcp;
-	uv_buf_t buf;
 
 	if (call->ended)
 		return;
@@ -226,9 +243,8 @@
 	uv_timer_stop(&call->timer);
 	uv_tcp_nodelay(&call->tcp, 1);
 	call->stage = HTTP_CALL_SENT;
-	buf = uv_buf_init((char *)call->request->data, call->request->len);
-	if (uv_write(&call->write, stream, &buf, 1, on_request_written) != 0 ||
-	    uv_read_start(stream, on_alloc, on_read) != 0)
+	if (!write_request(call) ||
+	    uv_read_start((uv_stream_t *)&call->tcp, on_alloc, on_read) != 0)
 		fail(call, "reset");
 }
 
