test: give each long upload of the fleet a body of its own

Endpoints that break off on one body have it refused, which would hide an answer that counts as complete. Not seen so far; fleet_reports_test passed before and now.

--- a/test/functional/fleet_reports_test.c
+++ b/test/functional/fleet_reports_test.c
@@ -643,7 +643,7 @@
 	static const char *const services[] = { "orders", "writer" };
 	static const char *const paths[] = { "/book/1", "/chat/1" };
 	static const char *const texts[] = { PART, FIRST_EVENT };
-	char *upload = g_strnfill(UPLOAD_BYTES, 'x');
+	char *filler = g_strnfill(UPLOAD_BYTES, 'x');
 	fake_endpoint_t endpoints[ARRAY_SIZE(services)];
 	unsigned count = 0;
 
@@ -655,12 +655,16 @@
 		start_known(&endpoints[i]);
 	}
 	for (size_t i = 0; i < ARRAY_SIZE(services); i++) {
+		/* A body that several endpoints break off on is refused. */
+		char *upload = g_strconcat(endpoints[i].id, filler, NULL);
+
 		for (unsigned j = 0; j < EARLY_ANSWERS; j++)
 			count += is_answer_complete(paths[i], upload);
 		CU_ASSERT(endpoints[i].runs >= EARLY_ANSWERS);
 		fake_endpoint_stop(&endpoints[i]);
+		g_free(upload);
 	}
-	g_free(upload);
+	g_free(filler);
 	return count;
 }
 
