http: refuse messages with a field name that is no token

An endpoint in trouble answered with a field whose name held a blank. Callers got the line passed on ("X Odd: 1", "Transfer Encoding: chunked" beside a length), or a body that was not the endpoint's: "Content-Length : 1" was taken for the length of 2 bytes, and passed on as a line beside ours. The entry took such requests, too, and passed them on, among them "Transfer-Encoding : chunked": two readers of one request that see different ends of it let a request be smuggled.

Cause: http-parser, as Debian builds it, is lenient with blanks in names, and ignores them before the colon where it looks for lengths.

The reader now fails unless all of a name are characters of a token (RFC 9110, 5.1): in heads, interim responses and trailers. A response counts as unreadable (502), a request gets 400. RFC 9112, 5.1, lets a proxy remove blanks before the colon of a response; the answer of an endpoint in trouble is refused instead. It also asks for the 400.

Tab and control bytes, empty names and lines without a colon were refused before.

--- a/src/wisteria/http/http_message.c
+++ b/src/wisteria/http/http_message.c
@@ -1,6 +1,7 @@
 /* HTTP requests and responses in memory. */
 #include "wisteria/http/http_message.h"
 
+#include <string.h>
 #include <strings.h>
 
 #define STATUS_MIN 100
@@ -54,6 +55,20 @@
 	return status >= STATUS_MIN && status <= STATUS_MAX;
 }
 
+/*
+ * Whether all of "text" are characters of a token, which names of fields consist
+ * of (RFC 9110, 5.6.2 and 5.1).  It may be a part of a token, or empty.
+ */
+bool http_is_token(const char *text, size_t len)
+{
+	for (size_t i = 0; i < len; i++)
+		if (!g_ascii_isalnum(text[i]) &&
+		    (text[i] == '\0' ||
+		     strchr("!#$%&'*+-.^_`|~", text[i]) == NULL))
+			return false;
+	return true;
+}
+
 /* Returns the target of a request: its path and query. */
 const char *http_message_target(const http_message_t *message)
 {
--- a/src/wisteria/http/http_reader.c
+++ b/src/wisteria/http/http_reader.c
@@ -49,12 +49,19 @@
 	return count_header_bytes(reader, len);
 }
 
+/*
+ * Fails if the name is not a token.  http-parser is lenient with blanks: it takes
+ * "Content-Length : 5" for a length, where another reader of the message finds an
+ * unknown field, and thus another end of the message.
+ */
 static int on_header_field(http_parser *parser, const char *at, size_t len)
 {
 	http_reader_t *reader = parser->data;
 	GArray *fields = reader->message.fields;
 	http_field_t field = { 0 };
 
+	if (!http_is_token(at, len))
+		return fail(reader, HTTP_BAD_SYNTAX);
 	if (fields->len == 0 || reader->in_header_value) {
 		terminate_string(reader);
 		field.name = reader->message.text->len;
--- a/test/functional/fleet_reports_test.c
+++ b/test/functional/fleet_reports_test.c
@@ -683,6 +683,114 @@
 	CU_ASSERT_EQUAL(count_complete_answers(FAKE_ENDPOINT_EARLY_END), 0);
 }
 
+/* 7. Fields whose names are no tokens, see RFC 9110, 5.1. */
+
+static const char *const odd_fields[] = {
+	"X Odd: 1",
+	"X-Odd : 1",
+	"Content-Length : 1",
+	"Content Length: 1",
+	"Transfer Encoding: chunked",
+	"Transfer-Encoding : chunked",
+	"Content\x01-Length: 1",
+	"X\tOdd: 1",
+	"X\x01Odd: 1",
+	"X\x7fOdd: 1",
+	"X\x80Odd: 1",
+	"X\rOdd: 1",
+	": 1",
+	"no colon",
+};
+
+/*
+ * Failure: an answer with a field whose name is invalid reaches the caller, with
+ * that field or with a body that is not the endpoint's.
+ */
+static void test_answer_with_an_invalid_field_name_is_none(void)
+{
+	static const char *const services[] = { "orders", "writer" };
+	static const char *const paths[] = { "/book/1", "/chat/1" };
+	static const char *const formats[] = {
+		OK_LINE OWN_ID STAMP "%s\r\n" LENGTH(2) "hi",
+		OK_LINE OWN_ID STAMP "%s\r\n\r\nhi",
+		OK_LINE OWN_ID STAMP CHUNKED "2\r\nhi\r\n0\r\n%s\r\n\r\n",
+		"HTTP/1.1 103 Early\r\n%s\r\n\r\n" SUCCESS,
+	};
+	fake_endpoint_t endpoints[ARRAY_SIZE(services)];
+
+	for (size_t i = 0; i < ARRAY_SIZE(services); i++) {
+		listen_as(&endpoints[i],
+			  harness_string(&harness, "odd-field-%zu", i),
+			  services[i], FAKE_ENDPOINT_TEXT);
+		endpoints[i].answer_text = broken_heads[0];
+		start_known(&endpoints[i]);
+	}
+	for (size_t i = 0; i < ARRAY_SIZE(odd_fields); i++)
+		for (size_t j = 0; j < ARRAY_SIZE(formats); j++) {
+			char **parts = g_strsplit(formats[j], "%s", 2);
+			const char *text =
+				harness_string(&harness, "%s%s%s", parts[0],
+					       odd_fields[i], parts[1]);
+
+			for (size_t k = 0; k < ARRAY_SIZE(services); k++) {
+				endpoints[k].answer_text = text;
+				CU_ASSERT_EQUAL(
+					request_status(entry_address, paths[k],
+						       next_id(), services[k]),
+					502);
+			}
+			g_strfreev(parts);
+		}
+	for (size_t i = 0; i < ARRAY_SIZE(services); i++)
+		fake_endpoint_stop(&endpoints[i]);
+}
+
+/* Sends a request with the line "field"; returns what the entry answers. */
+static GString *send_with_field(const char *field)
+{
+	char *request = g_strdup_printf(
+		"POST /book/1 HTTP/1.1\r\nHost: shop.example\r\n" ID(
+			"%s") "Connection: close\r\n%s\r\n"
+			      "Content-Length: 2\r\n\r\nhi",
+		next_id(), field);
+	GString *received = g_string_new(NULL);
+	int fd = connect_to_entry();
+	char block[4096];
+	ssize_t got;
+
+	CU_ASSERT_FATAL(fd >= 0);
+	CU_ASSERT(send(fd, request, strlen(request), MSG_NOSIGNAL) > 0);
+	while ((got = recv(fd, block, sizeof(block), 0)) > 0)
+		g_string_append_len(received, block, got);
+	close(fd);
+	g_free(request);
+	return received;
+}
+
+/*
+ * Failure: the entry and an endpoint see two ends of one request, so that a
+ * request is smuggled in the body of another one.
+ */
+static void test_request_with_an_invalid_field_name_is_refused(void)
+{
+	fake_endpoint_t endpoint;
+	GString *received;
+
+	listen_as(&endpoint, "field-reader", "orders", FAKE_ENDPOINT_JSON);
+	start_known(&endpoint);
+	for (size_t i = 0; i < ARRAY_SIZE(odd_fields); i++) {
+		received = send_with_field(odd_fields[i]);
+		CU_ASSERT(g_str_has_prefix(received->str, "HTTP/1.1 400 "));
+		g_string_free(received, TRUE);
+	}
+	CU_ASSERT_EQUAL(endpoint.runs, 0);
+	received = send_with_field("X-Sound: 1");
+	CU_ASSERT(g_str_has_prefix(received->str, "HTTP/1.1 200 "));
+	CU_ASSERT_EQUAL(endpoint.runs, 1);
+	g_string_free(received, TRUE);
+	fake_endpoint_stop(&endpoint);
+}
+
 static const unit_test_t tests[] = {
 	{ "the fleet starts", test_fleet_starts },
 	{ "odd entries name no endpoint", test_odd_entries_name_no_endpoint },
@@ -698,6 +806,10 @@
 	  test_answer_reset_during_upload_is_none },
 	{ "answer ended during the upload is none",
 	  test_answer_ended_during_upload_is_none },
+	{ "answer with an invalid field name is none",
+	  test_answer_with_an_invalid_field_name_is_none },
+	{ "request with an invalid field name is refused",
+	  test_request_with_an_invalid_field_name_is_refused },
 };
 
 int main(void)
--- a/test/unit/http_reader_test.c
+++ b/test/unit/http_reader_test.c
@@ -211,6 +211,113 @@
 	http_reader_finish(&reader);
 }
 
+typedef struct {
+	const char *line;
+	size_t len;
+} field_line_t;
+
+#define FIELD_LINE(text) \
+	{ \
+		text "\r\n", sizeof(text "\r\n") - 1 \
+	}
+
+/* Lines of fields whose names are no tokens. */
+static const field_line_t invalid_lines[] = {
+	FIELD_LINE("X Bad: 1"),
+	FIELD_LINE("X-Bad : 1"),
+	FIELD_LINE("Content-Length : 1"),
+	FIELD_LINE("Content Length: 1"),
+	FIELD_LINE("Content-Length\t: 1"),
+	FIELD_LINE("Transfer Encoding: chunked"),
+	FIELD_LINE("Transfer-Encoding : chunked"),
+	FIELD_LINE("X\tBad: 1"),
+	FIELD_LINE("X\x01"
+		   "Bad: 1"),
+	FIELD_LINE("X\x7f"
+		   "Bad: 1"),
+	FIELD_LINE("X\x80"
+		   "Bad: 1"),
+	FIELD_LINE("X\0Bad: 1"),
+	FIELD_LINE("X\rBad: 1"),
+	FIELD_LINE("X(Bad): 1"),
+	FIELD_LINE(": 1"),
+	FIELD_LINE("no colon"),
+};
+
+/* What comes before an invalid line, and behind it. */
+typedef struct {
+	enum http_parser_type type;
+	const char *start;
+	const char *end;
+} around_line_t;
+
+static const around_line_t around_lines[] = {
+	{ HTTP_REQUEST, "POST / HTTP/1.1\r\nHost: x\r\n", "\r\nab" },
+	{ HTTP_REQUEST,
+	  "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+	  "\r\n" },
+	{ HTTP_RESPONSE, "HTTP/1.1 200 OK\r\n", "\r\nab" },
+	{ HTTP_RESPONSE, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n", "\r\nab" },
+	{ HTTP_RESPONSE, "HTTP/1.1 103 Early Hints\r\n",
+	  "\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab" },
+	{ HTTP_RESPONSE,
+	  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+	  "\r\n" },
+};
+
+/* Feeds "text" in parts of at most "part_len". */
+static void feed_parts(const GString *text, size_t part_len)
+{
+	size_t at = 0;
+
+	while (at < text->len && reader.state < HTTP_READ_COMPLETE)
+		at += http_reader_feed(&reader, text->str + at,
+				       MIN(part_len, text->len - at));
+}
+
+/*
+ * Failure: a field whose name has a blank is passed on, or taken for a length
+ * that other readers of the message do not see.
+ */
+static void test_invalid_field_names(void)
+{
+	for (size_t i = 0; i < ARRAY_SIZE(invalid_lines); i++)
+		for (size_t j = 0; j < ARRAY_SIZE(around_lines); j++) {
+			const around_line_t *around = &around_lines[j];
+			GString *text = g_string_new(around->start);
+
+			g_string_append_len(text, invalid_lines[i].line,
+					    (gssize)invalid_lines[i].len);
+			g_string_append(text, around->end);
+			for (size_t part = 1; part <= text->len;
+			     part += text->len - 1) {
+				init_reader(around->type);
+				feed_parts(text, part);
+				CU_ASSERT_EQUAL(reader.state, HTTP_READ_FAILED);
+				CU_ASSERT_EQUAL(reader.error, HTTP_BAD_SYNTAX);
+				http_reader_finish(&reader);
+			}
+			g_string_free(text, TRUE);
+		}
+}
+
+static void test_field_name_may_be_any_token(void)
+{
+	static const char name[] = "!#$%&'*+-.^_`|~09azAZ";
+	GString *text = g_string_new(NULL);
+
+	g_string_printf(text, "HTTP/1.1 204 No Content\r\n%s: 1\r\n\r\n", name);
+	for (size_t part = 1; part <= text->len; part++) {
+		init_reader(HTTP_RESPONSE);
+		feed_parts(text, part);
+		CU_ASSERT_EQUAL(reader.state, HTTP_READ_COMPLETE);
+		CU_ASSERT_STRING_EQUAL(
+			http_message_find_header(&reader.message, name), "1");
+		http_reader_finish(&reader);
+	}
+	g_string_free(text, TRUE);
+}
+
 static const unit_test_t tests[] = {
 	{ "every split position", test_every_split_position },
 	{ "two requests at once", test_two_requests_at_once },
@@ -219,6 +326,8 @@
 	{ "framing", test_framing },
 	{ "bytes without end are refused", test_bytes_without_end_are_refused },
 	{ "trailers are terminated", test_trailers_are_terminated },
+	{ "invalid field names", test_invalid_field_names },
+	{ "field name may be any token", test_field_name_may_be_any_token },
 };
 
 int main(void)
