http: refuse responses to agents and wisteriactl with an invalid field

A service in trouble answered an agent's call with a field whose name was empty, folded, or held a blank, a tab or a control byte. The call counted as done and the caller got the response, mostly with that field; "Content-Length : 1" is no length for libcurl, so its body was all up to the end of the connection. Health checks of engines passed and orders to them counted as applied or refused with such a head; wisteriactl took it for the outcome of an order.

Cause: libcurl 7.88 passes any bytes before a colon to the header callback and reports success. Agents and wisteriactl rely on it.

head_watch.c, which both already ask whether a head is complete, now also requires that each line of a head, of an interim response and of a trailer is a field whose name is a token, by the same function as the fleet's entry. Any other line ends the request: a call is unknown, a health check has failed, an order is unconfirmed, and wisteriactl says that the outcome is unknown. A folded line is refused, too, as a gateway may (RFC 9112, 5.2).

--- a/src/cli/client.c
+++ b/src/cli/client.c
@@ -30,10 +30,13 @@
 	return size * count;
 }
 
-static size_t watch_head(char *data, size_t size, size_t count, void *head)
+/* A line that is no field fails the request. */
+static size_t watch_head(char *data, size_t size, size_t count, void *user)
 {
+	head_watch_t *head = user;
+
 	head_watch_line(head, data, size * count);
-	return size * count;
+	return head->is_malformed ? 0 : size * count;
 }
 
 static struct curl_slist *make_headers(const cli_options_t *options)
@@ -114,7 +117,10 @@
 		complete = is_readable(server, &head, response);
 	} else {
 		snprintf(response->error_text, sizeof(response->error_text),
-			 "%s: %s", server, curl_easy_strerror(code));
+			 "%s: %s", server,
+			 head.is_malformed
+				 ? "the response has an invalid header field"
+				 : curl_easy_strerror(code));
 	}
 	if (code != CURLE_COULDNT_CONNECT)
 		response->maybe_received = true;
--- a/src/wisteria/agent/curl_loop.c
+++ b/src/wisteria/agent/curl_loop.c
@@ -47,6 +47,8 @@
 	curl_transfer_t *transfer = transfer_of(handle);
 	curl_done_t *done = transfer->done;
 
+	if (code == CURLE_WRITE_ERROR && transfer->head.is_malformed)
+		code = CURLE_WEIRD_SERVER_REPLY;
 	if (code == CURLE_OK && !transfer->head.is_complete)
 		code = CURLE_PARTIAL_FILE;
 	curl_multi_remove_handle(client->multi, handle);
@@ -238,6 +240,8 @@
 	curl_done_t *done = transfer->done;
 	bool begins_head = head_watch_line(&transfer->head, data, size * count);
 
+	if (transfer->head.is_malformed)
+		return 0; /* aborts the request */
 	if (done->header != NULL)
 		done->header(done, data, size * count, begins_head);
 	return size * count;
@@ -245,7 +249,8 @@
 
 /*
  * Starts a request; "done" must stay valid until it is called.  A response whose
- * head breaks off ends with CURLE_PARTIAL_FILE.
+ * head breaks off ends with CURLE_PARTIAL_FILE, one with a line that is no field
+ * with CURLE_WEIRD_SERVER_REPLY.
  */
 void curl_loop_start(curl_loop_t *client, CURL *handle, curl_done_t *done)
 {
--- a/src/wisteria/http/head_watch.h
+++ b/src/wisteria/http/head_watch.h
@@ -6,10 +6,11 @@
 
 #include "wisteria/base/macros_defs.h"
 
-/* Whether the head of a response is complete; initialized with zeros. */
+/* What is known of the head of a response; initialized with zeros. */
 typedef struct {
 	bool is_interim;
 	bool is_complete;
+	bool is_malformed; /* a line is no field */
 } head_watch_t;
 
 bool head_watch_line(head_watch_t *watch, const char *line,
--- a/test/functional/agent_test.c
+++ b/test/functional/agent_test.c
@@ -649,7 +649,7 @@
 
 /*
  * Responses that end with their connection before they are complete, or whose
- * status is none.
+ * status or a field's name is none.
  */
 static const char *const broken_responses[] = {
 	"HTTP/1.1 200 OK",
@@ -673,6 +673,21 @@
 	"HTTP/1.1 099 X\r\nContent-Length: 2\r\n\r\nhi",
 	"HTTP/1.1 600 X\r\nContent-Length: 2\r\n\r\nhi",
 	"HTTP/1.1 999 X\r\nContent-Length: 2\r\n\r\nhi",
+	OK_LINE "X Odd: 1\r\nContent-Length: 2\r\n\r\nhi",
+	OK_LINE "X-Odd : 1\r\nContent-Length: 2\r\n\r\nhi",
+	OK_LINE "Content-Length : 1\r\n\r\nhi",
+	OK_LINE "Content\x01-Length: 1\r\n\r\nhi",
+	OK_LINE "Transfer Encoding: chunked\r\nContent-Length: 2\r\n\r\nhi",
+	OK_LINE "Transfer-Encoding : chunked\r\nContent-Length: 2\r\n\r\nhi",
+	OK_LINE "X\tOdd: 1\r\nContent-Length: 2\r\n\r\nhi",
+	OK_LINE "X\x01Odd: 1\r\nContent-Length: 2\r\n\r\nhi",
+	OK_LINE "X\x7fOdd: 1\r\nContent-Length: 2\r\n\r\nhi",
+	OK_LINE ": 1\r\nContent-Length: 2\r\n\r\nhi",
+	OK_LINE "no colon\r\nContent-Length: 2\r\n\r\nhi",
+	OK_LINE "X-A: 1\r\n X-Odd: 1\r\nContent-Length: 2\r\n\r\nhi",
+	"HTTP/1.1 103 Early Hints\r\nX Odd: 1\r\n\r\n" OK_LINE
+	"Content-Length: 2\r\n\r\nhi",
+	CHUNKED_HEAD "2\r\nhi\r\n0\r\nX Odd: 1\r\n\r\n",
 };
 
 /*
--- a/test/functional/cli_test.c
+++ b/test/functional/cli_test.c
@@ -168,6 +168,33 @@
 	fake_endpoint_crash(&server);
 }
 
+/*
+ * Sends an order to a server that answers with each of "answers"; its outcome
+ * must be unknown.
+ */
+static void expect_no_outcome(const char *const answers[], size_t count)
+{
+	fake_endpoint_t server;
+
+	fake_endpoint_start(&server, "i-1", "admin", harness.ip, "127.0.0.1:1",
+			    FAKE_ENDPOINT_TEXT);
+	for (size_t i = 0; i < count; i++) {
+		int code;
+
+		server.answer_text = answers[i];
+		code = run_ctl(harness_string(&harness,
+					      "-s %s --timeout-ms 500 "
+					      "endpoint leave e1 --order-id "
+					      "head",
+					      server.address));
+		CU_ASSERT_EQUAL(code, 4);
+		if (code != 4)
+			printf("\n  case %zu: %d\n%s", i, code, output);
+	}
+	CU_ASSERT(server.runs >= count);
+	fake_endpoint_crash(&server);
+}
+
 /*
  * Guards against a refusal whose head breaks off as the outcome of an order:
  * its body would tell whether the order had applied before.
@@ -180,22 +207,28 @@
 		"HTTP/1.1 404 Not Found\r\nContent-Type: application/json\r\n",
 		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 400 Bad Request\r\n",
 	};
-	fake_endpoint_t server;
 
-	fake_endpoint_start(&server, "i-1", "admin", harness.ip, "127.0.0.1:1",
-			    FAKE_ENDPOINT_TEXT);
-	for (size_t i = 0; i < ARRAY_SIZE(heads); i++) {
-		server.answer_text = heads[i];
-		CU_ASSERT_EQUAL(
-			run_ctl(harness_string(&harness,
-					       "-s %s --timeout-ms 500 "
-					       "endpoint leave e1 --order-id "
-					       "head",
-					       server.address)),
-			4);
-	}
-	CU_ASSERT(server.runs >= ARRAY_SIZE(heads));
-	fake_endpoint_crash(&server);
+	expect_no_outcome(heads, ARRAY_SIZE(heads));
+}
+
+#define APPLIED \
+	"Content-Length: " \
+	"38\r\n\r\n{\"outcome\":\"applied\",\"revision\":12345}"
+
+/* Failure: the response of a server in trouble counts as an outcome. */
+static void test_invalid_field_name_is_no_outcome(void)
+{
+	static const char *const answers[] = {
+		"HTTP/1.1 200 OK\r\nX Odd: 1\r\n" APPLIED,
+		"HTTP/1.1 200 OK\r\nX-Odd : 1\r\n" APPLIED,
+		"HTTP/1.1 200 OK\r\nX\tOdd: 1\r\n" APPLIED,
+		"HTTP/1.1 200 OK\r\nX\x01Odd: 1\r\n" APPLIED,
+		"HTTP/1.1 200 OK\r\n: 1\r\n" APPLIED,
+		"HTTP/1.1 200 OK\r\nno colon\r\n" APPLIED,
+		"HTTP/1.1 409 Conflict\r\nContent-Length : 2\r\n\r\n{}",
+	};
+
+	expect_no_outcome(answers, ARRAY_SIZE(answers));
 }
 
 /* The most memory that a command may use; the longest response is a few MB. */
@@ -399,6 +432,8 @@
 	{ "incomplete response is not taken for success",
 	  test_incomplete_response_is_not_taken_for_success },
 	{ "broken head is no outcome", test_broken_head_is_no_outcome },
+	{ "invalid field name is no outcome",
+	  test_invalid_field_name_is_no_outcome },
 	{ "endless response fits in memory",
 	  test_endless_response_fits_in_memory },
 	{ "unknown outcome", test_unknown_outcome },
