wisteriactl: take a response with an invalid status for none

A server in trouble that answered an order with status 600 or 999 had it reported as refused: nothing had changed, it said, while the outcome is unknown.

A status outside 100 to 599 (RFC 9110, 15) is now no response: the next server is tried, and at last the outcome is unknown.

Evidence: functional/cli_test "invalid status is no outcome": 2 of 5 failed before, none now; 000, 0 and 099 were no outcome before.

--- a/src/cli/client.c
+++ b/src/cli/client.c
@@ -14,6 +14,7 @@
 #include "cli/output.h"
 #include "wisteria/base/clock.h"
 #include "wisteria/http/head_watch.h"
+#include "wisteria/http/http_message.h"
 
 #define CLIENT_CONNECT_TIMEOUT_MS 1000
 #define CLIENT_RETRY_PAUSE_MS 200
@@ -73,14 +74,15 @@
 }
 
 /*
- * Returns whether the head of a response is complete and the body of a 200 is
- * JSON, as all of them are.  Without a length or chunks, a body that was cut
- * looks complete to libcurl.
+ * Returns whether the head of a response is complete, its status is valid, and
+ * the body of a 200 is JSON, as all of them are.  Without a length or chunks, a
+ * body that was cut looks complete to libcurl.
  */
 static bool is_readable(const char *server, const head_watch_t *head,
 			client_response_t *response)
 {
 	if (head->is_complete &&
+	    http_status_is_valid((unsigned)response->status) &&
 	    (response->status != 200 || response->body != NULL))
 		return true;
 	json_decref(response->body);
--- a/test/functional/cli_test.c
+++ b/test/functional/cli_test.c
@@ -231,6 +231,18 @@
 	expect_no_outcome(answers, ARRAY_SIZE(answers));
 }
 
+/* The same, with statuses outside RFC 9110, 15. */
+static void test_invalid_status_is_no_outcome(void)
+{
+	static const char *const answers[] = {
+		"HTTP/1.1 000 X\r\n" APPLIED, "HTTP/1.1 0 X\r\n" APPLIED,
+		"HTTP/1.1 099 X\r\n" APPLIED, "HTTP/1.1 600 X\r\n" APPLIED,
+		"HTTP/1.1 999 X\r\n" APPLIED,
+	};
+
+	expect_no_outcome(answers, ARRAY_SIZE(answers));
+}
+
 /* The most memory that a command may use; the longest response is a few MB. */
 #define MEMORY_MAX_MB 160
 
@@ -434,6 +446,7 @@
 	{ "broken head is no outcome", test_broken_head_is_no_outcome },
 	{ "invalid field name is no outcome",
 	  test_invalid_field_name_is_no_outcome },
+	{ "invalid status is no outcome", test_invalid_status_is_no_outcome },
 	{ "endless response fits in memory",
 	  test_endless_response_fits_in_memory },
 	{ "unknown outcome", test_unknown_outcome },
