agent: take no response that ends before the call was received

The agent's client now asks how much of the request libcurl has written, and, when libcurl gives up the socket, whether the kernel has unacknowledged bytes of it. Either ends a response that only the connection delimits with CURLE_PARTIAL_FILE, and the call is unknown.

--- a/src/wisteria/agent/curl_loop.c
+++ b/src/wisteria/agent/curl_loop.c
@@ -1,7 +1,9 @@
 /* Runs libcurl's multi interface on an event loop. */
 #include "wisteria/agent/curl_loop.h"
 
+#include <linux/sockios.h>
 #include <string.h>
+#include <sys/ioctl.h>
 
 #include <glib.h>
 
@@ -23,6 +25,8 @@
 	struct curl_transfer_t **prev_next; /* points to this transfer */
 	CURL *handle;
 	curl_done_t *done;
+	const curl_body_t *body; /* NULL: the request has none */
+	bool is_unacknowledged;	 /* some of what the kernel took of it */
 	head_watch_t head;
 } curl_transfer_t;
 
@@ -42,15 +46,42 @@
 	return (curl_transfer_t *)(void *)transfer;
 }
 
+/* Whether the peer's system has acknowledged all of the request. */
+static bool was_request_received(const curl_transfer_t *transfer)
+{
+	curl_off_t written = 0;
+
+	if (transfer->is_unacknowledged)
+		return false;
+	curl_easy_getinfo(transfer->handle, CURLINFO_SIZE_UPLOAD_T, &written);
+	return transfer->body == NULL ||
+	       written >= (curl_off_t)transfer->body->len;
+}
+
+/*
+ * Returns the result of a transfer that ended with "code".  libcurl stops sending
+ * at the end of the stream and reports success.  A response that only the end of
+ * the stream delimits is not told from a part of one if it ends before the peer
+ * can have read the request.
+ */
+static CURLcode check_response(const curl_transfer_t *transfer, CURLcode code)
+{
+	if (code == CURLE_WRITE_ERROR && transfer->head.is_malformed)
+		return CURLE_WEIRD_SERVER_REPLY;
+	if (code != CURLE_OK)
+		return code;
+	if (!transfer->head.is_complete ||
+	    (transfer->head.ends_with_close && !was_request_received(transfer)))
+		return CURLE_PARTIAL_FILE;
+	return CURLE_OK;
+}
+
 static void end_transfer(curl_loop_t *client, CURL *handle, CURLcode code)
 {
 	curl_transfer_t *transfer = transfer_of(handle);
 	curl_done_t *done = transfer->done;
 
-	if (code == CURLE_WRITE_ERROR && transfer->head.is_malformed)
-		code = CURLE_WEIRD_SERVER_REPLY;
-	if (code == CURLE_OK && !transfer->head.is_complete)
-		code = CURLE_PARTIAL_FILE;
+	code = check_response(transfer, code);
 	curl_multi_remove_handle(client->multi, handle);
 	unlink_transfer(transfer);
 	done->done(done, handle, code);
@@ -114,6 +145,17 @@
 	return watched;
 }
 
+/* Records what of a request was not received when its socket is given up. */
+static void check_unacknowledged(CURL *handle, curl_socket_t socket)
+{
+	curl_transfer_t *transfer = transfer_of(handle);
+	int len;
+
+	if (transfer != NULL)
+		transfer->is_unacknowledged =
+			ioctl(socket, SIOCOUTQ, &len) != 0 || len > 0;
+}
+
 static int on_socket(CURL *handle, curl_socket_t socket, int what, void *user,
 		     void *socket_user)
 {
@@ -121,8 +163,8 @@
 	curl_watch_t *watched = socket_user;
 	int events = 0;
 
-	(void)handle;
 	if (what == CURL_POLL_REMOVE) {
+		check_unacknowledged(handle, socket);
 		if (watched == NULL)
 			return 0;
 		curl_multi_assign(client->multi, socket, NULL);
@@ -187,9 +229,12 @@
  */
 CURL *curl_loop_new_request(curl_loop_t *client, const char *url)
 {
+	curl_transfer_t *transfer = g_new0(curl_transfer_t, 1);
 	CURL *handle = curl_easy_init();
 
 	(void)client;
+	transfer->handle = handle;
+	curl_easy_setopt(handle, CURLOPT_PRIVATE, transfer);
 	curl_easy_setopt(handle, CURLOPT_URL, url);
 	curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(handle, CURLOPT_TCP_NODELAY, 1L);
@@ -225,6 +270,7 @@
  */
 void curl_loop_set_body(CURL *handle, curl_body_t *body)
 {
+	transfer_of(handle)->body = body;
 	curl_easy_setopt(handle, CURLOPT_POST, 1L);
 	curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE,
 			 (curl_off_t)body->len);
@@ -249,21 +295,20 @@
 
 /*
  * Starts a request; "done" must stay valid until it is called.  A response whose
- * head breaks off ends with CURLE_PARTIAL_FILE, one with a line that is no field
- * with CURLE_WEIRD_SERVER_REPLY.
+ * head breaks off ends with CURLE_PARTIAL_FILE, and so does one that only the end
+ * of the connection delimits, before the request was received; one with a line
+ * that is no field ends with CURLE_WEIRD_SERVER_REPLY.
  */
 void curl_loop_start(curl_loop_t *client, CURL *handle, curl_done_t *done)
 {
-	curl_transfer_t *transfer = g_new0(curl_transfer_t, 1);
+	curl_transfer_t *transfer = transfer_of(handle);
 
-	transfer->handle = handle;
 	transfer->done = done;
 	transfer->next = client->transfers;
 	transfer->prev_next = &client->transfers;
 	if (transfer->next != NULL)
 		transfer->next->prev_next = &transfer->next;
 	client->transfers = transfer;
-	curl_easy_setopt(handle, CURLOPT_PRIVATE, transfer);
 	curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, on_header_line);
 	curl_easy_setopt(handle, CURLOPT_HEADERDATA, transfer);
 	curl_multi_add_handle(client->multi, handle);
--- a/src/wisteria/http/head_watch.c
+++ b/src/wisteria/http/head_watch.c
@@ -9,6 +9,8 @@
 
 #include <string.h>
 
+#include <glib.h>
+
 #include "wisteria/http/http_message.h"
 
 #define STATUS_LINE_PREFIX "HTTP/"
@@ -21,13 +23,33 @@
 	       memcmp(line, STATUS_LINE_PREFIX, prefix_len) == 0;
 }
 
-/* Interim responses have a status from 100 to 199 (RFC 9110, 15.2). */
-static bool is_interim(const char *status_line, size_t len)
+/* Returns the status in a status line, or 0. */
+static unsigned read_status(const char *line, size_t len)
+{
+	const char *at = memchr(line, ' ', len);
+	unsigned status = 0;
+
+	if (at == NULL)
+		return 0;
+	while (++at < line + len && g_ascii_isdigit(*at))
+		status = 10 * status + (unsigned)(*at - '0');
+	return status;
+}
+
+/* Starts a head; some statuses have no body (RFC 9110, 6.4.1). */
+static void begin_head(head_watch_t *watch, unsigned status)
+{
+	watch->is_interim = status / 100 == 1;
+	watch->is_complete = false;
+	watch->ends_with_close = status != 204 && status != 304;
+}
+
+static bool has_name(const char *line, size_t len, const char *name)
 {
-	const char *space = memchr(status_line, ' ', len);
+	size_t name_len = strlen(name);
 
-	return space != NULL && space + 1 < status_line + len &&
-	       space[1] == '1';
+	return len > name_len && line[name_len] == ':' &&
+	       g_ascii_strncasecmp(line, name, name_len) == 0;
 }
 
 /*
@@ -52,12 +74,14 @@
 	bool begins_head = is_status_line(line, len);
 
 	if (begins_head) {
-		watch->is_interim = is_interim(line, len);
-		watch->is_complete = false;
+		begin_head(watch, read_status(line, len));
 	} else if (len > 0 && (line[0] == '\r' || line[0] == '\n')) {
 		watch->is_complete = !watch->is_interim;
 	} else if (!is_field(line, len)) {
 		watch->is_malformed = true;
+	} else if (has_name(line, len, "content-length") ||
+		   has_name(line, len, "transfer-encoding")) {
+		watch->ends_with_close = false;
 	}
 	return begins_head;
 }
--- a/test/functional/agent_test.c
+++ b/test/functional/agent_test.c
@@ -530,7 +530,7 @@
  * the rig's agent has incarnation 1.
  */
 static void post_call(uint64_t id, size_t endpoint, const char *fault,
-		      uint64_t incarnation)
+		      uint64_t incarnation, const char *body)
 {
 	const msg_header_t header = { "X-Fake", fault };
 	const msg_call_t call = {
@@ -541,7 +541,7 @@
 		.path = "/book",
 		.headers = &header,
 		.header_count = 1,
-		.body = { (const uint8_t *)"pallet-7", 8 },
+		.body = { (const uint8_t *)body, strlen(body) },
 		/* Beyond the wait below, so that no deadline ends the call. */
 		.remaining_ms = 2 * HARNESS_WAIT_MS,
 		.traceparent = "",
@@ -558,7 +558,7 @@
 	uint32_t expected = rig.call_replies + 1;
 
 	CU_ASSERT(agent_rig_run_until(&rig, link_is_up, (void *)address));
-	post_call(id, 0, fault, incarnation);
+	post_call(id, 0, fault, incarnation, "pallet-7");
 	CU_ASSERT(agent_rig_run_until(&rig, has_call_reply, &expected));
 	CU_ASSERT_EQUAL(rig.call_reply.call, id);
 }
@@ -573,6 +573,18 @@
 	CU_ASSERT(agent_rig_run_until(&rig, has_call_reply, &expected));
 }
 
+/* Sends a call with a long body to the first endpoint. */
+static void send_upload(uint64_t id, const char *fault, const char *body)
+{
+	const char *address = rig.agents[0].role.listen;
+	uint32_t expected = rig.call_replies + 1;
+
+	CU_ASSERT(agent_rig_run_until(&rig, link_is_up, (void *)address));
+	post_call(id, 0, fault, 0, body);
+	CU_ASSERT(agent_rig_run_until(&rig, has_call_reply, &expected));
+	CU_ASSERT_EQUAL(rig.call_reply.call, id);
+}
+
 static unsigned count_runs(void)
 {
 	char *text = harness_read_file(rig.journal);
@@ -721,6 +733,49 @@
 	finish();
 }
 
+#define UPLOAD_BYTES 3500000
+#define EARLY_RESPONSES 20 /* in each mode */
+
+/*
+ * Failure: a part of a response without a length counts as a complete one.  The
+ * service sends it at once to a long call, and ends the connection.
+ */
+static void test_call_with_an_early_response_is_unknown(void)
+{
+	static const fake_endpoint_mode_t modes[] = {
+		FAKE_ENDPOINT_EARLY_RESET,
+		FAKE_ENDPOINT_EARLY_END,
+	};
+	char *body = g_strnfill(UPLOAD_BYTES, 'x');
+	fake_endpoint_t fake_endpoint;
+	uint64_t id = 20;
+
+	start_service();
+	/* Without a length, too, but behind the whole call. */
+	send_upload(id++, "stream", body);
+	CU_ASSERT_EQUAL(rig.call_reply.outcome, CALL_DONE);
+	fake_endpoint_start(&fake_endpoint, "i-1", "orders", harness.ip,
+			    rig.agents[0].role.listen, modes[0]);
+	fake_endpoint.answer_text = OK_LINE "\r\npart";
+	rig.agents[0].endpoints[0].url = (char *)harness_string(
+		&harness, "http://%s", fake_endpoint.address);
+	for (size_t i = 0; i < ARRAY_SIZE(modes); i++) {
+		unsigned complete = 0;
+
+		fake_endpoint.mode = modes[i];
+		for (unsigned j = 0; j < EARLY_RESPONSES; j++) {
+			send_upload(id++, "", body);
+			complete += rig.call_reply.outcome != CALL_UNKNOWN;
+		}
+		CU_ASSERT_EQUAL(complete, 0);
+	}
+	CU_ASSERT_EQUAL(fake_endpoint.runs,
+			EARLY_RESPONSES * ARRAY_SIZE(modes));
+	fake_endpoint_crash(&fake_endpoint);
+	g_free(body);
+	finish();
+}
+
 /* The most memory that this process may use, with the agent in it. */
 #define MEMORY_MAX_MB 160
 
@@ -779,7 +834,7 @@
 	agent_rig_start(agent);
 	CU_ASSERT(agent_rig_run_until(&rig, link_is_up, agent->role.listen));
 	for (size_t i = 0; i < ARRAY_SIZE(services); i++)
-		post_call(10 + i, i, "", 0);
+		post_call(10 + i, i, "", 0, "pallet-7");
 	CU_ASSERT(agent_rig_run_until(&rig, has_call_reply, &expected));
 	CU_ASSERT_EQUAL(rig.call_reply.outcome, CALL_UNKNOWN);
 	for (size_t i = 0; i < ARRAY_SIZE(services); i++)
@@ -856,6 +911,8 @@
 	  test_call_with_heads_without_end_is_unknown },
 	{ "a call with a broken response is unknown",
 	  test_call_with_a_broken_response_is_unknown },
+	{ "a call with an early response is unknown",
+	  test_call_with_an_early_response_is_unknown },
 	{ "a call with an endless response is unknown",
 	  test_call_with_an_endless_response_is_unknown },
 	{ "unfinished responses fit in memory",
