entry: refuse requests with a field name that is no token

The product's own entry took calls with a blank, a tab or a control byte in the name of a field and handed them to the agent, which sends such a line on to the service: "Transfer-Encoding : chunked" beside the length of the call, for one, or "Content-Length : 2". A service that reads such a line in another way sees another end of the call; what follows is a call that nobody sent (smuggling).

A request whose names are not all tokens (RFC 9110, 5.1) gets 400 before its body is read, and its connection is closed, as its end is in doubt. libmicrohttpd leaves out a field without a name; such a line changes nothing and is not passed on.

--- a/src/wisteria/entry/http_front.c
+++ b/src/wisteria/entry/http_front.c
@@ -17,6 +17,7 @@
 #include "wisteria/entry/openai.h"
 #include "wisteria/entry/refusal.h"
 #include "wisteria/entry/request.h"
+#include "wisteria/http/http_message.h"
 #include "wisteria/net/net.h"
 
 #define HTTP_BODY_BYTES_MAX (8u << 20)
@@ -97,6 +98,8 @@
 	request_t *request = data;
 
 	(void)kind;
+	if (name[0] == '\0' || !http_is_token(name, strlen(name)))
+		request->has_invalid_field = true;
 	request_headers_add(request->headers, name, value == NULL ? "" : value);
 	return MHD_YES;
 }
@@ -175,7 +178,10 @@
 static bool refuse_for_headers(request_t *request,
 			       struct MHD_Connection *connection)
 {
-	if (announces_long_body(connection))
+	if (request->has_invalid_field)
+		refuse(request, ERR_INVALID, "read_headers",
+		       "the name of a header is invalid");
+	else if (announces_long_body(connection))
 		refuse(request, ERR_TOO_LARGE, "read_body", "body too long");
 	else if (!parse_timeout_ms(connection, &request->timeout_ms))
 		refuse(request, ERR_INVALID, "read_headers",
@@ -304,7 +310,9 @@
 
 		MHD_add_response_header(response, line->name, line->value);
 	}
-	if (ck_pr_load_32(&request->front->draining) != 0)
+	/* After an invalid field, the end of the request is in doubt. */
+	if (request->has_invalid_field ||
+	    ck_pr_load_32(&request->front->draining) != 0)
 		MHD_add_response_header(response, "Connection", "close");
 	result =
 		MHD_queue_response(request->connection, head->status, response);
--- a/test/functional/booking_test.c
+++ b/test/functional/booking_test.c
@@ -9,9 +9,15 @@
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <netinet/in.h>
 
 #include "harness/cluster.h"
 
+#include "wisteria/net/net.h"
+
 #define BOOKINGS 90
 #define ROUNDS 4
 #define RUN_MS 90000
@@ -175,8 +181,109 @@
 	CU_ASSERT(answered > BOOKINGS / 2);
 }
 
+static const char *const odd_fields[] = {
+	"X Odd: 1",
+	"X-Odd : 1",
+	"Content Length: 2",
+	"Content-Length : 2",
+	"Transfer Encoding: chunked",
+	"Transfer-Encoding : chunked",
+	"X\tOdd: 1",
+	"X\x01Odd: 1",
+	"X\x7fOdd: 1",
+	"X\x80Odd: 1",
+	"no colon",
+};
+
+/* Returns a connection to an entry. */
+static int connect_to_entry(const cluster_entry_t *entry)
+{
+	const struct timeval limit = { .tv_sec = HARNESS_WAIT_MS / 1000 };
+	struct sockaddr_storage to;
+	int fd;
+
+	CU_ASSERT_FATAL(net_parse_address(entry->http, &to, NULL));
+	fd = socket(to.ss_family, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+	CU_ASSERT_EQUAL_FATAL(
+		connect(fd, (struct sockaddr *)&to, sizeof(struct sockaddr_in)),
+		0);
+	return fd;
+}
+
+/*
+ * Sends a call with the line "field", and a further call on the same connection.
+ * Returns all that the entry answers.
+ */
+static GString *send_with_field(const char *key, const char *field)
+{
+	const char *format =
+		"POST /services/" CLUSTER_SERVICE "/book HTTP/1.1\r\n"
+		"Host: x\r\nAuthorization: Bearer %s\r\n"
+		"Idempotency-Key: %s%s\r\n%s\r\nContent-Length: 2\r\n%s\r\nhi";
+	const char *api_key = cluster_api_key(&cluster, 0);
+	GString *request = g_string_new(NULL);
+	GString *received = g_string_new(NULL);
+	int fd = connect_to_entry(&cluster.entries[1]);
+	char block[4096];
+	ssize_t got;
+
+	g_string_append_printf(request, format, api_key, key, "", field, "");
+	g_string_append_printf(request, format, api_key, key, "-next",
+			       "X-Sound: 1", "Connection: close\r\n");
+	CU_ASSERT(send(fd, request->str, request->len, MSG_NOSIGNAL) > 0);
+	while ((got = recv(fd, block, sizeof(block), 0)) > 0)
+		g_string_append_len(received, block, got);
+	close(fd);
+	g_string_free(request, TRUE);
+	return received;
+}
+
+static unsigned count_journal_lines(const char *text)
+{
+	unsigned count = 0;
+
+	for (size_t i = 0; i < cluster.endpoint_count; i++) {
+		char *journal = harness_read_file(cluster.endpoints[i].journal);
+		const char *at = journal;
+
+		while (at != NULL && (at = strstr(at, text)) != NULL) {
+			at += strlen(text);
+			count++;
+		}
+		g_free(journal);
+	}
+	return count;
+}
+
+/*
+ * Failure: a service gets a field whose name is invalid, and sees another end of
+ * the call than the entry, so that a call is smuggled in the body of another one.
+ */
+static void test_call_with_an_invalid_field_name_is_refused(void)
+{
+	GString *received;
+
+	for (size_t i = 0; i < ARRAY_SIZE(odd_fields); i++) {
+		received = send_with_field(
+			harness_string(&harness, "odd%zu", i), odd_fields[i]);
+		CU_ASSERT(g_str_has_prefix(received->str, "HTTP/1.1 400 "));
+		CU_ASSERT_PTR_NULL(strstr(received->str, "HTTP/1.1 200 "));
+		if (!g_str_has_prefix(received->str, "HTTP/1.1 400 "))
+			printf("\n  case %zu: %.12s", i, received->str);
+		g_string_free(received, TRUE);
+	}
+	CU_ASSERT_EQUAL(count_journal_lines("POST /book odd"), 0);
+	received = send_with_field("sound", "X-Sound: 1");
+	CU_ASSERT(g_str_has_prefix(received->str, "HTTP/1.1 200 "));
+	CU_ASSERT_EQUAL(count_journal_lines("POST /book sound"), 2);
+	g_string_free(received, TRUE);
+}
+
 static const unit_test_t tests[] = {
 	{ "bookings run once under kills", test_bookings_run_once },
+	{ "call with an invalid field name is refused",
+	  test_call_with_an_invalid_field_name_is_refused },
 };
 
 int main(void)
