net: one place that asks whether all bytes were acknowledged

The fleet's calls and the agents' client asked the socket in the same words, and two functions of fleet_reports_test exchanged bytes with the entry in the same way.

--- a/src/wisteria/agent/curl_loop.c
+++ b/src/wisteria/agent/curl_loop.c
@@ -1,13 +1,12 @@
 /* Runs libcurl's multi interface on an event loop. */
 #include "wisteria/agent/curl_loop.h"
 
-#include <linux/sockios.h>
 #include <string.h>
-#include <sys/ioctl.h>
 
 #include <glib.h>
 
 #include "wisteria/http/head_watch.h"
+#include "wisteria/net/net.h"
 
 /* Timeout of connecting to an engine or service. */
 #define CURL_LOOP_CONNECT_TIMEOUT_MS 500L
@@ -46,7 +45,7 @@
 	return (curl_transfer_t *)(void *)transfer;
 }
 
-/* Whether the peer's system has acknowledged all of the request. */
+/* Whether the peer's system has received all of the request. */
 static bool was_request_received(const curl_transfer_t *transfer)
 {
 	curl_off_t written = 0;
@@ -145,15 +144,13 @@
 	return watched;
 }
 
-/* Records what of a request was not received when its socket is given up. */
-static void check_unacknowledged(CURL *handle, curl_socket_t socket)
+/* Records, when libcurl gives up a socket, whether all that it sent arrived. */
+static void record_acknowledgement(CURL *handle, curl_socket_t socket)
 {
 	curl_transfer_t *transfer = transfer_of(handle);
-	int len;
 
 	if (transfer != NULL)
-		transfer->is_unacknowledged =
-			ioctl(socket, SIOCOUTQ, &len) != 0 || len > 0;
+		transfer->is_unacknowledged = !net_is_acknowledged(socket);
 }
 
 static int on_socket(CURL *handle, curl_socket_t socket, int what, void *user,
@@ -164,7 +161,7 @@
 	int events = 0;
 
 	if (what == CURL_POLL_REMOVE) {
-		check_unacknowledged(handle, socket);
+		record_acknowledgement(handle, socket);
 		if (watched == NULL)
 			return 0;
 		curl_multi_assign(client->multi, socket, NULL);
--- a/src/wisteria/http/http_call.c
+++ b/src/wisteria/http/http_call.c
@@ -6,9 +6,7 @@
  */
 #include "wisteria/http/http_call.h"
 
-#include <linux/sockios.h>
 #include <poll.h>
-#include <sys/ioctl.h>
 
 #include "wisteria/base/clock.h"
 #include "wisteria/base/err.h"
@@ -140,18 +138,16 @@
 }
 
 /*
- * Returns whether the peer's system has acknowledged all of the request.  The
- * end of a stream acknowledges all that its sender has received, so a peer that
- * has read the whole request before it ended its response passes.
+ * Returns whether the peer's system has received all of the request, as it has
+ * when a peer that read the whole request ends its response.
  */
 static bool was_request_received(const http_call_t *call)
 {
 	uv_os_fd_t fd;
-	int unacknowledged;
 
 	return call->request_written &&
 	       uv_fileno((const uv_handle_t *)&call->tcp, &fd) == 0 &&
-	       ioctl(fd, SIOCOUTQ, &unacknowledged) == 0 && unacknowledged == 0;
+	       net_is_acknowledged(fd);
 }
 
 /*
--- a/src/wisteria/net/net.c
+++ b/src/wisteria/net/net.c
@@ -9,7 +9,9 @@
 
 #include <arpa/inet.h>
 #include <glib.h>
+#include <linux/sockios.h>
 #include <sodium.h>
+#include <sys/ioctl.h>
 
 #include "wisteria/base/clock.h"
 #include "wisteria/base/err.h"
@@ -153,6 +155,18 @@
 	uv_prepare_start(&net->flush, on_flush);
 }
 
+/*
+ * Returns whether the peer's system has acknowledged all bytes that the kernel
+ * took for TCP socket "fd".  The end of a stream acknowledges all that its sender
+ * has received.
+ */
+bool net_is_acknowledged(int fd)
+{
+	int unacknowledged;
+
+	return ioctl(fd, SIOCOUTQ, &unacknowledged) == 0 && unacknowledged == 0;
+}
+
 /*
  * Closes all connections without calling their handlers.  "net" may be freed
  * once the loop has run to its end.
--- a/src/wisteria/net/net.h
+++ b/src/wisteria/net/net.h
@@ -6,6 +6,7 @@
 
 bool net_parse_address(const char *text, struct sockaddr_storage *address,
 		       err_t *err) ATTR_WARN_UNUSED;
+bool net_is_acknowledged(int fd) ATTR_WARN_UNUSED;
 bool net_load_key(const char *path, uint8_t key[NET_KEY_BYTES],
 		  err_t *err) ATTR_WARN_UNUSED;
 void net_init(net_t *net, uv_loop_t *loop, const clock_source_t *clock,
--- a/test/functional/fleet_reports_test.c
+++ b/test/functional/fleet_reports_test.c
@@ -433,15 +433,11 @@
 }
 
 /*
- * Sends a request for a stream and returns all bytes until its connection ends;
+ * Sends the bytes of a request and returns all bytes until the connection ends;
  * "is_reset": by a reset.
  */
-static GString *receive_stream(const char *http_version, bool *is_reset)
+static GString *send_bytes(const char *request, bool *is_reset)
 {
-	char *request = g_strdup_printf(
-		"POST /chat/1 %s\r\n"
-		"Host: shop.example\r\n" ID("%s") "Content-Length: 2\r\n\r\nhi",
-		http_version, next_id());
 	GString *received = g_string_new(NULL);
 	int fd = connect_to_entry();
 	char block[4096];
@@ -453,6 +449,18 @@
 		g_string_append_len(received, block, got);
 	*is_reset = got < 0 && errno == ECONNRESET;
 	close(fd);
+	return received;
+}
+
+/* Sends a request for a stream and returns all bytes, as send_bytes() does. */
+static GString *receive_stream(const char *http_version, bool *is_reset)
+{
+	char *request = g_strdup_printf(
+		"POST /chat/1 %s\r\n"
+		"Host: shop.example\r\n" ID("%s") "Content-Length: 2\r\n\r\nhi",
+		http_version, next_id());
+	GString *received = send_bytes(request, is_reset);
+
 	g_free(request);
 	return received;
 }
@@ -753,16 +761,10 @@
 			"%s") "Connection: close\r\n%s\r\n"
 			      "Content-Length: 2\r\n\r\nhi",
 		next_id(), field);
-	GString *received = g_string_new(NULL);
-	int fd = connect_to_entry();
-	char block[4096];
-	ssize_t got;
+	bool is_reset;
+	GString *received = send_bytes(request, &is_reset);
 
-	CU_ASSERT_FATAL(fd >= 0);
-	CU_ASSERT(send(fd, request, strlen(request), MSG_NOSIGNAL) > 0);
-	while ((got = recv(fd, block, sizeof(block), 0)) > 0)
-		g_string_append_len(received, block, got);
-	close(fd);
+	CU_ASSERT_FALSE(is_reset);
 	g_free(request);
 	return received;
 }
