agent: see that a body of another transfer coding than chunks ends with the close

A part of a response that ended before the call was received still counted as complete if its head named "Transfer-Encoding: identity": only chunks delimit a body (RFC 9112, 6.3), but any transfer coding counted as if it did.

--- a/src/wisteria/http/head_watch.c
+++ b/src/wisteria/http/head_watch.c
@@ -44,6 +44,7 @@
 	watch->ends_with_close = status != 204 && status != 304;
 }
 
+/* Whether the field's name is "name", in any case. */
 static bool has_name(const char *line, size_t len, const char *name)
 {
 	size_t name_len = strlen(name);
@@ -52,6 +53,20 @@
 	       g_ascii_strncasecmp(line, name, name_len) == 0;
 }
 
+/* Whether the field gives the body another end than that of the connection. */
+static bool delimits_body(const char *line, size_t len)
+{
+	char *text;
+	bool is_chunked;
+
+	if (!has_name(line, len, "transfer-encoding"))
+		return has_name(line, len, "content-length");
+	text = g_ascii_strdown(line, (gssize)len);
+	is_chunked = strstr(text, "chunked") != NULL;
+	g_free(text);
+	return is_chunked;
+}
+
 /*
  * Whether the line has a field's name and a colon (RFC 9112, 5).  A folded line
  * does not; a gateway may refuse a response with one (RFC 9112, 5.2).
@@ -79,8 +94,7 @@
 		watch->is_complete = !watch->is_interim;
 	} else if (!is_field(line, len)) {
 		watch->is_malformed = true;
-	} else if (has_name(line, len, "content-length") ||
-		   has_name(line, len, "transfer-encoding")) {
+	} else if (delimits_body(line, len)) {
 		watch->ends_with_close = false;
 	}
 	return begins_head;
--- a/test/functional/agent_test.c
+++ b/test/functional/agent_test.c
@@ -745,6 +745,12 @@
 	static const fake_endpoint_mode_t modes[] = {
 		FAKE_ENDPOINT_EARLY_RESET,
 		FAKE_ENDPOINT_EARLY_END,
+		FAKE_ENDPOINT_EARLY_END,
+	};
+	static const char *const texts[] = {
+		OK_LINE "\r\npart",
+		OK_LINE "\r\npart",
+		OK_LINE "Transfer-Encoding: identity\r\n\r\npart",
 	};
 	char *body = g_strnfill(UPLOAD_BYTES, 'x');
 	fake_endpoint_t fake_endpoint;
@@ -756,13 +762,14 @@
 	CU_ASSERT_EQUAL(rig.call_reply.outcome, CALL_DONE);
 	fake_endpoint_start(&fake_endpoint, "i-1", "orders", harness.ip,
 			    rig.agents[0].role.listen, modes[0]);
-	fake_endpoint.answer_text = OK_LINE "\r\npart";
+	fake_endpoint.answer_text = texts[0];
 	rig.agents[0].endpoints[0].url = (char *)harness_string(
 		&harness, "http://%s", fake_endpoint.address);
 	for (size_t i = 0; i < ARRAY_SIZE(modes); i++) {
 		unsigned complete = 0;
 
 		fake_endpoint.mode = modes[i];
+		fake_endpoint.answer_text = texts[i];
 		for (unsigned j = 0; j < EARLY_RESPONSES; j++) {
 			send_upload(id++, "", body);
 			complete += rig.call_reply.outcome != CALL_UNKNOWN;
