--- a/review/stand-2/stand.c
+++ b/review/stand-2/stand.c
@@ -12,6 +12,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/random.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -163,9 +164,12 @@
 void stand_begin(const char *folder)
 {
 	char path[512];
+	unsigned seed;
 
 	started_ms = now_ms();
-	srand((unsigned)(unix_ms() ^ getpid()));
+	if (getrandom(&seed, sizeof(seed), 0) != sizeof(seed))
+		seed = (unsigned)getpid();
+	srand(seed);
 	snprintf(path, sizeof(path), "%s/record.txt", folder);
 	record = fopen(path, "w");
 	snprintf(temp_dir, sizeof(temp_dir), "/tmp/review-XXXXXX");
