--- a/review/stand-2/stand.c
+++ b/review/stand-2/stand.c
@@ -679,6 +679,18 @@
 		runner->hook(runner, request_id, head, &run);
 	if (run.delay_ms > 0)
 		pause_ms(run.delay_ms);
+	if (run.raw != NULL) {
+		size_t first = run.split_ms > 0 ? run.raw_split
+						: strlen(run.raw);
+
+		send_all(fd, run.raw, first, now_ms() + 5000);
+		pause_ms(run.split_ms);
+		send_all(fd, run.raw + first, strlen(run.raw + first),
+			 now_ms() + 5000);
+		note("runner %s answers %s with a stream", runner->id,
+		     request_id);
+		return;
+	}
 	snprintf(body, sizeof(body), "%s of %s",
 		 run.body == NULL ? "answer" : run.body, request_id);
 	len = snprintf(text, sizeof(text),
--- a/review/stand-2/stand.h
+++ b/review/stand-2/stand.h
@@ -39,6 +39,9 @@
 	int status;		   /* 0: 200 */
 	const char *extra_headers; /* complete lines, or NULL */
 	const char *body;	   /* NULL: a text with the request's id */
+	const char *raw;	   /* the bytes of a whole answer, or NULL */
+	size_t raw_split; /* how many of them are in the first packets */
+	int split_ms;	  /* how much later the others come */
 } run_t;
 
 typedef struct runner_t runner_t;
