--- a/review/stand-2/stand.c
+++ b/review/stand-2/stand.c
@@ -637,10 +637,10 @@
 bool entry_is_ready(const node_t *entry)
 {
 	response_t response;
-	bool ready = http_call(entry->ip, ready_port, "GET",
-			       "/wisteriadrift/ready", "Host: ready\r\n", NULL,
-			       1000, &response) &&
-		     response.status == 200;
+	bool ready =
+		http_call(entry->ip, ready_port, "GET", "/wisteriadrift/ready",
+			  "Host: ready\r\n", NULL, 1000, &response) &&
+		response.status == 200;
 
 	response_free(&response);
 	return ready;
@@ -680,8 +680,8 @@
 	if (run.delay_ms > 0)
 		pause_ms(run.delay_ms);
 	if (run.raw != NULL) {
-		size_t first = run.split_ms > 0 ? run.raw_split
-						: strlen(run.raw);
+		size_t first =
+			run.split_ms > 0 ? run.raw_split : strlen(run.raw);
 
 		send_all(fd, run.raw, first, now_ms() + 5000);
 		pause_ms(run.split_ms);
@@ -765,8 +765,8 @@
 		text[used] = '\0';
 		head_end = memmem(text, used, "\r\n\r\n", 4);
 		if (head_end != NULL) {
-			char *head = strndup(text,
-					     (size_t)(head_end - text) + 4);
+			char *head =
+				strndup(text, (size_t)(head_end - text) + 4);
 
 			wanted = (size_t)(head_end - text) + 4;
 			if (find_header(head, "Content-Length", value,
@@ -793,7 +793,8 @@
 		answer(runner, channel.fd, text, request_id);
 	}
 	shutdown(channel.fd, SHUT_WR);
-	while (!runner->stopped && recv(channel.fd, value, sizeof(value), 0) > 0)
+	while (!runner->stopped &&
+	       recv(channel.fd, value, sizeof(value), 0) > 0)
 		;
 out:
 	close(channel.fd);
--- a/review/stand-2/stand.h
+++ b/review/stand-2/stand.h
@@ -16,7 +16,11 @@
 #define TEXT_BYTES 256
 
 /* Exit codes of a case. */
-enum { RULE_HELD, RULE_BROKEN, COULD_NOT_RUN };
+enum {
+	RULE_HELD,
+	RULE_BROKEN,
+	COULD_NOT_RUN
+};
 
 /* One process of the system on an address of its own. */
 typedef struct {
@@ -54,9 +58,9 @@
 	int port;
 	char service[64];
 	char zone[32];
-	char state[16]; /* ready, draining */
+	char state[16];		/* ready, draining */
 	char extra[TEXT_BYTES]; /* further fields of heartbeats, or "" */
-	int64_t born; /* Unix ms */
+	int64_t born;		/* Unix ms */
 	int64_t seq;
 	int heartbeat_ms;
 	int slots;
