--- a/review/stand-2/stand.c
+++ b/review/stand-2/stand.c
@@ -667,6 +667,13 @@
 	int fd;
 } channel_t;
 
+static void reset_on_close(int fd)
+{
+	struct linger linger = { .l_onoff = 1 };
+
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+}
+
 static void answer(runner_t *runner, int fd, const char *head,
 		   const char *request_id)
 {
@@ -684,7 +691,13 @@
 			run.split_ms > 0 ? run.raw_split : strlen(run.raw);
 
 		send_all(fd, run.raw, first, now_ms() + 5000);
-		pause_ms(run.split_ms);
+		for (int ms = 0; ms < run.split_ms && !runner->stopped;
+		     ms += 10)
+			pause_ms(10);
+		if (runner->stopped) {
+			reset_on_close(fd);
+			return;
+		}
 		send_all(fd, run.raw + first, strlen(run.raw + first),
 			 now_ms() + 5000);
 		note("runner %s answers %s with a stream", runner->id,
--- a/review/stand-2/stand.h
+++ b/review/stand-2/stand.h
@@ -12,7 +12,7 @@
 #include <sys/types.h>
 
 #define NODES_MAX 16
-#define RUNNERS_MAX 16
+#define RUNNERS_MAX 24
 #define TEXT_BYTES 256
 
 /* Exit codes of a case. */
