review: case 11, a booking that has run is answered 503

Stand-ins of the users' pages for the cases of review 3, built by review/build-3.sh. A server runs a booking and answers 503 without saying that it has not run it; the entry passes the promise on, and the client books again.

--- /dev/null
+++ b/review/build-3.sh
@@ -0,0 +1,13 @@
+#!/bin/sh
+# Builds the stand-ins of review 3 into target/review-3, with the C compiler and
+# the C library alone.
+set -eu
+cd "$(dirname "$0")/.."
+
+mkdir -p target/review-3
+for case_name in answered_503
+do
+	cc -std=gnu11 -O2 -Wall -Wextra -Werror -pthread \
+		-o "target/review-3/$case_name" \
+		"review/stand-3/$case_name.c" review/stand-3/stand.c
+done
