--- a/review/stand-3/stand.c
+++ b/review/stand-3/stand.c
@@ -34,6 +34,9 @@
 #define PUT_PAUSE_MS 250
 #define PUT_ANSWER_MS 3000
 #define ANSWER_MS 8000
+/* "graceS" of the small deployments. */
+#define STOP_MS 8000
+#define STOP_CHECK_MS 20
 #define PORT_FIRST 21000
 #define PORT_COUNT 10000
 #define PORT_TRIES 50
@@ -269,7 +272,9 @@
 	if (strncmp(message->head, "HTTP/1.1 ", 9) == 0)
 		message->status =
 			(unsigned)strtoul(message->head + 9, NULL, 10);
-	if (!stand_find_header(message, "Content-Length", length,
+	/* RFC 9110, 6.4.1 */
+	if (message->status == 204 || message->status == 304 ||
+	    !stand_find_header(message, "Content-Length", length,
 			       sizeof(length)))
 		return true;
 	return read_body(fd, message, strtoul(length, NULL, 10), until_s);
@@ -298,14 +303,40 @@
 	return ok;
 }
 
+/* Reads the chunks of a body up to the last one. */
+static bool read_chunks(int fd, stand_message_t *message, double until_s)
+{
+	for (;;) {
+		char line[32] = "";
+		size_t used = 0;
+		size_t len;
+
+		while (used < sizeof(line) - 1 &&
+		       (used == 0 || line[used - 1] != '\n')) {
+			if (read_some(fd, line + used, 1, until_s) == 0)
+				return false;
+			line[++used] = '\0';
+		}
+		len = strtoul(line, NULL, 16);
+		if (!read_body(fd, message, message->body_len + len, until_s) ||
+		    read_some(fd, line, 1, until_s) == 0 ||
+		    read_some(fd, line, 1, until_s) == 0)
+			return false;
+		if (len == 0)
+			return true;
+	}
+}
+
 /*
- * Sends a client's request with a body of "body_len" bytes on a kept connection
- * and reads its answer.  Returns false if there was none.
+ * Sends a client's request, with additional header lines "headers" and a body of
+ * "body_len" bytes, on a kept connection, and reads its answer.  Returns false if
+ * there was none, or not all of it.
  */
-bool stand_request(int fd, const char *method, const char *path, const char *id,
-		   size_t body_len, stand_message_t *answer)
+bool stand_ask(int fd, const char *method, const char *path, const char *id,
+	       const char *headers, size_t body_len, stand_message_t *answer)
 {
-	char head[1024];
+	char head[2048];
+	char coding[32];
 	char *body = calloc(1, body_len + 1);
 	bool ok;
 
@@ -315,15 +346,18 @@
 	snprintf(head, sizeof(head),
 		 "%s %s HTTP/1.1\r\nHost: fixture.example\r\n"
 		 "X-Wisteriadrift-Request-Id: %s\r\n"
-		 "X-Wisteriadrift-Deadline-Ms: 3000\r\n"
-		 "Authorization: Bearer key-of-tenant\r\n"
+		 "Authorization: Bearer key-of-tenant\r\n%s"
 		 "Content-Length: %zu\r\n\r\n",
-		 method, path, id, body_len);
+		 method, path, id, headers, body_len);
 	stand_record("client sends %s: %s %s, %zu bytes", id, method, path,
 		     body_len);
 	ok = stand_send(fd, head, strlen(head)) &&
 	     stand_send(fd, body, body_len) &&
 	     stand_read_message(fd, answer, ANSWER_MS);
+	if (ok && stand_find_header(answer, "Transfer-Encoding", coding,
+				    sizeof(coding)))
+		ok = read_chunks(fd, answer,
+				 stand_now_s() + ANSWER_MS / 1000.0);
 	free(body);
 	if (ok)
 		stand_record("client gets %s: %u %.60s", id, answer->status,
@@ -333,6 +367,15 @@
 	return ok;
 }
 
+/* Sends a request that waits for three seconds at most; see stand_ask(). */
+bool stand_request(int fd, const char *method, const char *path, const char *id,
+		   size_t body_len, stand_message_t *answer)
+{
+	return stand_ask(fd, method, path, id,
+			 "X-Wisteriadrift-Deadline-Ms: 3000\r\n", body_len,
+			 answer);
+}
+
 /* The fleet. */
 
 static bool is_port_free(const char *ip, unsigned port)
@@ -398,16 +441,29 @@
 	return fclose(out) == 0;
 }
 
-/* Starts the program as the deploy file does; returns its id, or -1. */
+/*
+ * Starts the program as the deploy file does, and returns once it has been
+ * loaded in place of this one; returns its id, or -1.
+ */
 static pid_t start_program(const stand_fleet_t *fleet, const char *name,
 			   const char *settings)
 {
 	char log[512];
-	pid_t pid = fork();
+	int loaded[2];
+	char byte;
+	pid_t pid;
 	int fd;
 
-	if (pid != 0)
+	if (pipe2(loaded, O_CLOEXEC) != 0)
+		return -1;
+	pid = fork();
+	if (pid != 0) {
+		close(loaded[1]);
+		while (read(loaded[0], &byte, 1) < 0 && errno == EINTR)
+			;
+		close(loaded[0]);
 		return pid;
+	}
 	snprintf(log, sizeof(log), "%s/%s.log", fleet->folder, name);
 	fd = open(log, O_WRONLY | O_CREAT | O_APPEND, 0644);
 	dup2(fd, STDOUT_FILENO);
@@ -526,6 +582,29 @@
 		nftw(fleet->folder, remove_one, 8, FTW_DEPTH | FTW_PHYS);
 }
 
+/* Stops a control instance with SIGTERM; false: it does not end in time. */
+bool stand_stop_control(stand_fleet_t *fleet, unsigned index)
+{
+	pid_t pid = fleet->controls[index];
+
+	kill(pid, SIGTERM);
+	for (unsigned i = 0; i < STOP_MS / STOP_CHECK_MS; i++) {
+		if (waitpid(pid, NULL, WNOHANG) == pid) {
+			fleet->controls[index] = 0;
+			return true;
+		}
+		stand_sleep_ms(STOP_CHECK_MS);
+	}
+	return false;
+}
+
+/* Starts a control instance that was stopped. */
+bool stand_start_control(stand_fleet_t *fleet, unsigned index)
+{
+	fleet->controls[index] = start_control(fleet, index);
+	return fleet->controls[index] > 0;
+}
+
 /* Follows one redirection of an answer; returns false if it names none. */
 static bool follow(const stand_message_t *answer, char *ip, size_t size,
 		   unsigned *port)
@@ -669,7 +748,7 @@
 {
 	stand_server_t *server = data;
 
-	while (!server->stopping) {
+	while (!server->stopping && !server->is_down) {
 		struct pollfd state = { .fd = server->listener,
 					.events = POLLIN };
 		served_t *served;
@@ -731,22 +810,26 @@
 	stand_server_t *server = data;
 	unsigned sequence = 0;
 
-	while (!server->stopping && !server->is_silent) {
+	while (!server->stopping && !server->is_silent && !server->is_down) {
 		send_beat(server, ++sequence);
-		for (unsigned i = 0; i < BEAT_MS / 100 && !server->stopping;
+		for (unsigned i = 0;
+		     i < BEAT_MS / 100 && !server->stopping && !server->is_down;
 		     i++)
 			stand_sleep_ms(100);
 	}
 	return NULL;
 }
 
-static bool listen_for_requests(stand_server_t *server)
+/* Listens at "port"; 0: any free one. */
+static bool listen_for_requests(stand_server_t *server, unsigned port)
 {
+	const int on = 1;
 	struct sockaddr_in address;
 	socklen_t len = sizeof(address);
 
 	server->listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-	if (!parse_address(server->ip, 0, &address) ||
+	setsockopt(server->listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	if (!parse_address(server->ip, port, &address) ||
 	    bind(server->listener, (struct sockaddr *)&address,
 		 sizeof(address)) != 0 ||
 	    listen(server->listener, 128) != 0 ||
@@ -758,6 +841,14 @@
 	return true;
 }
 
+static bool start_threads(stand_server_t *server)
+{
+	return pthread_create(&server->accept_thread, NULL, accept_connections,
+			      server) == 0 &&
+	       pthread_create(&server->beat_thread, NULL, send_beats, server) ==
+		       0;
+}
+
 /*
  * Starts a server; "fleet", "id", "service", "ip" and "answer" are set.  Returns
  * false if it cannot listen.
@@ -765,14 +856,37 @@
 bool stand_server_start(stand_server_t *server)
 {
 	server->born_ms = stand_unix_ms();
-	if (!listen_for_requests(server))
+	if (!listen_for_requests(server, 0))
 		return false;
 	stand_record("server %s of %s at %s", server->id, server->service,
 		     server->address);
-	return pthread_create(&server->accept_thread, NULL, accept_connections,
-			      server) == 0 &&
-	       pthread_create(&server->beat_thread, NULL, send_beats, server) ==
-		       0;
+	return start_threads(server);
+}
+
+/*
+ * Ends a server at once: it refuses connections, and what it serves is to be
+ * closed by "answer", which looks at "is_down".
+ */
+void stand_server_crash(stand_server_t *server)
+{
+	stand_record("server %s crashes", server->id);
+	server->is_down = true;
+	shutdown(server->listener, SHUT_RDWR);
+	close(server->listener);
+}
+
+/* Starts a server again that has crashed, as a new boot at its old address. */
+bool stand_server_restart(stand_server_t *server)
+{
+	unsigned port =
+		(unsigned)strtoul(strchr(server->address, ':') + 1, NULL, 10);
+
+	pthread_join(server->accept_thread, NULL);
+	pthread_join(server->beat_thread, NULL);
+	server->born_ms = stand_unix_ms();
+	server->is_down = false;
+	stand_record("server %s is back", server->id);
+	return listen_for_requests(server, port) && start_threads(server);
 }
 
 /* Stops a server. */
--- a/review/stand-3/stand.h
+++ b/review/stand-3/stand.h
@@ -65,6 +65,7 @@
 	atomic_uint runs;
 	atomic_uint acknowledged_beats;
 	atomic_bool stopping;
+	atomic_bool is_down; /* crashed: takes and answers nothing */
 	pthread_t accept_thread;
 	pthread_t beat_thread;
 } stand_server_t;
@@ -81,6 +82,8 @@
 bool stand_fleet_start(stand_fleet_t *fleet);
 bool stand_fleet_runs(const stand_fleet_t *fleet);
 void stand_fleet_stop(stand_fleet_t *fleet);
+bool stand_stop_control(stand_fleet_t *fleet, unsigned index);
+bool stand_start_control(stand_fleet_t *fleet, unsigned index);
 bool stand_put_manifest(const stand_fleet_t *fleet, const char *manifest);
 bool stand_wait_ready(const stand_fleet_t *fleet, unsigned timeout_ms);
 
@@ -92,11 +95,15 @@
 bool stand_call(const char *ip, unsigned port, const char *method,
 		const char *path, const char *body, unsigned timeout_ms,
 		stand_message_t *answer);
+bool stand_ask(int fd, const char *method, const char *path, const char *id,
+	       const char *headers, size_t body_len, stand_message_t *answer);
 bool stand_request(int fd, const char *method, const char *path, const char *id,
 		   size_t body_len, stand_message_t *answer);
 
 bool stand_server_start(stand_server_t *server);
 void stand_server_stop(stand_server_t *server);
+void stand_server_crash(stand_server_t *server);
+bool stand_server_restart(stand_server_t *server);
 bool stand_reply(int fd, unsigned status, const char *request_id,
 		 const char *headers, const char *body);
 bool stand_serve(stand_server_t *server, const stand_message_t *request,
