--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/.."
 
 mkdir -p target/review-3
-for case_name in answered_503 second_answer other_writer revoked_key crash_wave
+for case_name in answered_503 second_answer other_writer crash_wave
 do
 	cc -std=gnu11 -O2 -Wall -Wextra -Werror -pthread \
 		-o "target/review-3/$case_name" \
--- a/review/stand-3/answered_503.c
+++ b/review/stand-3/answered_503.c
@@ -1,5 +1,5 @@
 /*
- * Case 11: one of several servers fails part of its requests with a 503 of its
+ * Case 12: one of several servers fails part of its requests with a 503 of its
  * own, after it has run them.  It does not say that it has not run them.  A
  * client to whom 503 is a promise sends its booking again.
  */
--- a/review/stand-3/other_writer.c
+++ b/review/stand-3/other_writer.c
@@ -1,5 +1,5 @@
 /*
- * Case 13: another writer reports a process of its own as a server of a service that the
+ * Case 14: another writer reports a process of its own as a server of a service that the
  * manifest names, in heartbeats in which fields are missing.  Clients make
  * bookings meanwhile.
  */
--- a/review/stand-3/second_answer.c
+++ b/review/stand-3/second_answer.c
@@ -1,5 +1,5 @@
 /*
- * Case 12: one of three servers spoils a few of its answers: it sends a second answer,
+ * Case 13: one of three servers spoils a few of its answers: it sends a second answer,
  * that to another request, behind a complete one.  The complete one has a status
  * without a body, and a length all the same.
  */
