--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -11,3 +11,5 @@
 		-o "target/review-3/$case_name" \
 		"review/stand-3/$case_name.c" review/stand-3/stand.c
 done
+cc -std=gnu11 -O2 -Wall -Wextra -Werror -D_GNU_SOURCE -pthread \
+	-o target/review-3/lost_group review/stand-3/lost_group.c review/stand-2/stand.c
