--- a/review/stand-3/lost_group.c
+++ b/review/stand-3/lost_group.c
@@ -1,7 +1,8 @@
 /*
- * Case 11: two of five core machines, the leader among them, are replaced as planned, and
- * then two disks are lost: the manifest that was acknowledged has to be readable
- * again, and requests served, within recoveryS.
+ * Case 11: two of three core machines are replaced as planned, and seconds later one
+ * machine loses its disk: the manifest that was acknowledged has to be readable again, and
+ * requests served, within recoveryS.  With a second argument, another form: one machine is
+ * replaced as planned, and a second later another one is lost for good and replaced.
  */
 #include "../stand-2/stand.h"
 
@@ -9,17 +10,22 @@
 #include <stdio.h>
 #include <string.h>
 
-#define CORE 5
-#define TOLERATED 2
+#define CORE 3
+#define REPLACED 2
 #define ENTRIES 2
 #define RUNNERS 2
-/* As the sheet of mandacaru-rota-large states them. */
-#define CATCH_UP_MS 6000
-#define RECOVERY_MS 15000
-#define ACK_MS 6000
-/* After the second process of a removed machine has ended. */
-#define LOSS_AFTER_MS 500
+/* As the sheet of mandacaru-rota states them. */
+#define CATCH_UP_MS 4000
+#define RECOVERY_MS 12000
+#define ACK_MS 4000
+/* contactMs: between the planned stops. */
+#define STOP_GAP_MS 3000
+/* From the end of the second stop to the last change. */
+#define CHANGE_AFTER_MS 1500
 #define DARK_MS 1000
+/* The other form: from the end of the stop to the loss, and to the new machine (x). */
+#define LOSS_AFTER_MS 1000
+#define REPLACE_AFTER_MS 2000
 /* Longer than contactMs: for so long the operator reads, at the end. */
 #define READ_MS 10000
 #define STOP_MS 8500
@@ -40,6 +46,7 @@
 	"\"idleTimeoutMs\":15000},\"tenants\":[]}";
 
 static node_t *core[CORE];
+static node_t *successors[REPLACED];
 static node_t *entries[ENTRIES];
 static runner_t runners[RUNNERS];
 
@@ -107,76 +114,103 @@
 	}
 }
 
-/* Planned work: the new machines first, the old ones stop catchUpS later. */
-static void start_successors(void)
+/* Starts a new machine that serves control, with an empty disk. */
+static void start_successor(unsigned i)
 {
-	for (unsigned i = 0; i < TOLERATED; i++) {
-		char name[32];
-		char zone[32];
-		node_t *node;
+	char name[32];
+	char zone[32];
 
-		snprintf(name, sizeof(name), "core-%u", CORE + i + 1);
-		snprintf(zone, sizeof(zone), "z%u", i + 1);
-		node = stand_control(name, 10 + CORE + i, zone, true);
-		node_start(node, false);
-	}
+	snprintf(name, sizeof(name), "core-%u", CORE + i + 1);
+	snprintf(zone, sizeof(zone), "z%u", i + 1);
+	successors[i] = stand_control(name, 10 + CORE + i, zone, true);
+	node_start(successors[i], false);
 }
 
-/* Sends a manifest; returns the number of the core machine that acknowledges it
- * itself, or -1. */
-static int put_and_find_leader(const char *manifest)
+static bool stop_replaced(unsigned i)
 {
-	int64_t until = now_ms() + ACK_MS;
+	node_signal(core[i], SIGTERM);
+	if (!node_wait(core[i], STOP_MS))
+		return false;
+	note("%s has ended and is removed", core[i]->name);
+	return true;
+}
 
-	for (int i = 0; now_ms() < until; i = (i + 1) % CORE) {
-		response_t response;
-		bool is_acknowledged;
-
-		http_call(core[i]->ip, control_port, "POST",
-			  "/wisteriadrift/config/replace",
-			  "Host: control\r\nContent-Type: application/json\r\n",
-			  manifest, 1000, &response);
-		is_acknowledged = response.status == 200;
-		note("manifest at %s: %d", core[i]->name, response.status);
-		response_free(&response);
-		if (is_acknowledged)
-			return i;
-		pause_ms(20);
-	}
-	return -1;
+/* Sends a newer manifest until it is acknowledged. */
+static bool change(void)
+{
+	char manifest[2048];
+
+	snprintf(manifest, sizeof(manifest), manifest_format, 9);
+	return operator_put(manifest, ACK_MS);
 }
 
-/* Stops the leader and one machine more. */
-static bool stop_replaced(int leader)
+/*
+ * One machine loses its disk, and comes back.  Its settings name the machines that serve
+ * control by then.
+ */
+static void lose_disk(void)
 {
-	for (int i = 0; i < TOLERATED; i++)
-		node_signal(core[(leader + i) % CORE], SIGTERM);
-	for (int i = 0; i < TOLERATED; i++)
-		if (!node_wait(core[(leader + i) % CORE], STOP_MS))
-			return false;
-	return true;
+	node_t *lost = core[REPLACED];
+	node_t *seeds[] = { lost, successors[0], successors[1] };
+
+	node_signal(lost, SIGKILL);
+	node_wipe(lost);
+	note("%s has lost its disk", lost->name);
+	pause_ms(DARK_MS);
+	stand_seeds(seeds, 3);
+	node_start(lost, false);
 }
 
-/* As many machines as may be lost lose their disks, and come back. */
-static void lose_disks(int leader)
+/*
+ * Planned work, the new machines first; each has had catchUpS before the next step.
+ * Returns why the case can't go on, or NULL.
+ */
+static const char *replace_two(void)
 {
-	for (int i = TOLERATED; i < 2 * TOLERATED; i++) {
-		node_t *node = core[(leader + i) % CORE];
+	for (unsigned i = 0; i < REPLACED; i++) {
+		start_successor(i);
+		pause_ms(CATCH_UP_MS + 500);
+	}
+	for (unsigned i = 0; i < REPLACED; i++) {
+		pause_ms(i == 0 ? 0 : STOP_GAP_MS);
+		if (!stop_replaced(i))
+			return "a stop takes too long";
+	}
+	pause_ms(CHANGE_AFTER_MS);
+	if (!change())
+		return "the change has no ack";
+	if (stand_trouble())
+		lose_disk();
+	return NULL;
+}
 
-		node_signal(node, SIGKILL);
-		node_wipe(node);
-		note("%s has lost its disk", node->name);
+/* The other form; returns why the case can't go on, or NULL. */
+static const char *replace_one(void)
+{
+	start_successor(0);
+	pause_ms(CATCH_UP_MS + 500);
+	if (!change())
+		return "the change has no ack";
+	if (!stop_replaced(0))
+		return "a stop takes too long";
+	pause_ms(LOSS_AFTER_MS);
+	if (stand_trouble()) {
+		node_t *seeds[] = { core[2], successors[0] };
+
+		node_signal(core[1], SIGKILL);
+		note("%s is lost for good", core[1]->name);
+		pause_ms(REPLACE_AFTER_MS);
+		stand_seeds(seeds, 2);
+		start_successor(1);
 	}
-	pause_ms(DARK_MS);
-	for (int i = TOLERATED; i < 2 * TOLERATED; i++)
-		node_start(core[(leader + i) % CORE], false);
+	return NULL;
 }
 
 int main(int argc, char **argv)
 {
+	const char *failure;
 	char manifest[2048];
 	int64_t version;
-	int leader;
 	int before;
 	int served;
 	char why[256];
@@ -193,17 +227,9 @@
 	if (before * 4 < REQUESTS * 3)
 		return stand_end(COULD_NOT_RUN, "requests are not served");
 
-	start_successors();
-	pause_ms(CATCH_UP_MS + 500);
-	snprintf(manifest, sizeof(manifest), manifest_format, 9);
-	leader = put_and_find_leader(manifest);
-	if (leader < 0)
-		return stand_end(COULD_NOT_RUN, "the change has no ack");
-	if (!stop_replaced(leader))
-		return stand_end(COULD_NOT_RUN, "a stop takes too long");
-	pause_ms(LOSS_AFTER_MS);
-	if (stand_trouble())
-		lose_disks(leader);
+	failure = argc > 2 ? replace_one() : replace_two();
+	if (failure != NULL)
+		return stand_end(COULD_NOT_RUN, failure);
 	note("all machines are back");
 	pause_ms(RECOVERY_MS);
 	served = send_requests();
