control: judge spare voters by the losses that the group has to bear

Cause: the policy knew only how many voters there are. Five keep absent ones for 8 s, which is right for a group that is to bear two losses, and wrong for three voters and two successors of one that is to bear one. Evidence: nothing in the log says member_removed before the loss; with 10 s between stop and loss the case holds. Ruled out: that the old voters are added again, that the leader counts them as reachable, that the returning instance isn't admitted.

The settings say what may be lost at once (fleet.tolerance, by default one machine; failure domains and regions count as the voters in them). A voter beyond the 2f + 1 that this needs is removed 200 ms after its last message if its address refuses connections, after 1 s of silence otherwise, and, if its process is told to stop, before that ends; never below 2f + 1, so a split leaves enough copies. This replaces the rule for seven voters and more.

members_changed logs why a member was removed or promoted, and leader_missing which voters it waits for.

--- a/src/wisteria/control/joiners.c
+++ b/src/wisteria/control/joiners.c
@@ -65,3 +65,13 @@
 	}
 	return NULL;
 }
+
+/* Forgets the request of an instance, which no longer wants to join. */
+void joiners_forget(joiners_t *joiners, const char *instance)
+{
+	for (uint32_t i = 0; i < joiners->count; i++)
+		if (strcmp(joiners->items[i].member.instance, instance) == 0) {
+			joiners->items[i] = joiners->items[--joiners->count];
+			return;
+		}
+}
--- a/src/wisteria/control/joiners.h
+++ b/src/wisteria/control/joiners.h
@@ -27,5 +27,6 @@
 const raft_member_t *
 joiners_next(const joiners_t *joiners, const raft_members_t *members,
 	     clock_ms_t now) ATTR_NONNULL_ALL ATTR_WARN_UNUSED;
+void joiners_forget(joiners_t *joiners, const char *instance) ATTR_NONNULL_ALL;
 
 #endif
--- a/src/wisteria/control/replica.c
+++ b/src/wisteria/control/replica.c
@@ -13,6 +13,7 @@
 #include "wisteria/base/err.h"
 #include "wisteria/base/log.h"
 #include "wisteria/control/replica_group.h"
+#include "wisteria/control/replica_leave.h"
 #include "wisteria/control/replica_losses.h"
 #include "wisteria/net/conn.h"
 #include "wisteria/net/link.h"
@@ -214,6 +215,7 @@
 	replica_search(replica);
 	replica_ask_identities(replica);
 	replica_update_membership(replica);
+	replica_tick_leaving(replica);
 	replica_log_missing_leader(replica);
 	replica_link_members(replica);
 	process_output(replica);
@@ -241,8 +243,11 @@
 static void on_opened(conn_handler_t *handler, conn_t *conn)
 {
 	replica_t *replica = replica_of(handler);
+	replica_peer_t *peer = replica_peer(replica, conn->peer_instance);
 
-	(void)conn;
+	if (peer != NULL)
+		g_strlcpy(peer->failure_domain, conn->peer_failure_domain,
+			  sizeof(peer->failure_domain));
 	replica->search_at_ms = 0;
 }
 
@@ -369,10 +374,19 @@
 	g_array_unref(replica->confirmed);
 }
 
-/* Transfers leadership to another replica before a planned stop. */
+/*
+ * Transfers leadership to another replica before a planned stop; not to one that
+ * is about to stop as well.
+ */
 void replica_transfer_leadership(replica_t *replica)
 {
-	if (raft_transfer(&replica->raft))
+	const raft_members_t *members = &replica->raft.members;
+	raft_id_set_t leaving = { .count = 0 };
+
+	for (uint32_t i = 0; i < members->count; i++)
+		if (replica_is_leaving_member(replica, &members->items[i]))
+			leaving.items[leaving.count++] = members->items[i].id;
+	if (raft_transfer(&replica->raft, &leaving))
 		LOG_INFO("office_handed_over", "term=%" G_GUINT64_FORMAT,
 			 replica->raft.term);
 }
--- a/src/wisteria/control/replica_defs.h
+++ b/src/wisteria/control/replica_defs.h
@@ -21,6 +21,13 @@
 #define REPLICA_LEADERLESS_LOG_MS 2000
 /* How often a replica logs that it requests to join. */
 #define REPLICA_JOIN_LOG_MS 1000
+/* How often a replica that stops says so. */
+#define REPLICA_LEAVE_MS 100
+/*
+ * How long a stop waits until the group has removed the replica: a transfer of
+ * leadership, or the election after a failed one, and some commits.
+ */
+#define REPLICA_LEAVE_TIMEOUT_MS 2000
 /* A snapshot is made after this many entries or bytes in the log. */
 #define REPLICA_SNAPSHOT_ENTRIES 20000
 #define REPLICA_SNAPSHOT_BYTES (32u << 20)
@@ -32,7 +39,9 @@
 	REPLICA_MSG_JOIN,
 	REPLICA_MSG_MEMBERS,  /* the members that the sender knows */
 	REPLICA_MSG_IDENTIFY, /* context: number of the question */
-	REPLICA_MSG_IDENTITY  /* context: number of the question */
+	REPLICA_MSG_IDENTITY, /* context: number of the question */
+	REPLICA_MSG_LEAVE,    /* the sender stops */
+	REPLICA_MSG_LEFT      /* context: id that votes no more */
 };
 
 /* Callbacks of the replicated state machine, called on the control thread. */
@@ -68,6 +77,10 @@
 	/* The last message of its replica. */
 	uint64_t heard_id;
 	clock_ms_t heard_ms;
+	/* The last message that its replica stops. */
+	uint64_t leaving_id; /* 0: none */
+	clock_ms_t leaving_ms;
+	char failure_domain[NET_INSTANCE_BYTES]; /* empty: not known */
 } replica_peer_t;
 
 /* Which members were asked for their ids, see replica_losses.c. */
@@ -80,6 +93,14 @@
 	clock_ms_t ask_at_ms;
 } replica_question_t;
 
+/* The stop of this replica, see replica_leave.c. */
+typedef struct {
+	bool begun;
+	bool left; /* the membership without it is committed */
+	clock_ms_t until_ms;
+	clock_ms_t tell_at_ms;
+} replica_leaving_t;
+
 /* One replica of the log with its storage, writer thread and peers. */
 typedef struct {
 	conn_handler_t handler;
@@ -95,6 +116,7 @@
 	joiners_t joiners;
 	group_watch_t watch;
 	replica_question_t question;
+	replica_leaving_t leaving;
 	GArray *confirmed; /* of raft_read_t; their index is not applied yet */
 	uv_timer_t tick;
 	uv_check_t output_check;
--- a/src/wisteria/control/replica_group.c
+++ b/src/wisteria/control/replica_group.c
@@ -28,6 +28,7 @@
 #include "wisteria/base/err.h"
 #include "wisteria/base/log.h"
 #include "wisteria/control/group_policy.h"
+#include "wisteria/control/replica_leave.h"
 #include "wisteria/control/replica_losses.h"
 #include "wisteria/net/conn.h"
 #include "wisteria/net/link.h"
@@ -364,7 +365,8 @@
 	const raft_t *raft = &replica->raft;
 	clock_ms_t now = now_of(replica);
 
-	if (now < replica->search_at_ms || !replica_is_searching(replica))
+	if (now < replica->search_at_ms || replica->leaving.begun ||
+	    !replica_is_searching(replica))
 		return;
 	replica->search_at_ms = now + REPLICA_SEARCH_MS;
 	if (raft_is_blank(raft) && is_bootstrap_replica(replica) &&
@@ -516,9 +518,17 @@
 		replica_record_identity(replica, conn->peer_instance, msg);
 		return;
 	}
+	if (msg->kind == REPLICA_MSG_LEFT) {
+		replica_on_left(replica, msg);
+		return;
+	}
 	peer = add_peer(replica, conn->peer_instance, members.items[0].address);
 	if (peer == NULL)
 		return;
+	if (msg->kind == REPLICA_MSG_LEAVE) {
+		replica_on_leave(replica, peer, msg);
+		return;
+	}
 	if (msg->kind == REPLICA_MSG_IDENTIFY) {
 		replica_send_group_message(replica, peer, REPLICA_MSG_IDENTITY,
 					   msg->context);
@@ -560,16 +570,20 @@
 	return false;
 }
 
-/* Takes "member" by value: the change moves the items of the member list. */
-static void change_member(replica_t *replica, raft_member_change_t kind,
+/*
+ * Returns whether the change has begun.  Takes "member" by value: the change
+ * moves the items of the member list.
+ */
+static bool change_member(replica_t *replica, raft_member_change_t kind,
 			  raft_member_t member, const char *event)
 {
 	err_t err = ERR_INIT;
 
-	if (raft_change_member(&replica->raft, kind, &member, &err) != 0)
-		LOG_INFO(event,
-			 "member=%s address=%s replica=%" G_GINT64_MODIFIER "x",
-			 member.instance, member.address, member.id);
+	if (raft_change_member(&replica->raft, kind, &member, &err) == 0)
+		return false;
+	LOG_INFO(event, "member=%s address=%s replica=%" G_GINT64_MODIFIER "x",
+		 member.instance, member.address, member.id);
+	return true;
 }
 
 /*
@@ -662,6 +676,7 @@
 	const raft_members_t *members = &replica->raft.members;
 	clock_ms_t now = now_of(replica);
 	GString *voters;
+	GString *missing;
 	GString *asked;
 
 	counter_set(GAUGE_CONTROL_LEADER, replica->raft.leader != 0);
@@ -674,16 +689,21 @@
 	replica->leaderless_log_ms = now + REPLICA_LEADERLESS_LOG_MS;
 	voters = g_string_new(NULL);
 	replica_describe_voters(replica, voters);
+	missing = g_string_new(NULL);
+	replica_describe_missing(replica, missing);
 	asked = g_string_new(NULL);
 	append_asked(replica, asked);
 	LOG_INFO("leader_missing",
 		 "term=%" G_GUINT64_FORMAT
-		 " quorum=%u members_committed=%d voters=%s asked=%s",
+		 " quorum=%u members_committed=%d voters=%s"
+		 " waits_for=%s asked=%s",
 		 replica->raft.term, raft_members_quorum(members),
 		 raft_members_are_committed(&replica->raft),
 		 voters->len > 0 ? voters->str : "none",
+		 missing->len > 0 ? missing->str : "none",
 		 asked->len > 0 ? asked->str : "none");
 	g_string_free(asked, TRUE);
+	g_string_free(missing, TRUE);
 	g_string_free(voters, TRUE);
 	log_postponed_founding(replica);
 }
@@ -695,6 +715,21 @@
 	return peer != NULL && peer->linked && link_is_refused(&peer->link);
 }
 
+/* Logs why the leader changes the membership. */
+static void log_reason(const replica_t *replica,
+		       const group_member_status_t *status,
+		       const group_change_t *next)
+{
+	LOG_INFO("members_changed",
+		 "reason=%s silent_ms=%" G_GINT64_FORMAT " refused=%d voters=%u"
+		 " quorum=%u tolerated_machines=%u",
+		 group_reason_names[next->reason], status->silent_ms,
+		 status->refused,
+		 raft_members_count_voters(&replica->raft.members),
+		 raft_members_quorum(&replica->raft.members),
+		 replica_tolerance(replica)->machines);
+}
+
 /* Makes the next membership change of an open group; see group_policy.c. */
 static void update_open_group(replica_t *replica)
 {
@@ -709,13 +744,20 @@
 	clock_ms_t watched_ms;
 
 	watched_ms = group_watch_statuses(&replica->watch, raft, statuses);
-	for (uint32_t i = 0; i < raft->members.count; i++)
-		statuses[i].refused =
-			is_refused(replica, &raft->members.items[i]);
-	if (group_policy_next(&raft->members, statuses, watched_ms, &next))
-		change_member(replica, next.change,
-			      raft->members.items[next.member],
-			      events[next.change]);
+	for (uint32_t i = 0; i < raft->members.count; i++) {
+		const raft_member_t *member = &raft->members.items[i];
+
+		statuses[i].refused = is_refused(replica, member);
+		statuses[i].leaving =
+			replica_is_leaving_member(replica, member);
+	}
+	replica_fill_places(replica, statuses);
+	if (group_policy_next(&raft->members, statuses,
+			      replica_tolerance(replica), watched_ms, &next) &&
+	    change_member(replica, next.change,
+			  raft->members.items[next.member],
+			  events[next.change]))
+		log_reason(replica, &statuses[next.member], &next);
 }
 
 /*
--- a/src/wisteria/control/replica_losses.c
+++ b/src/wisteria/control/replica_losses.c
@@ -142,3 +142,26 @@
 				now - peer->heard_ms);
 	}
 }
+
+/*
+ * Appends the voters other than this one from which nothing has come for
+ * GROUP_REACHABLE_MS: a leader can't be elected while too few are left.
+ */
+void replica_describe_missing(const replica_t *replica, GString *text)
+{
+	const raft_members_t *members = &replica->raft.members;
+	clock_ms_t now = clock_now(replica->net->clock);
+
+	for (uint32_t i = 0; i < members->count; i++) {
+		const raft_member_t *member = &members->items[i];
+		const replica_peer_t *peer =
+			replica_peer(replica, member->instance);
+
+		if (!member->voter || member->id == replica->raft.id ||
+		    (peer != NULL && peer->heard_id == member->id &&
+		     now - peer->heard_ms < GROUP_REACHABLE_MS))
+			continue;
+		g_string_append_printf(text, "%s%s", text->len > 0 ? "," : "",
+				       member->instance);
+	}
+}
--- a/src/wisteria/control/replica_losses.h
+++ b/src/wisteria/control/replica_losses.h
@@ -9,5 +9,7 @@
 			     const msg_raft_t *msg) ATTR_NONNULL_ALL;
 void replica_describe_voters(const replica_t *replica,
 			     GString *text) ATTR_NONNULL_ALL;
+void replica_describe_missing(const replica_t *replica,
+			      GString *text) ATTR_NONNULL_ALL;
 
 #endif
--- a/src/wisteria/fleet/fleet_control.c
+++ b/src/wisteria/fleet/fleet_control.c
@@ -13,6 +13,7 @@
 #include "wisteria/control/founding.h"
 #include "wisteria/control/replica.h"
 #include "wisteria/control/replica_group.h"
+#include "wisteria/control/replica_leave.h"
 #include "wisteria/fleet/fleet_api.h"
 #include "wisteria/fleet/fleet_founding.h"
 #include "wisteria/fleet/fleet_group.h"
@@ -879,8 +880,8 @@
 }
 
 /*
- * Prepares a stop: passes on what endpoints reported, transfers leadership,
- * stops probing and placing layers, and closes each HTTP connection after its
+ * Prepares a stop: passes on what endpoints reported, begins to leave the control
+ * group, stops probing and placing layers, and closes each HTTP connection after its
  * current or next response.  New connections are still accepted.
  */
 void fleet_control_drain(fleet_control_t *control)
@@ -888,14 +889,18 @@
 	control->draining = true;
 	fleet_control_pass_on(control);
 	if (control->has_replica)
-		replica_transfer_leadership(&control->replica);
+		replica_begin_leaving(&control->replica);
 	http_server_drain(&control->http);
 }
 
-/* Returns whether no call or renewal is waiting for a quorum. */
+/*
+ * Returns whether no call or renewal is waiting for a quorum, and the control
+ * group need not remove this instance first.
+ */
 bool fleet_control_is_idle(const fleet_control_t *control)
 {
-	return control->reads->len == 0 && control->writes->len == 0;
+	return control->reads->len == 0 && control->writes->len == 0 &&
+	       (!control->has_replica || replica_may_stop(&control->replica));
 }
 
 /*
--- a/src/wisteria/fleet/fleet_group.c
+++ b/src/wisteria/fleet/fleet_group.c
@@ -80,6 +80,9 @@
 	group->data_dir = fleet->data_dir;
 	group->join_only = true;
 	group->open_group = true;
+	group->tolerance = fleet->tolerance;
+	group->domains = fleet->domains;
+	group->domains_count = fleet->domains_count;
 	group->voters = g_new0(settings_peer_t, fleet->seeds_count);
 	add_seed_voters(control);
 	control->replica_settings = *control->settings;
--- a/src/wisteria/raft/raft.c
+++ b/src/wisteria/raft/raft.c
@@ -451,11 +451,11 @@
 }
 
 /*
- * Transfers leadership to the most up-to-date voter that is reachable, before
- * a planned stop (Ongaro 2014, section 3.10).  Returns false if there is none
- * or this replica is not the leader.
+ * Transfers leadership to the most up-to-date voter that is reachable and not in
+ * "avoided", before a planned stop (Ongaro 2014, section 3.10).  Returns false if
+ * there is none or this replica is not the leader.
  */
-bool raft_transfer(raft_t *raft)
+bool raft_transfer(raft_t *raft, const raft_id_set_t *avoided)
 {
 	const raft_progress_t *best = NULL;
 	msg_raft_t msg = { .kind = RAFT_MSG_TIMEOUT_NOW };
@@ -467,7 +467,8 @@
 
 		if (!raft->members.items[i].voter || progress->id == raft->id ||
 		    raft->now_ms - progress->last_heard_ms >=
-			    RAFT_ELECTION_TIMEOUT_MS)
+			    RAFT_ELECTION_TIMEOUT_MS ||
+		    raft_id_set_contains(avoided, progress->id))
 			continue;
 		if (best == NULL || progress->match > best->match)
 			best = progress;
--- a/src/wisteria/raft/raft.h
+++ b/src/wisteria/raft/raft.h
@@ -26,7 +26,10 @@
 uint64_t raft_change_member(raft_t *raft, raft_member_change_t change,
 			    const raft_member_t *member,
 			    err_t *err) ATTR_WARN_UNUSED;
-bool raft_transfer(raft_t *raft) ATTR_NONNULL_ALL ATTR_WARN_UNUSED;
+bool raft_id_set_contains(const raft_id_set_t *set,
+			  uint64_t id) ATTR_NONNULL_ALL;
+bool raft_transfer(raft_t *raft, const raft_id_set_t *avoided)
+	ATTR_NONNULL_ALL ATTR_WARN_UNUSED;
 uint64_t raft_read(raft_t *raft) ATTR_NONNULL_ALL ATTR_WARN_UNUSED;
 bool raft_make_snapshot(const raft_t *raft, uint64_t index, GBytes *data,
 			raft_snapshot_t *snapshot)
--- a/src/wisteria/raft/raft_defs.h
+++ b/src/wisteria/raft/raft_defs.h
@@ -83,11 +83,13 @@
 	uint32_t count;
 } raft_members_t;
 
-/* Ids of replicas whose disks are lost; they never vote or acknowledge again. */
 typedef struct {
 	uint64_t items[RAFT_MEMBERS_MAX];
 	uint32_t count;
-} raft_lost_t;
+} raft_id_set_t;
+
+/* Ids of replicas whose disks are lost; they never vote or acknowledge again. */
+typedef raft_id_set_t raft_lost_t;
 
 /* Membership and state machine data up to and including "index". */
 typedef struct {
--- a/src/wisteria/raft/raft_quorum.c
+++ b/src/wisteria/raft/raft_quorum.c
@@ -23,10 +23,11 @@
 #include "wisteria/raft/raft_internal.h"
 #include "wisteria/raft/raft_members.h"
 
-static bool is_in(const raft_lost_t *lost, uint64_t id)
+/* Returns whether "id" is in the set. */
+bool raft_id_set_contains(const raft_id_set_t *set, uint64_t id)
 {
-	for (uint32_t i = 0; i < lost->count; i++)
-		if (lost->items[i] == id)
+	for (uint32_t i = 0; i < set->count; i++)
+		if (set->items[i] == id)
 			return true;
 	return false;
 }
@@ -58,7 +59,7 @@
 {
 	raft_lost_t *lost = &raft->lost;
 
-	if (!is_member(raft, id) || is_in(lost, id))
+	if (!is_member(raft, id) || raft_id_set_contains(lost, id))
 		return false;
 	if (lost->count == RAFT_MEMBERS_MAX)
 		drop_former_members(raft);
@@ -71,7 +72,7 @@
 /* Returns whether the disk of "id" is known to be lost. */
 bool raft_is_lost(const raft_t *raft, uint64_t id)
 {
-	return is_in(&raft->lost, id);
+	return raft_id_set_contains(&raft->lost, id);
 }
 
 /* Fixes which voters this replica discounts, before it asks for votes. */
@@ -123,7 +124,7 @@
 
 		if (!members->items[i].voter)
 			continue;
-		if (is_in(discounted, id))
+		if (raft_id_set_contains(discounted, id))
 			lost++;
 		else if (holds(raft, id, test, value))
 			holders++;
--- a/src/wisteria/settings/settings.c
+++ b/src/wisteria/settings/settings.c
@@ -23,6 +23,9 @@
 #define SETTINGS_HTTP_THREADS_DEFAULT 2
 #define SETTINGS_SLOTS_DEFAULT 8
 /* Long enough for streams of a few seconds to finish. */
+#define SETTINGS_DOMAINS_MAX 256
+/* Machines that may be lost at once. */
+#define SETTINGS_TOLERANCE_DEFAULT 1
 #define SETTINGS_STOP_S_DEFAULT 8.0
 /* A ratio of 0.2 is common; the slack allows retries in a short outage. */
 #define SETTINGS_RETRY_RATIO_DEFAULT 0.2
@@ -107,6 +110,27 @@
 	CYAML_VALUE_STRING(CYAML_FLAG_POINTER, char, 1, 64),
 };
 
+static const cyaml_schema_field_t tolerance_fields[] = {
+	CYAML_FIELD_UINT("machines", CYAML_FLAG_OPTIONAL, settings_tolerance_t,
+			 machines),
+	CYAML_FIELD_UINT("failure_domains", CYAML_FLAG_OPTIONAL,
+			 settings_tolerance_t, failure_domains),
+	CYAML_FIELD_UINT("regions", CYAML_FLAG_OPTIONAL, settings_tolerance_t,
+			 regions),
+	CYAML_FIELD_END,
+};
+
+static const cyaml_schema_field_t domain_fields[] = {
+	STRING_FIELD(settings_domain_t, name),
+	STRING_FIELD(settings_domain_t, region),
+	CYAML_FIELD_END,
+};
+
+static const cyaml_schema_value_t domain_schema = {
+	CYAML_VALUE_MAPPING(CYAML_FLAG_DEFAULT, settings_domain_t,
+			    domain_fields),
+};
+
 static const cyaml_schema_field_t fleet_fields[] = {
 	OPTIONAL_STRING_FIELD(settings_fleet_t, front_listen),
 	OPTIONAL_STRING_FIELD(settings_fleet_t, ready_listen),
@@ -117,6 +141,13 @@
 			 bootstrap),
 	CYAML_FIELD_SEQUENCE("seeds", CYAML_FLAG_POINTER, settings_fleet_t,
 			     seeds, &seed_schema, 1, SETTINGS_SEEDS_MAX),
+	CYAML_FIELD_MAPPING_PTR("tolerance",
+				CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL,
+				settings_fleet_t, tolerance, tolerance_fields),
+	CYAML_FIELD_SEQUENCE("domains",
+			     CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL,
+			     settings_fleet_t, domains, &domain_schema, 0,
+			     SETTINGS_DOMAINS_MAX),
 	CYAML_FIELD_FLOAT("stop_s", CYAML_FLAG_OPTIONAL, settings_fleet_t,
 			  stop_s),
 	CYAML_FIELD_FLOAT("retry_ratio", CYAML_FLAG_OPTIONAL, settings_fleet_t,
@@ -192,6 +223,11 @@
 
 static void set_fleet_defaults(settings_fleet_t *fleet)
 {
+	if (fleet->tolerance == NULL) {
+		/* cyaml frees it with free(). */
+		fleet->tolerance = calloc(1, sizeof(*fleet->tolerance));
+		fleet->tolerance->machines = SETTINGS_TOLERANCE_DEFAULT;
+	}
 	if (fleet->stop_s <= 0)
 		fleet->stop_s = SETTINGS_STOP_S_DEFAULT;
 	if (fleet->retry_ratio <= 0)
--- a/src/wisteria/settings/settings_defs.h
+++ b/src/wisteria/settings/settings_defs.h
@@ -21,6 +21,19 @@
 	char *admin_token_file;
 } settings_entry_t;
 
+/* What a fleet bears to lose at once: the largest of these losses. */
+typedef struct {
+	uint32_t machines; /* with a control instance that has a disk */
+	uint32_t failure_domains;
+	uint32_t regions;
+} settings_tolerance_t;
+
+/* A failure domain of a fleet, and the region that it is in. */
+typedef struct {
+	char *name;
+	char *region;
+} settings_domain_t;
+
 /* The control role, which stores the durable state. */
 typedef struct {
 	char *listen;	    /* IP:PORT, for daemons and control instances */
@@ -34,6 +47,10 @@
 	bool join_only; /* joins a group, never creates one */
 	/* instances that join become voters; lost members are removed */
 	bool open_group;
+	/* what an open group bears; those of the fleet */
+	const settings_tolerance_t *tolerance;
+	const settings_domain_t *domains;
+	unsigned domains_count;
 } settings_control_t;
 
 /*
@@ -49,6 +66,9 @@
 	bool bootstrap;	      /* the first start of a new fleet */
 	char **seeds;	      /* control_listen of control instances */
 	unsigned seeds_count;
+	settings_tolerance_t *tolerance;
+	settings_domain_t *domains;
+	unsigned domains_count;
 	double stop_s;	       /* maximum shutdown time after SIGTERM */
 	double retry_ratio;    /* retries per original request */
 	uint32_t retry_slack;  /* additional retries, all entries together */
--- a/test/functional/fleet_join_test.c
+++ b/test/functional/fleet_join_test.c
@@ -377,6 +377,161 @@
 	stop_fleet(&fleet);
 }
 
+/* Starts a fleet, and two successors of members that are not lost yet. */
+static void start_fleet_with_two_successors(fleet_t *fleet, const char *name)
+{
+	start_fleet_with_successor(fleet, name);
+	start_control(fleet, FIRST_SUCCESSOR + 1);
+	CU_ASSERT(wait_change(fleet, "member_promoted", FIRST_SUCCESSOR + 1));
+}
+
+/* Tells control instances to stop, all at the same time. */
+static void stop_controls(fleet_t *fleet, size_t first, size_t count)
+{
+	for (size_t i = first; i < first + count; i++)
+		harness_signal(fleet->controls[i], SIGTERM);
+	for (size_t i = first; i < first + count; i++) {
+		CU_ASSERT(
+			harness_wait_exit(fleet->controls[i], HARNESS_WAIT_MS));
+		fleet->controls[i] = NULL;
+	}
+}
+
+/* Member 2 loses its disk; the fleet has to work and to remember. */
+static void check_lost_disk(fleet_t *fleet)
+{
+	CU_ASSERT(configure(fleet));
+	lose_control(fleet, 2);
+	g_usleep((gulong)SUCCESSOR_START_MS * 1000);
+	start_without_disk(fleet, 2);
+	CU_ASSERT(
+		harness_wait_until(reads_configuration, fleet, REJOIN_WAIT_MS));
+	CU_ASSERT(wait_change(fleet, "member_promoted", 2));
+	CU_ASSERT(configure(fleet));
+}
+
+/*
+ * Failure: the group has no quorum for good if a disk is lost after two planned
+ * replacements, as five voters keep the two that are gone for 8 s.
+ */
+static void test_disk_lost_after_two_replacements(void)
+{
+	fleet_t fleet;
+
+	start_fleet_with_two_successors(&fleet, "two-told");
+	stop_controls(&fleet, 0, 2);
+	check_lost_disk(&fleet);
+	stop_fleet(&fleet);
+}
+
+/* Machines that end without a word no longer count once they are removed. */
+static void test_disk_lost_after_two_kills(void)
+{
+	fleet_t fleet;
+
+	start_fleet_with_two_successors(&fleet, "two-killed");
+	lose_control(&fleet, 0);
+	lose_control(&fleet, 1);
+	CU_ASSERT(wait_change(&fleet, "member_removed", 0));
+	CU_ASSERT(wait_change(&fleet, "member_removed", 1));
+	check_lost_disk(&fleet);
+	stop_fleet(&fleet);
+}
+
+/*
+ * Failure: the group has no quorum for good if a machine is lost for good right
+ * after a planned replacement, as nothing proves that its disk is lost.
+ */
+static void test_machine_lost_after_a_replacement(void)
+{
+	fleet_t fleet;
+
+	start_fleet_with_successor(&fleet, "for-good");
+	CU_ASSERT(configure(&fleet));
+	stop_controls(&fleet, 0, 1);
+	lose_control(&fleet, 1);
+	g_usleep((gulong)SUCCESSOR_START_MS * 1000);
+	start_control(&fleet, FIRST_SUCCESSOR + 1);
+	CU_ASSERT(harness_wait_until(reads_configuration, &fleet,
+				     REJOIN_WAIT_MS));
+	CU_ASSERT(wait_change(&fleet, "member_promoted", FIRST_SUCCESSOR + 1));
+	CU_ASSERT(configure(&fleet));
+	stop_fleet(&fleet);
+}
+
+/* Returns how often running instances have logged "text". */
+static unsigned count_logged(const fleet_t *fleet, const char *text)
+{
+	unsigned count = 0;
+
+	for (size_t i = 0; i < CONTROLS; i++) {
+		char *log;
+
+		if (fleet->controls[i] == NULL)
+			continue;
+		log = harness_read_file(fleet->controls[i]->log_path);
+		for (const char *at = log; (at = strstr(at, text)) != NULL;
+		     at++)
+			count++;
+		g_free(log);
+	}
+	return count;
+}
+
+typedef struct {
+	change_t change;
+	unsigned count;
+} repeated_t;
+
+static bool is_logged_again(void *user)
+{
+	const repeated_t *repeated = user;
+
+	return count_logged(repeated->change.fleet, repeated->change.text) >
+	       repeated->count;
+}
+
+/* Failure: a voter that left as it was stopped stays away once it is back. */
+static void test_spare_voter_is_restarted_at_once(void)
+{
+	fleet_t fleet;
+
+	start_fleet_with_successor(&fleet, "restart");
+	for (size_t index = 0; index <= FIRST_SUCCESSOR;
+	     index += FIRST_SUCCESSOR) {
+		harness_process_t *control = fleet.controls[index];
+		repeated_t again;
+
+		stop_controls(&fleet, index, 1);
+		CU_ASSERT(harness_wait_log(control, "event=group_left ", 0));
+		again.change = (change_t){
+			.fleet = &fleet,
+			.text = change_text(&fleet, "member_promoted", index),
+		};
+		again.count = count_logged(&fleet, again.change.text);
+		harness_restart(control);
+		fleet.controls[index] = control;
+		CU_ASSERT(harness_wait_until(is_logged_again, &again,
+					     REJOIN_WAIT_MS));
+	}
+	CU_ASSERT(configure(&fleet));
+	stop_fleet(&fleet);
+}
+
+/* Failure: the last voters leave, and the group is gone. */
+static void test_group_that_has_no_spare_voter_keeps_all(void)
+{
+	fleet_t fleet;
+
+	start_fleet(&fleet, "keep");
+	stop_controls(&fleet, 0, 1);
+	CU_ASSERT_EQUAL(count_logged(&fleet, "event=member_removed "), 0);
+	start_control(&fleet, 0);
+	CU_ASSERT(configure(&fleet));
+	CU_ASSERT_EQUAL(count_logged(&fleet, "event=member_removed "), 0);
+	stop_fleet(&fleet);
+}
+
 /* Failure: restarted instances that are the seeds find only each other. */
 static void test_restarted_seeds_find_the_group(void)
 {
@@ -619,6 +774,15 @@
 	{ "disk lost after a replacement", test_disk_lost_after_a_replacement },
 	{ "disk and power lost after a replacement",
 	  test_disk_and_power_lost_after_a_replacement },
+	{ "disk lost after two replacements",
+	  test_disk_lost_after_two_replacements },
+	{ "disk lost after two kills", test_disk_lost_after_two_kills },
+	{ "machine lost after a replacement",
+	  test_machine_lost_after_a_replacement },
+	{ "spare voter is restarted at once",
+	  test_spare_voter_is_restarted_at_once },
+	{ "group that has no spare voter keeps all",
+	  test_group_that_has_no_spare_voter_keeps_all },
 	{ "restarted seeds find the group",
 	  test_restarted_seeds_find_the_group },
 	{ "earlier members do not hide the present ones",
--- a/test/unit/settings_test.c
+++ b/test/unit/settings_test.c
@@ -25,6 +25,11 @@
 	       "  admin_listen: 127.0.0.1:6\n  admin_token_file: /t\n" \
 	       "  data_dir: /d\n  voters:\n"
 
+#define FLEET \
+	COMMON "roles: [fleet_control]\nfleet:\n" \
+	       "  control_listen: 127.0.0.1:7\n  peer_listen: 127.0.0.1:8\n" \
+	       "  seeds: [\"127.0.0.1:7\"]\n"
+
 typedef struct {
 	const char *text;
 	const char *error; /* a part of the error's text */
@@ -70,6 +75,28 @@
 	settings_free(settings);
 }
 
+static void test_tolerance_of_a_fleet(void)
+{
+	settings_t *settings = load_valid(FLEET);
+
+	CU_ASSERT_EQUAL(settings->fleet->tolerance->machines, 1);
+	CU_ASSERT_EQUAL(settings->fleet->tolerance->failure_domains, 0);
+	CU_ASSERT_EQUAL(settings->fleet->domains_count, 0);
+	settings_free(settings);
+	settings = load_valid(
+		FLEET "  tolerance:\n    machines: 2\n    regions: 1\n"
+		      "  domains: [\n    { name: \"z1\", region: \"r1\" } ,\n"
+		      "    { name: \"z2\", region: \"r2\" } \n  ]\n");
+	CU_ASSERT_EQUAL(settings->fleet->tolerance->machines, 2);
+	CU_ASSERT_EQUAL(settings->fleet->tolerance->regions, 1);
+	CU_ASSERT_EQUAL_FATAL(settings->fleet->domains_count, 2);
+	CU_ASSERT_STRING_EQUAL(settings->fleet->domains[1].region, "r2");
+	settings_free(settings);
+	settings = load_valid(FLEET "  tolerance: { machines: 0 }\n");
+	CU_ASSERT_EQUAL(settings->fleet->tolerance->machines, 0);
+	settings_free(settings);
+}
+
 static void test_agent(void)
 {
 	settings_t *settings = load_valid(AGENT ENDPOINT(
@@ -165,6 +192,7 @@
 
 static const unit_test_t tests[] = {
 	{ "defaults", test_defaults },
+	{ "tolerance of a fleet", test_tolerance_of_a_fleet },
 	{ "agent", test_agent },
 	{ "control", test_control },
 	{ "refused settings", test_refused },
