gateway: never tell a caller "not run" after a run

Cause: what a status promises was no part of the decision about an answer. A stamped answer below 500 was passed on at once, and one from 500 on as the error of the last attempt. Evidence: the entry logs request_answered status=503 for these, not request_given_up. Ruled out: that the endpoint's mark is misread, that the entry refuses by itself.

outcome_is_forwarded() now decides of every complete answer that is no stream whether the caller gets it, and names the rule that it breaks; a promise without the mark is an error of the run. http_status_to_caller() turns a promise into 502 if the request may have run, for all answers of the gateway's own and for refusals of the entry role. There two more ways were found: a refusal with "run":"unknown" and the status 503, and a service's own 503 to a call that must not run twice. An own 502 has no stamp, so the rule that a stamped failure has the endpoint's status holds. Logged as answer_replaced.

--- a/src/wisteria/entry/refusal.c
+++ b/src/wisteria/entry/refusal.c
@@ -13,6 +13,7 @@
 #include "wisteria/base/counters.h"
 #include "wisteria/base/err.h"
 #include "wisteria/entry/request.h"
+#include "wisteria/http/http_message.h"
 
 typedef struct {
 	err_code_t code;
@@ -69,7 +70,11 @@
 	request_headers_add(headers, "Retry-After", seconds);
 }
 
-/* Answers "request" with a refusal; its response must not have begun. */
+/*
+ * Answers "request" with a refusal; its response must not have begun.  Callers
+ * take some statuses as a promise that it has not run, and get none of these if
+ * it may have.
+ */
 void refusal_send(request_t *request, const entry_refusal_t *refusal,
 		  const view_t *view)
 {
@@ -80,7 +85,11 @@
 	request_headers_add(headers, "Content-Type", "application/json");
 	request_headers_add(headers, "X-Request-Id", request->id);
 	add_retry_after(headers, refusal);
-	request_send_head(request, refusal_status(refusal->err.code), headers);
+	request_send_head(
+		request,
+		http_status_to_caller(refusal_status(refusal->err.code),
+				      !refusal->not_run),
+		headers);
 	request_write_body(request, body, strlen(body));
 	request_end_response(request);
 	free(body);
--- a/src/wisteria/gateway/answer.c
+++ b/src/wisteria/gateway/answer.c
@@ -370,8 +370,11 @@
 {
 	exchange_t *exchange = exchange_of(handler);
 	endpoint_answer_t answer_info;
-	const char *defect;
+	received_answer_t received;
+	attempt_failure_t failure;
+	const char *rule;
 	char reason[32];
+	bool names_fault;
 
 	exchange->call = NULL;
 	if (exchange->is_streaming) {
@@ -379,31 +382,25 @@
 		return;
 	}
 	exchange->gateway->dialect->read_answer(answer, &answer_info);
-	defect = plain_answer_defect(answer);
-	g_snprintf(reason, sizeof(reason), "status_%u", answer->status);
-	if (!is_matching_answer(exchange, &answer_info))
-		exchange_attempt_failed(exchange, ATTEMPT_UNKNOWN, NULL,
-					"answer_of_another_request", NULL);
-	else if (answer_info.not_run && answer_info.request_id == NULL)
-		exchange_attempt_failed(exchange, ATTEMPT_UNKNOWN, NULL,
-					"refusal_without_id", NULL);
-	else if (answer_info.not_run)
-		exchange_attempt_failed(exchange, ATTEMPT_NOT_RUN,
-					answer_info.faulty_address, reason,
-					NULL);
-	else if (!answer_info.stamped)
-		exchange_attempt_failed(exchange, ATTEMPT_UNKNOWN,
-					answer_info.faulty_address, reason,
-					NULL);
-	else if (defect != NULL)
-		exchange_attempt_failed(exchange, ATTEMPT_TRUNCATED, NULL,
-					defect, NULL);
-	else if (answer->status >= 500 || exchange->headers_sent)
-		exchange_attempt_failed(exchange, ATTEMPT_ERROR,
-					answer_info.faulty_address, reason,
-					answer);
-	else
+	received = (received_answer_t){
+		.status = answer->status,
+		.is_of_another = !is_matching_answer(exchange, &answer_info),
+		.names_request = answer_info.request_id != NULL,
+		.not_run = answer_info.not_run,
+		.stamped = answer_info.stamped,
+		.defect = plain_answer_defect(answer),
+		.answer_started = exchange->headers_sent,
+	};
+	if (outcome_is_forwarded(&received, &failure, &rule)) {
 		answer_forward(exchange, answer);
+		return;
+	}
+	g_snprintf(reason, sizeof(reason), "status_%u", answer->status);
+	names_fault = !received.is_of_another && received.defect == NULL &&
+		      (!received.not_run || received.names_request);
+	exchange_attempt_failed(exchange, failure,
+				names_fault ? answer_info.faulty_address : NULL,
+				rule != NULL ? rule : reason, answer);
 }
 
 static void on_failed(http_call_handler_t *handler, http_call_stage_t stage,
--- a/src/wisteria/gateway/exchange.c
+++ b/src/wisteria/gateway/exchange.c
@@ -100,13 +100,25 @@
 	g_free(exchange);
 }
 
-/* Answers with "status", or closes the connection if an answer has begun. */
-void exchange_give_up(exchange_t *exchange, unsigned status,
+/* Returns whether an endpoint has, or may have, begun to run the request. */
+static bool may_have_run(const exchange_t *exchange)
+{
+	return exchange->possible_runs > 0 || exchange->call != NULL ||
+	       exchange->paused != NULL;
+}
+
+/*
+ * Answers with "status", or closes the connection if an answer has begun.  A
+ * request that may have run gets no status that is a promise.
+ */
+void exchange_give_up(exchange_t *exchange, unsigned wanted_status,
 		      clock_ms_t retry_after_ms, const char *reason)
 {
 	http_conn_t *conn = exchange->conn;
 	clock_ms_t now = exchange_now(exchange);
 	bool was_open = exchange->call != NULL || exchange->cancelled_open;
+	unsigned status =
+		http_status_to_caller(wanted_status, may_have_run(exchange));
 
 	LOG_INFO("request_given_up",
 		 "request=%s status=%u reason=%s begun=%d sends=%u runs=%u "
@@ -139,7 +151,7 @@
 void exchange_refuse(exchange_t *exchange, clock_ms_t retry_after_ms,
 		     const char *reason)
 {
-	if (exchange->possible_runs > 0)
+	if (may_have_run(exchange))
 		exchange_give_up(exchange, 502, 0, reason);
 	else
 		exchange_give_up(exchange, 503, retry_after_ms, reason);
@@ -354,15 +366,24 @@
 	return RETRY_SENT;
 }
 
-/* Answers a request for which no further attempt is made. */
+/*
+ * Answers a request for which no further attempt is made.  "answer" is the one
+ * that breaks a rule or is an error, or NULL.
+ */
 static void end_without_retry(exchange_t *exchange, outcome_t outcome,
 			      clock_ms_t come_back_ms, const char *reason,
 			      const http_message_t *answer)
 {
-	if (outcome == OUTCOME_FORWARD_ERROR && answer != NULL)
+	if (outcome == OUTCOME_FORWARD_ERROR && answer != NULL) {
 		answer_forward(exchange, answer);
-	else
-		exchange_refuse(exchange, come_back_ms, reason);
+		return;
+	}
+	if (answer != NULL)
+		LOG_INFO("answer_replaced",
+			 "request=%s endpoint=%s status=%u rule=%s begun=%d",
+			 exchange_id(exchange), exchange->target.ids[0],
+			 answer->status, reason, exchange->headers_sent);
+	exchange_refuse(exchange, come_back_ms, reason);
 }
 
 /*
@@ -405,7 +426,7 @@
 
 /*
  * Goes on with the paused attempt, retries a failed one or answers the caller.
- * "answer" is the endpoint's error answer, or NULL.
+ * "answer" is the endpoint's answer, or NULL if there is no complete one.
  */
 void exchange_attempt_failed(exchange_t *exchange, attempt_failure_t failure,
 			     const char *faulty_address, const char *reason,
@@ -417,6 +438,8 @@
 		.repeatable = is_repeatable(exchange),
 		.answer_started = exchange->headers_sent,
 		.resumable = exchange->route->resumable,
+		.is_promise = answer != NULL &&
+			      http_status_is_promise(answer->status),
 		.has_time_left = exchange_now(exchange) < exchange->deadline_ms,
 		.max_runs = MAX(exchange->route->max_attempts, 1),
 	};
@@ -437,7 +460,8 @@
 		 "runs=%u of=%u events=%" G_GUINT64_FORMAT
 		 " attempt_events=%" G_GUINT64_FORMAT
 		 " framing=%s partial_event_bytes=%zu "
-		 "waited_ms=%" G_GINT64_FORMAT " limit=%.3f shared_parts=%s",
+		 "waited_ms=%" G_GINT64_FORMAT
+		 " status=%u limit=%.3f shared_parts=%s",
 		 exchange_id(exchange), exchange->send_count,
 		 exchange->target.ids[0], attempt_failure_name(failure), reason,
 		 faulty_address == NULL ? "-" : faulty_address,
@@ -447,7 +471,8 @@
 		 http_framing_name(exchange->answer_framing),
 		 exchange->event_stream.partial_bytes,
 		 exchange_now(exchange) - exchange->last_progress_ms,
-		 exchange->request_limit, parts);
+		 answer == NULL ? 0 : answer->status, exchange->request_limit,
+		 parts);
 	g_free(parts);
 	if (exchange->paused != NULL) {
 		exchange_continue_paused(exchange);
@@ -464,7 +489,8 @@
 			return;
 		outcome = outcome_without_retry(&attempt);
 	}
-	end_without_retry(exchange, outcome, come_back_ms, reason, answer);
+	end_without_retry(exchange, outcome, come_back_ms, reason,
+			  failure == ATTEMPT_NOT_RUN ? NULL : answer);
 }
 
 /* The caller has disconnected: cancels the attempt at the endpoints. */
--- a/src/wisteria/gateway/outcome.c
+++ b/src/wisteria/gateway/outcome.c
@@ -8,12 +8,46 @@
 
 #include <stddef.h>
 
+#include "wisteria/http/http_message.h"
+
+/*
+ * Returns whether the caller gets the answer as it is.  If not, "failure" is how
+ * the attempt ended, and "rule" names the rule that the answer breaks; NULL if it
+ * breaks none.
+ */
+bool outcome_is_forwarded(const received_answer_t *answer,
+			  attempt_failure_t *failure, const char **rule)
+{
+	*rule = NULL;
+	*failure = ATTEMPT_UNKNOWN;
+	if (answer->is_of_another) {
+		*rule = "answer_of_another_request";
+	} else if (answer->not_run && !answer->names_request) {
+		*rule = "refusal_without_id";
+	} else if (answer->not_run) {
+		*failure = ATTEMPT_NOT_RUN;
+	} else if (!answer->stamped) {
+		*rule = "answer_without_stamp";
+	} else if (answer->defect != NULL) {
+		*failure = ATTEMPT_TRUNCATED;
+		*rule = answer->defect;
+	} else if (http_status_is_promise(answer->status)) {
+		*failure = ATTEMPT_ERROR;
+		*rule = "promise_by_a_run";
+	} else if (answer->status >= 500 || answer->answer_started) {
+		*failure = ATTEMPT_ERROR;
+	} else {
+		return true;
+	}
+	return false;
+}
+
 /* Returns what to do if no further attempt can be made. */
 outcome_t outcome_without_retry(const failed_attempt_t *attempt)
 {
 	if (attempt->answer_started)
 		return OUTCOME_ABORT;
-	if (attempt->failure == ATTEMPT_ERROR)
+	if (attempt->failure == ATTEMPT_ERROR && !attempt->is_promise)
 		return OUTCOME_FORWARD_ERROR;
 	return attempt->possible_runs > 0 ? OUTCOME_FAIL : OUTCOME_REFUSE;
 }
--- a/src/wisteria/gateway/outcome.h
+++ b/src/wisteria/gateway/outcome.h
@@ -17,12 +17,24 @@
 	ATTEMPT_ERROR	   /* the endpoint ran it and returned an error */
 } attempt_failure_t;
 
+/* What is known of a complete answer that is no stream. */
+typedef struct {
+	unsigned status;
+	bool is_of_another; /* names another request */
+	bool names_request; /* names the request that it answers */
+	bool not_run;	    /* says that the request has not run */
+	bool stamped;	    /* an endpoint wrote it */
+	const char *defect; /* why its body is incomplete; NULL: it is whole */
+	bool answer_started; /* a part of another answer was sent to the caller */
+} received_answer_t;
+
 /* A failed attempt and the state of its request. */
 typedef struct {
 	attempt_failure_t failure;
 	bool repeatable;     /* the request may run more than once */
 	bool answer_started; /* a part of the answer was sent to the caller */
 	bool resumable;	     /* a started answer can be resumed */
+	bool is_promise;     /* the status of the error says "not run" */
 	bool has_time_left;  /* the deadline allows another attempt */
 	unsigned possible_runs; /* attempts that may have run, with this one */
 	unsigned max_runs;
@@ -44,6 +56,9 @@
 	PAUSED_STREAM_FAILS    /* the other one is left */
 } paused_stream_t;
 
+bool outcome_is_forwarded(const received_answer_t *answer,
+			  attempt_failure_t *failure,
+			  const char **rule) ATTR_NONNULL_ALL ATTR_WARN_UNUSED;
 outcome_t outcome_decide(const failed_attempt_t *attempt) ATTR_NONNULL_ALL;
 outcome_t
 outcome_without_retry(const failed_attempt_t *attempt) ATTR_NONNULL_ALL;
--- a/src/wisteria/http/http_message.c
+++ b/src/wisteria/http/http_message.c
@@ -55,6 +55,32 @@
 	return status >= STATUS_MIN && status <= STATUS_MAX;
 }
 
+/*
+ * Whether callers take "status" as a promise that their request has not run and
+ * never will: they send it again, also if it must not run twice.
+ */
+bool http_status_is_promise(unsigned status)
+{
+	switch (status) {
+	case 408: /* Request Timeout */
+	case 421: /* Misdirected Request */
+	case 429: /* Too Many Requests */
+	case 503: /* Service Unavailable */
+		return true;
+	default:
+		return false;
+	}
+}
+
+/*
+ * Returns the status of an answer to a request that may have run if "may_have_run":
+ * 502 (Bad Gateway) in place of a promise.
+ */
+unsigned http_status_to_caller(unsigned status, bool may_have_run)
+{
+	return may_have_run && http_status_is_promise(status) ? 502 : status;
+}
+
 /*
  * Whether all of "text" are characters of a token, which names of fields consist
  * of (RFC 9110, 5.6.2 and 5.1).  It may be a part of a token, or empty.
--- a/src/wisteria/http/http_message.h
+++ b/src/wisteria/http/http_message.h
@@ -8,6 +8,9 @@
 void http_message_finish(http_message_t *message) ATTR_NONNULL_ALL;
 void http_message_reset(http_message_t *message) ATTR_NONNULL_ALL;
 bool http_status_is_valid(unsigned status) ATTR_WARN_UNUSED;
+bool http_status_is_promise(unsigned status) ATTR_WARN_UNUSED;
+unsigned http_status_to_caller(unsigned status,
+			       bool may_have_run) ATTR_WARN_UNUSED;
 bool http_is_token(const char *text, size_t len) ATTR_WARN_UNUSED;
 const char *http_message_target(const http_message_t *message) ATTR_NONNULL_ALL;
 const char *http_message_header_name(const http_message_t *message,
--- a/test/functional/booking_test.c
+++ b/test/functional/booking_test.c
@@ -280,10 +280,66 @@
 	g_string_free(received, TRUE);
 }
 
+/* Returns the status of a call, whose service answers with "fake_status". */
+static long call_status(const char *method, const char *key,
+			const char *fake_status)
+{
+	const char *const headers[] = {
+		harness_string(&harness, "X-Fake: %s", fake_status),
+		key == NULL
+			? NULL
+			: harness_string(&harness, "Idempotency-Key: %s", key),
+		NULL,
+	};
+	const http_params_t params = {
+		.url = harness_string(
+			&harness, "http://%s/services/" CLUSTER_SERVICE "/book",
+			cluster.entries[1].http),
+		.api_key = cluster_api_key(&cluster, 0),
+		.body = strcmp(method, "POST") == 0 ? "hi" : NULL,
+		.headers = headers,
+	};
+	http_request_t *request = http_send(&client, &params);
+	long status = 0;
+
+	if (http_wait(&client, request, HARNESS_WAIT_MS))
+		status = request->status;
+	http_request_free(&client, request);
+	return status;
+}
+
+/*
+ * Failure: a booking that a service has run is answered with a status that
+ * promises that it has not run, and its caller makes it again.
+ */
+static void test_status_of_a_run_is_no_promise(void)
+{
+	static const char *const promises[] = { "503", "429", "408", "421" };
+
+	http_client_init(&client);
+	for (size_t i = 0; i < ARRAY_SIZE(promises); i++) {
+		const char *key =
+			harness_string(&harness, "promise-%s", promises[i]);
+
+		CU_ASSERT_EQUAL(call_status("POST", NULL, promises[i]), 502);
+		CU_ASSERT_EQUAL(call_status("POST", key, promises[i]), 502);
+		CU_ASSERT_EQUAL(call_status("POST", key, promises[i]), 502);
+		CU_ASSERT_EQUAL(count_journal_lines(harness_string(
+					&harness, "POST /book %s ", key)),
+				1);
+		CU_ASSERT_EQUAL(call_status("GET", NULL, promises[i]),
+				atoi(promises[i]));
+	}
+	CU_ASSERT_EQUAL(call_status("POST", NULL, "500"), 500);
+	CU_ASSERT_EQUAL(call_status("POST", NULL, "404"), 404);
+	http_client_finish(&client);
+}
+
 static const unit_test_t tests[] = {
 	{ "bookings run once under kills", test_bookings_run_once },
 	{ "call with an invalid field name is refused",
 	  test_call_with_an_invalid_field_name_is_refused },
+	{ "status of a run is no promise", test_status_of_a_run_is_no_promise },
 };
 
 int main(void)
--- a/test/functional/fakes/fake_service.c
+++ b/test/functional/fakes/fake_service.c
@@ -3,7 +3,8 @@
  * to the journal before it is answered.  A request header "X-Fake: drop"
  * makes the service run the call and close the connection without an answer;
  * "X-Fake: stream" and "X-Fake: cut" make it answer with events and no framing,
- * and "cut" closes the connection inside the second one.
+ * and "cut" closes the connection inside the second one.  A number is the status
+ * of the answer.
  *
  * Journal line: METHOD PATH IDEMPOTENCY-KEY BODY LISTEN-ADDRESS.
  */
@@ -76,7 +77,7 @@
 }
 
 static enum MHD_Result answer(struct MHD_Connection *connection,
-			      const char *url, uint64_t number,
+			      unsigned status, const char *url, uint64_t number,
 			      const GString *body)
 {
 	char *text = g_strdup_printf("{\"run\":%" PRIu64
@@ -87,7 +88,7 @@
 	enum MHD_Result result;
 
 	MHD_add_response_header(response, "Content-Type", "application/json");
-	result = MHD_queue_response(connection, 200, response);
+	result = MHD_queue_response(connection, status, response);
 	MHD_destroy_response(response);
 	g_free(text);
 	return result;
@@ -132,6 +133,7 @@
 {
 	const service_t *service = closure;
 	GString *body = *state;
+	unsigned status;
 	uint64_t number;
 
 	(void)version;
@@ -154,7 +156,9 @@
 		return answer_unframed(connection, FAKE_EVENT "data: 2\n\n");
 	if (strcmp(header_or_dash(connection, "X-Fake"), "cut") == 0)
 		return answer_unframed(connection, FAKE_EVENT "data: 2");
-	return answer(connection, url, number, body);
+	status = (unsigned)atoi(header_or_dash(connection, "X-Fake"));
+	return answer(connection, status == 0 ? 200 : status, url, number,
+		      body);
 }
 
 static void on_completed(void *closure, struct MHD_Connection *connection,
--- a/test/functional/fleet_reports_test.c
+++ b/test/functional/fleet_reports_test.c
@@ -332,11 +332,21 @@
 	  502 },
 	{ "HTTP/1.1 103 Early\r\n" OWN_ID NOT_RUN "\r\n" SUCCESS, 200 },
 	{ SUCCESS REFUSAL("503", OWN_ID NOT_RUN), 200 },
+	{ REFUSAL("503", OWN_ID STAMP), 502 },
+	{ REFUSAL("429", OWN_ID STAMP), 502 },
+	{ REFUSAL("408", OWN_ID STAMP), 502 },
+	{ REFUSAL("408", OWN_ID STAMP NOT_RUN), 502 },
+	{ REFUSAL("503", OWN_ID STAMP "Retry-After: 1\r\n"), 502 },
+	{ REFUSAL("503", OWN_ID STAMP "Connection: close\r\n"), 502 },
+	{ REFUSAL("503", OWN_ID), 502 },
+	{ REFUSAL("502", OWN_ID STAMP), 502 },
+	{ REFUSAL("404", OWN_ID STAMP), 404 },
 };
 
 /*
  * Failure: a request that has run is reported as not run, or runs again, since
- * an endpoint wrote a refusal that is not about it.
+ * an endpoint wrote a refusal that is not about it, or failed it with a status
+ * that promises callers that it has not run.
  */
 static void test_refusal_of_another_request_is_not_believed(void)
 {
@@ -367,6 +377,39 @@
 	fake_endpoint_journal_finish(&journal);
 }
 
+/*
+ * Failure: the caller of a stream that has run is told that it has not, after the
+ * first attempt or the second one.
+ */
+static void test_failed_stream_is_no_promise(void)
+{
+	static const char *const statuses[] = { "503", "429", "408" };
+	fake_endpoint_t endpoints[2];
+
+	for (size_t i = 0; i < ARRAY_SIZE(endpoints); i++) {
+		listen_as(&endpoints[i],
+			  harness_string(&harness, "failer-%zu", i), "writer",
+			  FAKE_ENDPOINT_TEXT);
+		endpoints[i].answer_text = refusals[0].text;
+		start_known(&endpoints[i]);
+	}
+	for (size_t i = 0; i < ARRAY_SIZE(statuses); i++) {
+		for (size_t j = 0; j < ARRAY_SIZE(endpoints); j++)
+			endpoints[j].answer_text = harness_string(
+				&harness, REFUSAL("%s", OWN_ID STAMP),
+				statuses[i]);
+		CU_ASSERT_EQUAL(request_status(entry_address, "/chat/1",
+					       next_id(), "hi"),
+				502);
+		endpoints[1].answer_text = REFUSAL("503", OWN_ID NOT_RUN);
+		CU_ASSERT_EQUAL(request_status(entry_address, "/chat/1",
+					       next_id(), "hi"),
+				502);
+	}
+	for (size_t i = 0; i < ARRAY_SIZE(endpoints); i++)
+		fake_endpoint_stop(&endpoints[i]);
+}
+
 /* 3. Errors behind a stream that has begun. */
 
 /* Takes longer than the retry budget of a new entry is empty. */
@@ -804,6 +847,7 @@
 	{ "odd entries name no endpoint", test_odd_entries_name_no_endpoint },
 	{ "refusal of another request is not believed",
 	  test_refusal_of_another_request_is_not_believed },
+	{ "failed stream is no promise", test_failed_stream_is_no_promise },
 	{ "error does not continue a stream",
 	  test_error_does_not_continue_a_stream },
 	{ "answer that breaks off in its head is none",
--- a/test/unit/outcome_test.c
+++ b/test/unit/outcome_test.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "wisteria/gateway/outcome.h"
+#include "wisteria/http/http_message.h"
 
 typedef struct {
 	const char *name;
@@ -150,6 +151,117 @@
 			}
 }
 
+typedef struct {
+	received_answer_t answer;
+	bool is_forwarded;
+	attempt_failure_t failure; /* if it is not */
+} answer_row_t;
+
+/* Every answer is whole, stamped and of the request, if not said otherwise. */
+#define RAN .names_request = true, .stamped = true
+#define MARKED .names_request = true, .not_run = true
+
+static const answer_row_t answer_rows[] = {
+	{ { RAN, .status = 200 }, true, ATTEMPT_UNKNOWN },
+	{ { RAN, .status = 302 }, true, ATTEMPT_UNKNOWN },
+	{ { RAN, .status = 400 }, true, ATTEMPT_UNKNOWN },
+	{ { RAN, .status = 404 }, true, ATTEMPT_UNKNOWN },
+	{ { RAN, .status = 408 }, false, ATTEMPT_ERROR },
+	{ { RAN, .status = 421 }, false, ATTEMPT_ERROR },
+	{ { RAN, .status = 429 }, false, ATTEMPT_ERROR },
+	{ { RAN, .status = 500 }, false, ATTEMPT_ERROR },
+	{ { RAN, .status = 502 }, false, ATTEMPT_ERROR },
+	{ { RAN, .status = 503 }, false, ATTEMPT_ERROR },
+	{ { RAN, .status = 504 }, false, ATTEMPT_ERROR },
+	{ { MARKED, .status = 503 }, false, ATTEMPT_NOT_RUN },
+	{ { MARKED, .status = 429 }, false, ATTEMPT_NOT_RUN },
+	{ { MARKED, .status = 421, .stamped = true }, false, ATTEMPT_NOT_RUN },
+	{ { .status = 503, .not_run = true }, false, ATTEMPT_UNKNOWN },
+	{ { MARKED, .status = 503, .is_of_another = true },
+	  false,
+	  ATTEMPT_UNKNOWN },
+	{ { RAN, .status = 200, .is_of_another = true },
+	  false,
+	  ATTEMPT_UNKNOWN },
+	{ { .status = 200, .names_request = true }, false, ATTEMPT_UNKNOWN },
+	{ { .status = 503, .names_request = true }, false, ATTEMPT_UNKNOWN },
+	{ { RAN, .status = 200, .defect = "cut" }, false, ATTEMPT_TRUNCATED },
+	{ { RAN, .status = 503, .defect = "cut" }, false, ATTEMPT_TRUNCATED },
+	{ { RAN, .status = 404, .answer_started = true },
+	  false,
+	  ATTEMPT_ERROR },
+};
+
+static void test_answers_that_are_forwarded(void)
+{
+	for (size_t i = 0; i < ARRAY_SIZE(answer_rows); i++) {
+		const answer_row_t *row = &answer_rows[i];
+		attempt_failure_t failure;
+		const char *rule;
+		bool is_forwarded =
+			outcome_is_forwarded(&row->answer, &failure, &rule);
+
+		CU_ASSERT_EQUAL(is_forwarded, row->is_forwarded);
+		CU_ASSERT(is_forwarded || failure == row->failure);
+		if (row->answer.status == 503 && failure == ATTEMPT_ERROR)
+			CU_ASSERT_STRING_EQUAL(rule, "promise_by_a_run");
+	}
+}
+
+/* Returns the status that a caller gets of a request without a further attempt. */
+static unsigned caller_status(const failed_attempt_t *attempt, unsigned status)
+{
+	switch (outcome_without_retry(attempt)) {
+	case OUTCOME_FORWARD_ERROR:
+		return status;
+	case OUTCOME_REFUSE:
+		return 503;
+	case OUTCOME_FAIL:
+		return http_status_to_caller(503, attempt->possible_runs > 0);
+	default:
+		return 0; /* the connection is closed */
+	}
+}
+
+/*
+ * Failure: a booking that has run is answered 503, and its caller makes it again.
+ * In all cases of kind, status, mark and possible runs, a status that promises
+ * "not run" reaches only the caller of a request that can't have run.
+ */
+static void test_no_promise_for_a_request_that_may_have_run(void)
+{
+	for (unsigned bits = 0; bits < 128; bits++)
+		for (unsigned status = 200; status < 600; status++) {
+			const received_answer_t answer = {
+				.status = status,
+				.names_request = bits & 1,
+				.not_run = bits & 2,
+				.stamped = bits & 4,
+				.is_of_another = bits & 8,
+				.defect = bits & 16 ? "cut" : NULL,
+			};
+			failed_attempt_t attempt = {
+				.repeatable = bits & 32,
+				.is_promise = http_status_is_promise(status),
+				.possible_runs = bits & 64 ? 1 : 0,
+				.max_runs = 1,
+			};
+			unsigned told = status;
+			const char *rule;
+
+			if (!outcome_is_forwarded(&answer, &attempt.failure,
+						  &rule)) {
+				attempt.possible_runs +=
+					attempt.failure != ATTEMPT_NOT_RUN;
+				told = caller_status(&attempt, status);
+			} else {
+				attempt.possible_runs++;
+			}
+			CU_ASSERT(!http_status_is_promise(told) ||
+				  attempt.possible_runs == 0);
+		}
+}
+
 static paused_stream_t decide_paused(const char *text,
 				     const http_framing_t *framing)
 {
@@ -193,6 +305,9 @@
 	{ "first arrival uses no budget", test_first_arrival_uses_no_budget },
 	{ "rows", test_rows },
 	{ "refused only if not run", test_refused_only_if_not_run },
+	{ "answers that are forwarded", test_answers_that_are_forwarded },
+	{ "no promise for a request that may have run",
+	  test_no_promise_for_a_request_that_may_have_run },
 };
 
 int main(void)
