http: end answers without a body with their head

Cause: http-parser reads a body behind every head that names a length or chunks; the comment at framing_of() said otherwise. http_conn_reply() wrote the length and the body behind such a status. Evidence: the log has framing=none for these answers, and the callers got their body. Ruled out: a connection to an endpoint that is used again, an answer that is taken for that of another request of the entry.

The reader ends a response with its head for 1xx, 204, 304, and if it answers HEAD, which was waited for until the deadline before; what comes behind is dropped with the connection, and logged as bytes_behind_answer. The server writes no body there, no length with 204 and 304, and no chunks. 205 ends by its fields, but with content it is no answer (502). On related paths: the product's own entry sent an empty chunk behind 304, and agents took an interim status for a final one.

--- a/src/wisteria/agent/agent_call.c
+++ b/src/wisteria/agent/agent_call.c
@@ -291,8 +291,11 @@
 {
 	if (code != CURLE_OK)
 		return curl_easy_strerror(code);
-	if (!http_status_is_valid((unsigned)status))
+	if (!http_status_is_valid((unsigned)status) || status / 100 == 1)
 		return "invalid status";
+	if (http_status_has_no_content((unsigned)status) &&
+	    call->response_body->len > 0)
+		return "content behind a status that has none";
 	if (!call->is_event_stream)
 		return NULL;
 	return event_stream_find_defect(call->response_body,
--- a/src/wisteria/entry/http_front.c
+++ b/src/wisteria/entry/http_front.c
@@ -296,12 +296,24 @@
 	return (ssize_t)len;
 }
 
+/*
+ * Without a length, libmicrohttpd sends chunks, also where the response ends with
+ * its head.
+ */
+static struct MHD_Response *create_response(request_t *request, unsigned status)
+{
+	if (http_status_has_no_content(status))
+		return MHD_create_response_from_buffer(0, NULL,
+						       MHD_RESPMEM_PERSISTENT);
+	return MHD_create_response_from_callback(MHD_SIZE_UNKNOWN,
+						 HTTP_BLOCK_BYTES,
+						 read_response, request, NULL);
+}
+
 static enum MHD_Result begin_response(request_t *request,
 				      const request_chunk_t *head)
 {
-	struct MHD_Response *response = MHD_create_response_from_callback(
-		MHD_SIZE_UNKNOWN, HTTP_BLOCK_BYTES, read_response, request,
-		NULL);
+	struct MHD_Response *response = create_response(request, head->status);
 	enum MHD_Result result;
 
 	for (guint i = 0; i < head->headers->len; i++) {
--- a/src/wisteria/gateway/answer.c
+++ b/src/wisteria/gateway/answer.c
@@ -110,8 +110,13 @@
 	if (answer->status / 100 == 2)
 		prompt_parts_passed(exchange->gateway, &exchange->caller);
 	exchange->gateway->dialect->write_answer_headers(answer, headers);
-	http_conn_reply(exchange->conn, answer->status, headers->str,
-			answer->body->data, answer->body->len);
+	if (answer->framing == HTTP_FRAMING_NONE)
+		http_conn_reply_without_body(exchange->conn, answer->status,
+					     headers->str,
+					     answer->declared_bytes);
+	else
+		http_conn_reply(exchange->conn, answer->status, headers->str,
+				answer->body->data, answer->body->len);
 	g_string_free(headers, TRUE);
 	exchange->conn = NULL;
 	exchange_discard(exchange);
@@ -126,7 +131,7 @@
 {
 	const char *type = http_message_find_header(answer, "content-type");
 
-	return answer->status == 200 &&
+	return answer->status == 200 && answer->framing != HTTP_FRAMING_NONE &&
 	       (type == NULL || event_stream_is_named_by(type));
 }
 
@@ -355,11 +360,13 @@
 	end_defective_stream(exchange, defect);
 }
 
-/* Returns why an answer that is not a stream is incomplete; NULL if it is not. */
+/* Returns why an answer that is not a stream is none; NULL if it is one. */
 static const char *plain_answer_defect(const http_message_t *answer)
 {
 	const char *type = http_message_find_header(answer, "content-type");
 
+	if (http_status_has_no_content(answer->status) && answer->body->len > 0)
+		return "content_of_205";
 	if (type == NULL || !event_stream_is_named_by(type))
 		return NULL;
 	return event_stream_find_defect(answer->body, answer->framing);
@@ -377,6 +384,13 @@
 	bool names_fault;
 
 	exchange->call = NULL;
+	if (answer->excess_bytes > 0)
+		LOG_INFO("bytes_behind_answer",
+			 "request=%s endpoint=%s status=%u framing=%s "
+			 "bytes=%zu",
+			 id_of(exchange), exchange->target.ids[0],
+			 answer->status, http_framing_name(answer->framing),
+			 answer->excess_bytes);
 	if (exchange->is_streaming) {
 		on_stream_ended(exchange, answer);
 		return;
--- a/src/wisteria/http/http_call.c
+++ b/src/wisteria/http/http_call.c
@@ -286,6 +286,7 @@
 			    (guint)request->len);
 	http_reader_init(&call->reader, HTTP_RESPONSE,
 			 HTTP_CALL_HEADER_BYTES_MAX, limits->body_bytes);
+	call->reader.answers_head = g_str_has_prefix(request->str, "HEAD ");
 	uv_tcp_init(loop, &call->tcp);
 	call->tcp.data = call;
 	uv_timer_init(loop, &call->timer);
--- a/src/wisteria/http/http_message.c
+++ b/src/wisteria/http/http_message.c
@@ -46,6 +46,8 @@
 	message->target = 0;
 	message->status = 0;
 	message->framing = HTTP_FRAMING_NONE;
+	message->declared_bytes = -1;
+	message->excess_bytes = 0;
 	message->keep_alive = false;
 }
 
@@ -55,6 +57,24 @@
 	return status >= STATUS_MIN && status <= STATUS_MAX;
 }
 
+/*
+ * Whether a response with "status" ends with its head, whatever length or coding
+ * the head names (RFC 9110, 6.4.1; RFC 9112, 6.3).  So does any response to HEAD.
+ */
+bool http_status_has_no_body(unsigned status)
+{
+	return status / 100 == 1 || status == 204 || status == 304;
+}
+
+/*
+ * Whether the body of a response must be empty.  That of 205 has an end like any
+ * other, but no content (RFC 9110, 15.3.6), and some clients don't read one.
+ */
+bool http_status_has_no_content(unsigned status)
+{
+	return http_status_has_no_body(status) || status == 205;
+}
+
 /*
  * Whether callers take "status" as a promise that their request has not run and
  * never will: they send it again, also if it must not run twice.
@@ -175,6 +195,9 @@
 {
 	static const reason_t reasons[] = {
 		{ 200, "OK" },
+		{ 204, "No Content" },
+		{ 205, "Reset Content" },
+		{ 304, "Not Modified" },
 		{ 307, "Temporary Redirect" },
 		{ 400, "Bad Request" },
 		{ 401, "Unauthorized" },
--- a/src/wisteria/http/http_message.h
+++ b/src/wisteria/http/http_message.h
@@ -8,6 +8,8 @@
 void http_message_finish(http_message_t *message) ATTR_NONNULL_ALL;
 void http_message_reset(http_message_t *message) ATTR_NONNULL_ALL;
 bool http_status_is_valid(unsigned status) ATTR_WARN_UNUSED;
+bool http_status_has_no_body(unsigned status) ATTR_WARN_UNUSED;
+bool http_status_has_no_content(unsigned status) ATTR_WARN_UNUSED;
 bool http_status_is_promise(unsigned status) ATTR_WARN_UNUSED;
 unsigned http_status_to_caller(unsigned status,
 			       bool may_have_run) ATTR_WARN_UNUSED;
--- a/src/wisteria/http/http_message_defs.h
+++ b/src/wisteria/http/http_message_defs.h
@@ -17,7 +17,7 @@
 
 /* What marks the end of a message's body. */
 typedef enum {
-	HTTP_FRAMING_NONE,    /* it has no body, or no headers were read */
+	HTTP_FRAMING_NONE,    /* it ends with its head, or none was read */
 	HTTP_FRAMING_LENGTH,  /* Content-Length */
 	HTTP_FRAMING_CHUNKED, /* the last chunk */
 	HTTP_FRAMING_CLOSE    /* the end of the connection */
@@ -36,6 +36,8 @@
 	uint32_t target;    /* requests; offset in "text" */
 	unsigned status;    /* responses */
 	http_framing_t framing;
+	int64_t declared_bytes; /* Content-Length; -1: none */
+	size_t excess_bytes;	/* that came with the end, and are not of it */
 	bool keep_alive;
 } http_message_t;
 
--- a/src/wisteria/http/http_reader.c
+++ b/src/wisteria/http/http_reader.c
@@ -11,6 +11,9 @@
  */
 #define INTERIM_BYTES_MIN (sizeof("HTTP/1.1 100\r\n\r\n") - 1)
 
+/* What on_headers_complete() returns if the message has no body. */
+#define SKIP_BODY 1
+
 static const guint8 NUL = 0;
 
 static int fail(http_reader_t *reader, http_read_error_t error)
@@ -87,13 +90,25 @@
 	return count_header_bytes(reader, len);
 }
 
-/* See RFC 9112, 6.3; http-parser ends the body by the same rules. */
-static http_framing_t framing_of(const http_parser *parser)
+/*
+ * Whether the message ends with its head.  http-parser reads a body behind any
+ * head that names a length or chunks.
+ */
+static bool ends_with_head(const http_reader_t *reader)
 {
-	unsigned status = parser->status_code;
+	const http_parser *parser = &reader->parser;
 
-	if (parser->type == HTTP_RESPONSE &&
-	    (status / 100 == 1 || status == 204 || status == 304))
+	return parser->type == HTTP_RESPONSE &&
+	       (reader->answers_head ||
+		http_status_has_no_body(parser->status_code));
+}
+
+/* See RFC 9112, 6.3. */
+static http_framing_t framing_of(const http_reader_t *reader)
+{
+	const http_parser *parser = &reader->parser;
+
+	if (ends_with_head(reader))
 		return HTTP_FRAMING_NONE;
 	if ((parser->flags & F_CHUNKED) != 0)
 		return HTTP_FRAMING_CHUNKED;
@@ -115,13 +130,20 @@
 		reader->message.method =
 			http_method_str((enum http_method)parser->method);
 	reader->message.status = parser->status_code;
-	reader->message.framing = framing_of(parser);
+	reader->message.framing = framing_of(reader);
+	if (parser->content_length != ULLONG_MAX)
+		reader->message.declared_bytes =
+			(int64_t)MIN(parser->content_length, INT64_MAX);
 	reader->message.keep_alive = http_should_keep_alive(parser) != 0;
 	reader->is_interim =
 		parser->type == HTTP_RESPONSE && parser->status_code / 100 == 1;
 	if (reader->is_interim)
-		return count_header_bytes(reader, INTERIM_BYTES_MIN);
+		return count_header_bytes(reader, INTERIM_BYTES_MIN) == 0
+			       ? SKIP_BODY
+			       : -1;
 	reader->state = HTTP_READ_BODY;
+	if (ends_with_head(reader))
+		return SKIP_BODY;
 	if (parser->content_length != ULLONG_MAX &&
 	    parser->content_length > reader->body_bytes_max)
 		return fail(reader, HTTP_BODY_TOO_LARGE);
@@ -210,8 +232,11 @@
 		return 0;
 	consumed = http_parser_execute(&reader->parser, &callbacks, data, len);
 	error = HTTP_PARSER_ERRNO(&reader->parser);
-	if (reader->state == HTTP_READ_COMPLETE)
-		return MIN(consumed, len);
+	if (reader->state == HTTP_READ_COMPLETE) {
+		consumed = MIN(consumed, len);
+		reader->message.excess_bytes = len - consumed;
+		return consumed;
+	}
 	/*
 	 * Protocol upgrades are not supported.  "upgrade" is set here after a
 	 * 101 response, and for a request that asks for an upgrade if its body
--- a/src/wisteria/http/http_reader.h
+++ b/src/wisteria/http/http_reader.h
@@ -29,6 +29,7 @@
 	http_read_error_t error;
 	bool in_header_value; /* the last header callback was for a value */
 	bool is_interim;      /* the message is a 1xx response */
+	bool answers_head; /* the response is one to HEAD; set by the owner */
 	size_t header_bytes;
 	size_t header_bytes_max;
 	size_t body_bytes_max;
--- a/src/wisteria/http/http_server.c
+++ b/src/wisteria/http/http_server.c
@@ -522,26 +522,70 @@
 	conn->head_sent = true;
 }
 
+static bool is_head_request(const http_conn_t *conn)
+{
+	return strcmp(conn->reader.message.method, "HEAD") == 0;
+}
+
+/*
+ * Appends the length of the body, and the end of the head.  204 and interim
+ * responses must not have a length (RFC 9110, 8.6); that of 304 would be another
+ * one than its own.
+ */
+static void end_head(GString *head, unsigned status, int64_t length)
+{
+	if (length >= 0 && !http_status_has_no_body(status))
+		g_string_append_printf(
+			head, "Content-Length: %" G_GINT64_FORMAT "\r\n",
+			length);
+	g_string_append(head, "\r\n");
+}
+
 /*
  * Sends a complete response to the current request.  "headers" consists of
- * complete lines, each with its CRLF.
+ * complete lines, each with its CRLF.  The body is left out where the response
+ * has none.
  */
 void http_conn_reply(http_conn_t *conn, unsigned status, const char *headers,
 		     const void *body, size_t len)
 {
 	GString *head;
 	uv_buf_t bufs[2];
-	bool is_head = strcmp(conn->reader.message.method, "HEAD") == 0;
+	bool has_body = len > 0 && !is_head_request(conn) &&
+			!http_status_has_no_content(status);
 
 	if (!is_responding(conn))
 		return;
 	head = g_string_sized_new(256);
 	append_head(conn, head, status, headers);
-	g_string_append_printf(head, "Content-Length: %zu\r\n\r\n", len);
+	end_head(head, status, status == 205 ? 0 : (int64_t)len);
 	bufs[0] = uv_buf_init(head->str, (unsigned)head->len);
 	bufs[1] = uv_buf_init((char *)(uintptr_t)body, (unsigned)len);
 	conn->user = NULL;
-	write_or_mark_failed(conn, bufs, len > 0 && !is_head ? 2 : 1);
+	write_or_mark_failed(conn, bufs, has_body ? 2 : 1);
+	g_string_free(head, TRUE);
+	finish_response(conn);
+}
+
+/*
+ * Sends a response that ends with its head: one to HEAD, or with a status that
+ * has no body.  "declared_bytes" is the length that a response to GET would
+ * have; -1: not known.
+ */
+void http_conn_reply_without_body(http_conn_t *conn, unsigned status,
+				  const char *headers, int64_t declared_bytes)
+{
+	GString *head;
+	uv_buf_t buf;
+
+	if (!is_responding(conn))
+		return;
+	head = g_string_sized_new(256);
+	append_head(conn, head, status, headers);
+	end_head(head, status, declared_bytes);
+	buf = uv_buf_init(head->str, (unsigned)head->len);
+	conn->user = NULL;
+	write_or_mark_failed(conn, &buf, 1);
 	g_string_free(head, TRUE);
 	finish_response(conn);
 }
@@ -568,21 +612,20 @@
 	if (!is_responding(conn))
 		return;
 	head = g_string_sized_new(256);
-	conn->chunked = content_length < 0 && accepts_chunks(conn);
-	conn->ends_with_close = content_length < 0 && !conn->chunked;
+	conn->ends_with_head =
+		is_head_request(conn) || http_status_has_no_body(status);
+	conn->chunked = content_length < 0 && !conn->ends_with_head &&
+			accepts_chunks(conn);
+	conn->ends_with_close =
+		content_length < 0 && !conn->ends_with_head && !conn->chunked;
 	if (conn->ends_with_close) {
 		conn->close_after = true;
 		set_reset_on_close(conn, true);
 	}
 	append_head(conn, head, status, headers);
 	if (conn->chunked)
-		g_string_append(head, "Transfer-Encoding: chunked\r\n\r\n");
-	else if (conn->ends_with_close)
-		g_string_append(head, "\r\n");
-	else
-		g_string_append_printf(
-			head, "Content-Length: %" G_GINT64_FORMAT "\r\n\r\n",
-			content_length);
+		g_string_append(head, "Transfer-Encoding: chunked\r\n");
+	end_head(head, status, content_length);
 	buf = uv_buf_init(head->str, (unsigned)head->len);
 	write_or_mark_failed(conn, &buf, 1);
 	g_string_free(head, TRUE);
@@ -595,7 +638,7 @@
 	uv_buf_t bufs[3];
 	int frame_len;
 
-	if (!is_responding(conn) || len == 0)
+	if (!is_responding(conn) || len == 0 || conn->ends_with_head)
 		return;
 	bufs[1] = uv_buf_init((char *)(uintptr_t)data, (unsigned)len);
 	if (!conn->chunked) {
--- a/src/wisteria/http/http_server.h
+++ b/src/wisteria/http/http_server.h
@@ -61,6 +61,7 @@
 	clock_ms_t unsent_since_ms;
 	bool request_started; /* a byte of the next request was read */
 	bool head_sent;	      /* of the current response */
+	bool ends_with_head;  /* the response has no body */
 	bool chunked;
 	bool ends_with_close; /* the response has no other end */
 	bool close_after;
@@ -103,6 +104,9 @@
 
 void http_conn_reply(http_conn_t *conn, unsigned status, const char *headers,
 		     const void *body, size_t len) ATTR_NONNULL(1, 3);
+void http_conn_reply_without_body(http_conn_t *conn, unsigned status,
+				  const char *headers,
+				  int64_t declared_bytes) ATTR_NONNULL_ALL;
 void http_conn_begin(http_conn_t *conn, unsigned status, const char *headers,
 		     int64_t content_length) ATTR_NONNULL_ALL;
 void http_conn_send(http_conn_t *conn, const void *data,
--- a/test/functional/booking_test.c
+++ b/test/functional/booking_test.c
@@ -335,11 +335,51 @@
 	http_client_finish(&client);
 }
 
+/*
+ * Failure: what an entry sends behind a response without a body is read as the
+ * response to the next call.  With 304, libmicrohttpd sends a length of 0.
+ */
+static void test_response_without_a_body_ends_with_its_head(void)
+{
+	static const char *const statuses[] = { "204", "304" };
+
+	for (size_t i = 0; i < ARRAY_SIZE(statuses); i++) {
+		GString *received = send_with_field(
+			harness_string(&harness, "bodiless-%zu", i),
+			harness_string(&harness, "X-Fake: %s", statuses[i]));
+		const char *end = strstr(received->str, "\r\n\r\n");
+
+		CU_ASSERT(g_str_has_prefix(
+			received->str,
+			harness_string(&harness, "HTTP/1.1 %s ", statuses[i])));
+		CU_ASSERT_PTR_NOT_NULL_FATAL(end);
+		CU_ASSERT(g_str_has_prefix(end, "\r\n\r\nHTTP/1.1 200 "));
+		CU_ASSERT_PTR_NULL(g_strstr_len(received->str,
+						end - received->str,
+						"Transfer-Encoding"));
+		CU_ASSERT_PTR_NULL(g_strstr_len(
+			received->str, end - received->str,
+			i == 0 ? "Content-Length" : "Content-Length: 1"));
+		g_string_free(received, TRUE);
+	}
+}
+
+/* Its length counts, but some clients don't read that much behind it. */
+static void test_content_of_205_is_no_answer(void)
+{
+	http_client_init(&client);
+	CU_ASSERT_EQUAL(call_status("POST", NULL, "205"), 502);
+	http_client_finish(&client);
+}
+
 static const unit_test_t tests[] = {
 	{ "bookings run once under kills", test_bookings_run_once },
 	{ "call with an invalid field name is refused",
 	  test_call_with_an_invalid_field_name_is_refused },
 	{ "status of a run is no promise", test_status_of_a_run_is_no_promise },
+	{ "response without a body ends with its head",
+	  test_response_without_a_body_ends_with_its_head },
+	{ "content of 205 is no answer", test_content_of_205_is_no_answer },
 };
 
 int main(void)
--- a/test/functional/fleet_reports_test.c
+++ b/test/functional/fleet_reports_test.c
@@ -842,6 +842,117 @@
 	fake_endpoint_stop(&endpoint);
 }
 
+/* 8. Answers that end with their head, and what comes behind them. */
+
+#define SECOND "HTTP/1.1 200 OK\r\n" OTHER_ID STAMP LENGTH(4) "oops"
+
+typedef struct {
+	const char *method;
+	const char *answer;
+	const char *status_line; /* of what the caller gets */
+	bool may_have_length;
+} head_only_t;
+
+static const head_only_t head_only[] = {
+	{ "POST", ANSWER("204", STAMP) "\r\n" SECOND, "HTTP/1.1 204 ", false },
+	{ "POST", ANSWER("204", STAMP) LENGTH(2) SECOND, "HTTP/1.1 204 ",
+	  false },
+	{ "POST", ANSWER("204", STAMP) LENGTH(100) SECOND, "HTTP/1.1 204 ",
+	  false },
+	{ "POST", ANSWER("204", STAMP) LENGTH(4) "oops", "HTTP/1.1 204 ",
+	  false },
+	{ "POST", ANSWER("204", STAMP) CHUNKED "4\r\noops\r\n0\r\n\r\n" SECOND,
+	  "HTTP/1.1 204 ", false },
+	{ "POST", ANSWER("304", STAMP) LENGTH(100) SECOND, "HTTP/1.1 304 ",
+	  false },
+	{ "POST", ANSWER("304", STAMP) CHUNKED "4\r\noops\r\n0\r\n\r\n",
+	  "HTTP/1.1 304 ", false },
+	{ "POST",
+	  "HTTP/1.1 103 Early\r\nContent-Length: 100\r\n\r\n" ANSWER(
+		  "204", STAMP) "\r\n" SECOND,
+	  "HTTP/1.1 204 ", false },
+	{ "POST", ANSWER("205", STAMP) LENGTH(0) SECOND, "HTTP/1.1 205 ",
+	  true },
+	{ "POST", ANSWER("205", STAMP) LENGTH(4) "oops", "HTTP/1.1 502 ",
+	  true },
+	{ "POST", ANSWER("205", STAMP) CHUNKED "4\r\noops\r\n0\r\n\r\n",
+	  "HTTP/1.1 502 ", true },
+	{ "HEAD", ANSWER("200", STAMP) LENGTH(100) SECOND, "HTTP/1.1 200 ",
+	  true },
+	{ "HEAD", ANSWER("200", STAMP) LENGTH(4) "oops", "HTTP/1.1 200 ",
+	  true },
+	{ "HEAD", ANSWER("200", STAMP) CHUNKED "4\r\noops\r\n0\r\n\r\n",
+	  "HTTP/1.1 200 ", false },
+	{ "HEAD", ANSWER("204", STAMP) LENGTH(100) SECOND, "HTTP/1.1 204 ",
+	  false },
+	{ "HEAD", ANSWER("404", STAMP) LENGTH(100), "HTTP/1.1 404 ", true },
+};
+
+/*
+ * Sends two requests on a connection that is kept; the second one is for a route
+ * that is not there.  Returns all that the entry answers.
+ */
+static GString *send_two(const char *method, const char *path)
+{
+	bool is_reset;
+	char *request = g_strdup_printf(
+		"%s %s HTTP/1.1\r\n"
+		"Host: shop.example\r\n" ID(
+			"%s") "Content-Length: 0\r\n\r\n"
+			      "GET /nowhere HTTP/1.1\r\nHost: "
+			      "shop.example\r\n" ID(
+				      "%s") "Connection: close\r\n\r\n",
+		method, path, next_id(), next_id());
+	GString *received = send_bytes(request, &is_reset);
+
+	g_free(request);
+	return received;
+}
+
+static void check_head_only(const head_only_t *row, const char *path)
+{
+	GString *received = send_two(row->method, path);
+	const char *end = strstr(received->str, "\r\n\r\n");
+	bool has_body = g_str_has_prefix(row->status_line, "HTTP/1.1 502");
+
+	CU_ASSERT(g_str_has_prefix(received->str, row->status_line));
+	CU_ASSERT_PTR_NOT_NULL_FATAL(end);
+	CU_ASSERT(has_body || g_str_has_prefix(end, "\r\n\r\nHTTP/1.1 404 "));
+	CU_ASSERT_PTR_NULL(strstr(received->str, "oops"));
+	CU_ASSERT_PTR_NULL(strstr(received->str, "chunked"));
+	CU_ASSERT(row->may_have_length ||
+		  g_strstr_len(received->str, end - received->str,
+			       "Content-Length") == NULL);
+	g_string_free(received, TRUE);
+}
+
+/*
+ * Failure: a second answer behind a 204 is handed on as its body, and the caller
+ * reads it as the answer to its next request.
+ */
+static void test_second_answer_behind_a_head_reaches_nobody(void)
+{
+	static const char *const services[] = { "orders", "writer" };
+	static const char *const paths[] = { "/book/1", "/chat/1" };
+	fake_endpoint_t endpoints[ARRAY_SIZE(services)];
+
+	for (size_t i = 0; i < ARRAY_SIZE(services); i++) {
+		listen_as(&endpoints[i],
+			  harness_string(&harness, "head-only-%zu", i),
+			  services[i], FAKE_ENDPOINT_TEXT);
+		endpoints[i].answer_text = head_only[0].answer;
+		start_known(&endpoints[i]);
+	}
+	for (size_t i = 0; i < ARRAY_SIZE(head_only); i++)
+		for (size_t j = 0; j < ARRAY_SIZE(services); j++) {
+			endpoints[j].answer_text = head_only[i].answer;
+			check_head_only(&head_only[i], paths[j]);
+		}
+	CU_ASSERT(harness_wait_log(entry, "event=bytes_behind_answer ", 0));
+	for (size_t i = 0; i < ARRAY_SIZE(services); i++)
+		fake_endpoint_stop(&endpoints[i]);
+}
+
 static const unit_test_t tests[] = {
 	{ "the fleet starts", test_fleet_starts },
 	{ "odd entries name no endpoint", test_odd_entries_name_no_endpoint },
@@ -862,6 +973,8 @@
 	  test_answer_with_an_invalid_field_name_is_none },
 	{ "request with an invalid field name is refused",
 	  test_request_with_an_invalid_field_name_is_refused },
+	{ "second answer behind a head reaches nobody",
+	  test_second_answer_behind_a_head_reaches_nobody },
 };
 
 int main(void)
--- a/test/unit/http_reader_test.c
+++ b/test/unit/http_reader_test.c
@@ -211,6 +211,107 @@
 	http_reader_finish(&reader);
 }
 
+typedef struct {
+	const char *status_line;
+	bool answers_head;
+} bodiless_t;
+
+static const bodiless_t bodiless[] = {
+	{ "HTTP/1.1 204 No Content\r\n", false },
+	{ "HTTP/1.1 304 Not Modified\r\n", false },
+	{ "HTTP/1.1 200 OK\r\n", true },
+	{ "HTTP/1.1 404 Not Found\r\n", true },
+	{ "HTTP/1.1 205 Reset Content\r\n", true },
+	{ "HTTP/1.0 204 No Content\r\n", false },
+	{ "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n", false },
+	{ "HTTP/1.1 103 Early\r\nContent-Length: 9\r\n\r\n"
+	  "HTTP/1.1 204 No Content\r\n",
+	  false },
+	{ "HTTP/1.1 103 Early\r\nTransfer-Encoding: chunked\r\n\r\n"
+	  "HTTP/1.1 304 Not Modified\r\n",
+	  false },
+};
+
+static const char *const lengths[] = {
+	"\r\n",
+	"Content-Length: 0\r\n\r\n",
+	"Content-Length: 2\r\n\r\n",
+	"Content-Length: 90000000\r\n\r\n",
+	"Transfer-Encoding: chunked\r\n\r\n",
+	"Content-Type: text/event-stream\r\n\r\n",
+	"Connection: close\r\nContent-Length: 2\r\n\r\n",
+};
+
+static const char *const bytes_behind[] = {
+	"",
+	"hi",
+	"2\r\nhi\r\n0\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi",
+};
+
+/*
+ * Failure: a second answer behind a 204 is read as its body, and handed to the
+ * caller's next request.
+ */
+static void test_response_that_ends_with_its_head(void)
+{
+	for (size_t i = 0; i < ARRAY_SIZE(bodiless); i++)
+		for (size_t j = 0; j < ARRAY_SIZE(lengths); j++)
+			for (size_t k = 0; k < ARRAY_SIZE(bytes_behind); k++) {
+				size_t behind = strlen(bytes_behind[k]);
+				char *text = g_strconcat(
+					bodiless[i].status_line, lengths[j],
+					bytes_behind[k], NULL);
+
+				init_reader(HTTP_RESPONSE);
+				reader.answers_head = bodiless[i].answers_head;
+				CU_ASSERT_EQUAL(feed(text),
+						strlen(text) - behind);
+				CU_ASSERT_EQUAL(reader.state,
+						HTTP_READ_COMPLETE);
+				CU_ASSERT_EQUAL(reader.message.framing,
+						HTTP_FRAMING_NONE);
+				CU_ASSERT_EQUAL(reader.message.body->len, 0);
+				CU_ASSERT_EQUAL(reader.message.excess_bytes,
+						behind);
+				http_reader_finish(&reader);
+				g_free(text);
+			}
+}
+
+/* The fields of an interim response give the one behind it no other end. */
+static void test_interim_response_has_no_body(void)
+{
+	static const char text[] =
+		"HTTP/1.1 103 Early\r\nContent-Length: 4\r\n\r\n"
+		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi";
+
+	for (size_t split = 0; split <= strlen(text); split++) {
+		init_reader(HTTP_RESPONSE);
+		reader.header_bytes_max = 400;
+		CU_ASSERT_EQUAL(http_reader_feed(&reader, text, split), split);
+		CU_ASSERT_EQUAL(feed(text + split), strlen(text) - split);
+		CU_ASSERT_EQUAL(reader.state, HTTP_READ_COMPLETE);
+		CU_ASSERT_EQUAL(reader.message.status, 200);
+		CU_ASSERT_EQUAL(reader.message.body->len, 2);
+		CU_ASSERT_EQUAL(reader.message.declared_bytes, 2);
+		http_reader_finish(&reader);
+	}
+}
+
+/* 205 ends as its length says, although it has no content. */
+static void test_reset_content_ends_by_its_length(void)
+{
+	init_reader(HTTP_RESPONSE);
+	(void)!feed("HTTP/1.1 205 Reset Content\r\nContent-Length: 2\r\n\r\n"
+		    "hiHTTP/1.1");
+	CU_ASSERT_EQUAL(reader.state, HTTP_READ_COMPLETE);
+	CU_ASSERT_EQUAL(reader.message.framing, HTTP_FRAMING_LENGTH);
+	CU_ASSERT_EQUAL(reader.message.body->len, 2);
+	CU_ASSERT_EQUAL(reader.message.excess_bytes, 8);
+	http_reader_finish(&reader);
+}
+
 typedef struct {
 	const char *line;
 	size_t len;
@@ -321,6 +422,11 @@
 static const unit_test_t tests[] = {
 	{ "every split position", test_every_split_position },
 	{ "two requests at once", test_two_requests_at_once },
+	{ "response that ends with its head",
+	  test_response_that_ends_with_its_head },
+	{ "interim response has no body", test_interim_response_has_no_body },
+	{ "reset content ends by its length",
+	  test_reset_content_ends_by_its_length },
 	{ "invalid requests", test_invalid_requests },
 	{ "responses", test_responses },
 	{ "framing", test_framing },
--- a/test/unit/http_server_test.c
+++ b/test/unit/http_server_test.c
@@ -298,6 +298,97 @@
 	CU_ASSERT_PTR_NULL(strstr(text, "chunked"));
 }
 
+typedef struct {
+	const char *method;
+	unsigned status;
+	const char *expected; /* behind the status line */
+} reply_row_t;
+
+/*
+ * Failure: bytes behind a response that ends with its head are read as the next
+ * response.
+ */
+static void test_response_without_a_body_ends_with_its_head(void)
+{
+	static const reply_row_t rows[] = {
+		{ "GET", 200, "Content-Length: 2\r\n\r\nok" },
+		{ "GET", 204, "\r\n" },
+		{ "GET", 205, "Content-Length: 0\r\n\r\n" },
+		{ "GET", 304, "\r\n" },
+		{ "HEAD", 200, "Content-Length: 2\r\n\r\n" },
+		{ "HEAD", 204, "\r\n" },
+	};
+
+	for (size_t i = 0; i < ARRAY_SIZE(rows); i++)
+		for (int begins = 0; begins <= 1; begins++) {
+			const reply_row_t *row = &rows[i];
+			fixture_t fixture;
+			uint16_t port = start(&fixture);
+			const char *text;
+			char request[64];
+			bool ended;
+			int fd;
+
+			if (begins == 1 && row->status == 205)
+				row = &rows[0];
+			g_snprintf(request, sizeof(request),
+				   "%s / HTTP/1.1\r\nHost: x\r\n\r\n",
+				   row->method);
+			fd = send_request(port, request);
+			run_loop(&fixture);
+			CU_ASSERT_PTR_NOT_NULL_FATAL(fixture.open);
+			if (begins == 1) {
+				http_conn_begin(fixture.open, row->status, "",
+						2);
+				http_conn_send(fixture.open, "ok", 2);
+				http_conn_end(fixture.open);
+			} else {
+				http_conn_reply(fixture.open, row->status, "",
+						"ok", 2);
+			}
+			run_loop(&fixture);
+			text = strstr(received(fd, &ended), "\r\n");
+			CU_ASSERT_PTR_NOT_NULL_FATAL(text);
+			CU_ASSERT_STRING_EQUAL(text + 2, row->expected);
+			CU_ASSERT_FALSE(ended);
+			close(fd);
+			stop(&fixture);
+		}
+}
+
+/* Neither chunks nor the end of the connection end what ends with its head. */
+static void test_response_without_a_body_has_no_chunks(void)
+{
+	static const reply_row_t rows[] = { { "GET", 204, "\r\n" },
+					    { "GET", 304, "\r\n" },
+					    { "HEAD", 200, "\r\n" } };
+
+	for (size_t i = 0; i < ARRAY_SIZE(rows); i++) {
+		fixture_t fixture;
+		uint16_t port = start(&fixture);
+		const char *text;
+		char request[64];
+		bool ended;
+		int fd;
+
+		g_snprintf(request, sizeof(request),
+			   "%s / HTTP/1.1\r\nHost: x\r\n\r\n", rows[i].method);
+		fd = send_request(port, request);
+		run_loop(&fixture);
+		CU_ASSERT_PTR_NOT_NULL_FATAL(fixture.open);
+		http_conn_begin(fixture.open, rows[i].status, "", -1);
+		http_conn_send(fixture.open, "ok", 2);
+		http_conn_end(fixture.open);
+		run_loop(&fixture);
+		text = strstr(received(fd, &ended), "\r\n");
+		CU_ASSERT_PTR_NOT_NULL_FATAL(text);
+		CU_ASSERT_STRING_EQUAL(text + 2, rows[i].expected);
+		CU_ASSERT_FALSE(ended);
+		close(fd);
+		stop(&fixture);
+	}
+}
+
 /* A draining server completes the open request, then closes its connection. */
 static void test_draining(void)
 {
@@ -523,6 +614,10 @@
 	{ "aborted response", test_aborted_response },
 	{ "aborted response of HTTP/1.0 is not complete",
 	  test_aborted_response_of_http_1_0_is_not_complete },
+	{ "response without a body ends with its head",
+	  test_response_without_a_body_ends_with_its_head },
+	{ "response without a body has no chunks",
+	  test_response_without_a_body_has_no_chunks },
 	{ "draining", test_draining },
 };
 
