--- a/test/unit/group_walk_test.c
+++ b/test/unit/group_walk_test.c
@@ -894,13 +894,12 @@
 } stop_t;
 
 /*
- * How long a leader that is gone without a word may count: until an election
- * that is repeated once, and the silence after it; see docs/design/replication.md.
+ * How long a machine that is gone without a word may count: its silence and two
+ * commits, and before them, if it led, an election that is repeated once.  See
+ * docs/design/replication.md.
  */
-#define KILLED_WINDOW_MS \
-	(4 * RAFT_ELECTION_TIMEOUT_MS + GROUP_REFUSED_SILENCE_MS + 100)
-#define SILENT_WINDOW_MS \
-	(4 * RAFT_ELECTION_TIMEOUT_MS + GROUP_ABSENT_SILENCE_MS + 100)
+#define COMMITS_MS 200
+#define ELECTIONS_MS (4 * RAFT_ELECTION_TIMEOUT_MS)
 #define STOPS_MAX 2
 #define STOP_GAP_MAX_MS 3000
 #define LOSS_GAP_MAX_MS 9000
@@ -908,8 +907,9 @@
 /* Mistakes that the walks have to detect. */
 typedef enum {
 	NOTHING_PLANTED,
-	SPARE_KEPT,  /* spare voters count until their timeouts */
-	STOPS_UNTOLD /* processes end without leaving */
+	SPARE_KEPT,   /* spare voters count until their timeouts */
+	STOPS_UNTOLD, /* processes end without leaving */
+	TOO_FEW_KEPT  /* the group gets smaller than 2f + 1 at once */
 } planted_t;
 
 /* A drawn day: machines are replaced as planned, and then others are lost. */
@@ -918,9 +918,10 @@
 	int nodes;
 	int stop_count;
 	stop_t stops[STOPS_MAX];
-	clock_ms_t gap_ms; /* from the last end to the losses */
-	uint32_t lost;	   /* nodes */
-	bool is_for_good;  /* the lost ones come back at other addresses */
+	clock_ms_t window_ms; /* in which those that are gone may count */
+	clock_ms_t gap_ms;    /* behind it, to the losses */
+	uint32_t lost;	      /* nodes */
+	bool is_for_good;     /* the lost ones come back at other addresses */
 	bool loses_power;
 } replacement_t;
 
@@ -932,9 +933,24 @@
 	       raft_members_find(members, walk->sim.nodes[at].id) != NULL;
 }
 
+/* Records for how long a node may count that ends without a word. */
+static void extend_window(replacement_t *day, const stop_t *stop)
+{
+	bool leads = day->walk.sim.nodes[stop->node].raft.role == RAFT_LEADER;
+	clock_ms_t silence_ms = stop->ending == ENDS_KILLED
+					? GROUP_REFUSED_SILENCE_MS
+					: GROUP_ABSENT_SILENCE_MS;
+
+	if (stop->ending != ENDS_TOLD)
+		day->window_ms =
+			MAX(day->window_ms, (leads ? ELECTIONS_MS : 0) +
+						    silence_ms + COMMITS_MS);
+}
+
 /* Tells a process to stop; it ends once it has left, or after the timeout. */
-static void continue_stop(walk_t *walk, stop_t *stop, clock_ms_t since_ms)
+static void continue_stop(replacement_t *day, stop_t *stop, clock_ms_t since_ms)
 {
+	walk_t *walk = &day->walk;
 	member_t *member = &walk->members[stop->node];
 
 	if (stop->is_over || since_ms < stop->at_ms)
@@ -945,6 +961,7 @@
 		return;
 	member->leaving = false;
 	member->vanished = stop->ending == ENDS_SILENTLY;
+	extend_window(day, stop);
 	take_away(walk, stop->node);
 	stop->is_over = true;
 }
@@ -980,13 +997,11 @@
 	return drawn;
 }
 
-/* Draws the stops; returns for how long those that are gone may count. */
-static clock_ms_t draw_stops(replacement_t *day)
+static void draw_stops(replacement_t *day)
 {
 	GRand *random = day->walk.random;
 	int first = g_rand_int_range(random, 0, day->nodes);
 	bool at_once = g_rand_boolean(random);
-	clock_ms_t window_ms = 0;
 
 	for (int i = 0; i < day->stop_count; i++) {
 		stop_t *stop = &day->stops[i];
@@ -997,35 +1012,36 @@
 			i == 0 || at_once
 				? 0
 				: g_rand_int_range(random, 0, STOP_GAP_MAX_MS);
-		if (stop->ending == ENDS_KILLED)
-			window_ms = MAX(window_ms, KILLED_WINDOW_MS);
-		else if (stop->ending == ENDS_SILENTLY)
-			window_ms = MAX(window_ms, SILENT_WINDOW_MS);
 	}
-	return window_ms;
 }
 
-static void begin_replacement(replacement_t *day, uint32_t seed)
+/* Begins with "nodes" voters and "successors" beside them. */
+static void begin_day(replacement_t *day, uint32_t seed, int nodes,
+		      int successors)
 {
-	walk_t *walk = &day->walk;
-	clock_ms_t window_ms;
-	planned_t plan;
+	const planned_t plan = { .nodes = nodes, .planned = successors };
 
 	memset(day, 0, sizeof(*day));
-	day->nodes = seed % 2 == 0 ? 3 : 5;
-	day->stop_count = (int)(seed / 2 % STOPS_MAX) + 1;
-	plan = (planned_t){ .nodes = day->nodes, .planned = day->stop_count };
-	begin_planned(walk, &plan);
-	walk->refuses = true;
-	g_rand_set_seed(walk->random, seed);
-	window_ms = draw_stops(day);
-	day->gap_ms = window_ms + g_rand_int_range(walk->random, 0,
-						   g_rand_boolean(walk->random)
-							   ? 300
-							   : LOSS_GAP_MAX_MS);
+	day->nodes = nodes;
+	begin_planned(&day->walk, &plan);
+	day->walk.refuses = true;
+	g_rand_set_seed(day->walk.random, seed);
+}
+
+static void begin_replacement(replacement_t *day, uint32_t seed)
+{
+	GRand *random;
+	int stops = (int)(seed / 2 % STOPS_MAX) + 1;
+
+	begin_day(day, seed, seed % 2 == 0 ? 3 : 5, stops);
+	random = day->walk.random;
+	day->stop_count = stops;
+	draw_stops(day);
+	day->gap_ms = g_rand_int_range(
+		random, 0, g_rand_boolean(random) ? 300 : LOSS_GAP_MAX_MS);
 	day->lost = draw_nodes(day, (day->nodes - 1) / 2);
-	day->is_for_good = g_rand_boolean(walk->random);
-	day->loses_power = g_rand_boolean(walk->random);
+	day->is_for_good = g_rand_boolean(random);
+	day->loses_power = g_rand_boolean(random);
 }
 
 /* A spare voter or another one restarts, and has the time to catch up. */
@@ -1056,7 +1072,7 @@
 	for (clock_ms_t since = 0; over < day->stop_count; since += TICK_MS) {
 		over = 0;
 		for (int i = 0; i < day->stop_count; i++) {
-			continue_stop(&day->walk, &day->stops[i], since);
+			continue_stop(day, &day->stops[i], since);
 			over += day->stops[i].is_over;
 		}
 		if (over < day->stop_count)
@@ -1106,7 +1122,7 @@
 		failure = "a successor is no voter";
 	(void)make_leader(walk, g_rand_int_range(walk->random, 0, day.nodes));
 	play_stops(&day);
-	run_for(walk, day.gap_ms / 2);
+	run_for(walk, day.window_ms + day.gap_ms / 2);
 	sim_submit(&walk->sim, 3);
 	run_for(walk, day.gap_ms / 2);
 	play_losses(&day);
@@ -1119,12 +1135,12 @@
 		failure = walk->sim.violation;
 	if (failure != NULL && planted == NOTHING_PLANTED)
 		printf("\n    replacement %u: nodes=%d stops=%d:%d@%d,%d:%d@%d "
-		       "gap=%d lost=%x for_good=%d power=%d: %s",
+		       "window=%d gap=%d lost=%x for_good=%d power=%d: %s",
 		       seed, day.nodes, day.stops[0].node, day.stops[0].ending,
 		       (int)day.stops[0].at_ms, day.stops[1].node,
 		       day.stops[1].ending, (int)day.stops[1].at_ms,
-		       (int)day.gap_ms, day.lost, day.is_for_good,
-		       day.loses_power, failure);
+		       (int)day.window_ms, (int)day.gap_ms, day.lost,
+		       day.is_for_good, day.loses_power, failure);
 	end(walk);
 	return failure;
 }
@@ -1144,6 +1160,79 @@
 		CU_ASSERT_PTR_NULL(play_replacement(seed, NOTHING_PLANTED));
 }
 
+#define SPLIT_MAX_MS 6000
+
+/* Cuts the nodes in "side" off from the others; the split ends by itself. */
+static void play_split(walk_t *walk, uint32_t side, clock_ms_t duration_ms)
+{
+	for (int i = 0; i < walk->sim.count; i++)
+		for (int j = 0; j < walk->sim.count; j++)
+			walk->sim.partitioned[i][j] =
+				(side >> i & 1u) != (side >> j & 1u);
+	run_for(walk, duration_ms / 2);
+	sim_submit(&walk->sim, 3);
+	run_for(walk, duration_ms / 2);
+	step_heal(&walk->sim, 0);
+}
+
+/*
+ * Plays a split of some seconds, which loses nothing, of a group with up to two
+ * voters more than it needs; then as many disks are lost as it bears, also while
+ * all others lose power.
+ */
+static const char *play_losses_after_split(uint32_t seed, planted_t planted)
+{
+	const char *failure = NULL;
+	replacement_t day;
+	walk_t *walk = &day.walk;
+	uint32_t side;
+
+	begin_day(&day, seed, seed % 2 == 0 ? 3 : 5,
+		  (int)(seed / 2 % (STOPS_MAX + 1)));
+	if (planted == TOO_FEW_KEPT)
+		walk->tolerance.machines = 0;
+	side = draw_nodes(&day, g_rand_int_range(walk->random, 1,
+						 (walk->sim.count + 1) / 2));
+	day.lost = draw_nodes(&day, (day.nodes - 1) / 2);
+	day.loses_power = g_rand_boolean(walk->random);
+	play_split(walk, side,
+		   g_rand_int_range(walk->random, 500, SPLIT_MAX_MS));
+	run_for(walk, g_rand_int_range(walk->random, 0, 500));
+	play_losses(&day);
+	run_for(walk, 4 * RAFT_ELECTION_TIMEOUT_MS + REJOIN_BOUND_MS);
+	if (!commit_change(walk))
+		failure = "nothing commits after the faults";
+	else if (count_waiting(walk) > 0)
+		failure = "a node is no voter again";
+	if (walk->sim.violation != NULL)
+		failure = walk->sim.violation;
+	if (failure != NULL && planted == NOTHING_PLANTED)
+		printf("\n    split %u: nodes=%d of %d side=%x lost=%x "
+		       "power=%d: "
+		       "%s",
+		       seed, day.nodes, walk->sim.count, side, day.lost,
+		       day.loses_power, failure);
+	end(walk);
+	return failure;
+}
+
+/* Failure: a split leaves so few voters that the next lost disks are the last. */
+static void test_random_losses_after_a_split(void)
+{
+	for (uint32_t seed = 1; seed <= WALKS; seed++)
+		CU_ASSERT_PTR_NULL(
+			play_losses_after_split(seed, NOTHING_PLANTED));
+}
+
+static void test_walk_detects_too_few_voters_after_a_split(void)
+{
+	int failures = 0;
+
+	for (uint32_t seed = 1; seed <= 100; seed++)
+		failures += play_losses_after_split(seed, TOO_FEW_KEPT) != NULL;
+	CU_ASSERT_TRUE(failures > 0);
+}
+
 static int count_failed_replacements(planted_t planted)
 {
 	int failures = 0;
@@ -1542,6 +1631,9 @@
 	  test_disks_are_lost_right_after_two_planned_replacements },
 	{ "random losses after planned replacements",
 	  test_random_losses_after_planned_replacements },
+	{ "random losses after a split", test_random_losses_after_a_split },
+	{ "walk detects too few voters after a split",
+	  test_walk_detects_too_few_voters_after_a_split },
 	{ "walk detects spare voters that are kept",
 	  test_walk_detects_spare_voters_that_are_kept },
 	{ "walk detects stops that are not told",
