entry: no promise by a recorded answer either

A result that an earlier version recorded in the ledger may have a status that promises that the call has not run. It is answered like one that comes from the service.

--- a/src/wisteria/entry/call.c
+++ b/src/wisteria/entry/call.c
@@ -9,11 +9,13 @@
 
 #include "wisteria/base/clock.h"
 #include "wisteria/base/err.h"
+#include "wisteria/base/log.h"
 #include "wisteria/codec/codec.h"
 #include "wisteria/codec/msg.h"
 #include "wisteria/entry/call_ledger.h"
 #include "wisteria/entry/refusal.h"
 #include "wisteria/entry/request.h"
+#include "wisteria/http/http_message.h"
 #include "wisteria/net/link.h"
 #include "wisteria/trace/explain.h"
 
@@ -220,6 +222,31 @@
 	call_refuse(call, ERR_CLOSED, "call", reason, false);
 }
 
+/*
+ * Returns whether the reply would tell the caller that a call which must not run
+ * twice has not run: the service has answered it, so it may have.
+ */
+bool call_is_false_promise(const call_t *call, const msg_call_reply_t *reply)
+{
+	return !call->idempotent && reply->outcome == CALL_DONE &&
+	       http_status_is_promise(reply->status);
+}
+
+/* The caller gets 502; if the key is reserved, the outcome becomes unknown. */
+void call_refuse_false_promise(call_t *call, const msg_call_reply_t *reply)
+{
+	char reason[96];
+
+	snprintf(reason, sizeof(reason),
+		 "the service answered %u, and may have run the call",
+		 reply->status);
+	LOG_INFO("answer_replaced",
+		 "request=%s endpoint=%s status=%u rule=promise_by_a_run",
+		 call->request->id, call->hop.endpoint, reply->status);
+	call_release_agent(call);
+	call_refuse(call, ERR_CLOSED, "call", reason, false);
+}
+
 /* Sends the service's response to the caller and ends the call. */
 void call_answer(call_t *call, const msg_call_reply_t *reply)
 {
@@ -255,6 +282,8 @@
 		call_refuse(call, ERR_CORRUPT, "ledger", err.text, false);
 	else if (reply.outcome != CALL_DONE)
 		call_refuse(call, ERR_CLOSED, "ledger", reply.reason, false);
+	else if (call_is_false_promise(call, &reply))
+		call_refuse_false_promise(call, &reply);
 	else
 		call_answer(call, &reply);
 	msgpack_zone_destroy(&zone);
--- a/src/wisteria/entry/call.h
+++ b/src/wisteria/entry/call.h
@@ -10,6 +10,10 @@
 void call_send_if_open(call_t *call) ATTR_NONNULL_ALL;
 void call_release_agent(call_t *call) ATTR_NONNULL_ALL;
 void call_on_dispatch_failed(call_t *call, const char *reason) ATTR_NONNULL_ALL;
+bool call_is_false_promise(const call_t *call,
+			   const msg_call_reply_t *reply) ATTR_NONNULL_ALL;
+void call_refuse_false_promise(call_t *call,
+			       const msg_call_reply_t *reply) ATTR_NONNULL_ALL;
 void call_answer(call_t *call, const msg_call_reply_t *reply) ATTR_NONNULL_ALL;
 void call_answer_stored(call_t *call, bytes_t stored) ATTR_NONNULL_ALL;
 void call_refuse(call_t *call, err_code_t code, const char *step,
--- a/src/wisteria/entry/entry_call.c
+++ b/src/wisteria/entry/entry_call.c
@@ -5,7 +5,6 @@
  */
 #include "wisteria/entry/entry_call.h"
 
-#include <stdio.h>
 #include <string.h>
 
 #include <sodium.h>
@@ -13,13 +12,11 @@
 #include "wisteria/base/clock.h"
 #include "wisteria/base/counters.h"
 #include "wisteria/base/err.h"
-#include "wisteria/base/log.h"
 #include "wisteria/codec/codec.h"
 #include "wisteria/codec/msg.h"
 #include "wisteria/entry/call.h"
 #include "wisteria/entry/call_ledger.h"
 #include "wisteria/entry/request.h"
-#include "wisteria/http/http_message.h"
 #include "wisteria/net/link.h"
 #include "wisteria/settings/preset.h"
 #include "wisteria/trace/explain.h"
@@ -36,31 +33,6 @@
 	call_ledger_record(call, clock_now(call->entry->net->clock));
 }
 
-/*
- * Returns whether the reply would tell the caller that a call which must not run
- * twice has not run: the service has answered it, so it may have.
- */
-static bool is_false_promise(const call_t *call, const msg_call_reply_t *reply)
-{
-	return !call->idempotent && reply->outcome == CALL_DONE &&
-	       http_status_is_promise(reply->status);
-}
-
-/* The caller gets 502, and the outcome is recorded as unknown. */
-static void refuse_false_promise(call_t *call, const msg_call_reply_t *reply)
-{
-	char reason[96];
-
-	snprintf(reason, sizeof(reason),
-		 "the service answered %u, and may have run the call",
-		 reply->status);
-	LOG_INFO("answer_replaced",
-		 "request=%s endpoint=%s status=%u rule=promise_by_a_run",
-		 call->request->id, call->hop.endpoint, reply->status);
-	call_release_agent(call);
-	call_refuse(call, ERR_CLOSED, "call", reason, false);
-}
-
 /* Handles an agent's reply to a call. */
 void entry_call_on_reply(entry_t *entry, const msg_call_reply_t *reply)
 {
@@ -76,8 +48,8 @@
 		call_dispatch_elsewhere(call, reply->reason);
 	} else if (reply->outcome != CALL_DONE)
 		call_on_dispatch_failed(call, reply->reason);
-	else if (is_false_promise(call, reply))
-		refuse_false_promise(call, reply);
+	else if (call_is_false_promise(call, reply))
+		call_refuse_false_promise(call, reply);
 	else if (call->reserved)
 		record_result(call, reply);
 	else
