control: tell all members of a stop, not only the leader

Neither is removed, and a lost disk then leaves two of four voters.

Cause: a replica that stops told only the leader, so a leader that had just got the lead didn't know that the one that gave it stops as well.

All members are told, before the lead is passed on.

--- a/src/wisteria/control/replica_leave.c
+++ b/src/wisteria/control/replica_leave.c
@@ -4,8 +4,8 @@
  * this, a machine that was replaced counts until its loss is known, and a disk
  * that is lost in that time may end the group.
  *
- * The replica transfers leadership, if it leads, and tells the leader that it
- * stops until that confirms that the membership without it is committed.  It
+ * The replica transfers leadership, if it leads, and tells the members that it
+ * stops until the leader confirms that the membership without it is committed.  It
  * doesn't join while it stops.  Nothing says whether the machine is to be removed
  * or only restarted: one that is started again joins as a learner with its data.
  */
@@ -82,6 +82,24 @@
 	return false;
 }
 
+/*
+ * Tells all members that this replica stops, so that whoever leads next knows it
+ * as well: of two that stop, neither may transfer leadership to the other.
+ */
+static void tell_members(replica_t *replica)
+{
+	const raft_members_t *members = &replica->raft.members;
+
+	for (uint32_t i = 0; i < members->count; i++) {
+		replica_peer_t *peer =
+			replica_peer(replica, members->items[i].instance);
+
+		if (peer != NULL && peer->linked)
+			replica_send_group_message(replica, peer,
+						   REPLICA_MSG_LEAVE, 0);
+	}
+}
+
 /* Begins to leave the group, as the process has been told to stop. */
 void replica_begin_leaving(replica_t *replica)
 {
@@ -96,37 +114,23 @@
 	LOG_INFO("leave_begun", "voters=%u spare=%d leads=%d",
 		 raft_members_count_voters(&replica->raft.members),
 		 is_spare_voter(replica), replica_is_leader(replica));
+	if (is_spare_voter(replica))
+		tell_members(replica);
 	replica_transfer_leadership(replica);
 }
 
-/* Returns the peer that leads, or NULL. */
-static replica_peer_t *leader_peer(const replica_t *replica)
-{
-	const raft_member_t *leader =
-		raft_members_find(&replica->raft.members, replica->raft.leader);
-
-	return leader == NULL ? NULL : replica_peer(replica, leader->instance);
-}
-
-/* Tells the leader that this replica stops, each REPLICA_LEAVE_MS. */
+/* Says that this replica stops, each REPLICA_LEAVE_MS. */
 void replica_tick_leaving(replica_t *replica)
 {
 	replica_leaving_t *leaving = &replica->leaving;
 	clock_ms_t now = now_of(replica);
-	replica_peer_t *leader;
 
 	if (replica_may_stop(replica) || now < leaving->tell_at_ms)
 		return;
 	leaving->tell_at_ms = now + REPLICA_LEAVE_MS;
-	if (replica_is_leader(replica)) {
-		if (replica->raft.transfer_to == 0)
-			replica_transfer_leadership(replica);
-		return;
-	}
-	leader = leader_peer(replica);
-	if (leader != NULL && leader->linked)
-		replica_send_group_message(replica, leader, REPLICA_MSG_LEAVE,
-					   0);
+	tell_members(replica);
+	if (replica_is_leader(replica) && replica->raft.transfer_to == 0)
+		replica_transfer_leadership(replica);
 }
 
 /*
