control: a learner says that it stops; one search for a voter's silence

A learner that is stopped could be promoted as it ends; it now says that it stops, as voters do. replica_describe_voters() and replica_describe_missing() share what is known of a member's silence. Found by reading; the builds of the unit tests and functional/booking_test passed.

--- a/src/wisteria/control/replica_defs.h
+++ b/src/wisteria/control/replica_defs.h
@@ -23,6 +23,8 @@
 #define REPLICA_JOIN_LOG_MS 1000
 /* How often a replica that stops says so. */
 #define REPLICA_LEAVE_MS 100
+/* A message that was not repeated for this long: the process has ended. */
+#define REPLICA_LEAVE_STALE_MS (3 * REPLICA_LEAVE_MS)
 /*
  * How long a stop waits until the group has removed the replica: a transfer of
  * leadership, or the election after a failed one, and some commits.
--- a/src/wisteria/control/replica_leave.c
+++ b/src/wisteria/control/replica_leave.c
@@ -100,7 +100,10 @@
 	}
 }
 
-/* Begins to leave the group, as the process has been told to stop. */
+/*
+ * Begins to leave the group, as the process has been told to stop.  A learner
+ * says so as well, so that it isn't promoted as it ends.
+ */
 void replica_begin_leaving(replica_t *replica)
 {
 	replica_leaving_t *leaving = &replica->leaving;
@@ -114,8 +117,7 @@
 	LOG_INFO("leave_begun", "voters=%u spare=%d leads=%d",
 		 raft_members_count_voters(&replica->raft.members),
 		 is_spare_voter(replica), replica_is_leader(replica));
-	if (is_spare_voter(replica))
-		tell_members(replica);
+	tell_members(replica);
 	replica_transfer_leadership(replica);
 }
 
@@ -152,7 +154,7 @@
 	const replica_peer_t *peer = replica_peer(replica, member->instance);
 
 	return peer != NULL && peer->leaving_id == member->id &&
-	       now_of(replica) - peer->leaving_ms < 3 * REPLICA_LEAVE_MS;
+	       now_of(replica) - peer->leaving_ms < REPLICA_LEAVE_STALE_MS;
 }
 
 /*
--- a/src/wisteria/control/replica_losses.c
+++ b/src/wisteria/control/replica_losses.c
@@ -110,6 +110,27 @@
 			      msg->from);
 }
 
+/*
+ * Returns for how many ms nothing has come from the member, or -1 if nothing ever
+ * came under its id.
+ */
+static clock_ms_t silence_of(const replica_t *replica,
+			     const raft_member_t *member)
+{
+	const replica_peer_t *peer = replica_peer(replica, member->instance);
+
+	if (peer == NULL || peer->heard_id != member->id)
+		return -1;
+	return clock_now(replica->net->clock) - peer->heard_ms;
+}
+
+static bool is_linked(const replica_t *replica, const raft_member_t *member)
+{
+	const replica_peer_t *peer = replica_peer(replica, member->instance);
+
+	return peer != NULL && link_is_open(&peer->link);
+}
+
 /*
  * Appends each voter with what is known of it: "self", "lost" (its disk), or
  * whether the link to its instance is open and for how many ms nothing came
@@ -118,12 +139,10 @@
 void replica_describe_voters(const replica_t *replica, GString *text)
 {
 	const raft_members_t *members = &replica->raft.members;
-	clock_ms_t now = clock_now(replica->net->clock);
 
 	for (uint32_t i = 0; i < members->count; i++) {
 		const raft_member_t *member = &members->items[i];
-		const replica_peer_t *peer =
-			replica_peer(replica, member->instance);
+		clock_ms_t silence_ms = silence_of(replica, member);
 
 		if (!member->voter)
 			continue;
@@ -133,13 +152,13 @@
 			g_string_append(text, "self");
 		else if (raft_is_lost(&replica->raft, member->id))
 			g_string_append(text, "lost");
-		else if (peer == NULL || peer->heard_id != member->id)
+		else if (silence_ms < 0)
 			g_string_append(text, "never_heard");
 		else
 			g_string_append_printf(
 				text, "%s/%" G_GINT64_FORMAT "ms",
-				link_is_open(&peer->link) ? "open" : "closed",
-				now - peer->heard_ms);
+				is_linked(replica, member) ? "open" : "closed",
+				silence_ms);
 	}
 }
 
@@ -150,18 +169,15 @@
 void replica_describe_missing(const replica_t *replica, GString *text)
 {
 	const raft_members_t *members = &replica->raft.members;
-	clock_ms_t now = clock_now(replica->net->clock);
 
 	for (uint32_t i = 0; i < members->count; i++) {
 		const raft_member_t *member = &members->items[i];
-		const replica_peer_t *peer =
-			replica_peer(replica, member->instance);
+		clock_ms_t silence_ms = silence_of(replica, member);
 
-		if (!member->voter || member->id == replica->raft.id ||
-		    (peer != NULL && peer->heard_id == member->id &&
-		     now - peer->heard_ms < GROUP_REACHABLE_MS))
-			continue;
-		g_string_append_printf(text, "%s%s", text->len > 0 ? "," : "",
-				       member->instance);
+		if (member->voter && member->id != replica->raft.id &&
+		    (silence_ms < 0 || silence_ms >= GROUP_REACHABLE_MS))
+			g_string_append_printf(text, "%s%s",
+					       text->len > 0 ? "," : "",
+					       member->instance);
 	}
 }
--- a/src/wisteria/http/http_server.c
+++ b/src/wisteria/http/http_server.c
@@ -529,8 +529,8 @@
 
 /*
  * Appends the length of the body, and the end of the head.  204 and interim
- * responses must not have a length (RFC 9110, 8.6); that of 304 would be another
- * one than its own.
+ * responses must not have a length (RFC 9110, 8.6); that of 304 would have to be
+ * the length of the 200 response, which is not known here.
  */
 static void end_head(GString *head, unsigned status, int64_t length)
 {
