group_walk_test: two that are stopped at once

Guards against the fault of: with a lead that is passed to another one that stops, as a planted mistake, the new test fails. The model now hands over before it changes the membership, as a process does that is told to stop; in the other order a leader removed the second one first, and the mistake was not seen.

--- a/test/unit/group_walk_test.c
+++ b/test/unit/group_walk_test.c
@@ -53,7 +53,8 @@
 	bool replies_list_members;
 	bool ignores_lost_disks;
 	bool ignores_leaving;
-	bool refuses; /* the address of a node that has ended */
+	bool passes_lead_on; /* also to another one that stops */
+	bool refuses;	     /* the address of a node that has ended */
 	seeds_t seeds;
 	/* Generation of each node that seeds without a replica know. */
 	int referred[SLOTS_MAX];
@@ -216,7 +217,8 @@
 	    raft->transfer_to != 0)
 		return;
 	for (uint32_t i = 0; i < raft->members.count; i++)
-		if (is_known_to_leave(walk, at, &raft->members.items[i]))
+		if (!walk->passes_lead_on &&
+		    is_known_to_leave(walk, at, &raft->members.items[i]))
 			leaving.items[leaving.count++] =
 				raft->members.items[i].id;
 	(void)!raft_transfer(raft, &leaving);
@@ -366,8 +368,8 @@
 		learn_members(walk, i, &sim->nodes[i].raft.members);
 		search(walk, i);
 		ask_identities(walk, i);
-		update_membership(walk, i);
 		hand_over(walk, i);
+		update_membership(walk, i);
 		sim_drain(sim, i);
 		sim_sync(sim, i, 8);
 	}
@@ -1049,16 +1051,12 @@
 {
 	walk_t *walk = &day->walk;
 	int at = g_rand_int_range(walk->random, 0, walk->sim.count);
-	stop_t stop = { .node = at, .ending = ENDS_TOLD };
-
-	for (clock_ms_t since = 0; !stop.is_over; since += TICK_MS) {
-		member_t *member = &walk->members[at];
 
-		member->leaving = true;
+	walk->members[at].leaving = true;
+	for (clock_ms_t since = 0;
+	     since < REPLICA_LEAVE_TIMEOUT_MS && is_member(walk, at);
+	     since += TICK_MS)
 		tick(walk);
-		stop.is_over = !is_member(walk, at) ||
-			       since >= REPLICA_LEAVE_TIMEOUT_MS;
-	}
 	walk->members[at].leaving = false;
 	sim_crash(&walk->sim, at, 0, 0);
 	sim_start(&walk->sim, at);
@@ -1101,6 +1099,32 @@
 			start_empty(day, i);
 }
 
+/* Returns why the group does not work again, or lost a change; NULL if it does. */
+static const char *find_failure_of_losses(replacement_t *day)
+{
+	walk_t *walk = &day->walk;
+
+	play_losses(day);
+	run_for(walk, 4 * RAFT_ELECTION_TIMEOUT_MS + REJOIN_BOUND_MS);
+	if (!commit_change(walk))
+		return "nothing commits after the faults";
+	if (count_waiting(walk) > 0)
+		return "a node is no voter again";
+	return walk->sim.violation;
+}
+
+/* Plays the stops, a change, and the losses. */
+static const char *find_failure_of_day(replacement_t *day)
+{
+	walk_t *walk = &day->walk;
+
+	play_stops(day);
+	run_for(walk, day->window_ms + day->gap_ms / 2);
+	sim_submit(&walk->sim, 3);
+	run_for(walk, day->gap_ms / 2);
+	return find_failure_of_losses(day);
+}
+
 /*
  * Plays a day on which one or two machines are replaced as planned, the new ones
  * first, and then as many as the group bears lose their disks, or are lost for
@@ -1121,18 +1145,8 @@
 	if (count_waiting(walk) > 0)
 		failure = "a successor is no voter";
 	(void)make_leader(walk, g_rand_int_range(walk->random, 0, day.nodes));
-	play_stops(&day);
-	run_for(walk, day.window_ms + day.gap_ms / 2);
-	sim_submit(&walk->sim, 3);
-	run_for(walk, day.gap_ms / 2);
-	play_losses(&day);
-	run_for(walk, 4 * RAFT_ELECTION_TIMEOUT_MS + REJOIN_BOUND_MS);
-	if (failure == NULL && !commit_change(walk))
-		failure = "nothing commits after the faults";
-	if (failure == NULL && count_waiting(walk) > 0)
-		failure = "a node is no voter again";
-	if (walk->sim.violation != NULL)
-		failure = walk->sim.violation;
+	if (failure == NULL)
+		failure = find_failure_of_day(&day);
 	if (failure != NULL && planted == NOTHING_PLANTED)
 		printf("\n    replacement %u: nodes=%d stops=%d:%d@%d,%d:%d@%d "
 		       "window=%d gap=%d lost=%x for_good=%d power=%d: %s",
@@ -1160,6 +1174,41 @@
 		CU_ASSERT_PTR_NULL(play_replacement(seed, NOTHING_PLANTED));
 }
 
+/*
+ * Returns the number of days that fail on which two of three, the leader among
+ * them or not, are stopped at once, and the third one then loses its disk.
+ */
+static int count_failed_stops_at_once(bool passes_lead_on)
+{
+	int failures = 0;
+
+	for (int leader = 0; leader < 3; leader++)
+		for (int lost = 0; lost < 3; lost++) {
+			replacement_t day;
+
+			begin_day(&day, 1, 3, 2);
+			day.walk.passes_lead_on = passes_lead_on;
+			day.stop_count = 2;
+			day.stops[0].node = (lost + 1) % 3;
+			day.stops[1].node = (lost + 2) % 3;
+			day.lost = 1u << lost;
+			CU_ASSERT_TRUE(make_leader(&day.walk, leader));
+			failures += find_failure_of_day(&day) != NULL;
+			end(&day.walk);
+		}
+	return failures;
+}
+
+/*
+ * Failure: two that are stopped at once pass the lead to each other, neither is
+ * removed, and the next lost disk leaves no quorum.
+ */
+static void test_two_are_stopped_at_once(void)
+{
+	CU_ASSERT_EQUAL(count_failed_stops_at_once(false), 0);
+	CU_ASSERT_TRUE(count_failed_stops_at_once(true) > 0);
+}
+
 #define SPLIT_MAX_MS 6000
 
 /* Cuts the nodes in "side" off from the others; the split ends by itself. */
@@ -1182,7 +1231,7 @@
  */
 static const char *play_losses_after_split(uint32_t seed, planted_t planted)
 {
-	const char *failure = NULL;
+	const char *failure;
 	replacement_t day;
 	walk_t *walk = &day.walk;
 	uint32_t side;
@@ -1198,14 +1247,7 @@
 	play_split(walk, side,
 		   g_rand_int_range(walk->random, 500, SPLIT_MAX_MS));
 	run_for(walk, g_rand_int_range(walk->random, 0, 500));
-	play_losses(&day);
-	run_for(walk, 4 * RAFT_ELECTION_TIMEOUT_MS + REJOIN_BOUND_MS);
-	if (!commit_change(walk))
-		failure = "nothing commits after the faults";
-	else if (count_waiting(walk) > 0)
-		failure = "a node is no voter again";
-	if (walk->sim.violation != NULL)
-		failure = walk->sim.violation;
+	failure = find_failure_of_losses(&day);
 	if (failure != NULL && planted == NOTHING_PLANTED)
 		printf("\n    split %u: nodes=%d of %d side=%x lost=%x "
 		       "power=%d: "
@@ -1631,6 +1673,7 @@
 	  test_disks_are_lost_right_after_two_planned_replacements },
 	{ "random losses after planned replacements",
 	  test_random_losses_after_planned_replacements },
+	{ "two are stopped at once", test_two_are_stopped_at_once },
 	{ "random losses after a split", test_random_losses_after_a_split },
 	{ "walk detects too few voters after a split",
 	  test_walk_detects_too_few_voters_after_a_split },
