--- a/src/wisteria/gateway/exchange_internal.h
+++ b/src/wisteria/gateway/exchange_internal.h
@@ -23,7 +23,7 @@
 void exchange_pause_attempt(exchange_t *exchange) ATTR_NONNULL_ALL;
 void exchange_continue_paused(exchange_t *exchange) ATTR_NONNULL_ALL;
 void exchange_stop_waiting(exchange_t *exchange) ATTR_NONNULL_ALL;
-void exchange_give_up(exchange_t *exchange, unsigned status,
+void exchange_give_up(exchange_t *exchange, unsigned wanted_status,
 		      clock_ms_t retry_after_ms,
 		      const char *reason) ATTR_NONNULL_ALL;
 void exchange_refuse(exchange_t *exchange, clock_ms_t retry_after_ms,
--- a/test/functional/booking_test.c
+++ b/test/functional/booking_test.c
@@ -299,13 +299,8 @@
 		.body = strcmp(method, "POST") == 0 ? "hi" : NULL,
 		.headers = headers,
 	};
-	http_request_t *request = http_send(&client, &params);
-	long status = 0;
 
-	if (http_wait(&client, request, HARNESS_WAIT_MS))
-		status = request->status;
-	http_request_free(&client, request);
-	return status;
+	return http_call_status(&client, &params, HARNESS_WAIT_MS);
 }
 
 /*
--- a/test/functional/fleet_join_test.c
+++ b/test/functional/fleet_join_test.c
@@ -57,13 +57,8 @@
 		.url = harness_string(&harness, "http://%s%s", address, path),
 		.body = body,
 	};
-	http_request_t *request = http_send(&client, &params);
-	long status = 0;
 
-	if (http_wait(&client, request, HARNESS_WAIT_MS))
-		status = request->status;
-	http_request_free(&client, request);
-	return status;
+	return http_call_status(&client, &params, HARNESS_WAIT_MS);
 }
 
 /* Returns whether a running control instance answers the call with 200. */
--- a/test/functional/harness/http.c
+++ b/test/functional/harness/http.c
@@ -296,6 +296,21 @@
 	return poll_until(client, one_done, request, 0, limit_ms);
 }
 
+/*
+ * Sends a request and returns the status of its response; 0 without one after
+ * "limit_ms".
+ */
+long http_call_status(http_client_t *client, const http_params_t *params,
+		      clock_ms_t limit_ms)
+{
+	http_request_t *request = http_send(client, params);
+	long status =
+		http_wait(client, request, limit_ms) ? request->status : 0;
+
+	http_request_free(client, request);
+	return status;
+}
+
 /*
  * Runs until a stream has delivered "events" events or is done; returns false
  * after "limit_ms".
--- a/test/functional/harness/http.h
+++ b/test/functional/harness/http.h
@@ -67,6 +67,8 @@
 		     clock_ms_t limit_ms) ATTR_NONNULL_ALL ATTR_WARN_UNUSED;
 bool http_wait(http_client_t *client, const http_request_t *request,
 	       clock_ms_t limit_ms) ATTR_NONNULL_ALL ATTR_WARN_UNUSED;
+long http_call_status(http_client_t *client, const http_params_t *params,
+		      clock_ms_t limit_ms) ATTR_NONNULL_ALL;
 bool http_wait_events(http_client_t *client, const http_request_t *request,
 		      uint32_t events,
 		      clock_ms_t limit_ms) ATTR_NONNULL_ALL ATTR_WARN_UNUSED;
